Lay the workspace, the schema and the shared types

Cause: an empty repository; parts can only be built in parallel once the messages, ids and the events of the control thread are agreed. Ruled out: one crate with modules (no boundary keeps I/O out of the decisions); hand-written messages (house style asks for a schema). Change: twelve flat crates, .proto files with committed generated code made by protox (no protoc), core types, and the event and effect types of control.

--- /dev/null
+++ b/lilacpass-core/src/class.rs
@@ -0,0 +1,44 @@
+//! The class of a piece of work, which decides who goes first.
+
+use std::{fmt, str::FromStr};
+
+use crate::error::{self, Error};
+
+/// The class of a piece of work, the most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Class {
+    /// A person waits for the answer.
+    Urgent,
+    /// Work that is kept running, such as a watcher.
+    Standing,
+    /// Work that may wait, such as an audit over night.
+    Batch,
+}
+
+impl Class {
+    /// All classes, the most urgent first.
+    pub const ALL: [Self; 3] = [Self::Urgent, Self::Standing, Self::Batch];
+
+    /// The name in settings, messages and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Urgent => "urgent",
+            Self::Standing => "standing",
+            Self::Batch => "batch",
+        }
+    }
+}
+
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for Class {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self, Error> {
+        Self::ALL.into_iter().find(|c| c.as_str() == s).ok_or_else(|| error::malformed("Class", s))
+    }
+}
--- /dev/null
+++ b/lilacpass-core/src/lib.rs
@@ -0,0 +1,17 @@
+//! Shared types of lilacpass: ids, sizes, rates, time, classes, verdict and errors.
+//!
+//! Every other crate builds on these. Nothing here performs I/O, reads a clock or starts a thread.
+
+pub mod class;
+pub mod error;
+pub mod ids;
+pub mod resources;
+pub mod size;
+pub mod time;
+pub mod verdict;
+
+pub use class::Class;
+pub use error::{Error, Result};
+pub use resources::Resources;
+pub use time::MonoTime;
+pub use verdict::Verdict;
--- /dev/null
+++ b/lilacpass-core/src/size.rs
@@ -0,0 +1,82 @@
+//! Sizes and rates, each a type of its own with its unit in the printed form.
+
+use std::{
+    fmt,
+    ops::{Add, AddAssign},
+    str::FromStr,
+};
+
+use crate::error::{self, Error};
+
+macro_rules! size {
+    ($(#[$doc:meta])* $name:ident, $unit:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The unit that the printed form carries.
+            pub const UNIT: &'static str = $unit;
+
+            /// `self - other`, or zero where `other` is greater.
+            pub fn saturating_sub(self, other: Self) -> Self {
+                Self(self.0.saturating_sub(other.0))
+            }
+        }
+
+        impl Add for $name {
+            type Output = Self;
+
+            fn add(self, other: Self) -> Self {
+                Self(self.0.saturating_add(other.0))
+            }
+        }
+
+        impl AddAssign for $name {
+            fn add_assign(&mut self, other: Self) {
+                *self = *self + other;
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}{}", self.0, Self::UNIT)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            /// Reads a whole number, with or without the unit behind it.
+            fn from_str(s: &str) -> Result<Self, Error> {
+                let digits = s.strip_suffix(Self::UNIT).unwrap_or(s).trim_end();
+                digits.parse().map(Self).map_err(|_| error::malformed(stringify!($name), s))
+            }
+        }
+    };
+}
+
+size! {
+    /// Processor time per time, in thousandths of a core.
+    Millicores, "m"
+}
+size! {
+    /// Memory, in mebibytes.
+    Mebibytes, "MiB"
+}
+size! {
+    /// A number of accelerators.
+    Accelerators, "acc"
+}
+size! {
+    /// A number of task slots of a worker.
+    Slots, "slots"
+}
+size! {
+    /// A length in bytes.
+    Bytes, "B"
+}
+size! {
+    /// A rate in events per second.
+    PerSecond, "/s"
+}
--- /dev/null
+++ b/lilacpass-harness/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/lilacpass-hold/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
