Read settings and inventory, apply changes, fold the configuration stream

Cause: entry instances need checked settings, and all of them the same configuration whatever order operators, peers and the log come in. Change: settings from one table of fields, inventory with lines, changes that check what they touch, compare-and-set fold with adopt and restore, tokens as argon2 hashes with a bounded cache.

--- /dev/null
+++ b/lilacpass-config/src/check/form.rs
@@ -0,0 +1,96 @@
+//! Forms and ranges of single values.
+
+use std::net::SocketAddr;
+
+use lilacpass_core::ids::KindId;
+
+use crate::{access, problem::Problem};
+
+/// A whole number with its range, for one member of an entry.
+pub(super) struct Range {
+    pub(super) member: &'static str,
+    pub(super) unit: &'static str,
+    pub(super) min: u64,
+    pub(super) max: u64,
+}
+
+const fn range(member: &'static str, unit: &'static str, min: u64, max: u64) -> Range {
+    Range { member, unit, min, max }
+}
+
+pub(super) const CPU: Range = range("cpu_milli", "thousandths of a core", 1, 10_000_000);
+pub(super) const MEMORY: Range = range("memory_mib", "MiB", 1, 1 << 30);
+pub(super) const ACCELERATORS: Range = range("accelerators", "", 0, 1_024);
+pub(super) const SLOTS: Range = range("slots", "", 1, 65_536);
+pub(super) const CONNECTIONS: Range = range("connections", "", 1, 65_536);
+pub(super) const DEADLINE: Range = range("default_deadline_ms", "ms", 1, 86_400_000);
+pub(super) const RATE_LIMIT: Range = range("rate_limit_per_s", "per second", 0, 1_000_000);
+pub(super) const TASKS: Range = range("tasks", "", 1, 100_000);
+pub(super) const RUN: Range = range("run_ms", "ms", 0, 31_536_000_000);
+pub(super) const RESERVE: Range = range("urgent_reserve_permille", "parts per thousand", 0, 1_000);
+pub(super) const AGING: Range = range("batch_aging_s", "s", 0, 31_536_000);
+pub(super) const QUARANTINE: Range =
+    range("quarantine_cap_permille", "parts per thousand", 0, 1_000);
+pub(super) const ATTEMPTS: Range = range("max_attempts", "", 0, 1_000);
+pub(super) const PRIORITY: Range = range("priority", "", 0, 1_000_000);
+pub(super) const EXPIRY: Range = range("expires_unix_s", "s since 1970", 0, 1 << 40);
+
+/// Longest input of standing work, in bytes.
+const MAX_PAYLOAD_LEN: usize = 65_536;
+
+impl Range {
+    /// The problem where `value` is out of range.
+    pub(super) fn refuse(&self, value: u64) -> Option<Problem> {
+        let ok = (self.min..=self.max).contains(&value);
+        (!ok).then(|| Problem::out_of_range(self.member, value, (self.min, self.max), self.unit))
+    }
+}
+
+/// The problem where a name is empty or has other characters than names have.
+pub(super) fn name(member: &str, value: &str) -> Option<Problem> {
+    // All names have one form, whatever they name.
+    let ok = value.parse::<KindId>().is_ok();
+    (!ok).then(|| {
+        let allowed = "1 to 128 letters, digits and - _ . / :";
+        let message = format!("must be a name of {allowed}");
+        let problem = Problem::new(member, message).with_allowed(allowed);
+        problem.with_value(format_args!("{value:?}"))
+    })
+}
+
+/// As [`name`], but it may be empty.
+pub(super) fn optional_name(member: &str, value: &str) -> Option<Problem> {
+    if value.is_empty() { None } else { name(member, value) }
+}
+
+/// The address of a worker; `None` where nothing could ever connect to it.
+pub(super) fn address(value: &str) -> Option<SocketAddr> {
+    let usable =
+        |a: &SocketAddr| a.port() != 0 && !a.ip().is_unspecified() && !a.ip().is_multicast();
+    value.parse().ok().filter(usable)
+}
+
+/// The problem with an address that [`address`] refuses.
+pub(super) fn bad_address(value: &str) -> Problem {
+    Problem::new("address", "must be IP:port of one worker, such as 192.0.2.10:7100")
+        .with_allowed("IP:port")
+        .with_value(format_args!("{value:?}"))
+}
+
+/// The problem where an input is too long to be kept in the configuration.
+pub(super) fn payload(value: &str) -> Option<Problem> {
+    (value.len() > MAX_PAYLOAD_LEN).then(|| {
+        let allowed = format!("at most {MAX_PAYLOAD_LEN} bytes");
+        let message = format!("must be {allowed}, is {}", value.len());
+        Problem { unit: "bytes", allowed, ..Problem::new("spec.payload", message) }
+    })
+}
+
+/// The problem where a hash is not one that [`access::hash_token`] makes. The value isn't shown.
+pub(super) fn token_hash(value: &str) -> Option<Problem> {
+    (!access::is_token_hash(value)).then(|| {
+        let allowed = "$argon2id$ hash in PHC string form";
+        Problem::new("hash", format!("must be an {allowed}, as made by `lilacpass token`"))
+            .with_allowed(allowed)
+    })
+}
--- /dev/null
+++ b/lilacpass-config/src/document.rs
@@ -0,0 +1,162 @@
+//! A TOML text with the place of each value, checked against a shape.
+
+use serde::de::DeserializeOwned;
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue, Deserializer, Error},
+};
+
+use crate::{
+    nearest,
+    problem::Problem,
+    shape::{Member, Shape},
+};
+
+/// A parsed text.
+pub(crate) struct Document<'a> {
+    lines: Lines<'a>,
+    root: Spanned<DeTable<'a>>,
+}
+
+impl<'a> Document<'a> {
+    /// Parses `text`, of which nothing but the syntax is checked.
+    pub(crate) fn parse(text: &'a str) -> Result<Self, Vec<Problem>> {
+        let lines = Lines { text };
+        match DeTable::parse(text) {
+            Ok(root) => Ok(Self { lines, root }),
+            Err(err) => Err(vec![lines.syntax_problem(&err)]),
+        }
+    }
+
+    /// Unknown keys and wrong types.
+    pub(crate) fn verify(&self, members: &[Member]) -> Vec<Problem> {
+        let mut verifier = Verifier { lines: self.lines, problems: Vec::new() };
+        verifier.table("", self.root.get_ref(), members);
+        verifier.problems
+    }
+
+    /// The text as a message.
+    pub(crate) fn decode<T: DeserializeOwned>(&self) -> Result<T, Vec<Problem>> {
+        T::deserialize(Deserializer::from(self.root.clone()))
+            .map_err(|err| vec![self.lines.syntax_problem(&err)])
+    }
+
+    /// Line and column of the value at `path`, such as `workers[3].address`; of the table around
+    /// it where the value is absent, and of the start of the text where that is absent too.
+    pub(crate) fn locate(&self, path: &str) -> (usize, usize) {
+        let mut offset = 0;
+        let mut table = self.root.get_ref();
+        for step in path.split('.') {
+            let (key, index) = split_index(step);
+            let Some(value) = table.iter().find(|(k, _)| k.get_ref() == key).map(|(_, v)| v) else {
+                break;
+            };
+            let item = index.and_then(|i| value.get_ref().as_array()?.get(i)).unwrap_or(value);
+            offset = item.span().start;
+            let Some(inner) = item.get_ref().as_table() else { break };
+            table = inner;
+        }
+        self.lines.place(offset)
+    }
+}
+
+/// `workers[3]` as key and index.
+fn split_index(step: &str) -> (&str, Option<usize>) {
+    match step.split_once('[') {
+        Some((key, index)) => (key, index.trim_end_matches(']').parse().ok()),
+        None => (step, None),
+    }
+}
+
+/// Finds lines and columns in a text.
+#[derive(Clone, Copy)]
+struct Lines<'a> {
+    text: &'a str,
+}
+
+impl Lines<'_> {
+    /// Line and column of a byte offset, both from 1.
+    fn place(self, offset: usize) -> (usize, usize) {
+        let before = self.text.get(..offset).unwrap_or(self.text);
+        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
+        let line = before.matches('\n').count() + 1;
+        (line, before[line_start..].chars().count() + 1)
+    }
+
+    fn syntax_problem(self, err: &Error) -> Problem {
+        let place = self.place(err.span().map_or(0, |span| span.start));
+        // The library's message may cite the text; only its first line is short.
+        Problem::new("", err.message().lines().next().unwrap_or("not valid TOML")).at(place)
+    }
+}
+
+/// Walks a text and its shape side by side.
+struct Verifier<'a> {
+    lines: Lines<'a>,
+    problems: Vec<Problem>,
+}
+
+impl Verifier<'_> {
+    fn table(&mut self, path: &str, table: &DeTable<'_>, members: &[Member]) {
+        for (key, value) in table {
+            let name = key.get_ref().as_ref();
+            let field = join(path, name);
+            match members.iter().find(|m| m.key == name) {
+                Some(member) => self.value(&field, value, &member.shape),
+                None => self.unknown_key(field, key.span().start, name, members),
+            }
+        }
+    }
+
+    fn unknown_key(&mut self, field: String, offset: usize, name: &str, members: &[Member]) {
+        let keys = || members.iter().map(|m| m.key);
+        let message = match nearest::nearest(name, keys()) {
+            Some(known) => format!("unknown key; did you mean `{known}`?"),
+            None => "unknown key".to_owned(),
+        };
+        let allowed = keys().collect::<Vec<_>>().join(", ");
+        let problem = Problem::new(field, message).with_allowed(allowed);
+        self.problems.push(problem.at(self.lines.place(offset)));
+    }
+
+    /// Strings are not shown: some are secret.
+    fn value(&mut self, field: &str, value: &Spanned<DeValue<'_>>, shape: &Shape) {
+        match (shape, value.get_ref()) {
+            (Shape::Text, DeValue::String(_)) | (Shape::Flag, DeValue::Boolean(_)) => {}
+            (Shape::Whole(max), DeValue::Integer(number)) => {
+                let digits = number.as_str().replace('_', "");
+                let parsed = i128::from_str_radix(&digits, number.radix());
+                if !parsed.is_ok_and(|n| (0..=i128::from(*max)).contains(&n)) {
+                    let allowed = format!("0 to {max}");
+                    let problem = Problem::new(field, format!("must be {allowed}"));
+                    let problem = problem.with_value(digits).with_allowed(allowed);
+                    self.problems.push(problem.at(self.lines.place(value.span().start)));
+                }
+            }
+            (Shape::List(shape), DeValue::Array(items)) => {
+                for (i, item) in items.iter().enumerate() {
+                    self.value(&format!("{field}[{i}]"), item, shape);
+                }
+            }
+            (Shape::Table(members), DeValue::Table(table)) => self.table(field, table, members),
+            (_, other) => self.wrong_type(field, value.span().start, shape, other),
+        }
+    }
+
+    fn wrong_type(&mut self, field: &str, offset: usize, shape: &Shape, value: &DeValue<'_>) {
+        let wanted = match shape {
+            Shape::Text => "a string",
+            Shape::Whole(_) => "a whole number",
+            Shape::Flag => "true or false",
+            Shape::List(_) => "a list",
+            Shape::Table(_) => "a table",
+        };
+        let message = format!("must be {wanted}, is {}", value.type_str());
+        let problem = Problem::new(field, message).with_allowed(wanted);
+        self.problems.push(problem.at(self.lines.place(offset)));
+    }
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
+}
