Lay the holding state machine with its whole API

Cause: the control crate integrates against the holding API in parallel and needs it early. Not tested yet beyond compiling and lints; the tests and the fuzzing follow.

--- /dev/null
+++ b/lilacpass-hold/src/history.rs
@@ -0,0 +1,433 @@
+//! The history of holding, folded from the records of the stream in offset order.
+//!
+//! The fold depends on nothing but the records, so all members that have read as far agree. It
+//! knows neither the time nor the configuration.
+
+use std::collections::BTreeMap;
+
+use lilacpass_core::ids::{Epoch, Incarnation, InstanceId, Offset, ShardId};
+use lilacpass_schema::v1::{self, holding_record::Body};
+
+use crate::options::Guards;
+
+/// One incarnation of an entry instance.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MemberKey {
+    /// The instance.
+    pub id: InstanceId,
+    /// Its start number.
+    pub incarnation: Incarnation,
+}
+
+/// What the history says about one incarnation of an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemberState {
+    /// Offset of its last renewal: its join, or a renewal or valid claim since.
+    pub renewed: Offset,
+    /// Offset of its join.
+    pub joined: Offset,
+    /// It has folded all records before this offset, as its own records say.
+    pub read: Offset,
+    /// Whether it is in the roster. One that is not is kept while a shard names it.
+    pub in_roster: bool,
+}
+
+/// What the history says about one shard.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tenure {
+    /// Number of the tenure; 0 before the first.
+    pub epoch: Epoch,
+    /// The holder, unless the shard was released.
+    pub holder: Option<MemberKey>,
+    /// The holder that lost the shard to a claim without a release and is not known to have
+    /// stopped giving there. The shard is *cleared* when this is empty.
+    pub previous: Option<MemberKey>,
+    /// Whether the holder took the shard over from the claimant against `previous`.
+    pub inherited: bool,
+    /// The member that released it last.
+    pub released_by: Option<InstanceId>,
+}
+
+/// What folding a record changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The writer entered the roster, in place of an earlier incarnation where there was one.
+    Joined(Option<MemberKey>),
+    /// The writer renewed its lease.
+    Renewed,
+    /// The writer became the holder of the shard.
+    Claimed(ShardId),
+    /// The shard was released, or cleared of its previous holder.
+    Released(ShardId),
+    /// The writer left the roster.
+    Left,
+    /// A dead member was taken out.
+    Evicted(MemberKey),
+}
+
+/// Why a record changes nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VoidReason {
+    /// It was folded before.
+    AlreadyFolded,
+    /// It has no body that this version knows.
+    Unknown,
+    /// The writer is not in the roster.
+    NotInRoster,
+    /// The writer is in the roster already.
+    AlreadyJoined,
+    /// A newer incarnation of the writer is known.
+    Superseded,
+    /// The shard has another epoch.
+    OtherEpoch,
+    /// The shard has another holder.
+    OtherHolder,
+    /// The member has renewed since.
+    Renewed,
+    /// An earlier claim without a release is not cleared.
+    NotCleared,
+    /// The holder may still keep the whole worker by grants of others.
+    GrantsPossible,
+    /// The writer still holds a shard.
+    StillHolds,
+}
+
+/// The folded history.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    shards: BTreeMap<ShardId, Tenure>,
+    members: BTreeMap<MemberKey, MemberState>,
+    guards: Guards,
+}
+
+impl History {
+    /// An empty history.
+    pub fn new(guards: Guards) -> Self {
+        Self { guards, ..Self::default() }
+    }
+
+    /// The shard's tenure, where it was ever held.
+    pub fn tenure(&self, shard: &ShardId) -> Option<&Tenure> {
+        self.shards.get(shard)
+    }
+
+    /// All shards that were ever held.
+    pub fn tenures(&self) -> impl Iterator<Item = (&ShardId, &Tenure)> {
+        self.shards.iter()
+    }
+
+    /// What is known about one incarnation.
+    pub fn member(&self, key: &MemberKey) -> Option<&MemberState> {
+        self.members.get(key)
+    }
+
+    /// All known incarnations.
+    pub fn members(&self) -> impl Iterator<Item = (&MemberKey, &MemberState)> {
+        self.members.iter()
+    }
+
+    /// The members of the roster.
+    pub fn roster(&self) -> impl Iterator<Item = (&MemberKey, &MemberState)> {
+        self.members.iter().filter(|(_, m)| m.in_roster)
+    }
+
+    /// Whether the member is in the roster.
+    pub fn in_roster(&self, key: &MemberKey) -> bool {
+        self.members.get(key).is_some_and(|m| m.in_roster)
+    }
+
+    /// Whether a shard names the member as previous holder that is not cleared.
+    pub fn is_replaced(&self, key: &MemberKey) -> bool {
+        self.shards.values().any(|t| t.previous.as_ref() == Some(key))
+    }
+
+    /// Whether `holder` certainly needs a grant that `claimant` can withhold, or can't have the
+    /// grants of all.
+    ///
+    /// The holder needs grants of all members of the roster as it last read it. That is the roster
+    /// at an offset between what its records prove it has read and the claim. The claimant is part
+    /// of all of those if it joined before. Otherwise every one of those rosters that lacks the
+    /// claimant must hold a member that grants no more, because it is not in the roster now; this
+    /// is certain if no member of today joined before the claimant.
+    ///
+    /// One case is taken not to happen: that all other members were replaced by newer incarnations
+    /// while the old processes, cut off from the log, go on and grant to each other.
+    pub fn claimant_known(&self, claimant: &MemberKey, holder: &MemberKey) -> bool {
+        let (Some(claimed), Some(held)) = (self.members.get(claimant), self.members.get(holder))
+        else {
+            return false;
+        };
+        claimed.joined < held.read
+            || !self
+                .roster()
+                .any(|(k, m)| k.id != holder.id && k != claimant && m.joined < claimed.joined)
+    }
+
+    /// Folds the record at `offset`.
+    pub fn apply(
+        &mut self,
+        offset: Offset,
+        record: &v1::HoldingRecord,
+    ) -> Result<Change, VoidReason> {
+        let writer = MemberKey {
+            id: InstanceId::new(&record.member),
+            incarnation: Incarnation(record.incarnation),
+        };
+        let writer = self.current_unless_guarded(writer);
+        let read = Offset(record.read_offset.min(offset.0));
+        if let Some(member) = self.members.get_mut(&writer) {
+            member.read = member.read.max(read);
+        }
+        let body = record.body.as_ref().ok_or(VoidReason::Unknown)?;
+        let change = match body {
+            Body::Join(_) => self.join(offset, writer, read),
+            Body::Renew(_) => self.renew(offset, &writer),
+            Body::Claim(claim) => self.claim(offset, writer, claim),
+            Body::Release(release) => self.release(&writer, release),
+            Body::Leave(_) => self.leave(writer),
+            Body::Evict(evict) => self.evict(&writer, evict),
+        }?;
+        self.prune();
+        Ok(change)
+    }
+
+    /// With the test switch off, a record counts for whatever incarnation is known.
+    fn current_unless_guarded(&self, writer: MemberKey) -> MemberKey {
+        if self.guards.record_incarnation || self.members.contains_key(&writer) {
+            return writer;
+        }
+        self.members.keys().find(|k| k.id == writer.id).cloned().unwrap_or(writer)
+    }
+
+    fn join(
+        &mut self,
+        offset: Offset,
+        writer: MemberKey,
+        read: Offset,
+    ) -> Result<Change, VoidReason> {
+        if self.in_roster(&writer) {
+            return Err(VoidReason::AlreadyJoined);
+        }
+        if self.members.keys().any(|k| k.id == writer.id && k.incarnation > writer.incarnation) {
+            return Err(VoidReason::Superseded);
+        }
+        let earlier = self.members.iter_mut().find(|(k, m)| k.id == writer.id && m.in_roster);
+        let superseded = earlier.map(|(key, member)| {
+            member.in_roster = false;
+            key.clone()
+        });
+        let member = MemberState { renewed: offset, joined: offset, read, in_roster: true };
+        self.members.insert(writer, member);
+        Ok(Change::Joined(superseded))
+    }
+
+    fn renew(&mut self, offset: Offset, writer: &MemberKey) -> Result<Change, VoidReason> {
+        self.roster_member(writer)?.renewed = offset;
+        Ok(Change::Renewed)
+    }
+
+    fn claim(
+        &mut self,
+        offset: Offset,
+        writer: MemberKey,
+        claim: &v1::Claim,
+    ) -> Result<Change, VoidReason> {
+        self.roster_member(&writer)?;
+        let shard = ShardId::new(&claim.shard);
+        let tenure = self.shards.get(&shard).cloned().unwrap_or_default();
+        if self.guards.claim_epoch && claim.epoch != tenure.epoch.next().0 {
+            return Err(VoidReason::OtherEpoch);
+        }
+        let next = match &tenure.holder {
+            None => Tenure {
+                epoch: tenure.epoch.next(),
+                inherited: tenure.previous.is_some(),
+                holder: Some(writer.clone()),
+                ..tenure
+            },
+            Some(holder) => {
+                self.check_unclean(&writer, holder, &tenure, claim)?;
+                Tenure {
+                    epoch: tenure.epoch.next(),
+                    holder: Some(writer.clone()),
+                    previous: tenure.holder,
+                    inherited: false,
+                    released_by: None,
+                }
+            }
+        };
+        self.shards.insert(shard.clone(), next);
+        self.roster_member(&writer)?.renewed = offset;
+        Ok(Change::Claimed(shard))
+    }
+
+    /// Checks a claim on a shard that `holder` has not released.
+    fn check_unclean(
+        &self,
+        writer: &MemberKey,
+        holder: &MemberKey,
+        tenure: &Tenure,
+        claim: &v1::Claim,
+    ) -> Result<(), VoidReason> {
+        if holder == writer || (self.guards.claim_epoch && holder.id.as_str() != claim.from) {
+            return Err(VoidReason::OtherHolder);
+        }
+        let renewed = self.members.get(holder).map(|m| m.renewed).unwrap_or_default();
+        if self.guards.claim_void_after_renew && renewed.0 != claim.last_renew_offset {
+            return Err(VoidReason::Renewed);
+        }
+        if self.guards.one_unclean && tenure.previous.is_some() {
+            return Err(VoidReason::NotCleared);
+        }
+        if self.guards.claimant_known && !self.claimant_known(writer, holder) {
+            return Err(VoidReason::GrantsPossible);
+        }
+        Ok(())
+    }
+
+    fn release(&mut self, writer: &MemberKey, release: &v1::Release) -> Result<Change, VoidReason> {
+        let shard = ShardId::new(&release.shard);
+        let tenure = self.shards.get_mut(&shard).ok_or(VoidReason::OtherHolder)?;
+        if tenure.holder.as_ref() == Some(writer) {
+            if tenure.epoch.0 != release.epoch {
+                return Err(VoidReason::OtherEpoch);
+            }
+            tenure.holder = None;
+            tenure.released_by = Some(writer.id.clone());
+            return Ok(Change::Released(shard));
+        }
+        if tenure.previous.as_ref() != Some(writer) {
+            return Err(VoidReason::OtherHolder);
+        }
+        if release.epoch >= tenure.epoch.0 {
+            return Err(VoidReason::OtherEpoch);
+        }
+        tenure.previous = None;
+        tenure.inherited = false;
+        Ok(Change::Released(shard))
+    }
+
+    fn leave(&mut self, writer: MemberKey) -> Result<Change, VoidReason> {
+        self.roster_member(&writer)?;
+        if self.shards.values().any(|t| t.holder.as_ref() == Some(&writer)) {
+            return Err(VoidReason::StillHolds);
+        }
+        self.forget(&writer);
+        Ok(Change::Left)
+    }
+
+    fn evict(&mut self, writer: &MemberKey, evict: &v1::Evict) -> Result<Change, VoidReason> {
+        self.roster_member(writer)?;
+        let dead = MemberKey {
+            id: InstanceId::new(&evict.member),
+            incarnation: Incarnation(evict.incarnation),
+        };
+        let member = self.members.get(&dead).ok_or(VoidReason::NotInRoster)?;
+        if member.renewed.0 != evict.last_renew_offset {
+            return Err(VoidReason::Renewed);
+        }
+        self.forget(&dead);
+        Ok(Change::Evicted(dead))
+    }
+
+    /// Takes a member out of the roster and of all shards: it gives no work any more.
+    fn forget(&mut self, key: &MemberKey) {
+        for tenure in self.shards.values_mut() {
+            if tenure.holder.as_ref() == Some(key) {
+                tenure.holder = None;
+            }
+            if tenure.previous.as_ref() == Some(key) {
+                tenure.previous = None;
+                tenure.inherited = false;
+            }
+        }
+        self.members.remove(key);
+    }
+
+    fn roster_member(&mut self, key: &MemberKey) -> Result<&mut MemberState, VoidReason> {
+        self.members.get_mut(key).filter(|m| m.in_roster).ok_or(VoidReason::NotInRoster)
+    }
+
+    /// Drops incarnations that neither the roster nor a shard names.
+    fn prune(&mut self) {
+        let shards = &self.shards;
+        self.members.retain(|key, member| {
+            let named =
+                |t: &Tenure| t.holder.as_ref() == Some(key) || t.previous.as_ref() == Some(key);
+            member.in_roster || shards.values().any(named)
+        });
+    }
+
+    /// The history as a message.
+    pub fn snapshot(&self) -> v1::HoldingSnapshot {
+        v1::HoldingSnapshot {
+            shards: self.shards.iter().map(|(shard, t)| snapshot_shard(shard, t)).collect(),
+            members: self.members.iter().map(|(key, m)| snapshot_member(key, m)).collect(),
+        }
+    }
+
+    /// The history that a message describes.
+    pub fn restore(snapshot: &v1::HoldingSnapshot, guards: Guards) -> Self {
+        Self {
+            shards: snapshot.shards.iter().map(restored_shard).collect(),
+            members: snapshot.members.iter().map(restored_member).collect(),
+            guards,
+        }
+    }
+}
+
+fn snapshot_shard(shard: &ShardId, tenure: &Tenure) -> v1::SnapshotShard {
+    let name = |k: &Option<MemberKey>| k.as_ref().map(|k| k.id.to_string()).unwrap_or_default();
+    let number = |k: &Option<MemberKey>| k.as_ref().map(|k| k.incarnation.0).unwrap_or_default();
+    v1::SnapshotShard {
+        shard: shard.to_string(),
+        epoch: tenure.epoch.0,
+        holder: name(&tenure.holder),
+        holder_incarnation: number(&tenure.holder),
+        unclean: tenure.previous.is_some(),
+        previous_holder: name(&tenure.previous),
+        previous_incarnation: number(&tenure.previous),
+        inherited: tenure.inherited,
+        released_by: tenure.released_by.as_ref().map(ToString::to_string).unwrap_or_default(),
+    }
+}
+
+fn restored_shard(shard: &v1::SnapshotShard) -> (ShardId, Tenure) {
+    let key = |name: &str, number: u64| {
+        let key = MemberKey { id: InstanceId::new(name), incarnation: Incarnation(number) };
+        (!name.is_empty()).then_some(key)
+    };
+    let tenure = Tenure {
+        epoch: Epoch(shard.epoch),
+        holder: key(&shard.holder, shard.holder_incarnation),
+        previous: key(&shard.previous_holder, shard.previous_incarnation),
+        inherited: shard.inherited,
+        released_by: key(&shard.released_by, 0).map(|k| k.id),
+    };
+    (ShardId::new(&shard.shard), tenure)
+}
+
+fn snapshot_member(key: &MemberKey, member: &MemberState) -> v1::SnapshotMember {
+    v1::SnapshotMember {
+        member: key.id.to_string(),
+        incarnation: key.incarnation.0,
+        last_renew_offset: member.renewed.0,
+        joined_offset: member.joined.0,
+        read_offset: member.read.0,
+        in_roster: member.in_roster,
+    }
+}
+
+fn restored_member(member: &v1::SnapshotMember) -> (MemberKey, MemberState) {
+    let key = MemberKey {
+        id: InstanceId::new(&member.member),
+        incarnation: Incarnation(member.incarnation),
+    };
+    let state = MemberState {
+        renewed: Offset(member.last_renew_offset),
+        joined: Offset(member.joined_offset),
+        read: Offset(member.read_offset),
+        in_roster: member.in_roster,
+    };
+    (key, state)
+}
--- /dev/null
+++ b/lilacpass-hold/src/list.rs
@@ -0,0 +1,85 @@
+//! What the lagging instance list says about members, and when it proves one dead.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lilacpass_core::{
+    MonoTime,
+    ids::{Incarnation, InstanceId},
+};
+
+use crate::{history::MemberKey, options::HoldOptions};
+
+/// An entry instance of the own data centre, as the instance list shows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedInstance {
+    /// The instance.
+    pub id: InstanceId,
+    /// Its start number; 0 where the list does not know it.
+    pub incarnation: Incarnation,
+    /// Whether the platform is about to stop it.
+    pub leaving: bool,
+}
+
+/// Follows the instance list.
+#[derive(Clone, Debug, Default)]
+pub struct ListWatch {
+    leaving: BTreeSet<InstanceId>,
+    seen: BTreeSet<MemberKey>,
+    gone_since: BTreeMap<MemberKey, MonoTime>,
+    replaced_since: BTreeMap<MemberKey, MonoTime>,
+}
+
+impl ListWatch {
+    /// Takes in the present list. `members` are all that the history knows.
+    pub fn update<'a>(
+        &mut self,
+        listed: &[ListedInstance],
+        members: impl Iterator<Item = &'a MemberKey>,
+        now: MonoTime,
+    ) {
+        self.leaving = listed.iter().filter(|l| l.leaving).map(|l| l.id.clone()).collect();
+        for key in members {
+            if listed.iter().any(|l| shows(l, key)) {
+                self.seen.insert(key.clone());
+                self.gone_since.remove(key);
+            } else {
+                self.gone_since.entry(key.clone()).or_insert(now);
+            }
+        }
+    }
+
+    /// A newer incarnation of the member was read in the log.
+    pub fn replaced(&mut self, key: MemberKey, now: MonoTime) {
+        self.replaced_since.entry(key).or_insert(now);
+    }
+
+    /// Forgets members that the history no longer knows.
+    pub fn retain(&mut self, known: impl Fn(&MemberKey) -> bool) {
+        self.seen.retain(|k| known(k));
+        self.gone_since.retain(|k, _| known(k));
+        self.replaced_since.retain(|k, _| known(k));
+    }
+
+    /// Whether the platform is about to stop the instance.
+    pub fn is_leaving(&self, id: &InstanceId) -> bool {
+        self.leaving.contains(id)
+    }
+
+    /// Since when the member is proved dead, where it is.
+    ///
+    /// It was on the list and no longer is, or a newer incarnation has taken its place, for longer
+    /// than the longest pause. One that was never seen on the list may just not be on it yet, so
+    /// it gets the list's lag on top.
+    pub fn dead_from(&self, key: &MemberKey, options: &HoldOptions) -> Option<MonoTime> {
+        let pause = options.with_margin(options.longest_pause);
+        let lag = if self.seen.contains(key) { pause } else { pause + options.list_lag };
+        let gone = self.gone_since.get(key).map(|&since| since + lag);
+        let replaced = self.replaced_since.get(key).map(|&since| since + pause);
+        gone.into_iter().chain(replaced).min()
+    }
+}
+
+fn shows(listed: &ListedInstance, key: &MemberKey) -> bool {
+    let unknown = listed.incarnation == Incarnation(0);
+    listed.id == key.id && (unknown || listed.incarnation == key.incarnation)
+}
