--- /dev/null
+++ b/lilacpass-records/tests/snapshots.rs
@@ -0,0 +1,280 @@
+//! Following a stream, starting from snapshots, and writing them.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{accepted, record, spec};
+use lilacpass_core::{
+    MonoTime,
+    ids::{InstanceId, JobId, Offset},
+};
+use lilacpass_records::{
+    Follower, FollowerOptions, Jobs, JobsOptions, Schedule, ScheduleOptions, positions, snapshots,
+};
+use lilacpass_schema::v1::{self, record::Body};
+
+const NOW: MonoTime = MonoTime(0);
+
+/// A stream as the log keeps it, with what a member does with it.
+struct Stream {
+    records: Vec<Option<v1::Record>>,
+    oldest: u64,
+}
+
+impl Stream {
+    fn with_jobs(jobs: u128) -> Self {
+        let mut stream = Self { records: Vec::new(), oldest: 0 };
+        (0..jobs).for_each(|id| stream.job(id));
+        stream
+    }
+
+    fn push(&mut self, body: Body) -> Offset {
+        let offset = self.tail();
+        let record_id = format!("r{offset}");
+        self.records.push(Some(v1::Record { record_id, body: Some(body), written_unix_ms: 0 }));
+        offset
+    }
+
+    fn push_all(&mut self, bodies: Vec<Body>) {
+        for body in bodies {
+            self.push(body);
+        }
+    }
+
+    fn job(&mut self, id: u128) {
+        self.push(Body::Job(record(JobId(id), accepted(spec(), "d"))));
+    }
+
+    fn tail(&self) -> Offset {
+        Offset(self.records.len() as u64)
+    }
+
+    fn slots(&self, from: Offset) -> impl Iterator<Item = positions::Slot> {
+        (from.0.max(self.oldest)..self.tail().0)
+            .map(|at| (Offset(at), self.records[at as usize].clone().map(Box::new)))
+    }
+}
+
+/// One member: its position and its jobs.
+struct Member {
+    follower: Follower,
+    jobs: Jobs,
+}
+
+impl Member {
+    fn new() -> Self {
+        Self::holding_back(1_000)
+    }
+
+    fn holding_back(max_held_back: usize) -> Self {
+        let follower = Follower::new(FollowerOptions { max_held_back });
+        Self { follower, jobs: Jobs::new(JobsOptions::default()) }
+    }
+
+    /// Reads to the tail; returns whether it was restored and what was lost.
+    fn read(&mut self, stream: &Stream) -> (bool, Option<positions::Lost>) {
+        let slots = stream.slots(self.follower.next());
+        let jobs = &mut self.jobs;
+        let restore = |covers, parts: &[&v1::Snapshot]| match restored(covers, parts) {
+            Some(state) => {
+                *jobs = state;
+                true
+            }
+            None => false,
+        };
+        let outcome = self.follower.read(slots, stream.tail(), Offset(stream.oldest), restore);
+        for (offset, record) in outcome.fold {
+            match &record.body {
+                Some(Body::Job(job)) => {
+                    self.jobs.fold(offset, &record.record_id, job, NOW);
+                }
+                Some(Body::Snapshot(v1::Snapshot {
+                    body: Some(v1::snapshot::Body::Jobs(part)),
+                    ..
+                })) => {
+                    self.jobs.fold_snapshot(part);
+                }
+                _ => {}
+            }
+        }
+        (outcome.restored, outcome.lost)
+    }
+
+    /// The parts of a snapshot of the present state, of one job each.
+    fn snapshot(&self, id: &str) -> Vec<Body> {
+        let bodies: Vec<_> =
+            self.jobs.snapshot(1).into_iter().map(v1::snapshot::Body::Jobs).collect();
+        let parts = snapshots::to_parts(id, self.follower.next(), bodies.into_iter());
+        parts.into_iter().map(Body::Snapshot).collect()
+    }
+}
+
+fn restored(covers: Offset, parts: &[&v1::Snapshot]) -> Option<Jobs> {
+    let bodies = parts.iter().filter_map(|part| match &part.body {
+        Some(v1::snapshot::Body::Jobs(jobs)) => Some(jobs),
+        _ => None,
+    });
+    Jobs::restore(JobsOptions::default(), bodies, covers, NOW).ok()
+}
+
+fn ids(member: &Member) -> Vec<JobId> {
+    member.jobs.iter().map(lilacpass_records::Job::id).collect()
+}
+
+#[test]
+fn a_member_that_starts_late_restores_and_folds_the_tail() {
+    let mut stream = Stream::with_jobs(3);
+    let mut writer = Member::new();
+    assert_eq!(writer.read(&stream), (false, None));
+    let parts = writer.snapshot("s1");
+    stream.job(3);
+    stream.push_all(parts);
+    stream.job(4);
+    stream.oldest = 2;
+    let mut late = Member::new();
+    let lost = positions::Lost { from: Offset(0), to: Offset(2) };
+    assert_eq!(late.read(&stream), (true, Some(lost)));
+    writer.read(&stream);
+    assert!(late.follower.is_at_tail());
+    assert_eq!((ids(&late), late.jobs.len()), (ids(&writer), 5));
+}
+
+/// Two members write a snapshot at once, their parts in turns, and the first one dies before its
+/// last part. A member that joined parts of both would miss jobs or hold some twice.
+#[test]
+fn a_snapshot_torn_by_a_second_writer_is_passed_over() {
+    let mut stream = Stream::with_jobs(4);
+    let mut writer = Member::new();
+    writer.read(&stream);
+    let (torn, whole) = (writer.snapshot("s1"), writer.snapshot("s2"));
+    let unfinished = torn.len() - 1;
+    for (at, part) in whole.into_iter().enumerate() {
+        if at < unfinished {
+            stream.push(torn[at].clone());
+        }
+        stream.push(part.clone());
+        stream.push(part);
+    }
+    stream.oldest = 1;
+    let mut late = Member::new();
+    assert!(late.read(&stream).0);
+    assert_eq!((ids(&late), late.jobs.waiting_len()), (ids(&writer), 4));
+}
+
+/// A record of the snapshot does not decode, another snapshot contradicts itself and a third one
+/// holds a job that no fold leads to. None may become the state of a member.
+#[test]
+fn unsound_snapshots_are_passed_over() {
+    let mut stream = Stream::with_jobs(2);
+    let mut writer = Member::new();
+    writer.read(&stream);
+    let damaged = writer.snapshot("damaged");
+    stream.push_all(damaged);
+    *stream.records.last_mut().unwrap() = None;
+    for (at, part) in writer.snapshot("contradictory").into_iter().enumerate() {
+        let Body::Snapshot(part) = part else { unreachable!() };
+        let covers_offset = part.covers_offset - at as u64;
+        stream.push(Body::Snapshot(v1::Snapshot { covers_offset, ..part }));
+    }
+    let job = v1::SnapshotJob { job_id: "zz".into(), ..Default::default() };
+    let unsound =
+        v1::snapshot::Body::Jobs(v1::JobsSnapshot { jobs: vec![job], ..Default::default() });
+    let parts = snapshots::to_parts("unsound", stream.tail(), [unsound].into_iter());
+    stream.push_all(parts.into_iter().map(Body::Snapshot).collect());
+    stream.oldest = 1;
+    let mut late = Member::new();
+    assert!(!late.read(&stream).0);
+    assert!(late.follower.is_stranded());
+    writer.read(&stream);
+    let sound = writer.snapshot("sound");
+    stream.push_all(sound);
+    assert!(late.read(&stream).0 && late.follower.is_at_tail());
+}
+
+/// A member is paused for so long that the log drops records it has not read. It wakes with a
+/// state that misses them: deciding on it would start a job that another member has ended.
+#[test]
+fn a_member_that_retention_has_passed_restores_before_it_decides() {
+    let mut stream = Stream::with_jobs(2);
+    let mut paused = Member::new();
+    paused.read(&stream);
+    (2..6).for_each(|id| stream.job(id));
+    stream.oldest = 4;
+    let lost = positions::Lost { from: Offset(2), to: Offset(4) };
+    assert_eq!(paused.read(&stream), (false, Some(lost)));
+    assert!(!paused.follower.is_following() && paused.follower.is_stranded());
+    let mut whole = Member::new();
+    whole.read(&Stream { records: stream.records.clone(), oldest: 0 });
+    let parts = whole.snapshot("s1");
+    stream.push_all(parts);
+    assert_eq!(paused.read(&stream), (true, None));
+    assert_eq!((ids(&paused), paused.follower.is_following()), (ids(&whole), true));
+}
+
+#[test]
+fn a_snapshot_that_covers_less_than_is_held_back_cannot_be_used() {
+    let mut stream = Stream::with_jobs(3);
+    let mut writer = Member::new();
+    writer.read(&stream);
+    let parts = writer.snapshot("s1");
+    (3..20).for_each(|id| stream.job(id));
+    stream.push_all(parts);
+    stream.oldest = 1;
+    let mut late = Member::holding_back(10);
+    assert!(!late.read(&stream).0);
+    assert!(late.follower.is_stranded());
+}
+
+fn part(id: &str, covers: u64, part: u32, parts: u32) -> v1::Snapshot {
+    let body = Some(v1::snapshot::Body::Jobs(v1::JobsSnapshot::default()));
+    v1::Snapshot { covers_offset: covers, part, parts, snapshot_id: id.into(), body }
+}
+
+#[test]
+fn the_first_in_order_writes_and_the_next_takes_over() {
+    let options = ScheduleOptions { every_records: 100, ..ScheduleOptions::default() };
+    let (minute, take_over) = (options.min_interval, options.take_over);
+    let mut schedule = Schedule::new(options, NOW);
+    let (next, oldest) = (Offset(100), Offset(0));
+    assert!(!schedule.due(next, oldest, 0, NOW), "too soon after the last one");
+    let at = NOW + minute;
+    assert!(!schedule.due(Offset(99), oldest, 0, at));
+    assert!(schedule.due(next, oldest, 0, at));
+    assert!(!schedule.due(next, oldest, 1, at));
+    schedule.saw_part(next, &part("s1", 100, 0, 2), at + take_over / 2);
+    assert!(!schedule.due(next, oldest, 1, at + take_over), "the first one is at it");
+    let later = at + take_over * 2;
+    assert!(schedule.due(next, oldest, 1, later), "the first one has died");
+    schedule.began(later);
+    assert!(!schedule.due(next, oldest, 1, later));
+    schedule.saw_part(Offset(101), &part("s2", 100, 0, 1), later);
+    assert_eq!(schedule.covers(), Offset(100));
+    assert!(!schedule.due(Offset(199), oldest, 0, later + minute));
+}
+
+#[test]
+fn a_quiet_stream_is_snapshotted_before_the_log_drops_it() {
+    let mut schedule = Schedule::new(ScheduleOptions::default(), NOW);
+    let hour = NOW + Duration::from_secs(3_600);
+    assert!(!schedule.due(Offset(0), Offset(0), 0, hour), "an empty stream has no state");
+    assert!(schedule.due(Offset(1), Offset(0), 0, hour));
+    schedule.saw_part(Offset(10), &part("s", 10, 0, 1), hour);
+    let soon = hour + Duration::from_secs(60);
+    assert!(!schedule.due(Offset(12), Offset(2), 0, soon));
+    assert!(schedule.due(Offset(30), Offset(5), 0, soon), "the last one is dropped next");
+}
+
+#[test]
+fn members_take_turns_as_first_writer() {
+    let members: Vec<_> = (0..8).map(|n| InstanceId::new(format!("entry-{n}"))).collect();
+    let mut firsts = std::collections::BTreeSet::new();
+    for round in 0..200 {
+        let ranks = members.iter().map(|m| snapshots::rank(m, &members, Offset(round)));
+        let mut ranks: Vec<_> = ranks.collect();
+        firsts.insert(ranks.iter().position(|rank| *rank == 0));
+        ranks.sort_unstable();
+        assert!(ranks.into_iter().eq(0..8), "each place is taken once");
+    }
+    assert_eq!(firsts.len(), 8);
+}
