--- a/lilacpass-config/src/change.rs
+++ b/lilacpass-config/src/change.rs
@@ -7,6 +7,14 @@
     problem::{self, Problem},
 };
 
+mod describe;
+mod diff;
+mod effects;
+
+pub use describe::describe_op;
+pub use diff::diff;
+pub use effects::{Load, TeamLoad, WorkerLoad, effects};
+
 /// Most steps in one change.
 pub const MAX_OPS: usize = 100_000;
 
--- /dev/null
+++ b/lilacpass-config/src/change/effects.rs
@@ -0,0 +1,197 @@
+//! What a change would do to work that runs, told before it is made.
+
+use std::collections::HashMap;
+
+use lilacpass_core::{
+    ids::{TeamId, WorkerId},
+    resources::Resources,
+};
+use lilacpass_schema::v1::{self, config_op::Op};
+
+use crate::check::{self, Cell};
+
+/// What runs now, as far as the caller knows.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    /// Workers with tasks.
+    pub workers: Vec<WorkerLoad>,
+    /// Teams with tasks.
+    pub teams: Vec<TeamLoad>,
+}
+
+/// What runs on a worker.
+#[derive(Clone, Debug)]
+pub struct WorkerLoad {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Number of tasks on it.
+    pub tasks: u64,
+}
+
+/// What a team has.
+#[derive(Clone, Debug)]
+pub struct TeamLoad {
+    /// The team.
+    pub team: TeamId,
+    /// What its tasks are given in all.
+    pub given: Resources,
+}
+
+/// The effects of going from `old` to `new` while `load` runs, one line each: tasks that would
+/// move or stop, quotas that would bind.
+pub fn effects(old: &v1::Configuration, new: &v1::Configuration, load: &Load) -> Vec<String> {
+    let before = Before::of(old, load);
+    let steps = match super::diff(old, new).as_slice() {
+        [v1::ConfigOp { op: Some(Op::Replace(_)) }] => Vec::new(),
+        steps => steps.to_vec(),
+    };
+    let steps = steps.iter().filter_map(|step| step.op.as_ref());
+    let mut lines: Vec<String> = steps.filter_map(|step| before.effect(step)).collect();
+    lines.extend(size_change(old, new));
+    lines.extend(promised_too_much(new));
+    lines
+}
+
+/// The old configuration and the load by name.
+struct Before<'a> {
+    tasks: HashMap<&'a str, u64>,
+    given: HashMap<&'a str, &'a Resources>,
+    workers: HashMap<&'a str, &'a v1::WorkerSpec>,
+    teams: HashMap<&'a str, &'a v1::Team>,
+    standing: HashMap<&'a str, &'a v1::StandingWork>,
+    rules: v1::Rules,
+}
+
+impl<'a> Before<'a> {
+    fn of(old: &'a v1::Configuration, load: &'a Load) -> Self {
+        Self {
+            tasks: load.workers.iter().map(|w| (w.worker.as_str(), w.tasks)).collect(),
+            given: load.teams.iter().map(|t| (t.team.as_str(), &t.given)).collect(),
+            workers: old.workers.iter().map(|w| (w.name.as_str(), w)).collect(),
+            teams: old.teams.iter().map(|t| (t.name.as_str(), t)).collect(),
+            standing: old.standing.iter().map(|s| (s.name.as_str(), s)).collect(),
+            rules: old.rules.clone().unwrap_or_default(),
+        }
+    }
+
+    fn effect(&self, step: &Op) -> Option<String> {
+        match step {
+            Op::UpsertWorker(worker) => self.worker_effect(worker),
+            Op::RemoveWorker(name) => Some(match self.tasks_on(name) {
+                0 => format!("worker {name} goes; nothing runs on it"),
+                tasks => format!("worker {name} goes with {tasks} tasks running: drain it first"),
+            }),
+            Op::DrainWorker(drain) => Some(self.drain_effect(drain)),
+            Op::UpsertTeam(team) => self.team_effect(team),
+            Op::RemoveTeam(name) => {
+                Some(format!("team {name} goes; its requests are refused and its quota is free"))
+            }
+            Op::RemoveService(name) => {
+                Some(format!("service {name} goes; requests for it are refused"))
+            }
+            Op::UpsertStanding(standing) => Some(match self.standing.get(standing.name.as_str()) {
+                Some(_) => format!("standing work {} stops and starts anew", standing.name),
+                None => format!("standing work {} starts", standing.name),
+            }),
+            Op::RemoveStanding(name) => Some(format!("standing work {name} stops")),
+            Op::RemoveToken(name) => Some(format!("token {name} no longer counts")),
+            Op::SetRules(rules) => Some(self.rules_effect(rules)),
+            Op::Replace(_)
+            | Op::UpsertService(_)
+            | Op::UpsertToken(_)
+            | Op::UpsertDataCentre(_)
+            | Op::RemoveDataCentre(_) => None,
+        }
+    }
+
+    fn tasks_on(&self, worker: &str) -> u64 {
+        self.tasks.get(worker).copied().unwrap_or_default()
+    }
+
+    fn worker_effect(&self, new: &v1::WorkerSpec) -> Option<String> {
+        let old = self.workers.get(new.name.as_str())?;
+        let name = &new.name;
+        let tasks = self.tasks_on(name);
+        if (&old.address, &old.data_centre) != (&new.address, &new.data_centre) {
+            return Some(format!(
+                "worker {name} is another machine from now on; \
+                 {tasks} tasks on the old one end as lost to it"
+            ));
+        }
+        if old.rack != new.rack {
+            return Some(format!("worker {name} goes to rack {} and its holder", new.rack));
+        }
+        let (from, to) = (check::capacity(old), check::capacity(new));
+        let drain = (new.draining && !old.draining)
+            .then(|| self.drain_effect(&v1::DrainWorker { worker: name.clone(), draining: true }));
+        let size = (!from.fits(&to)).then(|| {
+            format!("worker {name} shrinks from {from} to {to} with {tasks} tasks running")
+        });
+        drain.or(size)
+    }
+
+    fn drain_effect(&self, drain: &v1::DrainWorker) -> String {
+        let name = &drain.worker;
+        match (drain.draining, self.tasks_on(name)) {
+            (false, _) => format!("worker {name} takes new work again"),
+            (true, 0) => format!("worker {name} takes no new work; nothing runs on it"),
+            (true, tasks) => {
+                format!("worker {name} takes no new work; {tasks} tasks end there or move")
+            }
+        }
+    }
+
+    fn team_effect(&self, new: &v1::Team) -> Option<String> {
+        let old = self.teams.get(new.name.as_str())?;
+        let (from, to) = (quota(old), quota(new));
+        let given = self.given.get(new.name.as_str()).copied().copied().unwrap_or_default();
+        if !given.fits(&to) {
+            let then = if new.may_borrow { "the rest is borrowed" } else { "its new work waits" };
+            return Some(format!("team {} has {given}, its quota binds at {to}: {then}", new.name));
+        }
+        (from != to).then(|| format!("team {} has quota {to} in place of {from}", new.name))
+    }
+
+    fn rules_effect(&self, new: &v1::Rules) -> String {
+        let old = &self.rules;
+        let parts = [
+            (old.accounts != new.accounts).then(|| "order of accounts".to_owned()),
+            shown(
+                "urgent_reserve_permille",
+                old.urgent_reserve_permille,
+                new.urgent_reserve_permille,
+            ),
+            shown("batch_aging_s", old.batch_aging_s, new.batch_aging_s),
+            shown("preempt_non_idempotent", old.preempt_non_idempotent, new.preempt_non_idempotent),
+            shown(
+                "quarantine_cap_permille",
+                old.quarantine_cap_permille,
+                new.quarantine_cap_permille,
+            ),
+            shown("max_attempts", old.max_attempts, new.max_attempts),
+        ];
+        format!("rules change: {}", parts.into_iter().flatten().collect::<Vec<_>>().join(", "))
+    }
+}
+
+fn shown<T: PartialEq + std::fmt::Display>(name: &str, old: T, new: T) -> Option<String> {
+    (old != new).then(|| format!("{name} from {old} to {new}"))
+}
+
+fn quota(team: &v1::Team) -> Resources {
+    team.quota.as_ref().map(check::amount).unwrap_or_default()
+}
+
+fn size_change(old: &v1::Configuration, new: &v1::Configuration) -> Option<String> {
+    let (from, to) = (Cell::of(&old.workers).total(), Cell::of(&new.workers).total());
+    let (before, after) = (old.workers.len(), new.workers.len());
+    (from != to).then(|| format!("the cell has {after} workers, {to} in place of {before}, {from}"))
+}
+
+/// Each quota fits the cell, or the change is refused; all together may still promise more.
+fn promised_too_much(new: &v1::Configuration) -> Option<String> {
+    let total = Cell::of(&new.workers).total();
+    let promised = new.teams.iter().map(quota).fold(Resources::ZERO, |sum, q| sum.plus(&q));
+    (!promised.fits(&total))
+        .then(|| format!("quotas promise {promised}, which is more than the cell has ({total})"))
+}
--- a/lilacpass-config/src/check.rs
+++ b/lilacpass-config/src/check.rs
@@ -13,7 +13,7 @@
 mod fit;
 mod form;
 
-pub(crate) use fit::{Cell, capacity};
+pub(crate) use fit::{Cell, amount, capacity};
 
 /// What is wrong with a configuration.
 pub fn check(configuration: &v1::Configuration) -> Vec<Problem> {
--- a/lilacpass-config/src/inventory.rs
+++ b/lilacpass-config/src/inventory.rs
@@ -8,9 +8,11 @@
     problem::{self, Problem},
 };
 
+mod register;
 mod shape;
 
 pub use check::check;
+pub use register::parse_csv;
 
 /// Class of standing work that names none.
 const STANDING_CLASS: &str = "standing";
--- /dev/null
+++ b/lilacpass-config/src/inventory/register.rs
@@ -0,0 +1,159 @@
+//! Workers from an asset register's CSV.
+
+use lilacpass_core::resources::Resources;
+use lilacpass_schema::v1;
+
+use crate::{
+    check::{self, Scope},
+    nearest,
+    problem::{self, Problem},
+};
+
+/// The columns, all of them needed, in any order.
+const COLUMNS: [&str; 9] = [
+    "name",
+    "data_centre",
+    "rack",
+    "address",
+    "cores",
+    "memory_gib",
+    "accelerators",
+    "slots",
+    "connections",
+];
+const MILLI_PER_CORE: u64 = 1_000;
+const MIB_PER_GIB: u64 = 1_024;
+
+/// Reads workers from CSV text with a header row. All problems are reported at once.
+///
+/// Whether the data centres are known shows only when the workers join a configuration.
+pub fn parse_csv(text: &str) -> Result<Vec<v1::WorkerSpec>, Vec<Problem>> {
+    let mut reader = csv::ReaderBuilder::new().trim(csv::Trim::All).from_reader(text.as_bytes());
+    let header = reader.headers().map_err(|err| vec![syntax_problem(&err)])?.clone();
+    let columns = Columns::find(&header)?;
+    let mut rows = Rows::default();
+    for record in reader.records() {
+        match record {
+            Ok(record) => rows.add(&columns, &record),
+            Err(err) => rows.problems.push(syntax_problem(&err)),
+        }
+    }
+    rows.check();
+    problem::unless(rows.problems, rows.workers)
+}
+
+/// Where each of [`COLUMNS`] stands.
+struct Columns {
+    positions: [usize; COLUMNS.len()],
+}
+
+impl Columns {
+    fn find(header: &csv::StringRecord) -> Result<Self, Vec<Problem>> {
+        let mut problems = Vec::new();
+        for (i, column) in header.iter().enumerate() {
+            if !COLUMNS.contains(&column) {
+                let hint = nearest::nearest(column, COLUMNS.into_iter());
+                let hint = hint.map(|known| format!("; did you mean `{known}`?"));
+                let message = format!("unknown column{}", hint.unwrap_or_default());
+                problems.push(Problem::new(column, message));
+            } else if header.iter().take(i).any(|earlier| earlier == column) {
+                problems.push(Problem::new(column, "stands twice"));
+            }
+        }
+        let positions = COLUMNS.map(|wanted| {
+            header.iter().position(|column| column == wanted).unwrap_or_else(|| {
+                problems.push(Problem::new(wanted, "column is missing"));
+                0
+            })
+        });
+        let problems = problems.into_iter().map(|p| p.with_allowed(COLUMNS.join(",")).at((1, 0)));
+        problem::unless(problems.collect(), Self { positions })
+    }
+
+    fn value<'r>(&self, record: &'r csv::StringRecord, column: &str) -> &'r str {
+        let index = COLUMNS.iter().position(|known| *known == column);
+        index.and_then(|i| record.get(self.positions[i])).unwrap_or_default()
+    }
+}
+
+#[derive(Default)]
+struct Rows {
+    workers: Vec<v1::WorkerSpec>,
+    /// Line of each worker.
+    lines: Vec<usize>,
+    problems: Vec<Problem>,
+}
+
+impl Rows {
+    fn add(&mut self, columns: &Columns, record: &csv::StringRecord) {
+        let line = record.position().map_or(0, |p| usize::try_from(p.line()).unwrap_or(usize::MAX));
+        let text = |column| columns.value(record, column).to_owned();
+        let mut number = |column: &str| {
+            let value = columns.value(record, column);
+            value.parse::<u64>().unwrap_or_else(|_| {
+                let problem = Problem::new(column, "must be a whole number");
+                let problem = problem.with_value(format_args!("{value:?}"));
+                self.problems.push(problem.at((line, 0)));
+                // Any size that passes the checks to come: one problem for one value.
+                1
+            })
+        };
+        let size = Resources::new(
+            number("cores").saturating_mul(MILLI_PER_CORE),
+            number("memory_gib").saturating_mul(MIB_PER_GIB),
+            number("accelerators"),
+            number("slots"),
+        );
+        let connections = number("connections");
+        self.lines.push(line);
+        self.workers.push(v1::WorkerSpec {
+            name: text("name"),
+            data_centre: text("data_centre"),
+            rack: text("rack"),
+            address: text("address"),
+            cpu_milli: size.cpu.0,
+            memory_mib: size.memory.0,
+            accelerators: size.accelerators.0,
+            slots: size.slots.0,
+            connections,
+            draining: false,
+        });
+    }
+
+    /// Checks the rows as the workers of a configuration that has all their data centres.
+    fn check(&mut self) {
+        let data_centre = |w: &v1::WorkerSpec| v1::DataCentre {
+            name: w.data_centre.clone(),
+            region: String::new(),
+        };
+        let configuration = v1::Configuration {
+            data_centres: self.workers.iter().map(data_centre).collect(),
+            workers: self.workers.clone(),
+            ..v1::Configuration::default()
+        };
+        let scope = Scope { data_centres: check::Entries::default(), ..Scope::all() };
+        for finding in check::findings(&configuration, &scope) {
+            let line = row_of(&finding.path).and_then(|row| self.lines.get(row)).copied();
+            self.problems.push(finding.problem.at((line.unwrap_or_default(), 0)));
+        }
+        self.problems.sort_by_key(|problem| problem.line);
+    }
+}
+
+/// The row in a path such as `workers[3].address`.
+fn row_of(path: &str) -> Option<usize> {
+    let (_, rest) = path.split_once('[')?;
+    rest.split_once(']')?.0.parse().ok()
+}
+
+fn syntax_problem(err: &csv::Error) -> Problem {
+    let line = err.position().map_or(0, |p| usize::try_from(p.line()).unwrap_or(usize::MAX));
+    let message = match err.kind() {
+        csv::ErrorKind::UnequalLengths { expected_len, len, .. } => {
+            format!("has {len} values, the header has {expected_len}")
+        }
+        csv::ErrorKind::Utf8 { .. } => "is not UTF-8".to_owned(),
+        _ => "is not valid CSV".to_owned(),
+    };
+    Problem::new("", message).at((line, 0))
+}
--- a/lilacpass-config/src/problem.rs
+++ b/lilacpass-config/src/problem.rs
@@ -12,7 +12,7 @@
 pub struct Problem {
     /// Line in the text, from 1; 0 where there is no text, as in a change.
     pub line: usize,
-    /// Column in the line, in characters from 1; 0 where there is no text.
+    /// Column in the line, in characters from 1; 0 where it is not known.
     pub column: usize,
     /// The field, such as `holding.lease_ms` or `workers[hal-a-01].address`; may be empty.
     pub field: String,
--- a/lilacpass-config/tests/change.rs
+++ b/lilacpass-config/tests/change.rs
@@ -3,7 +3,14 @@
 mod common;
 
 use common::{configuration, drain, op, size, standing, team, worker};
-use lilacpass_config::{change, inventory};
+use lilacpass_config::{
+    change::{self, Load, TeamLoad, WorkerLoad},
+    inventory,
+};
+use lilacpass_core::{
+    ids::{TeamId, WorkerId},
+    resources::Resources,
+};
 use lilacpass_schema::v1::{self, config_op::Op};
 
 fn shown(result: Result<v1::Configuration, Vec<lilacpass_config::Problem>>) -> Vec<String> {
@@ -130,3 +137,82 @@
         }),
     }
 }
+
+/// The entries of each section by name, since a difference keeps no order.
+fn sorted(mut configuration: v1::Configuration) -> v1::Configuration {
+    configuration.data_centres.sort_by(|a, b| a.name.cmp(&b.name));
+    configuration.workers.sort_by(|a, b| a.name.cmp(&b.name));
+    configuration.services.sort_by(|a, b| a.name.cmp(&b.name));
+    configuration.standing.sort_by(|a, b| a.name.cmp(&b.name));
+    configuration.teams.sort_by(|a, b| a.name.cmp(&b.name));
+    configuration.tokens.sort_by(|a, b| a.name.cmp(&b.name));
+    configuration
+}
+
+/// Walks two ways from one start and goes over from the one end to the other.
+#[test]
+fn the_difference_of_two_configurations_leads_from_one_to_the_other() {
+    bolero::check!().with_iterations(2_000).with_type::<[Vec<[u8; 3]>; 2]>().for_each(|walks| {
+        let [from, to] = walks.each_ref().map(|walk| {
+            walk.iter().fold(configuration(3), |at, step| {
+                change::apply(&at, &[op(some_step(&at, *step))]).unwrap_or(at)
+            })
+        });
+        let steps = change::diff(&from, &to);
+        assert_eq!(steps.is_empty(), from == to || sorted(from.clone()) == sorted(to.clone()));
+        assert!(steps.iter().all(|step| !change::describe_op(step).is_empty()));
+        if !steps.is_empty() {
+            assert_eq!(sorted(change::apply(&from, &steps).unwrap()), sorted(to));
+        }
+    });
+}
+
+#[test]
+fn a_difference_is_told_in_steps_without_hashes() {
+    let old = configuration(2);
+    let mut new = old.clone();
+    new.workers[0].draining = true;
+    new.workers.remove(1);
+    new.tokens.push(common::token("carl", "read-only", ""));
+    new.rules.as_mut().unwrap().max_attempts = 4;
+    let told: Vec<_> = change::diff(&old, &new).iter().map(change::describe_op).collect();
+    assert_eq!(
+        told,
+        ["drain worker w0", "remove worker w1", "set token carl with role read-only", "set rules"]
+    );
+    let first = change::diff(&v1::Configuration::default(), &new);
+    assert!(matches!(first.as_slice(), [v1::ConfigOp { op: Some(Op::Replace(_)) }]));
+}
+
+#[test]
+fn the_effects_name_tasks_that_move_and_quotas_that_bind() {
+    let mut old = configuration(4);
+    old.teams.push(team("desks", 4));
+    let load = Load {
+        workers: vec![WorkerLoad { worker: WorkerId::new("w0"), tasks: 3 }],
+        teams: vec![TeamLoad {
+            team: TeamId::new("shops"),
+            given: Resources::new(3_000, 12_288, 0, 0),
+        }],
+    };
+    let told = |spoil: fn(&mut v1::Configuration)| {
+        let mut new = old.clone();
+        spoil(&mut new);
+        change::effects(&old, &new, &load)
+    };
+    let drained = told(|c| c.workers[0].draining = true);
+    assert_eq!(drained, ["worker w0 takes no new work; 3 tasks end there or move"]);
+    let gone = told(|c| drop(c.workers.remove(0)));
+    assert_eq!(gone[0], "worker w0 goes with 3 tasks running: drain it first");
+    assert!(gone[1].starts_with("the cell has 3 workers"), "{gone:?}");
+    let moved = told(|c| c.workers[0].address = "192.0.8.1:1".to_owned());
+    assert!(moved[0].contains("another machine"), "{moved:?}");
+    let bound = told(|c| c.teams[0] = team("shops", 2));
+    assert!(bound[0].contains("its quota binds") && bound[0].ends_with("is borrowed"), "{bound:?}");
+    let promised = told(|c| c.teams[1] = team("desks", 32));
+    assert!(promised[1].starts_with("quotas promise 36000m"), "{promised:?}");
+    let ruled = told(|c| c.rules.as_mut().unwrap().max_attempts = 9);
+    assert_eq!(ruled, ["rules change: max_attempts from 3 to 9"]);
+    assert_eq!(told(|c| c.standing.clear()), ["standing work watcher stops"]);
+    assert_eq!(told(|_| ()), Vec::<String>::new());
+}
