--- a/lilacpass-hold/src/history.rs
+++ b/lilacpass-hold/src/history.rs
@@ -20,7 +20,7 @@
 }
 
 /// What the history says about one incarnation of an instance.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MemberState {
     /// Offset of its last renewal: its join, or a renewal or valid claim since.
     pub renewed: Offset,
@@ -28,8 +28,13 @@
     pub joined: Offset,
     /// It has folded all records before this offset, as its own records say.
     pub read: Offset,
-    /// Whether it is in the roster. One that is not is kept while a shard names it.
+    /// Whether it is in the roster. One that is not was replaced by a newer incarnation and is not
+    /// known dead: its process may still run.
     pub in_roster: bool,
+    /// Address at which it listens to peers; empty where not known.
+    pub address: String,
+    /// Whether it is about to leave and takes no shard, as its last record says.
+    pub leaving: bool,
 }
 
 /// What the history says about one shard.
@@ -51,8 +56,8 @@
 /// What folding a record changed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// The writer entered the roster, in place of an earlier incarnation where there was one.
-    Joined(Option<MemberKey>),
+    /// The writer entered the roster, in place of the earlier incarnations.
+    Joined(Vec<MemberKey>),
     /// The writer renewed its lease.
     Renewed,
     /// The writer became the holder of the shard.
@@ -147,11 +152,8 @@
     /// The holder needs grants of all members of the roster as it last read it. That is the roster
     /// at an offset between what its records prove it has read and the claim. The claimant is part
     /// of all of those if it joined before. Otherwise every one of those rosters that lacks the
-    /// claimant must hold a member that grants no more, because it is not in the roster now; this
-    /// is certain if no member of today joined before the claimant.
-    ///
-    /// One case is taken not to happen: that all other members were replaced by newer incarnations
-    /// while the old processes, cut off from the log, go on and grant to each other.
+    /// claimant must hold a member that grants no more, because it has left or is known dead; this
+    /// is certain if no incarnation that may still run joined before the claimant.
     pub fn claimant_known(&self, claimant: &MemberKey, holder: &MemberKey) -> bool {
         let (Some(claimed), Some(held)) = (self.members.get(claimant), self.members.get(holder))
         else {
@@ -159,7 +161,7 @@
         };
         claimed.joined < held.read
             || !self
-                .roster()
+                .members()
                 .any(|(k, m)| k.id != holder.id && k != claimant && m.joined < claimed.joined)
     }
 
@@ -173,37 +175,41 @@
             id: InstanceId::new(&record.member),
             incarnation: Incarnation(record.incarnation),
         };
-        let writer = self.current_unless_guarded(writer);
+        let writer = self.current_unless_guarded(writer, record);
         let read = Offset(record.read_offset.min(offset.0));
         if let Some(member) = self.members.get_mut(&writer) {
             member.read = member.read.max(read);
+            member.leaving = record.leaving;
         }
         let body = record.body.as_ref().ok_or(VoidReason::Unknown)?;
-        let change = match body {
-            Body::Join(_) => self.join(offset, writer, read),
+        match body {
+            Body::Join(join) => self.join(offset, writer, read, join),
             Body::Renew(_) => self.renew(offset, &writer),
             Body::Claim(claim) => self.claim(offset, writer, claim),
             Body::Release(release) => self.release(&writer, release),
             Body::Leave(_) => self.leave(writer),
             Body::Evict(evict) => self.evict(&writer, evict),
-        }?;
-        self.prune();
-        Ok(change)
+        }
     }
 
-    /// With the test switch off, a record counts for whatever incarnation is known.
-    fn current_unless_guarded(&self, writer: MemberKey) -> MemberKey {
-        if self.guards.record_incarnation || self.members.contains_key(&writer) {
+    /// With the test switch off, a record counts for whatever incarnation is in the roster.
+    fn current_unless_guarded(&self, writer: MemberKey, record: &v1::HoldingRecord) -> MemberKey {
+        if self.guards.record_incarnation || matches!(record.body, Some(Body::Join(_))) {
             return writer;
         }
-        self.members.keys().find(|k| k.id == writer.id).cloned().unwrap_or(writer)
+        let current = self.roster().map(|(k, _)| k).find(|k| k.id == writer.id);
+        current.cloned().unwrap_or(writer)
     }
 
+    /// Takes the writer into the roster. An earlier incarnation with the same address is dead, as
+    /// the process that listens there now could not do so otherwise. Any other may still run; it is
+    /// kept until it is evicted, speaks for itself or is cleared.
     fn join(
         &mut self,
         offset: Offset,
         writer: MemberKey,
         read: Offset,
+        join: &v1::Join,
     ) -> Result<Change, VoidReason> {
         if self.in_roster(&writer) {
             return Err(VoidReason::AlreadyJoined);
@@ -211,14 +217,30 @@
         if self.members.keys().any(|k| k.id == writer.id && k.incarnation > writer.incarnation) {
             return Err(VoidReason::Superseded);
         }
-        let earlier = self.members.iter_mut().find(|(k, m)| k.id == writer.id && m.in_roster);
-        let superseded = earlier.map(|(key, member)| {
-            member.in_roster = false;
-            key.clone()
-        });
-        let member = MemberState { renewed: offset, joined: offset, read, in_roster: true };
+        let earlier: Vec<_> =
+            self.members.keys().filter(|k| k.id == writer.id && **k != writer).cloned().collect();
+        for key in &earlier {
+            self.replace(key, &join.address);
+        }
+        let address = join.address.clone();
+        let member = MemberState {
+            renewed: offset,
+            joined: offset,
+            read,
+            in_roster: true,
+            address,
+            leaving: false,
+        };
         self.members.insert(writer, member);
-        Ok(Change::Joined(superseded))
+        Ok(Change::Joined(earlier))
+    }
+
+    fn replace(&mut self, earlier: &MemberKey, address: &str) {
+        let Some(member) = self.members.get_mut(earlier) else { return };
+        member.in_roster = false;
+        if !address.is_empty() && member.address == address {
+            self.forget(earlier);
+        }
     }
 
     fn renew(&mut self, offset: Offset, writer: &MemberKey) -> Result<Change, VoidReason> {
@@ -348,16 +370,6 @@
         self.members.get_mut(key).filter(|m| m.in_roster).ok_or(VoidReason::NotInRoster)
     }
 
-    /// Drops incarnations that neither the roster nor a shard names.
-    fn prune(&mut self) {
-        let shards = &self.shards;
-        self.members.retain(|key, member| {
-            let named =
-                |t: &Tenure| t.holder.as_ref() == Some(key) || t.previous.as_ref() == Some(key);
-            member.in_roster || shards.values().any(named)
-        });
-    }
-
     /// The history as a message.
     pub fn snapshot(&self) -> v1::HoldingSnapshot {
         v1::HoldingSnapshot {
@@ -415,6 +427,8 @@
         joined_offset: member.joined.0,
         read_offset: member.read.0,
         in_roster: member.in_roster,
+        address: member.address.clone(),
+        leaving: member.leaving,
     }
 }
 
@@ -428,6 +442,8 @@
         joined: Offset(member.joined_offset),
         read: Offset(member.read_offset),
         in_roster: member.in_roster,
+        address: member.address.clone(),
+        leaving: member.leaving,
     };
     (key, state)
 }
--- a/lilacpass-hold/src/holding.rs
+++ b/lilacpass-hold/src/holding.rs
@@ -102,6 +102,8 @@
     /// Actions that reading caused, for the next tick.
     pub(crate) queued: Vec<HoldAction>,
     pub(crate) superseded: bool,
+    /// Address at which this member listens to peers.
+    pub(crate) address: String,
 }
 
 impl Holding {
@@ -132,9 +134,16 @@
             plan: Plan::default(),
             queued: Vec::new(),
             superseded: false,
+            address: String::new(),
         }
     }
 
+    /// Sets the address at which this member listens to peers, as IP:port. Only an address that it
+    /// has bound itself may be given: it proves an earlier incarnation with the same one dead.
+    pub fn set_address(&mut self, address: &str) {
+        self.address = address.to_owned();
+    }
+
     /// Takes in the shards of the configuration in force.
     pub fn set_shards(&mut self, shards: Vec<ShardSpec>, _now: MonoTime) {
         self.workers.clear();
@@ -202,8 +211,8 @@
             if *writer == self.me {
                 self.join_read = Some(now);
             }
-            if let Some(replaced) = replaced {
-                self.list.replaced(replaced.clone(), now);
+            for key in replaced {
+                self.list.replaced(key.clone(), now);
                 self.replacement_read = Some(now);
             }
         }
@@ -256,15 +265,17 @@
     }
 
     fn add_gained_tenures(&mut self, claim_sent: Option<MonoTime>, now: MonoTime) {
+        // The old holder may have been proved dead right after its last start.
+        let flight = self.options.with_margin(self.options.start_flight);
         let mine = self.history.tenures().filter(|(_, t)| t.holder.as_ref() == Some(&self.me));
         for (shard, tenure) in mine {
             if let Some(own) = self.tenures.get_mut(shard) {
                 if tenure.previous.is_none() {
-                    own.cleared_from.get_or_insert(now);
+                    own.cleared_from.get_or_insert(now + flight);
                 }
                 continue;
             }
-            let mut own = own_tenure(tenure, claim_sent, &self.options, now);
+            let mut own = own_tenure(tenure, claim_sent, self.replacement_read, &self.options, now);
             if self.superseded || self.plan.is_leaving() {
                 own.end(now);
             }
@@ -374,6 +385,7 @@
 fn own_tenure(
     tenure: &Tenure,
     claim_sent: Option<MonoTime>,
+    replacement_read: Option<MonoTime>,
     options: &HoldOptions,
     now: MonoTime,
 ) -> OwnTenure {
@@ -382,18 +394,22 @@
         (Some(_), false) => Origin::Unclean,
         (Some(_), true) => Origin::Inherited,
     };
+    let flight = options.with_margin(options.start_flight);
     // The old holder's lease and grants had run out when the claim was sent, so from then on it
     // keeps to its half; what it started before that has arrived after the longest flight.
-    let flight_over = claim_sent.unwrap_or(now) + options.with_margin(options.start_flight);
+    let claimed_over = claim_sent.unwrap_or(now) + flight;
+    // A holder that was proved dead by its successor's address may have started work right before.
+    let replaced_over = replacement_read.map(|read| read + flight).unwrap_or_default();
     let report_from = match origin {
-        Origin::Unclean if options.guards.report_wait => flight_over,
+        Origin::Unclean if options.guards.report_wait => claimed_over,
+        Origin::Released if options.guards.report_wait => now.max(replaced_over),
         _ => now,
     };
     OwnTenure {
         epoch: tenure.epoch,
         origin,
         report_from,
-        cleared_from: (origin == Origin::Released).then_some(now),
+        cleared_from: (origin == Origin::Released).then_some(report_from),
         reports: BTreeMap::new(),
         ending: None,
     }
--- a/lilacpass-hold/src/plan.rs
+++ b/lilacpass-hold/src/plan.rs
@@ -9,7 +9,7 @@
 use lilacpass_schema::v1::{self, holding_record::Body};
 
 use crate::{
-    history::{History, MemberKey},
+    history::{History, MemberKey, MemberState},
     holding::{HoldAction, Holding},
     rank,
     tenure::OwnTenure,
@@ -114,6 +114,8 @@
     /// A planned stop: from now on the member gives nothing, releases its shards and leaves.
     pub fn leave(&mut self, now: MonoTime) {
         self.plan.leaving = true;
+        // The next renewal goes out now, so that all know of it before the releases.
+        self.plan.renew_sent = None;
         self.tenures.values_mut().for_each(|own| own.end(now));
     }
 
@@ -136,6 +138,7 @@
             body: Some(body),
             read_offset: self.next.0,
             sequence,
+            leaving: self.plan.leaving || self.list.is_leaving(&self.me.id),
         })
     }
 
@@ -155,7 +158,7 @@
         let wanted = !self.history.in_roster(&self.me) && !self.plan.leaving;
         if wanted && self.tail_is_fresh(now) && self.retry_due(self.plan.join_sent, now) {
             self.plan.join_sent = Some(now);
-            bodies.push(Body::Join(v1::Join {}));
+            bodies.push(Body::Join(v1::Join { address: self.address.clone() }));
         }
     }
 
@@ -169,11 +172,11 @@
 
     /// Members that shards may go to: in the roster, renewing and not about to be stopped.
     fn candidates(&self, now: MonoTime) -> Vec<&MemberKey> {
-        let fit = |key: &MemberKey| {
+        let fit = |key: &MemberKey, member: &MemberState| {
             let live = *key == self.me || now < self.lapses_at(key);
-            live && !self.list.is_leaving(&key.id)
+            live && !member.leaving && !self.list.is_leaving(&key.id)
         };
-        self.history.roster().map(|(key, _)| key).filter(|key| fit(key)).collect()
+        self.history.roster().filter(|(key, m)| fit(key, m)).map(|(key, _)| key).collect()
     }
 
     /// Takes members out of the roster that are known dead. One live member after the other, in
