--- a/lilacpass-decide/src/pool/mod.rs
+++ b/lilacpass-decide/src/pool/mod.rs
@@ -194,7 +194,10 @@
             self.refresh(*earlier);
         }
         self.put_in(task, number, need, meta, now);
-        earlier.map(|(number, _)| number).filter(|&n| n != number).map(|n| self.name(n))
+        let (earlier, _) = earlier.filter(|(earlier, _)| *earlier != number)?;
+        let name = self.name(earlier);
+        self.forget_if_empty(earlier);
+        Some(name)
     }
 
     /// Gives a task where the worker takes new work and has room; `false` changes nothing.
--- a/lilacpass-decide/src/pool/place.rs
+++ b/lilacpass-decide/src/pool/place.rs
@@ -137,7 +137,7 @@
 
     /// Gives up what is kept for a task.
     pub fn unreserve(&mut self, task: &TaskId) {
-        let kept = |w: &crate::pool::worker::Worker| w.reserved.is_some_and(|(t, _)| t == *task);
+        let kept = |w: &Worker| w.reserved.is_some_and(|(t, _)| t == *task);
         if let Some(number) = self.workers.iter().position(kept) {
             self.workers[number].reserved = None;
             self.refresh(number as u32);
--- a/lilacpass-decide/src/pool/quarantine.rs
+++ b/lilacpass-decide/src/pool/quarantine.rs
@@ -25,8 +25,8 @@
 const SLOW_FACTOR: u32 = 3;
 /// Jobs with failures that are remembered.
 const MAX_FAILED_JOBS: usize = 4_096;
-/// A kind's failure rate counts from this many outcomes on; before, it is taken to be zero.
-const MIN_OUTCOMES: f64 = 8.0;
+/// Successes of a kind that are assumed before any outcome is known.
+const ASSUMED_SUCCESSES: f64 = 2.0;
 /// Outcomes of a kind after which older ones fade.
 const OUTCOME_WINDOW: f64 = 256.0;
 /// Entries of outcomes per kind and worker; all are forgotten when there are more.
@@ -62,12 +62,9 @@
         self.failed += f64::from(u8::from(failed));
     }
 
-    /// The failure rate, in thousandths.
+    /// The failure rate, in thousandths, as if there were a few more successes than were seen.
     fn rate_milli(&self) -> u32 {
-        if self.total < MIN_OUTCOMES {
-            return 0;
-        }
-        (self.failed * 1_000.0 / self.total) as u32
+        (self.failed * 1_000.0 / (self.total + ASSUMED_SUCCESSES)) as u32
     }
 }
 
--- a/lilacpass-decide/src/sched/dispatch.rs
+++ b/lilacpass-decide/src/sched/dispatch.rs
@@ -94,7 +94,6 @@
         while let Some(line) = self.next_line(class, &done) {
             if class < Class::Batch && self.is_turn_of_aged(now) {
                 self.start_aged(blocked, now, decisions);
-                self.starts_since_aged = 0;
             }
             match self.look_at(class, line, blocked, now, decisions) {
                 // Lines may have moved: a line that ran empty is gone.
@@ -220,8 +219,11 @@
                 continue;
             }
             if self.start(&task, now, decisions).is_ok() {
+                self.starts_since_aged = 0;
                 return;
             }
+            blocked.add(&self.waiting[&task]);
+            self.make_room(&task, now, decisions);
         }
     }
 }
