--- a/lilacpass-records/tests/common/mod.rs
+++ b/lilacpass-records/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Records for the tests.
 #![allow(dead_code, unreachable_pub)]
 
+pub mod stream;
+
 use lilacpass_core::{
     MonoTime,
     ids::{JobId, Offset},
