Join the state machines in the control crate and show the whole path with fakes

Cause: holding, decisions, records and configuration are pure machines; nothing routed a request through them, drove a job, or adopted what runs on a worker. Ruled out: a task per request with shared locks (the house style asks for one thread of control state, and a lock order can't be tested event by event). Change: Control takes events and gives effects: outbox with group commit settled by reading, heartbeats, quick requests at entry and holder, recorded tasks, the driver of jobs with gang holds, standing work, changes, planned stop, views.

--- /dev/null
+++ b/lilacpass-control/src/drive.rs
@@ -0,0 +1,447 @@
+//! Driving jobs: one entry instance per job looks for room, writes the attempt and has it started.
+//!
+//! The driver is the first member in rendezvous order. Two members may both think so for a while;
+//! the first valid attempt in the log counts, so that costs time and nothing else.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use lilacpass_core::{
+    MonoTime,
+    ids::{AttemptNo, InstanceId, JobId},
+};
+use lilacpass_decide::WaitingJob;
+use lilacpass_schema::v1;
+
+use crate::{
+    Control,
+    calls::Pending,
+    convert, counters,
+    event::{CallFailure, PeerCall, PeerReply, Stream},
+    history,
+};
+
+/// Jobs whose attempts are prepared at the same time.
+const MAX_PREPARING: usize = 64;
+/// Deadline of calls to holders.
+const HOLDER_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Shortest pause before room is looked for again.
+const LEAST_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest pause before room is looked for again.
+const MOST_BACKOFF: Duration = Duration::from_secs(2);
+
+/// How far the preparation of an attempt is.
+#[derive(Debug)]
+pub(crate) enum Phase {
+    /// Holders are asked for room, one after the other in the order of their names, so that two
+    /// gangs that want the same room meet at the same holder first.
+    Asking { left: Vec<InstanceId> },
+    /// The attempt's record is on its way into the log.
+    Writing { record_id: String },
+    /// Holders are told to start.
+    Starting,
+}
+
+/// An attempt that this instance prepares as driver.
+#[derive(Debug)]
+pub(crate) struct Preparing {
+    attempt: AttemptNo,
+    spec: v1::JobSpec,
+    placements: Vec<v1::Placement>,
+    phase: Phase,
+    give_up_at: MonoTime,
+}
+
+/// What a driver remembers of a job between two tries.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Tries {
+    /// Tries in a row that found no room.
+    pub(crate) failed: u32,
+    /// Why the last one found none.
+    pub(crate) reason: String,
+    /// Workers where a task of the job ended without success lately.
+    avoid: Vec<String>,
+}
+
+impl Tries {
+    /// Most workers that are avoided at once; the oldest is forgotten first.
+    const MAX_AVOIDED: usize = 4;
+
+    /// Looks elsewhere than on this worker first.
+    pub(crate) fn avoid(&mut self, worker: String) {
+        self.avoid.retain(|other| *other != worker);
+        if self.avoid.len() >= Self::MAX_AVOIDED {
+            self.avoid.remove(0);
+        }
+        self.avoid.push(worker);
+    }
+}
+
+/// All attempts that this instance prepares.
+pub(crate) type PreparingJobs = BTreeMap<JobId, Preparing>;
+
+impl Control {
+    /// Whether this instance drives a job now.
+    pub(crate) fn drives(&self, job: &JobId, now: MonoTime) -> bool {
+        if self.is_leaving() {
+            return false;
+        }
+        let silent = self.settings.silent;
+        let own = rendezvous(job, &self.settings.me);
+        self.members
+            .iter()
+            .filter(|(_, peer)| peer.is_alive(silent, now) && !peer.leaving)
+            .all(|(id, _)| rendezvous(job, id) < own)
+    }
+
+    /// Whether this instance may come to drive a job: a cheap test that errs on the side of yes.
+    pub(crate) fn drives_soon(&self, _job: &JobId) -> bool {
+        !self.is_leaving()
+    }
+
+    /// Queues a job that has come to wait.
+    pub(crate) fn queue_job(&mut self, id: JobId, now: MonoTime) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let spec = job.spec();
+        let waiting = WaitingJob {
+            job: id,
+            meta: convert::meta(spec),
+            each: convert::task_size(spec),
+            tasks: convert::task_count(spec),
+            since: now,
+        };
+        let ready_at = job.since() + job.backoff();
+        self.queue.push(waiting);
+        if !ready_at.reached(now) {
+            self.queue.retry_at(&id, ready_at);
+        }
+    }
+
+    /// Starts to prepare attempts of the jobs whose turn it is.
+    pub(crate) fn drive(&mut self, now: MonoTime) {
+        if !self.streams.is_complete(Stream::Jobs) || !self.log_reachable(now) || self.is_leaving()
+        {
+            return;
+        }
+        let room = MAX_PREPARING.saturating_sub(self.preparing.len());
+        if room == 0 {
+            return;
+        }
+        let usage = self.team_usage();
+        // A job that another member drives is looked at again after a while: that member may die.
+        for id in self.queue.next(&usage, now, room) {
+            if self.preparing.contains_key(&id) {
+                continue;
+            }
+            if self.drives(&id, now) {
+                self.prepare(id, now);
+            } else {
+                self.queue.retry_at(&id, now + self.settings.heartbeat);
+            }
+        }
+    }
+
+    fn prepare(&mut self, id: JobId, now: MonoTime) {
+        let Some((attempt, spec)) =
+            self.jobs.get(&id).and_then(|job| Some((job.next_attempt()?, job.spec().clone())))
+        else {
+            self.queue.remove(&id);
+            return;
+        };
+        let left = self.holders_for(&spec, now);
+        let preparing = Preparing {
+            attempt,
+            spec,
+            placements: Vec::new(),
+            phase: Phase::Asking { left },
+            give_up_at: now + self.settings.task_hold,
+        };
+        self.preparing.insert(id, preparing);
+        self.ask_next_holder(id, now);
+    }
+
+    /// The holders to ask for room: those in the preferred data centre and with the most room first
+    /// for a single task; for a gang in the order of their names.
+    fn holders_for(&self, spec: &v1::JobSpec, now: MonoTime) -> Vec<InstanceId> {
+        let silent = self.settings.silent;
+        let preferred = if spec.data_centre.is_empty() {
+            self.settings.data_centre.as_str()
+        } else {
+            &spec.data_centre
+        };
+        let mut holders: Vec<(bool, u64, InstanceId)> = self
+            .members
+            .iter()
+            .filter(|(_, peer)| peer.is_alive(silent, now) && !peer.leaving)
+            .filter_map(|(id, peer)| {
+                let free = peer.digest.as_ref()?.free.as_ref()?;
+                Some((peer.data_centre.as_str() != preferred, u64::MAX - free.slots, id.clone()))
+            })
+            .collect();
+        if let Some(own) = self.digest(now) {
+            let free = own.free.map_or(0, |free| free.slots);
+            let far = self.settings.data_centre.as_str() != preferred;
+            holders.push((far, u64::MAX - free, self.settings.me.clone()));
+        }
+        if convert::task_count(spec) > 1 {
+            holders.sort_by(|a, b| a.2.cmp(&b.2));
+        } else {
+            holders.sort();
+        }
+        holders.reverse();
+        holders.into_iter().map(|(_, _, id)| id).collect()
+    }
+
+    fn ask_next_holder(&mut self, id: JobId, now: MonoTime) {
+        let Some(preparing) = self.preparing.get_mut(&id) else { return };
+        let wanted = preparing.missing();
+        if wanted.is_empty() {
+            self.write_attempt(id, now);
+            return;
+        }
+        let Phase::Asking { left } = &mut preparing.phase else { return };
+        let Some(holder) = left.pop() else {
+            self.give_up_preparing(id, now);
+            return;
+        };
+        let avoid = self.tries.get(&id).map(|tries| tries.avoid.clone()).unwrap_or_default();
+        let request = PeerCall::Hold(v1::HoldRequest {
+            job_id: id.to_string(),
+            attempt: preparing.attempt.0,
+            spec: Some(preparing.spec.clone()),
+            indexes: wanted,
+            hold_ms: convert::millis(self.settings.task_hold),
+            avoid,
+        });
+        let pending = Pending::Hold { job: id, holder: holder.clone() };
+        self.call_peer(&holder, request, HOLDER_TIMEOUT, pending);
+    }
+
+    /// A holder has answered whether it sets room aside.
+    pub(crate) fn hold_done(
+        &mut self,
+        id: JobId,
+        holder: &InstanceId,
+        result: Result<PeerReply, CallFailure>,
+        now: MonoTime,
+    ) {
+        let Some(preparing) = self.preparing.get_mut(&id) else {
+            self.unhold_at(id, holder);
+            return;
+        };
+        if let Ok(PeerReply::Hold(answer)) = result {
+            if let Some(peer) = self.members.get_mut(holder)
+                && answer.digest.is_some()
+            {
+                peer.digest = answer.digest;
+                peer.digest_at = now;
+            }
+            preparing.placements.extend(answer.placements);
+            if !answer.reason.is_empty() {
+                self.tries.entry(id).or_default().reason = answer.reason;
+            }
+        }
+        self.ask_next_holder(id, now);
+    }
+
+    fn unhold_at(&mut self, id: JobId, holder: &InstanceId) {
+        let attempt = self
+            .jobs
+            .get(&id)
+            .and_then(lilacpass_records::Job::next_attempt)
+            .map_or(0, |attempt| attempt.0);
+        let request = PeerCall::Unhold(v1::UnholdRequest { job_id: id.to_string(), attempt });
+        self.call_peer(holder, request, HOLDER_TIMEOUT, Pending::Ignored);
+    }
+
+    /// Not all tasks found room: everything set aside is given back, and the job waits a little.
+    /// The pause is random, so that two gangs that stand in each other's way do not do so again.
+    fn give_up_preparing(&mut self, id: JobId, now: MonoTime) {
+        let Some(preparing) = self.preparing.remove(&id) else { return };
+        for holder in preparing.holders() {
+            let request = PeerCall::Unhold(v1::UnholdRequest {
+                job_id: id.to_string(),
+                attempt: preparing.attempt.0,
+            });
+            self.call_peer(&holder, request, HOLDER_TIMEOUT, Pending::Ignored);
+        }
+        let tries = self.tries.entry(id).or_default();
+        tries.failed += 1;
+        let most = (LEAST_BACKOFF * 2_u32.saturating_pow(tries.failed.min(5))).min(MOST_BACKOFF);
+        let pause = LEAST_BACKOFF + most.mul_f64(self.random_fraction());
+        self.queue.retry_at(&id, now + pause);
+    }
+
+    fn write_attempt(&mut self, id: JobId, now: MonoTime) {
+        let Some(preparing) = self.preparing.get(&id) else { return };
+        let body = v1::job_record::Body::Attempt(v1::JobAttempt {
+            attempt: preparing.attempt.0,
+            driver: self.settings.me.to_string(),
+            driver_incarnation: self.settings.incarnation.0,
+            placements: preparing.placements.clone(),
+        });
+        counters::bump(&self.counters.attempts);
+        let record_id = self.append_job(id, body, now);
+        if let Some(preparing) = self.preparing.get_mut(&id) {
+            preparing.phase = Phase::Writing { record_id };
+        }
+    }
+
+    /// An attempt was read from the log and counts.
+    pub(crate) fn attempt_folded(&mut self, id: JobId, record_id: &str, now: MonoTime) {
+        self.queue.remove(&id);
+        let own =
+            self.preparing.get_mut(&id).filter(|preparing| preparing.is_written_as(record_id));
+        let Some(preparing) = own else {
+            self.drop_preparing(id);
+            return;
+        };
+        preparing.phase = Phase::Starting;
+        if let Some(tries) = self.tries.get_mut(&id) {
+            tries.failed = 0;
+        }
+        let Some(preparing) = self.preparing.get(&id) else { return };
+        let checkpoints =
+            self.jobs.get(&id).map(|job| job.checkpoints().to_vec()).unwrap_or_default();
+        let calls: Vec<(InstanceId, v1::StartHeldRequest)> = preparing
+            .holders()
+            .into_iter()
+            .map(|h| (h.clone(), preparing.start_request(id, &h, &checkpoints)))
+            .collect();
+        for (holder, request) in calls {
+            let pending = Pending::StartHeld { job: id };
+            self.call_peer(&holder, PeerCall::StartHeld(request), HOLDER_TIMEOUT, pending);
+        }
+        self.check_hold_age(id, now);
+    }
+
+    /// Another record made our attempt void.
+    pub(crate) fn attempt_void(&mut self, id: JobId, record_id: &str, now: MonoTime) {
+        counters::bump(&self.counters.attempts_void);
+        let own =
+            self.preparing.get(&id).is_some_and(|preparing| preparing.is_written_as(record_id));
+        if own {
+            self.give_up_preparing(id, now);
+        }
+    }
+
+    /// Gives back the room of an attempt that is no longer prepared.
+    fn drop_preparing(&mut self, id: JobId) {
+        let Some(preparing) = self.preparing.remove(&id) else { return };
+        for holder in preparing.holders() {
+            let request = PeerCall::Unhold(v1::UnholdRequest {
+                job_id: id.to_string(),
+                attempt: preparing.attempt.0,
+            });
+            self.call_peer(&holder, request, HOLDER_TIMEOUT, Pending::Ignored);
+        }
+    }
+
+    fn check_hold_age(&mut self, id: JobId, now: MonoTime) {
+        let late =
+            self.preparing.get(&id).is_some_and(|preparing| preparing.give_up_at.reached(now));
+        if late {
+            log::info!(job:% = id; "attempt was read back after its room was given back");
+        }
+    }
+
+    /// A holder has answered whether it starts its tasks. A refusal is in the log as the end of the
+    /// task; a call without an answer is settled by the holder's own report or by its successor.
+    pub(crate) fn start_held_done(&mut self, id: JobId) {
+        self.preparing.remove(&id);
+    }
+
+    /// Gives up preparations that take too long, such as while the log is slow.
+    pub(crate) fn expire_preparing(&mut self, now: MonoTime) {
+        let late: Vec<JobId> = self
+            .preparing
+            .iter()
+            .filter(|(_, preparing)| preparing.give_up_at.reached(now))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in late {
+            let written = self.preparing.get(&id).and_then(Preparing::record_id);
+            if let Some(record_id) = written {
+                // Never sent, or refused: it is taken out. Sent with an unknown outcome: it may
+                // still be read, and then the holders refuse it, since the room is given back.
+                self.take_unsent(Stream::Jobs, |record| record.record_id == record_id);
+            }
+            self.give_up_preparing(id, now);
+        }
+    }
+
+    /// Keeps gangs whole: where one task of an attempt has ended without success, the others stop.
+    pub(crate) fn keep_gangs_whole(&mut self, now: MonoTime) {
+        let broken: Vec<(JobId, AttemptNo, Vec<InstanceId>)> = self
+            .jobs
+            .active()
+            .filter(|(_, attempt)| history::is_broken(attempt))
+            .map(|(job, attempt)| (job, attempt.number, history::running_holders(attempt)))
+            .collect();
+        for (job, attempt, holders) in broken {
+            if !self.drives(&job, now) {
+                continue;
+            }
+            for holder in holders {
+                let request = PeerCall::StopTasks(v1::StopTasksRequest {
+                    job_id: job.to_string(),
+                    attempt: attempt.0,
+                    checkpoint: false,
+                    reason: "another task of the gang has ended".to_owned(),
+                });
+                self.call_peer(&holder, request, HOLDER_TIMEOUT, Pending::Ignored);
+            }
+        }
+    }
+}
+
+impl Preparing {
+    /// Tasks that no room was found for yet.
+    fn missing(&self) -> Vec<u32> {
+        let placed =
+            |index: &u32| self.placements.iter().any(|placement| placement.index == *index);
+        (0..convert::task_count(&self.spec)).filter(|index| !placed(index)).collect()
+    }
+
+    fn holders(&self) -> Vec<InstanceId> {
+        let mut holders: Vec<InstanceId> = self
+            .placements
+            .iter()
+            .map(|placement| convert::instance_id(&placement.holder))
+            .collect();
+        holders.sort();
+        holders.dedup();
+        holders
+    }
+
+    fn record_id(&self) -> Option<String> {
+        match &self.phase {
+            Phase::Writing { record_id } => Some(record_id.clone()),
+            Phase::Asking { .. } | Phase::Starting => None,
+        }
+    }
+
+    fn is_written_as(&self, id: &str) -> bool {
+        matches!(&self.phase, Phase::Writing { record_id } if record_id == id)
+    }
+
+    fn start_request(
+        &self,
+        id: JobId,
+        holder: &InstanceId,
+        checkpoints: &[String],
+    ) -> v1::StartHeldRequest {
+        let own = |placement: &&v1::Placement| placement.holder == holder.as_str();
+        v1::StartHeldRequest {
+            job_id: id.to_string(),
+            attempt: self.attempt.0,
+            spec: Some(self.spec.clone()),
+            placements: self.placements.iter().filter(own).cloned().collect(),
+            checkpoints: checkpoints.to_vec(),
+        }
+    }
+}
+
+/// Weight of a member for a job, the same everywhere; the greatest one drives it.
+fn rendezvous(job: &JobId, member: &InstanceId) -> u64 {
+    lilacpass_core::rendezvous::weight(&job.0.to_le_bytes(), member.as_str())
+}
--- /dev/null
+++ b/lilacpass-control/src/holds.rs
@@ -0,0 +1,104 @@
+//! Carries out what the holding state machine asks for.
+
+use lilacpass_core::{MonoTime, Verdict, ids::Offset};
+use lilacpass_hold::{AppendOutcome, FoldOutcome, HoldAction};
+use lilacpass_schema::v1;
+
+use crate::{
+    Control,
+    calls::Pending,
+    counters,
+    event::{CallFailure, Effect, Stream},
+};
+
+impl Control {
+    /// Lets the holding state machine act.
+    pub(crate) fn tick_holding(&mut self, now: MonoTime) {
+        let mut appends = Vec::new();
+        for action in self.holding.tick(now) {
+            match action {
+                HoldAction::Append(record) => appends.push(record),
+                HoldAction::Gained(shard, _) => self.gained(&shard, now),
+                HoldAction::Lost(shard) => self.lost(&shard),
+            }
+        }
+        appends.append(&mut self.deferred_releases);
+        let (deferred, ready) = appends.into_iter().partition(|record| self.must_wait(record));
+        self.deferred_releases = deferred;
+        self.append_holding(ready);
+        let held = self.holding.held().count() as u64;
+        counters::set(&self.counters.shards_held, held);
+    }
+
+    /// Whether the record gives a shard up while a call that could start something there is under
+    /// way. Nothing more is started there, and the record waits for those calls to end: the next
+    /// holder must find in the worker's report all that was started.
+    fn must_wait(&mut self, record: &v1::HoldingRecord) -> bool {
+        let Some(v1::holding_record::Body::Release(release)) = &record.body else { return false };
+        let shard = lilacpass_core::ids::ShardId::new(&release.shard);
+        let waits = self.starts_under_way(&shard);
+        self.releasing.insert(shard);
+        waits
+    }
+
+    fn append_holding(&mut self, records: Vec<v1::HoldingRecord>) {
+        if records.is_empty() {
+            return;
+        }
+        let wrapped = records
+            .iter()
+            .map(|record| self.new_record(v1::record::Body::Holding(record.clone())))
+            .collect();
+        let call = self.new_call(Pending::AppendHolding(records));
+        counters::bump(&self.counters.appends);
+        self.out.push(Effect::Append { call, stream: Stream::Holding, records: wrapped });
+    }
+
+    /// An append of holding records has ended.
+    pub(crate) fn holding_appended(
+        &mut self,
+        records: &[v1::HoldingRecord],
+        result: Result<Offset, CallFailure>,
+        now: MonoTime,
+    ) {
+        let outcome = match &result {
+            Ok(_) => AppendOutcome::Done,
+            Err(failure) if failure.verdict == Verdict::NotRun => AppendOutcome::Failed,
+            Err(_) => AppendOutcome::Unknown,
+        };
+        match result {
+            Ok(_) => self.log_answered(now),
+            Err(_) => {
+                counters::bump(&self.counters.appends_failed);
+                self.log_failed(now);
+            }
+        }
+        for record in records {
+            self.holding.appended(record.sequence, outcome, now);
+            if outcome == AppendOutcome::Failed
+                && let Some(v1::holding_record::Body::Release(release)) = &record.body
+            {
+                self.releasing.remove(&lilacpass_core::ids::ShardId::new(&release.shard));
+            }
+        }
+    }
+
+    /// A record of the holding stream was read that is none of its own: only its offset counts.
+    pub(crate) fn skip_holding_record(&mut self, offset: Offset, now: MonoTime) {
+        self.holding.fold(offset, &v1::HoldingRecord::default(), now, now);
+    }
+
+    /// A record of the holding stream was read.
+    pub(crate) fn on_holding_record(
+        &mut self,
+        offset: Offset,
+        record: &v1::HoldingRecord,
+        sent_at: MonoTime,
+        now: MonoTime,
+    ) {
+        let outcome = self.holding.fold(offset, record, sent_at, now);
+        if matches!(outcome, FoldOutcome::Void(_)) {
+            counters::bump(&self.counters.records_void);
+        }
+    }
+}
--- a/lilacpass-control/src/lib.rs
+++ b/lilacpass-control/src/lib.rs
@@ -4,6 +4,33 @@
 //! [`Effect`]s that the daemon has to carry out. It performs no I/O, reads no clock and starts no
 //! thread, so that failures can be played to it in a test, one event after the other.
 
+mod calls;
+mod change;
+mod control;
+mod convert;
+mod counters;
+mod drive;
 pub mod event;
+mod heartbeat;
+mod history;
+mod holds;
+mod inventory;
+mod listing;
+mod members;
+mod outbox;
+mod problem;
+mod quick;
+mod serve;
+mod settings;
+mod standing;
+mod stop;
+mod streams;
+mod submit;
+mod tasks;
+mod views;
+mod workers;
 
+pub use control::Control;
+pub use counters::Counters;
 pub use event::{Effect, Event};
+pub use settings::ControlSettings;
--- /dev/null
+++ b/lilacpass-control/src/stop.rs
@@ -0,0 +1,101 @@
+//! The planned stop of an entry instance: nothing in flight is cut off.
+
+use lilacpass_core::{
+    MonoTime,
+    ids::{ShardId, WorkerId},
+};
+
+use crate::{Control, calls::Pending, event::Effect, tasks::State};
+
+/// How far a planned stop has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Stop {
+    /// Not asked for.
+    No,
+    /// Finishing what is in flight; workers are still held.
+    Draining,
+    /// Nothing is in flight: giving the workers back.
+    Releasing,
+    /// Done; the process can exit.
+    Done,
+}
+
+impl Control {
+    /// Whether a planned stop was asked for.
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.stop != Stop::No
+    }
+
+    /// A planned stop is asked for.
+    pub(crate) fn on_stop(&mut self, now: MonoTime) {
+        if self.stop != Stop::No {
+            return;
+        }
+        log::info!("planned stop");
+        self.stop = Stop::Draining;
+        self.out.push(Effect::Ready(false));
+        // Peers learn at once, so that they stop forwarding to this instance.
+        for (_, peer) in self.members.iter_mut() {
+            peer.heartbeat_at = now;
+        }
+    }
+
+    /// Moves the planned stop on.
+    ///
+    /// The workers are given back only when no call that could start something is under way: the
+    /// next holder learns what runs from the workers' reports, and a start that arrives after the
+    /// report would be missing in it.
+    pub(crate) fn advance_stop(&mut self, now: MonoTime) {
+        match self.stop {
+            Stop::No | Stop::Done => {}
+            Stop::Draining if self.nothing_in_flight() => {
+                self.stop = Stop::Releasing;
+                self.holding.leave(now);
+            }
+            Stop::Draining => {}
+            Stop::Releasing if self.has_left(now) => {
+                self.stop = Stop::Done;
+                self.out.push(Effect::Stopped);
+            }
+            Stop::Releasing => {}
+        }
+    }
+
+    fn nothing_in_flight(&self) -> bool {
+        let starts = self
+            .recorded
+            .values()
+            .any(|t| matches!(t.state, State::Starting | State::Unsettled(_)));
+        let running = self.calls.values().any(|call| {
+            matches!(call, Pending::Run { .. } | Pending::Start { .. } | Pending::Forward { .. })
+        });
+        self.quick.is_empty()
+            && self.served.is_empty()
+            && self.preparing.is_empty()
+            && self.changes.is_empty()
+            && self.waiters.is_empty()
+            && !starts
+            && !running
+    }
+
+    /// Whether everything is given back and written. Without the log the leases run out by
+    /// themselves, so the process does not wait for it.
+    fn has_left(&self, now: MonoTime) -> bool {
+        let written = self.outboxes.values().all(super::outbox::Outbox::is_empty);
+        (self.holding.left() && written && self.quick.is_empty()) || !self.log_reachable(now)
+    }
+
+    /// Whether a call that could start something on a worker of `shard` is under way.
+    pub(crate) fn starts_under_way(&self, shard: &ShardId) -> bool {
+        let in_shard =
+            |worker: &WorkerId| self.held.get(worker).is_some_and(|held| held.shard == *shard);
+        let calls = self.calls.values().any(|call| match call {
+            Pending::Run { worker, .. } | Pending::Start { worker, .. } => in_shard(worker),
+            _ => false,
+        });
+        let unsettled = self.recorded.values().any(|task| {
+            in_shard(&task.worker) && matches!(task.state, State::Starting | State::Unsettled(_))
+        });
+        calls || unsettled || self.has_unsettled_served_in(in_shard)
+    }
+}
--- /dev/null
+++ b/lilacpass-control/tests/fakes/log.rs
@@ -0,0 +1,73 @@
+//! A log service in memory that can be down, or lose its answers.
+
+use std::collections::BTreeMap;
+
+use lilacpass_control::event::Stream;
+use lilacpass_core::ids::Offset;
+use lilacpass_schema::v1;
+
+/// What the log does with appends and reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Mode {
+    /// It works.
+    Up,
+    /// All calls fail without effect.
+    Down,
+    /// Appends take effect, and their answers are lost.
+    LosesAnswers,
+}
+
+/// The streams of a cell. The holding stream is one per data centre.
+#[derive(Debug)]
+pub(crate) struct Log {
+    streams: BTreeMap<(Stream, String), Vec<v1::Record>>,
+    pub(crate) mode: Mode,
+    pub(crate) appends: u64,
+}
+
+impl Log {
+    pub(crate) fn new() -> Self {
+        Self { streams: BTreeMap::new(), mode: Mode::Up, appends: 0 }
+    }
+
+    fn key(stream: Stream, data_centre: &str) -> (Stream, String) {
+        match stream {
+            Stream::Holding => (stream, data_centre.to_owned()),
+            _ => (stream, String::new()),
+        }
+    }
+
+    /// Appends records and returns the offset of the first one.
+    pub(crate) fn append(
+        &mut self,
+        stream: Stream,
+        data_centre: &str,
+        records: Vec<v1::Record>,
+    ) -> Offset {
+        self.appends += 1;
+        let kept = self.streams.entry(Self::key(stream, data_centre)).or_default();
+        let first = Offset(kept.len() as u64);
+        kept.extend(records);
+        first
+    }
+
+    /// The records from `from` on.
+    pub(crate) fn read(
+        &self,
+        stream: Stream,
+        data_centre: &str,
+        from: u64,
+    ) -> Vec<(Offset, v1::Record)> {
+        let kept = self.streams.get(&Self::key(stream, data_centre));
+        let records = kept.into_iter().flatten().cloned().enumerate();
+        records
+            .map(|(i, record)| (Offset(i as u64), record))
+            .filter(|(at, _)| at.0 >= from)
+            .collect()
+    }
+
+    /// The offset that the next record gets.
+    pub(crate) fn tail(&self, stream: Stream, data_centre: &str) -> u64 {
+        self.streams.get(&Self::key(stream, data_centre)).map_or(0, |kept| kept.len() as u64)
+    }
+}
--- a/lilacpass-core/src/lib.rs
+++ b/lilacpass-core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod class;
 pub mod error;
 pub mod ids;
+pub mod rendezvous;
 pub mod resources;
 pub mod size;
 pub mod time;
