Play failures to whole members, and lengthen the task lease over a takeover

Ruled out: letting any member renew by the log's record alone (a deposed holder could then keep a task alive that nobody accounts for).

--- a/lilacpass-control/src/workers.rs
+++ b/lilacpass-control/src/workers.rs
@@ -30,8 +30,9 @@
 const SILENT_AFTER: u32 = 2;
 /// Deadline of renewals, stops and the like.
 const SMALL_CALL: Duration = Duration::from_millis(1_000);
-/// A task's lease is renewed after this part of its duration.
-const RENEW_DIVISOR: u32 = 3;
+/// A task's lease is renewed after this part of its duration. What is left of it when a holder dies
+/// must last until the next holder has claimed the worker and read its first report.
+const RENEW_DIVISOR: u32 = 5;
 
 /// A worker whose shard this instance holds.
 #[derive(Debug)]
