Add the lilacpass command-line tool

Operators and scripts need one tool for submissions, jobs, workers, status, changes of the configuration, the audit trail, tokens and files, whose exit codes tell verdicts apart.

A call goes on to the next server only with proof that it had no effect, or where repeating it does no harm: questions, cancellations, jobs under their idempotency key, idempotent quick requests. "Not run" from a second server does not settle the doubt about a first one whose answer was lost; it is then reported as may_have_run. Each call has a connection of its own, so one that went silent between two calls swallows nothing.

Ruled out: telling an unmade connection from a lost answer by the error kind of the HTTP library alone. It reports both as errors of the request, and a refused connection came out as may_have_run (exit 4 in place of 7); the I/O error as direct cause tells them apart, and tests hold that. Also ruled out: computing a change against what is in force without asking what the file was exported at; that takes back somebody else's change without a word. The first line of an exported file names its revision, and a stale file is refused with the change that won.

--- /dev/null
+++ b/lilacpass-cli/src/commands.rs
@@ -0,0 +1,80 @@
+//! One module for each command, or for commands that share their work.
+
+use clap::CommandFactory;
+
+use crate::{
+    api::{Client, exchange::Token},
+    args::{Cli, Command, GlobalArgs, TokenCommand},
+    error::{Error, Result},
+    report::{Format, Report},
+};
+
+pub mod audit;
+pub mod change;
+pub mod check;
+pub mod files;
+pub mod import;
+pub mod inventory;
+pub mod jobs;
+pub mod overlay;
+pub mod status;
+pub mod submit;
+pub mod token;
+pub mod wait;
+pub mod workers;
+
+/// What the commands work with.
+pub struct Tool {
+    /// The servers.
+    pub client: Client,
+    /// The form in which results are printed.
+    pub format: Format,
+}
+
+/// Runs the command that `cli` names. `now_unix_ms` is the time, in milliseconds since 1970.
+pub async fn run(cli: Cli, now_unix_ms: u64) -> Result<Report> {
+    let Cli { global, command } = cli;
+    let tool = &mut tool(global)?;
+    match command {
+        Command::Submit(args) => submit::run(tool, &args).await,
+        Command::Wait(args) => wait::run(tool, &args).await,
+        Command::Cancel { job } => jobs::cancel(tool, job).await,
+        Command::Jobs(args) => jobs::list(tool, &args).await,
+        Command::Explain { job } => jobs::explain(tool, job).await,
+        Command::Workers(args) => workers::run(tool, &args).await,
+        Command::Status => status::run(tool).await,
+        Command::Inventory => inventory::run(tool).await,
+        Command::Apply(args) => change::apply(tool, &args).await,
+        Command::Diff(args) => change::diff(tool, &args).await,
+        Command::Drain(args) => change::drain(tool, &args).await,
+        Command::Changes => change::list(tool).await,
+        Command::Audit(args) => audit::run(tool, &args, now_unix_ms).await,
+        Command::Token(TokenCommand::New(args)) => token::new(&args, now_unix_ms),
+        Command::ImportCsv(args) => import::run(&args),
+        Command::Check(args) => check::run(&args),
+        Command::Completions { shell } => Ok(completions(shell)),
+    }
+}
+
+fn tool(global: GlobalArgs) -> Result<Tool> {
+    let token = token_text(&global)?;
+    let token = token.map(|text| Token::new(&text)).transpose().map_err(Error::Usage)?;
+    let client = Client::new(global.server, token, global.timeout);
+    Ok(Tool { client, format: global.output })
+}
+
+/// The text of the token: as given directly, else from the file.
+fn token_text(global: &GlobalArgs) -> Result<Option<String>> {
+    if let Some(token) = &global.token {
+        return Ok(Some(token.clone()));
+    }
+    global.token_file.as_deref().map(files::read).transpose()
+}
+
+fn completions(shell: clap_complete::Shell) -> Report {
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut Cli::command(), "lilacpass", &mut script);
+    let script = String::from_utf8_lossy(&script).into_owned();
+    let json = serde_json::json!({ "shell": shell.to_string(), "script": script });
+    Report::ok(script, json)
+}
--- /dev/null
+++ b/lilacpass-cli/src/commands/import.rs
@@ -0,0 +1,50 @@
+//! `import-csv`: the CSV of an asset register as a configuration file.
+
+use lilacpass_config::inventory;
+use lilacpass_schema::v1;
+
+use crate::{
+    args::ImportArgs,
+    commands::{files, overlay},
+    error::Result,
+    report::{self, Report},
+};
+
+/// Turns the register into a configuration, on top of the file that `args` name, if any.
+pub fn run(args: &ImportArgs) -> Result<Report> {
+    let csv = files::read(&args.file)?;
+    let workers =
+        inventory::parse_csv(&csv).map_err(|problems| files::refuse(&args.file, &problems))?;
+    let base = match &args.into {
+        Some(path) => {
+            let text = files::read(path)?;
+            inventory::parse(&text).map_err(|problems| files::refuse(path, &problems))?
+        }
+        None => v1::Configuration::default(),
+    };
+    let merged = import(&base, workers, &args.region);
+    Ok(Report::ok(inventory::to_toml(&merged).trim_end(), report::encode(&merged)))
+}
+
+/// `base` with the workers of a register, each in the place of the one of its name.
+///
+/// A drain stays as it is, since a register knows nothing of it. A data centre that `base` does
+/// not know is added, in `region`.
+pub fn import(
+    base: &v1::Configuration,
+    workers: Vec<v1::WorkerSpec>,
+    region: &str,
+) -> v1::Configuration {
+    let mut over = v1::Configuration::default();
+    for mut worker in workers {
+        let before = base.workers.iter().find(|known| known.name == worker.name);
+        worker.draining = before.is_some_and(|known| known.draining);
+        let mut known = base.data_centres.iter().chain(&over.data_centres);
+        if !known.any(|data_centre| data_centre.name == worker.data_centre) {
+            let name = worker.data_centre.clone();
+            over.data_centres.push(v1::DataCentre { name, region: region.to_owned() });
+        }
+        over.workers.push(worker);
+    }
+    overlay::overlay(base, &over)
+}
--- /dev/null
+++ b/lilacpass-cli/src/commands/token.rs
@@ -0,0 +1,35 @@
+//! `token new`: makes an access token without asking any server.
+
+use lilacpass_config::{access, inventory};
+use lilacpass_schema::v1;
+use serde_json::json;
+
+use crate::{
+    args::NewTokenArgs,
+    error::{Error, Result},
+    report::Report,
+};
+
+/// Makes a token that is valid from `now_unix_ms`, in milliseconds since 1970.
+pub fn new(args: &NewTokenArgs, now_unix_ms: u64) -> Result<Report> {
+    const MS_PER_S: u64 = 1_000;
+    if args.team.is_some() && args.role != access::Role::Team {
+        return Err(Error::Usage("--team goes with --role team only".to_owned()));
+    }
+    let (token, entry) = access::new_token(&args.name);
+    let lifetime_s = args.expires_in.map(|lifetime| lifetime.as_secs());
+    let entry = v1::AccessToken {
+        role: args.role.to_string(),
+        team: args.team.as_ref().map(ToString::to_string).unwrap_or_default(),
+        expires_unix_s: lifetime_s.map_or(0, |s| now_unix_ms / MS_PER_S + s),
+        ..entry
+    };
+    let configuration = v1::Configuration { tokens: vec![entry.clone()], ..Default::default() };
+    let toml = inventory::to_toml(&configuration);
+    let human = format!(
+        "The token, shown only now; give it to its bearer over a safe way:\n\n{token}\n\n\
+         The entry for the configuration file:\n\n{}",
+        toml.trim()
+    );
+    Ok(Report::ok(human, json!({ "token": token, "entry": entry })))
+}
--- /dev/null
+++ b/lilacpass-cli/src/error.rs
@@ -0,0 +1,122 @@
+//! The error type of the tool, and the exit code and problem document of each error.
+
+use lilacpass_core::Verdict;
+use lilacpass_schema::v1;
+use quick_error::quick_error;
+
+use crate::exit::Exit;
+
+/// Result with the error type of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
+
+quick_error! {
+    /// Why a command did not succeed.
+    #[derive(Debug, Clone, PartialEq)]
+    pub enum Error {
+        /// The command line does not make sense.
+        Usage(detail: String) {
+            display("{detail}")
+        }
+        /// A file can't be read, or what it says is wrong: its path, and the place in it or a space
+        /// followed by the reason.
+        File(path: String, detail: String) {
+            display("{path}:{detail}")
+        }
+        /// The server refused the request, or it failed there.
+        Problem(problem: Box<v1::Problem>) {
+            display("{}", describe(problem))
+        }
+        /// No connection to any server; nothing was sent.
+        Unreachable(detail: String) {
+            display("no server can be reached: {detail}")
+        }
+        /// A question was sent that changes nothing, and no answer came.
+        NoAnswer(detail: String) {
+            display("no answer: {detail}")
+        }
+        /// A request was sent, no answer came, and nothing proves that it had no effect.
+        Unsettled(detail: String) {
+            display("no answer, and it may have run: {detail}")
+        }
+        /// The answer is not what this version of the tool understands.
+        Unreadable(detail: String) {
+            display(
+                "the answer can't be read ({detail}); the server may be of another version, \
+                 --output json shows its answer as it came"
+            )
+        }
+    }
+}
+
+impl Error {
+    /// The exit code that tells a script what happened.
+    pub fn exit(&self) -> Exit {
+        match self {
+            Self::Usage(_) | Self::File(..) => Exit::Usage,
+            Self::Problem(problem) if is_conflict(problem) => Exit::Conflict,
+            Self::Problem(problem) => Exit::of_verdict(&problem.verdict),
+            Self::Unreachable(_) | Self::NoAnswer(_) => Exit::Unreachable,
+            Self::Unsettled(_) | Self::Unreadable(_) => Exit::MayHaveRun,
+        }
+    }
+
+    /// The error as a problem document, for `--output json`.
+    pub fn to_problem(&self) -> v1::Problem {
+        if let Self::Problem(problem) = self {
+            return v1::Problem::clone(problem);
+        }
+        let verdict = match self.exit() {
+            Exit::MayHaveRun => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        };
+        v1::Problem {
+            r#type: self.kind().to_owned(),
+            title: self.to_string(),
+            verdict: verdict.to_string(),
+            ..Default::default()
+        }
+    }
+
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Usage(_) => "tool/usage",
+            Self::File(..) => "tool/file",
+            Self::Problem(_) => "about:blank",
+            Self::Unreachable(_) => "tool/unreachable",
+            Self::NoAnswer(_) => "tool/no-answer",
+            Self::Unsettled(_) => "tool/unsettled",
+            Self::Unreadable(_) => "tool/unreadable",
+        }
+    }
+}
+
+/// Whether another change won the race for the same revision.
+pub fn is_conflict(problem: &v1::Problem) -> bool {
+    const PRECONDITION_FAILED: u32 = 412;
+    problem.winner.is_some() || problem.status == PRECONDITION_FAILED
+}
+
+/// One or more lines for people: what was refused, the verdict, when coming back helps, who won.
+fn describe(problem: &v1::Problem) -> String {
+    let mut text = if problem.title.is_empty() {
+        format!("HTTP status {}", problem.status)
+    } else {
+        problem.title.clone()
+    };
+    if !problem.detail.is_empty() && problem.detail != problem.title {
+        text += &format!(": {}", problem.detail);
+    }
+    if !problem.verdict.is_empty() {
+        text += &format!(" [{}]", problem.verdict);
+    }
+    if problem.retry_after_ms > 0 {
+        text += &format!("\ntry again in {} ms", problem.retry_after_ms);
+    }
+    if let Some(winner) = &problem.winner {
+        text += &format!("\nrevision {} by {} won", winner.revision, winner.actor);
+        if !winner.detail.is_empty() {
+            text += &format!(": {}", winner.detail);
+        }
+    }
+    text
+}
--- /dev/null
+++ b/lilacpass-cli/src/table.rs
@@ -0,0 +1,55 @@
+//! Tables for people, no wider than the terminal.
+
+use std::env;
+
+use comfy_table::{ContentArrangement, Table, presets};
+
+/// Width that every table fits into where the terminal does not say its own.
+pub const DEFAULT_WIDTH: u16 = 80;
+
+/// Columns of the terminal, as the shell exports them in `COLUMNS`.
+pub fn terminal_width() -> u16 {
+    const NARROWEST: u16 = 40;
+    let columns = env::var("COLUMNS").ok().and_then(|text| text.parse().ok());
+    columns.unwrap_or(DEFAULT_WIDTH).max(NARROWEST)
+}
+
+/// Lays out rows under a header; long cells are wrapped.
+pub fn render<const N: usize>(
+    width: u16,
+    header: [&str; N],
+    rows: impl IntoIterator<Item = [String; N]>,
+) -> String {
+    let mut table = Table::new();
+    table
+        .load_style(presets::NOTHING)
+        .set_content_arrangement(ContentArrangement::Dynamic)
+        .set_width(width)
+        .set_header(header)
+        .add_rows(rows);
+    table.column_iter_mut().for_each(|column| {
+        column.set_padding((0, 2));
+    });
+    table.trim_fmt()
+}
+
+/// Breaks a list of words into lines of at most `width` characters, indented after the first. A
+/// word that is longer than a line is broken too.
+pub fn wrap(lead: &str, words: &[String], width: usize) -> String {
+    const INDENT: &str = "    ";
+    let mut lines = vec![lead.to_owned()];
+    let pieces = words.iter().flat_map(|word| chunks(word, width - INDENT.len()));
+    for piece in pieces {
+        let fits = |line: &String| line.chars().count() + 1 + piece.chars().count() <= width;
+        match lines.last_mut().filter(|line| fits(line)) {
+            Some(line) => *line += &format!(" {piece}"),
+            None => lines.push(format!("{INDENT}{piece}")),
+        }
+    }
+    lines.join("\n")
+}
+
+fn chunks(word: &str, width: usize) -> Vec<String> {
+    let chars: Vec<char> = word.chars().collect();
+    chars.chunks(width).map(|chunk| chunk.iter().collect()).collect()
+}
--- /dev/null
+++ b/lilacpass-cli/tests/operators.rs
@@ -0,0 +1,254 @@
+//! What operators do: look at the cell, and change its configuration.
+
+mod support;
+
+use lilacpass_cli::{args::AuditArgs, commands::audit};
+use lilacpass_schema::v1;
+use serde_json::{Value, json};
+use support::{Fake, Reply, lilacpass, lilacpass_with, nobody};
+
+const BEFORE: &str = r#"
+[[data_centres]]
+name = "hal-a"
+region = "nl-midden"
+
+[[teams]]
+name = "shops"
+
+[[teams]]
+name = "markets"
+"#;
+
+fn long(name: &str) -> String {
+    format!("{name}-{}", "x".repeat(110))
+}
+
+/// A cell with every kind of trouble, and with names as long as they may be.
+fn troubled() -> Value {
+    let member = |name: &str, state: &str, revision: u64| {
+        json!({ "name": name, "data_centre": long("hal"), "state": state, "revision": revision,
+                "silent_ms": 4_000_000_000_u64 })
+    };
+    json!({
+        "instance": "entry-a1", "data_centre": "hal-a", "revision": 1_042, "ready": false,
+        "log_reachable": false, "log_silent_ms": 732_000,
+        "members": [member("entry-a1", "alive", 1_042), member(&long("entry-b"), "silent", 1_040),
+                    member("entry-c1", "alive", 1_041)],
+        "classes": [{ "class": "batch", "waiting": 4_000_000_000_u32, "oldest_ms": 1, "running": 7 },
+                    { "class": "urgent", "waiting": 3, "oldest_ms": 1_200, "running": 30 }],
+        "holdings": [{ "mode": "lease", "shards": 5 }, { "mode": "escrow", "shards": 1 }],
+        "silent_watchers": [long("watch"), "keyword-9"],
+        "quarantined_workers": (0..40).map(|n| format!("hal-a-w{n}")).collect::<Vec<_>>(),
+        "workers_total": 48, "workers_held": 40, "jobs_running": 12,
+    })
+}
+
+fn healthy() -> Value {
+    json!({
+        "instance": "entry-a1", "data_centre": "hal-a", "revision": 7, "ready": true,
+        "log_reachable": true, "log_silent_ms": 40, "workers_total": 8, "workers_held": 8,
+        "members": [{ "name": "entry-a1", "data_centre": "hal-a", "state": "alive", "revision": 7 }],
+        "holdings": [{ "mode": "lease", "shards": 1 }],
+        "classes": [{ "class": "urgent" }],
+    })
+}
+
+#[test]
+fn status_fits_80_columns_and_names_all_trouble_first() {
+    let run = lilacpass(&[&Fake::always(200, troubled()).url], "status");
+    let widest = run.stdout.lines().map(|line| line.chars().count()).max();
+    assert!(run.code == 0 && widest <= Some(80), "{widest:?}\n{}", run.stdout);
+    let (trouble, rest) = run.stdout.split_once("\n\n").unwrap();
+    let named = [
+        "NEEDS A LOOK",
+        "not ready",
+        "last answer 12m 12s ago",
+        "1 shards in escrow",
+        "2 silent watchers",
+        "40 workers in quarantine",
+        "28 more",
+        "1 silent members",
+        "1 members behind revision 1042: entry-c1 (at 1041)",
+    ];
+    named.iter().for_each(|text| assert!(trouble.contains(text), "{text}\n{trouble}"));
+    assert!(rest.find("urgent") < rest.find("batch"), "{rest}");
+    assert!(rest.contains("40 held here of 48 in the cell"), "{rest}");
+    let run = lilacpass(&[&Fake::always(200, healthy()).url], "status");
+    assert!(run.stdout.starts_with("ALL WELL\n"), "{}", run.stdout);
+}
+
+#[test]
+fn every_answer_is_json_for_scripts() {
+    let id = "0123456789abcdef0123456789abcdef";
+    let job = json!({ "job_id": id, "state": "waiting", "team": "shops", "class": "batch" });
+    let worker = json!({ "name": "w1", "state": "draining", "tasks": [{ "task": "t" }] });
+    let entry = json!({ "actor": "ann", "action": "drain", "subject": "w1", "accepted": true });
+    let cases = [
+        ("status", troubled()),
+        ("jobs", json!({ "jobs": [job] })),
+        (&format!("jobs {id}"), job.clone()),
+        (&format!("cancel {id}"), job.clone()),
+        (&format!("explain {id}"), json!({ "job_id": id, "reason": "quota", "remedy": "wait" })),
+        ("workers", json!({ "workers": [worker] })),
+        ("workers w1", json!({ "workers": [worker] })),
+        ("changes", json!({ "changes": [{ "revision": 3, "actor": "ann" }] })),
+        ("audit", json!({ "entries": [entry] })),
+        ("inventory", json!({ "revision": 3, "configuration": { "teams": [{ "name": "t" }] } })),
+    ];
+    for (command, answer) in cases {
+        let server = Fake::always(200, answer);
+        let run = lilacpass(&[&server.url], &format!("{command} --output json"));
+        assert!(run.code == 0 && run.json().is_object(), "{command}: {run:?}");
+        let run = lilacpass(&[&server.url], command);
+        let widest = run.stdout.lines().map(|line| line.chars().count()).max();
+        assert!(run.code == 0 && widest <= Some(80), "{command}: {run:?}");
+    }
+}
+
+/// A newer server has a field that this tool does not know, as during an upgrade.
+#[test]
+fn an_answer_of_a_newer_server_gets_through_as_json() {
+    let server = Fake::always(200, json!({ "revision": 3, "of_tomorrow": 1 }));
+    let run = lilacpass(&[&server.url], "status --output json");
+    assert_eq!((run.code, run.json()["of_tomorrow"].as_u64()), (0, Some(1)));
+    assert!(lilacpass(&[&server.url], "status").stderr.contains("of another version"));
+}
+
+/// A server whose configuration is `BEFORE` at revision 12, after a change by Ben at 12.
+fn cell(answer_to_change: (u16, Value)) -> Fake {
+    let configuration = lilacpass_config::inventory::parse(BEFORE).unwrap();
+    let inventory = json!({ "revision": 12, "configuration": configuration });
+    let changes = json!({ "changes": [
+        { "revision": 12, "actor": "ben", "reason": "quota of markets", "ops": 1 },
+        { "revision": 10, "actor": "ann", "reason": "first load", "ops": 3 },
+    ] });
+    Fake::start(move |request, _| match (request.method.as_str(), request.path.as_str()) {
+        ("POST", _) => Reply::Json(answer_to_change.0, answer_to_change.1.clone()),
+        (_, "/v1/inventory") => Reply::Json(200, inventory.clone()),
+        (_, "/v1/changes") => Reply::Json(200, changes.clone()),
+        _ => Reply::Json(200, json!({ "revision": 12 })),
+    })
+}
+
+fn changes_sent(cell: &Fake) -> Vec<support::Seen> {
+    cell.seen().into_iter().filter(|request| request.method == "POST").collect()
+}
+
+#[test]
+fn apply_sends_only_the_difference_on_top_of_the_revision_in_force() {
+    let cell = cell((200, json!({ "revision": 13, "effects": ["moves 2 tasks"] })));
+    let file = BEFORE.replace("markets", "desks");
+    let run = lilacpass_with(&[&cell.url], "apply - --reason new --dry-run", &file, &[]);
+    assert_eq!(run.code, 0, "{run:?}");
+    let texts = ["left in place without --prune", "nothing was changed", "moves 2 tasks"];
+    texts.iter().for_each(|text| assert!(run.stdout.contains(text), "{text}: {run:?}"));
+    let sent = changes_sent(&cell).remove(0);
+    assert_eq!(sent.header("if-match"), Some("12"));
+    assert_eq!((&sent.body["dry_run"], &sent.body["reason"]), (&json!(true), &json!("new")));
+    let ops = sent.body["ops"].as_array().unwrap();
+    assert_eq!(ops.len(), 1, "{ops:?}");
+    assert_eq!(ops[0]["op"]["upsert_team"]["name"], "desks");
+    let run = lilacpass_with(&[&cell.url], "apply - --prune", &file, &[]);
+    assert!(run.code == 0 && run.stdout.contains("in force with revision 13"), "{run:?}");
+    assert_eq!(changes_sent(&cell)[1].body["ops"].as_array().map(Vec::len), Some(2));
+    // Rules that the file does not give stay as they are, unless it is to say everything.
+    let rules = BEFORE.replace("[[data", "[rules]\nmax_attempts = 5\n\n[[data");
+    let run = lilacpass_with(&[&cell.url], "diff - --output json", &rules, &[]);
+    assert_eq!(run.json()["ops"][0]["op"]["set_rules"]["max_attempts"], 5, "{run:?}");
+    let run = lilacpass_with(&[&cell.url], "diff - --output json", BEFORE, &[]);
+    assert_eq!((run.json()["ops"].clone(), changes_sent(&cell).len()), (json!([]), 2));
+}
+
+#[test]
+fn a_lost_race_shows_who_won() {
+    let winner = json!({ "revision": 13, "actor": "ben", "detail": "drained hal-a-w1" });
+    let conflict = json!({ "title": "conflict", "status": 412, "verdict": "not_run",
+                           "winner": winner });
+    let cell = cell((412, conflict));
+    let run = lilacpass_with(&[&cell.url], "apply - --prune", "", &[]);
+    assert_eq!(run.code, 6, "{run:?}");
+    assert!(run.stderr.contains("revision 13 by ben won: drained hal-a-w1"), "{run:?}");
+}
+
+/// Ann exports the configuration and edits it over lunch. Meanwhile Ben raises a quota. Ann applies
+/// her file, in which the quota is still the old one: Ben's change would be gone without a word.
+#[test]
+fn a_file_from_before_somebody_elses_change_is_refused() {
+    let cell = cell((200, json!({ "revision": 13 })));
+    let exported = lilacpass(&[&cell.url], "inventory").stdout;
+    let edited = exported.replace("markets", "desks");
+    assert_eq!(lilacpass_with(&[&cell.url], "apply -", &edited, &[]).code, 0);
+    let stale = edited.replace("revision 12", "revision 10");
+    let run = lilacpass_with(&[&cell.url], "apply -", &stale, &[]);
+    assert_eq!((run.code, changes_sent(&cell).len()), (6, 1), "{run:?}");
+    assert!(run.stderr.contains("revision 12 by ben won: quota of markets"), "{run:?}");
+}
+
+/// The answer to a change is lost after it was appended. Sent again to another server with the same
+/// base it would come back as a conflict, lost to itself.
+#[test]
+fn a_change_in_doubt_goes_to_no_second_server() {
+    let (first, second) = (cell((200, json!({}))), cell((200, json!({ "revision": 13 }))));
+    let answers = first.url.clone();
+    let dying = Fake::start(move |request, _| match request.method.as_str() {
+        "POST" => Reply::Close,
+        _ => Reply::Json(200, json!({ "revision": 12, "configuration": null })),
+    });
+    let run = lilacpass_with(&[&dying.url, &second.url, &answers], "apply -", BEFORE, &[]);
+    assert_eq!((run.code, changes_sent(&second).len()), (4, 0), "{run:?}");
+}
+
+#[test]
+fn a_drain_that_loses_the_race_goes_on_top_of_the_winner() {
+    let server = Fake::start(|request, before| match (request.method.as_str(), before) {
+        ("POST", 1) => Reply::Json(412, json!({ "status": 412, "verdict": "not_run" })),
+        ("POST", _) => Reply::Json(200, json!({ "revision": 15 })),
+        _ => Reply::Json(200, json!({ "revision": 12 + before })),
+    });
+    let run = lilacpass(&[&server.url], "drain hal-a-w1 --undo");
+    assert!(run.code == 0 && run.stdout.contains("takes new work again"), "{run:?}");
+    let bases: Vec<_> =
+        changes_sent(&server).iter().map(|s| s.header("if-match").map(str::to_owned)).collect();
+    assert_eq!(bases, [Some("12".to_owned()), Some("14".to_owned())]);
+}
+
+#[test]
+fn audit_filters_choose_entries() {
+    let entry = |actor: &str, action: &str, accepted: bool, at_unix_ms: u64| v1::AuditEntry {
+        actor: actor.to_owned(),
+        action: action.to_owned(),
+        accepted,
+        at_unix_ms,
+        ..Default::default()
+    };
+    let entries = vec![
+        entry("ann", "apply", true, 1_000),
+        entry("ben", "apply", false, 2_000),
+        entry("ann", "drain", true, 3_000),
+    ];
+    let times = |args: AuditArgs| -> Vec<u64> {
+        audit::select(entries.clone(), &args, 3_500).iter().map(|e| e.at_unix_ms).collect()
+    };
+    let ann = Some("ann".to_owned());
+    assert_eq!(times(AuditArgs::default()), [1_000, 2_000, 3_000]);
+    assert_eq!(times(AuditArgs { actor: ann.clone(), ..Default::default() }), [1_000, 3_000]);
+    assert_eq!(times(AuditArgs { actor: ann, limit: Some(1), ..Default::default() }), [3_000]);
+    assert_eq!(times(AuditArgs { refused: true, ..Default::default() }), [2_000]);
+    let since = Some(std::time::Duration::from_millis(1_500));
+    assert_eq!(times(AuditArgs { since, ..Default::default() }), [2_000, 3_000]);
+}
+
+#[test]
+fn the_token_travels_in_its_header_and_nowhere_else() {
+    let server = Fake::always(403, json!({ "title": "no access", "verdict": "not_run" }));
+    let env = [("LILACPASS_TOKEN", "lilac_ann_secret")];
+    let run = lilacpass_with(&[&server.url, &nobody()], "status", "", &env);
+    assert_eq!(server.seen()[0].header("authorization"), Some("Bearer lilac_ann_secret"));
+    assert!(run.code == 3 && !run.stderr.contains("secret"), "{run:?}");
+    let run = lilacpass_with(&[], "--help", "", &env);
+    assert!(run.code == 0 && !run.stdout.contains("lilac_ann"), "{run:?}");
+    assert!(run.stdout.contains("Exit codes:") && run.stdout.contains("Examples:"));
+    let run = lilacpass_with(&[&server.url], "status --token-file -", "lilac_ben_x\n", &[]);
+    assert_eq!(run.code, 3);
+    assert_eq!(server.seen()[1].header("authorization"), Some("Bearer lilac_ben_x"));
+}
