Add the harness: sample run, fault runs and their judge

The eight promises are judged from the records of the stand-in workers and the notes of callers and operators only; a daemon's word about itself is not used. Faults are drawn from a seed: kills, pauses, planned stops, a log that is down, slow or loses answers, cuts and silent links between data centres, bad workers, races of operators, two at a time. Ruled out: judging by metrics of the daemon, and system tools for cuts. The run against the daemon itself is not done yet, since the daemon is being written.

--- /dev/null
+++ b/lilacpass-harness/src/fault_run.rs
@@ -0,0 +1,239 @@
+//! The fault run: a whole cell under constant mixed load and random faults, then the judgement.
+
+use std::{collections::HashMap, fmt, sync::Arc, time::Duration};
+
+use lilacpass_schema::v1;
+use lilacpass_standin::Payload;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use tokio::time::{self, Instant};
+
+use crate::{
+    caller::{Balancer, Caller},
+    cell::{Cell, CellOptions},
+    client::Api,
+    deployment::{Deployment, VINDBAAR},
+    error::Result,
+    faults::{Fault, Injector},
+    judge::{self, Evidence, Finding},
+    ledger::{JobKind, Ledger, Notes},
+    load::{JobLoad, QuickLoad, QuickTally},
+    operator::Operator,
+    spans::Spans,
+};
+
+/// Time that a run takes besides the load.
+const OVERHEAD: Duration = Duration::from_secs(26);
+/// Shortest load.
+const MIN_LOAD: Duration = Duration::from_secs(10);
+/// No fault begins in the last part of the load.
+const QUIET_END: Duration = Duration::from_secs(3);
+/// Jobs must have ended this long after the last was submitted.
+const SETTLE: Duration = Duration::from_secs(18);
+const MOST_AT_ONCE: usize = 2;
+const QUICK_PER_SECOND: u32 = 50;
+const ALERT_EVERY: u32 = 5;
+const JOB_INTERVAL: Duration = Duration::from_millis(250);
+const CHANGE_INTERVAL: Duration = Duration::from_secs(2);
+const CHANGE_LIMIT: Duration = Duration::from_secs(10);
+const WATCHERS: u32 = 4;
+const TICK: Duration = Duration::from_millis(50);
+
+/// What a fault run found.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// One finding per promise.
+    pub findings: Vec<Finding>,
+    /// How quick requests ended.
+    pub quick: QuickTally,
+    /// Number of jobs by the state that they ended in.
+    pub jobs: HashMap<String, u32>,
+    /// Accepted jobs that never ended.
+    pub lost: Vec<String>,
+    /// Number of faults.
+    pub faults: usize,
+}
+
+impl Outcome {
+    /// Whether all promises held and nothing was lost.
+    pub fn is_good(&self) -> bool {
+        self.lost.is_empty() && self.findings.iter().all(Finding::holds)
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for finding in &self.findings {
+            writeln!(f, "{finding}")?;
+        }
+        let mut jobs: Vec<_> = self.jobs.iter().map(|(state, n)| format!("{state}={n}")).collect();
+        jobs.sort();
+        let QuickTally { asked, answered } = self.quick;
+        let Self { lost, faults, .. } = self;
+        let jobs = jobs.join(" ");
+        write!(
+            f,
+            "work: quick={answered}/{asked} jobs {jobs} lost={} faults={faults}",
+            lost.len()
+        )?;
+        match lost.is_empty() {
+            true => Ok(()),
+            false => write!(f, "\nlost: {}", lost.join(" ")),
+        }
+    }
+}
+
+/// Runs with the faults of `seed`, about `limit` long in all.
+pub async fn run(seed: u64, limit: Duration) -> Result<Outcome> {
+    let deployment = VINDBAAR;
+    let options = CellOptions { cuttable: true, seed, ..CellOptions::new(deployment) };
+    let cell = Cell::start(options).await?;
+    let ledger = Ledger::default();
+    let balancer = Balancer::default();
+    balancer.set_targets(cell.targets());
+    let caller = Caller {
+        api: Api::new(&cell.team_token)?,
+        balancer: balancer.clone(),
+        ledger: ledger.clone(),
+    };
+    let operator =
+        Operator { api: Api::new(&cell.operator_token)?, balancer, ledger: ledger.clone() };
+    let mut injector = Injector::new(cell, operator.clone());
+    let watching = operator.watch_revisions();
+    let duration = limit.saturating_sub(OVERHEAD).max(MIN_LOAD);
+    let quick =
+        QuickLoad { deployment, per_second: QUICK_PER_SECOND, alert_every: ALERT_EVERY, duration };
+    let (quick, (), (), faults) = tokio::join!(
+        quick.run(caller.clone()),
+        job_load(deployment, seed, duration).run(caller.clone()),
+        keep_changing(&operator, duration),
+        inject(&mut injector, seed, duration - QUIET_END),
+    );
+    let faults = faults?;
+    watching.abort();
+    let traces = operator.final_traces().await;
+    let counts = injector.cell.counts().await?;
+    let notes = ledger.notes().clone();
+    let spans = Spans::new(&counts);
+    let evidence =
+        Evidence { notes: &notes, counts: &counts, spans: &spans, final_traces: &traces };
+    Ok(Outcome {
+        findings: judge::judge(&evidence),
+        quick,
+        jobs: states(&notes),
+        lost: lost(&notes),
+        faults,
+    })
+}
+
+/// Switches faults on and off by chance; returns how many.
+async fn inject(injector: &mut Injector, seed: u64, duration: Duration) -> Result<usize> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let started = Instant::now();
+    let mut on: Vec<(Instant, Fault)> = Vec::new();
+    let mut next_at = started + Duration::from_secs(1);
+    let mut count = 0;
+    while started.elapsed() < duration || !on.is_empty() {
+        time::sleep(TICK).await;
+        let now = Instant::now();
+        let is_over = started.elapsed() >= duration;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            on.into_iter().partition(|(until, _)| is_over || *until <= now);
+        on = rest;
+        for (_, fault) in due {
+            report(started, "off", &fault);
+            injector.end(&fault).await?;
+        }
+        if is_over || now < next_at || on.len() >= MOST_AT_ONCE {
+            continue;
+        }
+        let (fault, lasts) = Fault::draw(&mut rng, &injector.cell);
+        if on.iter().all(|(_, other)| fault.goes_with(other)) {
+            report(started, "on", &fault);
+            injector.begin(&fault).await?;
+            on.push((now + lasts, fault));
+            count += 1;
+        }
+        next_at = now + Duration::from_millis(rng.random_range(300..2000));
+    }
+    Ok(count)
+}
+
+fn report(started: Instant, what: &str, fault: &Fault) {
+    eprintln!("{:7.3} {what:3} {fault}", started.elapsed().as_secs_f64());
+}
+
+/// Changes the configuration now and then.
+async fn keep_changing(operator: &Operator, duration: Duration) {
+    let started = Instant::now();
+    let mut number = 0;
+    while started.elapsed() < duration {
+        operator.change(&format!("change-{number}"), Vec::new(), CHANGE_LIMIT).await;
+        number += 1;
+        time::sleep(CHANGE_INTERVAL).await;
+    }
+}
+
+fn job_load(deployment: Deployment, seed: u64, duration: Duration) -> JobLoad {
+    let make = move |number| make_job(deployment, seed, number);
+    JobLoad { interval: JOB_INTERVAL, duration, settle: SETTLE, make: Arc::new(make) }
+}
+
+/// The job with a number: mostly long work, some gangs, some that are cancelled, a few watchers.
+fn make_job(deployment: Deployment, seed: u64, number: u32) -> (JobKind, v1::JobSpec) {
+    let mut rng = StdRng::seed_from_u64(seed ^ (u64::from(number) << 32));
+    let run = Duration::from_millis(rng.random_range(200..5000));
+    let payload = |id: String, run: Duration| Payload { id, run: Some(run), ..Payload::default() };
+    if number < WATCHERS {
+        let payload = Payload { id: format!("watcher-{number}"), ..Payload::default() };
+        return (JobKind::Watcher, deployment.watcher(&payload.to_string()));
+    }
+    match rng.random_range(0..10) {
+        0 => {
+            let payload = payload(format!("gang-{number}"), run / 3);
+            (JobKind::Gang, deployment.gang(rng.random_range(2..9), &payload.to_string()))
+        }
+        1 => {
+            let payload = payload(format!("cancelled-{number}"), run * 3);
+            (JobKind::Cancelled, deployment.long(&payload.to_string()))
+        }
+        2 | 3 => {
+            let payload = payload(format!("repeatable-{number}"), run);
+            let spec = deployment.long(&payload.to_string());
+            let kind = format!("{}-repeatable", deployment.long_kind);
+            (JobKind::Long, v1::JobSpec { idempotent: true, kind, ..spec })
+        }
+        4 => {
+            let payload =
+                Payload { checkpoint: true, ..payload(format!("checkpoint-{number}"), run) };
+            let spec = deployment.long(&payload.to_string());
+            (JobKind::Long, v1::JobSpec { checkpointable: true, ..spec })
+        }
+        _ => {
+            let payload = payload(format!("long-{number}"), run);
+            (JobKind::Long, deployment.long(&payload.to_string()))
+        }
+    }
+}
+
+fn states(notes: &Notes) -> HashMap<String, u32> {
+    let mut states = HashMap::new();
+    for job in notes.jobs.values().filter(|job| job.kind != JobKind::Watcher) {
+        let state = match (&job.end, &job.job_id) {
+            (Some(end), _) => end.state.clone(),
+            (None, Some(_)) => "unended".to_owned(),
+            (None, None) => "unaccepted".to_owned(),
+        };
+        *states.entry(state).or_default() += 1;
+    }
+    states
+}
+
+fn lost(notes: &Notes) -> Vec<String> {
+    let is_lost = |job: &crate::ledger::JobNote| {
+        job.kind != JobKind::Watcher && job.job_id.is_some() && job.end.is_none()
+    };
+    let mut lost: Vec<_> =
+        notes.jobs.iter().filter(|(_, job)| is_lost(job)).map(|(id, _)| id.clone()).collect();
+    lost.sort();
+    lost
+}
