--- /dev/null
+++ b/lilacpass-decide/examples/replay/stats.rs
@@ -0,0 +1,129 @@
+//! What a replay measures, and the table.
+
+use std::time::Duration;
+
+use lilacpass_core::Resources;
+
+use crate::workload::{DEADLINE_US, SECOND_US, Setup, Work, worker_capacity};
+
+/// Waiting times are counted after this time, when the cell has filled up.
+pub(crate) const WARM_UP_US: u64 = 30 * SECOND_US;
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Stats {
+    wait_us: [Vec<u64>; 3],
+    quick_answer_us: Vec<u64>,
+    quick_arrived: u64,
+    quick_admitted: u64,
+    quick_in_time: u64,
+    failed: u64,
+    slot_us: u128,
+    cpu_us: u128,
+    pub(crate) lost_preempted_us: u128,
+    pub(crate) preempted: u64,
+    pub(crate) jobs_done: u64,
+    decisions_ns: Vec<u64>,
+    pub(crate) unsafe_preemptions: u64,
+}
+
+/// Rows of waiting times.
+#[derive(Clone, Copy)]
+pub(crate) enum Row {
+    Quick,
+    Long,
+    Gang,
+}
+
+impl Row {
+    pub(crate) fn of(work: &Work) -> Self {
+        match (work.is_quick(), work.tasks) {
+            (true, _) => Self::Quick,
+            (false, 1) => Self::Long,
+            _ => Self::Gang,
+        }
+    }
+}
+
+impl Stats {
+    pub(crate) fn arrived(&mut self, work: &Work) {
+        self.quick_arrived += u64::from(work.is_quick() && work.arrives_us >= WARM_UP_US);
+    }
+
+    /// A request or job has started; all tasks of it.
+    pub(crate) fn started(&mut self, work: &Work, now_us: u64) {
+        if work.arrives_us >= WARM_UP_US {
+            self.wait_us[Row::of(work) as usize].push(now_us - work.arrives_us);
+            self.quick_admitted += u64::from(work.is_quick());
+        }
+    }
+
+    pub(crate) fn answered(&mut self, work: &Work, now_us: u64, ok: bool) {
+        if work.arrives_us < WARM_UP_US {
+            return;
+        }
+        self.failed += u64::from(!ok);
+        let took = now_us - work.arrives_us;
+        if ok {
+            self.quick_answer_us.push(took);
+            self.quick_in_time += u64::from(took <= DEADLINE_US);
+        }
+    }
+
+    /// A task has used its slot over this time.
+    pub(crate) fn used(&mut self, size: &Resources, from_us: u64, to_us: u64, setup: &Setup) {
+        let window = |t: u64| t.clamp(WARM_UP_US, setup.seconds * SECOND_US);
+        let us = u128::from(window(to_us) - window(from_us));
+        self.slot_us += us * u128::from(size.slots.0);
+        self.cpu_us += us * u128::from(size.cpu.0);
+    }
+
+    pub(crate) fn decided(&mut self, took: Duration) {
+        self.decisions_ns.push(took.as_nanos() as u64);
+    }
+
+    pub(crate) fn header() -> &'static str {
+        "| policy | load % | quick wait p50 / p99 ms | quick answer p99 ms | in time % of all | \
+         in time % of admitted | goodput /s | failed | long wait p50 / p99 s | \
+         gang wait p50 / p99 s | slots used % | jobs done | preempted | lost to preemption % | \
+         decision p50 / p99 us |\n\
+         |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
+    }
+
+    pub(crate) fn row(&mut self, policy: &str, setup: &Setup) -> String {
+        let wait = |waits: &mut Vec<u64>, unit: f64| {
+            let mut at = |permille| quantile(waits, permille) as f64 / unit;
+            format!("{:.1} / {:.1}", at(500), at(990))
+        };
+        let [quick, long, gang] = &mut self.wait_us;
+        let (quick, long, gang) = (wait(quick, 1e3), wait(long, 1e6), wait(gang, 1e6));
+        let percent = |part: u64, whole: u64| 100.0 * part as f64 / whole.max(1) as f64;
+        let seconds = setup.seconds as f64 - (WARM_UP_US / SECOND_US) as f64;
+        let capacity = worker_capacity();
+        let area = setup.workers as f64 * seconds * SECOND_US as f64;
+        let slots = 100.0 * self.slot_us as f64 / (area * capacity.slots.0 as f64);
+        let lost = 100.0 * self.lost_preempted_us as f64 / (area * capacity.slots.0 as f64);
+        let decision = |ns: &mut Vec<u64>, permille| quantile(ns, permille) as f64 / 1e3;
+        format!(
+            "| {policy} | {} | {quick} | {:.0} | {:.2} | {:.2} | {:.0} | {} | {long} | {gang} | {slots:.1} | {} | {} | {lost:.2} | {:.1} / {:.1} |",
+            setup.load_percent,
+            quantile(&mut self.quick_answer_us, 990) as f64 / 1e3,
+            percent(self.quick_in_time, self.quick_arrived),
+            percent(self.quick_in_time, self.quick_admitted),
+            self.quick_in_time as f64 / seconds,
+            self.failed,
+            self.jobs_done,
+            self.preempted,
+            decision(&mut self.decisions_ns, 500),
+            decision(&mut self.decisions_ns, 990),
+        )
+    }
+}
+
+/// The quantile of some values; 0 where there are none.
+pub(crate) fn quantile(values: &mut [u64], permille: usize) -> u64 {
+    if values.is_empty() {
+        return 0;
+    }
+    let at = ((values.len() - 1) * permille).div_ceil(1_000);
+    *values.select_nth_unstable(at).1
+}
