--- a/lilacpass-control/tests/failures.rs
+++ b/lilacpass-control/tests/failures.rs
@@ -259,7 +259,8 @@
     let answers = [&cell.answers[&first].0, &cell.answers[&second].0];
     let won = answers.iter().filter(|answer| matches!(answer, Answer::Change(_))).count();
     assert_eq!(won, 1, "{answers:?}");
-    let Some(Answer::Problem(problem)) = answers.iter().find(|a| matches!(a, Answer::Problem(_))) else {
+    let Some(Answer::Problem(problem)) = answers.iter().find(|a| matches!(a, Answer::Problem(_)))
+    else {
         panic!("{answers:?}")
     };
     assert_eq!(problem.verdict, "not_run");
@@ -280,7 +281,11 @@
     cell.stop(1);
     cell.run_until(6 * SECOND, |cell| !cell.stopped.is_empty());
     for reply in replies {
-        assert!(matches!(cell.answers[&reply].0, Answer::Quick(_)), "{:?}", cell.answers.get(&reply));
+        assert!(
+            matches!(cell.answers[&reply].0, Answer::Quick(_)),
+            "{:?}",
+            cell.answers.get(&reply)
+        );
     }
     cell.run_for(8 * SECOND);
     assert_eq!(cell.job(0, id).unwrap().state, "succeeded");
--- a/lilacpass-control/tests/fakes/log.rs
+++ b/lilacpass-control/tests/fakes/log.rs
@@ -59,11 +59,8 @@
         from: u64,
     ) -> Vec<(Offset, v1::Record)> {
         let kept = self.streams.get(&Self::key(stream, data_centre));
-        let records = kept.into_iter().flatten().cloned().enumerate();
-        records
-            .map(|(i, record)| (Offset(i as u64), record))
-            .filter(|(at, _)| at.0 >= from)
-            .collect()
+        let records = kept.into_iter().flatten().enumerate().skip(from as usize);
+        records.map(|(i, record)| (Offset(i as u64), record.clone())).collect()
     }
 
     /// The offset that the next record gets.
