--- a/lilacpass-control/src/change.rs
+++ b/lilacpass-control/src/change.rs
@@ -207,7 +207,7 @@
     }
 
     /// Another revision is in force here.
-    fn config_changed(&mut self, now: MonoTime) {
+    pub(crate) fn config_changed(&mut self, now: MonoTime) {
         let configuration = Arc::clone(self.config.configuration());
         let revision = self.config.revision();
         log::info!(revision:% = revision; "configuration in force");
--- a/lilacpass-control/src/control.rs
+++ b/lilacpass-control/src/control.rs
@@ -130,7 +130,7 @@
             own_replies: VecDeque::new(),
             attempt_ends: VecDeque::new(),
             outboxes: outbox::outboxes(settings.batch),
-            streams: Streams::default(),
+            streams: Streams::new(settings.snapshot_records, now),
             members: Members::default(),
             holding,
             releasing: BTreeSet::new(),
@@ -211,8 +211,8 @@
                 }
                 _ => {}
             },
-            Event::Read { stream, sent_at, records, tail, oldest: _ } => {
-                self.on_read(stream, sent_at, records, tail, now);
+            Event::Read { stream, sent_at, records, tail, oldest } => {
+                self.on_read(stream, sent_at, records, (tail, oldest), now);
             }
             Event::ReadFailed { .. } => self.log_failed(now),
             Event::InstanceList(list) => self.on_instance_list(&list, now),
@@ -351,6 +351,7 @@
         self.stop_unwanted_tasks(now);
         self.keep_gangs_whole(now);
         self.align_standing(now);
+        self.write_snapshots(now);
         self.jobs.expire(now);
         self.count_peers(now);
         self.count_work(now);
--- a/lilacpass-control/src/holds.rs
+++ b/lilacpass-control/src/holds.rs
@@ -83,9 +83,11 @@
         }
     }
 
-    /// A record of the holding stream was read that is none of its own: only its offset counts.
-    pub(crate) fn skip_holding_record(&mut self, offset: Offset, now: MonoTime) {
-        self.holding.fold(offset, &v1::HoldingRecord::default(), now, now);
+    /// All records before `next` were read: those that were none of its own count as folded too.
+    pub(crate) fn skip_holding_before(&mut self, next: Offset, now: MonoTime) {
+        if next.0 > 0 {
+            self.holding.fold(Offset(next.0 - 1), &v1::HoldingRecord::default(), now, now);
+        }
     }
 
     /// A record of the holding stream was read.
--- a/lilacpass-control/src/lib.rs
+++ b/lilacpass-control/src/lib.rs
@@ -22,6 +22,7 @@
 mod quick;
 mod serve;
 mod settings;
+mod snapshots;
 mod standing;
 mod stop;
 mod streams;
--- a/lilacpass-control/src/outbox.rs
+++ b/lilacpass-control/src/outbox.rs
@@ -7,6 +7,7 @@
 
 use lilacpass_core::{MonoTime, Verdict};
 use lilacpass_schema::v1;
+use prost::Message;
 
 use crate::{
     Control,
@@ -17,6 +18,8 @@
 
 /// Most records in one append.
 const MAX_BATCH: usize = 256;
+/// Most bytes of records in one append, but for a single larger record.
+const MAX_BATCH_BYTES: usize = 512 << 10;
 /// Longest that records are gathered while the log refuses appends over its rate.
 const MAX_GATHER: Duration = Duration::from_millis(200);
 /// Pause before the next try after a failed append.
@@ -70,12 +73,22 @@
         if !due || self.in_flight.is_some() || !self.unsettled.is_empty() || self.queue.is_empty() {
             return None;
         }
-        let count = self.queue.len().min(MAX_BATCH);
+        let count = self.batch_len();
         let batch = self.queue.drain(..count).collect();
         self.flush_at = (!self.queue.is_empty()).then_some(now);
         Some(batch)
     }
 
+    /// How many records go into the next batch: at least one, bounded in number and size.
+    fn batch_len(&self) -> usize {
+        let mut bytes = 0;
+        let fits = |record: &&v1::Record| {
+            bytes += record.encoded_len();
+            bytes <= MAX_BATCH_BYTES
+        };
+        self.queue.iter().take(MAX_BATCH).take_while(fits).count().max(1)
+    }
+
     /// The record is in the log, whatever became of the answer to its append.
     fn seen(&mut self, record_id: &str) {
         self.unsettled.retain(|record| record.record_id != record_id);
--- /dev/null
+++ b/lilacpass-control/src/snapshots.rs
@@ -0,0 +1,158 @@
+//! Snapshots of the streams: written before the log drops what they cover, restored by members
+//! that come later.
+
+use lilacpass_core::{
+    MonoTime,
+    ids::{DataCentreId, InstanceId, Offset},
+};
+use lilacpass_decide::JobQueue;
+use lilacpass_records::{
+    jobs::{Job, Jobs},
+    snapshots,
+};
+use lilacpass_schema::v1::{self, snapshot::Body};
+
+use crate::{Control, convert, counters, event::Stream};
+
+/// Largest part of a snapshot, in bytes.
+const MAX_PART_BYTES: usize = 128 << 10;
+
+impl Control {
+    /// Writes the snapshots that are due and that this member is the first to write.
+    pub(crate) fn write_snapshots(&mut self, now: MonoTime) {
+        if !self.log_reachable(now) || self.is_leaving() {
+            return;
+        }
+        for stream in [Stream::Config, Stream::Holding, Stream::Jobs] {
+            if self.snapshot_due(stream, now) {
+                self.write_snapshot(stream, now);
+            }
+        }
+    }
+
+    fn snapshot_due(&mut self, stream: Stream, now: MonoTime) -> bool {
+        let members = self.snapshot_writers(stream, now);
+        let me = self.settings.me.clone();
+        let Some(position) = self.streams.positions.get_mut(&stream) else { return false };
+        let follower = &position.follower;
+        if !follower.is_at_tail() {
+            return false;
+        }
+        let rank = snapshots::rank(&me, &members, position.schedule.covers());
+        let due = position.schedule.due(follower.next(), follower.oldest(), rank, now);
+        if due {
+            position.schedule.began(now);
+        }
+        due
+    }
+
+    /// The members that may write a snapshot of a stream: those that read it.
+    fn snapshot_writers(&self, stream: Stream, now: MonoTime) -> Vec<InstanceId> {
+        let silent = self.settings.silent;
+        let reads = |data_centre: &DataCentreId| {
+            stream != Stream::Holding || *data_centre == self.settings.data_centre
+        };
+        let peers = self
+            .members
+            .iter()
+            .filter(|(_, peer)| {
+                peer.is_alive(silent, now) && !peer.leaving && reads(&peer.data_centre)
+            })
+            .map(|(id, _)| id.clone());
+        std::iter::once(self.settings.me.clone()).chain(peers).collect()
+    }
+
+    fn write_snapshot(&mut self, stream: Stream, now: MonoTime) {
+        let Some(covers) =
+            self.streams.positions.get(&stream).map(|position| position.follower.next())
+        else {
+            return;
+        };
+        let bodies: Vec<Body> = match stream {
+            Stream::Config => self.config.snapshot().into_iter().map(Body::Config).collect(),
+            Stream::Holding => vec![Body::Holding(self.holding.snapshot())],
+            Stream::Jobs => {
+                self.jobs.snapshot(MAX_PART_BYTES).into_iter().map(Body::Jobs).collect()
+            }
+            Stream::Audit => Vec::new(),
+        };
+        self.last_record += 1;
+        let id = format!("{}.{}.{}", self.settings.me, self.settings.incarnation, self.last_record);
+        for part in snapshots::to_parts(&id, covers, bodies.into_iter()) {
+            self.append(stream, v1::record::Body::Snapshot(part), now);
+        }
+        counters::bump(&self.counters.snapshots);
+    }
+
+    /// A part of a snapshot was read in its turn.
+    pub(crate) fn on_snapshot_part(
+        &mut self,
+        stream: Stream,
+        offset: Offset,
+        part: &v1::Snapshot,
+        now: MonoTime,
+    ) {
+        if let Some(position) = self.streams.positions.get_mut(&stream) {
+            position.schedule.saw_part(offset, part, now);
+        }
+        if let (Stream::Jobs, Some(Body::Jobs(jobs))) = (stream, &part.body) {
+            self.jobs.fold_snapshot(jobs);
+        }
+    }
+
+    /// Replaces the state of a stream by a whole snapshot. Returns whether it was taken.
+    pub(crate) fn restore(
+        &mut self,
+        stream: Stream,
+        covers: Offset,
+        parts: &[&v1::Snapshot],
+        now: MonoTime,
+    ) -> bool {
+        match stream {
+            Stream::Config => parts.first().is_some_and(|part| self.config.restore(part)),
+            Stream::Holding => match parts.first().and_then(|part| part.body.as_ref()) {
+                Some(Body::Holding(snapshot)) => {
+                    self.holding.restore(snapshot, covers, now);
+                    true
+                }
+                _ => false,
+            },
+            Stream::Jobs => self.restore_jobs(covers, parts, now),
+            Stream::Audit => false,
+        }
+    }
+
+    fn restore_jobs(&mut self, covers: Offset, parts: &[&v1::Snapshot], now: MonoTime) -> bool {
+        let bodies = parts.iter().filter_map(|part| match &part.body {
+            Some(Body::Jobs(jobs)) => Some(jobs),
+            _ => None,
+        });
+        match Jobs::restore(self.jobs.options().clone(), bodies, covers, now) {
+            Ok(jobs) => {
+                self.jobs = jobs;
+                true
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "snapshot of jobs refused");
+                false
+            }
+        }
+    }
+
+    /// A snapshot was restored: what hangs on the state of the stream is brought in line.
+    pub(crate) fn restored(&mut self, stream: Stream, now: MonoTime) {
+        log::info!(stream:? = stream; "restored from a snapshot");
+        match stream {
+            Stream::Config => self.config_changed(now),
+            Stream::Jobs => {
+                self.queue = JobQueue::new();
+                self.queue.set_policy(convert::policy(self.config.configuration()));
+                let waiting: Vec<_> = self.jobs.waiting().map(Job::id).collect();
+                for id in waiting {
+                    self.queue_job(id, now);
+                }
+            }
+            Stream::Holding | Stream::Audit => {}
+        }
+    }
+}
--- a/lilacpass-control/src/streams.rs
+++ b/lilacpass-control/src/streams.rs
@@ -1,9 +1,13 @@
-//! Reading the streams of the log: order, tail, and what becomes of each record.
+//! Reading the streams of the log: order, tail, lost history, and what becomes of each record.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use lilacpass_core::{MonoTime, ids::Offset};
-use lilacpass_schema::v1;
+use lilacpass_records::{
+    positions::{Follower, FollowerOptions, ReadOutcome, Slot},
+    snapshots::{Schedule, ScheduleOptions},
+};
+use lilacpass_schema::v1::{self, record::Body};
 
 use crate::{
     Control, counters,
@@ -15,31 +19,46 @@
 const LOG_SILENT: Duration = Duration::from_millis(2_500);
 
 /// How far a stream has been read.
-#[derive(Clone, Copy, Debug, Default)]
-struct Position {
-    next: Offset,
+#[derive(Debug)]
+pub(crate) struct Position {
+    pub(crate) follower: Follower,
+    pub(crate) schedule: Schedule,
     /// When the last read that reached the tail was sent.
     tail_at: Option<MonoTime>,
 }
 
 /// How far the streams have been read.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Streams {
-    positions: BTreeMap<Stream, Position>,
+    pub(crate) positions: BTreeMap<Stream, Position>,
     answered_at: Option<MonoTime>,
     failed_at: Option<MonoTime>,
 }
 
 impl Streams {
-    /// Whether the stream has been read to its tail at least once.
+    /// Nothing is read yet; a snapshot of a stream is due after `snapshot_records` records.
+    pub(crate) fn new(snapshot_records: u64, now: MonoTime) -> Self {
+        let position = |stream| {
+            let options =
+                ScheduleOptions { every_records: snapshot_records, ..ScheduleOptions::default() };
+            let follower = Follower::new(FollowerOptions::default());
+            (stream, Position { follower, schedule: Schedule::new(options, now), tail_at: None })
+        };
+        let positions = Stream::ALL.into_iter().map(position).collect();
+        Self { positions, answered_at: None, failed_at: None }
+    }
+
+    /// Whether the stream has been read to its tail at least once, with nothing missing.
     pub(crate) fn is_complete(&self, stream: Stream) -> bool {
-        self.positions.get(&stream).is_some_and(|position| position.tail_at.is_some())
+        self.positions
+            .get(&stream)
+            .is_some_and(|position| position.tail_at.is_some() && position.follower.is_following())
     }
 
     /// Whether a read that was sent at `since` or later has reached the tail.
     pub(crate) fn tail_reached_since(&self, stream: Stream, since: MonoTime) -> bool {
-        let position = self.positions.get(&stream);
-        position.and_then(|p| p.tail_at).is_some_and(|tail_at| tail_at >= since)
+        let tail_at = self.positions.get(&stream).and_then(|position| position.tail_at);
+        self.is_complete(stream) && tail_at.is_some_and(|tail_at| tail_at >= since)
     }
 
     /// When the log service last answered.
@@ -55,39 +74,76 @@
         stream: Stream,
         sent_at: MonoTime,
         records: Vec<(Offset, ReadRecord)>,
-        tail: Offset,
+        (tail, oldest): (Offset, Offset),
         now: MonoTime,
     ) {
         self.log_answered(now);
-        let mut next = self.streams.positions.entry(stream).or_default().next;
-        for (offset, record) in records {
-            if offset < next {
-                continue;
-            }
-            if offset > next {
-                counters::bump(&self.counters.history_lost);
-                self.history_lost(stream, offset);
+        let slots: Vec<Slot> =
+            records.into_iter().map(|(offset, record)| self.slot(stream, offset, record)).collect();
+        let outcome = self.follow(stream, slots, tail, oldest, now);
+        if let Some(lost) = outcome.lost {
+            counters::bump(&self.counters.history_lost);
+            log::warn!(stream:? = stream, from:% = lost.from, to:% = lost.to; "records were gone before they were read");
+            if stream == Stream::Config {
+                self.config.truncated(lost.to);
             }
-            next = offset.next();
-            counters::bump(&self.counters.records_read);
-            self.on_record(stream, offset, record, sent_at, now);
         }
-        let position = self.streams.positions.entry(stream).or_default();
-        position.next = next;
-        if next >= tail {
-            position.tail_at = Some(position.tail_at.map_or(sent_at, |at| at.max(sent_at)));
-            self.outbox_at_tail(stream, sent_at, now);
-            if stream == Stream::Holding {
-                self.holding.at_tail(tail, sent_at, now);
+        if outcome.restored {
+            self.restored(stream, now);
+        }
+        for (offset, record) in outcome.fold {
+            self.on_record(stream, offset, *record, sent_at, now);
+        }
+        self.note_tail(stream, sent_at, tail, now);
+    }
+
+    /// Counts a record as read; one that does not decode is skipped.
+    fn slot(&mut self, stream: Stream, offset: Offset, record: ReadRecord) -> Slot {
+        counters::bump(&self.counters.records_read);
+        match record {
+            ReadRecord::Good(record) => {
+                self.outbox_seen(stream, &record.record_id);
+                (offset, Some(record))
+            }
+            ReadRecord::Bad(reason) => {
+                counters::bump(&self.counters.records_bad);
+                log::warn!(stream:? = stream, offset:% = offset, reason:% = reason; "record skipped");
+                (offset, None)
             }
         }
     }
 
-    /// Records before `first_kept` were gone from the log before they were read.
-    fn history_lost(&mut self, stream: Stream, first_kept: Offset) {
-        log::warn!(stream:? = stream, first_kept:% = first_kept; "records were gone before they were read");
-        if stream == Stream::Config {
-            self.config.truncated(first_kept);
+    /// Brings the records in order; restores the state from a snapshot where history is missing.
+    fn follow(
+        &mut self,
+        stream: Stream,
+        slots: Vec<Slot>,
+        tail: Offset,
+        oldest: Offset,
+        now: MonoTime,
+    ) -> ReadOutcome {
+        let Some(mut position) = self.streams.positions.remove(&stream) else {
+            return ReadOutcome::default();
+        };
+        let restore =
+            |covers: Offset, parts: &[&v1::Snapshot]| self.restore(stream, covers, parts, now);
+        let outcome = position.follower.read(slots, tail, oldest, restore);
+        self.streams.positions.insert(stream, position);
+        outcome
+    }
+
+    fn note_tail(&mut self, stream: Stream, sent_at: MonoTime, tail: Offset, now: MonoTime) {
+        let Some(position) = self.streams.positions.get_mut(&stream) else { return };
+        let next = position.follower.next();
+        if next < tail {
+            return;
+        }
+        position.tail_at = Some(position.tail_at.map_or(sent_at, |at| at.max(sent_at)));
+        let following = position.follower.is_following();
+        self.outbox_at_tail(stream, sent_at, now);
+        if stream == Stream::Holding && following {
+            self.skip_holding_before(next, now);
+            self.holding.at_tail(tail, sent_at, now);
         }
     }
 
@@ -95,45 +151,25 @@
         &mut self,
         stream: Stream,
         offset: Offset,
-        record: ReadRecord,
+        record: v1::Record,
         sent_at: MonoTime,
         now: MonoTime,
     ) {
-        let record = match record {
-            ReadRecord::Good(record) => record,
-            ReadRecord::Bad(reason) => {
-                counters::bump(&self.counters.records_bad);
-                log::warn!(stream:? = stream, offset:% = offset, reason:% = reason; "record skipped");
-                self.skip_record(stream, offset, now);
-                return;
-            }
-        };
-        self.outbox_seen(stream, &record.record_id);
         let id = record.record_id;
         match (stream, record.body) {
-            (Stream::Holding, Some(v1::record::Body::Holding(body))) => {
+            (Stream::Holding, Some(Body::Holding(body))) => {
                 self.on_holding_record(offset, &body, sent_at, now);
             }
-            (Stream::Jobs, Some(v1::record::Body::Job(body))) => {
-                self.on_job_record(offset, &id, &body, now);
-            }
-            (Stream::Config, Some(v1::record::Body::Config(body))) => {
+            (Stream::Jobs, Some(Body::Job(body))) => self.on_job_record(offset, &id, &body, now),
+            (Stream::Config, Some(Body::Config(body))) => {
                 self.on_config_record(offset, &id, &body, now);
             }
-            (Stream::Audit, Some(v1::record::Body::Audit(entry))) => self.audit.push(offset, entry),
-            (_, Some(v1::record::Body::Snapshot(_))) => {}
+            (Stream::Audit, Some(Body::Audit(entry))) => self.audit.push(offset, entry),
+            (_, Some(Body::Snapshot(part))) => self.on_snapshot_part(stream, offset, &part, now),
             _ => counters::bump(&self.counters.records_void),
         }
-        self.skip_record(stream, offset, now);
-    }
-
-    /// Tells the fold of a stream that the record at `offset` was read and was none of its own, or
-    /// that it was folded already.
-    fn skip_record(&mut self, stream: Stream, offset: Offset, now: MonoTime) {
-        match stream {
-            Stream::Config => self.config.skip(offset),
-            Stream::Holding => self.skip_holding_record(offset, now),
-            Stream::Jobs | Stream::Audit => {}
+        if stream == Stream::Config {
+            self.config.skip(offset);
         }
     }
 
--- a/lilacpass-control/tests/failures.rs
+++ b/lilacpass-control/tests/failures.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use fakes::{Cell, cell::Fault, inventory, log::Mode};
-use lilacpass_control::event::{Answer, Request};
+use lilacpass_control::event::{Answer, Request, Stream};
 use lilacpass_core::ids::JobId;
 use lilacpass_schema::v1;
 
@@ -333,3 +333,31 @@
     assert_ne!(runs[1].worker, worker);
     assert_eq!(cell.doubled("stays watcher"), 0);
 }
+
+/// A new instance serves although the log has dropped the records that it would have to begin
+/// with. Members write snapshots in time; the new one restores the last whole one and reads on.
+#[test]
+fn a_new_instance_starts_from_snapshots_when_the_log_has_dropped_the_beginning() {
+    let mut cell = one_data_centre();
+    let (_, id) = cell.submit(0, crawl("100 first"), "first");
+    let long = running_job(&mut cell, 0, crawl("400000 long"), "long");
+    cell.log.retention = 400;
+    for n in 0..300 {
+        cell.submit(n % 3, inventory::spec(&format!("10 filler-{n}")), &format!("filler-{n}"));
+        cell.run_for(Duration::from_millis(600));
+    }
+    for stream in [Stream::Jobs, Stream::Config, Stream::Holding] {
+        let kept = cell.log.oldest(stream, "a");
+        assert!(kept > 0 || stream == Stream::Config, "{stream:?} was never cut");
+    }
+    cell.fault(2, Fault::Killed);
+    let new = cell.replace(2, "a-new", 2);
+    cell.run_for(15 * SECOND);
+    assert_eq!(cell.job(new, id).unwrap().result, "answer to 100 first");
+    assert_eq!(cell.job(new, long).unwrap().state, "running");
+    assert_eq!(cell.in_force["a-new"], vec![1]);
+    let reply = cell.quick(new, inventory::spec("10 q"), SECOND);
+    cell.run_for(SECOND);
+    assert!(matches!(cell.answers[&reply].0, Answer::Quick(_)));
+    assert_eq!(cell.over_capacity(), 0);
+}
--- a/lilacpass-control/tests/fakes/cell.rs
+++ b/lilacpass-control/tests/fakes/cell.rs
@@ -137,7 +137,7 @@
         silent: Duration::from_millis(1_500),
         platform_timeout: Duration::from_millis(500),
         batch: Duration::from_millis(2),
-        snapshot_records: 20_000,
+        snapshot_records: 200,
         max_queued: 1_000,
         retry_budget_percent: 20,
         task_lease: Duration::from_secs(10),
@@ -627,12 +627,14 @@
             return;
         }
         let records = self.log.read(stream, &data_centre, from);
+        let oldest = self.log.oldest(stream, &data_centre);
         let records =
             records.into_iter().map(|(at, r)| (at, ReadRecord::Good(Box::new(r)))).collect();
         let m = &mut self.members[member];
         m.read_from.insert(stream, tail);
         m.read_sent.insert(stream, now);
-        let read = Event::Read { stream, sent_at, records, tail: Offset(tail), oldest: Offset(0) };
+        let read =
+            Event::Read { stream, sent_at, records, tail: Offset(tail), oldest: Offset(oldest) };
         self.deliver(member, read);
     }
 
--- a/lilacpass-control/tests/fakes/log.rs
+++ b/lilacpass-control/tests/fakes/log.rs
@@ -23,11 +23,13 @@
     streams: BTreeMap<(Stream, String), Vec<v1::Record>>,
     pub(crate) mode: Mode,
     pub(crate) appends: u64,
+    /// Records that each stream keeps; older ones are dropped.
+    pub(crate) retention: u64,
 }
 
 impl Log {
     pub(crate) fn new() -> Self {
-        Self { streams: BTreeMap::new(), mode: Mode::Up, appends: 0 }
+        Self { streams: BTreeMap::new(), mode: Mode::Up, appends: 0, retention: u64::MAX }
     }
 
     fn key(stream: Stream, data_centre: &str) -> (Stream, String) {
@@ -59,10 +61,16 @@
         from: u64,
     ) -> Vec<(Offset, v1::Record)> {
         let kept = self.streams.get(&Self::key(stream, data_centre));
+        let from = from.max(self.oldest(stream, data_centre));
         let records = kept.into_iter().flatten().enumerate().skip(from as usize);
         records.map(|(i, record)| (Offset(i as u64), record.clone())).collect()
     }
 
+    /// The oldest offset that is still kept.
+    pub(crate) fn oldest(&self, stream: Stream, data_centre: &str) -> u64 {
+        self.tail(stream, data_centre).saturating_sub(self.retention)
+    }
+
     /// The offset that the next record gets.
     pub(crate) fn tail(&self, stream: Stream, data_centre: &str) -> u64 {
         self.streams.get(&Self::key(stream, data_centre)).map_or(0, |kept| kept.len() as u64)
