Show the whole cell in one status, and keep job ids in one piece

A single entry instance knows only its own shards, quarantine and queue, so one status could look well while another data centre was in escrow.

A run against lilacpassd with stand-ins showed three faults of the tool: the exported file had `teams = []`, below which a person's [[teams]] was a duplicate key; job ids were wrapped in tables and could not be copied; a status counted workers that other instances hold as held by none.

One test was flaky, once in six runs: a port that nobody listened on was given to another test's server in the meantime.

--- a/lilacpass-cli/src/api/client.rs
+++ b/lilacpass-cli/src/api/client.rs
@@ -63,9 +63,12 @@
         self.timeout
     }
 
-    /// The server that is asked first.
-    pub fn server(&self) -> &Server {
-        &self.servers[self.first]
+    /// One client for each server, which asks no other one.
+    pub fn each(&self) -> impl Iterator<Item = (Server, Self)> {
+        self.servers.iter().map(|server| {
+            let only = Self::new(vec![server.clone()], self.token.clone(), self.timeout);
+            (server.clone(), only)
+        })
     }
 
     /// Looks at `path`.
--- a/lilacpass-cli/src/args.rs
+++ b/lilacpass-cli/src/args.rs
@@ -92,8 +92,12 @@
     },
     /// List workers: what each holds, and for whom
     Workers(WorkersArgs),
-    /// The state of the cell at a glance
-    Status,
+    /// The state of the cell at a glance, as one entry instance sees it
+    Status {
+        /// Ask every --server, and put together what they see
+        #[arg(long)]
+        cell: bool,
+    },
     /// Print the configuration in force as TOML, with the revision that it has
     Inventory,
     /// Put a configuration file in force
--- a/lilacpass-cli/src/commands.rs
+++ b/lilacpass-cli/src/commands.rs
@@ -10,6 +10,7 @@
 };
 
 pub mod audit;
+pub mod cell;
 pub mod change;
 pub mod check;
 pub mod files;
@@ -42,7 +43,8 @@
         Command::Jobs(args) => jobs::list(tool, &args).await,
         Command::Explain { job } => jobs::explain(tool, job).await,
         Command::Workers(args) => workers::run(tool, &args).await,
-        Command::Status => status::run(tool).await,
+        Command::Status { cell: false } => status::run(tool).await,
+        Command::Status { cell: true } => cell::run(tool).await,
         Command::Inventory => inventory::run(tool).await,
         Command::Apply(args) => change::apply(tool, &args).await,
         Command::Diff(args) => change::diff(tool, &args).await,
--- /dev/null
+++ b/lilacpass-cli/src/commands/cell.rs
@@ -0,0 +1,106 @@
+//! `status --cell`: what all entry instances see, put together.
+
+use std::collections::BTreeMap;
+
+use lilacpass_core::Class;
+use lilacpass_schema::v1;
+use serde_json::{Value, json};
+
+use crate::{
+    api::{path, server::Server},
+    commands::{Tool, status},
+    error::{Error, Result},
+    report::{self, Report},
+    table::{self, DEFAULT_WIDTH},
+    units,
+};
+
+/// Asks every server. It fails only where none answers.
+pub async fn run(tool: &mut Tool) -> Result<Report> {
+    let mut answers = Vec::new();
+    for (server, mut client) in tool.client.each() {
+        answers.push((server, client.get(path::STATUS).await));
+    }
+    if let Some(err) = common_failure(&answers) {
+        return Err(err);
+    }
+    let json = answers.iter().map(to_json).collect();
+    let views: Vec<(Server, Result<v1::StatusView>)> = answers
+        .into_iter()
+        .map(|(server, answer)| (server, answer.and_then(|answer| report::decode(&answer))))
+        .collect();
+    Ok(Report::ok(render(&views), json))
+}
+
+/// The last error, where all servers failed.
+fn common_failure(answers: &[(Server, Result<Value>)]) -> Option<Error> {
+    let mut errors = answers.iter().map(|(_, answer)| answer.as_ref().err().cloned());
+    errors.try_fold(None, |_, error| error.map(Some)).flatten()
+}
+
+fn to_json((server, answer): &(Server, Result<Value>)) -> Value {
+    match answer {
+        Ok(status) => json!({ "server": server.to_string(), "status": status }),
+        Err(err) => json!({ "server": server.to_string(), "problem": report::error_json(err) }),
+    }
+}
+
+/// The cell as text, no line longer than 80 characters.
+pub fn render(views: &[(Server, Result<v1::StatusView>)]) -> String {
+    let statuses: Vec<&v1::StatusView> =
+        views.iter().filter_map(|(_, view)| view.as_ref().ok()).collect();
+    let trouble = status::render_findings(&findings(views));
+    [trouble, instances(&statuses), classes(&statuses)].join("\n\n")
+}
+
+/// What needs a person, and which entry instances say so.
+fn findings(views: &[(Server, Result<v1::StatusView>)]) -> Vec<String> {
+    let mut seen_by: BTreeMap<String, Vec<&str>> = BTreeMap::new();
+    let mut found = Vec::new();
+    for (server, view) in views {
+        match view {
+            Ok(view) => status::findings(view)
+                .into_iter()
+                .for_each(|finding| seen_by.entry(finding).or_default().push(&view.instance)),
+            Err(err) => found.push(format!("{server} has no answer: {err}")),
+        }
+    }
+    let with_names =
+        |(finding, names): (String, Vec<&str>)| format!("{finding} [{}]", names.join(" "));
+    found.extend(seen_by.into_iter().map(with_names));
+    found
+}
+
+fn instances(statuses: &[&v1::StatusView]) -> String {
+    let yes = |value: bool| if value { "yes" } else { "NO" }.to_owned();
+    let rows = statuses.iter().map(|status| {
+        [
+            status.instance.clone(),
+            status.data_centre.clone(),
+            status.revision.to_string(),
+            yes(status.ready),
+            yes(status.log_reachable),
+            status.workers_held.to_string(),
+            status::shards(status),
+        ]
+    });
+    let header = ["INSTANCE", "DATA CENTRE", "REVISION", "READY", "LOG", "WORKERS", "SHARDS"];
+    table::render(DEFAULT_WIDTH, header, rows)
+}
+
+/// The most that any instance sees of each class. All see the jobs, each its own quick requests,
+/// so the figures can't be added up.
+fn classes(statuses: &[&v1::StatusView]) -> String {
+    let rows = Class::ALL.into_iter().map(|class| {
+        let views =
+            || statuses.iter().flat_map(|s| &s.classes).filter(|c| c.class == class.as_str());
+        let most = |of: fn(&v1::ClassView) -> u64| views().map(of).max().unwrap_or(0);
+        [
+            class.to_string(),
+            most(|view| u64::from(view.waiting)).to_string(),
+            units::show_ms(most(|view| view.oldest_ms)),
+            most(|view| u64::from(view.running)).to_string(),
+        ]
+    });
+    table::render(DEFAULT_WIDTH, ["CLASS", "MOST WAITING", "OLDEST", "MOST RUNNING"], rows)
+}
--- a/lilacpass-cli/src/commands/files.rs
+++ b/lilacpass-cli/src/commands/files.rs
@@ -6,7 +6,8 @@
     path::Path,
 };
 
-use lilacpass_config::Problem;
+use lilacpass_config::{Problem, inventory};
+use lilacpass_schema::v1;
 
 use crate::error::{Error, Result};
 
@@ -24,6 +25,21 @@
     text.map_err(|err| Error::File(path.display().to_string(), format!(" {err}")))
 }
 
+/// A configuration as the text of a file that can be added to.
+///
+/// Sections without an entry are left out: a person who adds `[[teams]]` below `teams = []` would
+/// be told of a duplicate key.
+pub fn to_toml(configuration: &v1::Configuration) -> String {
+    const EMPTY_SECTION: &str = " = []";
+    let text = inventory::to_toml(configuration);
+    let end_of_sections = text.lines().position(|line| line.starts_with('['));
+    let is_kept = |(index, line): &(usize, &str)| {
+        end_of_sections.is_some_and(|end| *index >= end) || !line.ends_with(EMPTY_SECTION)
+    };
+    let kept: Vec<&str> = text.lines().enumerate().filter(is_kept).map(|(_, line)| line).collect();
+    kept.join("\n").trim().to_owned()
+}
+
 /// One line for each problem of a file, with its place in the form that editors jump to.
 pub fn describe(path: &str, problems: &[Problem]) -> Vec<String> {
     problems.iter().map(|problem| format!("{path}:{}", place(problem))).collect()
--- a/lilacpass-cli/src/commands/import.rs
+++ b/lilacpass-cli/src/commands/import.rs
@@ -23,7 +23,7 @@
         None => v1::Configuration::default(),
     };
     let merged = import(&base, workers, &args.region);
-    Ok(Report::ok(inventory::to_toml(&merged).trim_end(), report::encode(&merged)))
+    Ok(Report::ok(files::to_toml(&merged), report::encode(&merged)))
 }
 
 /// `base` with the workers of a register, each in the place of the one of its name.
--- a/lilacpass-cli/src/commands/inventory.rs
+++ b/lilacpass-cli/src/commands/inventory.rs
@@ -1,12 +1,11 @@
 //! `inventory`: the configuration in force as a file that can be edited and applied.
 
-use lilacpass_config::inventory;
 use lilacpass_core::ids::Revision;
 use lilacpass_schema::v1;
 
 use crate::{
     api::path,
-    commands::Tool,
+    commands::{Tool, files},
     error::Result,
     report::{self, Report},
 };
@@ -30,8 +29,7 @@
 /// The text of a configuration file that remembers the revision it was exported at.
 pub fn to_file(view: &v1::InventoryView) -> String {
     let configuration = view.configuration.clone().unwrap_or_default();
-    let toml = inventory::to_toml(&configuration);
-    format!("{REVISION_MARK}{}\n{}", view.revision, toml.trim_end())
+    format!("{REVISION_MARK}{}\n{}", view.revision, files::to_toml(&configuration))
 }
 
 /// The revision that a file was exported at, where it remembers one.
--- a/lilacpass-cli/src/commands/jobs.rs
+++ b/lilacpass-cli/src/commands/jobs.rs
@@ -61,8 +61,11 @@
         format!("job      {}", job.job_id),
         format!("state    {}{}", job.state, verdict(job)),
         format!("work     {}/{} of team {}, {}", job.service, job.kind, job.team, job.class),
-        format!("tasks    {}, attempt {}", job.tasks, job.attempt),
+        format!("tasks    {}", job.tasks),
     ];
+    if job.attempt > 0 {
+        lines.push(format!("attempt  {}", job.attempt));
+    }
     if !job.reason.is_empty() {
         lines.push(format!("reason   {}", job.reason));
     }
--- a/lilacpass-cli/src/commands/status.rs
+++ b/lilacpass-cli/src/commands/status.rs
@@ -31,9 +31,12 @@
     parts.join("\n\n")
 }
 
-/// All that needs a person, or that nothing does.
 fn trouble(status: &v1::StatusView) -> String {
-    let findings = findings(status);
+    render_findings(&findings(status))
+}
+
+/// All that needs a person, or that nothing does.
+pub fn render_findings(findings: &[String]) -> String {
     if findings.is_empty() {
         return "ALL WELL".to_owned();
     }
@@ -46,7 +49,8 @@
     text.join("\n")
 }
 
-fn findings(status: &v1::StatusView) -> Vec<String> {
+/// What needs a person, one line for each thing.
+pub fn findings(status: &v1::StatusView) -> Vec<String> {
     let mut found = Vec::new();
     if !status.ready {
         found.push(format!("{} is not ready and takes no traffic", status.instance));
@@ -102,19 +106,23 @@
     let v1::StatusView { instance, data_centre, revision, .. } = status;
     let log = if status.log_reachable { "reachable" } else { "NOT REACHABLE" };
     let (held, total) = (status.workers_held, status.workers_total);
-    let holdings: Vec<String> =
-        status.holdings.iter().map(|h| format!("{} {}", h.shards, h.mode)).collect();
-    let holdings = if holdings.is_empty() { "none".to_owned() } else { holdings.join(", ") };
     [
         format!("asked     {instance} in {data_centre}, revision {revision}"),
         format!("log       {log}, last answer {}", ago(status.log_silent_ms)),
         format!("workers   {held} held here of {total} in the cell"),
-        format!("shards    {holdings}"),
+        format!("shards    {}", shards(status)),
         format!("jobs      {} running", status.jobs_running),
     ]
     .join("\n")
 }
 
+/// How many shards are held in which way.
+pub fn shards(status: &v1::StatusView) -> String {
+    let modes: Vec<String> =
+        status.holdings.iter().map(|h| format!("{} {}", h.shards, h.mode)).collect();
+    if modes.is_empty() { "none".to_owned() } else { modes.join(", ") }
+}
+
 /// The time since something was last heard; the greatest number stands for never.
 fn ago(silent_ms: u64) -> String {
     match silent_ms {
--- a/lilacpass-cli/src/commands/token.rs
+++ b/lilacpass-cli/src/commands/token.rs
@@ -1,11 +1,12 @@
 //! `token new`: makes an access token without asking any server.
 
-use lilacpass_config::{access, inventory};
+use lilacpass_config::access;
 use lilacpass_schema::v1;
 use serde_json::json;
 
 use crate::{
     args::NewTokenArgs,
+    commands::files,
     error::{Error, Result},
     report::Report,
 };
@@ -25,11 +26,10 @@
         ..entry
     };
     let configuration = v1::Configuration { tokens: vec![entry.clone()], ..Default::default() };
-    let toml = inventory::to_toml(&configuration);
     let human = format!(
         "The token, shown only now; give it to its bearer over a safe way:\n\n{token}\n\n\
          The entry for the configuration file:\n\n{}",
-        toml.trim()
+        files::to_toml(&configuration)
     );
     Ok(Report::ok(human, json!({ "token": token, "entry": entry })))
 }
--- a/lilacpass-cli/src/commands/wait.rs
+++ b/lilacpass-cli/src/commands/wait.rs
@@ -71,7 +71,7 @@
         self.known = true;
         let reason =
             if job.reason.is_empty() { String::new() } else { format!(": {}", job.reason) };
-        let line = format!("{} (attempt {}){reason}", job.state, job.attempt);
+        let line = format!("{}{reason}", job.state);
         if !self.args.quiet && !jobs::has_ended(job) && line != self.shown {
             eprintln!("lilacpass: after {}: {line}", units::show_ms(units::ms(waited)));
         }
--- a/lilacpass-cli/src/table.rs
+++ b/lilacpass-cli/src/table.rs
@@ -2,7 +2,7 @@
 
 use std::env;
 
-use comfy_table::{ContentArrangement, Table, presets};
+use comfy_table::{ColumnConstraint, ContentArrangement, Table, presets};
 
 /// Width that every table fits into where the terminal does not say its own.
 pub const DEFAULT_WIDTH: u16 = 80;
@@ -14,7 +14,11 @@
     columns.unwrap_or(DEFAULT_WIDTH).max(NARROWEST)
 }
 
-/// Lays out rows under a header; long cells are wrapped.
+/// Longest name that is kept in one piece in the first column, such as the id of a job, which
+/// people copy from there.
+const LONGEST_WHOLE_NAME: u16 = 36;
+
+/// Lays out rows under a header; long cells are wrapped, those of the first column last.
 pub fn render<const N: usize>(
     width: u16,
     header: [&str; N],
@@ -27,9 +31,13 @@
         .set_width(width)
         .set_header(header)
         .add_rows(rows);
-    table.column_iter_mut().for_each(|column| {
+    let first_width = table.column_max_content_widths().first().copied().unwrap_or_default();
+    for (index, column) in table.column_iter_mut().enumerate() {
         column.set_padding((0, 2));
-    });
+        if index == 0 && first_width <= LONGEST_WHOLE_NAME {
+            column.set_constraint(ColumnConstraint::ContentWidth);
+        }
+    }
     table.trim_fmt()
 }
 
--- a/lilacpass-cli/tests/files.rs
+++ b/lilacpass-cli/tests/files.rs
@@ -86,6 +86,8 @@
     assert_eq!((imported.workers.len(), imported.data_centres.len()), (2, 2));
     assert_eq!(imported.data_centres[0].region, "nl-midden");
     assert_eq!(lilacpass_with(&[], "check -", &run.stdout, &[]).code, 0);
+    let with_team = format!("{}[[teams]]\nname = \"shops\"\n", run.stdout);
+    assert_eq!(inventory::parse(&with_team).unwrap().teams.len(), 1);
     let bad = REGISTER.replace(",64,256,2", ",many,256,2");
     let run = lilacpass_with(&[], "import-csv -", &bad, &[]);
     assert!(run.code == 2 && run.stderr.contains("-:3: cores"), "{run:?}");
--- a/lilacpass-cli/tests/operators.rs
+++ b/lilacpass-cli/tests/operators.rs
@@ -77,6 +77,22 @@
     assert!(run.stdout.starts_with("ALL WELL\n"), "{}", run.stdout);
 }
 
+#[test]
+fn the_state_of_the_cell_is_put_together_from_all_servers() {
+    let (good, bad, lost) = (Fake::always(200, healthy()), Fake::always(200, troubled()), nobody());
+    let servers = [lost.as_str(), &good.url, &bad.url];
+    let run = lilacpass(&servers, "status --cell");
+    let widest = run.stdout.lines().map(|line| line.chars().count()).max();
+    assert!(run.code == 0 && widest <= Some(80), "{widest:?}\n{}", run.stdout);
+    let (trouble, rest) = run.stdout.split_once("\n\n").unwrap();
+    assert!(trouble.contains("has no answer") && trouble.contains("quarantine"), "{trouble}");
+    assert!(rest.contains("1s") && rest.contains("5 lease, 1 escrow"), "{rest}");
+    let run = lilacpass(&servers, "status --cell --output json");
+    assert_eq!(run.json()[0]["problem"]["verdict"], "not_run");
+    assert_eq!(run.json()[2]["status"]["revision"], 1_042);
+    assert_eq!(lilacpass(&[&lost], "status --cell").code, 7);
+}
+
 #[test]
 fn every_answer_is_json_for_scripts() {
     let id = "0123456789abcdef0123456789abcdef";
--- a/lilacpass-cli/tests/support/mod.rs
+++ b/lilacpass-cli/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 use std::{
     io::{BufRead, BufReader, Read, Write},
+    mem,
     net::{TcpListener, TcpStream},
     process::{Command, Stdio},
     sync::{Arc, Mutex},
@@ -11,6 +12,7 @@
 };
 
 use serde_json::Value;
+use tokio::net::TcpSocket;
 
 /// A request as the server got it.
 #[derive(Clone, Debug)]
@@ -76,10 +78,14 @@
     }
 }
 
-/// The URL of a port where nobody listens.
+/// The URL of a port where nobody listens, and which no other test is given in the meantime: it
+/// stays bound until the process ends.
 pub(crate) fn nobody() -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    format!("http://{}", listener.local_addr().unwrap())
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let url = format!("http://{}", socket.local_addr().unwrap());
+    mem::forget(socket);
+    url
 }
 
 /// What a run of the tool left behind.
