--- a/lilacpass-config/src/fold.rs
+++ b/lilacpass-config/src/fold.rs
@@ -61,6 +61,8 @@
     position: Offset,
     /// Records from `position` up to this offset were dropped unread.
     lost_before: Option<Offset>,
+    /// The greatest offset that was offered while there was a gap and is not below `position`.
+    undecided_up_to: Option<Offset>,
     /// The last accepted changes, the oldest first.
     changes: VecDeque<AcceptedChange>,
 }
@@ -81,7 +83,8 @@
         &self.configuration
     }
 
-    /// The offset to read on from.
+    /// The offset to read on from. It may lie behind what was read last, after
+    /// [`ChangeOutcome::Undecided`].
     pub fn position(&self) -> Offset {
         self.position
     }
@@ -98,7 +101,7 @@
         if offset < self.position {
             return ChangeOutcome::Duplicate;
         }
-        if self.has_gap() {
+        if !self.decides(offset) {
             return ChangeOutcome::Undecided;
         }
         self.position = after(offset);
@@ -110,16 +113,18 @@
         if !problems.is_empty() {
             return ChangeOutcome::Invalid(problems);
         }
-        match change::apply(&self.configuration, &record.ops) {
-            Ok(configuration) => ChangeOutcome::Accepted(self.accept(record, configuration)),
+        // Copies the configuration only where someone else still uses it, not while catching up.
+        let configuration = Arc::make_mut(&mut self.configuration);
+        match change::apply_to(configuration, &record.ops) {
+            Ok(()) => ChangeOutcome::Accepted(self.accept(record)),
             Err(problems) => ChangeOutcome::Invalid(problems),
         }
     }
 
     /// Notes that a record at `offset` which is no change was read.
     pub fn skip(&mut self, offset: Offset) {
-        if !self.has_gap() {
-            self.position = self.position.max(after(offset));
+        if offset >= self.position && self.decides(offset) {
+            self.position = after(offset);
         }
     }
 
@@ -202,11 +207,26 @@
         self.changes.iter().rev()
     }
 
-    fn accept(&mut self, record: &v1::ConfigChange, configuration: v1::Configuration) -> Revision {
+    /// Whether all records before `offset` were taken.
+    ///
+    /// Guards against a reader that goes on behind a snapshot in the middle of what it fetched:
+    /// the records between the offset that the snapshot covers and the snapshot itself were
+    /// offered before it and could not be decided on. Until the reader has gone back to them
+    /// nothing behind them is decided, or this member would miss the changes among them.
+    fn decides(&mut self, offset: Offset) -> bool {
+        let ahead = self.undecided_up_to.is_some_and(|last| offset > last);
+        if self.has_gap() || ahead {
+            self.undecided_up_to = self.undecided_up_to.max(Some(offset));
+            return false;
+        }
+        self.undecided_up_to = None;
+        true
+    }
+
+    fn accept(&mut self, record: &v1::ConfigChange) -> Revision {
         let base = self.revision;
         // Revision 0 means none, so the change at offset 0 makes revision 1.
         self.revision = Revision(self.position.0);
-        self.configuration = Arc::new(configuration);
         if self.changes.len() == WINDOW {
             self.changes.pop_front();
         }
@@ -224,6 +244,7 @@
     fn move_to(&mut self, position: Offset) {
         self.position = self.position.max(position);
         self.lost_before = self.lost_before.filter(|lost| *lost > self.position);
+        self.undecided_up_to = self.undecided_up_to.filter(|last| *last >= self.position);
     }
 }
 
--- a/lilacpass-config/src/inventory/register.rs
+++ b/lilacpass-config/src/inventory/register.rs
@@ -136,7 +136,6 @@
             let line = row_of(&finding.path).and_then(|row| self.lines.get(row)).copied();
             self.problems.push(finding.problem.at((line.unwrap_or_default(), 0)));
         }
-        self.problems.sort_by_key(|problem| problem.line);
     }
 }
 
--- a/lilacpass-config/src/problem.rs
+++ b/lilacpass-config/src/problem.rs
@@ -84,7 +84,13 @@
 
 impl error::Error for Problem {}
 
-/// `Ok(value)` where there is no problem.
+/// `Ok(value)` where there is no problem; else all of them in the order of the text.
 pub(crate) fn unless<T>(problems: Vec<Problem>, value: T) -> Result<T, Vec<Problem>> {
-    if problems.is_empty() { Ok(value) } else { Err(problems) }
+    if problems.is_empty() { Ok(value) } else { Err(sorted(problems)) }
+}
+
+/// The problems in the order of the text.
+pub(crate) fn sorted(mut problems: Vec<Problem>) -> Vec<Problem> {
+    problems.sort_by_key(|problem| (problem.line, problem.column));
+    problems
 }
--- a/lilacpass-config/src/settings.rs
+++ b/lilacpass-config/src/settings.rs
@@ -151,15 +151,11 @@
     let problems = document.verify(&fields::shape());
     problem::unless(problems, ())?;
     let message: v1::Settings = document.decode()?;
-    check(&message).map_err(|problems| {
-        problems
-            .into_iter()
-            .map(|problem| {
-                let place = document.locate(&problem.field);
-                problem.at(place)
-            })
-            .collect()
-    })
+    let located = |problem: Problem| {
+        let place = document.locate(&problem.field);
+        problem.at(place)
+    };
+    check(&message).map_err(|problems| problem::sorted(problems.into_iter().map(located).collect()))
 }
 
 /// Checks settings and applies the defaults.
@@ -176,7 +172,8 @@
         traffic: reader.traffic(&traffic.unwrap_or_default()),
         jobs: reader.jobs(&jobs.unwrap_or_default()),
     });
-    if let Some(settings) = &settings {
+    // A value that is out of range would be told a second time by what it relates to.
+    if let Some(settings) = settings.as_ref().filter(|_| reader.problems.is_empty()) {
         reader.relations(settings);
     }
     match settings {
