Fuzz the holding state machine, and mend two faults it found

Cause: faults in any order had not been tried. Change: a claim by the previous holder itself clears the shard; an inherited tenure waits the flight too. Two other findings were faults of the harness (zombies that outlived the longest pause).

--- a/lilacpass-hold/src/history.rs
+++ b/lilacpass-hold/src/history.rs
@@ -261,12 +261,17 @@
             return Err(VoidReason::OtherEpoch);
         }
         let next = match &tenure.holder {
-            None => Tenure {
-                epoch: tenure.epoch.next(),
-                inherited: tenure.previous.is_some(),
-                holder: Some(writer.clone()),
-                ..tenure
-            },
+            None => {
+                // A member that claims a shard anew has read that it lost it before.
+                let previous = tenure.previous.filter(|previous| *previous != writer);
+                Tenure {
+                    epoch: tenure.epoch.next(),
+                    holder: Some(writer.clone()),
+                    inherited: previous.is_some(),
+                    previous,
+                    released_by: tenure.released_by,
+                }
+            }
             Some(holder) => {
                 self.check_unclean(&writer, holder, &tenure, claim)?;
                 Tenure {
--- a/lilacpass-hold/src/holding.rs
+++ b/lilacpass-hold/src/holding.rs
@@ -402,7 +402,9 @@
     let replaced_over = replacement_read.map(|read| read + flight).unwrap_or_default();
     let report_from = match origin {
         Origin::Unclean if options.guards.report_wait => claimed_over,
-        Origin::Released if options.guards.report_wait => now.max(replaced_over),
+        Origin::Released | Origin::Inherited if options.guards.report_wait => {
+            now.max(replaced_over)
+        }
         _ => now,
     };
     OwnTenure {
--- a/lilacpass-hold/tests/common/mod.rs
+++ b/lilacpass-hold/tests/common/mod.rs
@@ -9,7 +9,7 @@
 
 use lilacpass_core::{
     MonoTime, Resources,
-    ids::{Incarnation, InstanceId, Offset, ShardId, WorkerId},
+    ids::{Epoch, Incarnation, InstanceId, Offset, ShardId, WorkerId},
 };
 use lilacpass_hold::{
     AppendOutcome, HoldAction, HoldOptions, Holding, ListedInstance, Mode, ShardSpec,
@@ -35,6 +35,13 @@
     seen: bool,
 }
 
+/// A start that is on its way to a worker.
+struct Sent {
+    size: Resources,
+    epoch: Epoch,
+    recorded: bool,
+}
+
 /// One process of an entry instance, with what it believes about its workers.
 pub struct Process {
     pub name: String,
@@ -52,6 +59,8 @@
     pub greedy: bool,
     pub clock_ppm: i64,
     pub paused_until_ms: u64,
+    /// When it ends, where it was replaced and goes on for a while.
+    pub ends_ms: u64,
     own: BTreeMap<u64, OwnTask>,
     adopted: Vec<Vec<(u64, Resources)>>,
     asked: Vec<bool>,
@@ -66,9 +75,9 @@
     Heartbeats(usize),
     Heartbeat(usize, usize, u64),
     Granted(usize, usize, v1::Grant),
-    Start(u64, usize, usize, Resources),
+    Start(u64, usize, usize, Sent),
     End(usize, u64),
-    Report(usize, usize, MonoTime),
+    Report(usize, usize, MonoTime, Option<Epoch>),
     ReportDone(usize, usize, MonoTime, Vec<(u64, usize, Resources)>),
     List,
 }
@@ -90,13 +99,19 @@
     pub running: Vec<BTreeMap<u64, (usize, Resources)>>,
     /// The first time that a worker was given more than it has.
     pub overcommitted: Option<String>,
+    /// The first time that a recorded task started after a report that proved that it would not.
+    pub started_late: Option<String>,
+    /// Per worker, the epoch of the last report that was settled when it was asked for.
+    settled: Vec<Epoch>,
+    pub step_us: u64,
+    /// Prints what lands in the log and what is started.
+    trace: bool,
     events: BTreeMap<(u64, u64), Event>,
     number: u64,
     now_us: u64,
 }
 
 const LATENCY_US: u64 = 500;
-const STEP_US: u64 = 20_000;
 const HEARTBEAT_US: u64 = 400_000;
 
 impl World {
@@ -114,6 +129,10 @@
             log: Vec::new(),
             running: vec![BTreeMap::new(); shards],
             overcommitted: None,
+            started_late: None,
+            settled: vec![Epoch(0); shards],
+            step_us: 20_000,
+            trace: std::env::var_os("HOLD_TRACE").is_some(),
             events: BTreeMap::new(),
             number: 0,
             now_us: 0,
@@ -148,6 +167,7 @@
             greedy: false,
             clock_ppm: 0,
             paused_until_ms: 0,
+            ends_ms: u64::MAX,
             own: BTreeMap::new(),
             adopted: vec![Vec::new(); self.shards],
             asked: vec![false; self.shards],
@@ -219,6 +239,12 @@
         self.processes[process].hold.limit(&worker(n), self.local(process))
     }
 
+    fn print(&self, line: impl Fn() -> String) {
+        if self.trace {
+            println!("{} ms {}", self.now_ms(), line());
+        }
+    }
+
     fn at(&mut self, delay_us: u64, event: Event) {
         self.number += 1;
         self.events.insert((self.now_us + delay_us, self.number), event);
@@ -226,7 +252,8 @@
 
     fn handle(&mut self, event: Event) {
         if let Some(process) = target(&event) {
-            let p = &self.processes[process];
+            let p = &mut self.processes[process];
+            p.alive &= p.ends_ms > self.now_us / 1_000;
             if !p.alive {
                 return;
             }
@@ -241,6 +268,7 @@
             Event::Step(p) => self.step(p),
             Event::Append(p, record, lost) => {
                 let sequence = record.sequence;
+                self.print(|| format!("log: {record:?}"));
                 self.log.push(record);
                 let outcome = if lost { AppendOutcome::Unknown } else { AppendOutcome::Done };
                 self.at(LATENCY_US, Event::Appended(p, sequence, outcome));
@@ -259,11 +287,12 @@
                 let incarnation = Incarnation(self.processes[from].incarnation);
                 self.processes[p].hold.on_grant(&id, incarnation, &grant, now);
             }
-            Event::Start(task, p, n, size) => self.start(task, p, n, size),
+            Event::Start(task, p, n, sent) => self.start(task, p, n, &sent),
             Event::End(n, task) => {
                 self.running[n].remove(&task);
             }
-            Event::Report(p, n, sent) => {
+            Event::Report(p, n, sent, settled) => {
+                self.settled[n] = self.settled[n].max(settled.unwrap_or_default());
                 let picture = self.running[n].iter().map(|(id, (by, size))| (*id, *by, *size));
                 let picture = picture.collect();
                 let delay_us = self.random.below(self.report_lag_ms * 1_000) + 1;
@@ -290,11 +319,13 @@
             let held = self.processes[p].hold.held().any(|s| *s == shard(n));
             if held && !self.processes[p].asked[n] {
                 self.processes[p].asked[n] = true;
-                self.at(LATENCY_US, Event::Report(p, n, now));
+                let hold = &self.processes[p].hold;
+                let epoch = hold.epoch_of(&shard(n)).filter(|_| hold.settled(&worker(n), now));
+                self.at(LATENCY_US, Event::Report(p, n, now, epoch));
             }
         }
         let jitter_us = self.random.below(1_000);
-        self.at(STEP_US + jitter_us, Event::Step(p));
+        self.at(self.step_us + jitter_us, Event::Step(p));
     }
 
     fn append(&mut self, p: usize, record: v1::HoldingRecord) {
@@ -324,7 +355,7 @@
         } else {
             process.hold.log_failed(now);
         }
-        self.at(10_000, Event::Read(p, now));
+        self.at(self.step_us / 2, Event::Read(p, now));
     }
 
     fn heartbeats(&mut self, p: usize) {
@@ -362,15 +393,21 @@
             let size = fitting[self.random.below(fitting.len() as u64) as usize];
             self.number += 1;
             let task = self.number;
+            self.print(|| format!("{p} starts {size} on {n}, given {given}, {limit:?}"));
             let own = OwnTask { worker: n, size, sent: now, seen: false };
             self.processes[p].own.insert(task, own);
             let delay_us = self.processes[p].start_delay_ms * 1_000;
-            self.at(delay_us, Event::Start(task, p, n, size));
+            let sent = Sent { size, epoch: limit.epoch, recorded: limit.recorded };
+            self.at(delay_us, Event::Start(task, p, n, sent));
         }
     }
 
-    fn start(&mut self, task: u64, p: usize, n: usize, size: Resources) {
-        self.running[n].insert(task, (p, size));
+    fn start(&mut self, task: u64, p: usize, n: usize, sent: &Sent) {
+        if sent.recorded && sent.epoch < self.settled[n] {
+            let at = self.now_us / 1_000;
+            self.started_late.get_or_insert(format!("by {p} on worker {n} at {at} ms"));
+        }
+        self.running[n].insert(task, (p, sent.size));
         let sum = self.running[n].values().fold(Resources::ZERO, |sum, (_, s)| sum.plus(s));
         if !sum.fits(&self.has) && self.overcommitted.is_none() {
             let by: Vec<_> = self.running[n].values().map(|(by, _)| *by).collect();
@@ -467,3 +504,24 @@
         ..HoldOptions::default()
     }
 }
+
+impl World {
+    /// Has a process start from what another one has read.
+    pub fn copy_snapshot(&mut self, from: usize, to: usize) {
+        let source = &self.processes[from].hold;
+        let (snapshot, covers) = (source.snapshot(), source.next_offset());
+        let now = self.local(to);
+        self.processes[to].hold.restore(&snapshot, covers, now);
+    }
+
+    /// The state of the shards and the members, for messages of failed tests.
+    pub fn describe(&self) -> String {
+        let live = self.processes.iter().enumerate().filter(|(_, p)| p.alive);
+        let lines = live.map(|(n, p)| {
+            let limits: Vec<_> = (0..self.shards).map(|s| self.limit(n, s)).collect();
+            let (name, left) = (&p.name, p.hold.left());
+            format!("\n{n} {name} left {left}: {limits:?}\n  {:?}", p.hold.snapshot())
+        });
+        lines.collect()
+    }
+}
