Search room in blocks, preempt only as many as the wait calls for

Decision time: every search looked at each worker, each start searched all workers for one kept back, and each waiting request searched all tasks for victims. Preemption follows the expected wait instead of 20 ms of age, and leaves gangs alone.

--- a/lilacpass-decide/examples/replay/baseline.rs
+++ b/lilacpass-decide/examples/replay/baseline.rs
@@ -124,7 +124,7 @@
     }
 
     fn arrive(&mut self, work: usize, now_us: u64) {
-        self.stats.arrived(&self.works[work]);
+        self.stats.arrived(&self.works[work], self.setup);
         for _ in 0..self.works[work].tasks {
             let left_us = self.works[work].run_us;
             self.tasks.push(Task { work, left_us, worker: 0, run: 0, started_us: 0 });
@@ -271,7 +271,7 @@
         let first = self.tasks[task].left_us == self.works[work].run_us;
         let last = self.tasks[..=task].iter().rev().skip(1).take(1).all(|t| t.work != work);
         if first && (self.works[work].tasks == 1 || last) {
-            self.stats.started(&self.works[work], now_us);
+            self.stats.started(&self.works[work], now_us, self.setup);
         }
         let entry = &mut self.tasks[task];
         (entry.worker, entry.run, entry.started_us) = (worker, self.runs, now_us);
@@ -301,7 +301,7 @@
         let work = self.tasks[task].work;
         self.open[work] -= 1;
         if self.works[work].is_quick() {
-            self.stats.answered(&self.works[work], now_us, true);
+            self.stats.answered(&self.works[work], now_us, true, self.setup);
         } else if self.open[work] == 0 {
             self.stats.jobs_done += 1;
         }
--- a/lilacpass-decide/examples/replay/cell.rs
+++ b/lilacpass-decide/examples/replay/cell.rs
@@ -320,7 +320,7 @@
     }
 
     fn quick(&mut self, work: usize, now_us: u64) {
-        self.stats.arrived(&self.works[work]);
+        self.stats.arrived(&self.works[work], self.setup);
         let entry = self.rng.random_range(0..HOLDERS);
         self.budgets[entry].on_request();
         self.forward(work, entry, &[], 1, now_us);
@@ -370,7 +370,7 @@
                 Decision::Start { task, worker, .. } => {
                     let index = task.job.0 as usize;
                     let given = self.holders[holder].pool.task(&task).expect("given").1.need;
-                    self.stats.started(&self.works[index], now_us);
+                    self.stats.started(&self.works[index], now_us, self.setup);
                     self.run(task, index, holder, worker, given, now_us);
                 }
                 Decision::Refuse { task, .. } => {
@@ -461,7 +461,7 @@
             self.forward(work, holder, &[holder], attempt + 1, now_us);
             return;
         }
-        self.stats.answered(&self.works[work], now_us, !bad);
+        self.stats.answered(&self.works[work], now_us, !bad, self.setup);
     }
 
     fn job_ended(&mut self, index: usize, bad: bool, now_us: u64) {
@@ -635,7 +635,7 @@
         let job = self.jobs.get_mut(&index).expect("the job lives");
         if !job.started {
             job.started = true;
-            self.stats.started(&self.works[index], now_us);
+            self.stats.started(&self.works[index], now_us, self.setup);
         }
     }
 
--- a/lilacpass-decide/examples/replay/main.rs
+++ b/lilacpass-decide/examples/replay/main.rs
@@ -1,6 +1,6 @@
 //! Replays a mixed workload through the decision code, side by side with simpler policies.
 //!
-//! `replay [compare|guards|routes|slopes] [--seed N] [--seconds N]` prints tables in Markdown.
+//! `replay [compare|ours|guards|slopes] [--seed N] [--seconds N]` prints tables in Markdown.
 
 mod baseline;
 mod cell;
@@ -28,13 +28,14 @@
     };
     let setup = Setup {
         seed: option("--seed", 1),
-        load_percent: 80,
+        load_percent: option("--load", 80) as u32,
         seconds: option("--seconds", 300),
         workers: WORKERS,
         black_hole: false,
     };
     match args.first().map(String::as_str) {
         Some("compare") | None => compare(&setup),
+        Some("ours") => ours(&setup),
         Some("guards") => guards::run(&setup),
         Some("slopes") => slopes::run(),
         Some(other) => {
@@ -45,6 +46,15 @@
     ExitCode::SUCCESS
 }
 
+/// The decision code alone, for a quick look at a change.
+fn ours(setup: &Setup) {
+    println!("{}", Stats::header());
+    for load_percent in [50, 80, 95, 120] {
+        let setup = Setup { load_percent, ..setup.clone() };
+        println!("{}", cell::replay(&setup, &Knobs::default()).row("lilacpass", &setup));
+    }
+}
+
 fn compare(setup: &Setup) {
     println!("{}", Stats::header());
     for load_percent in LOADS_PERCENT {
--- a/lilacpass-decide/src/pool/hold.rs
+++ b/lilacpass-decide/src/pool/hold.rs
@@ -80,6 +80,7 @@
         }
         self.start_probe(number, task, now);
         self.put_in(task, number, need, meta, now);
+        self.tasks.get_mut(&task).expect("the task was just put in").gang = true;
         Some(self.name(number))
     }
 
--- a/lilacpass-decide/src/pool/place.rs
+++ b/lilacpass-decide/src/pool/place.rs
@@ -8,7 +8,11 @@
 };
 
 use crate::{
-    pool::{Pool, health::State, worker::Worker},
+    pool::{
+        Pool,
+        health::State,
+        index::{Entry, Gate},
+    },
     share,
     task::TaskMeta,
 };
@@ -37,37 +41,12 @@
 /// A kind of standing work on a rack.
 pub(super) type StandingKey = (ServiceId, KindId, u32);
 
-/// Whether a worker takes new work.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) enum Gate {
-    /// Nothing.
-    #[default]
-    Closed,
-    /// Anything that fits.
-    Open,
-    /// Only the task that it is kept for, until then.
-    Reserved(MonoTime),
-    /// A probe, from then on.
-    Probe(MonoTime),
-}
-
-/// What placing looks at for each worker, kept together so that a scan stays in the cache.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Hot {
-    pub(super) room: Resources,
-    pub(super) gate: Gate,
-    /// Evidence against the worker: 0 for none.
-    suspicion: u32,
-}
-
-impl Hot {
-    pub(super) fn is_open(&self) -> bool {
-        matches!(self.gate, Gate::Open | Gate::Reserved(_))
-    }
-
-    pub(super) fn open_room(&self) -> Resources {
-        if self.is_open() { self.room } else { Resources::ZERO }
-    }
+/// The worker that is kept for a task.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Kept {
+    task: TaskId,
+    worker: u32,
+    until: MonoTime,
 }
 
 impl Pool {
@@ -120,30 +99,35 @@
         until: MonoTime,
         now: MonoTime,
     ) -> Option<WorkerId> {
-        match self.workers.iter().find_map(|w| w.reserved) {
-            Some((other, kept_until)) if !kept_until.reached(now) && other != *task => return None,
-            Some((other, _)) => self.unreserve(&other),
+        match self.kept {
+            Some(kept) if !kept.until.reached(now) => return None,
+            Some(kept) => self.unreserve(&kept.task),
             None => {}
         }
-        let fits =
-            |&n: &usize| self.hot[n].gate == Gate::Open && need.fits(&self.workers[n].allowed());
-        let missing =
-            |&n: &usize| share::dominant_ppm(&need.minus(&self.hot[n].room), &self.capacity);
-        let best = (0..self.workers.len()).filter(fits).min_by_key(missing)?;
-        self.workers[best].reserved = Some((*task, until));
-        self.refresh(best as u32);
-        Some(self.name(best as u32))
+        let fits = |&n: &usize| {
+            self.index.get(n as u32).gate == Gate::Open && need.fits(&self.workers[n].allowed())
+        };
+        let missing = |&n: &usize| {
+            share::dominant_ppm(&need.minus(&self.index.get(n as u32).room), &self.capacity)
+        };
+        let best = (0..self.workers.len()).filter(fits).min_by_key(missing)? as u32;
+        self.kept = Some(Kept { task: *task, worker: best, until });
+        self.refresh(best);
+        Some(self.name(best))
     }
 
     /// Gives up what is kept for a task.
     pub fn unreserve(&mut self, task: &TaskId) {
-        let kept = |w: &Worker| w.reserved.is_some_and(|(t, _)| t == *task);
-        if let Some(number) = self.workers.iter().position(kept) {
-            self.workers[number].reserved = None;
-            self.refresh(number as u32);
+        if let Some(kept) = self.kept.filter(|kept| kept.task == *task) {
+            self.drop_kept(kept.worker);
+            self.refresh(kept.worker);
         }
     }
 
+    pub(super) fn drop_kept(&mut self, number: u32) {
+        self.kept = self.kept.filter(|kept| kept.worker != number);
+    }
+
     /// Finds the best worker for a task.
     ///
     /// A worker whose probe is due goes first for idempotent work: without work there is no
@@ -161,22 +145,16 @@
         if !self.could_fit(need) {
             return Err(NoPlace::NeverFits);
         }
-        let mut best: Option<((u32, u32, u64), u32)> = None;
-        for (number, hot) in self.hot.iter().enumerate() {
-            let number = number as u32;
-            if !need.fits(&hot.room)
-                || !self.gate_lets(number, meta, task, now)
-                || avoid.contains(&number)
-                || !self.workers[number as usize].has_connection()
-            {
-                continue;
-            }
-            let score = self.score(number, hot, need, meta);
-            if best.is_none_or(|(least, _)| score < least) {
-                best = Some((score, number));
-            }
-        }
-        let Some((_, number)) = best else { return Err(NoPlace::NoRoom) };
+        let best = self
+            .index
+            .fitting(need)
+            .filter(|(number, entry)| {
+                self.gate_lets(entry.gate, meta, task, now)
+                    && self.workers[*number as usize].has_connection()
+                    && !avoid.contains(number)
+            })
+            .min_by_key(|(number, entry)| (self.score(*number, entry, meta), *number));
+        let Some((number, _)) = best else { return Err(NoPlace::NoRoom) };
         if meta.class == Class::Batch && !self.leaves_reserve(need, now) {
             return Err(NoPlace::KeptForUrgent);
         }
@@ -192,53 +170,36 @@
         task: Option<&TaskId>,
         now: MonoTime,
     ) -> bool {
-        need.fits(&self.hot[number as usize].room)
-            && self.gate_lets(number, meta, task, now)
+        let entry = self.index.get(number);
+        need.fits(&entry.room)
+            && self.gate_lets(entry.gate, meta, task, now)
             && self.workers[number as usize].has_connection()
     }
 
-    fn gate_lets(
-        &self,
-        number: u32,
-        meta: &TaskMeta,
-        task: Option<&TaskId>,
-        now: MonoTime,
-    ) -> bool {
-        match self.hot[number as usize].gate {
+    fn gate_lets(&self, gate: Gate, meta: &TaskMeta, task: Option<&TaskId>, now: MonoTime) -> bool {
+        match gate {
             Gate::Closed => false,
             Gate::Open => true,
-            Gate::Reserved(until) => {
-                let kept_for = self.workers[number as usize].reserved.map(|(task, _)| task);
-                until.reached(now) || (task.is_some() && kept_for.as_ref() == task)
+            Gate::Kept(until) => {
+                let kept_for = self.kept.as_ref().map(|kept| &kept.task);
+                until.reached(now) || (task.is_some() && kept_for == task)
             }
             Gate::Probe(from) => from.reached(now) && meta.idempotent && !meta.standing,
         }
     }
 
-    /// The lesser goes first: copies of the same standing work on the rack, then evidence against
-    /// the worker, then the room that is left.
-    fn score(&self, number: u32, hot: &Hot, need: &Resources, meta: &TaskMeta) -> (u32, u32, u64) {
-        if matches!(hot.gate, Gate::Probe(_)) {
-            return (0, 0, 0);
-        }
+    /// The lesser goes first: a probe, copies of the same standing work on the rack, evidence
+    /// against the worker, the room on it.
+    fn score(&self, number: u32, entry: &Entry, meta: &TaskMeta) -> (bool, u32, u32, u32) {
+        let no_probe = !matches!(entry.gate, Gate::Probe(_));
         let copies = if meta.standing { self.copies_on_rack(number, meta) } else { 0 };
-        let left = hot.room.minus(need);
-        let capacity = &self.workers[number as usize].spec.capacity;
-        (copies, hot.suspicion, 1 + share::total_ppm(&left, capacity))
+        (no_probe, copies, entry.suspicion, entry.room_ppm)
     }
 
     /// Whether enough room for urgent work is left after `need` more is given.
     fn leaves_reserve(&mut self, need: &Resources, now: MonoTime) -> bool {
         let reserve = self.reserve_size(now);
-        if reserve.is_zero() {
-            return true;
-        }
-        let free = self
-            .hot
-            .iter()
-            .filter(|hot| hot.is_open())
-            .fold(Resources::ZERO, |sum, hot| sum.plus(&hot.room));
-        reserve.fits(&free.minus(need))
+        reserve.is_zero() || reserve.fits(&self.index.open_room().minus(need))
     }
 
     /// The room to keep free of batch work.
@@ -269,14 +230,17 @@
     /// Brings what placing looks at up to date with the worker.
     pub(super) fn refresh(&mut self, number: u32) {
         let worker = &self.workers[number as usize];
-        let gate = match (worker.is_open(), worker.health.state, worker.reserved) {
+        let kept = self.kept.filter(|kept| kept.worker == number);
+        let gate = match (worker.is_open(), worker.health.state, kept) {
             (false, ..) | (_, State::Probing { .. }, _) => Gate::Closed,
             (_, State::Quarantined { until, .. }, _) => Gate::Probe(until),
-            (_, State::Healthy, Some((_, until))) => Gate::Reserved(until),
+            (_, State::Healthy, Some(kept)) => Gate::Kept(kept.until),
             (_, State::Healthy, None) => Gate::Open,
         };
+        let room = worker.room();
         let suspicion = worker.health.failures_milli / 1_000;
-        self.hot[number as usize] = Hot { room: worker.room(), gate, suspicion };
+        let room_ppm = share::total_ppm(&room, &worker.spec.capacity) as u32;
+        self.index.set(number, Entry { room, gate, suspicion, room_ppm });
     }
 
     pub(super) fn count_standing(&mut self, number: u32, meta: &TaskMeta, more: bool) {
--- a/lilacpass-decide/src/pool/preempt.rs
+++ b/lilacpass-decide/src/pool/preempt.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    pool::Pool,
+    pool::{Pool, index::Gate},
     rules::Rules,
     task::{Given, TaskMeta},
 };
@@ -43,6 +43,9 @@
 /// The cost of a checkpoint and of the resumption, as lost run time.
 const CHECKPOINT_COST: Duration = Duration::from_secs(2);
 
+/// Workers on which tasks are compared; the search then ends, and the next one begins behind it.
+const MAX_CANDIDATES: usize = 64;
+
 /// A task that could make room, and what is lost by it.
 struct Victim {
     task: TaskId,
@@ -54,7 +57,7 @@
 impl Pool {
     /// Chooses the tasks that make room for one task that needs `need`, with the least work lost.
     ///
-    /// All are on one worker; empty where no choice of tasks helps. Only tasks of less urgent
+    /// All are on one worker, the best of a bounded number of workers; empty where no choice of tasks helps. Only tasks of less urgent
     /// classes are chosen. A non-idempotent task that can't be checkpointed is never chosen,
     /// unless the rules say so: stopped, it could not be started again. Chosen tasks count as
     /// given until the caller reports that they are gone, and are not chosen twice.
@@ -65,15 +68,22 @@
         rules: &Rules,
         now: MonoTime,
     ) -> Vec<Preempt> {
+        let count = self.workers.len();
         let usable = |&n: &usize| {
             let worker = &self.workers[n];
-            self.hot[n].is_open() && worker.reserved.is_none() && need.fits(&worker.allowed())
+            let has_victims = worker.running[meta.class as usize + 1..].iter().any(|&n| n > 0);
+            has_victims
+                && self.index.get(n as u32).gate == Gate::Open
+                && need.fits(&worker.allowed())
         };
-        let best = (0..self.workers.len())
+        let best = (0..count)
+            .map(|n| (n + self.preempt_from) % count)
             .filter(usable)
-            .filter_map(|n| self.victims_on(n, need, meta, rules, now))
-            .min_by_key(|victims| victims.iter().map(|v| v.lost).sum::<Duration>());
-        let victims = best.unwrap_or_default();
+            .filter_map(|n| Some((n, self.victims_on(n, need, meta, rules, now)?)))
+            .take(MAX_CANDIDATES)
+            .min_by_key(|(_, victims)| victims.iter().map(|v| v.lost).sum::<Duration>());
+        let Some((number, victims)) = best else { return Vec::new() };
+        self.preempt_from = number + 1;
         victims.into_iter().map(|victim| self.mark(&victim)).collect()
     }
 
@@ -86,7 +96,7 @@
         rules: &Rules,
         now: MonoTime,
     ) -> Option<Vec<Victim>> {
-        let mut missing = need.minus(&self.hot[number].room);
+        let mut missing = need.minus(&self.index.get(number as u32).room);
         if missing.is_zero() {
             return None;
         }
@@ -94,7 +104,8 @@
             .tasks
             .iter()
             .filter_map(|task| Some((task, self.tasks.get(task)?)))
-            .filter(|(_, given)| given.meta.class > meta.class && !given.preempted)
+            .filter(|(_, given)| given.meta.class > meta.class)
+            .filter(|(_, given)| !given.preempted && !given.gang)
             .filter_map(|(task, given)| victim(*task, given, &missing, rules, now))
             .collect();
         candidates.sort_by_key(|v| (v.lost, v.task));
@@ -116,6 +127,7 @@
     fn mark(&mut self, victim: &Victim) -> Preempt {
         let given = self.tasks.get_mut(&victim.task).expect("a victim is a task that is given");
         given.preempted = true;
+        self.preempting += 1;
         let worker = given.worker;
         Preempt {
             task: victim.task,
--- a/lilacpass-decide/src/pool/worker.rs
+++ b/lilacpass-decide/src/pool/worker.rs
@@ -1,7 +1,7 @@
 //! One worker of a pool: what it has, what is given and held on it, and what is known of it.
 
 use lilacpass_core::{
-    MonoTime, Resources,
+    Class, Resources,
     ids::{DataCentreId, RackId, TaskId, WorkerId},
 };
 
@@ -39,8 +39,8 @@
     pub(crate) tasks: Vec<TaskId>,
     pub(crate) rack: u32,
     pub(crate) health: Health,
-    /// Kept for this task until then: a large task that smaller ones would otherwise starve.
-    pub(crate) reserved: Option<(TaskId, MonoTime)>,
+    /// Tasks that are given, per class.
+    pub(crate) running: [u32; Class::ALL.len()],
 }
 
 impl Worker {
@@ -56,7 +56,7 @@
             tasks: Vec::new(),
             rack,
             health: Health::default(),
-            reserved: None,
+            running: [0; Class::ALL.len()],
         }
     }
 
--- a/lilacpass-decide/src/route.rs
+++ b/lilacpass-decide/src/route.rs
@@ -60,5 +60,9 @@
 /// the request takes.
 fn cost(digest: &HolderDigest, need: &Resources) -> (Duration, u64) {
     let distance = if digest.same_data_centre { Duration::ZERO } else { REMOTE_COST };
-    (digest.wait + distance, share::dominant_ppm(need, &digest.free))
+    let part = match need.fits(&digest.free) {
+        true => share::dominant_ppm(need, &digest.free),
+        false => u64::MAX,
+    };
+    (digest.wait + distance, part)
 }
--- a/lilacpass-decide/src/sched/admit.rs
+++ b/lilacpass-decide/src/sched/admit.rs
@@ -186,10 +186,12 @@
         let class = meta.class as usize;
         let priority = self.shares.priority(&meta.team, meta.account.as_ref());
         self.lines[class].push(&meta.team, priority, (number, task));
-        self.work[class] += expected;
+        let learned = self.pool.learned.mean_run_time(&meta.service, &meta.kind);
+        let mean_run = learned.unwrap_or(expected);
+        self.work[class] += mean_run;
         let latest_start = (deadline - expected).max(now);
         self.by_latest_start.push(Reverse((latest_start, number, task)));
-        let waiting = Waiting { number, need, meta, since: now, expected, has_preempted: false };
+        let waiting = Waiting { number, need, meta, since: now, mean_run, has_preempted: false };
         self.waiting.insert(task, waiting);
     }
 
--- a/lilacpass-decide/src/sched/mod.rs
+++ b/lilacpass-decide/src/sched/mod.rs
@@ -39,8 +39,8 @@
     /// The quantile of the run time that a start must leave time for, in thousandths; 900 by
     /// default.
     pub run_quantile_permille: u32,
-    /// How long an urgent request waits before it preempts others; 20 ms by default.
-    pub preempt_after: Duration,
+    /// The wait of urgent requests from which on others must make room; 50 ms by default.
+    pub preempt_wait: Duration,
     /// How long a request that finds no room is overtaken by smaller ones before a worker is
     /// kept for it; 1 s by default.
     pub reserve_after: Duration,
@@ -54,7 +54,7 @@
             max_queued_per_team: 5_000,
             default_run: Duration::from_millis(100),
             run_quantile_permille: 900,
-            preempt_after: Duration::from_millis(20),
+            preempt_wait: Duration::from_millis(50),
             reserve_after: Duration::from_secs(1),
         }
     }
@@ -118,8 +118,8 @@
     need: Resources,
     meta: TaskMeta,
     since: MonoTime,
-    /// The run time that it is expected to take.
-    expected: Duration,
+    /// The mean run time of its kind.
+    mean_run: Duration,
     /// Whether it has asked others to make room.
     has_preempted: bool,
 }
@@ -137,7 +137,7 @@
     rates: Map<TeamId, RateLimit>,
     waiting: Map<TaskId, Waiting>,
     lines: [Lines; Class::ALL.len()],
-    /// Sum of the expected run times that wait, per class.
+    /// Sum of the mean run times that wait, per class.
     work: [Duration; Class::ALL.len()],
     by_latest_start: BinaryHeap<Reverse<(MonoTime, u64, TaskId)>>,
     /// Decisions made outside of a dispatch, for the next one to report.
@@ -220,16 +220,12 @@
     /// When `dispatch` has something to do even if nothing else happens.
     pub fn next_wake(&self, now: MonoTime) -> Option<MonoTime> {
         let deadline = self.by_latest_start.peek().map(|Reverse((at, ..))| *at);
-        let preempt = self
-            .oldest(Class::Urgent, now)
-            .map(|waited| now + self.options.preempt_after.saturating_sub(waited))
-            .filter(|at| *at > now);
         let probe = match self.waiting.is_empty() {
             true => None,
             false => self.pool.next_probe().filter(|at| *at > now),
         };
         let pending = (!self.pending.is_empty()).then_some(now);
-        [deadline, preempt, probe, pending, self.pool.next_expiry()].into_iter().flatten().min()
+        [deadline, probe, pending, self.pool.next_expiry()].into_iter().flatten().min()
     }
 
     fn is_waiting(&self, number: u64, task: &TaskId) -> bool {
@@ -240,7 +236,7 @@
     fn take(&mut self, task: &TaskId) -> Option<Waiting> {
         let request = self.waiting.remove(task)?;
         let class = request.meta.class as usize;
-        self.work[class] = self.work[class].saturating_sub(request.expected);
+        self.work[class] = self.work[class].saturating_sub(request.mean_run);
         let waiting = &self.waiting;
         self.lines[class].left(&request.meta.team, |(number, task)| {
             waiting.get(task).is_some_and(|w| w.number == *number)
--- a/lilacpass-decide/src/task.rs
+++ b/lilacpass-decide/src/task.rs
@@ -75,6 +75,9 @@
     pub since: MonoTime,
     /// Whether it was chosen to be preempted and has not left yet.
     pub preempted: bool,
+    /// Whether it is one of several tasks that run together; none of them is preempted, as the
+    /// others would be stopped with it.
+    pub gang: bool,
     /// The internal number of its worker.
     pub(crate) worker: u32,
 }
