--- a/lilacpass-records/tests/common/stream.rs
+++ b/lilacpass-records/tests/common/stream.rs
@@ -72,15 +72,18 @@
     pub fn read(&mut self, stream: &Stream) -> (bool, Option<positions::Lost>) {
         let slots = stream.slots(self.follower.next());
         let jobs = &mut self.jobs;
+        let mut covered = Offset(0);
         let restore = |covers, parts: &[&v1::Snapshot]| match restored(covers, parts) {
             Some(state) => {
                 *jobs = state;
+                covered = covers;
                 true
             }
             None => false,
         };
         let outcome = self.follower.read(slots, stream.tail(), Offset(stream.oldest), restore);
         for (offset, record) in outcome.fold {
+            assert!(offset >= covered, "a record that the snapshot covers is folded again");
             match &record.body {
                 Some(Body::Job(job)) => {
                     self.jobs.fold(offset, &record.record_id, job, NOW);
--- a/lilacpass-records/tests/jobs.rs
+++ b/lilacpass-records/tests/jobs.rs
@@ -243,5 +243,7 @@
     assert_eq!(other.fold(log.next, "x", &record, MonoTime(0)), Folded::Duplicate);
     assert_eq!((log.jobs.fold_snapshot(&part), other.fold_snapshot(&part)), (1, 1));
     assert_eq!(other.fold(log.next, "y", &record, MonoTime(0)), Folded::Accepted(JOB));
-    assert_eq!(other.fold_snapshot(&part), 0, "the new job is not the one forgotten");
+    let end = common::record(JOB, cancelled());
+    assert_eq!(other.fold(log.next.next(), "z", &end, MonoTime(0)), Folded::Cancelled(JOB));
+    assert_eq!(other.fold_snapshot(&part), 0, "the new job is not the one to forget");
 }
--- a/lilacpass-records/tests/snapshots.rs
+++ b/lilacpass-records/tests/snapshots.rs
@@ -34,8 +34,11 @@
     let mut stream = Stream::with_jobs(4);
     let mut writer = Member::new();
     writer.read(&stream);
-    let (torn, whole) = (writer.snapshot("s1"), writer.snapshot("s2"));
+    let torn = writer.snapshot("s1");
     let unfinished = torn.len() - 1;
+    stream.job(4);
+    writer.read(&stream);
+    let whole = writer.snapshot("s2");
     for (at, part) in whole.into_iter().enumerate() {
         if at < unfinished {
             stream.push(torn[at].clone());
@@ -46,7 +49,7 @@
     stream.oldest = 1;
     let mut late = Member::new();
     assert!(late.read(&stream).0);
-    assert_eq!((ids(&late), late.jobs.waiting_len()), (ids(&writer), 4));
+    assert_eq!((ids(&late), late.jobs.waiting_len()), (ids(&writer), 5));
 }
 
 /// A record of the snapshot does not decode, another snapshot contradicts itself and a third one
