Show at once how a job stands, then wait for news

A wait held its first call for ten seconds before it said anything, and called a question without an answer one that may have run. The first look now holds no call, progress shows each change of state and a sign of life once a minute, and a lost answer to a question is called no more than that. Tried against two lilacpassd of which one was killed with -9 while a job was followed: the wait went on to the other one and ended with the result.

--- a/lilacpass-cli/src/api/client.rs
+++ b/lilacpass-cli/src/api/client.rs
@@ -79,7 +79,7 @@
     /// Looks at `path` with a timeout of its own, for calls that wait for news.
     pub async fn get_within(&mut self, path: &str, timeout: Duration) -> Result<Value> {
         let call = Call { timeout, ..self.call(Method::GET, path) };
-        self.send(&call, Repeat::Safe, None).await.map_err(harmless)
+        self.send(&call, Repeat::Safe, None).await
     }
 
     /// Deletes `path`; doing so twice does no harm.
@@ -148,7 +148,8 @@
                     self.first = at;
                     return Ok(value);
                 }
-                Err(err) => settle(err, in_doubt),
+                Err(err) if has_effect => settle(err, in_doubt),
+                Err(err) => harmless(err),
             };
             if !may_go_on(&last, repeat) {
                 break;
@@ -179,7 +180,7 @@
 /// Whether a call that ended with `err` may be sent to the next server.
 fn may_go_on(err: &Error, repeat: Repeat) -> bool {
     match err {
-        Error::Unreachable(_) => true,
+        Error::Unreachable(_) | Error::NoAnswer(_) => true,
         Error::Unsettled(_) => repeat == Repeat::Safe,
         Error::Problem(problem) => {
             let wrong_server = [TOO_MANY_REQUESTS, BAD_GATEWAY, SERVICE_UNAVAILABLE].map(u32::from);
--- a/lilacpass-cli/src/commands/wait.rs
+++ b/lilacpass-cli/src/commands/wait.rs
@@ -20,6 +20,8 @@
 const LONGEST_CALL: Duration = Duration::from_secs(10);
 /// Time that the answer may take beyond that, before the server counts as lost.
 const ANSWER_MARGIN: Duration = Duration::from_secs(5);
+/// Time after which progress is shown although nothing has changed.
+const SIGN_OF_LIFE: Duration = Duration::from_secs(60);
 /// Pause after all servers failed.
 const PAUSE: Duration = Duration::from_secs(1);
 
@@ -27,18 +29,21 @@
 pub async fn run(tool: &mut Tool, args: &WaitArgs) -> Result<Report> {
     let started = Instant::now();
     let patience = tool.client.timeout();
-    let mut watch = Watch { args, last_seen: started, known: false, shown: String::new() };
+    let mut watch =
+        Watch { args, last_seen: started, known: false, shown: String::new(), shown_at: started };
     loop {
         let left = time_left(args.limit, started.elapsed());
         let asked = Instant::now();
-        match ask(tool, args, left).await {
+        // The first look holds no call, so that a person sees at once how things stand.
+        let hold = if watch.known { left } else { Duration::ZERO };
+        match ask(tool, args, hold).await {
             Ok((job, answer)) => {
                 watch.seen(&job, started.elapsed());
                 if jobs::has_ended(&job) || left.is_zero() {
                     return Ok(ended(&job, answer));
                 }
                 // A server that answers at once, instead of holding the call, is not asked in a loop.
-                if asked.elapsed() < PAUSE {
+                if !hold.is_zero() && asked.elapsed() < PAUSE {
                     time::sleep(PAUSE.min(left)).await;
                 }
             }
@@ -60,8 +65,9 @@
     last_seen: Instant,
     /// Whether any server has shown the job.
     known: bool,
-    /// The last line of progress.
+    /// The last line of progress, and when it was shown.
     shown: String,
+    shown_at: Instant,
 }
 
 impl Watch<'_> {
@@ -72,10 +78,13 @@
         let reason =
             if job.reason.is_empty() { String::new() } else { format!(": {}", job.reason) };
         let line = format!("{}{reason}", job.state);
-        if !self.args.quiet && !jobs::has_ended(job) && line != self.shown {
-            eprintln!("lilacpass: after {}: {line}", units::show_ms(units::ms(waited)));
+        let is_news = line != self.shown || self.shown_at.elapsed() >= SIGN_OF_LIFE;
+        if !is_news || self.args.quiet || jobs::has_ended(job) {
+            return;
         }
+        eprintln!("lilacpass: after {}: {line}", units::show_ms(units::ms(waited)));
         self.shown = line;
+        self.shown_at = Instant::now();
     }
 
     /// Shows that no server answers.
@@ -104,9 +113,9 @@
     }
 }
 
-/// Asks for the job once, holding the call for news.
-async fn ask(tool: &mut Tool, args: &WaitArgs, left: Duration) -> Result<(v1::JobView, Value)> {
-    let hold = LONGEST_CALL.min(left);
+/// Asks for the job once, holding the call for news as long as `hold`.
+async fn ask(tool: &mut Tool, args: &WaitArgs, hold: Duration) -> Result<(v1::JobView, Value)> {
+    let hold = LONGEST_CALL.min(hold);
     let path = path::wait(args.job, units::ms(hold));
     let answer = tool.client.get_within(&path, hold + ANSWER_MARGIN).await?;
     Ok((report::decode(&answer)?, answer))
