--- a/lilacpass-decide/src/pool/preempt.rs
+++ b/lilacpass-decide/src/pool/preempt.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use lilacpass_core::{
-    MonoTime, Resources,
+    Class, MonoTime, Resources,
     ids::{TaskId, WorkerId},
 };
 
@@ -43,6 +43,9 @@
 /// The cost of a checkpoint and of the resumption, as lost run time.
 const CHECKPOINT_COST: Duration = Duration::from_secs(2);
 
+/// Run time from which on a task is too dear to be stopped.
+const MAX_STOP_LOSS: Duration = Duration::from_secs(2);
+
 /// Workers on which tasks are compared; the search then ends, and the next one begins behind it.
 const MAX_CANDIDATES: usize = 64;
 
@@ -57,8 +60,8 @@
 impl Pool {
     /// Chooses the tasks that make room for one task that needs `need`, with the least work lost.
     ///
-    /// All are on one worker, the best of a bounded number of workers; empty where no choice of tasks helps. Only tasks of less urgent
-    /// classes are chosen. A non-idempotent task that can't be checkpointed is never chosen,
+    /// All are on one worker, the best of a bounded number of workers; empty where no choice of tasks helps. Only batch tasks make
+    /// room, and not for each other. A non-idempotent task that can't be checkpointed is never chosen,
     /// unless the rules say so: stopped, it could not be started again. Chosen tasks count as
     /// given until the caller reports that they are gone, and are not chosen twice.
     pub fn preempt_for(
@@ -68,11 +71,13 @@
         rules: &Rules,
         now: MonoTime,
     ) -> Vec<Preempt> {
+        if meta.class == Class::Batch {
+            return Vec::new();
+        }
         let count = self.workers.len();
         let usable = |&n: &usize| {
             let worker = &self.workers[n];
-            let has_victims = worker.running[meta.class as usize + 1..].iter().any(|&n| n > 0);
-            has_victims
+            worker.running[Class::Batch as usize] > 0
                 && self.index.get(n as u32).gate == Gate::Open
                 && need.fits(&worker.allowed())
         };
@@ -104,7 +109,7 @@
             .tasks
             .iter()
             .filter_map(|task| Some((task, self.tasks.get(task)?)))
-            .filter(|(_, given)| given.meta.class > meta.class)
+            .filter(|(_, given)| given.meta.class == Class::Batch)
             .filter(|(_, given)| !given.preempted && !given.gang)
             .filter_map(|(task, given)| victim(*task, given, &missing, rules, now))
             .collect();
@@ -164,7 +169,7 @@
         (How::Throttle, Duration::ZERO)
     } else if given.meta.checkpointable {
         (How::Checkpoint, cores(CHECKPOINT_COST))
-    } else if given.meta.idempotent || rules.preempt_non_idempotent {
+    } else if ran <= MAX_STOP_LOSS && (given.meta.idempotent || rules.preempt_non_idempotent) {
         (How::Stop, cores(ran))
     } else {
         return None;
