--- a/lilacpass-records/examples/size.rs
+++ b/lilacpass-records/examples/size.rs
@@ -101,10 +101,19 @@
     println!("fold_us_per_record={fold_us:.2} records={}", run.next);
 
     let began = Instant::now();
-    let parts = run.jobs.snapshot(PART_BYTES);
-    let snapshot_ms = began.elapsed().as_millis();
+    let mut frozen = run.jobs.freeze(PART_BYTES);
+    let freeze_us = began.elapsed().as_micros();
+    let mut parts = Vec::new();
+    let mut longest_part_us = 0;
+    loop {
+        let began = Instant::now();
+        let Some(part) = frozen.next() else { break };
+        longest_part_us = longest_part_us.max(began.elapsed().as_micros());
+        parts.push(part);
+    }
     let bytes: usize = parts.iter().map(Message::encoded_len).sum();
-    println!("snapshot_parts={} snapshot_bytes={bytes} snapshot_ms={snapshot_ms}", parts.len());
+    println!("snapshot_parts={} snapshot_bytes={bytes}", parts.len());
+    println!("freeze_us={freeze_us} longest_part_us={longest_part_us}");
 
     let began = Instant::now();
     let restored = Jobs::restore(JobsOptions::default(), &parts, run.next, MonoTime(0));
--- a/lilacpass-records/src/jobs.rs
+++ b/lilacpass-records/src/jobs.rs
@@ -16,9 +16,10 @@
 mod seen;
 pub mod settle;
 mod snapshot;
+mod specs;
 mod validate;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use lilacpass_core::{
     MonoTime, Resources,
@@ -29,7 +30,7 @@
 
 pub use attempt::{Attempt, Ended};
 pub use job::{Job, State};
-pub use snapshot::RestoreError;
+pub use snapshot::{Frozen, RestoreError};
 
 /// What every member must have set alike, for they fold alike only then, and how long ended jobs
 /// are kept.
@@ -152,9 +153,11 @@
 #[derive(Clone, Debug)]
 pub struct Jobs {
     options: JobsOptions,
-    jobs: BTreeMap<JobId, Box<Job>>,
+    /// Shared with snapshots that are being written; a job that is changed meanwhile is copied.
+    jobs: BTreeMap<JobId, Arc<Job>>,
     index: index::Index,
     seen: seen::SeenIds,
+    specs: specs::Specs,
 }
 
 impl Jobs {
@@ -165,6 +168,7 @@
             jobs: BTreeMap::new(),
             index: index::Index::default(),
             seen: seen::SeenIds::default(),
+            specs: specs::Specs::default(),
         }
     }
 
@@ -240,7 +244,9 @@
             if rank >= surplus && now.since(job.since()) < keep_ended {
                 return rank;
             }
-            job.mark_expired();
+            if !job.expired {
+                Arc::make_mut(job).expired = true;
+            }
         }
         self.index.ended_len()
     }
--- a/lilacpass-records/src/jobs/fold.rs
+++ b/lilacpass-records/src/jobs/fold.rs
@@ -1,5 +1,7 @@
 //! The fold itself: one record after the other.
 
+use std::sync::Arc;
+
 use lilacpass_core::{
     MonoTime,
     ids::{AttemptNo, Epoch, Incarnation, JobId, Offset, TaskId, WorkerId},
@@ -62,7 +64,9 @@
         let job = Job {
             id,
             team,
-            accepted: accepted.clone(),
+            spec: accepted.spec.clone().map(Arc::new),
+            body_digest: accepted.body_digest.as_str().into(),
+            entry: accepted.entry.as_str().into(),
             accepted_offset: at.offset,
             state: State::Waiting { next_attempt: AttemptNo(1) },
             cancelled: None,
@@ -114,7 +118,9 @@
             State::Ended(_) => return Err(VoidReason::Ended),
         };
         self.index.remove_task(job, task, &worker);
-        let State::Active(attempt) = &mut job.state else { return Err(VoidReason::WrongAttempt) };
+        let State::Active(attempt) = &mut Arc::make_mut(job).state else {
+            return Err(VoidReason::WrongAttempt);
+        };
         attempt.ends[end.index as usize] = Some(Box::new(end.clone()));
         if !attempt.is_over() {
             return Ok(Folded::TaskEnded { task, then: AfterTask::Running });
@@ -185,16 +191,23 @@
     }
 
     /// Takes in a job that is not there.
-    pub(super) fn insert(&mut self, job: Job) {
+    pub(super) fn insert(&mut self, mut job: Job) {
+        if job.ended().is_some() {
+            self.specs.share(&mut job.spec);
+        }
         self.index.add(&job);
-        self.jobs.insert(job.id, Box::new(job));
+        self.jobs.insert(job.id, Arc::new(job));
     }
 
     /// Changes a job and keeps the index in step.
     fn change(&mut self, id: JobId, change: impl FnOnce(&mut Job)) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         self.index.remove(job);
+        let job = Arc::make_mut(job);
         change(job);
+        if job.ended().is_some() {
+            self.specs.share(&mut job.spec);
+        }
         self.index.add(job);
     }
 }
--- a/lilacpass-records/src/jobs/job.rs
+++ b/lilacpass-records/src/jobs/job.rs
@@ -1,6 +1,6 @@
 //! One job: its state, and how it moves on.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use lilacpass_core::{
     MonoTime, Resources, Verdict,
@@ -39,7 +39,10 @@
 pub struct Job {
     pub(super) id: JobId,
     pub(super) team: TeamId,
-    pub(super) accepted: v1::JobAccepted,
+    /// Nothing in a stub.
+    pub(super) spec: Option<Arc<v1::JobSpec>>,
+    pub(super) body_digest: Box<str>,
+    pub(super) entry: Arc<str>,
     pub(super) accepted_offset: Offset,
     pub(super) state: State,
     /// Who asked for its cancellation.
@@ -64,20 +67,21 @@
         &self.team
     }
 
-    /// What is to be run. The payload is dropped once the job has ended.
+    /// What is to be run. The payload is dropped once the job has ended, and
+    /// ended jobs whose specs are alike share one.
     pub fn spec(&self) -> &v1::JobSpec {
         static NONE: v1::JobSpec = EMPTY_SPEC;
-        self.accepted.spec.as_ref().unwrap_or(&NONE)
+        self.spec.as_deref().unwrap_or(&NONE)
     }
 
     /// Digest of the request body.
     pub fn body_digest(&self) -> &str {
-        &self.accepted.body_digest
+        &self.body_digest
     }
 
     /// The entry instance that accepted it.
     pub fn entry(&self) -> &str {
-        &self.accepted.entry
+        &self.entry
     }
 
     /// Offset of the record that accepted it; its age among jobs.
@@ -184,11 +188,7 @@
 
     /// Whether only its end is known any more.
     pub(super) fn is_stub(&self) -> bool {
-        self.accepted.spec.is_none()
-    }
-
-    pub(super) fn mark_expired(&mut self) {
-        self.expired = true;
+        self.spec.is_none()
     }
 
     pub(super) fn begin(&mut self, attempt: Attempt, now: MonoTime) {
@@ -197,9 +197,6 @@
     }
 
     pub(super) fn end(&mut self, ended: Ended, now: MonoTime) {
-        if let Some(spec) = &mut self.accepted.spec {
-            spec.payload = String::new();
-        }
         self.checkpoints = Vec::new();
         self.state = State::Ended(Box::new(ended));
         self.since = now;
--- a/lilacpass-records/src/jobs/snapshot.rs
+++ b/lilacpass-records/src/jobs/snapshot.rs
@@ -1,5 +1,7 @@
 //! Jobs as snapshot parts, and back.
 
+use std::{iter::Peekable, sync::Arc, vec};
+
 use lilacpass_core::{
     MonoTime, Verdict,
     ids::{AttemptNo, Incarnation, JobId, Offset, TeamId},
@@ -38,21 +40,18 @@
     /// Jobs that [`Jobs::expire`] has marked are written in short form, to be forgotten by
     /// whoever folds the part.
     pub fn snapshot(&self, max_part_bytes: usize) -> Vec<v1::JobsSnapshot> {
+        self.freeze(max_part_bytes).collect()
+    }
+
+    /// The present state, to be written part by part as [`Jobs::snapshot`] does. It stays as it
+    /// is while more records are folded, and may go to another thread.
+    pub fn freeze(&self, max_part_bytes: usize) -> Frozen {
         let budget = max_part_bytes.saturating_sub(PART_OVERHEAD_BYTES);
-        let mut part = v1::JobsSnapshot { seen_ids: self.seen.to_bytes(), jobs: Vec::new() };
-        let mut part_bytes = part.encoded_len();
-        let mut parts = Vec::new();
-        for job in self.jobs.values().map(|job| to_message(job)) {
-            let bytes = job.encoded_len() + JOB_OVERHEAD_BYTES;
-            if part_bytes + bytes > budget && part_bytes > 0 {
-                parts.push(std::mem::take(&mut part));
-                part_bytes = 0;
-            }
-            part_bytes += bytes;
-            part.jobs.push(job);
+        Frozen {
+            budget,
+            seen_ids: Some(self.seen.to_bytes()),
+            jobs: self.jobs.values().cloned().collect::<Vec<_>>().into_iter().peekable(),
         }
-        parts.push(part);
-        parts
     }
 
     /// The state that a snapshot was taken of: all records before `covers` are folded. Parts are
@@ -79,13 +78,51 @@
     }
 }
 
+/// A state that is being written as a snapshot: an iterator over its parts.
+#[derive(Clone, Debug)]
+pub struct Frozen {
+    /// Most bytes of a part.
+    budget: usize,
+    /// Digests of the record ids, until the first part has them.
+    seen_ids: Option<Vec<u8>>,
+    jobs: Peekable<vec::IntoIter<Arc<Job>>>,
+}
+
+impl Iterator for Frozen {
+    type Item = v1::JobsSnapshot;
+
+    fn next(&mut self) -> Option<v1::JobsSnapshot> {
+        let seen_ids = self.seen_ids.take();
+        if seen_ids.is_none() && self.jobs.peek().is_none() {
+            return None;
+        }
+        let mut part =
+            v1::JobsSnapshot { seen_ids: seen_ids.unwrap_or_default(), jobs: Vec::new() };
+        let mut bytes = part.encoded_len();
+        while let Some(job) = self.jobs.peek() {
+            let message = to_message(job);
+            bytes += message.encoded_len() + JOB_OVERHEAD_BYTES;
+            if bytes > self.budget && part != v1::JobsSnapshot::default() {
+                break;
+            }
+            part.jobs.push(message);
+            self.jobs.next();
+        }
+        Some(part)
+    }
+}
+
 fn to_message(job: &Job) -> v1::SnapshotJob {
     if job.expired {
         return to_stub(job);
     }
     let mut message = v1::SnapshotJob {
         job_id: job.id.to_string(),
-        accepted: Some(job.accepted.clone()),
+        accepted: Some(v1::JobAccepted {
+            spec: job.spec.as_deref().cloned(),
+            body_digest: job.body_digest.to_string(),
+            entry: job.entry.to_string(),
+        }),
         cancelled: job.cancelled.clone().map(|actor| v1::JobCancelled { actor }),
         accepted_offset: job.accepted_offset.0,
         failures: job.failures,
@@ -120,7 +157,7 @@
     v1::SnapshotJob {
         job_id: job.id.to_string(),
         accepted: Some(v1::JobAccepted {
-            body_digest: job.accepted.body_digest.clone(),
+            body_digest: job.body_digest.to_string(),
             ..Default::default()
         }),
         ended: job.ended().map(to_ended),
@@ -172,7 +209,9 @@
     Ok(Job {
         id,
         team,
-        accepted,
+        spec: accepted.spec.map(Arc::new),
+        body_digest: accepted.body_digest.into(),
+        entry: accepted.entry.into(),
         accepted_offset: Offset(message.accepted_offset),
         state,
         cancelled: message.cancelled.clone().map(|cancelled| cancelled.actor),
--- a/lilacpass-records/tests/jobs.rs
+++ b/lilacpass-records/tests/jobs.rs
@@ -247,3 +247,16 @@
     assert_eq!(other.fold(log.next.next(), "z", &end, MonoTime(0)), Folded::Cancelled(JOB));
     assert_eq!(other.fold_snapshot(&part), 0, "the new job is not the one to forget");
 }
+
+/// A snapshot is written part by part while jobs go on. Were a later change to get into it, a
+/// member that restores it would fold that change twice.
+#[test]
+fn a_frozen_state_stays_as_it_was() {
+    let mut log = log_with(spec());
+    let before = log.jobs.snapshot(1);
+    let frozen = log.jobs.freeze(1);
+    log.append(JOB, attempt(1, 1, "e1", 1));
+    log.append(JobId(8), accepted(spec(), "d"));
+    assert_eq!(frozen.collect::<Vec<_>>(), before);
+    assert_ne!(log.jobs.snapshot(1), before);
+}
