--- a/lilacpass-config/src/document.rs
+++ b/lilacpass-config/src/document.rs
@@ -1,5 +1,7 @@
 //! A TOML text with the place of each value, checked against a shape.
 
+use std::iter;
+
 use serde::de::DeserializeOwned;
 use toml::{
     Spanned,
@@ -21,7 +23,7 @@
 impl<'a> Document<'a> {
     /// Parses `text`, of which nothing but the syntax is checked.
     pub(crate) fn parse(text: &'a str) -> Result<Self, Vec<Problem>> {
-        let lines = Lines { text };
+        let lines = Lines::new(text);
         match DeTable::parse(text) {
             Ok(root) => Ok(Self { lines, root }),
             Err(err) => Err(vec![lines.syntax_problem(&err)]),
@@ -30,7 +32,7 @@
 
     /// Unknown keys and wrong types.
     pub(crate) fn verify(&self, members: &[Member]) -> Vec<Problem> {
-        let mut verifier = Verifier { lines: self.lines, problems: Vec::new() };
+        let mut verifier = Verifier { lines: &self.lines, problems: Vec::new() };
         verifier.table("", self.root.get_ref(), members);
         verifier.problems
     }
@@ -69,21 +71,26 @@
 }
 
 /// Finds lines and columns in a text.
-#[derive(Clone, Copy)]
 struct Lines<'a> {
     text: &'a str,
+    /// Offset of the first byte of each line.
+    starts: Vec<usize>,
 }
 
-impl Lines<'_> {
+impl<'a> Lines<'a> {
+    fn new(text: &'a str) -> Self {
+        let newlines = text.match_indices('\n').map(|(offset, _)| offset + 1);
+        Self { text, starts: iter::once(0).chain(newlines).collect() }
+    }
+
     /// Line and column of a byte offset, both from 1.
-    fn place(self, offset: usize) -> (usize, usize) {
-        let before = self.text.get(..offset).unwrap_or(self.text);
-        let line_start = before.rfind('\n').map_or(0, |newline| newline + 1);
-        let line = before.matches('\n').count() + 1;
-        (line, before[line_start..].chars().count() + 1)
+    fn place(&self, offset: usize) -> (usize, usize) {
+        let line = self.starts.partition_point(|start| *start <= offset);
+        let before = self.text.get(self.starts[line - 1]..offset).unwrap_or_default();
+        (line, before.chars().count() + 1)
     }
 
-    fn syntax_problem(self, err: &Error) -> Problem {
+    fn syntax_problem(&self, err: &Error) -> Problem {
         let place = self.place(err.span().map_or(0, |span| span.start));
         // The library's message may cite the text; only its first line is short.
         Problem::new("", err.message().lines().next().unwrap_or("not valid TOML")).at(place)
@@ -92,7 +99,7 @@
 
 /// Walks a text and its shape side by side.
 struct Verifier<'a> {
-    lines: Lines<'a>,
+    lines: &'a Lines<'a>,
     problems: Vec<Problem>,
 }
 
--- a/lilacpass-config/tests/settings.rs
+++ b/lilacpass-config/tests/settings.rs
@@ -133,7 +133,8 @@
 
 #[test]
 fn what_is_required_is_asked_for_in_one_go() {
-    let shown = refused_text("");
+    let shown = refused_text("[holding]\nlease_ms = 50\n");
+    assert!(shown.iter().any(|line| line.contains("holding.lease_ms = 50: must be 500")));
     for field in ["name", "data_centre", "http_address", "peer_address"] {
         assert!(shown.iter().any(|line| line.contains(&format!("instance.{field}: is required"))));
     }
