Show for each guard of holding that a worker is overcommitted without it

Cause: a guard that no test misses may go unnoticed in a later change. The drift margin is now exact for any drift, since a test runs with a tenth. The epoch check of a claim is no guard of its own: the offset of the last renewal names the holder already; it stays, without a switch.

--- a/lilacpass-hold/src/history.rs
+++ b/lilacpass-hold/src/history.rs
@@ -171,11 +171,7 @@
         offset: Offset,
         record: &v1::HoldingRecord,
     ) -> Result<Change, VoidReason> {
-        let writer = MemberKey {
-            id: InstanceId::new(&record.member),
-            incarnation: Incarnation(record.incarnation),
-        };
-        let writer = self.current_unless_guarded(writer, record);
+        let writer = self.writer(record);
         let read = Offset(record.read_offset.min(offset.0));
         if let Some(member) = self.members.get_mut(&writer) {
             member.read = member.read.max(read);
@@ -192,8 +188,11 @@
         }
     }
 
-    /// With the test switch off, a record counts for whatever incarnation is in the roster.
-    fn current_unless_guarded(&self, writer: MemberKey, record: &v1::HoldingRecord) -> MemberKey {
+    /// The incarnation that the record counts for: the one that wrote it. With the test switch off,
+    /// whichever incarnation is in the roster.
+    pub fn writer(&self, record: &v1::HoldingRecord) -> MemberKey {
+        let id = InstanceId::new(&record.member);
+        let writer = MemberKey { id, incarnation: Incarnation(record.incarnation) };
         if self.guards.record_incarnation || matches!(record.body, Some(Body::Join(_))) {
             return writer;
         }
@@ -257,7 +256,7 @@
         self.roster_member(&writer)?;
         let shard = ShardId::new(&claim.shard);
         let tenure = self.shards.get(&shard).cloned().unwrap_or_default();
-        if self.guards.claim_epoch && claim.epoch != tenure.epoch.next().0 {
+        if claim.epoch != tenure.epoch.next().0 {
             return Err(VoidReason::OtherEpoch);
         }
         let next = match &tenure.holder {
@@ -296,7 +295,7 @@
         tenure: &Tenure,
         claim: &v1::Claim,
     ) -> Result<(), VoidReason> {
-        if holder == writer || (self.guards.claim_epoch && holder.id.as_str() != claim.from) {
+        if holder == writer || holder.id.as_str() != claim.from {
             return Err(VoidReason::OtherHolder);
         }
         let renewed = self.members.get(holder).map(|m| m.renewed).unwrap_or_default();
--- a/lilacpass-hold/src/holding.rs
+++ b/lilacpass-hold/src/holding.rs
@@ -172,10 +172,7 @@
             return FoldOutcome::Void(VoidReason::AlreadyFolded);
         }
         self.next = offset.next();
-        let writer = MemberKey {
-            id: InstanceId::new(&record.member),
-            incarnation: Incarnation(record.incarnation),
-        };
+        let writer = self.history.writer(record);
         let change = match self.history.apply(offset, record) {
             Ok(change) => change,
             Err(reason) => return FoldOutcome::Void(reason),
--- a/lilacpass-hold/src/options.rs
+++ b/lilacpass-hold/src/options.rs
@@ -59,15 +59,15 @@
 
 impl HoldOptions {
     /// How long to wait on the own clock so that `duration` has certainly passed on the clock of
-    /// another member: both clocks may be off by the drift in opposite directions.
-    ///
-    /// `(1 + p) / (1 - p)` is less than `1 + 2.02 p` for all drifts up to 5000 ppm.
+    /// another member. Both may be off by the drift `p` in opposite directions, so the wait is
+    /// `(1 + p) / (1 - p)` times as long, which is `1 + 2 p / (1 - p)`.
     pub fn with_margin(&self, duration: Duration) -> Duration {
         if !self.guards.drift_margin {
             return duration;
         }
         const PPM: u128 = 1_000_000;
-        let margin_us = duration.as_micros() * u128::from(self.clock_drift_ppm) * 202 / 100 / PPM;
+        let drift = u128::from(self.clock_drift_ppm).min(PPM / 2);
+        let margin_us = duration.as_micros() * 2 * drift / (PPM - drift);
         duration + Duration::from_micros(u64::try_from(margin_us).unwrap_or(u64::MAX)) + ROUNDING
     }
 }
@@ -85,8 +85,6 @@
     pub lease_ends: bool,
     /// A claim is void where the holder has renewed since what the claimant read.
     pub claim_void_after_renew: bool,
-    /// A claim is void where the shard has another epoch than the claimant read.
-    pub claim_epoch: bool,
     /// A claimant waits for the lease of the holder to lapse.
     pub claim_after_lapse: bool,
     /// Waits for another member's clock are lengthened by the drift.
@@ -133,7 +131,6 @@
             lease_from_sent: true,
             lease_ends: true,
             claim_void_after_renew: true,
-            claim_epoch: true,
             claim_after_lapse: true,
             drift_margin: true,
             grants_run_out: true,
--- a/lilacpass-hold/tests/common/mod.rs
+++ b/lilacpass-hold/tests/common/mod.rs
@@ -54,7 +54,10 @@
     /// Whether the answers to its appends are lost.
     pub answers_lost: bool,
     pub append_delay_ms: u64,
+    pub read_delay_ms: u64,
     pub start_delay_ms: u64,
+    /// Whether no report of a worker reaches it.
+    pub blind: bool,
     /// Starts as many tasks as it may.
     pub greedy: bool,
     pub clock_ppm: i64,
@@ -163,7 +166,9 @@
             log_up: true,
             answers_lost: false,
             append_delay_ms: 0,
+            read_delay_ms: 0,
             start_delay_ms: 1,
+            blind: false,
             greedy: false,
             clock_ppm: 0,
             paused_until_ms: 0,
@@ -222,6 +227,18 @@
         MonoTime((1_000_000_000 + i128::from(self.now_us) + drift) as u64)
     }
 
+    /// Cuts a process off from the log and from all others, but not from the workers.
+    pub fn cut_off(&mut self, process: usize) {
+        self.processes[process].log_up = false;
+        let others = (0..self.processes.len()).filter(|p| *p != process);
+        self.cut.extend(others.map(|p| (p.min(process), p.max(process))));
+    }
+
+    /// Has all processes start what they may from now on.
+    pub fn all_greedy(&mut self) {
+        self.processes.iter_mut().for_each(|p| p.greedy = true);
+    }
+
     /// The processes that hold the shard in their own view and may give there.
     pub fn givers(&self, shard_number: usize) -> Vec<(usize, Mode)> {
         let live = self.processes.iter().enumerate().filter(|(_, p)| p.alive);
@@ -317,7 +334,7 @@
         }
         for n in 0..self.shards {
             let held = self.processes[p].hold.held().any(|s| *s == shard(n));
-            if held && !self.processes[p].asked[n] {
+            if held && !self.processes[p].asked[n] && !self.processes[p].blind {
                 self.processes[p].asked[n] = true;
                 let hold = &self.processes[p].hold;
                 let epoch = hold.epoch_of(&shard(n)).filter(|_| hold.settled(&worker(n), now));
@@ -341,7 +358,8 @@
 
     fn read(&mut self, p: usize, sent: MonoTime) {
         let upto = self.log.len();
-        self.at(LATENCY_US, Event::ReadDone(p, sent, upto));
+        let delay_us = LATENCY_US + self.processes[p].read_delay_ms * 1_000;
+        self.at(delay_us, Event::ReadDone(p, sent, upto));
     }
 
     fn read_done(&mut self, p: usize, sent: MonoTime, upto: usize) {
