--- a/lilacpass-config/src/fold.rs
+++ b/lilacpass-config/src/fold.rs
@@ -30,7 +30,8 @@
     },
     /// It would break the configuration; nothing of it is in force.
     Invalid(Vec<Problem>),
-    /// It was folded before, or lies below an adopted revision.
+    /// It was folded before, or lies below an adopted revision; what became of it then is for
+    /// [`ConfigFold::was_accepted`] to say.
     Duplicate,
     /// Records before it were lost to this member, so that it can't tell. It is read again from
     /// [`ConfigFold::position`] once a snapshot or a peer's configuration has closed the gap.
@@ -156,24 +157,45 @@
         true
     }
 
-    /// Takes a whole snapshot from the stream where it covers more than was read. Returns whether
-    /// it was taken. A snapshot in parts is put together by the caller.
+    /// Takes a whole snapshot from the stream where it covers more than was read. A snapshot in
+    /// parts is put together by the caller. Returns whether this member now holds all that the
+    /// snapshot covers, so that it can go on with the records behind that.
+    ///
+    /// A member that adopted a newer configuration before it found the snapshot has nothing to
+    /// take from it, and can go on all the same.
     pub fn restore(&mut self, snapshot: &v1::Snapshot) -> bool {
         let Some(v1::snapshot::Body::Config(config)) = &snapshot.body else { return false };
-        // A revision at or above the offset that is covered comes from a damaged record.
-        let covered = snapshot.covers_offset;
-        if covered <= self.position.0 || config.revision > covered {
+        let covered = Offset(snapshot.covers_offset);
+        // A revision above the offset that is covered comes from a damaged record.
+        if config.revision > covered.0 {
             return false;
         }
-        let same_or_older = config.revision <= self.revision.0;
-        if same_or_older && config.revision != self.revision.0 {
-            return false;
+        if covered > self.position {
+            // One that covers more and holds less lacks an accepted change: no member wrote it.
+            let lacking = config.revision < self.revision.0;
+            let newer = config.revision > self.revision.0;
+            if lacking || newer && !self.adopt(config) {
+                return false;
+            }
+            self.move_to(covered);
         }
-        if !same_or_older && !self.adopt(config) {
-            return false;
-        }
-        self.move_to(Offset(covered));
-        true
+        !self.has_gap()
+    }
+
+    /// Whether the change at `offset` is known to have been accepted.
+    ///
+    /// After [`ChangeOutcome::Duplicate`], `false` says that it may have been: a member that
+    /// adopts a revision before it reads how that came about skips the records in between, of
+    /// which only the last one is known to be an accepted one.
+    pub fn was_accepted(&self, offset: Offset) -> bool {
+        let revision = Revision(after(offset).0);
+        revision == self.revision || self.changes.iter().any(|c| c.revision == revision)
+    }
+
+    /// The offset that a snapshot written to the stream now covers; `None` where this member
+    /// missed records or holds nothing, and must write none.
+    pub fn covers(&self) -> Option<Offset> {
+        (self.revision.0 > 0 && !self.has_gap()).then_some(self.position)
     }
 
     /// The configuration in force, for peers and snapshots; `None` where there is none yet.
