Serve a request at the entry instance that took it, while it has room

Its own pool is the only one it knows as it is now. The replay also knows a central queue that does not pause batch work.

--- a/lilacpass-decide/examples/replay/baseline.rs
+++ b/lilacpass-decide/examples/replay/baseline.rs
@@ -2,6 +2,7 @@
 //!
 //! - `bound`: one central queue that knows all true sizes and run times at once and pauses batch
 //!   work at no cost: no real policy waits less for quick requests.
+//! - `no pauses`: the same without pauses.
 //! - `first fit`: one central queue in order of arrival, placed on the first worker with room.
 //! - `random`, `least loaded`, `two choices`: each task goes to a worker at once and waits there
 //!   in order of arrival; gang tasks count as single tasks. Loads are known as of now, which is
@@ -21,6 +22,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Baseline {
     Bound,
+    Central,
     FirstFit,
     Random,
     LeastLoaded,
@@ -28,12 +30,19 @@
 }
 
 impl Baseline {
-    pub(crate) const ALL: [Self; 5] =
-        [Self::Bound, Self::FirstFit, Self::Random, Self::LeastLoaded, Self::TwoChoices];
+    pub(crate) const ALL: [Self; 6] = [
+        Self::Bound,
+        Self::Central,
+        Self::FirstFit,
+        Self::Random,
+        Self::LeastLoaded,
+        Self::TwoChoices,
+    ];
 
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::Bound => "all-knowing bound",
+            Self::Central => "all-knowing, no pauses",
             Self::FirstFit => "first fit",
             Self::Random => "random",
             Self::LeastLoaded => "least loaded",
@@ -42,7 +51,7 @@
     }
 
     fn is_central(self) -> bool {
-        matches!(self, Self::Bound | Self::FirstFit)
+        matches!(self, Self::Bound | Self::Central | Self::FirstFit)
     }
 }
 
@@ -139,7 +148,7 @@
         let workers = self.setup.workers;
         let load = |w: usize| self.on[w].len() + self.queues[w].len();
         match self.kind {
-            Baseline::Bound => usize::from(!self.works[work].is_quick()),
+            Baseline::Bound | Baseline::Central => usize::from(!self.works[work].is_quick()),
             Baseline::FirstFit => 0,
             Baseline::Random => self.rng.random_range(0..workers),
             Baseline::LeastLoaded => (0..workers).min_by_key(|&w| load(w)).unwrap_or(0),
@@ -152,7 +161,7 @@
 
     fn schedule(&mut self, now_us: u64) {
         match self.kind {
-            Baseline::Bound => self.schedule_bound(now_us),
+            Baseline::Bound | Baseline::Central => self.schedule_bound(now_us),
             Baseline::FirstFit => self.schedule_first_fit(now_us),
             _ => (0..self.setup.workers).for_each(|worker| self.schedule_worker(worker, now_us)),
         }
@@ -242,6 +251,9 @@
 
     /// Pauses the batch work on one worker that was started last.
     fn pause_for(&mut self, task: usize, now_us: u64) -> Option<usize> {
+        if self.kind == Baseline::Central {
+            return None;
+        }
         let size = self.works[self.tasks[task].work].size;
         let victim = self
             .on
--- a/lilacpass-decide/examples/replay/cell.rs
+++ b/lilacpass-decide/examples/replay/cell.rs
@@ -283,6 +283,8 @@
                 let pool = self.holders[entry].pool.digest();
                 (digest.free, digest.largest) = (pool.free, pool.largest);
                 digest.queued = self.holders[entry].queued(Class::Urgent) as u32;
+                let meta = TaskMeta { class: Class::Urgent, ..self.works[0].meta.clone() };
+                digest.wait = self.holders[entry].estimate_wait(&meta, at(now_us));
                 digest.age = Duration::ZERO;
             }
         }
--- a/lilacpass-decide/src/pool/preempt.rs
+++ b/lilacpass-decide/src/pool/preempt.rs
@@ -84,7 +84,7 @@
         let best = (0..count)
             .map(|n| (n + self.preempt_from) % count)
             .filter(usable)
-            .filter_map(|n| Some((n, self.victims_on(n, need, meta, rules, now)?)))
+            .filter_map(|n| Some((n, self.victims_on(n, need, rules, now)?)))
             .take(MAX_CANDIDATES)
             .min_by_key(|(_, victims)| victims.iter().map(|v| v.lost).sum::<Duration>());
         let Some((number, victims)) = best else { return Vec::new() };
@@ -97,7 +97,6 @@
         &self,
         number: usize,
         need: &Resources,
-        meta: &TaskMeta,
         rules: &Rules,
         now: MonoTime,
     ) -> Option<Vec<Victim>> {
--- a/lilacpass-decide/src/route.rs
+++ b/lilacpass-decide/src/route.rs
@@ -31,9 +31,10 @@
 
 /// Chooses a holder for a request that needs `need`, or `None` where all are avoided.
 ///
-/// Of two holders drawn at random the one with the lesser expected cost is taken. Digests are
-/// stale: with the single best of them, all entry instances would send to the same holder until
-/// its next heartbeat.
+/// The entry instance itself goes first while it holds workers with room: it alone is known as it
+/// is now, its digest has no age. Otherwise, of two holders drawn at random the one with the
+/// lesser expected cost is taken. Digests are stale: with the single best of them, all entry
+/// instances would send to the same holder until its next heartbeat.
 pub fn choose(
     candidates: &[HolderDigest],
     need: &Resources,
@@ -50,6 +51,10 @@
     if pool.is_empty() {
         return None;
     }
+    let here = |d: &&&HolderDigest| d.age.is_zero() && d.wait.is_zero() && need.fits(&d.largest);
+    if let Some(here) = pool.iter().find(here) {
+        return Some(here.holder.clone());
+    }
     let first = pool[rng.random_range(0..pool.len())];
     let second = pool[rng.random_range(0..pool.len())];
     let best = if cost(second, need) < cost(first, need) { second } else { first };
