Leave a task alone whose attempt the holder has not read yet

The driver reads an attempt back and has the holder start it; a holder that reads a little later knows no such attempt and stopped the task as unwanted. Ruled out: having the holder wait until it has read the attempt (a start would wait for the slowest reader, and the driver's word is as good as the record). Change: a task is unwanted only where its job has ended, is cancelled, or a later attempt is due. The fakes can delay reads per member; the fuzz uses it.

--- a/lilacpass-control/src/history.rs
+++ b/lilacpass-control/src/history.rs
@@ -1,7 +1,7 @@
 //! Questions to the history of jobs that control asks often.
 
 use lilacpass_core::ids::{AttemptNo, InstanceId, TaskId, WorkerId};
-use lilacpass_records::jobs::{Attempt, Job, Jobs};
+use lilacpass_records::jobs::{Attempt, Job, Jobs, State};
 use lilacpass_schema::v1;
 
 use crate::convert;
@@ -12,10 +12,18 @@
     if attempt.number == task.attempt { attempt.placement(task.index) } else { None }
 }
 
-/// Whether a running task is the one that the job's active attempt means, and not cancelled.
+/// Whether a running task is still wanted: its job is neither ended nor cancelled, and no later
+/// attempt is due.
+///
+/// The driver starts a task once it has read the attempt back, and the holder may not have read
+/// that far itself. An attempt that the holder's history does not know yet is therefore wanted.
 pub(crate) fn wants(job: &Job, task: &TaskId) -> bool {
-    let active = job.attempt().is_some_and(|attempt| attempt.number == task.attempt);
-    active && job.cancelled_by().is_none()
+    let latest = match job.state() {
+        State::Waiting { next_attempt } => *next_attempt,
+        State::Active(attempt) => attempt.number,
+        State::Ended(_) => return false,
+    };
+    task.attempt >= latest && job.cancelled_by().is_none()
 }
 
 /// The number of the job's active attempt.
--- a/lilacpass-control/tests/cell_fuzz.rs
+++ b/lilacpass-control/tests/cell_fuzz.rs
@@ -44,6 +44,7 @@
     WorkerRestarts(u8),
     Change { member: u8 },
     Stop(u8),
+    LagReads(u8, u8),
 }
 
 /// What was asked for, to be compared with what ran.
@@ -170,6 +171,9 @@
                 let base = self.cell.in_force.values().filter_map(|all| all.last()).max().copied();
                 self.cell.change(member, base.unwrap_or(0), vec![op]);
             }
+            Step::LagReads(n, lag) => {
+                self.cell.lag_reads(self.member(n), Duration::from_millis(u64::from(lag)));
+            }
             Step::Stop(n) if !self.is_killed(n) => {
                 self.cell.stop(self.member(n));
             }
--- a/lilacpass-control/tests/failures.rs
+++ b/lilacpass-control/tests/failures.rs
@@ -361,3 +361,21 @@
     assert!(matches!(cell.answers[&reply].0, Answer::Quick(_)));
     assert_eq!(cell.over_capacity(), 0);
 }
+
+/// A shopkeeper's audit ends as may_have_run, a few milliseconds after it started.
+/// The driver reads the attempt back and has it started by a holder that has not read that far.
+/// The holder does not know the attempt, takes the task for an unwanted one and stops it.
+#[test]
+fn a_holder_that_reads_later_than_the_driver_does_not_stop_the_task() {
+    let mut cell = one_data_centre();
+    for member in 0..3 {
+        cell.lag_reads(member, Duration::from_millis(40 * member as u64));
+    }
+    let jobs: Vec<JobId> = (0..12)
+        .map(|n| cell.submit(n % 3, crawl(&format!("300 crawl-{n}")), &format!("k{n}")).1)
+        .collect();
+    cell.run_for(5 * SECOND);
+    for id in jobs {
+        assert_eq!(cell.job(0, id).unwrap().state, "succeeded");
+    }
+}
--- a/lilacpass-control/tests/fakes/cell.rs
+++ b/lilacpass-control/tests/fakes/cell.rs
@@ -96,6 +96,8 @@
     cut_from_peers: bool,
     listed: bool,
     incarnation: u64,
+    /// Records reach the member so much later than others.
+    read_lag: Duration,
     read_from: BTreeMap<Stream, u64>,
     read_sent: BTreeMap<Stream, MonoTime>,
     wake_at: MonoTime,
@@ -216,6 +218,7 @@
             cut_from_peers: false,
             listed: true,
             incarnation,
+            read_lag: Duration::ZERO,
             read_from: BTreeMap::new(),
             read_sent: BTreeMap::new(),
             wake_at: self.now,
@@ -253,6 +256,11 @@
         self.members[member].cut_from_peers = cut;
     }
 
+    /// Has records reach a member so much later than others.
+    pub(crate) fn lag_reads(&mut self, member: usize, lag: Duration) {
+        self.members[member].read_lag = lag;
+    }
+
     pub(crate) fn unlist(&mut self, member: usize) {
         self.members[member].listed = false;
     }
@@ -600,7 +608,8 @@
         };
         self.schedule(after, Arrival::ToMember(from, Event::Appended { call, result }));
         for member in 0..self.members.len() {
-            self.schedule(HOP, Arrival::Read { member, stream, timer: false });
+            let lag = self.members[member].read_lag;
+            self.schedule(HOP + lag, Arrival::Read { member, stream, timer: false });
         }
     }
 
