Keep old permits from breaking idle connections, and ticks from spinning

The gate of a connection dropped a call at the first flush after its body was done with. That flush could belong to an earlier round, and one that came before the drop left the call entered until the next write, which then failed with the whole connection once the permit had lapsed. A call now counts from the moment its message leaves the body until two flushes later, and the drop wakes the connection.

--- a/lilacpass-daemon/src/control.rs
+++ b/lilacpass-daemon/src/control.rs
@@ -29,6 +29,12 @@
 /// Longest sleep of the control thread.
 const MAX_SLEEP: Duration = Duration::from_secs(1);
 
+/// Least time from one tick to the next.
+///
+/// Guards against a state machine that wants to be woken at once, over and over, with nothing to
+/// do: the thread would use a whole core for empty ticks.
+const MIN_TICK_GAP: Duration = Duration::from_micros(200);
+
 /// Time between two readings of the thread's processor time.
 const CPU_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -183,9 +189,10 @@
 ) {
     let mut out = Vec::new();
     let mut next_cpu = clock.now();
+    let mut next_tick = next_cpu;
     while !effects.is_closed() {
         let now = clock.now();
-        let wake = machine.next_wake(now);
+        let wake = machine.next_wake(now).max(next_tick);
         let first = queue.next(wake.since(now).min(MAX_SLEEP));
         if let Some(event) = first {
             machine.handle(event, clock.now(), &mut out);
@@ -194,6 +201,7 @@
         }
         let now = clock.now();
         if wake.reached(now) {
+            next_tick = now + MIN_TICK_GAP;
             machine.handle(Event::Tick, now, &mut out);
         }
         if next_cpu.reached(now) {
--- a/lilacpass-daemon/src/link/connection.rs
+++ b/lilacpass-daemon/src/link/connection.rs
@@ -209,7 +209,7 @@
             self.trace.set_lapsed();
             return Box::pin(async { Err(LinkError("permission to send has lapsed".to_owned())) });
         }
-        let ticket = self.not_after.map(|end| self.state.gate.enter(end));
+        let ticket = self.not_after.map(|end| self.state.gate.ticket(end));
         let trace = self.trace.clone();
         let request = request.map(|body| TicketBody { body, ticket, trace: trace.clone() });
         trace.set_handed(now);
@@ -250,7 +250,7 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Status>>> {
-        if self.ticket.as_ref().is_some_and(Ticket::has_lapsed) {
+        if self.ticket.as_mut().is_some_and(|ticket| !ticket.let_out()) {
             self.trace.set_lapsed();
             return Poll::Ready(Some(Err(Status::aborted("permission to send has lapsed"))));
         }
--- a/lilacpass-daemon/src/link/pool.rs
+++ b/lilacpass-daemon/src/link/pool.rs
@@ -39,7 +39,7 @@
     ///
     /// No connection could be made.
     pub async fn get(&self, key: K, address: SocketAddr) -> io::Result<Arc<Link>> {
-        let slot = self.slots().entry(key).or_default().clone();
+        let slot = self.slot(key);
         let mut current = slot.lock().await;
         let usable = |link: &&Arc<Link>| !link.is_closed() && link.address() == address;
         if let Some(link) = current.as_ref().filter(usable) {
@@ -51,6 +51,17 @@
         Ok(link)
     }
 
+    /// The slot of `key`. A new one throws out those of callees that are gone, so that instances
+    /// which are replaced day by day leave nothing behind.
+    fn slot(&self, key: K) -> Arc<Slot> {
+        let mut slots = self.slots();
+        if let Some(slot) = slots.get(&key) {
+            return slot.clone();
+        }
+        slots.retain(|_, slot| is_in_use(slot));
+        slots.entry(key).or_default().clone()
+    }
+
     /// Has new calls to `key` use another connection than `link`; calls under way stay on it.
     pub async fn retire(&self, key: &K, link: &Arc<Link>) {
         let Some(slot) = self.slots().get(key).cloned() else { return };
@@ -79,3 +90,8 @@
         self.slots.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn is_in_use(slot: &Arc<Slot>) -> bool {
+    let Ok(current) = slot.try_lock() else { return true };
+    Arc::strong_count(slot) > 1 || current.as_ref().is_some_and(|link| !link.is_closed())
+}
--- a/lilacpass-daemon/src/link/stream.rs
+++ b/lilacpass-daemon/src/link/stream.rs
@@ -4,10 +4,10 @@
     io,
     pin::Pin,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    task::{Context, Poll, Waker},
+    task::{Context, Poll},
     time::Duration,
 };
 
@@ -38,7 +38,6 @@
     pub bytes: Arc<ByteCounts>,
     clock: Clock,
     aborted: AtomicBool,
-    waker: Mutex<Option<Waker>>,
     last_read_us: AtomicU64,
 }
 
@@ -50,7 +49,6 @@
             bytes,
             clock,
             aborted: AtomicBool::new(false),
-            waker: Mutex::default(),
             last_read_us: AtomicU64::new(0),
         }
     }
@@ -58,10 +56,7 @@
     /// Resets the connection. What the kernel still holds of it is thrown away instead of sent.
     pub fn abort(&self) {
         self.aborted.store(true, Ordering::Release);
-        let waker = self.waker.lock().unwrap_or_else(PoisonError::into_inner).take();
-        if let Some(waker) = waker {
-            waker.wake();
-        }
+        self.gate.wake();
     }
 
     /// Whether any byte arrived at or after `moment`.
@@ -88,11 +83,8 @@
     }
 
     fn check_abort(&self, cx: &Context<'_>) -> io::Result<()> {
-        if !self.state.is_aborted() {
-            *self.state.waker.lock().unwrap_or_else(PoisonError::into_inner) =
-                Some(cx.waker().clone());
-        }
-        // Looked at again after the waker is in place, so that no abort between both is missed.
+        self.state.gate.set_waker(cx.waker());
+        // Looked at after the waker is in place, so that no abort in between is missed.
         if !self.state.is_aborted() {
             return Ok(());
         }
@@ -149,8 +141,8 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let result = Pin::new(&mut self.inner).poll_flush(cx);
-        if let Poll::Ready(Ok(())) = &result {
-            self.state.gate.flushed();
+        if matches!(result, Poll::Ready(Ok(()))) && self.state.gate.flushed() {
+            cx.waker().wake_by_ref();
         }
         result
     }
