Split the holding modules, and make a tick without news cost next to nothing

The fuzzing also has processes that forget their tasks on a lost shard, as the control crate does. Ruled out: caching the ranking, which would need its own invalidation.

--- /dev/null
+++ b/lilacpass-hold/src/follow.rs
@@ -0,0 +1,197 @@
+//! Reading the stream: folding records and bringing the own tenures in line with the history.
+
+use std::collections::BTreeMap;
+
+use lilacpass_core::{
+    MonoTime,
+    ids::{Offset, ShardId},
+};
+use lilacpass_schema::v1;
+
+use crate::{
+    history::History,
+    holding::{FoldOutcome, HoldAction, Holding, LostShard},
+    options::HoldOptions,
+    state::{Change, MemberKey, Tenure, VoidReason},
+    tenure::{Origin, OwnTenure},
+};
+
+impl Holding {
+    /// Folds the record at `offset`, which a read returned that was sent at `sent_at`.
+    pub fn fold(
+        &mut self,
+        offset: Offset,
+        record: &v1::HoldingRecord,
+        _sent_at: MonoTime,
+        now: MonoTime,
+    ) -> FoldOutcome {
+        if offset < self.next {
+            return FoldOutcome::Void(VoidReason::AlreadyFolded);
+        }
+        self.next = offset.next();
+        let writer = self.history.writer(record);
+        let change = match self.history.apply(offset, record) {
+            Ok(change) => change,
+            Err(reason) => return FoldOutcome::Void(reason),
+        };
+        let claim_sent = self.note_change(&change, &writer, record.sequence, now);
+        if change != Change::Renewed {
+            self.reconcile(claim_sent, now);
+        }
+        FoldOutcome::Applied
+    }
+
+    /// Notes when a change was read, and what it does to the own lease. Returns when the own claim
+    /// was sent, where the change is one.
+    fn note_change(
+        &mut self,
+        change: &Change,
+        writer: &MemberKey,
+        sequence: u64,
+        now: MonoTime,
+    ) -> Option<MonoTime> {
+        let mut claim_sent = None;
+        match change {
+            Change::Joined(_) | Change::Renewed | Change::Claimed(_) => {
+                self.renewal_read.insert(writer.clone(), now);
+                if *writer == self.me {
+                    claim_sent = self.lease.sent(sequence);
+                    self.lease.read_back(sequence, now, &self.options);
+                }
+            }
+            Change::Released(_) | Change::Left | Change::Evicted(_) => {}
+        }
+        if let Change::Joined(replaced) = change {
+            if *writer == self.me {
+                self.join_read = Some(now);
+            }
+            for key in replaced {
+                self.list.replaced(key.clone(), now);
+                self.replacement_read = Some(now);
+            }
+        }
+        if let Change::Claimed(shard) | Change::Released(shard) = change {
+            self.change_read.insert(shard.clone(), now);
+        }
+        claim_sent
+    }
+
+    /// Brings the own tenures in line with the history.
+    fn reconcile(&mut self, claim_sent: Option<MonoTime>, now: MonoTime) {
+        self.changed = true;
+        let newer = |k: &MemberKey| k.id == self.me.id && k.incarnation > self.me.incarnation;
+        if self.history.members().any(|(k, _)| newer(k)) && !self.superseded {
+            self.superseded = true;
+            self.tenures.values_mut().for_each(|t| t.end(now));
+        }
+        self.drop_lost_tenures(now);
+        self.add_gained_tenures(claim_sent, now);
+        let history = &self.history;
+        self.renewal_read.retain(|key, _| history.member(key).is_some());
+        self.list.retain(|key| history.member(key).is_some());
+        self.plan.settle(&self.history);
+        if !self.history.in_roster(&self.me) {
+            self.join_read = None;
+        }
+    }
+
+    fn drop_lost_tenures(&mut self, now: MonoTime) {
+        let (history, me) = (&self.history, &self.me);
+        let kept = |shard: &ShardId, own: &OwnTenure| {
+            let tenure = history.tenure(shard);
+            tenure.is_some_and(|t| t.holder.as_ref() == Some(me) && t.epoch == own.epoch)
+        };
+        let gone: Vec<_> =
+            self.tenures.iter().filter(|(s, own)| !kept(s, own)).map(|(s, _)| s.clone()).collect();
+        for shard in gone {
+            let Some(own) = self.tenures.remove(&shard) else { continue };
+            let replaced = self.history.tenure(&shard).and_then(|t| t.previous.as_ref());
+            if replaced == Some(&self.me) {
+                let (shard, epoch) = (shard.clone(), own.epoch);
+                self.lost.push(LostShard { shard, epoch, since: now, sent: None });
+            }
+            self.queued.push(HoldAction::Lost(shard));
+        }
+        let (history, me) = (&self.history, &self.me);
+        self.lost.retain(|lost| {
+            let tenure = history.tenure(&lost.shard);
+            tenure.is_some_and(|t| t.previous.as_ref() == Some(me))
+        });
+    }
+
+    fn add_gained_tenures(&mut self, claim_sent: Option<MonoTime>, now: MonoTime) {
+        // The old holder may have been proved dead right after its last start.
+        let flight = self.options.with_margin(self.options.start_flight);
+        let mine = self.history.tenures().filter(|(_, t)| t.holder.as_ref() == Some(&self.me));
+        for (shard, tenure) in mine {
+            if let Some(own) = self.tenures.get_mut(shard) {
+                if tenure.previous.is_none() {
+                    own.cleared_from.get_or_insert(now + flight);
+                }
+                continue;
+            }
+            let mut own = own_tenure(tenure, claim_sent, self.replacement_read, &self.options, now);
+            if self.superseded || self.plan.is_leaving() {
+                own.end(now);
+            }
+            self.tenures.insert(shard.clone(), own);
+            self.queued.push(HoldAction::Gained(shard.clone(), tenure.epoch));
+        }
+    }
+
+    /// Takes over a snapshot that covers all records before `covers`.
+    pub fn restore(&mut self, snapshot: &v1::HoldingSnapshot, covers: Offset, now: MonoTime) {
+        if covers < self.next {
+            return;
+        }
+        self.history = History::restore(snapshot, self.options.guards);
+        self.next = covers;
+        let members = self.history.members().map(|(key, _)| (key.clone(), now));
+        self.renewal_read = members.collect();
+        self.change_read = self.history.tenures().map(|(s, _)| (s.clone(), now)).collect();
+        self.replacement_read = Some(now);
+        let replaced: Vec<_> = self.history.members().filter(|(_, m)| !m.in_roster).collect();
+        for (key, _) in replaced {
+            self.list.replaced(key.clone(), now);
+        }
+        if self.history.in_roster(&self.me) {
+            self.join_read = Some(now);
+        }
+        self.reconcile(None, now);
+    }
+}
+
+fn own_tenure(
+    tenure: &Tenure,
+    claim_sent: Option<MonoTime>,
+    replacement_read: Option<MonoTime>,
+    options: &HoldOptions,
+    now: MonoTime,
+) -> OwnTenure {
+    let origin = match (&tenure.previous, tenure.inherited) {
+        (None, _) => Origin::Released,
+        (Some(_), false) => Origin::Unclean,
+        (Some(_), true) => Origin::Inherited,
+    };
+    let flight = options.with_margin(options.start_flight);
+    // The old holder's lease and grants had run out when the claim was sent, so from then on it
+    // keeps to its half; what it started before that has arrived after the longest flight.
+    let claimed_over = claim_sent.unwrap_or(now) + flight;
+    // A holder that was proved dead by its successor's address may have started work right before.
+    let replaced_over = replacement_read.map(|read| read + flight).unwrap_or_default();
+    let report_from = match origin {
+        Origin::Unclean if options.guards.report_wait => claimed_over,
+        Origin::Released | Origin::Inherited if options.guards.report_wait => {
+            now.max(replaced_over)
+        }
+        _ => now,
+    };
+    OwnTenure {
+        epoch: tenure.epoch,
+        origin,
+        report_from,
+        cleared_from: (origin == Origin::Released).then_some(report_from),
+        reports: BTreeMap::new(),
+        ending: None,
+    }
+}
--- a/lilacpass-hold/src/grants.rs
+++ b/lilacpass-hold/src/grants.rs
@@ -7,7 +7,7 @@
 
 use lilacpass_core::MonoTime;
 
-use crate::history::MemberKey;
+use crate::state::MemberKey;
 
 /// Grants that the member gave and got.
 #[derive(Clone, Debug, Default)]
--- a/lilacpass-hold/src/history.rs
+++ b/lilacpass-hold/src/history.rs
@@ -5,104 +5,20 @@
 
 use std::collections::BTreeMap;
 
-use lilacpass_core::ids::{Epoch, Incarnation, InstanceId, Offset, ShardId};
+use lilacpass_core::ids::{Incarnation, InstanceId, Offset, ShardId};
 use lilacpass_schema::v1::{self, holding_record::Body};
 
-use crate::options::Guards;
-
-/// One incarnation of an entry instance.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct MemberKey {
-    /// The instance.
-    pub id: InstanceId,
-    /// Its start number.
-    pub incarnation: Incarnation,
-}
-
-/// What the history says about one incarnation of an instance.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct MemberState {
-    /// Offset of its last renewal: its join, or a renewal or valid claim since.
-    pub renewed: Offset,
-    /// Offset of its join.
-    pub joined: Offset,
-    /// It has folded all records before this offset, as its own records say.
-    pub read: Offset,
-    /// Whether it is in the roster. One that is not was replaced by a newer incarnation and is not
-    /// known dead: its process may still run.
-    pub in_roster: bool,
-    /// Address at which it listens to peers; empty where not known.
-    pub address: String,
-    /// Whether it is about to leave and takes no shard, as its last record says.
-    pub leaving: bool,
-}
-
-/// What the history says about one shard.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Tenure {
-    /// Number of the tenure; 0 before the first.
-    pub epoch: Epoch,
-    /// The holder, unless the shard was released.
-    pub holder: Option<MemberKey>,
-    /// The holder that lost the shard to a claim without a release and is not known to have
-    /// stopped giving there. The shard is *cleared* when this is empty.
-    pub previous: Option<MemberKey>,
-    /// Whether the holder took the shard over from the claimant against `previous`.
-    pub inherited: bool,
-    /// The member that released it last.
-    pub released_by: Option<InstanceId>,
-}
-
-/// What folding a record changed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Change {
-    /// The writer entered the roster, in place of the earlier incarnations.
-    Joined(Vec<MemberKey>),
-    /// The writer renewed its lease.
-    Renewed,
-    /// The writer became the holder of the shard.
-    Claimed(ShardId),
-    /// The shard was released, or cleared of its previous holder.
-    Released(ShardId),
-    /// The writer left the roster.
-    Left,
-    /// A dead member was taken out.
-    Evicted(MemberKey),
-}
-
-/// Why a record changes nothing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VoidReason {
-    /// It was folded before.
-    AlreadyFolded,
-    /// It has no body that this version knows.
-    Unknown,
-    /// The writer is not in the roster.
-    NotInRoster,
-    /// The writer is in the roster already.
-    AlreadyJoined,
-    /// A newer incarnation of the writer is known.
-    Superseded,
-    /// The shard has another epoch.
-    OtherEpoch,
-    /// The shard has another holder.
-    OtherHolder,
-    /// The member has renewed since.
-    Renewed,
-    /// An earlier claim without a release is not cleared.
-    NotCleared,
-    /// The holder may still keep the whole worker by grants of others.
-    GrantsPossible,
-    /// The writer still holds a shard.
-    StillHolds,
-}
+use crate::{
+    options::Guards,
+    state::{Change, MemberKey, MemberState, Tenure, VoidReason},
+};
 
 /// The folded history.
 #[derive(Clone, Debug, Default)]
 pub struct History {
-    shards: BTreeMap<ShardId, Tenure>,
-    members: BTreeMap<MemberKey, MemberState>,
-    guards: Guards,
+    pub(crate) shards: BTreeMap<ShardId, Tenure>,
+    pub(crate) members: BTreeMap<MemberKey, MemberState>,
+    pub(crate) guards: Guards,
 }
 
 impl History {
@@ -373,81 +289,4 @@
     fn roster_member(&mut self, key: &MemberKey) -> Result<&mut MemberState, VoidReason> {
         self.members.get_mut(key).filter(|m| m.in_roster).ok_or(VoidReason::NotInRoster)
     }
-
-    /// The history as a message.
-    pub fn snapshot(&self) -> v1::HoldingSnapshot {
-        v1::HoldingSnapshot {
-            shards: self.shards.iter().map(|(shard, t)| snapshot_shard(shard, t)).collect(),
-            members: self.members.iter().map(|(key, m)| snapshot_member(key, m)).collect(),
-        }
-    }
-
-    /// The history that a message describes.
-    pub fn restore(snapshot: &v1::HoldingSnapshot, guards: Guards) -> Self {
-        Self {
-            shards: snapshot.shards.iter().map(restored_shard).collect(),
-            members: snapshot.members.iter().map(restored_member).collect(),
-            guards,
-        }
-    }
-}
-
-fn snapshot_shard(shard: &ShardId, tenure: &Tenure) -> v1::SnapshotShard {
-    let name = |k: &Option<MemberKey>| k.as_ref().map(|k| k.id.to_string()).unwrap_or_default();
-    let number = |k: &Option<MemberKey>| k.as_ref().map(|k| k.incarnation.0).unwrap_or_default();
-    v1::SnapshotShard {
-        shard: shard.to_string(),
-        epoch: tenure.epoch.0,
-        holder: name(&tenure.holder),
-        holder_incarnation: number(&tenure.holder),
-        unclean: tenure.previous.is_some(),
-        previous_holder: name(&tenure.previous),
-        previous_incarnation: number(&tenure.previous),
-        inherited: tenure.inherited,
-        released_by: tenure.released_by.as_ref().map(ToString::to_string).unwrap_or_default(),
-    }
-}
-
-fn restored_shard(shard: &v1::SnapshotShard) -> (ShardId, Tenure) {
-    let key = |name: &str, number: u64| {
-        let key = MemberKey { id: InstanceId::new(name), incarnation: Incarnation(number) };
-        (!name.is_empty()).then_some(key)
-    };
-    let tenure = Tenure {
-        epoch: Epoch(shard.epoch),
-        holder: key(&shard.holder, shard.holder_incarnation),
-        previous: key(&shard.previous_holder, shard.previous_incarnation),
-        inherited: shard.inherited,
-        released_by: key(&shard.released_by, 0).map(|k| k.id),
-    };
-    (ShardId::new(&shard.shard), tenure)
-}
-
-fn snapshot_member(key: &MemberKey, member: &MemberState) -> v1::SnapshotMember {
-    v1::SnapshotMember {
-        member: key.id.to_string(),
-        incarnation: key.incarnation.0,
-        last_renew_offset: member.renewed.0,
-        joined_offset: member.joined.0,
-        read_offset: member.read.0,
-        in_roster: member.in_roster,
-        address: member.address.clone(),
-        leaving: member.leaving,
-    }
-}
-
-fn restored_member(member: &v1::SnapshotMember) -> (MemberKey, MemberState) {
-    let key = MemberKey {
-        id: InstanceId::new(&member.member),
-        incarnation: Incarnation(member.incarnation),
-    };
-    let state = MemberState {
-        renewed: Offset(member.last_renew_offset),
-        joined: Offset(member.joined_offset),
-        read: Offset(member.read_offset),
-        in_roster: member.in_roster,
-        address: member.address.clone(),
-        leaving: member.leaving,
-    };
-    (key, state)
 }
--- a/lilacpass-hold/src/list.rs
+++ b/lilacpass-hold/src/list.rs
@@ -7,7 +7,7 @@
     ids::{Incarnation, InstanceId},
 };
 
-use crate::{history::MemberKey, options::HoldOptions};
+use crate::{options::HoldOptions, state::MemberKey};
 
 /// An entry instance of the own data centre, as the instance list shows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/lilacpass-hold/src/permit.rs
+++ b/lilacpass-hold/src/permit.rs
@@ -6,7 +6,7 @@
 };
 use lilacpass_schema::v1;
 
-use crate::{history::MemberKey, holding::Holding, options::Guards, share, tenure::OwnTenure};
+use crate::{holding::Holding, options::Guards, share, state::MemberKey, tenure::OwnTenure};
 
 /// What the permission to give work rests on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/lilacpass-hold/src/plan.rs
+++ b/lilacpass-hold/src/plan.rs
@@ -1,43 +1,37 @@
 //! What this member appends to the holding stream, and when.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use lilacpass_core::{
     MonoTime,
-    ids::{Epoch, InstanceId, Offset, ShardId},
+    ids::{Epoch, ShardId},
 };
 use lilacpass_schema::v1::{self, holding_record::Body};
 
 use crate::{
-    history::{History, MemberKey, MemberState},
+    claim::PendingClaim,
+    history::History,
     holding::{HoldAction, Holding},
     rank,
+    state::{MemberKey, MemberState},
     tenure::OwnTenure,
 };
 
 /// Time to the next tick while something is expected to become due.
-const BUSY_TICK: std::time::Duration = std::time::Duration::from_millis(50);
-
-/// A claim that was appended and not yet settled by reading.
-#[derive(Clone, Debug)]
-struct PendingClaim {
-    shard: ShardId,
-    epoch: Epoch,
-    from: Option<MemberKey>,
-    last_renew: Offset,
-    sequence: u64,
-    sent: MonoTime,
-}
+const BUSY_TICK: Duration = Duration::from_millis(50);
+/// Shortest time between two ticks that nothing that was read calls for.
+const SHORTEST_TICK: Duration = Duration::from_millis(5);
 
 /// What was appended and when.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Plan {
-    sequence: u64,
+    pub(crate) sequence: u64,
+    wake: Option<MonoTime>,
     renew_sent: Option<MonoTime>,
     join_sent: Option<MonoTime>,
     leave_sent: Option<MonoTime>,
     evict_sent: BTreeMap<MemberKey, MonoTime>,
-    claims: Vec<PendingClaim>,
+    pub(crate) claims: Vec<PendingClaim>,
     leaving: bool,
 }
 
@@ -70,7 +64,13 @@
 
 impl Holding {
     /// What is to be done at `now`. Records are to be appended in order, and count as sent now.
+    ///
+    /// Costs next to nothing while neither anything was read that matters nor a time was reached.
     pub fn tick(&mut self, now: MonoTime) -> Vec<HoldAction> {
+        if !self.next_wake(now).reached(now) {
+            return Vec::new();
+        }
+        self.changed = false;
         self.grants.prune(now);
         self.plan.settle(&self.history);
         let mut bodies = Vec::new();
@@ -87,13 +87,20 @@
         if !self.superseded && !self.plan.leaving {
             actions.extend(self.plan_claims(now));
         }
+        self.plan.wake = Some(self.wake_after(now));
         actions
     }
 
     /// When [`Holding::tick`] is to be called again, at the latest.
     pub fn next_wake(&self, now: MonoTime) -> MonoTime {
+        let wake = self.plan.wake.filter(|_| !self.changed && self.queued.is_empty());
+        wake.unwrap_or(now)
+    }
+
+    fn wake_after(&self, now: MonoTime) -> MonoTime {
         let renew = self.plan.renew_sent.map_or(now, |sent| sent + self.options.renew);
-        if self.is_busy(now) { renew.min(now + BUSY_TICK) } else { renew.max(now) }
+        let busy = now + BUSY_TICK;
+        if self.is_busy(now) { renew.min(busy) } else { renew }.max(now + SHORTEST_TICK)
     }
 
     /// Whether something may become due before the next renewal.
@@ -114,6 +121,7 @@
     /// A planned stop: from now on the member gives nothing, releases its shards and leaves.
     pub fn leave(&mut self, now: MonoTime) {
         self.plan.leaving = true;
+        self.changed = true;
         // The next renewal goes out now, so that all know of it before the releases.
         self.plan.renew_sent = None;
         self.tenures.values_mut().for_each(|own| own.end(now));
@@ -126,7 +134,7 @@
         self.plan.leaving && (never_joined || read_back)
     }
 
-    fn append(&mut self, body: Body, now: MonoTime) -> HoldAction {
+    pub(crate) fn append(&mut self, body: Body, now: MonoTime) -> HoldAction {
         self.plan.sequence += 1;
         let sequence = self.plan.sequence;
         if matches!(body, Body::Join(_) | Body::Renew(_) | Body::Claim(_)) {
@@ -144,13 +152,13 @@
 
     /// Whether something that was sent then and not read back is to be sent again: reading has
     /// shown since that the log did not have it.
-    fn retry_due(&self, sent: Option<MonoTime>, now: MonoTime) -> bool {
+    pub(crate) fn retry_due(&self, sent: Option<MonoTime>, now: MonoTime) -> bool {
         let Some(sent) = sent else { return true };
         let due = sent + self.options.retry;
         due.reached(now) && self.tail_sent.is_some_and(|tail| tail > sent)
     }
 
-    fn tail_is_fresh(&self, now: MonoTime) -> bool {
+    pub(crate) fn tail_is_fresh(&self, now: MonoTime) -> bool {
         self.tail_sent.is_some_and(|tail| now < tail + self.options.lease)
     }
 
@@ -171,7 +179,7 @@
     }
 
     /// Members that shards may go to: in the roster, renewing and not about to be stopped.
-    fn candidates(&self, now: MonoTime) -> Vec<&MemberKey> {
+    pub(crate) fn candidates(&self, now: MonoTime) -> Vec<&MemberKey> {
         let fit = |key: &MemberKey, member: &MemberState| {
             let live = *key == self.me || now < self.lapses_at(key);
             live && !member.leaving && !self.list.is_leaving(&key.id)
@@ -236,8 +244,7 @@
     /// over, and lost ones, which clears the claimant.
     fn plan_releases(&mut self, now: MonoTime, bodies: &mut Vec<Body>) {
         let flight = self.options.with_margin(self.options.start_flight);
-        let flight =
-            if self.options.guards.release_after_flight { flight } else { Default::default() };
+        let flight = if self.options.guards.release_after_flight { flight } else { Duration::ZERO };
         let tail = self.tail_sent;
         let retry = self.options.retry;
         let due = |since: MonoTime, sent: Option<MonoTime>| {
@@ -272,118 +279,6 @@
             bodies.push(Body::Leave(v1::Leave {}));
         }
     }
-
-    /// Claims the shards that are this member's turn.
-    fn plan_claims(&mut self, now: MonoTime) -> Vec<HoldAction> {
-        if !self.tail_is_fresh(now) || self.list.is_leaving(&self.me.id) {
-            return Vec::new();
-        }
-        let Some(joined) = self.join_read.filter(|_| self.joined()) else { return Vec::new() };
-        let settled = joined + self.options.settle;
-        if !settled.reached(now) {
-            return Vec::new();
-        }
-        let candidates = self.candidates(now);
-        let open = self.shards.iter().filter(|shard| !self.tenures.contains_key(*shard));
-        let due = open.filter_map(|shard| self.claim_due(shard, settled, &candidates, now));
-        let due: Vec<_> = due.collect();
-        due.into_iter().map(|claim| self.append_claim(claim, now)).collect()
-    }
-
-    /// The claim on the shard, where it is due.
-    fn claim_due(
-        &self,
-        shard: &ShardId,
-        settled: MonoTime,
-        candidates: &[&MemberKey],
-        now: MonoTime,
-    ) -> Option<PendingClaim> {
-        let tenure = self.history.tenure(shard);
-        let epoch = tenure.map(|t| t.epoch).unwrap_or_default().next();
-        let holder = tenure.and_then(|t| t.holder.as_ref());
-        let from = match holder {
-            None => self.released_from(shard, settled, candidates)?,
-            Some(holder) => self.lapsed_from(shard, holder, settled, candidates)?,
-        };
-        let pending = self.plan.claims.iter().filter(|c| c.shard == *shard);
-        let sent = pending.map(|c| c.sent).max();
-        let last_renew = holder.and_then(|h| self.history.member(h)).map(|m| m.renewed);
-        (from.reached(now) && self.retry_due(sent, now)).then(|| PendingClaim {
-            shard: shard.clone(),
-            epoch,
-            from: holder.cloned(),
-            last_renew: last_renew.unwrap_or_default(),
-            sequence: 0,
-            sent: now,
-        })
-    }
-
-    /// When it is this member's turn to claim a shard that nobody holds.
-    fn released_from(
-        &self,
-        shard: &ShardId,
-        settled: MonoTime,
-        candidates: &[&MemberKey],
-    ) -> Option<MonoTime> {
-        let released_by = self.history.tenure(shard).and_then(|t| t.released_by.as_ref());
-        let only = candidates.len() == 1;
-        let ids = candidates.iter().map(|key| &key.id);
-        let ids = ids.filter(|id| only || Some(*id) != released_by);
-        let turn = self.turn(shard, ids)?;
-        let since = self.change_read.get(shard).copied().unwrap_or_default();
-        Some(since.max(settled) + turn)
-    }
-
-    /// When it is this member's turn to claim a shard from a holder whose lease has lapsed: after
-    /// the lapse, seen from the tail, when no grant to the holder is out any more.
-    fn lapsed_from(
-        &self,
-        shard: &ShardId,
-        holder: &MemberKey,
-        settled: MonoTime,
-        candidates: &[&MemberKey],
-    ) -> Option<MonoTime> {
-        let guards = &self.options.guards;
-        let lapsed = self.lapses_at(holder);
-        let seen = self.tail_sent.is_some_and(|tail| lapsed.reached(tail));
-        let replaced = self.history.tenure(shard).is_some_and(|t| t.previous.is_some());
-        let blocked = replaced && guards.one_unclean;
-        if !seen || blocked {
-            return None;
-        }
-        let known =
-            |key: &MemberKey| !guards.claimant_known || self.history.claimant_known(key, holder);
-        let ids = candidates.iter().filter(|key| known(key)).map(|key| &key.id);
-        let turn = self.turn(shard, ids)?;
-        let own_grants = self.grants.given_until(holder).unwrap_or_default();
-        // A newer incarnation was read: its predecessor's last grant ends in this time.
-        let grant = self.options.with_margin(self.options.grant);
-        let others_grants = self.replacement_read.map(|read| read + grant).unwrap_or_default();
-        let ungranted =
-            if guards.grants_run_out { own_grants.max(others_grants) } else { MonoTime(0) };
-        Some(lapsed.max(settled).max(ungranted) + turn)
-    }
-
-    /// How much longer than the best candidate this member waits.
-    fn turn<'a>(
-        &self,
-        shard: &ShardId,
-        ids: impl Iterator<Item = &'a InstanceId>,
-    ) -> Option<std::time::Duration> {
-        Some(self.options.stagger * rank::position(shard, &self.me.id, ids)?)
-    }
-
-    fn append_claim(&mut self, claim: PendingClaim, now: MonoTime) -> HoldAction {
-        let body = Body::Claim(v1::Claim {
-            shard: claim.shard.to_string(),
-            epoch: claim.epoch.0,
-            last_renew_offset: claim.last_renew.0,
-            from: claim.from.as_ref().map(|key| key.id.to_string()).unwrap_or_default(),
-        });
-        let action = self.append(body, now);
-        self.plan.claims.push(PendingClaim { sequence: self.plan.sequence, ..claim });
-        action
-    }
 }
 
 fn release(shard: &ShardId, epoch: Epoch) -> Body {
--- a/lilacpass-hold/tests/common/mod.rs
+++ b/lilacpass-hold/tests/common/mod.rs
@@ -106,6 +106,9 @@
     pub started_late: Option<String>,
     /// Per worker, the epoch of the last report that was settled when it was asked for.
     settled: Vec<Epoch>,
+    /// Whether a process forgets its own tasks on a shard that it loses, and finds them as others'
+    /// when it gets the shard again.
+    pub forgets: bool,
     pub step_us: u64,
     /// Prints what lands in the log and what is started.
     trace: bool,
@@ -134,6 +137,7 @@
             overcommitted: None,
             started_late: None,
             settled: vec![Epoch(0); shards],
+            forgets: false,
             step_us: 20_000,
             trace: std::env::var_os("HOLD_TRACE").is_some(),
             events: BTreeMap::new(),
@@ -328,8 +332,10 @@
         let now = self.local(p);
         let actions = self.processes[p].hold.tick(now);
         for action in actions {
-            if let HoldAction::Append(record) = action {
-                self.append(p, record);
+            match action {
+                HoldAction::Append(record) => self.append(p, record),
+                HoldAction::Lost(shard) if self.forgets => self.processes[p].forget(&shard),
+                HoldAction::Lost(_) | HoldAction::Gained(..) => {}
             }
         }
         for n in 0..self.shards {
@@ -449,8 +455,11 @@
         let flight = self.options.with_margin(self.options.start_flight);
         let process = &mut self.processes[p];
         process.asked[n] = false;
-        let others: Vec<_> =
-            picture.iter().filter(|(_, by, _)| *by != p).map(|(id, _, s)| (*id, *s)).collect();
+        let others: Vec<_> = picture
+            .iter()
+            .filter(|(id, ..)| !process.own.contains_key(id))
+            .map(|(id, _, s)| (*id, *s))
+            .collect();
         let sum = others.iter().fold(Resources::ZERO, |sum, (_, s)| sum.plus(s));
         process.own.retain(|id, task| {
             let shown = picture.iter().any(|(shown, _, _)| shown == id);
@@ -474,6 +483,12 @@
 }
 
 impl Process {
+    fn forget(&mut self, lost: &ShardId) {
+        self.own.retain(|_, task| shard(task.worker) != *lost);
+        let adopted = self.adopted.iter_mut().enumerate().filter(|(n, _)| shard(*n) == *lost);
+        adopted.for_each(|(_, adopted)| adopted.clear());
+    }
+
     fn given(&self, n: usize) -> Resources {
         let own = self.own.values().filter(|t| t.worker == n).map(|t| t.size);
         let adopted = self.adopted[n].iter().map(|(_, size)| *size);
--- a/lilacpass-hold/tests/fuzz.rs
+++ b/lilacpass-hold/tests/fuzz.rs
@@ -28,6 +28,7 @@
         let has = Resources::new(7_000, 13, 1, 7);
         let mut world = World::new(quick_options(), has, SHARDS);
         world.random = Random(seed | 1);
+        world.forgets = seed.is_multiple_of(2);
         world.step_us = 40_000;
         world.task_ms = 2_000;
         world.task_sizes = vec![
