--- a/lilacpass-cli/src/api/client.rs
+++ b/lilacpass-cli/src/api/client.rs
@@ -18,7 +18,6 @@
     units,
 };
 
-const TOO_MANY_REQUESTS: u16 = 429;
 const BAD_GATEWAY: u16 = 502;
 const SERVICE_UNAVAILABLE: u16 = 503;
 
@@ -183,7 +182,9 @@
         Error::Unreachable(_) | Error::NoAnswer(_) => true,
         Error::Unsettled(_) => repeat == Repeat::Safe,
         Error::Problem(problem) => {
-            let wrong_server = [TOO_MANY_REQUESTS, BAD_GATEWAY, SERVICE_UNAVAILABLE].map(u32::from);
+            // Not an overload (429): the server has tried the others' workers already, and asking
+            // each server again would multiply the load just then.
+            let wrong_server = [BAD_GATEWAY, SERVICE_UNAVAILABLE].map(u32::from);
             let not_run = problem.verdict == Verdict::NotRun.as_str();
             let has_run = problem.verdict == Verdict::Ran.as_str();
             let harmless = not_run || repeat == Repeat::Safe && !has_run;
