Take each guard of control out once and show what breaks

Cause: a test that passes says little of the guard it is meant for. Ruled out: editing the source for a red run (nobody repeats it). A cut or foreign answer of a worker is refused in control too. Tried and dropped: a switch for the look at the permission right before a start. No story broke without it, since a round refreshes the limits before anything is dispatched and a claimant waits for seconds; the look stays because the epoch and the end of the permission come from it.

--- a/lilacpass-control/src/change.rs
+++ b/lilacpass-control/src/change.rs
@@ -145,7 +145,12 @@
         now: MonoTime,
     ) {
         let before = self.config.revision();
-        let outcome = self.config.fold(offset, record);
+        let outcome = if self.settings.guards.compare_and_set {
+            self.config.fold(offset, record)
+        } else {
+            let record = v1::ConfigChange { base_revision: before.0, ..record.clone() };
+            self.config.fold(offset, &record)
+        };
         if self.config.revision() != before {
             self.config_changed(now);
         }
--- a/lilacpass-control/src/control.rs
+++ b/lilacpass-control/src/control.rs
@@ -202,6 +202,7 @@
             }
             Event::PeerDone { call, result } => self.on_peer_done(call, result, now),
             Event::WorkerDone { call, sent_at, result } => {
+                let result = result.map_err(|failure| self.trusted(failure));
                 self.on_worker_done(call, sent_at, result, now);
             }
             Event::Appended { call, result } => match self.calls.remove(&call) {
@@ -220,6 +221,14 @@
         }
     }
 
+    /// A call without an answer may have run; without that guard it is taken for one that did not.
+    fn trusted(&self, failure: CallFailure) -> CallFailure {
+        match self.settings.guards.unanswered_may_have_run {
+            true => failure,
+            false => CallFailure { verdict: lilacpass_core::Verdict::NotRun, ..failure },
+        }
+    }
+
     fn on_request(
         &mut self,
         reply: ReplyId,
--- a/lilacpass-control/src/drive.rs
+++ b/lilacpass-control/src/drive.rs
@@ -282,7 +282,10 @@
         counters::bump(&self.counters.attempts);
         let record_id = self.append_job(id, body, now);
         if let Some(preparing) = self.preparing.get_mut(&id) {
-            preparing.phase = Phase::Writing { record_id };
+            preparing.phase = Phase::Writing { record_id: record_id.clone() };
+        }
+        if !self.settings.guards.attempt_read_back {
+            self.start_attempt(id);
         }
     }
 
@@ -299,6 +302,12 @@
         if let Some(tries) = self.tries.get_mut(&id) {
             tries.failed = 0;
         }
+        self.start_attempt(id);
+        self.check_hold_age(id, now);
+    }
+
+    /// Tells the holders of an attempt to start its tasks.
+    fn start_attempt(&mut self, id: JobId) {
         let Some(preparing) = self.preparing.get(&id) else { return };
         let checkpoints =
             self.jobs.get(&id).map(|job| job.checkpoints().to_vec()).unwrap_or_default();
@@ -311,7 +320,6 @@
             let pending = Pending::StartHeld { job: id };
             self.call_peer(&holder, PeerCall::StartHeld(request), HOLDER_TIMEOUT, pending);
         }
-        self.check_hold_age(id, now);
     }
 
     /// Another record made our attempt void.
--- a/lilacpass-control/src/listing.rs
+++ b/lilacpass-control/src/listing.rs
@@ -33,7 +33,8 @@
             let leaving = instance.state() == v1::InstanceState::Leaving;
             if let Some(held) = self.held.get_mut(&id) {
                 held.listed_leaving = leaving;
-                self.scheduler.pool.set_leaving(&id, leaving || held.leaving);
+                let leaving = (leaving || held.leaving) && self.settings.guards.leaving;
+                self.scheduler.pool.set_leaving(&id, leaving);
             }
         }
     }
--- a/lilacpass-control/src/serve.rs
+++ b/lilacpass-control/src/serve.rs
@@ -177,6 +177,16 @@
     }
 
     fn run_answered(&mut self, task: TaskId, answer: v1::RunAnswer, now: MonoTime) {
+        let is_cut = answer.result.len() as u64 != answer.result_bytes;
+        let own = answer.task.as_ref().and_then(convert::task_id) == Some(task);
+        if (is_cut || !own) && self.settings.guards.whole_result {
+            self.scheduler.ended(&task, Outcome::Failed, Duration::ZERO, now);
+            let Some(served) = self.served.remove(&task) else { return };
+            let reason = "the worker's answer is cut or not the own one";
+            let end = quick::unanswered(Verdict::MayHaveRun, retry::Failure::BadAnswer, reason);
+            self.answer_attempt(served.origin, task, end, now);
+            return;
+        }
         let verdict = convert::verdict_from_schema(answer.verdict());
         let outcome = answer.outcome();
         let ran = Duration::from_millis(answer.run_ms);
--- a/lilacpass-control/src/settings.rs
+++ b/lilacpass-control/src/settings.rs
@@ -6,6 +6,8 @@
 use lilacpass_core::ids::{DataCentreId, Incarnation, InstanceId};
 use lilacpass_hold::HoldOptions;
 
+use crate::Guards;
+
 /// Settings of the control state machine.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
@@ -45,6 +47,8 @@
     pub max_result_bytes: usize,
     /// Longest wait for news in one report call.
     pub report_wait: Duration,
+    /// For tests only: guards that can be taken out one by one.
+    pub guards: Guards,
 }
 
 impl ControlSettings {
@@ -83,6 +87,7 @@
             keep_ended: settings.jobs.keep_ended,
             max_result_bytes: usize::try_from(settings.jobs.max_result.0).unwrap_or(usize::MAX),
             report_wait: settings.jobs.report_wait,
+            guards: Guards::default(),
         }
     }
 }
--- a/lilacpass-control/src/standing.rs
+++ b/lilacpass-control/src/standing.rs
@@ -45,7 +45,8 @@
             }
         }
         for (id, work) in wanted {
-            let name_is_taken = open.iter().any(|(_, name)| *name == work.name);
+            let waits = self.settings.guards.standing_successor_waits;
+            let name_is_taken = waits && open.iter().any(|(_, name)| *name == work.name);
             let known = self.jobs.get(&id).is_some();
             if known || name_is_taken || !self.drives(&id, now) || !self.ask_again(id, now) {
                 continue;
--- a/lilacpass-control/src/stop.rs
+++ b/lilacpass-control/src/stop.rs
@@ -48,7 +48,7 @@
     pub(crate) fn advance_stop(&mut self, now: MonoTime) {
         match self.stop {
             Stop::No | Stop::Done => {}
-            Stop::Draining if self.nothing_in_flight() => {
+            Stop::Draining if self.nothing_in_flight() || !self.settings.guards.stop_waits => {
                 self.stop = Stop::Releasing;
                 self.holding.leave(now);
             }
@@ -82,6 +82,9 @@
     /// themselves, so the process does not wait for it.
     fn has_left(&self, now: MonoTime) -> bool {
         let written = self.outboxes.values().all(super::outbox::Outbox::is_empty);
+        if !self.settings.guards.stop_waits {
+            return true;
+        }
         (self.holding.left() && written && self.quick.is_empty()) || !self.log_reachable(now)
     }
 
--- a/lilacpass-control/src/tasks.rs
+++ b/lilacpass-control/src/tasks.rs
@@ -240,6 +240,10 @@
         now: MonoTime,
     ) {
         self.lease_sent(worker, sent_at);
+        let settled_from = match self.settings.guards.settle_after_flight {
+            true => now.max(sent_at) + self.settings.hold.start_flight,
+            false => MonoTime::default(),
+        };
         let Some(recorded) = self.recorded.get_mut(&task) else { return };
         if recorded.state != State::Starting {
             return;
@@ -266,8 +270,7 @@
                 );
             }
             _ => {
-                recorded.state =
-                    State::Unsettled(now.max(sent_at) + self.settings.hold.start_flight);
+                recorded.state = State::Unsettled(settled_from);
                 counters::bump(&self.counters.starts_unsettled);
                 self.want_report(worker, now);
             }
@@ -427,7 +430,8 @@
             checkpoint: reported.checkpoint.clone(),
             ..v1::TaskEnded::default()
         };
-        if reported.result.len() as u64 != reported.result_bytes {
+        let is_cut = reported.result.len() as u64 != reported.result_bytes;
+        if is_cut && self.settings.guards.whole_result {
             "the worker's result is cut".clone_into(&mut ended.reason);
         } else if reported.result.len() > self.settings.max_result_bytes {
             "the result is larger than what is kept".clone_into(&mut ended.reason);
--- a/lilacpass-control/src/workers.rs
+++ b/lilacpass-control/src/workers.rs
@@ -134,7 +134,7 @@
             data_centre: worker.data_centre.clone(),
             rack: worker.rack.clone(),
             capacity: worker.capacity,
-            draining: worker.draining,
+            draining: worker.draining && self.settings.guards.leaving,
             connections: worker.connections,
         };
         self.scheduler.pool.upsert_worker(spec, now);
@@ -178,7 +178,10 @@
     /// given already exceeds it.
     pub(crate) fn start_limit(&self, worker: &WorkerId, now: MonoTime) -> Option<Limit> {
         let held = self.held.get(worker)?;
-        if held.incarnation.is_none() || held.is_leaving() || self.releasing.contains(&held.shard) {
+        if held.incarnation.is_none()
+            || self.takes_nothing(held)
+            || self.releasing.contains(&held.shard)
+        {
             return None;
         }
         let limit = self.holding.limit(worker, now)?;
@@ -195,7 +198,7 @@
             let Some(held) = self.held.get(&id) else { continue };
             let blocked = held.incarnation.is_none()
                 || held.is_silent()
-                || held.is_leaving()
+                || self.takes_nothing(held)
                 || self.releasing.contains(&held.shard);
             silent += u64::from(held.is_silent());
             let limit = if blocked { None } else { self.holding.limit(&id, now) };
@@ -207,6 +210,11 @@
         counters::set(&self.counters.workers_silent, silent);
     }
 
+    /// Whether a worker that is leaving gets nothing new.
+    fn takes_nothing(&self, held: &HeldWorker) -> bool {
+        held.is_leaving() && self.settings.guards.leaving
+    }
+
     /// Asks for a report of `worker` as soon as possible.
     pub(crate) fn want_report(&mut self, worker: &WorkerId, now: MonoTime) {
         if let Some(held) = self.held.get_mut(worker) {
@@ -297,7 +305,7 @@
         held.reported_at = Some(now);
         held.leaving = report.leaving;
         let leaving = report.leaving || held.listed_leaving;
-        self.scheduler.pool.set_leaving(worker, leaving);
+        self.scheduler.pool.set_leaving(worker, leaving && self.settings.guards.leaving);
         let listed: BTreeMap<TaskId, &v1::ReportedTask> = report
             .tasks
             .iter()
@@ -448,6 +456,9 @@
         if !held.is_silent() || self.holding.mode_of(&held.shard, now) == Some(Mode::Claimed) {
             return None;
         }
+        if !self.settings.guards.lapse_wait {
+            return Some(now);
+        }
         let lease = self.settings.task_lease;
         let drift = lease.mul_f64(self.settings.hold.clock_drift_ppm as f64 * 2e-6);
         let flight = self.settings.hold.start_flight * 2;
--- a/lilacpass-control/tests/fakes/cell.rs
+++ b/lilacpass-control/tests/fakes/cell.rs
@@ -7,7 +7,7 @@
 };
 
 use lilacpass_control::{
-    Control, ControlSettings, Effect, Event,
+    Control, ControlSettings, Effect, Event, Guards,
     event::{
         Answer, CallFailure, CallId, Caller, ChangeRequest, FailureKind, PeerReply, QuickRequest,
         ReadRecord, ReplyId, Request, Role, Stream, SubmitRequest, WorkerCall, WorkerReply,
@@ -115,6 +115,7 @@
     members: Vec<Member>,
     queue: BinaryHeap<Reverse<(MonoTime, u64)>>,
     arrivals: BTreeMap<u64, Arrival>,
+    guards: Guards,
     sequence: u64,
     next_reply: u64,
     /// Where the answer to a peer call goes, by the reply id at the callee.
@@ -126,7 +127,7 @@
     data_centre: &str,
     index: usize,
     incarnation: u64,
-    hold: HoldOptions,
+    guards: Guards,
 ) -> ControlSettings {
     ControlSettings {
         me: InstanceId::new(name),
@@ -134,7 +135,7 @@
         data_centre: DataCentreId::new(data_centre),
         peer_address: format!("127.1.0.{}:9000", index + 1).parse().unwrap(),
         seed: 7 + index as u64,
-        hold,
+        hold: HoldOptions::default(),
         heartbeat: Duration::from_millis(500),
         silent: Duration::from_millis(1_500),
         platform_timeout: Duration::from_millis(500),
@@ -147,6 +148,7 @@
         keep_ended: Duration::from_secs(3_600),
         max_result_bytes: 65_536,
         report_wait: Duration::from_millis(300),
+        guards,
     }
 }
 
@@ -159,15 +161,15 @@
         racks: usize,
         per_rack: usize,
     ) -> Self {
-        Self::with_options(data_centres, per_data_centre, racks, per_rack, &HoldOptions::default())
+        Self::with_guards(data_centres, per_data_centre, racks, per_rack, Guards::default())
     }
 
-    pub(crate) fn with_options(
+    pub(crate) fn with_guards(
         data_centres: &[&str],
         per_data_centre: usize,
         racks: usize,
         per_rack: usize,
-        hold: &HoldOptions,
+        guards: Guards,
     ) -> Self {
         let configuration = inventory::configuration(data_centres, racks, per_rack);
         let workers = configuration
@@ -188,13 +190,14 @@
             members: Vec::new(),
             queue: BinaryHeap::new(),
             arrivals: BTreeMap::new(),
+            guards,
             sequence: 0,
             next_reply: 0,
             peer_calls: BTreeMap::new(),
         };
         for data_centre in data_centres {
             for n in 0..per_data_centre {
-                cell.add_member(&format!("{data_centre}-{n}"), data_centre, 1, hold.clone());
+                cell.add_member(&format!("{data_centre}-{n}"), data_centre, 1);
             }
         }
         let ops = vec![v1::ConfigOp { op: Some(v1::config_op::Op::Replace(configuration)) }];
@@ -205,9 +208,10 @@
         cell
     }
 
-    fn add_member(&mut self, name: &str, data_centre: &str, incarnation: u64, hold: HoldOptions) {
+    fn add_member(&mut self, name: &str, data_centre: &str, incarnation: u64) {
         let index = self.members.len();
-        let control = Control::new(settings(name, data_centre, index, incarnation, hold), self.now);
+        let control =
+            Control::new(settings(name, data_centre, index, incarnation, self.guards), self.now);
         self.members.push(Member {
             name: name.to_owned(),
             data_centre: data_centre.to_owned(),
@@ -234,7 +238,7 @@
     pub(crate) fn replace(&mut self, old: usize, name: &str, incarnation: u64) -> usize {
         let data_centre = self.members[old].data_centre.clone();
         self.members[old].listed = false;
-        self.add_member(name, &data_centre, incarnation, HoldOptions::default());
+        self.add_member(name, &data_centre, incarnation);
         self.members.len() - 1
     }
 
@@ -469,8 +473,14 @@
                     return;
                 }
                 let worker = to.to_string();
+                let delay = match request {
+                    WorkerCall::Start(_) => {
+                        self.workers.get(&worker).map_or(HOP, |w| w.start_delay + HOP)
+                    }
+                    _ => HOP,
+                };
                 self.schedule(
-                    HOP,
+                    delay,
                     Arrival::WorkerCall { from: member, call, worker, sent_at, request },
                 );
                 let result = Err(failure(Verdict::MayHaveRun, FailureKind::Timeout, "timeout"));
@@ -537,7 +547,7 @@
         if worker.silent {
             return;
         }
-        let loses = worker.loses_answers;
+        let (loses, mute) = (worker.loses_answers || worker.mute, worker.mute);
         let reply = match request {
             WorkerCall::Run(request) => {
                 let runs = worker.run(&request, now);
@@ -564,7 +574,7 @@
                 WorkerReply::Report(worker.report(&request, now))
             }
         };
-        if loses && matches!(reply, WorkerReply::Start(_)) {
+        if mute || (loses && matches!(reply, WorkerReply::Start(_))) {
             return;
         }
         self.schedule(
--- a/lilacpass-control/tests/fakes/worker.rs
+++ b/lilacpass-control/tests/fakes/worker.rs
@@ -40,6 +40,12 @@
     pub(crate) dead: bool,
     /// Starts take effect, and their answers are lost.
     pub(crate) loses_answers: bool,
+    /// Does what it is told and answers nothing.
+    pub(crate) mute: bool,
+    /// Answers with half of each result.
+    pub(crate) cuts_results: bool,
+    /// A start is under way for so much longer.
+    pub(crate) start_delay: Duration,
     /// Fails all that it starts.
     pub(crate) black_hole: bool,
     /// Moments at which more was given than there is.
@@ -70,6 +76,9 @@
             silent: false,
             dead: false,
             loses_answers: false,
+            mute: false,
+            cuts_results: false,
+            start_delay: Duration::ZERO,
             black_hole: false,
             over_capacity: 0,
             last_start: None,
@@ -164,19 +173,25 @@
     /// The answer to a quick request that has run to its end.
     pub(crate) fn run_answer(&mut self, request: &v1::RunRequest, now: MonoTime) -> v1::RunAnswer {
         self.advance(now);
-        let result = format!("answer to {}", request.payload);
+        let whole = format!("answer to {}", request.payload);
+        let result = self.cut(&whole);
         let outcome =
             if self.black_hole { v1::TaskOutcome::Failed } else { v1::TaskOutcome::Succeeded };
         v1::RunAnswer {
             task: request.task.clone(),
             verdict: v1::Verdict::Ran.into(),
             outcome: outcome.into(),
-            result_bytes: result.len() as u64,
+            result_bytes: whole.len() as u64,
             result,
             run_ms: 1,
         }
     }
 
+    fn cut(&self, result: &str) -> String {
+        let len = if self.cuts_results { result.len() / 2 } else { result.len() };
+        result[..len].to_owned()
+    }
+
     pub(crate) fn start(
         &mut self,
         request: &v1::StartTaskRequest,
@@ -242,7 +257,11 @@
         for key in &request.forget {
             self.tasks.remove(&id(key));
         }
-        let tasks = self.tasks.values().map(|task| reported(task, now)).collect();
+        let mut tasks: Vec<v1::ReportedTask> =
+            self.tasks.values().map(|task| reported(task, now)).collect();
+        for task in &mut tasks {
+            task.result = self.cut(&task.result);
+        }
         v1::ReportAnswer {
             version: self.version,
             worker_incarnation: self.incarnation,
