Write the exit codes of the help once

The table of exit codes stood twice in the help texts, so one copy could have been changed without the other.

--- a/lilacpass-cli/src/args/help.rs
+++ b/lilacpass-cli/src/args/help.rs
@@ -1,7 +1,8 @@
 //! Texts that stand at the end of `--help`.
 
-/// What the exit codes mean.
-pub(super) const EXIT_CODES: &str = "\
+macro_rules! exit_codes {
+    () => {
+        "\
 Exit codes:
   0  done; work ran and succeeded
   2  the command line or a file is wrong; nothing was sent
@@ -9,19 +10,17 @@
   4  may have run: nothing proves that it did not; or it still goes on
   5  it ran to its end, with an error
   6  conflict: another change won the race for the same revision
-  7  no server could be reached, or none answered a question that changes nothing";
+  7  no server could be reached, or none answered a question that changes nothing"
+    };
+}
 
-/// Exit codes and examples.
-pub(super) const EXAMPLES: &str = "\
-Exit codes:
-  0  done; work ran and succeeded
-  2  the command line or a file is wrong; nothing was sent
-  3  not run: proved not to have run, or refused without effect
-  4  may have run: nothing proves that it did not; or it still goes on
-  5  it ran to its end, with an error
-  6  conflict: another change won the race for the same revision
-  7  no server could be reached, or none answered a question that changes nothing
+/// What the exit codes mean.
+pub(super) const EXIT_CODES: &str = exit_codes!();
 
+/// Exit codes and examples.
+pub(super) const EXAMPLES: &str = concat!(
+    exit_codes!(),
+    "\n\n\
 A call goes on to the next --server only where it had no effect for certain, or where repeating it
 does no harm: questions, cancellations, jobs (their idempotency key stays the same) and idempotent
 quick requests.
@@ -50,4 +49,5 @@
   lilacpass drain hal-a-r1-w3 --undo
 
   # Who was refused during the last day, for a script
-  lilacpass audit --refused --since 1d --output json";
+  lilacpass audit --refused --since 1d --output json"
+);
