Refuse records that would outgrow the memory of an instance

A lower limit on the length was ruled out: a configuration of thousands of workers is one record, and empty elements grow 276 times at any length.

Change: the lists of messages in a record are weighed on the encoded bytes before decoding, and more than 64 MiB is refused with an error of its own.

--- a/lilacpass-records/src/codec.rs
+++ b/lilacpass-records/src/codec.rs
@@ -3,6 +3,8 @@
 //! The log is shared with others and its records are read for as long as they are kept, so any
 //! bytes may come back: decoding never panics, and each kind of unusable record has its own error.
 
+mod weight;
+
 use lilacpass_schema::v1;
 use prost::{Message, encoding};
 use quick_error::quick_error;
@@ -13,6 +15,9 @@
 /// Longest record that is decoded, in bytes. A longer one is refused before anything is allocated.
 pub const MAX_RECORD_BYTES: usize = 4 << 20;
 
+/// Most memory that the lists in a record may take once it is decoded, in bytes.
+pub const MAX_DECODED_BYTES: usize = 64 << 20;
+
 /// First byte of every frame: the tag of its `format` field, a varint.
 const FORMAT_TAG: u8 = 0x08;
 /// Tag of the `crc` field, four bytes.
@@ -30,6 +35,10 @@
         TooLong(len: usize) {
             display("record of {len} bytes is longer than {MAX_RECORD_BYTES} bytes")
         }
+        /// Its lists would take more memory than [`MAX_DECODED_BYTES`]; the number is in bytes.
+        TooLarge(bytes: usize) {
+            display("record would take {bytes} bytes of memory, more than {MAX_DECODED_BYTES}")
+        }
         /// Ends before its frame does.
         Truncated {
             display("record is truncated")
@@ -83,6 +92,10 @@
     if crc32fast::hash(&frame.body) != frame.crc {
         return Err(DecodeError::Damaged);
     }
+    let decoded_bytes = weight::decoded_bytes(&frame.body);
+    if decoded_bytes > MAX_DECODED_BYTES {
+        return Err(DecodeError::TooLarge(decoded_bytes));
+    }
     let record = v1::Record::decode(&frame.body[..]).map_err(|_| DecodeError::Foreign)?;
     if record.body.is_none() {
         return Err(DecodeError::UnknownKind);
--- a/lilacpass-records/tests/codec.rs
+++ b/lilacpass-records/tests/codec.rs
@@ -5,14 +5,14 @@
 use common::{accepted, record, spec};
 use lilacpass_core::ids::JobId;
 use lilacpass_records::{DecodeError, codec, decode, encode};
-use lilacpass_schema::v1;
+use lilacpass_schema::v1::{self, record::Body, snapshot::Body as Part};
 use prost::Message;
 
 fn sample() -> v1::Record {
     v1::Record {
         record_id: "entry-1/7/42".into(),
         written_unix_ms: 1_700_000_000_000,
-        body: Some(v1::record::Body::Job(record(JobId(1), accepted(spec(), "digest")))),
+        body: Some(Body::Job(record(JobId(1), accepted(spec(), "digest")))),
     }
 }
 
@@ -58,3 +58,21 @@
     let long = vec![0; codec::MAX_RECORD_BYTES + 1];
     assert_eq!(decode(&long), Err(DecodeError::TooLong(long.len())));
 }
+
+/// Somebody with access to the log appends a snapshot part of empty jobs, two bytes each. Decoding
+/// it would take more memory than an entry instance has, at every entry that reads the stream.
+#[test]
+fn a_record_that_grows_beyond_bounds_is_refused_unread() {
+    let record = |jobs, task_ends: usize| {
+        let task_ends = vec![v1::TaskEnded::default(); task_ends];
+        let job = v1::SnapshotJob { task_ends, ..Default::default() };
+        let part = v1::JobsSnapshot { jobs: vec![job; jobs], ..Default::default() };
+        let snapshot = v1::Snapshot { body: Some(Part::Jobs(part)), ..Default::default() };
+        encode(&v1::Record { body: Some(Body::Snapshot(snapshot)), ..Default::default() })
+    };
+    let most = codec::MAX_DECODED_BYTES / size_of::<v1::SnapshotJob>();
+    assert!(decode(&record(most, 0)).is_ok());
+    assert!(matches!(decode(&record(most + 1, 0)), Err(DecodeError::TooLarge(_))));
+    let most = codec::MAX_DECODED_BYTES / size_of::<v1::TaskEnded>();
+    assert!(matches!(decode(&record(1, most)), Err(DecodeError::TooLarge(_))));
+}
