Tell ranges beside unknown keys, and suggest keys whatever their unit

Cause: `lilacpass check` on a sample with `leese = 3` and a lease of 50 ms told only the unknown key, and suggested nothing, since the unit counted as letters. Ruled out: dropping unknown keys silently (they stay errors); the same for the inventory, where one mistyped key of 48 workers would be told twice for each. Change: settings are decoded without their unknown keys, so that ranges are told in the same go; names are compared with and without their unit.

--- a/lilacpass-config/src/document.rs
+++ b/lilacpass-config/src/document.rs
@@ -1,6 +1,6 @@
 //! A TOML text with the place of each value, checked against a shape.
 
-use std::iter;
+use std::{iter, mem};
 
 use serde::de::DeserializeOwned;
 use toml::{
@@ -37,9 +37,14 @@
         verifier.problems
     }
 
-    /// The text as a message.
-    pub(crate) fn decode<T: DeserializeOwned>(&self) -> Result<T, Vec<Problem>> {
-        T::deserialize(Deserializer::from(self.root.clone()))
+    /// The text as a message, without its unknown keys.
+    pub(crate) fn decode<T: DeserializeOwned>(
+        &self,
+        members: &[Member],
+    ) -> Result<T, Vec<Problem>> {
+        let mut known = self.root.clone();
+        drop_unknown(known.get_mut(), members);
+        T::deserialize(Deserializer::from(known))
             .map_err(|err| vec![self.lines.syntax_problem(&err)])
     }
 
@@ -62,6 +67,25 @@
     }
 }
 
+fn drop_unknown(table: &mut DeTable<'_>, members: &[Member]) {
+    let known = mem::take(table).into_iter().filter_map(|(key, mut value)| {
+        let member = members.iter().find(|member| member.key == key.get_ref())?;
+        drop_unknown_in(value.get_mut(), &member.shape);
+        Some((key, value))
+    });
+    *table = known.collect();
+}
+
+fn drop_unknown_in(value: &mut DeValue<'_>, shape: &Shape) {
+    match (value, shape) {
+        (DeValue::Table(table), Shape::Table(members)) => drop_unknown(table, members),
+        (DeValue::Array(items), Shape::List(shape)) => {
+            items.iter_mut().for_each(|item| drop_unknown_in(item.get_mut(), shape));
+        }
+        _ => {}
+    }
+}
+
 /// `workers[3]` as key and index.
 fn split_index(step: &str) -> (&str, Option<usize>) {
     match step.split_once('[') {
--- a/lilacpass-config/src/inventory.rs
+++ b/lilacpass-config/src/inventory.rs
@@ -17,13 +17,15 @@
 /// Class of standing work that names none.
 const STANDING_CLASS: &str = "standing";
 
-/// Reads a configuration from TOML text and checks it. All problems are reported at once.
+/// Reads a configuration from TOML text and checks it. Unknown keys and wrong types are reported
+/// all at once, and where there are none, all else that is wrong.
 ///
 /// For standing work, `standing = true`, `tasks = 1` and `class = "standing"` need not be written.
 pub fn parse(text: &str) -> Result<v1::Configuration, Vec<Problem>> {
     let document = Document::parse(text)?;
-    problem::unless(document.verify(&shape::configuration()), ())?;
-    let mut configuration: v1::Configuration = document.decode()?;
+    let shape = shape::configuration();
+    problem::unless(document.verify(&shape), ())?;
+    let mut configuration: v1::Configuration = document.decode(&shape)?;
     configuration.standing.iter_mut().filter_map(|s| s.spec.as_mut()).for_each(fill_standing);
     let problems = check::findings(&configuration, &check::Scope::all())
         .into_iter()
--- a/lilacpass-config/src/nearest.rs
+++ b/lilacpass-config/src/nearest.rs
@@ -17,11 +17,10 @@
         .map(|(_, candidate)| candidate)
 }
 
+/// The distance to the known name with or without its unit, such as `_ms`.
 fn distance_but_for_unit(name: &str, known: &str) -> usize {
-    match known.strip_prefix(name) {
-        Some(rest) if rest.starts_with('_') => 0,
-        _ => distance(name, known),
-    }
+    let without_unit = known.rsplit_once('_').map_or(known, |(stem, _)| stem);
+    distance(name, known).min(distance(name, without_unit))
 }
 
 /// Edit distance (Levenshtein) in characters.
--- a/lilacpass-config/src/settings.rs
+++ b/lilacpass-config/src/settings.rs
@@ -32,17 +32,28 @@
     pub doc: &'static str,
 }
 
-/// Reads settings from TOML text. All problems are reported at once.
+/// Reads settings from TOML text. All problems are reported at once, but that ranges are told
+/// only where all types are right.
 pub fn parse(text: &str) -> Result<Settings, Vec<Problem>> {
     let document = Document::parse(text)?;
-    let problems = document.verify(&fields::shape());
-    problem::unless(problems, ())?;
-    let message: v1::Settings = document.decode()?;
+    let shape = fields::shape();
+    let mut problems = document.verify(&shape);
+    let message: v1::Settings = match document.decode(&shape) {
+        Ok(message) => message,
+        Err(_) if !problems.is_empty() => return Err(problem::sorted(problems)),
+        Err(undecodable) => return Err(undecodable),
+    };
     let located = |problem: Problem| {
         let place = document.locate(&problem.field);
         problem.at(place)
     };
-    check(&message).map_err(|problems| problem::sorted(problems.into_iter().map(located).collect()))
+    match check(&message) {
+        Ok(settings) => problem::unless(problems, settings),
+        Err(found) => {
+            problems.extend(found.into_iter().map(located));
+            Err(problem::sorted(problems))
+        }
+    }
 }
 
 /// All settings in the order of the schema's sections.
--- a/lilacpass-config/tests/settings.rs
+++ b/lilacpass-config/tests/settings.rs
@@ -77,6 +77,13 @@
             "line 12: jobz: unknown key; did you mean `jobs`?"
         ]
     );
+    assert_eq!(
+        refused("[holding]\nleese = 900\nrenew_ms = 1\n"),
+        [
+            "line 11: holding.leese: unknown key; did you mean `lease_ms`?",
+            "line 12: holding.renew_ms = 1: must be 50 to 30000 ms"
+        ]
+    );
     assert_eq!(
         refused("[holding]\nzzzzzzzzzz = 1\n"),
         ["line 11: holding.zzzzzzzzzz: unknown key"]
