Back off only for what the next attempt would meet again

Cause: every end without a checkpoint counted as a setback, so a watcher whose workers died a few times in a row, with no run time known of those runs, would have waited up to a minute for its restart instead of seconds.

Ruled out: relying on the run time in the record of a lapse; its writer can't know it.

Change: failures, early ends and refused starts count as setbacks; lapses, stops and unknown ends do not. The old backoff test drove its loop with unknown ends and now uses failures, with the same assertions; a new test holds the restart at once after lapses, stops and unknown ends.

--- a/lilacpass-records/src/jobs/job.rs
+++ b/lilacpass-records/src/jobs/job.rs
@@ -150,7 +150,8 @@
     }
 
     /// How long its driver should wait before the next attempt, counted from [`Job::since`]: not
-    /// at all after the first setback, then 1 s and twice as long each time, up to a minute.
+    /// at all after the first setback, then 1 s and twice as long each time, up to a minute. Ends
+    /// that say nothing about the job, such as a lapse, are no setbacks.
     pub fn backoff(&self) -> Duration {
         match self.setbacks {
             0 | 1 => Duration::ZERO,
@@ -244,17 +245,26 @@
             return self.end(attempt.failure(verdict, offset), now);
         }
         self.keep_checkpoints(attempt);
-        let progress = attempt.ended().any(|end| end.run_ms >= PROGRESS_MS);
-        let resumed = attempt.outcomes().all(|o| o == TaskOutcome::Checkpointed);
-        self.setbacks = match (resumed, progress) {
-            (true, _) => 0,
-            (false, true) => 1,
-            (false, false) => self.setbacks.saturating_add(1),
-        };
+        self.setbacks = self.setbacks_after(attempt);
         self.state = State::Waiting { next_attempt: attempt.number.next() };
         self.since = now;
     }
 
+    /// Setbacks in a row. Only what a new attempt would meet again counts: an end by itself, and
+    /// a start that was refused. After a lapse or a stop the job is not to blame, and a watcher
+    /// whose worker died must be back within seconds, however often that has happened.
+    fn setbacks_after(&self, attempt: &Attempt) -> u32 {
+        let counts = |o| attempt::is_own_end(o) || o == TaskOutcome::NotStarted;
+        if attempt.outcomes().all(|o| o == TaskOutcome::Checkpointed) {
+            return 0;
+        }
+        if !attempt.outcomes().any(counts) {
+            return self.setbacks;
+        }
+        let progress = attempt.ended().any(|end| end.run_ms >= PROGRESS_MS);
+        if progress { 1 } else { self.setbacks.saturating_add(1) }
+    }
+
     /// Notes the checkpoints of the attempt. A task that failed or succeeded by itself starts
     /// anew, in case that its checkpoint is what made it fail.
     fn keep_checkpoints(&mut self, attempt: &Attempt) {
--- a/lilacpass-records/tests/jobs.rs
+++ b/lilacpass-records/tests/jobs.rs
@@ -178,7 +178,7 @@
     let mut log = log_with(JobSpec { standing: true, class: "standing".into(), ..spec() });
     for number in 1..20 {
         assert_eq!(log.append(JOB, attempt(number, 1, "e1", 1)), attempted(number));
-        let folded = log.append(JOB, ended(number, 0, TaskOutcome::Unknown, "e1", 1));
+        let folded = log.append(JOB, ended(number, 0, TaskOutcome::Failed, "e1", 1));
         assert_eq!(folded, task_ended(number, 0, AfterTask::Waiting));
         let backoff = log.jobs.get(&JOB).unwrap().backoff();
         assert_eq!(backoff.is_zero(), number == 1, "a first restart is at once");
@@ -188,6 +188,20 @@
     assert_eq!(verdict(&log), Some((Verdict::MayHaveRun, false)));
 }
 
+/// The workers of a watcher die again and again. Backing off for that would leave it silent for a
+/// minute each time, though nothing is wrong with the watcher.
+#[test]
+fn a_watcher_whose_workers_die_is_back_at_once() {
+    let mut log = log_with(JobSpec { standing: true, class: "standing".into(), ..spec() });
+    let outcomes = [TaskOutcome::Unknown, TaskOutcome::Lapsed, TaskOutcome::Stopped];
+    for (number, outcome) in (1..).zip(outcomes.repeat(5)) {
+        assert_eq!(log.append(JOB, attempt(number, 1, "e1", 1)), attempted(number));
+        let folded = log.append(JOB, ended(number, 0, outcome, "e1", 1));
+        assert_eq!(folded, task_ended(number, 0, AfterTask::Waiting));
+        assert!(log.jobs.get(&JOB).unwrap().backoff().is_zero());
+    }
+}
+
 #[test]
 fn cancelled_work_ends_at_once_or_with_its_task() {
     let mut log = log_with(spec());
