Repeat an unanswered non-idempotent request under its own key

Change: such a request is sent again as it was, with its old key; a refusal of the repeat is not taken as a verdict on the first. The stand-in worker logs control calls at debug level.

--- a/lilacpass-harness/src/caller.rs
+++ b/lilacpass-harness/src/caller.rs
@@ -70,35 +70,59 @@
 impl Caller {
     /// Sends a quick request until it is answered, must not be sent again, or `deadline` is over.
     ///
-    /// Each try is a request of its own, with a payload id of its own.
+    /// Each try is a request of its own, with a payload id and key of its own. Only where a request
+    /// that must not run twice got no answer at all it is sent again as it was, under its old key.
     pub async fn quick(&self, spec: &v1::JobSpec, deadline: Duration) -> RequestEnd {
         let give_up_at = Instant::now() + deadline;
-        let id = Payload::parse(&spec.payload).id;
+        let base = Payload::parse(&spec.payload);
         let mut end = RequestEnd::Broken("no entry instance takes traffic".to_owned());
+        let mut repeated: Option<Payload> = None;
         for attempt in 1..=MAX_QUICK_TRIES {
             let left = give_up_at.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 break;
             }
-            let payload =
-                Payload { id: format!("{id}.{attempt}"), ..Payload::parse(&spec.payload) };
+            let is_repeat = repeated.is_some();
+            let payload = repeated.take().unwrap_or_else(|| Payload {
+                id: format!("{}.{attempt}", base.id),
+                ..base.clone()
+            });
             let mut pause = DEFAULT_RETRY;
             end = self.quick_once(spec, &payload, left, &mut pause).await;
-            let may_retry = match &end {
-                RequestEnd::Answered(_) | RequestEnd::Refused(Verdict::Ran, _) => false,
-                RequestEnd::Refused(Verdict::NotRun, _) => true,
-                RequestEnd::Refused(Verdict::MayHaveRun, _) | RequestEnd::Broken(_) => {
-                    spec.idempotent
-                }
+            let is_unknown = match &end {
+                RequestEnd::Broken(_) => true,
+                // A refusal of the repeat says nothing about the first.
+                RequestEnd::Refused(Verdict::NotRun, _) => is_repeat,
+                RequestEnd::Answered(_) | RequestEnd::Refused(..) => false,
             };
-            if !may_retry {
-                break;
+            if is_unknown {
+                end = weaken(end);
+            }
+            if is_unknown && !spec.idempotent {
+                repeated = Some(payload);
+            } else {
+                self.note_quick(spec, &payload, &end);
+                if !may_retry(spec, &end) {
+                    return end;
+                }
             }
             time::sleep(pause.min(MAX_RETRY)).await;
         }
+        if let Some(payload) = repeated {
+            self.note_quick(spec, &payload, &end);
+        }
         end
     }
 
+    fn note_quick(&self, spec: &v1::JobSpec, payload: &Payload, end: &RequestEnd) {
+        self.ledger.notes().quick.push(QuickNote {
+            id: payload.id.clone(),
+            expected: payload.expected_result(),
+            idempotent: spec.idempotent,
+            end: end.clone(),
+        });
+    }
+
     async fn quick_once(
         &self,
         spec: &v1::JobSpec,
@@ -113,7 +137,7 @@
         let sent_unix_ms = ledger::unix_ms();
         let reply = self.api.quick(to, &spec, &payload.id, deadline).await;
         self.note_call(entry, sent_unix_ms, &reply);
-        let end = match reply {
+        match reply {
             Reply::Done(answer) => RequestEnd::Answered(answer.result),
             Reply::Problem(problem) => {
                 if problem.retry_after_ms > 0 {
@@ -122,14 +146,7 @@
                 refused(&problem)
             }
             Reply::Broken(detail) => RequestEnd::Broken(detail),
-        };
-        self.ledger.notes().quick.push(QuickNote {
-            id: payload.id.clone(),
-            expected: payload.expected_result(),
-            idempotent: spec.idempotent,
-            end: end.clone(),
-        });
-        end
+        }
     }
 
     /// Submits a job, again under the same key until it is accepted or `limit` is over. Returns its
@@ -254,6 +271,24 @@
     }
 }
 
+/// The end of a request that was sent before without an answer.
+fn weaken(end: RequestEnd) -> RequestEnd {
+    match end {
+        RequestEnd::Refused(Verdict::NotRun, detail) => {
+            RequestEnd::Refused(Verdict::MayHaveRun, detail)
+        }
+        other => other,
+    }
+}
+
+fn may_retry(spec: &v1::JobSpec, end: &RequestEnd) -> bool {
+    match end {
+        RequestEnd::Answered(_) | RequestEnd::Refused(Verdict::Ran, _) => false,
+        RequestEnd::Refused(Verdict::NotRun, _) => true,
+        RequestEnd::Refused(Verdict::MayHaveRun, _) | RequestEnd::Broken(_) => spec.idempotent,
+    }
+}
+
 /// The end of a request by its problem document; one without a readable verdict proves nothing.
 fn refused(problem: &v1::Problem) -> RequestEnd {
     let verdict = problem.verdict.parse().unwrap_or(Verdict::MayHaveRun);
--- a/lilacpass-harness/src/judge.rs
+++ b/lilacpass-harness/src/judge.rs
@@ -308,7 +308,8 @@
     pairs.into_iter().find(|(a, b)| a.overlaps(b))
 }
 
-fn show(run: &Span) -> String {
+/// A run for people.
+pub fn show(run: &Span) -> String {
     let ended = run
         .ended_unix_ms
         .map_or("running".to_owned(), |ended| format!("{} {}", ended, run.outcome.as_str_name()));
--- a/lilacpass-harness/src/sample_run.rs
+++ b/lilacpass-harness/src/sample_run.rs
@@ -226,6 +226,7 @@
     time::sleep(BEFORE_DRAIN).await;
     faults.extend(drain_one(operator, cell).await?);
     time::sleep(BEFORE_KILL).await;
+    eprintln!("{} {}: kill {}", ledger::unix_ms(), deployment.name, cell.entries[KILLED].name);
     cell.kill_entry(KILLED).await?;
     operator.balancer.set_targets(cell.targets());
     cell.replace_entry(KILLED).await?;
@@ -241,6 +242,7 @@
     let Some(worker) = busy.map(|worker| worker.worker.clone()) else {
         return Ok(Some("there is no worker to drain".to_owned()));
     };
+    eprintln!("{} drain {worker}", ledger::unix_ms());
     let drain = v1::DrainWorker { worker: worker.clone(), draining: true };
     let drain = operator::op(config_op::Op::DrainWorker(drain));
     if operator.change("trace-drain", vec![drain], OPERATOR_LIMIT).await.is_none() {
@@ -321,10 +323,16 @@
         matches!(job.kind, JobKind::Long | JobKind::Gang)
             && job.end.as_ref().is_none_or(|end| end.state != "succeeded")
     });
-    summary.faults.extend(bad_jobs.map(|(id, job)| format!("{id} ended as {:?}", job.end)));
-    let bad_quick = notes.quick.iter().filter(|quick| !quick.idempotent);
-    let bad_quick = bad_quick.filter(|q| !matches!(q.end, ledger::RequestEnd::Answered(_)));
-    bad_quick.for_each(|quick| eprintln!("{} ended as {:?}", quick.id, quick.end));
+    summary.faults.extend(bad_jobs.map(|(id, job)| {
+        let runs: Vec<_> = spans.of(id).iter().map(judge::show).collect();
+        format!("{id} ended as {:?}, runs: {}", job.end, runs.join(", "))
+    }));
+    let unanswered = notes.quick.iter().filter(|quick| !quick.idempotent);
+    let unanswered = unanswered.filter(|q| !matches!(q.end, ledger::RequestEnd::Answered(_)));
+    unanswered.for_each(|quick| {
+        let runs: Vec<_> = spans.of(&quick.id).iter().map(judge::show).collect();
+        eprintln!("{} ended as {:?}, runs: {}", quick.id, quick.end, runs.join(", "));
+    });
 }
 
 /// Standing work from the configuration has no note of a caller; its runs are compared here.
--- a/lilacpass-standin/src/worker_service.rs
+++ b/lilacpass-standin/src/worker_service.rs
@@ -259,6 +259,7 @@
         let request = request.into_inner();
         let control = request.control();
         let key = request.task.ok_or_else(|| Status::invalid_argument("task is missing"))?;
+        log::debug!("control {} {key:?} epoch {}", control.as_str_name(), request.epoch);
         let known = self.0.worker().control(&key, control, self.0.clock.now());
         self.0.changed.send_replace(());
         Ok(Response::new(v1::ControlTaskAnswer { known }))
