Decide nothing about access before a configuration is in force

An instance that had not read the configuration yet took a good token for a wrong one, wrote that to the audit trail, and let loopback act as operator on jobs. It now asks such callers to come back and lets a new cell be given its first configuration only. A daemon whose control thread has ended used to stay up and answer nothing; it ends with exit code 1 now.

--- a/lilacpass-daemon/src/daemon.rs
+++ b/lilacpass-daemon/src/daemon.rs
@@ -57,6 +57,10 @@
             source(error)
             from()
         }
+        /// The control thread ended by itself, which it never should.
+        ControlEnded {
+            display("the control thread ended")
+        }
         /// A planned stop was not done in time; work may have been cut off.
         StopTimeout {
             display("stop not done in time")
@@ -84,6 +88,7 @@
     stopped: watch::Receiver<bool>,
     front: Arc<Front>,
     phase: watch::Sender<Phase>,
+    traffic: JoinHandle<()>,
     servers: Vec<JoinHandle<()>>,
     stop_timeout: Duration,
 }
@@ -155,7 +160,7 @@
         metrics,
         stopped: stop_sender,
     };
-    tokio::spawn(traffic.run(effects));
+    let traffic = tokio::spawn(traffic.run(effects));
 
     let (phase, phases) = watch::channel(Phase::Serving);
     let max_connections = settings.traffic.max_connections;
@@ -164,10 +169,31 @@
     let peer_server = serve_peers(peer_service, peer_listener, phases);
     let servers = vec![tokio::spawn(http_server), tokio::spawn(peer_server)];
     let stop_timeout = settings.traffic.max_deadline + STOP_GRACE;
-    Ok(Daemon { http_address, peer_address, sink, stopped, front, phase, servers, stop_timeout })
+    Ok(Daemon {
+        http_address,
+        peer_address,
+        sink,
+        stopped,
+        front,
+        phase,
+        traffic,
+        servers,
+        stop_timeout,
+    })
 }
 
 impl Daemon {
+    /// Waits until the daemon fails.
+    ///
+    /// Guards against an instance that looks alive and does nothing: after a fault in the control
+    /// thread connections would still be taken, and nothing answered. The process ends instead,
+    /// and the platform replaces the instance.
+    pub async fn failed(&mut self) -> DaemonError {
+        // Effects end with the control thread; both a return and a panic mean the same here.
+        let _ = (&mut self.traffic).await;
+        DaemonError::ControlEnded
+    }
+
     /// Stops as planned: takes no new work, finishes what is in flight, then closes.
     ///
     /// # Errors
--- a/lilacpass-daemon/src/http/access.rs
+++ b/lilacpass-daemon/src/http/access.rs
@@ -31,9 +31,11 @@
 /// Slow hashes computed at once; they run beside the traffic threads.
 const MAX_SLOW_CHECKS: usize = 2;
 
-/// When an address with too many refused tries may come back, in milliseconds.
+/// When a caller may come back, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
 
+const NO_TOKEN: &str = "no token of the cell, and not from a loopback address";
+
 /// A configuration that is in force here.
 #[derive(Debug, Default)]
 pub struct InForce {
@@ -77,6 +79,32 @@
         }
     }
 
+    /// Who sent a request, before a configuration is in force here.
+    ///
+    /// Which tokens are good is not known then, so a token is neither taken nor refused, and only
+    /// what a new cell needs for its first configuration can be asked for.
+    ///
+    /// # Errors
+    ///
+    /// The answer has to wait for a configuration, or the caller may not give the first one.
+    pub fn early_caller(
+        &self,
+        action: Action,
+        headers: &HeaderMap,
+        origin: SocketAddr,
+        now: MonoTime,
+    ) -> Result<Caller, Refusal> {
+        let shown = bearer(headers).map_err(|detail| self.unauthorized(origin, now, detail))?;
+        if !action.needs_no_configuration() {
+            return Err(no_configuration());
+        }
+        match (self.first_caller(shown, origin), shown) {
+            (Some(caller), _) => Ok(caller),
+            (None, Some(_)) => Err(no_configuration()),
+            (None, None) => Err(self.unauthorized(origin, now, NO_TOKEN)),
+        }
+    }
+
     /// Finds out who sent a request with `headers` from `origin`.
     ///
     /// As long as the configuration has no tokens, requests without a token from a loopback
@@ -98,7 +126,7 @@
         if in_force.configuration.tokens.is_empty() {
             return self
                 .first_caller(shown, origin)
-                .ok_or_else(|| self.unauthorized(origin, now, "no token, and not from loopback"));
+                .ok_or_else(|| self.unauthorized(origin, now, NO_TOKEN));
         }
         let Some(shown) = shown else {
             return Err(self.unauthorized(origin, now, "a bearer token is needed"));
@@ -206,6 +234,12 @@
     }
 }
 
+fn no_configuration() -> Refusal {
+    let detail = "no configuration is in force here yet";
+    let problem = problem::not_run(StatusCode::SERVICE_UNAVAILABLE, "no-configuration", detail);
+    Refusal { problem: problem::retry_after(problem, RETRY_AFTER_MS), audited: false }
+}
+
 fn is_loopback(ip: IpAddr) -> bool {
     ip.to_canonical().is_loopback()
 }
--- a/lilacpass-daemon/src/http/action.rs
+++ b/lilacpass-daemon/src/http/action.rs
@@ -63,6 +63,12 @@
         self.has_body() || self == Self::Cancel
     }
 
+    /// Whether it makes sense before a configuration is in force: it shows the state of the
+    /// instance, or gives a new cell its first configuration.
+    pub fn needs_no_configuration(self) -> bool {
+        matches!(self, Self::Change | Self::Changes | Self::Inventory | Self::Rules | Self::Status)
+    }
+
     /// Whether callers of this role may ask for it.
     pub fn allowed_for(self, role: Role) -> bool {
         match role {
--- a/lilacpass-daemon/src/http/front.rs
+++ b/lilacpass-daemon/src/http/front.rs
@@ -68,7 +68,7 @@
     ids: ReplyIds,
     metrics: Arc<Metrics>,
     access: Access,
-    in_force: Mutex<Arc<InForce>>,
+    in_force: Mutex<Option<Arc<InForce>>>,
     ready: AtomicBool,
     stopping: AtomicBool,
     next_request: AtomicU64,
@@ -101,12 +101,14 @@
     /// Takes over a configuration that is in force from now on.
     pub fn set_in_force(&self, revision: Revision, configuration: Arc<v1::Configuration>) {
         let in_force = Arc::new(InForce { revision, configuration });
-        *self.in_force.lock().unwrap_or_else(PoisonError::into_inner) = in_force;
+        *self.in_force.lock().unwrap_or_else(PoisonError::into_inner) = Some(in_force);
     }
 
     /// Takes over whether this instance can take traffic.
     pub fn set_ready(&self, ready: bool) {
-        self.ready.store(ready, Ordering::Relaxed);
+        if self.ready.swap(ready, Ordering::Relaxed) != ready {
+            log::info!(ready = ready; "readiness changed");
+        }
     }
 
     /// Whether this instance can take traffic.
@@ -161,7 +163,8 @@
     ) -> Result<Response, BoxedProblem> {
         input::check_headers(&parts.headers)?;
         let in_force = self.in_force();
-        let caller = self.caller(action, &in_force, &parts, origin, now).await?;
+        let caller = self.caller(action, in_force.as_ref(), &parts, origin, now).await?;
+        let in_force = in_force.unwrap_or_default();
         let limits = &self.options.limits;
         let body = match action.has_body() {
             true => input::read_body(&parts.headers, body, limits).await?,
@@ -176,13 +179,19 @@
     async fn caller(
         &self,
         action: Action,
-        in_force: &Arc<InForce>,
+        in_force: Option<&Arc<InForce>>,
         parts: &Parts,
         origin: SocketAddr,
         now: MonoTime,
     ) -> Result<Caller, BoxedProblem> {
-        let now_unix_s = clock::unix_ms() / 1_000;
-        let found = self.access.caller(in_force, &parts.headers, origin, now, now_unix_s).await;
+        let headers = &parts.headers;
+        let found = match in_force {
+            Some(in_force) => {
+                let now_unix_s = clock::unix_ms() / 1_000;
+                self.access.caller(in_force, headers, origin, now, now_unix_s).await
+            }
+            None => self.access.early_caller(action, headers, origin, now),
+        };
         let caller = found.map_err(|refusal| {
             let unknown = nobody(origin);
             self.note_refusal(action, unknown, refusal)
@@ -249,7 +258,7 @@
         response
     }
 
-    fn in_force(&self) -> Arc<InForce> {
+    fn in_force(&self) -> Option<Arc<InForce>> {
         self.in_force.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
--- a/lilacpass-daemon/src/main.rs
+++ b/lilacpass-daemon/src/main.rs
@@ -99,7 +99,7 @@
 async fn serve(settings: &Settings) -> Result<(), Failure> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let daemon = daemon::start(settings).await?;
+    let mut daemon = daemon::start(settings).await?;
     announce(&daemon)?;
     log::info!(
         instance:% = settings.instance.name, data_centre:% = settings.instance.data_centre,
@@ -109,6 +109,7 @@
     tokio::select! {
         _ = terminate.recv() => log::info!(signal = "SIGTERM"; "stopping"),
         _ = interrupt.recv() => log::info!(signal = "SIGINT"; "stopping"),
+        failure = daemon.failed() => return Err(failure.into()),
     }
     daemon.stop().await?;
     log::info!("stopped");
