Measure takeover, spreading of changes, footprint and added latency

The system part of the figures comes from whole cells of processes: time until a worker gets its next start after its holder was killed or paused, time until a change is in force on all entries, processor share, memory, bytes and appends at 8, 16 and 32 entries, and the latency of an open loop counted from the time each request was due. The log stand-in counts appends and bytes for it. Ruled out: judging takeover by the daemon's own listing. No figures yet: the machine is shared and busy.

--- a/lilacpass-harness/src/lib.rs
+++ b/lilacpass-harness/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod judge;
 pub mod ledger;
 pub mod load;
+pub mod measure;
 pub mod operator;
 pub mod process;
 pub mod sample_run;
--- a/lilacpass-harness/src/main.rs
+++ b/lilacpass-harness/src/main.rs
@@ -3,7 +3,7 @@
 use std::{process::ExitCode, time::Duration};
 
 use clap::{Parser, Subcommand};
-use lilacpass_harness::{Error, Result, fault_run, sample_run};
+use lilacpass_harness::{Error, Result, fault_run, measure, sample_run};
 
 /// Development tools that run whole cells as processes on loopback.
 #[derive(Debug, Parser)]
@@ -26,6 +26,12 @@
         #[arg(long, default_value_t = 60)]
         seconds: u64,
     },
+    /// Measures takeover, spreading of changes, footprint and added latency.
+    Measure {
+        /// What to measure; all of it where nothing is named.
+        #[arg(value_enum)]
+        parts: Vec<measure::Part>,
+    },
 }
 
 #[tokio::main]
@@ -55,6 +61,10 @@
             println!("{summary}");
             Ok(summary.is_good())
         }
+        Command::Measure { parts } => {
+            measure::run(&parts, |line| println!("{line}")).await?;
+            Ok(true)
+        }
         Command::Faults { seed, seconds } => {
             let outcome = fault_run::run(seed, Duration::from_secs(seconds)).await?;
             println!("{outcome}");
--- a/lilacpass-harness/src/process.rs
+++ b/lilacpass-harness/src/process.rs
@@ -55,6 +55,14 @@
         self.pid.as_raw_nonzero().get().cast_unsigned()
     }
 
+    /// Processor time and memory that it uses.
+    pub fn usage(&self) -> Result<Usage> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id()))?;
+        let statm = std::fs::read_to_string(format!("/proc/{}/statm", self.id()))?;
+        read_usage(&stat, &statm)
+            .ok_or_else(|| Error::Unexpected(self.name.clone(), "unreadable usage".to_owned()))
+    }
+
     /// Reads lines of its output up to the first one for which `read` has a value.
     pub async fn expect<T>(&mut self, mut read: impl FnMut(&str) -> Option<T>) -> Result<T> {
         let name = self.name.clone();
@@ -109,6 +117,30 @@
     }
 }
 
+/// What a process uses.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Processor time since its start.
+    pub cpu: Duration,
+    /// Resident memory, in bytes.
+    pub resident_bytes: u64,
+}
+
+/// Reads the fields `utime` and `stime` of `stat` and `resident` of `statm`, see proc(5).
+fn read_usage(stat: &str, statm: &str) -> Option<Usage> {
+    const TICK_MS: u64 = 10;
+    const UTIME_AFTER_NAME: usize = 11;
+    // The second field is the name in parentheses, which may hold blanks.
+    let (_, after_name) = stat.rsplit_once(") ")?;
+    let mut times = after_name.split_whitespace().skip(UTIME_AFTER_NAME);
+    let mut ticks = || times.next()?.parse::<u64>().ok();
+    let cpu_ms = (ticks()? + ticks()?) * TICK_MS;
+    let resident_pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+    let page_bytes = rustix::param::page_size() as u64;
+    let resident_bytes = resident_pages * page_bytes;
+    Some(Usage { cpu: Duration::from_millis(cpu_ms), resident_bytes })
+}
+
 fn start_error(name: &str, detail: impl Into<String>) -> Error {
     Error::Start(name.to_owned(), detail.into())
 }
--- a/lilacpass-standin/src/platform.rs
+++ b/lilacpass-standin/src/platform.rs
@@ -65,6 +65,7 @@
     instances: Instances,
     rate: RateLimit,
     fault: v1::PlatformFault,
+    counts: v1::PlatformCounts,
 }
 
 impl Platform {
@@ -76,6 +77,7 @@
             instances: Instances::default(),
             rate: RateLimit::new(options.appends, clock.now()),
             fault: v1::PlatformFault::default(),
+            counts: v1::PlatformCounts::default(),
         };
         Self(Arc::new(Shared {
             options,
@@ -162,9 +164,13 @@
         let first_offset = {
             let mut state = self.state();
             if !state.rate.admit(self.0.clock.now()) {
+                state.counts.refused += 1;
                 return Err(Status::resource_exhausted("too many appends a second"));
             }
             let request = request.into_inner();
+            state.counts.appends += 1;
+            state.counts.records += request.records.len() as u64;
+            state.counts.appended_bytes += size_of_records(&request.records);
             state.log.append(&request.stream, request.records)
         };
         self.0.appended.send_replace(());
@@ -198,6 +204,9 @@
                 self.check_up()?;
                 self.half_delay().await;
                 self.pass_cut(caller.as_deref()).await;
+                let counts = &mut self.state().counts;
+                counts.reads += 1;
+                counts.read_bytes += size_of_records(&answer.records);
                 return Ok(Response::new(answer));
             }
             // An error means that the wait is over or that the process ends: look once more.
@@ -258,6 +267,17 @@
         self.state().instances.put_view(request.into_inner());
         Ok(done())
     }
+
+    async fn counts(
+        &self,
+        _request: Request<v1::PlatformCountsRequest>,
+    ) -> Result<Response<v1::PlatformCounts>, Status> {
+        Ok(Response::new(self.state().counts))
+    }
+}
+
+fn size_of_records(records: &[Vec<u8>]) -> u64 {
+    records.iter().map(|record| record.len() as u64).sum()
 }
 
 fn done() -> Response<v1::StandinDone> {
