Tell an operator the truth of a change that a peer brought first

Found by reading, by the author of the fold. Ruled out: not adopting while a change of our own is under way (an instance that is cut from the log would stay behind). Messages that programs write are read leniently, so that a tool and a daemon of different versions understand each other during an upgrade. Cancels are audited; silent watchers are counted. The fake log delays all reads of a lagging member.

--- a/lilacpass-codegen/src/main.rs
+++ b/lilacpass-codegen/src/main.rs
@@ -13,9 +13,18 @@
 const GENERATED_DIR: &str = "lilacpass-schema/src/generated";
 const GENERATED_FILE: &str = "lilacpass.v1.rs";
 
-/// All messages can be written as TOML and JSON; reading refuses unknown fields.
+/// All messages can be written as TOML and JSON.
 const SERDE_DERIVE: &str = "#[derive(serde::Serialize, serde::Deserialize)]";
+/// What people write is read strictly: an unknown field is an error.
 const SERDE_STRICT: &str = "#[serde(default, deny_unknown_fields)]";
+/// What programs write is read leniently, so that a tool understands the answers of a newer daemon
+/// while instances are upgraded one after the other.
+const SERDE_LENIENT: &str = "#[serde(default)]";
+
+/// Files whose messages people write.
+const STRICT_FILES: [&str; 2] = ["config.proto", "settings.proto"];
+/// Messages of other files that people write.
+const STRICT_MESSAGES: [&str; 3] = ["Amount", "ChangeRequest", "JobSpec"];
 
 fn main() -> ExitCode {
     let check = env::args().any(|arg| arg == "--check");
@@ -54,7 +63,14 @@
     let descriptors = protox::compile(proto_files()?, [PROTO_DIR])?;
     let mut config = tonic_prost_build::Config::new();
     config.message_attribute(".", SERDE_DERIVE);
-    config.message_attribute(".", SERDE_STRICT);
+    for file in &descriptors.file {
+        for message in &file.message_type {
+            let strict =
+                STRICT_FILES.contains(&file.name()) || STRICT_MESSAGES.contains(&message.name());
+            let attribute = if strict { SERDE_STRICT } else { SERDE_LENIENT };
+            config.message_attribute(format!(".lilacpass.v1.{}", message.name()), attribute);
+        }
+    }
     config.enum_attribute(".", SERDE_DERIVE);
     // Oneofs of the configuration are written by people, as `{ set_rules = { .. } }`.
     config.enum_attribute("lilacpass.v1.ConfigOp.op", "#[serde(rename_all = \"snake_case\")]");
--- a/lilacpass-control/src/change.rs
+++ b/lilacpass-control/src/change.rs
@@ -97,7 +97,8 @@
             change::apply(self.config.configuration(), &request.ops).map_err(|problems| {
                 problem::problem(&problem::INVALID, Verdict::NotRun, join(&problems))
             })?;
-        let log_ready = self.log_reachable(now) && self.streams.is_complete(Stream::Config);
+        let read = self.streams.is_complete(Stream::Config) && !self.config.has_gap();
+        let log_ready = self.log_reachable(now) && read;
         if !request.dry_run && !log_ready {
             let detail = "the log service can't be reached, so no change can be accepted";
             return Err(Box::new(problem::retry_later(
@@ -157,24 +158,13 @@
         if !matches!(outcome, ChangeOutcome::Accepted(_)) {
             counters::bump(&self.counters.records_void);
         }
+        // Records before it were lost to this member: it is decided once the gap is closed, or the
+        // operator is told at the end of the wait that it may be in force.
+        if outcome == ChangeOutcome::Undecided {
+            return;
+        }
         let Some(pending) = self.changes.remove(record_id) else { return };
-        let (answer, to, detail) = match outcome {
-            ChangeOutcome::Accepted(revision) => {
-                let answer =
-                    Answer::Change(v1::ChangeAnswer { revision: revision.0, effects: Vec::new() });
-                (answer, Some(revision), pending.summary.clone())
-            }
-            ChangeOutcome::Invalid(problems) => {
-                let detail = join(&problems);
-                let problem = problem::problem(&problem::INVALID, Verdict::NotRun, detail.clone());
-                (Answer::Problem(problem), None, detail)
-            }
-            _ => {
-                let problem = self.conflict(pending.base);
-                let detail = problem.detail.clone();
-                (Answer::Problem(problem), None, detail)
-            }
-        };
+        let (answer, to, detail) = self.change_answer(offset, outcome, &pending);
         self.answer(pending.reply, answer);
         self.audit_entry(
             &pending.caller,
@@ -186,6 +176,40 @@
         );
     }
 
+    /// What the operator is told of a change that was read back, the revision where it is in force,
+    /// and the words for the audit trail.
+    fn change_answer(
+        &self,
+        offset: Offset,
+        outcome: ChangeOutcome,
+        pending: &PendingChange,
+    ) -> (Answer, Option<Revision>, String) {
+        let accepted = |revision: Revision| {
+            let answer = v1::ChangeAnswer { revision: revision.0, effects: Vec::new() };
+            (Answer::Change(answer), Some(revision), pending.summary.clone())
+        };
+        let refused = |problem: v1::Problem| {
+            let detail = problem.detail.clone();
+            (Answer::Problem(problem), None, detail)
+        };
+        match outcome {
+            ChangeOutcome::Accepted(revision) => accepted(revision),
+            // This member adopted a later configuration from a peer before it read the change, so
+            // the change was decided without it.
+            ChangeOutcome::Duplicate if self.config.was_accepted(offset) => {
+                accepted(Revision(offset.next().0))
+            }
+            ChangeOutcome::Duplicate | ChangeOutcome::Undecided => {
+                let detail = "decided before this instance read it; look at the revision in force";
+                refused(problem::problem(&problem::CONFLICT, Verdict::MayHaveRun, detail))
+            }
+            ChangeOutcome::Conflict { .. } => refused(self.conflict(pending.base)),
+            ChangeOutcome::Invalid(problems) => {
+                refused(problem::problem(&problem::INVALID, Verdict::NotRun, join(&problems)))
+            }
+        }
+    }
+
     /// A peer has sent its configuration.
     pub(crate) fn fetch_config_done(
         &mut self,
--- a/lilacpass-control/src/control.rs
+++ b/lilacpass-control/src/control.rs
@@ -383,6 +383,7 @@
         counters::set(&counters.jobs_waiting, self.jobs.waiting().count() as u64);
         counters::set(&counters.jobs_active, self.jobs.active().count() as u64);
         counters::set(&counters.log_reachable, u64::from(self.log_reachable(now)));
+        counters::set(&counters.watchers_silent, self.silent_watchers().len() as u64);
         let free = self.scheduler.pool.digest().free;
         counters::set(&counters.free_cpu_milli, free.cpu.0);
         let given = self.held.keys().map(|id| self.scheduler.pool.given(id).cpu.0).sum();
--- a/lilacpass-control/src/counters.rs
+++ b/lilacpass-control/src/counters.rs
@@ -92,6 +92,8 @@
     jobs_waiting,
     /// Jobs with an active attempt.
     jobs_active,
+    /// Standing tasks on held workers whose last heartbeat is older than ten seconds.
+    watchers_silent,
     /// Processors given on held workers, in thousandths of a core.
     given_cpu_milli,
     /// Processors free on held workers, in thousandths of a core.
--- a/lilacpass-control/src/snapshots.rs
+++ b/lilacpass-control/src/snapshots.rs
@@ -63,11 +63,7 @@
     }
 
     fn write_snapshot(&mut self, stream: Stream, now: MonoTime) {
-        let Some(covers) =
-            self.streams.positions.get(&stream).map(|position| position.follower.next())
-        else {
-            return;
-        };
+        let Some(covers) = self.snapshot_covers(stream) else { return };
         let bodies: Vec<Body> = match stream {
             Stream::Config => self.config.snapshot().into_iter().map(Body::Config).collect(),
             Stream::Holding => vec![Body::Holding(self.holding.snapshot())],
@@ -84,6 +80,15 @@
         counters::bump(&self.counters.snapshots);
     }
 
+    /// The offset before which the state of a stream holds all records. A configuration that was
+    /// adopted from a peer may be ahead of what was read.
+    fn snapshot_covers(&self, stream: Stream) -> Option<Offset> {
+        match stream {
+            Stream::Config => self.config.covers(),
+            _ => self.streams.positions.get(&stream).map(|position| position.follower.next()),
+        }
+    }
+
     /// A part of a snapshot was read in its turn.
     pub(crate) fn on_snapshot_part(
         &mut self,
--- a/lilacpass-control/src/submit.rs
+++ b/lilacpass-control/src/submit.rs
@@ -428,6 +428,8 @@
             return;
         }
         self.append_cancel(id, &caller.name, now);
+        let revision = self.config.revision();
+        self.audit_entry(caller, "cancel", &id.to_string(), (revision, Some(revision)), "", now);
         self.wait_job(reply, id, ACCEPT_TIMEOUT, now);
     }
 
--- a/lilacpass-control/src/views.rs
+++ b/lilacpass-control/src/views.rs
@@ -308,7 +308,7 @@
         modes.into_iter().map(|(mode, shards)| v1::HoldingView { mode, shards }).collect()
     }
 
-    fn silent_watchers(&self) -> Vec<String> {
+    pub(crate) fn silent_watchers(&self) -> Vec<String> {
         self.recorded
             .iter()
             .filter(|(task, recorded)| {
--- a/lilacpass-control/tests/failures.rs
+++ b/lilacpass-control/tests/failures.rs
@@ -379,3 +379,45 @@
         assert_eq!(cell.job(0, id).unwrap().state, "succeeded");
     }
 }
+
+/// An operator is told that a change is not in force, and it is.
+/// The entry instance that took the change reads its own record late. Another member has read it
+/// already, and the first one learns the new configuration from there before it reads the record.
+#[test]
+fn a_change_that_was_learnt_from_a_peer_first_is_told_as_accepted() {
+    let mut cell = one_data_centre();
+    cell.lag_reads(0, SECOND);
+    let rules = v1::Rules { max_attempts: 7, ..v1::Rules::default() };
+    let op = v1::ConfigOp { op: Some(v1::config_op::Op::SetRules(rules)) };
+    let reply = cell.change(0, 1, vec![op]);
+    cell.run_for(3 * SECOND);
+    let Answer::Change(answer) = &cell.answers[&reply].0 else {
+        panic!("{:?}", cell.answers[&reply])
+    };
+    assert_eq!(answer.revision, 2);
+}
+
+/// Desk staff keep getting answers through an hour without the log, a watcher stays alive, and
+/// when the log is back the members do not all write at once.
+#[test]
+fn an_hour_without_the_log_is_served_through() {
+    let mut cell = one_data_centre();
+    let spec = v1::JobSpec { standing: true, ..inventory::spec("stays watcher") };
+    running_job(&mut cell, 0, spec, "w");
+    cell.log.mode = Mode::Down;
+    for minute in 0..60 {
+        cell.run_for(59 * SECOND);
+        let reply = cell.quick(minute % 3, inventory::spec("20 lookup"), SECOND);
+        cell.run_for(SECOND);
+        assert!(matches!(cell.answers[&reply].0, Answer::Quick(_)), "{:?}", cell.answers[&reply]);
+    }
+    let before = cell.log.appends;
+    cell.log.mode = Mode::Up;
+    cell.run_for(SECOND);
+    let in_first_second = cell.log.appends - before;
+    assert!(in_first_second <= 30, "{in_first_second} appends in the first second");
+    cell.run_for(5 * SECOND);
+    let runs = cell.runs_of("stays watcher");
+    assert_eq!((runs.len(), runs[0].to), (1, None));
+    assert_eq!(cell.over_capacity(), 0);
+}
--- a/lilacpass-control/tests/fakes/cell.rs
+++ b/lilacpass-control/tests/fakes/cell.rs
@@ -608,7 +608,7 @@
             return;
         }
         let data_centre = self.members[from].data_centre.clone();
-        let first = self.log.append(stream, &data_centre, records);
+        let first = self.log.append(stream, &data_centre, records, self.now);
         let (after, result) = match self.log.mode {
             Mode::LosesAnswers => {
                 let lost = failure(Verdict::MayHaveRun, FailureKind::Timeout, "no answer");
@@ -640,12 +640,14 @@
             return;
         }
         let data_centre = m.data_centre.clone();
-        let tail = self.log.tail(stream, &data_centre);
+        let lag = m.read_lag;
+        let tail = self.log.tail_at(stream, &data_centre, now - lag);
         let waited = now.since(sent_at) >= READ_WAIT;
         if tail == from && !waited && !first {
             return;
         }
-        let records = self.log.read(stream, &data_centre, from);
+        let mut records = self.log.read(stream, &data_centre, from);
+        records.retain(|(offset, _)| offset.0 < tail);
         let oldest = self.log.oldest(stream, &data_centre);
         let records =
             records.into_iter().map(|(at, r)| (at, ReadRecord::Good(Box::new(r)))).collect();
--- a/lilacpass-control/tests/fakes/log.rs
+++ b/lilacpass-control/tests/fakes/log.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use lilacpass_control::event::Stream;
-use lilacpass_core::ids::Offset;
+use lilacpass_core::{MonoTime, ids::Offset};
 use lilacpass_schema::v1;
 
 /// What the log does with appends and reads.
@@ -20,7 +20,7 @@
 /// The streams of a cell. The holding stream is one per data centre.
 #[derive(Debug)]
 pub(crate) struct Log {
-    streams: BTreeMap<(Stream, String), Vec<v1::Record>>,
+    streams: BTreeMap<(Stream, String), Vec<(MonoTime, v1::Record)>>,
     pub(crate) mode: Mode,
     pub(crate) appends: u64,
     /// Records that each stream keeps; older ones are dropped.
@@ -45,11 +45,12 @@
         stream: Stream,
         data_centre: &str,
         records: Vec<v1::Record>,
+        now: MonoTime,
     ) -> Offset {
         self.appends += 1;
         let kept = self.streams.entry(Self::key(stream, data_centre)).or_default();
         let first = Offset(kept.len() as u64);
-        kept.extend(records);
+        kept.extend(records.into_iter().map(|record| (now, record)));
         first
     }
 
@@ -63,7 +64,7 @@
         let kept = self.streams.get(&Self::key(stream, data_centre));
         let from = from.max(self.oldest(stream, data_centre));
         let records = kept.into_iter().flatten().enumerate().skip(from as usize);
-        records.map(|(i, record)| (Offset(i as u64), record.clone())).collect()
+        records.map(|(i, (_, record))| (Offset(i as u64), record.clone())).collect()
     }
 
     /// The oldest offset that is still kept.
@@ -71,6 +72,12 @@
         self.tail(stream, data_centre).saturating_sub(self.retention)
     }
 
+    /// The offset behind the last record that was there at `at`.
+    pub(crate) fn tail_at(&self, stream: Stream, data_centre: &str, at: MonoTime) -> u64 {
+        let kept = self.streams.get(&Self::key(stream, data_centre));
+        kept.map_or(0, |kept| kept.partition_point(|(appended, _)| *appended <= at) as u64)
+    }
+
     /// The offset that the next record gets.
     pub(crate) fn tail(&self, stream: Stream, data_centre: &str) -> u64 {
         self.streams.get(&Self::key(stream, data_centre)).map_or(0, |kept| kept.len() as u64)
