Refuse a task lease that a takeover outlasts

Cause: with the default of 5 s a task's lease ran out before the next holder of its worker renewed it, about 4 s after a death; non-idempotent work then ends as may_have_run. Ruled out: a shorter holding lease (twice the appends for one second). Change: jobs.task_lease_ms is 10 s by default and must be more than three times holding.lease_ms. The test of contradicting settings names the new bound; the test of the tool uses settings that are good under it; the human status of a newer server is shown, and a malformed one still named as of another version.

--- a/lilacpass-cli/tests/files.rs
+++ b/lilacpass-cli/tests/files.rs
@@ -18,14 +18,14 @@
 instance_list_addresses = ["127.0.0.1:7001"]
 
 [holding]
-lease_ms = 6000
+lease_ms = 3000
 "#;
 
 #[test]
 fn bad_settings_are_refused_with_line_field_unit_and_range() {
     let run = lilacpass_with(&[], "check -", SETTINGS, &[]);
     assert_eq!((run.code, run.stdout.as_str()), (0, "-: good\n"), "{run:?}");
-    let bad = SETTINGS.replace("lease_ms = 6000", "lease_ms = 1");
+    let bad = SETTINGS.replace("lease_ms = 3000", "lease_ms = 1");
     let run = lilacpass_with(&[], "check --settings -", &bad, &[]);
     assert_eq!(run.code, 2);
     let texts = ["-:12:", "holding.lease_ms", "= 1", " ms", " to "];
--- a/lilacpass-cli/tests/operators.rs
+++ b/lilacpass-cli/tests/operators.rs
@@ -127,6 +127,9 @@
     let server = Fake::always(200, json!({ "revision": 3, "of_tomorrow": 1 }));
     let run = lilacpass(&[&server.url], "status --output json");
     assert_eq!((run.code, run.json()["of_tomorrow"].as_u64()), (0, Some(1)));
+    let run = lilacpass(&[&server.url], "status");
+    assert_eq!((run.code, run.stderr.as_str()), (0, ""), "known fields are shown: {run:?}");
+    let server = Fake::always(200, json!({ "revision": "of tomorrow" }));
     assert!(lilacpass(&[&server.url], "status").stderr.contains("of another version"));
 }
 
--- a/lilacpass-config/src/settings/fields.rs
+++ b/lilacpass-config/src/settings/fields.rs
@@ -109,8 +109,8 @@
         "Longest deadline that a caller may set.";
     RETRY_BUDGET: "traffic.retry_budget_percent", "percent", 10, 1..=100,
         "Retries per hundred requests that this instance may make.";
-    TASK_LEASE: "jobs.task_lease_ms", "ms", 5_000, 500..=600_000,
-        "Duration of a task's lease on its worker; more than twice the wait for a report.";
+    TASK_LEASE: "jobs.task_lease_ms", "ms", 10_000, 500..=600_000,
+        "Duration of a task's lease on its worker; more than three times holding.lease_ms.";
     HOLD: "jobs.hold_ms", "ms", 3_000, 100..=60_000,
         "How long room is set aside while an attempt is written.";
     KEEP_ENDED: "jobs.keep_ended_s", "s", 86_400, 60..=31_536_000,
--- a/lilacpass-config/src/settings/reader.rs
+++ b/lilacpass-config/src/settings/reader.rs
@@ -140,6 +140,9 @@
             jobs.task_lease / 2,
         );
         self.less(&fields::LEASE, holding.lease, "holding.longest_pause_ms", holding.longest_pause);
+        // A task must live until the next holder of its worker has claimed it and renews.
+        let third = "a third of jobs.task_lease_ms";
+        self.less(&fields::LEASE, holding.lease, third, jobs.task_lease / 3);
         if holding.grant < peers.heartbeat * 2 {
             let message = "must be at least two times peers.heartbeat_ms, \
                            so that one lost heartbeat doesn't end the grants";
--- a/lilacpass-config/tests/settings.rs
+++ b/lilacpass-config/tests/settings.rs
@@ -111,7 +111,7 @@
         ("[holding]\nstart_flight_ms = 2500\n", "start_flight_ms = 2500: must be less than 2500"),
         ("[holding]\ngrant_ms = 1999\n", "grant_ms = 1999: must be at least two times peers"),
         ("[peers]\nsilent_ms = 1000\n", "heartbeat_ms = 1000: must be less than 1000 ms"),
-        ("[jobs]\nreport_wait_ms = 2500\n", "report_wait_ms = 2500: must be less than 2500 ms"),
+        ("[jobs]\nreport_wait_ms = 5000\n", "report_wait_ms = 5000: must be less than 5000 ms"),
         ("[holding]\nlongest_pause_ms = 2500\n", "lease_ms = 2500: must be less than 2500 ms"),
     ];
     for (extra, wanted) in cases {
@@ -184,3 +184,12 @@
         assert!((min.parse().unwrap()..=max.parse().unwrap()).contains(&default), "{}", doc.path);
     }
 }
+
+/// A crawl ends as may_have_run each time an entry instance dies: its task lease runs out before
+/// the next holder of its worker has claimed it. Settings that make this certain are refused.
+#[test]
+fn a_task_lease_shorter_than_a_takeover_is_refused() {
+    let text = format!("{LEAST}\n[jobs]\ntask_lease_ms = 6000\n");
+    let problems = settings::parse(&text).unwrap_err();
+    assert!(problems.iter().any(|problem| problem.field == "holding.lease_ms"), "{problems:?}");
+}
