Wait for one's own last starts when a shard comes back

Change: a tenure's first report must be taken after the longest flight since the member last gave there. A guard with a scenario of its own, which fails without it.

--- a/lilacpass-hold/src/follow.rs
+++ b/lilacpass-hold/src/follow.rs
@@ -11,7 +11,6 @@
 use crate::{
     history::History,
     holding::{FoldOutcome, HoldAction, Holding, LostShard},
-    options::HoldOptions,
     state::{Change, MemberKey, Tenure, VoidReason},
     tenure::{Origin, OwnTenure},
 };
@@ -113,6 +112,8 @@
             self.tenures.iter().filter(|(s, own)| !kept(s, own)).map(|(s, _)| s.clone()).collect();
         for shard in gone {
             let Some(own) = self.tenures.remove(&shard) else { continue };
+            let given = own.ending.map_or(now, |ending| ending.since);
+            self.last_given.insert(shard.clone(), given);
             let replaced = self.history.tenure(&shard).and_then(|t| t.previous.as_ref());
             if replaced == Some(&self.me) {
                 let (shard, epoch) = (shard.clone(), own.epoch);
@@ -138,7 +139,16 @@
                 }
                 continue;
             }
-            let mut own = own_tenure(tenure, claim_sent, self.replacement_read, &self.options, now);
+            let origin = origin(tenure);
+            let report_from = self.report_from(shard, origin, claim_sent, now);
+            let mut own = OwnTenure {
+                epoch: tenure.epoch,
+                origin,
+                report_from,
+                cleared_from: (origin == Origin::Released).then_some(report_from),
+                reports: BTreeMap::new(),
+                ending: None,
+            };
             if self.superseded || self.plan.is_leaving() {
                 own.end(now);
             }
@@ -147,6 +157,32 @@
         }
     }
 
+    /// From when on a report shows all that was started before the tenure.
+    fn report_from(
+        &self,
+        shard: &ShardId,
+        origin: Origin,
+        claim_sent: Option<MonoTime>,
+        now: MonoTime,
+    ) -> MonoTime {
+        if !self.options.guards.report_wait {
+            return now;
+        }
+        let flight = self.options.with_margin(self.options.start_flight);
+        // The caller forgets what it started in an earlier tenure, also what is still under way.
+        let given = self.last_given.get(shard).filter(|_| self.options.guards.own_last_starts);
+        let own_over = given.map(|&given| given + flight).unwrap_or_default();
+        if origin == Origin::Unclean {
+            // The old holder's lease and grants had run out when the claim was sent, so from then
+            // on it keeps to its half; what it started before that has arrived after the flight.
+            return own_over.max(claim_sent.unwrap_or(now) + flight);
+        }
+        // A holder that its successor's address proved dead may have started work right before.
+        let replaced = self.replacement_read.filter(|_| self.options.guards.last_acts_of_dead);
+        let replaced_over = replaced.map(|read| read + flight).unwrap_or_default();
+        now.max(own_over).max(replaced_over)
+    }
+
     /// Takes over a snapshot that covers all records before `covers`.
     pub fn restore(&mut self, snapshot: &v1::HoldingSnapshot, covers: Offset, now: MonoTime) {
         if covers < self.next {
@@ -169,38 +205,10 @@
     }
 }
 
-fn own_tenure(
-    tenure: &Tenure,
-    claim_sent: Option<MonoTime>,
-    replacement_read: Option<MonoTime>,
-    options: &HoldOptions,
-    now: MonoTime,
-) -> OwnTenure {
-    let origin = match (&tenure.previous, tenure.inherited) {
+fn origin(tenure: &Tenure) -> Origin {
+    match (&tenure.previous, tenure.inherited) {
         (None, _) => Origin::Released,
         (Some(_), false) => Origin::Unclean,
         (Some(_), true) => Origin::Inherited,
-    };
-    let flight = options.with_margin(options.start_flight);
-    // The old holder's lease and grants had run out when the claim was sent, so from then on it
-    // keeps to its half; what it started before that has arrived after the longest flight.
-    let claimed_over = claim_sent.unwrap_or(now) + flight;
-    // A holder that was proved dead by its successor's address may have started work right before.
-    let replaced = replacement_read.filter(|_| options.guards.last_acts_of_dead);
-    let replaced_over = replaced.map(|read| read + flight).unwrap_or_default();
-    let report_from = match origin {
-        Origin::Unclean if options.guards.report_wait => claimed_over,
-        Origin::Released | Origin::Inherited if options.guards.report_wait => {
-            now.max(replaced_over)
-        }
-        _ => now,
-    };
-    OwnTenure {
-        epoch: tenure.epoch,
-        origin,
-        report_from,
-        cleared_from: (origin == Origin::Released).then_some(report_from),
-        reports: BTreeMap::new(),
-        ending: None,
     }
 }
--- a/lilacpass-hold/src/holding.rs
+++ b/lilacpass-hold/src/holding.rs
@@ -100,6 +100,8 @@
     pub(crate) grants: Grants,
     pub(crate) tenures: BTreeMap<ShardId, OwnTenure>,
     pub(crate) lost: Vec<LostShard>,
+    /// When this member gave work last, at the latest, on shards that it held before.
+    pub(crate) last_given: BTreeMap<ShardId, MonoTime>,
     pub(crate) plan: Plan,
     /// Actions that reading caused, for the next tick.
     pub(crate) queued: Vec<HoldAction>,
@@ -135,6 +137,7 @@
             grants: Grants::default(),
             tenures: BTreeMap::new(),
             lost: Vec::new(),
+            last_given: BTreeMap::new(),
             plan: Plan::default(),
             queued: Vec::new(),
             superseded: false,
--- a/lilacpass-hold/src/options.rs
+++ b/lilacpass-hold/src/options.rs
@@ -121,6 +121,8 @@
     pub record_incarnation: bool,
     /// A release is written only when the last start has certainly arrived.
     pub release_after_flight: bool,
+    /// A member that gets a shard back waits for what it started there in its earlier tenure.
+    pub own_last_starts: bool,
     /// What a member that is proved dead did last, starts and grants, is waited for.
     pub last_acts_of_dead: bool,
     /// A member leaves the roster only when its grants have run out.
@@ -151,6 +153,7 @@
             no_grant_with_claim_out: true,
             record_incarnation: true,
             release_after_flight: true,
+            own_last_starts: true,
             last_acts_of_dead: true,
             leave_after_grants: true,
             stop_before_release: true,
--- a/lilacpass-hold/tests/guards.rs
+++ b/lilacpass-hold/tests/guards.rs
@@ -428,6 +428,29 @@
     is_needed(scenario, |g| g.last_acts_of_dead = false);
 }
 
+// A cut-off holder starts work from its half right before it gets the log back. It reads that it
+// has lost the shard, and that its claimant has released it and left; so it claims again at once,
+// and no longer knows of what it started.
+#[test]
+fn a_holder_that_gets_its_shard_back_waits_for_its_own_last_starts() {
+    let scenario = |options| {
+        let (mut world, [holder, claimant]) = settled(options);
+        world.forgets = true;
+        world.cut_off(holder);
+        wait_for(&mut world, |w| has_limit(w, claimant));
+        let now = world.local(claimant);
+        world.processes[claimant].hold.leave(now);
+        wait_for(&mut world, |w| w.processes[claimant].hold.left());
+        world.processes[holder].start_delay_ms = 480;
+        world.processes[holder].greedy = true;
+        world.run(30);
+        world.processes[holder].log_up = true;
+        world.run(2_000);
+        world
+    };
+    is_needed(scenario, |g| g.own_last_starts = false);
+}
+
 // Two members have lost the log, and one grants to the other, the holder. A third has joined since
 // and may not claim as the first is known. The first gets the log back and leaves in that moment;
 // its last grant is still in use.
