--- a/lilacpass-daemon/src/http/front.rs
+++ b/lilacpass-daemon/src/http/front.rs
@@ -15,7 +15,7 @@
     event::{Answer, Caller, Request, Role},
 };
 use lilacpass_core::{
-    MonoTime, Verdict,
+    MonoTime,
     ids::{Incarnation, InstanceId, Revision},
 };
 use lilacpass_schema::v1;
@@ -29,6 +29,7 @@
         action::Action,
         input::{self, InputLimits},
         problem::{self, BoxedProblem},
+        respond,
     },
     metrics::Metrics,
     replies::{Replies, ReplyIds, Waiter},
@@ -41,9 +42,6 @@
 /// Longest wait for an answer that has no deadline of its own.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// When a caller may come back after an overload or a lost answer, in milliseconds.
-const RETRY_AFTER_MS: u64 = 1_000;
-
 /// What the front has to know.
 #[derive(Debug)]
 pub struct FrontOptions {
@@ -173,7 +171,7 @@
         let request = input::request(action, &parts, &body, &in_force, limits)?;
         let role = caller.role;
         let answer = self.ask(caller, request, action).await?;
-        Ok(respond(action, role, answer, request_id))
+        Ok(respond::answer(action, role, answer, request_id))
     }
 
     async fn caller(
@@ -228,7 +226,7 @@
         let mut pending = Pending::new(self);
         let reply = pending.waiter.id();
         if self.sink.offer(Event::Request { reply, caller, request }).is_err() {
-            return Err(overloaded());
+            return Err(respond::overloaded());
         }
         pending.handed = true;
         let answer = tokio::time::timeout(timeout, pending.waiter.answer()).await;
@@ -237,7 +235,7 @@
                 pending.handed = false;
                 Ok(answer)
             }
-            Ok(None) | Err(_) => Err(no_answer(action)),
+            Ok(None) | Err(_) => Err(respond::no_answer(action)),
         }
     }
 
@@ -298,64 +296,6 @@
     }
 }
 
-fn respond(action: Action, role: Role, answer: Answer, request_id: &str) -> Response {
-    let ok = StatusCode::OK;
-    match answer {
-        Answer::Quick(mut answer) => {
-            answer.request_id = request_id.to_owned();
-            problem::json(ok, &answer)
-        }
-        Answer::Job(view) if action == Action::Submit => accepted(&view),
-        Answer::Job(view) => problem::json(ok, &view),
-        Answer::Jobs(list) => problem::json(ok, &list),
-        Answer::Explanation(explanation) => problem::json(ok, &explanation),
-        Answer::Change(answer) => problem::json(ok, &answer),
-        Answer::Changes(list) => problem::json(ok, &list),
-        Answer::Inventory(view) => problem::json(ok, &shown(action, role, view)),
-        Answer::Workers(list) => problem::json(ok, &list),
-        Answer::Status(view) => problem::json(ok, &*view),
-        Answer::Audit(list) => problem::json(ok, &list),
-        Answer::Problem(problem) => problem::response(Box::new(problem), request_id),
-        Answer::Done => problem::json(ok, &serde_json::json!({})),
-    }
-}
-
-fn accepted(view: &v1::JobView) -> Response {
-    let mut response = problem::json(StatusCode::ACCEPTED, view);
-    if let Ok(location) = HeaderValue::try_from(format!("/v1/jobs/{}", view.job_id)) {
-        response.headers_mut().insert(header::LOCATION, location);
-    }
-    response
-}
-
-/// The part of the configuration that was asked for. Only operators see token hashes, which they
-/// need to build a change on.
-fn shown(action: Action, role: Role, mut view: v1::InventoryView) -> v1::InventoryView {
-    if let Some(configuration) = &mut view.configuration {
-        if role != Role::Operator {
-            configuration.tokens.iter_mut().for_each(|token| token.hash.clear());
-        }
-        if action == Action::Rules {
-            let rules = configuration.rules.take();
-            *configuration = v1::Configuration { rules, ..v1::Configuration::default() };
-        }
-    }
-    view
-}
-
-fn overloaded() -> BoxedProblem {
-    let detail = "too many requests wait here";
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    problem::retry_after(problem::not_run(status, "overloaded", detail), RETRY_AFTER_MS)
-}
-
-fn no_answer(action: Action) -> BoxedProblem {
-    let verdict = if action.has_effect() { Verdict::MayHaveRun } else { Verdict::NotRun };
-    let detail = "no answer in time";
-    let problem = problem::problem(StatusCode::GATEWAY_TIMEOUT, "no-answer", verdict, detail);
-    problem::retry_after(problem, RETRY_AFTER_MS)
-}
-
 fn nobody(origin: SocketAddr) -> Caller {
     let name = "anonymous".to_owned();
     Caller { name, role: Role::ReadOnly, team: None, origin: Some(origin) }
--- a/lilacpass-daemon/src/http/mod.rs
+++ b/lilacpass-daemon/src/http/mod.rs
@@ -1,8 +1,9 @@
 //! The HTTP interface for callers and operators.
 //!
 //! A request goes through [`server`] (connections and their limits), [`routes`] (which action it
-//! asks for), [`access`] (who asks), [`input`] (what exactly is asked) and [`front`] (the state
-//! machine and back). Every error leaves as a problem document made in [`problem`].
+//! asks for), [`access`] (who asks), [`input`] (what exactly is asked), [`front`] (the state
+//! machine and back) and [`respond`] (its answer as response). Every error leaves as a problem
+//! document made in [`problem`].
 
 pub mod access;
 pub mod action;
@@ -10,6 +11,7 @@
 pub mod input;
 pub mod limit;
 pub mod problem;
+pub mod respond;
 pub mod routes;
 pub mod server;
 
