Take a listed member for alive whatever number the list gives it

Cause: the instance list carries the platform's start numbers, and the members count their own; a member cut off from the log for two minutes would have been evicted though it was listed, and its worker overcommitted. Ruled out: learning which number belongs to which incarnation, as the list lags behind a restart. Change: a listed name counts for the incarnation in the roster. The new test fails with the old rule.

--- a/lilacpass-hold/src/holding.rs
+++ b/lilacpass-hold/src/holding.rs
@@ -170,7 +170,7 @@
     /// Takes in the entry instances of the own data centre, as the lagging list shows them.
     pub fn set_instances(&mut self, listed: &[ListedInstance], now: MonoTime) {
         self.changed = true;
-        self.list.update(listed, self.history.members().map(|(key, _)| key), now);
+        self.list.update(listed, self.history.members(), now);
     }
 
     /// The history as a message, covering all records that were folded.
--- a/lilacpass-hold/src/list.rs
+++ b/lilacpass-hold/src/list.rs
@@ -10,14 +10,17 @@
     ids::{Incarnation, InstanceId},
 };
 
-use crate::{options::HoldOptions, state::MemberKey};
+use crate::{
+    options::HoldOptions,
+    state::{MemberKey, MemberState},
+};
 
 /// An entry instance of the own data centre, as the instance list shows it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ListedInstance {
     /// The instance.
     pub id: InstanceId,
-    /// Its start number; 0 where the list does not know it.
+    /// Its start number as the platform counts, which need not be the member's own count.
     pub incarnation: Incarnation,
     /// Whether the platform is about to stop it.
     pub leaving: bool,
@@ -37,12 +40,12 @@
     pub fn update<'a>(
         &mut self,
         listed: &[ListedInstance],
-        members: impl Iterator<Item = &'a MemberKey>,
+        members: impl Iterator<Item = (&'a MemberKey, &'a MemberState)>,
         now: MonoTime,
     ) {
         self.leaving = listed.iter().filter(|l| l.leaving).map(|l| l.id.clone()).collect();
-        for key in members {
-            if listed.iter().any(|l| shows(l, key)) {
+        for (key, member) in members {
+            if listed.iter().any(|l| shows(l, key, member)) {
                 self.seen.insert(key.clone());
                 self.gone_since.remove(key);
             } else {
@@ -86,7 +89,9 @@
     }
 }
 
-fn shows(listed: &ListedInstance, key: &MemberKey) -> bool {
-    let unknown = listed.incarnation == Incarnation(0);
-    listed.id == key.id && (unknown || listed.incarnation == key.incarnation)
+/// Whether the list shows the member. The platform's start numbers may have nothing to do with the
+/// members' own; so a listed name counts for the incarnation that is in the roster, whatever its
+/// number. An earlier one is shown only by its very number.
+fn shows(listed: &ListedInstance, key: &MemberKey, member: &MemberState) -> bool {
+    listed.id == key.id && (member.in_roster || listed.incarnation == key.incarnation)
 }
--- a/lilacpass-hold/tests/failures.rs
+++ b/lilacpass-hold/tests/failures.rs
@@ -252,3 +252,18 @@
     world.run(10_000);
     assert_eq!(world.processes[others[0]].hold.epoch_of(&shard(0)).map(|e| e.0), Some(2));
 }
+
+// The platform counts starts in its own way. A holder that is cut off from the log for minutes is
+// on the list all the time, under a number that the log does not know. It is not taken for dead.
+#[test]
+fn a_listed_member_is_alive_whatever_its_number() {
+    let (mut world, holder, others) = settled(1);
+    world.processes.iter_mut().for_each(|p| p.incarnation += 1_000);
+    world.cut_off(holder);
+    world.run(200_000);
+    assert_eq!(mode(&world, holder), Some(Mode::Escrow));
+    assert!(others.iter().all(|p| world.processes[*p].hold.roster().count() == 3));
+    world.all_greedy();
+    world.run(2_000);
+    assert_eq!(world.overcommitted, None);
+}
