Let work that can be checkpointed use the room kept for bursts

Batch tasks that can be checkpointed make room at a small cost, so they may use room that tasks which can't must leave: up to 35 % of the capacity is free or in their hands, 15 % free.

--- a/lilacpass-decide/src/pool/hold.rs
+++ b/lilacpass-decide/src/pool/hold.rs
@@ -82,8 +82,7 @@
             return None;
         }
         self.start_probe(number, task, now);
-        self.put_in(task, number, need, meta, now);
-        self.tasks.get_mut(&task).expect("the task was just put in").gang = gang;
+        self.put_in(task, number, need, meta, gang, now);
         Some(self.name(number))
     }
 
--- a/lilacpass-decide/src/pool/mod.rs
+++ b/lilacpass-decide/src/pool/mod.rs
@@ -46,6 +46,9 @@
     /// The most room that is kept for the peak of urgent work, in thousandths of the capacity;
     /// 150 by default.
     pub max_reserve_permille: u32,
+    /// The most room that is kept free or in the hands of tasks that can be checkpointed, in
+    /// thousandths of the capacity; 350 by default.
+    pub max_cheap_reserve_permille: u32,
     /// One batch task in this time starts in a pool even in the room kept for urgent work; 5 s
     /// by default.
     pub batch_trickle: Duration,
@@ -56,6 +59,7 @@
         Self {
             peak_window: Duration::from_secs(30),
             max_reserve_permille: 150,
+            max_cheap_reserve_permille: 350,
             batch_trickle: Duration::from_secs(5),
         }
     }
@@ -91,6 +95,8 @@
     index: Index,
     /// The worker that is kept for a large task which smaller ones would otherwise starve.
     kept: Option<Kept>,
+    /// What is given to tasks that could make room at a small cost.
+    cheap: Resources,
     /// When batch work was last given or held.
     last_batch: MonoTime,
     /// Where the next search for tasks to preempt begins.
@@ -129,6 +135,7 @@
             workers: Vec::new(),
             index: Index::default(),
             kept: None,
+            cheap: Resources::ZERO,
             last_batch: MonoTime::default(),
             preempt_from: 0,
             vacant: Vec::new(),
@@ -215,7 +222,7 @@
             self.drop_probe(*earlier, &task, now);
             self.refresh(*earlier);
         }
-        self.put_in(task, number, need, meta, now);
+        self.put_in(task, number, need, meta, false, now);
         let (earlier, _) = earlier.filter(|(earlier, _)| *earlier != number)?;
         let name = self.name(earlier);
         self.forget_if_empty(earlier);
@@ -236,7 +243,7 @@
             return false;
         }
         self.start_probe(number, task, now);
-        self.put_in(task, number, need, meta, now);
+        self.put_in(task, number, need, meta, false, now);
         true
     }
 
@@ -272,9 +279,9 @@
             return false;
         }
         let (_, given) = self.take_out(task).expect("the task was just found");
-        self.put_in(*task, number, need, given.meta, now);
+        self.put_in(*task, number, need, given.meta, given.gang, now);
         let resized = self.tasks.get_mut(task).expect("the task was just put in");
-        (resized.since, resized.gang) = (given.since, given.gang);
+        resized.since = given.since;
         true
     }
 
@@ -443,6 +450,7 @@
         number: u32,
         need: Resources,
         meta: TaskMeta,
+        gang: bool,
         now: MonoTime,
     ) {
         self.usage.add(&meta.team, &need);
@@ -454,12 +462,15 @@
         if meta.class == Class::Batch {
             self.last_batch = now;
         }
+        if is_cheap(&meta, gang) {
+            self.cheap = self.cheap.plus(&need);
+        }
         self.count_standing(number, &meta, true);
         let worker = &mut self.workers[number as usize];
         worker.given = worker.given.plus(&need);
         worker.running[meta.class as usize] += 1;
         worker.tasks.push(task);
-        let given = Given { need, meta, since: now, preempted: false, gang: false, worker: number };
+        let given = Given { need, meta, since: now, preempted: false, gang, worker: number };
         self.tasks.insert(task, given);
         self.unreserve(&task);
         self.refresh(number);
@@ -475,6 +486,9 @@
         if given.meta.class == Class::Urgent {
             self.urgent.sub(&given.need);
         }
+        if is_cheap(&given.meta, given.gang) {
+            self.cheap = self.cheap.minus(&given.need);
+        }
         self.count_standing(number, &given.meta, false);
         let worker = &mut self.workers[number as usize];
         worker.given = worker.given.minus(&given.need);
@@ -486,3 +500,8 @@
         Some((number, given))
     }
 }
+
+/// Whether a task can make room for urgent work at a small cost.
+fn is_cheap(meta: &TaskMeta, gang: bool) -> bool {
+    meta.class == Class::Batch && meta.checkpointable && !gang
+}
--- a/lilacpass-decide/src/pool/place.rs
+++ b/lilacpass-decide/src/pool/place.rs
@@ -77,7 +77,7 @@
         let avoid = self.numbers_of(avoid);
         let number = self.find(&need, meta, &avoid, Some(&task), now)?;
         self.start_probe(number, task, now);
-        self.put_in(task, number, need, meta.clone(), now);
+        self.put_in(task, number, need, meta.clone(), false, now);
         Ok(self.name(number))
     }
 
@@ -155,7 +155,7 @@
             })
             .min_by_key(|(number, entry)| (self.score(*number, entry, meta), *number));
         let Some((number, _)) = best else { return Err(NoPlace::NoRoom) };
-        if meta.class == Class::Batch && !self.leaves_reserve(need, now) {
+        if meta.class == Class::Batch && !self.leaves_reserve(need, meta, now) {
             return Err(NoPlace::KeptForUrgent);
         }
         Ok(number)
@@ -200,22 +200,24 @@
     ///
     /// Failure: while urgent work is at its peak for long, batch work never starts. One task in a
     /// fixed time starts whatever is kept, so batch work goes on, if slowly.
-    fn leaves_reserve(&mut self, need: &Resources, now: MonoTime) -> bool {
-        let reserve = self.reserve_size(now);
-        reserve.is_zero()
-            || reserve.fits(&self.index.open_room().minus(need))
-            || now.since(self.last_batch) >= self.options.batch_trickle
+    fn leaves_reserve(&mut self, need: &Resources, meta: &TaskMeta, now: MonoTime) -> bool {
+        let (reserve, with_cheap) = self.reserve_size(now);
+        let free = self.index.open_room().minus(need);
+        let leaves = reserve.fits(&free)
+            && (meta.checkpointable || with_cheap.fits(&free.plus(&self.cheap)));
+        leaves || now.since(self.last_batch) >= self.options.batch_trickle
     }
 
-    /// The room to keep free of batch work.
-    fn reserve_size(&mut self, now: MonoTime) -> Resources {
-        match self.policy.urgent_reserve_permille {
-            Some(permille) => share::permille_of(&self.capacity, permille),
-            None => {
-                let most = share::permille_of(&self.capacity, self.options.max_reserve_permille);
-                self.urgent.headroom(now).min(&most)
-            }
+    /// The room to keep free of batch work, and the room to keep free of batch work that can't
+    /// make room at a small cost.
+    fn reserve_size(&mut self, now: MonoTime) -> (Resources, Resources) {
+        if let Some(permille) = self.policy.urgent_reserve_permille {
+            let fixed = share::permille_of(&self.capacity, permille);
+            return (fixed, fixed);
         }
+        let headroom = self.urgent.headroom(now);
+        let most = |permille| headroom.min(&share::permille_of(&self.capacity, permille));
+        (most(self.options.max_reserve_permille), most(self.options.max_cheap_reserve_permille))
     }
 
     pub(super) fn numbers_of(&self, ids: &[WorkerId]) -> Vec<u32> {
