Let no unspecified address prove a predecessor dead

Cause: with 0.0.0.0 in the settings two machines would seem to have the same address, and a paused process on the old one would be taken for dead while it holds its half. Change: an unspecified address or port 0 is left out of the join. The new test overcommits a worker when the check is taken out.

--- a/lilacpass-hold/src/holding.rs
+++ b/lilacpass-hold/src/holding.rs
@@ -3,7 +3,7 @@
 //! Reading goes on in `follow`, what it may give is decided in `permit`, what it appends in `plan`
 //! and `claim`.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use lilacpass_core::{
     MonoTime, Resources,
@@ -146,10 +146,15 @@
         }
     }
 
-    /// Sets the address at which this member listens to peers, as IP:port. Only an address that it
-    /// has bound itself may be given: it proves an earlier incarnation with the same one dead.
+    /// Sets the address at which this member listens to peers, as IP:port.
+    ///
+    /// It proves an earlier incarnation with the same address dead, so it must be one that this
+    /// process has bound alone (no `SO_REUSEPORT`). An address that other machines can have too,
+    /// such as 0.0.0.0, proves nothing and is left out.
     pub fn set_address(&mut self, address: &str) {
-        self.address = address.to_owned();
+        let shared = |a: SocketAddr| a.ip().is_unspecified() || a.port() == 0;
+        let proves = !address.parse().is_ok_and(shared);
+        self.address = if proves { address.to_owned() } else { String::new() };
     }
 
     /// Takes in the shards of the configuration in force.
--- a/lilacpass-hold/tests/failures.rs
+++ b/lilacpass-hold/tests/failures.rs
@@ -207,6 +207,21 @@
     assert_eq!(world.overcommitted, None);
 }
 
+// The same where the settings name an address that every machine has.
+#[test]
+fn a_restart_at_an_unspecified_address_proves_nothing() {
+    let mut world = World::new(HoldOptions::default(), eight(), 1);
+    let old = world.spawn("entry-a", "0.0.0.0:7000");
+    world.run(2_000);
+    world.processes[old].log_up = false;
+    world.spawn("entry-a", "0.0.0.0:7000");
+    world.run(6_000);
+    world.all_greedy();
+    world.run(1_000);
+    assert_eq!(world.overcommitted, None);
+    assert_eq!(world.running[0].len(), 8);
+}
+
 // All entry instances of a data centre lose power and come back under their names and addresses.
 #[test]
 fn a_restart_of_all_members_serves_again_within_seconds() {
