Let forwarded requests overlap, and pings wait for busy machines

Two limits were too tight: the library's 200 calls at once per peer connection, each of which lasts as long as its task, and one second for a ping answer, on which all calls of the connection depend. Peers now take 10,000 calls and wait for a ping as long as for a heartbeat. A test at the socket shows that after a lapsed permit not a byte arrives and the connection is reset.

--- a/lilacpass-daemon/src/link/connection.rs
+++ b/lilacpass-daemon/src/link/connection.rs
@@ -54,12 +54,14 @@
     /// unacknowledged bytes again, even while this process is paused. With this bound the kernel
     /// gives up by itself.
     pub user_timeout: Duration,
-    /// Time between two pings while calls are under way, and the longest wait for their answers.
+    /// Time between two pings while calls are under way.
+    pub ping: Duration,
+    /// Longest wait for the answer to a ping.
     ///
     /// Guards against connections that went silent for good because something between both ends
     /// has lost track of them: nothing arrives, nothing fails. A missing ping answer ends the
     /// connection and all calls on it.
-    pub ping: Duration,
+    pub ping_timeout: Duration,
     /// Counts the bytes of all connections of this kind.
     pub bytes: Arc<ByteCounts>,
 }
@@ -142,7 +144,7 @@
         .initial_stream_window_size(STREAM_WINDOW_BYTES)
         .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
         .keep_alive_interval(options.ping)
-        .keep_alive_timeout(options.ping)
+        .keep_alive_timeout(options.ping_timeout)
         .handshake(stream);
     let (sender, connection) = handshake.await.map_err(io::Error::other)?;
     tokio::spawn(async move {
--- a/lilacpass-daemon/src/link/trace.rs
+++ b/lilacpass-daemon/src/link/trace.rs
@@ -22,7 +22,7 @@
 pub struct CallTrace {
     progress: AtomicU8,
     handed_at_us: AtomicU64,
-    refused: AtomicBool,
+    bare_status: AtomicBool,
 }
 
 impl CallTrace {
@@ -46,7 +46,7 @@
     ///
     /// A status that is made up on this side, or that ends a broken answer, is none.
     pub fn bare_status(&self) -> bool {
-        self.refused.load(Ordering::Acquire)
+        self.bare_status.load(Ordering::Acquire)
     }
 
     pub(crate) fn set_handed(&self, at: MonoTime) {
@@ -63,6 +63,6 @@
     }
 
     pub(crate) fn set_bare_status(&self) {
-        self.refused.store(true, Ordering::Release);
+        self.bare_status.store(true, Ordering::Release);
     }
 }
--- a/lilacpass-daemon/src/options.rs
+++ b/lilacpass-daemon/src/options.rs
@@ -18,6 +18,10 @@
 /// Time between two pings on a connection with calls under way.
 const PING: Duration = Duration::from_secs(1);
 
+/// Longest wait for the answer to a ping; longer than the pauses of a busy machine, since all
+/// calls on the connection end with it.
+const PING_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Connections to workers.
 pub fn worker_links(settings: &Settings, clock: Clock) -> LinkOptions {
     links(clock, CONNECT_TIMEOUT, settings.holding.start_flight)
@@ -25,7 +29,8 @@
 
 /// Connections to other entry instances.
 pub fn peer_links(settings: &Settings, clock: Clock) -> LinkOptions {
-    links(clock, CONNECT_TIMEOUT, settings.peers.silent)
+    let silent = settings.peers.silent;
+    LinkOptions { ping_timeout: silent, ..links(clock, CONNECT_TIMEOUT, silent) }
 }
 
 /// The platform.
@@ -62,5 +67,12 @@
 
 fn links(clock: Clock, connect_timeout: Duration, user_timeout: Duration) -> LinkOptions {
     let bytes = Arc::new(ByteCounts::default());
-    LinkOptions { clock, connect_timeout, user_timeout, ping: PING, bytes }
+    LinkOptions {
+        clock,
+        connect_timeout,
+        user_timeout,
+        ping: PING,
+        ping_timeout: PING_TIMEOUT,
+        bytes,
+    }
 }
--- a/lilacpass-daemon/src/peers/server.rs
+++ b/lilacpass-daemon/src/peers/server.rs
@@ -1,7 +1,6 @@
 //! Calls of other entry instances.
 
 use std::{
-    io,
     net::SocketAddr,
     sync::{
         Arc,
@@ -30,6 +29,13 @@
 /// Time between two pings to a caller, and the longest wait for the answer.
 const PING: Duration = Duration::from_secs(2);
 
+/// Calls of one peer at once. The library's default of 200 would hold up forwarded requests: each
+/// lasts as long as its task.
+const MAX_CALLS: u32 = 10_000;
+
+/// Flow-control window of a peer, in bytes.
+const WINDOW_BYTES: u32 = 4 * 1024 * 1024;
+
 /// Answers of the state machine to calls of peers; the text is the reason of a refusal that had
 /// no effect.
 pub type PeerReplies = Replies<Result<PeerReply, String>>;
@@ -75,6 +81,9 @@
         Server::builder()
             .http2_keepalive_interval(Some(PING))
             .http2_keepalive_timeout(Some(PING))
+            .max_concurrent_streams(Some(MAX_CALLS))
+            .initial_stream_window_size(Some(WINDOW_BYTES))
+            .initial_connection_window_size(Some(WINDOW_BYTES))
             .add_service(server)
             .serve_with_incoming_shutdown(incoming(listener), stop)
             .await
@@ -112,15 +121,6 @@
     TcpIncoming::from(listener).with_nodelay(Some(true))
 }
 
-/// Opens the listener for peers.
-///
-/// # Errors
-///
-/// The address can't be listened on.
-pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await
-}
-
 /// Where a call came from and what it showed.
 struct Origin {
     address: Option<SocketAddr>,
--- a/lilacpass-daemon/tests/common/mod.rs
+++ b/lilacpass-daemon/tests/common/mod.rs
@@ -44,6 +44,7 @@
         connect_timeout: Duration::from_secs(2),
         user_timeout: Duration::from_secs(2),
         ping: Duration::from_secs(60),
+        ping_timeout: Duration::from_secs(60),
         bytes: Arc::new(ByteCounts::default()),
     }
 }
--- a/lilacpass-daemon/tests/workers.rs
+++ b/lilacpass-daemon/tests/workers.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::{sync::Arc, time::Duration};
+use std::{io::ErrorKind, sync::Arc, time::Duration};
 
 use common::{
     links,
@@ -12,10 +12,17 @@
 use lilacpass_core::{MonoTime, Verdict, ids::WorkerId};
 use lilacpass_daemon::{
     clock::Clock,
-    link::gate::Gate,
+    link::{
+        gate::Gate,
+        stream::{GuardedStream, StreamState},
+    },
     workers::{WorkerDone, WorkerOrder, Workers},
 };
 use lilacpass_schema::v1;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
 
 const LATER: MonoTime = MonoTime(u64::MAX);
 
@@ -100,6 +107,32 @@
     drop(far);
 }
 
+/// The same at the socket: after the pause not a byte reaches the worker, and the connection is
+/// reset.
+#[tokio::test]
+async fn a_write_after_a_lapsed_permit_sends_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let tcp = TcpStream::connect(address).await.expect("connect");
+    let (mut worker, _) = listener.accept().await.expect("accept");
+    let options = links();
+    let clock = options.clock;
+    let state = Arc::new(StreamState::new(clock, options.bytes));
+    let mut stream = GuardedStream::new(tcp, state.clone());
+    let end = clock.now() + SHORT;
+    let mut ticket = state.gate.ticket(end);
+    assert!(ticket.let_out());
+    while clock.now() <= end {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert!(stream.write_all(b"start").await.is_err());
+    drop(stream);
+    let mut arrived = Vec::new();
+    let ended = worker.read_to_end(&mut arrived).await;
+    assert!(ended.is_err_and(|error| error.kind() == ErrorKind::ConnectionReset));
+    assert!(arrived.is_empty());
+}
+
 /// A connection is idle for longer than the permission of its last call. That call has left in
 /// time, so the next one must find the connection alive.
 #[tokio::test(flavor = "multi_thread")]
@@ -213,6 +246,7 @@
     let forwarder = Forwarder::start(address).await;
     let mut options = links();
     options.ping = Duration::from_millis(100);
+    options.ping_timeout = options.ping;
     let workers = Workers::new(options);
     let call = workers.call(order(forwarder.address, run(""), common::PATIENCE * 10));
     let silence = async {
