Split the long modules of control by what they answer

Ruled out: traits per role (one implementation each; the house style asks for plain structs and functions). Change: room, start, settle and unwanted for recorded tasks; waiters, requests and job_records beside submit; reports and leases beside workers; preparing beside drive. Code moved, visibility widened within the crate, nothing else.

--- a/lilacpass-control/src/control.rs
+++ b/lilacpass-control/src/control.rs
@@ -24,21 +24,21 @@
     calls::{PeerOrigin, Pending},
     change::PendingChanges,
     counters::{self, Counters},
-    drive::{PreparingJobs, Tries},
     event::{
         Answer, CallFailure, CallId, Effect, Event, PeerCall, PeerReply, ReplyId, Request, Stream,
     },
     inventory::Inventory,
     members::Members,
     outbox::{self, Outbox},
+    preparing::{PreparingJobs, Tries},
     quick::{AttemptEnd, QuickRequests},
     serve::ServedTasks,
     settings::ControlSettings,
     standing::StandingAsked,
     stop::Stop,
     streams::Streams,
-    submit::Waiters,
     tasks::{RecordedTasks, RefusedTasks},
+    waiters::Waiters,
     workers::HeldWorkers,
 };
 
--- a/lilacpass-control/src/drive.rs
+++ b/lilacpass-control/src/drive.rs
@@ -3,7 +3,7 @@
 //! The driver is the first member in rendezvous order. Two members may both think so for a while;
 //! the first valid attempt in the log counts, so that costs time and nothing else.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
 use lilacpass_core::{
     MonoTime,
@@ -18,6 +18,7 @@
     convert, counters,
     event::{CallFailure, PeerCall, PeerReply, Stream},
     history,
+    preparing::{Phase, Preparing},
 };
 
 /// Jobs whose attempts are prepared at the same time.
@@ -29,56 +30,6 @@
 /// Longest pause before room is looked for again.
 const MOST_BACKOFF: Duration = Duration::from_secs(2);
 
-/// How far the preparation of an attempt is.
-#[derive(Debug)]
-pub(crate) enum Phase {
-    /// Holders are asked for room, one after the other in the order of their names, so that two
-    /// gangs that want the same room meet at the same holder first.
-    Asking { left: Vec<InstanceId> },
-    /// The attempt's record is on its way into the log.
-    Writing { record_id: String },
-    /// Holders are told to start.
-    Starting,
-}
-
-/// An attempt that this instance prepares as driver.
-#[derive(Debug)]
-pub(crate) struct Preparing {
-    attempt: AttemptNo,
-    spec: v1::JobSpec,
-    placements: Vec<v1::Placement>,
-    phase: Phase,
-    give_up_at: MonoTime,
-}
-
-/// What a driver remembers of a job between two tries.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Tries {
-    /// Tries in a row that found no room.
-    pub(crate) failed: u32,
-    /// Why the last one found none.
-    pub(crate) reason: String,
-    /// Workers where a task of the job ended without success lately.
-    avoid: Vec<String>,
-}
-
-impl Tries {
-    /// Most workers that are avoided at once; the oldest is forgotten first.
-    const MAX_AVOIDED: usize = 4;
-
-    /// Looks elsewhere than on this worker first.
-    pub(crate) fn avoid(&mut self, worker: String) {
-        self.avoid.retain(|other| *other != worker);
-        if self.avoid.len() >= Self::MAX_AVOIDED {
-            self.avoid.remove(0);
-        }
-        self.avoid.push(worker);
-    }
-}
-
-/// All attempts that this instance prepares.
-pub(crate) type PreparingJobs = BTreeMap<JobId, Preparing>;
-
 impl Control {
     /// Whether this instance drives a job now.
     pub(crate) fn drives(&self, job: &JobId, now: MonoTime) -> bool {
@@ -402,53 +353,6 @@
     }
 }
 
-impl Preparing {
-    /// Tasks that no room was found for yet.
-    fn missing(&self) -> Vec<u32> {
-        let placed =
-            |index: &u32| self.placements.iter().any(|placement| placement.index == *index);
-        (0..convert::task_count(&self.spec)).filter(|index| !placed(index)).collect()
-    }
-
-    fn holders(&self) -> Vec<InstanceId> {
-        let mut holders: Vec<InstanceId> = self
-            .placements
-            .iter()
-            .map(|placement| convert::instance_id(&placement.holder))
-            .collect();
-        holders.sort();
-        holders.dedup();
-        holders
-    }
-
-    fn record_id(&self) -> Option<String> {
-        match &self.phase {
-            Phase::Writing { record_id } => Some(record_id.clone()),
-            Phase::Asking { .. } | Phase::Starting => None,
-        }
-    }
-
-    fn is_written_as(&self, id: &str) -> bool {
-        matches!(&self.phase, Phase::Writing { record_id } if record_id == id)
-    }
-
-    fn start_request(
-        &self,
-        id: JobId,
-        holder: &InstanceId,
-        checkpoints: &[String],
-    ) -> v1::StartHeldRequest {
-        let own = |placement: &&v1::Placement| placement.holder == holder.as_str();
-        v1::StartHeldRequest {
-            job_id: id.to_string(),
-            attempt: self.attempt.0,
-            spec: Some(self.spec.clone()),
-            placements: self.placements.iter().filter(own).cloned().collect(),
-            checkpoints: checkpoints.to_vec(),
-        }
-    }
-}
-
 /// Weight of a member for a job, the same everywhere; the greatest one drives it.
 fn rendezvous(job: &JobId, member: &InstanceId) -> u64 {
     lilacpass_core::rendezvous::weight(&job.0.to_le_bytes(), member.as_str())
