Draw each kind of fault before any comes again, on busy workers

Cause: in five fault runs no worker was ever leaving (0 checks), and faults hit idle workers, since placement packs work on few of 48. Change: faults come from a shuffled deck and strike the eight busiest workers; the gang of the sample run counts only where all its tasks ran at one moment. Large files are split: cell and its start, faults and their injector, sample run and its summary. Ruled out: longer runs, which would hit idle workers just the same.

--- a/lilacpass-harness/src/fault_run.rs
+++ b/lilacpass-harness/src/fault_run.rs
@@ -1,6 +1,6 @@
 //! The fault run: a whole cell under constant mixed load and random faults, then the judgement.
 
-use std::{collections::HashMap, fmt, sync::Arc, time::Duration};
+use std::{collections::HashMap, fmt, ops::Range, sync::Arc, time::Duration};
 
 use lilacpass_schema::v1;
 use lilacpass_standin::Payload;
@@ -13,7 +13,8 @@
     client::Api,
     deployment::{Deployment, VINDBAAR},
     error::Result,
-    faults::{Fault, Injector},
+    faults::{Deck, Fault},
+    injector::Injector,
     judge::{self, Evidence, Finding},
     ledger::{JobKind, Ledger, Notes},
     load::{JobLoad, QuickLoad, QuickTally},
@@ -36,6 +37,8 @@
 const CHANGE_INTERVAL: Duration = Duration::from_secs(2);
 const CHANGE_LIMIT: Duration = Duration::from_secs(10);
 const WATCHERS: u32 = 4;
+/// Time from one fault to the next, in milliseconds.
+const FAULT_PAUSE_MS: Range<u64> = 200..1200;
 const TICK: Duration = Duration::from_millis(50);
 
 /// What a fault run found.
@@ -127,7 +130,7 @@
 
 /// Switches faults on and off by chance; returns how many.
 async fn inject(injector: &mut Injector, seed: u64, duration: Duration) -> Result<usize> {
-    let mut rng = StdRng::seed_from_u64(seed);
+    let mut deck = Deck::new(seed);
     let started = Instant::now();
     let mut on: Vec<(Instant, Fault)> = Vec::new();
     let mut next_at = started + Duration::from_secs(1);
@@ -146,14 +149,15 @@
         if is_over || now < next_at || on.len() >= MOST_AT_ONCE {
             continue;
         }
-        let (fault, lasts) = Fault::draw(&mut rng, &injector.cell);
+        let busy = injector.busy_workers().await?;
+        let (fault, lasts) = deck.draw(&injector.cell, &busy);
         if on.iter().all(|(_, other)| fault.goes_with(other)) {
             report(started, "on", &fault);
             injector.begin(&fault).await?;
             on.push((now + lasts, fault));
             count += 1;
         }
-        next_at = now + Duration::from_millis(rng.random_range(300..2000));
+        next_at = now + deck.pause(FAULT_PAUSE_MS);
     }
     Ok(count)
 }
--- a/lilacpass-harness/src/lib.rs
+++ b/lilacpass-harness/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod error;
 pub mod fault_run;
 pub mod faults;
+pub mod injector;
 pub mod judge;
 pub mod ledger;
 pub mod load;
--- a/lilacpass-harness/src/sample_run.rs
+++ b/lilacpass-harness/src/sample_run.rs
@@ -1,8 +1,8 @@
 //! The sample run: a little of everything that both deployments do, through real processes.
 
-use std::{fmt, time::Duration};
+use std::time::Duration;
 
-use lilacpass_schema::v1::{self, TaskOutcome, config_op};
+use lilacpass_schema::v1::{self, config_op};
 use lilacpass_standin::Payload;
 use tokio::time::{self, Instant};
 
@@ -12,19 +12,22 @@
     client::Api,
     deployment::{Deployment, SWANFIELD, VINDBAAR},
     error::Result,
-    judge::{self, Evidence},
-    ledger::{self, JobKind, Leaving, Ledger, Notes},
-    load::{QuickLoad, QuickTally},
+    judge::Evidence,
+    ledger::{self, JobKind, Leaving, Ledger},
+    load::QuickLoad,
     operator::{self, Operator},
     spans::Spans,
 };
 
+mod summary;
+
+pub use summary::Summary;
+use summary::{GANG_TASKS, WATCHERS};
+
 const LONG_JOBS: u32 = 10;
 const LONG_RUN: Duration = Duration::from_secs(3);
 const GANGS: u32 = 2;
-const GANG_TASKS: u32 = 12;
 const GANG_RUN: Duration = Duration::from_secs(1);
-const WATCHERS: u32 = 3;
 const QUICK_PER_SECOND: u32 = 30;
 const ALERT_EVERY: u32 = 10;
 const QUICK_TIME: Duration = Duration::from_secs(7);
@@ -40,84 +43,6 @@
 /// Entry instance that is killed.
 const KILLED: usize = 1;
 
-/// Counts of the sample run.
-#[derive(Clone, Debug, Default)]
-pub struct Summary {
-    quick: QuickTally,
-    long: Part,
-    gang: Part,
-    watchers: Part,
-    doubled: usize,
-    lost: usize,
-    over_capacity: u64,
-    /// What else went wrong.
-    faults: Vec<String>,
-}
-
-/// So many of so many.
-#[derive(Clone, Copy, Debug, Default)]
-struct Part {
-    good: u32,
-    all: u32,
-}
-
-impl Part {
-    fn plus(self, other: Self) -> Self {
-        Self { good: self.good + other.good, all: self.all + other.all }
-    }
-}
-
-impl fmt::Display for Part {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.good, self.all)
-    }
-}
-
-impl fmt::Display for Summary {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { quick, long, gang, watchers, doubled, lost, over_capacity, faults: _ } = self;
-        write!(
-            f,
-            "try: quick={}/{} long={long} gang={gang} watchers={watchers} doubled={doubled} \
-             lost={lost} over_capacity={over_capacity}",
-            quick.answered, quick.asked
-        )
-    }
-}
-
-impl Summary {
-    /// Whether all of it holds.
-    pub fn is_good(&self) -> bool {
-        let all = |part: Part| part.good == part.all;
-        self.quick.answered == self.quick.asked
-            && all(self.long)
-            && all(self.gang)
-            && all(self.watchers)
-            && self.doubled == 0
-            && self.lost == 0
-            && self.over_capacity == 0
-            && self.faults.is_empty()
-    }
-
-    /// What went wrong besides the counts.
-    pub fn faults(&self) -> &[String] {
-        &self.faults
-    }
-
-    fn plus(mut self, other: Self) -> Self {
-        self.quick.asked += other.quick.asked;
-        self.quick.answered += other.quick.answered;
-        self.long = self.long.plus(other.long);
-        self.gang = self.gang.plus(other.gang);
-        self.watchers = self.watchers.plus(other.watchers);
-        self.doubled += other.doubled;
-        self.lost += other.lost;
-        self.over_capacity += other.over_capacity;
-        self.faults.extend(other.faults);
-        self
-    }
-}
-
 /// Runs both deployments at the same time.
 pub async fn run() -> Result<Summary> {
     let (one, other) = tokio::try_join!(run_deployment(VINDBAAR), run_deployment(SWANFIELD))?;
@@ -156,18 +81,10 @@
     watching.abort();
     let counts = cell.counts().await?;
     let notes = ledger.notes().clone();
-    let mut summary = Summary { quick, faults, ..Summary::default() };
-    sum_up(&mut summary, &notes, &counts);
     let spans = Spans::new(&counts);
     let evidence =
         Evidence { notes: &notes, counts: &counts, spans: &spans, final_traces: &traces };
-    let broken = judge::judge(&evidence).into_iter().filter(|finding| !finding.holds());
-    summary.faults.extend(broken.map(|finding| finding.to_string()));
-    summary
-        .faults
-        .iter_mut()
-        .for_each(|fault| fault.insert_str(0, &format!("{}: ", deployment.name)));
-    Ok(summary)
+    Ok(Summary::count(&evidence, quick, faults).named(deployment.name))
 }
 
 /// Long jobs, gangs and one submitted watcher.
@@ -258,7 +175,7 @@
 }
 
 fn standing_op(deployment: Deployment, number: u32) -> v1::ConfigOp {
-    let name = format!("watcher-{number}");
+    let name = summary::watcher_id(number);
     let spec = Some(deployment.watcher(&format!("id={name}")));
     operator::op(config_op::Op::UpsertStanding(v1::StandingWork { name, spec }))
 }
@@ -277,74 +194,13 @@
     let give_up_at = Instant::now() + WATCHER_LIMIT;
     loop {
         let spans = Spans::new(&cell.counts().await?);
-        if watchers_running(&spans).good == WATCHERS || Instant::now() > give_up_at {
+        if summary::watchers_running(&spans).good == WATCHERS || Instant::now() > give_up_at {
             return Ok(());
         }
         time::sleep(Duration::from_millis(100)).await;
     }
 }
 
-/// Watchers of which exactly one copy runs.
-fn watchers_running(spans: &Spans) -> Part {
-    let runs_once = |number: &u32| {
-        let runs = spans.of(&format!("watcher-{number}"));
-        runs.iter().filter(|run| run.ended_unix_ms.is_none()).count() == 1
-    };
-    let good = (0..WATCHERS).filter(runs_once).count();
-    Part { good: u32::try_from(good).unwrap_or(0), all: WATCHERS }
-}
-
-fn sum_up(summary: &mut Summary, notes: &Notes, counts: &v1::WorkerCounts) {
-    let spans = Spans::new(counts);
-    let part = |kind: JobKind| {
-        let jobs = || notes.jobs.iter().filter(move |(_, job)| job.kind == kind);
-        let ran = |id: &str| spans.of(id).iter().any(|run| run.outcome == TaskOutcome::Succeeded);
-        let good = jobs().filter(|(id, job)| {
-            job.end.as_ref().is_some_and(|end| end.state == "succeeded") && ran(id)
-        });
-        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
-        Part { good: count(good.count()), all: count(jobs().count()) }
-    };
-    summary.long = part(JobKind::Long);
-    summary.gang = part(JobKind::Gang);
-    summary.watchers = watchers_running(&spans);
-    let traces = std::collections::HashMap::new();
-    let evidence = Evidence { notes, counts, spans: &spans, final_traces: &traces };
-    let doubled = [judge::one_place(&evidence), judge::at_most_once(&evidence)];
-    let watchers_doubled = doubled_watchers(&spans);
-    summary.doubled = doubled.iter().map(|f| f.violations.len()).sum::<usize>() + watchers_doubled;
-    let unended = notes
-        .jobs
-        .values()
-        .filter(|job| job.kind != JobKind::Watcher && job.job_id.is_some() && job.end.is_none());
-    summary.lost = unended.count();
-    summary.over_capacity = counts.workers.iter().map(|worker| worker.over_capacity).sum();
-    let bad_jobs = notes.jobs.iter().filter(|(_, job)| {
-        matches!(job.kind, JobKind::Long | JobKind::Gang)
-            && job.end.as_ref().is_none_or(|end| end.state != "succeeded")
-    });
-    summary.faults.extend(bad_jobs.map(|(id, job)| {
-        let runs: Vec<_> = spans.of(id).iter().map(judge::show).collect();
-        format!("{id} ended as {:?}, runs: {}", job.end, runs.join(", "))
-    }));
-    let unanswered = notes.quick.iter().filter(|quick| !quick.idempotent);
-    let unanswered = unanswered.filter(|q| !matches!(q.end, ledger::RequestEnd::Answered(_)));
-    unanswered.for_each(|quick| {
-        let runs: Vec<_> = spans.of(&quick.id).iter().map(judge::show).collect();
-        eprintln!("{} ended as {:?}, runs: {}", quick.id, quick.end, runs.join(", "));
-    });
-}
-
-/// Standing work from the configuration has no note of a caller; its runs are compared here.
-fn doubled_watchers(spans: &Spans) -> usize {
-    (1..WATCHERS)
-        .filter(|number| {
-            let runs = spans.of(&format!("watcher-{number}"));
-            runs.iter().enumerate().any(|(i, a)| runs[i + 1..].iter().any(|b| a.overlaps(b)))
-        })
-        .count()
-}
-
 fn payload(id: &str, run: Duration) -> String {
     Payload { id: id.to_owned(), run: Some(run), ..Payload::default() }.to_string()
 }
