Hold single batch tasks back when a gang is short of room

After 5 s of a gang short of room, single batch tasks are held back for at most 15 s, then go on for 45 s at least; the room belongs to no gang in particular, so two can't wait for each other. Gangs are also exempt from the larger of the two reserves. The starvation fuzz found that an aged request was still refused the room kept for bursts; it may use that room now.

--- a/lilacpass-decide/examples/replay/cell.rs
+++ b/lilacpass-decide/examples/replay/cell.rs
@@ -523,6 +523,7 @@
     }
 
     fn job(&mut self, index: usize, now_us: u64) {
+        self.stats.arrived(&self.works[index], self.setup);
         let work = &self.works[index];
         let job = Job { attempt: 1, left_us: work.run_us, tasks_left: work.tasks, started: false };
         self.jobs.insert(index, job);
--- a/lilacpass-decide/examples/replay/stats.rs
+++ b/lilacpass-decide/examples/replay/stats.rs
@@ -12,6 +12,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Stats {
     wait_us: [Vec<u64>; 3],
+    jobs_arrived: [u64; 3],
     quick_answer_us: Vec<u64>,
     quick_arrived: u64,
     quick_admitted: u64,
@@ -53,7 +54,9 @@
     }
 
     pub(crate) fn arrived(&mut self, work: &Work, setup: &Setup) {
-        self.quick_arrived += u64::from(work.is_quick() && Self::counts(work, setup));
+        let counts = u64::from(Self::counts(work, setup));
+        self.quick_arrived += counts * u64::from(work.is_quick());
+        self.jobs_arrived[Row::of(work) as usize] += counts;
     }
 
     /// A request or job has started; all tasks of it.
@@ -90,8 +93,8 @@
 
     pub(crate) fn header() -> &'static str {
         "| policy | load % | quick wait p50 / p99 ms | quick answer p99 ms | in time % of all | \
-         in time % of admitted | goodput /s | failed | long wait p50 / p99 s | \
-         gang wait p50 / p99 s | slots used % | jobs done | preempted | lost to preemption % | \
+         in time % of admitted | goodput /s | failed | long wait p50 / p99 s, started % | \
+         gang wait p50 / p99 s, started % | slots used % | jobs done | preempted | lost to preemption % | \
          decision p50 / p99 us |\n\
          |---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|"
     }
@@ -102,8 +105,11 @@
             format!("{:.1} / {:.1}", at(500), at(990))
         };
         let [quick, long, gang] = &mut self.wait_us;
+        let started = [long.len(), gang.len()].map(|n| n as u64);
         let (quick, long, gang) = (wait(quick, 1e3), wait(long, 1e6), wait(gang, 1e6));
         let percent = |part: u64, whole: u64| 100.0 * part as f64 / whole.max(1) as f64;
+        let long = format!("{long}, {:.0}", percent(started[0], self.jobs_arrived[1]));
+        let gang = format!("{gang}, {:.0}", percent(started[1], self.jobs_arrived[2]));
         let seconds = setup.seconds as f64 - (WARM_UP_US / SECOND_US) as f64;
         let counted = seconds - (2 * DEADLINE_US / SECOND_US) as f64;
         let capacity = worker_capacity();
--- a/lilacpass-decide/src/pool/hold.rs
+++ b/lilacpass-decide/src/pool/hold.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    pool::Pool,
+    pool::{Pool, place::Asked},
     task::{HoldId, TaskMeta},
 };
 
@@ -54,7 +54,9 @@
             if self.is_known(&hold, index) {
                 continue;
             }
-            let Ok(number) = self.find(need, meta, &avoid, Some(&hold.task(index)), now) else {
+            let asked = Asked { meta, task: Some(&hold.task(index)), gang, aged: false };
+            let Ok(number) = self.find(need, &asked, &avoid, now) else {
+                self.note_short_gang(gang, now);
                 break;
             };
             self.add_part(hold, index, number, now);
@@ -64,6 +66,12 @@
         placed
     }
 
+    fn note_short_gang(&mut self, gang: bool, now: MonoTime) {
+        if gang {
+            self.turn.gang_is_short(now);
+        }
+    }
+
     /// Turns the hold of a task into a task that is given, where it may still start there.
     ///
     /// Returns `None` where the hold has expired, or the worker has since lost its room, is
@@ -82,6 +90,9 @@
             return None;
         }
         self.start_probe(number, task, now);
+        if gang {
+            self.turn.gang_started();
+        }
         self.put_in(task, number, need, meta, gang, now);
         Some(self.name(number))
     }
--- a/lilacpass-decide/src/pool/mod.rs
+++ b/lilacpass-decide/src/pool/mod.rs
@@ -3,6 +3,7 @@
 //! A pool accounts for every task from the moment that it is given to the moment that the caller
 //! reports how it ended. Workers have small internal numbers; names are looked up once.
 
+mod gang;
 pub(crate) mod health;
 mod hold;
 mod index;
@@ -30,7 +31,8 @@
     learned::Learned,
     map::Map,
     pool::{
-        hold::Hold, index::Index, peak::Peak, place::Kept, quarantine::Evidence, worker::Worker,
+        gang::Turn, hold::Hold, index::Index, peak::Peak, place::Kept, quarantine::Evidence,
+        worker::Worker,
     },
     rules::Policy,
     share::TeamUsage,
@@ -97,6 +99,8 @@
     kept: Option<Kept>,
     /// What is given to tasks that could make room at a small cost.
     cheap: Resources,
+    /// Whether gangs are short of room.
+    turn: Turn,
     /// When batch work was last given or held.
     last_batch: MonoTime,
     /// Where the next search for tasks to preempt begins.
@@ -136,6 +140,7 @@
             index: Index::default(),
             kept: None,
             cheap: Resources::ZERO,
+            turn: Turn::Idle,
             last_batch: MonoTime::default(),
             preempt_from: 0,
             vacant: Vec::new(),
--- a/lilacpass-decide/src/pool/place.rs
+++ b/lilacpass-decide/src/pool/place.rs
@@ -26,6 +26,8 @@
     NoRoom,
     /// There is room, but it is kept for urgent work.
     KeptForUrgent,
+    /// There is room, but it is collected for gangs.
+    KeptForGang,
 }
 
 impl fmt::Display for NoPlace {
@@ -34,6 +36,7 @@
             Self::NeverFits => "never_fits",
             Self::NoRoom => "no_room",
             Self::KeptForUrgent => "kept_for_urgent",
+            Self::KeptForGang => "kept_for_gang",
         })
     }
 }
@@ -41,6 +44,17 @@
 /// A kind of standing work on a rack.
 pub(super) type StandingKey = (ServiceId, KindId, u32);
 
+/// What a place is looked for.
+#[derive(Clone, Copy)]
+pub(super) struct Asked<'a> {
+    pub(super) meta: &'a TaskMeta,
+    pub(super) task: Option<&'a TaskId>,
+    /// Whether it is one of several tasks that start together.
+    pub(super) gang: bool,
+    /// Whether it has waited too long, and may use the room that is kept for others.
+    pub(super) aged: bool,
+}
+
 /// The worker that is kept for a task.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Kept {
@@ -59,7 +73,8 @@
         now: MonoTime,
     ) -> Result<WorkerId, NoPlace> {
         let avoid = self.numbers_of(avoid);
-        self.find(need, meta, &avoid, None, now).map(|number| self.name(number))
+        let asked = Asked { meta, task: None, gang: false, aged: false };
+        self.find(need, &asked, &avoid, now).map(|number| self.name(number))
     }
 
     /// Chooses a worker and gives the task there.
@@ -70,14 +85,39 @@
         meta: &TaskMeta,
         avoid: &[WorkerId],
         now: MonoTime,
+    ) -> Result<WorkerId, NoPlace> {
+        let avoid = self.numbers_of(avoid);
+        let asked = Asked { meta, task: Some(&task), gang: false, aged: false };
+        self.find_and_give(task, need, &asked, &avoid, now)
+    }
+
+    /// Chooses a worker for a task that has waited too long, also in the room kept for others,
+    /// and gives it there.
+    pub fn place_and_give_aged(
+        &mut self,
+        task: TaskId,
+        need: Resources,
+        meta: &TaskMeta,
+        now: MonoTime,
+    ) -> Result<WorkerId, NoPlace> {
+        let asked = Asked { meta, task: Some(&task), gang: false, aged: true };
+        self.find_and_give(task, need, &asked, &[], now)
+    }
+
+    fn find_and_give(
+        &mut self,
+        task: TaskId,
+        need: Resources,
+        asked: &Asked<'_>,
+        avoid: &[u32],
+        now: MonoTime,
     ) -> Result<WorkerId, NoPlace> {
         if self.tasks.contains_key(&task) {
             return Err(NoPlace::NoRoom);
         }
-        let avoid = self.numbers_of(avoid);
-        let number = self.find(&need, meta, &avoid, Some(&task), now)?;
+        let number = self.find(&need, asked, avoid, now)?;
         self.start_probe(number, task, now);
-        self.put_in(task, number, need, meta.clone(), false, now);
+        self.put_in(task, number, need, asked.meta.clone(), false, now);
         Ok(self.name(number))
     }
 
@@ -137,11 +177,11 @@
     pub(super) fn find(
         &mut self,
         need: &Resources,
-        meta: &TaskMeta,
+        asked: &Asked<'_>,
         avoid: &[u32],
-        task: Option<&TaskId>,
         now: MonoTime,
     ) -> Result<u32, NoPlace> {
+        let Asked { meta, task, gang, aged } = *asked;
         if !self.could_fit(need) {
             return Err(NoPlace::NeverFits);
         }
@@ -155,7 +195,15 @@
             })
             .min_by_key(|(number, entry)| (self.score(*number, entry, meta), *number));
         let Some((number, _)) = best else { return Err(NoPlace::NoRoom) };
-        if meta.class == Class::Batch && !self.leaves_reserve(need, meta, now) {
+        if meta.class != Class::Batch || aged {
+            return Ok(number);
+        }
+        if !gang && self.turn.holds_back(now) {
+            return Err(NoPlace::KeptForGang);
+        }
+        if meta.class == Class::Batch
+            && !self.leaves_reserve(need, gang || meta.checkpointable, now)
+        {
             return Err(NoPlace::KeptForUrgent);
         }
         Ok(number)
@@ -200,11 +248,10 @@
     ///
     /// Failure: while urgent work is at its peak for long, batch work never starts. One task in a
     /// fixed time starts whatever is kept, so batch work goes on, if slowly.
-    fn leaves_reserve(&mut self, need: &Resources, meta: &TaskMeta, now: MonoTime) -> bool {
+    fn leaves_reserve(&mut self, need: &Resources, is_exempt: bool, now: MonoTime) -> bool {
         let (reserve, with_cheap) = self.reserve_size(now);
         let free = self.index.open_room().minus(need);
-        let leaves = reserve.fits(&free)
-            && (meta.checkpointable || with_cheap.fits(&free.plus(&self.cheap)));
+        let leaves = reserve.fits(&free) && (is_exempt || with_cheap.fits(&free.plus(&self.cheap)));
         leaves || now.since(self.last_batch) >= self.options.batch_trickle
     }
 
--- a/lilacpass-decide/src/sched/dispatch.rs
+++ b/lilacpass-decide/src/sched/dispatch.rs
@@ -137,7 +137,7 @@
             if blocked.covers(request) || !self.may_take(request) {
                 continue;
             }
-            match self.start(&task, now, decisions) {
+            match self.start(&task, now, false, decisions) {
                 Ok(()) => {
                     self.count_overtaken(blocked);
                     return Looked::Started;
@@ -164,10 +164,14 @@
         &mut self,
         task: &TaskId,
         now: MonoTime,
+        aged: bool,
         decisions: &mut Vec<Decision>,
     ) -> Result<(), NoPlace> {
         let request = &self.waiting[task];
-        let worker = self.pool.place_and_give(*task, request.need, &request.meta, &[], now)?;
+        let worker = match aged {
+            true => self.pool.place_and_give_aged(*task, request.need, &request.meta, now)?,
+            false => self.pool.place_and_give(*task, request.need, &request.meta, &[], now)?,
+        };
         let waited = now.since(request.since);
         if request.meta.class < Class::Batch {
             self.starts_since_aged = self.starts_since_aged.saturating_add(1);
@@ -256,7 +260,7 @@
             if blocked.covers(request) || !self.may_take(request) {
                 continue;
             }
-            if self.start(&task, now, decisions).is_ok() {
+            if self.start(&task, now, true, decisions).is_ok() {
                 self.count_overtaken(blocked);
                 self.starts_since_aged = 0;
                 return;
--- a/lilacpass-decide/tests/stories.rs
+++ b/lilacpass-decide/tests/stories.rs
@@ -302,6 +302,36 @@
     }
 }
 
+/// Audits take each slot as it comes free, and a sweep that needs twelve slots at once waits all
+/// night. After a few seconds audits are held back until there is room for it.
+#[test]
+fn a_gang_is_not_starved_by_single_tasks() {
+    let mut pool = common::pool(2);
+    let batch = meta(Class::Batch);
+    let tasks: Vec<u32> = (0..12).collect();
+    let mut running: Vec<(u64, TaskId)> = Vec::new();
+    for n in 0..120 {
+        let now = at(500 * n);
+        for (_, id) in running.extract_if(.., |(ends, _)| *ends <= n) {
+            pool.release(&id, Outcome::Succeeded, ms(5_000), now);
+        }
+        for k in 0..4 {
+            let id = task(10 * n + k);
+            if pool.place_and_give(id, one_slot(), &batch, &[], now).is_ok() {
+                running.push((n + 10, id));
+            }
+        }
+        let id = gang(1_000_000);
+        let held = pool.hold(id, &tasks, &one_slot(), &batch, &[], now + ms(400), now);
+        if held.len() == tasks.len() {
+            assert!(n > 10, "the audits filled both workers first");
+            return;
+        }
+        pool.unhold(&id);
+    }
+    panic!("the gang never started");
+}
+
 /// The entry instance that drives a gang dies after it has held room for it. Nobody releases it.
 #[test]
 fn the_holds_of_a_dead_driver_expire_as_a_whole() {
