Bound the whole wait of daemon tests, not each event

With the report of a caller that went away taken out on a scratch copy, its test hung instead of failing: the wait was bounded per event, and other events kept coming. One limit now holds for the whole wait, which is stricter.

--- a/lilacpass-daemon/tests/common/mod.rs
+++ b/lilacpass-daemon/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, mpsc},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use lilacpass_config::settings::{self, Settings};
@@ -91,8 +91,11 @@
     wanted: impl Fn(&T) -> bool + Send + 'static,
 ) -> (T, mpsc::Receiver<T>) {
     let wait = move || {
+        // One limit for the whole wait: other events may come for ever.
+        let end = Instant::now() + PATIENCE;
         loop {
-            let item = receiver.recv_timeout(PATIENCE).expect("the awaited event comes");
+            let left = end.saturating_duration_since(Instant::now());
+            let item = receiver.recv_timeout(left).expect("the awaited event comes");
             if wanted(&item) {
                 return (item, receiver);
             }
