Let the test of a planned stop see a connection that is cut

On a scratch copy in which connections are dropped when the stop is done, the test still passed: its short answer was written before.

--- a/lilacpass-daemon/tests/http.rs
+++ b/lilacpass-daemon/tests/http.rs
@@ -339,6 +339,8 @@
 /// shopkeeper at the counter gets the whole answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_off_no_request() {
+    // Too long to be written at once, so that the stop comes in the middle of it.
+    const RESULT_LEN: usize = 16 << 20;
     let (sender, events) = mpsc::channel();
     let waiting: Arc<Mutex<Option<ReplyId>>> = Arc::default();
     let daemon = in_force_with("", v1::Configuration::default(), move |event, out| match event {
@@ -348,7 +350,8 @@
         }
         Event::Stop => {
             let to = waiting.lock().expect("lock").expect("a request waits");
-            let answer = Answer::Quick(v1::QuickAnswer::default());
+            let result = "x".repeat(RESULT_LEN);
+            let answer = Answer::Quick(v1::QuickAnswer { result, ..v1::QuickAnswer::default() });
             out.extend([Effect::Reply { to, answer }, Effect::Stopped]);
         }
         _ => {}
@@ -356,10 +359,14 @@
     .await;
     let address = daemon.http_address;
     let request = http::send(address, "POST /v1/requests", &[], SPEC);
-    let request = tokio::spawn(async move { request.await.status });
+    let request = tokio::spawn(async move {
+        let reply = request.await;
+        let answer: v1::QuickAnswer = serde_json::from_str(&reply.body).expect("a whole answer");
+        (reply.status, answer.result.len())
+    });
     wait_for(events, |()| true).await;
     daemon.stop().await.expect("stops in time");
-    assert_eq!(request.await.expect("request ends"), 200);
+    assert_eq!(request.await.expect("request ends"), (200, RESULT_LEN));
     assert!(TcpStream::connect(address).await.is_err());
 }
 
