Make the values of all fuzz tests in one place, from fixed seeds

Cause: the fuzz tests of records and of the daemon's input drew their seeds from the operating system, so two plain runs did not try the same; config and decide each had their own copy of fixed seeds, with another variable for longer runs.

Change: lilacpass-fuzz also makes lists, bytes and values of any generator; config, records, decide and the daemon use it with as many values as before and the same oracles. LILACPASS_FUZZ_ITERATIONS is gone from these crates. The counts that the configuration fold must reach now go by the number of lists: the same in a plain run, and also right in a longer one.

--- a/lilacpass-config/tests/change.rs
+++ b/lilacpass-config/tests/change.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{configuration, drain, fuzz, op, size, standing, team, worker};
+use common::{configuration, drain, op, size, standing, team, worker};
 use lilacpass_config::{
     change::{self, Load, TeamLoad, WorkerLoad},
     inventory,
@@ -13,6 +13,9 @@
 };
 use lilacpass_schema::v1::{self, config_op::Op};
 
+/// Steps of the longest random list.
+const MAX_STEPS: usize = 200;
+
 fn shown(result: Result<v1::Configuration, Vec<lilacpass_config::Problem>>) -> Vec<String> {
     result.expect_err("refused").iter().map(ToString::to_string).collect()
 }
@@ -90,7 +93,7 @@
 /// Applies random steps, good and bad, and checks everything after each as the oracle.
 #[test]
 fn checking_what_changed_gives_the_verdict_of_checking_everything() {
-    fuzz::lists::<[u8; 3]>(1_000, |steps| {
+    lilacpass_fuzz::check_lists::<[u8; 3]>(1_000, 0..=MAX_STEPS, |steps| {
         let mut current = configuration(steps.len() as u64 % 4);
         current.teams[0].quota.take_if(|_| current.workers.is_empty());
         for steps in steps.chunks(3) {
@@ -153,7 +156,7 @@
 /// Walks two ways from one start and goes over from the one end to the other.
 #[test]
 fn the_difference_of_two_configurations_leads_from_one_to_the_other() {
-    fuzz::lists::<[u8; 3]>(1_000, |steps| {
+    lilacpass_fuzz::check_lists::<[u8; 3]>(1_000, 0..=MAX_STEPS, |steps| {
         let (one, other) = steps.split_at(steps.len() / 2);
         let [from, to] = [one, other].map(|walk| {
             walk.iter().fold(configuration(3), |at, step| {
--- a/lilacpass-config/tests/common/mod.rs
+++ b/lilacpass-config/tests/common/mod.rs
@@ -1,8 +1,6 @@
 //! Sample entries for the tests.
 #![allow(dead_code, unreachable_pub)]
 
-pub mod fuzz;
-
 use lilacpass_schema::v1::{self, config_op::Op};
 
 /// An argon2id hash in its form; of no token that anyone knows.
--- a/lilacpass-config/tests/fold_fuzz.rs
+++ b/lilacpass-config/tests/fold_fuzz.rs
@@ -10,11 +10,15 @@
     sync::atomic::{AtomicUsize, Ordering::Relaxed},
 };
 
-use common::{change, configuration, drain, fuzz};
+use common::{change, configuration, drain};
 use lilacpass_config::fold::{ChangeOutcome, ConfigFold};
 use lilacpass_core::ids::{Offset, Revision};
 use lilacpass_schema::v1::{self, config_op::Op};
 
+/// Lists of steps in a plain run.
+const LISTS: u64 = 4_000;
+/// Steps of the longest one.
+const MAX_STEPS: usize = 200;
 const MEMBERS: usize = 4;
 const WORKERS: u64 = 3;
 
@@ -244,11 +248,14 @@
 fn members_agree_and_never_go_back_in_any_order_of_events() {
     let accepted = AtomicUsize::new(0);
     let at_tail = AtomicUsize::new(0);
-    fuzz::lists::<Step>(4_000, |steps| {
+    let lists = AtomicUsize::new(0);
+    lilacpass_fuzz::check_lists::<Step>(LISTS, 0..=MAX_STEPS, |steps| {
         let (changes, tails) = run(steps);
         accepted.fetch_add(changes, Relaxed);
         at_tail.fetch_add(tails, Relaxed);
+        lists.fetch_add(1, Relaxed);
     });
-    assert!(accepted.load(Relaxed) > 4_000, "{accepted:?} changes accepted");
-    assert!(at_tail.load(Relaxed) > 40_000, "{at_tail:?} times at the tail");
+    let lists = lists.into_inner();
+    assert!(accepted.load(Relaxed) > lists, "{accepted:?} changes accepted");
+    assert!(at_tail.load(Relaxed) > 10 * lists, "{at_tail:?} times at the tail");
 }
--- a/lilacpass-config/tests/samples.rs
+++ b/lilacpass-config/tests/samples.rs
@@ -1,10 +1,12 @@
 //! The sample files, and arbitrary text.
 
-mod common;
-
-use common::fuzz;
 use lilacpass_config::{inventory, settings};
 
+/// Bytes of the longest arbitrary text.
+const MAX_BYTES: usize = 200;
+/// Lines of the longest mangled sample.
+const MAX_LINES: usize = 200;
+
 fn sample(name: &str) -> String {
     let path = format!("{}/../examples/{name}.toml", env!("CARGO_MANIFEST_DIR"));
     std::fs::read_to_string(path).expect("sample file")
@@ -39,7 +41,7 @@
 
 #[test]
 fn arbitrary_text_never_panics() {
-    fuzz::lists::<u8>(5_000, |bytes| {
+    lilacpass_fuzz::check_bytes(5_000, MAX_BYTES, |bytes| {
         let text = String::from_utf8_lossy(bytes);
         let text = text.as_ref();
         let _ = settings::parse(text);
@@ -53,7 +55,7 @@
 fn mangled_samples_never_panic_and_show_a_line() {
     let texts = ["vindbaar-entry", "swanfield-entry", "vindbaar"].map(sample);
     let lines: Vec<&str> = texts.iter().flat_map(|text| text.lines().take(80)).collect();
-    fuzz::lists::<(u8, u8)>(2_000, |picks| {
+    lilacpass_fuzz::check_lists::<(u8, u8)>(2_000, 0..=MAX_LINES, |picks| {
         let mut text = String::new();
         for (line, cut) in picks {
             let line = lines[usize::from(*line) % lines.len()];
--- a/lilacpass-daemon/tests/input_fuzz.rs
+++ b/lilacpass-daemon/tests/input_fuzz.rs
@@ -9,8 +9,10 @@
 use lilacpass_schema::v1;
 use std::time::Duration;
 
-/// Tries of one run; more by setting `LILACPASS_FUZZ_ITERATIONS`.
-const ITERATIONS: usize = 5_000;
+/// Values tried in a plain run.
+const SEEDS: u64 = 5_000;
+/// Most bytes that one is made from.
+const MAX_BYTES: usize = 4_096;
 
 const ACTIONS: [Action; 3] = [Action::Quick, Action::Submit, Action::Change];
 
@@ -19,11 +21,6 @@
 const LIMITS: InputLimits =
     InputLimits { max_body_bytes: 1 << 20, max_deadline: Duration::from_secs(60) };
 
-fn iterations() -> usize {
-    let set = std::env::var("LILACPASS_FUZZ_ITERATIONS").ok();
-    set.and_then(|text| text.parse().ok()).unwrap_or(ITERATIONS)
-}
-
 fn check(body: &[u8], header: &[u8]) {
     for action in ACTIONS {
         let mut request = Request::new(());
@@ -42,10 +39,9 @@
 
 #[test]
 fn any_bytes_give_a_request_or_a_problem() {
-    bolero::check!()
-        .with_iterations(iterations())
-        .with_type::<(Vec<u8>, Vec<u8>)>()
-        .for_each(|(body, header)| check(body, header));
+    lilacpass_fuzz::check::<(Vec<u8>, Vec<u8>)>(SEEDS, MAX_BYTES, |(body, header)| {
+        check(body, header);
+    });
 }
 
 /// Starts from a body that is right and changes some of its bytes, to get past the first check.
@@ -57,14 +53,12 @@
         ..v1::JobSpec::default()
     };
     let sound = serde_json::to_vec(&spec).expect("JSON");
-    bolero::check!().with_iterations(iterations()).with_type::<Vec<(u16, u8)>>().for_each(
-        |changes| {
-            let mut body = sound.clone();
-            for (position, byte) in changes {
-                let position = usize::from(*position) % body.len();
-                body[position] = *byte;
-            }
-            check(&body, b"17");
-        },
-    );
+    lilacpass_fuzz::check::<Vec<(u16, u8)>>(SEEDS, MAX_BYTES, |changes| {
+        let mut body = sound.clone();
+        for (position, byte) in changes {
+            let position = usize::from(*position) % body.len();
+            body[position] = *byte;
+        }
+        check(&body, b"17");
+    });
 }
--- a/lilacpass-decide/tests/common/mod.rs
+++ b/lilacpass-decide/tests/common/mod.rs
@@ -4,7 +4,6 @@
 
 use std::time::Duration;
 
-use bolero::generator::bolero_generator::driver;
 use lilacpass_core::{
     Class, MonoTime, Resources,
     ids::{AttemptNo, DataCentreId, JobId, KindId, RackId, ServiceId, TaskId, TeamId, WorkerId},
@@ -12,7 +11,9 @@
 use lilacpass_decide::{
     Decision, Pool, PoolOptions, QuickTask, Scheduler, SchedulerOptions, TaskMeta, WorkerSpec,
 };
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+/// Operations of one list.
+const OPS: usize = 250;
 
 pub(crate) fn at(ms: u64) -> MonoTime {
     MonoTime::from_ms(ms)
@@ -113,38 +114,10 @@
     decisions.iter().filter_map(refuse).collect()
 }
 
-/// Calls `run` with `count` lists of operations from fixed seeds.
-///
-/// With the environment variable `LILACPASS_FUZZ_ITERATIONS` set, it goes on with so many lists
-/// from random seeds.
+/// Calls `run` with `count` lists of operations.
 pub(crate) fn fuzz<Op>(count: u64, run: impl Fn(&[Op]) + std::panic::RefUnwindSafe)
 where
     Op: bolero::TypeGenerator + std::fmt::Debug + std::panic::RefUnwindSafe + 'static,
 {
-    for seed in 0..count {
-        let ops = fixed_ops(seed);
-        let result = std::panic::catch_unwind(|| run(&ops));
-        if let Err(panic) = result {
-            eprintln!("seed {seed} fails");
-            std::panic::resume_unwind(panic);
-        }
-    }
-    let more = std::env::var("LILACPASS_FUZZ_ITERATIONS").ok().and_then(|n| n.parse().ok());
-    if let Some(more) = more {
-        bolero::check!()
-            .with_iterations(more)
-            .with_max_len(1 << 14)
-            .with_type::<Vec<Op>>()
-            .for_each(|ops| run(ops));
-    }
-}
-
-fn fixed_ops<Op: bolero::TypeGenerator>(seed: u64) -> Vec<Op> {
-    const BYTES: usize = 1 << 12;
-    const OPS: usize = 250;
-    let mut bytes = vec![0; BYTES];
-    SmallRng::seed_from_u64(seed).fill_bytes(&mut bytes);
-    let options = driver::Options::default().with_max_len(BYTES);
-    let mut driver = driver::ByteSliceDriver::new(&bytes, &options);
-    (0..OPS).filter_map(|_| Op::generate(&mut driver)).collect()
+    lilacpass_fuzz::check_lists(count, OPS..=OPS, run);
 }
--- a/lilacpass-records/tests/fuzz_codec.rs
+++ b/lilacpass-records/tests/fuzz_codec.rs
@@ -1,11 +1,14 @@
 //! Decoding of bytes that others wrote or that were damaged.
 
-use bolero::{TypeGenerator, check};
+use bolero::TypeGenerator;
 use lilacpass_records::{DecodeError, codec, decode, encode};
 use lilacpass_schema::v1::{self, record::Body};
 use prost::Message;
 
-const ITERATIONS: usize = 10_000;
+/// Values tried in a plain run.
+const SEEDS: u64 = 10_000;
+/// Most bytes of a frame, and of what a record is made from.
+const MAX_BYTES: usize = 4_096;
 
 /// The parts of a record that matter to its encoding.
 #[derive(Clone, Debug, TypeGenerator)]
@@ -40,7 +43,7 @@
 
 #[test]
 fn any_bytes_decode_or_are_refused() {
-    check!().with_iterations(ITERATIONS).for_each(|bytes: &[u8]| {
+    lilacpass_fuzz::check_bytes(SEEDS, MAX_BYTES, |bytes| {
         if let Ok(record) = decode(bytes) {
             assert!(record.body.is_some());
         }
@@ -53,8 +56,7 @@
 
 #[test]
 fn any_record_comes_back_and_any_damage_is_found() {
-    let input = check!().with_iterations(ITERATIONS).with_type::<(Draft, u16, u8)>();
-    input.for_each(|(draft, at, flip)| {
+    lilacpass_fuzz::check::<(Draft, u16, u8)>(SEEDS, MAX_BYTES, |(draft, at, flip)| {
         let record = draft.record();
         let bytes = encode(&record);
         assert_eq!(decode(&bytes).as_ref(), Ok(&record));
--- a/lilacpass-records/tests/fuzz_jobs.rs
+++ b/lilacpass-records/tests/fuzz_jobs.rs
@@ -1,12 +1,10 @@
 //! Random histories of jobs by several writers, against a simple oracle.
-//!
-//! `BOLERO_RANDOM_ITERATIONS` makes the run longer; a failure prints its seed.
 
 mod common;
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use bolero::{TypeGenerator, check, produce};
+use bolero::TypeGenerator;
 use common::{accepted, attempt, cancelled, ended, given_up, record, spec};
 use lilacpass_core::{
     MonoTime, Verdict,
@@ -15,7 +13,8 @@
 use lilacpass_records::{Folded, Job, Jobs, JobsOptions, State, jobs::AfterTask};
 use lilacpass_schema::v1::{self, TaskOutcome, job_record::Body};
 
-const ITERATIONS: usize = 400;
+/// Histories tried in a plain run.
+const HISTORIES: u64 = 400;
 const JOBS: u8 = 12;
 const MAX_STEPS: usize = 150;
 
@@ -341,8 +340,7 @@
 
 #[test]
 fn any_history_keeps_the_promises_and_all_members_agree() {
-    let histories = produce::<Vec<Op>>().with().len(1..=MAX_STEPS);
-    check!().with_iterations(ITERATIONS).with_generator(histories).for_each(|ops| {
+    lilacpass_fuzz::check_lists::<Op>(HISTORIES, 1..=MAX_STEPS, |ops| {
         let mut world = World::new();
         ops.iter().for_each(|op| world.step(op));
     });
--- a/lilacpass-records/tests/fuzz_snapshots.rs
+++ b/lilacpass-records/tests/fuzz_snapshots.rs
@@ -3,11 +3,12 @@
 
 mod common;
 
-use bolero::{TypeGenerator, check, produce};
+use bolero::TypeGenerator;
 use common::stream::{Member, Stream, ids};
 use lilacpass_schema::v1::record::Body;
 
-const ITERATIONS: usize = 1_000;
+/// Streams tried in a plain run.
+const STREAMS: u64 = 1_000;
 const MAX_STEPS: usize = 120;
 const WRITERS: usize = 3;
 
@@ -95,8 +96,7 @@
 
 #[test]
 fn a_member_that_follows_has_the_state_of_one_that_read_everything() {
-    let streams = produce::<Vec<Op>>().with().len(1..=MAX_STEPS);
-    check!().with_iterations(ITERATIONS).with_generator(streams).for_each(|ops| {
+    lilacpass_fuzz::check_lists::<Op>(STREAMS, 1..=MAX_STEPS, |ops| {
         let mut world = World::new();
         ops.iter().for_each(|op| world.step(*op));
     });
