--- a/lilacpass-control/examples/slopes/bytes.rs
+++ b/lilacpass-control/examples/slopes/bytes.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use lilacpass_records::codec;
-use lilacpass_schema::v1::{self, holding_record, record, snapshot};
+use lilacpass_schema::v1::{self, holding_record, record, snapshot::Body};
 use prost::Message;
 
 use crate::{fit, fit::Series, instance, sample};
@@ -90,12 +90,13 @@
     fit::head("Messages and snapshots");
     configurations();
     reports();
+    whole();
 }
 
 fn configurations() {
     let mut workers = Series::new("snapshot of the configuration, workers", "bytes", "workers");
     for total in [48, 2_300, 21_000] {
-        workers.add(total, snapshot_bytes(sample::configuration(total, 6)) as f64);
+        workers.add(total, snapshot(sample::configuration(total, 6)).len() as f64);
     }
     workers.print();
     let mut standing = Series::new("the same, 48 workers and standing work", "bytes", "standing");
@@ -104,20 +105,38 @@
             standing: (0..listed).map(sample::standing).collect(),
             ..sample::configuration(48, 6)
         };
-        standing.add(listed, snapshot_bytes(configuration) as f64);
+        standing.add(listed, snapshot(configuration).len() as f64);
     }
     standing.print();
 }
 
-fn snapshot_bytes(configuration: v1::Configuration) -> usize {
+/// Prints whether the snapshot of a whole configuration can be read back.
+fn whole() {
+    println!("\n| workers | standing work | bytes | decoded |\n|---|---|---|---|");
+    for listed in [0, 8_000, 16_000, 32_000] {
+        let configuration = v1::Configuration {
+            standing: (0..listed).map(sample::standing).collect(),
+            ..sample::configuration(21_000, 6)
+        };
+        let bytes = snapshot(configuration);
+        let decoded = match codec::decode(&bytes) {
+            Ok(_) => "yes".to_owned(),
+            Err(error) => format!("no: {error}"),
+        };
+        println!("| 21000 | {listed} | {} | {decoded} |", bytes.len());
+    }
+}
+
+/// The record of a snapshot.
+fn snapshot(configuration: v1::Configuration) -> Vec<u8> {
     let config = v1::ConfigSnapshot { revision: 50_000, configuration: Some(configuration) };
     let part = v1::Snapshot {
         covers_offset: 50_000,
         parts: 1,
-        body: Some(snapshot::Body::Config(config)),
+        body: Some(Body::Config(config)),
         ..Default::default()
     };
-    codec::encode(&sample::record(1, record::Body::Snapshot(part))).len()
+    codec::encode(&sample::record(1, record::Body::Snapshot(part)))
 }
 
 fn reports() {
