--- a/lilacpass-records/src/snapshots.rs
+++ b/lilacpass-records/src/snapshots.rs
@@ -2,12 +2,14 @@
 
 mod assembler;
 mod schedule;
+mod writer;
 
 use lilacpass_core::ids::Offset;
 use lilacpass_schema::v1::{self, snapshot::Body};
 
 pub use assembler::{Assembler, Complete};
 pub use schedule::{Schedule, ScheduleOptions, rank};
+pub use writer::Writer;
 
 /// The parts of a snapshot of a state with all records before `covers` folded, to be appended in
 /// this order. `snapshot_id` must not have been used before.
--- a/lilacpass-records/src/snapshots/assembler.rs
+++ b/lilacpass-records/src/snapshots/assembler.rs
@@ -33,7 +33,8 @@
 struct Open {
     id: String,
     covers: Offset,
-    parts: u32,
+    /// Number of the parts, once one of them has said it.
+    parts: Option<u32>,
     found: BTreeMap<u32, Offset>,
     contradictory: bool,
 }
@@ -46,9 +47,8 @@
         }
         let position = self.position_of(part);
         let open = &mut self.open[position];
-        open.contradictory |= open.covers.0 != part.covers_offset || open.parts != part.parts;
-        open.found.entry(part.part).or_insert(offset);
-        if open.contradictory || open.found.len() < open.parts as usize {
+        open.take(offset, part);
+        if !open.is_complete() {
             return None;
         }
         let open = self.open.remove(position)?;
@@ -70,7 +70,7 @@
         self.open.push_back(Open {
             id: part.snapshot_id.clone(),
             covers: Offset(part.covers_offset),
-            parts: part.parts,
+            parts: None,
             found: BTreeMap::new(),
             contradictory: false,
         });
@@ -78,11 +78,32 @@
     }
 }
 
+impl Open {
+    fn take(&mut self, offset: Offset, part: &v1::Snapshot) {
+        self.contradictory |= self.covers.0 != part.covers_offset;
+        if part.parts > 0 {
+            let parts = *self.parts.get_or_insert(part.parts);
+            self.contradictory |= parts != part.parts;
+        }
+        self.found.entry(part.part).or_insert(offset);
+    }
+
+    /// Whether all parts are there, and none beyond their number.
+    fn is_complete(&self) -> bool {
+        let last = self.found.last_key_value().map(|(part, _)| *part);
+        let all = self.parts.is_some_and(|parts| {
+            self.found.len() == parts as usize && last == parts.checked_sub(1)
+        });
+        all && !self.contradictory
+    }
+}
+
 /// Whether the part can belong to a snapshot: it has a body and a valid number, and covers only
 /// records that stand before it.
 fn is_sound(offset: Offset, part: &v1::Snapshot) -> bool {
     part.body.is_some()
-        && part.part < part.parts
+        && part.part < MAX_PARTS
+        && (part.parts == 0 || part.part < part.parts)
         && part.parts <= MAX_PARTS
         && part.covers_offset <= offset.0
 }
--- a/lilacpass-records/tests/common/stream.rs
+++ b/lilacpass-records/tests/common/stream.rs
@@ -107,6 +107,13 @@
         let parts = snapshots::to_parts(id, self.follower.next(), bodies.into_iter());
         parts.into_iter().map(Body::Snapshot).collect()
     }
+
+    /// The same in parts the number of which only the last one says.
+    pub fn snapshot_in_pieces(&self, id: &str) -> Vec<Body> {
+        let bodies = self.jobs.freeze(1).map(v1::snapshot::Body::Jobs);
+        let parts = snapshots::Writer::new(id.to_owned(), self.follower.next(), bodies);
+        parts.map(Body::Snapshot).collect()
+    }
 }
 
 fn restored(covers: Offset, parts: &[&v1::Snapshot]) -> Option<Jobs> {
--- a/lilacpass-records/tests/fuzz_snapshots.rs
+++ b/lilacpass-records/tests/fuzz_snapshots.rs
@@ -53,7 +53,11 @@
             }
             Op::Take(writer) => {
                 self.snapshots += 1;
-                let mut parts = self.whole.snapshot(&format!("s{}", self.snapshots));
+                let id = format!("s{}", self.snapshots);
+                let mut parts = match self.snapshots.is_multiple_of(2) {
+                    true => self.whole.snapshot(&id),
+                    false => self.whole.snapshot_in_pieces(&id),
+                };
                 parts.reverse();
                 self.pending[usize::from(writer) % WRITERS] = parts;
             }
--- a/lilacpass-records/tests/snapshots.rs
+++ b/lilacpass-records/tests/snapshots.rs
@@ -52,6 +52,31 @@
     assert_eq!((ids(&late), late.jobs.waiting_len()), (ids(&writer), 5));
 }
 
+/// The parts do not say how many there are until the last one, which is lost, and then comes in
+/// a second copy behind a part of a number that can't be. Only a snapshot without such may count.
+#[test]
+fn a_snapshot_of_unknown_length_counts_once_its_last_part_is_read() {
+    let mut stream = Stream::with_jobs(3);
+    let mut writer = Member::new();
+    writer.read(&stream);
+    let mut parts = writer.snapshot_in_pieces("s1");
+    let mut beyond = writer.snapshot_in_pieces("s2");
+    let last = parts.pop().unwrap();
+    let Body::Snapshot(known) = &last else { unreachable!() };
+    assert_eq!(known.parts as usize, parts.len() + 1);
+    let extra = v1::Snapshot { snapshot_id: "s2".into(), part: 9, parts: 0, ..known.clone() };
+    beyond.insert(0, Body::Snapshot(extra));
+    stream.push_all(beyond);
+    stream.push_all(parts);
+    stream.oldest = 1;
+    let mut late = Member::new();
+    assert!(!late.read(&stream).0);
+    stream.push(last);
+    assert!(late.read(&stream).0);
+    writer.read(&stream);
+    assert_eq!(ids(&late), ids(&writer));
+}
+
 /// A record of the snapshot does not decode, another snapshot contradicts itself and a third one
 /// holds a job that no fold leads to. None may become the state of a member.
 #[test]
