Split the played instance of the slopes by what it does

Cause: one file of 553 lines held the loop, what is read first, and all answers. Change: history and answers are modules of their own; no behaviour changes. Ruled out: a wider split of the loop, whose parts share all of its state.

--- a/lilacpass-control/examples/slopes/instance.rs
+++ b/lilacpass-control/examples/slopes/instance.rs
@@ -1,6 +1,9 @@
 //! One instance of control among workers, peers and a log that answer at once, under a made-up
 //! time. Counts the processor time of control alone and the bytes of what it sends and gets.
 
+mod answers;
+mod history;
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
@@ -10,18 +13,15 @@
 
 use lilacpass_control::{
     Control, ControlSettings, Effect, Event, Guards,
-    event::{
-        Answer, CallFailure, CallId, Caller, FailureKind, PeerCall, PeerReply, QuickRequest,
-        ReadRecord, ReplyId, Request, Role, Stream, WorkerCall, WorkerReply,
-    },
+    event::{Answer, PeerCall, PeerReply, ReadRecord, ReplyId, Stream},
 };
 use lilacpass_core::{
-    MonoTime, Verdict,
+    MonoTime,
     ids::{DataCentreId, Incarnation, InstanceId, Offset},
 };
 use lilacpass_hold::HoldOptions;
 use lilacpass_records::codec;
-use lilacpass_schema::v1::{self, holding_record, record};
+use lilacpass_schema::v1::{self, record};
 use prost::Message;
 
 use crate::{
@@ -36,9 +36,11 @@
 const RENEW: Duration = Duration::from_secs(1);
 const HEARTBEAT: Duration = Duration::from_secs(1);
 /// Time that a quick request runs.
-pub(crate) const RUN: Duration = Duration::from_millis(50);
+const RUN: Duration = Duration::from_millis(50);
 const DEADLINE: Duration = Duration::from_secs(2);
 
+pub(crate) use answers::reported;
+
 /// What surrounds the instance.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Surroundings {
@@ -177,42 +179,6 @@
         instance
     }
 
-    fn read_history(&mut self) {
-        let around = self.around;
-        let configuration = sample::configuration(around.workers, around.held);
-        let change = record::Body::Config(sample::first_change(configuration));
-        self.read(Stream::Config, vec![change]);
-        let near = (0..around.near).map(|n| self.peer_holding(n, true)).collect();
-        self.read(Stream::Holding, near);
-        let instances = (0..around.near + around.far).map(|n| v1::Instance {
-            name: self.peer_name(n),
-            data_centre: self.peer_data_centre(n),
-            role: v1::InstanceRole::Entry.into(),
-            state: v1::InstanceState::Live.into(),
-            address: peer_address(n),
-            incarnation: 1,
-        });
-        let instances = instances.collect();
-        self.handle(Event::InstanceList(v1::ListInstancesAnswer { instances, version: 1 }));
-        self.read_jobs();
-    }
-
-    /// Tasks on the held workers come first, then jobs elsewhere.
-    fn read_jobs(&mut self) {
-        let here = self.around.held * self.around.tasks_each;
-        let running = here + self.around.running;
-        for n in 0..running + self.around.ended {
-            let (worker, holder) = if n < here {
-                (sample::own_worker(n / self.around.tasks_each), sample::ME)
-            } else {
-                (format!("south-1-rack-1-worker-{n}"), "south-1-entry-1")
-            };
-            let kept = if n < running { 2 } else { 3 };
-            let records = sample::job(n, worker, holder).into_iter().take(kept);
-            self.read(Stream::Jobs, records.map(record::Body::Job).collect());
-        }
-    }
-
     /// Has control read records of a stream, with the tail right behind them.
     pub(crate) fn read(&mut self, stream: Stream, bodies: Vec<record::Body>) {
         let records = bodies
@@ -245,53 +211,6 @@
         }
     }
 
-    fn peer_name(&self, n: usize) -> String {
-        format!("{}-entry-{}", self.peer_data_centre(n), n + 1)
-    }
-
-    fn peer_data_centre(&self, n: usize) -> String {
-        let own = n < self.around.near;
-        if own { sample::OWN.to_owned() } else { "south-1".to_owned() }
-    }
-
-    /// A join or renewal of a peer, which says that it takes no shards: all stay with the instance.
-    fn peer_holding(&self, n: usize, join: bool) -> record::Body {
-        let body = if join {
-            holding_record::Body::Join(v1::Join { address: peer_address(n) })
-        } else {
-            holding_record::Body::Renew(v1::Renew {})
-        };
-        record::Body::Holding(v1::HoldingRecord {
-            member: self.peer_name(n),
-            incarnation: 1,
-            body: Some(body),
-            read_offset: self.next_offset.get(&Stream::Holding).copied().unwrap_or_default(),
-            sequence: self.now.0,
-            leaving: true,
-        })
-    }
-
-    fn peer_beat(&self, n: usize, grants: Vec<v1::Grant>) -> v1::HeartbeatRequest {
-        v1::HeartbeatRequest {
-            instance: self.peer_name(n),
-            incarnation: 1,
-            data_centre: self.peer_data_centre(n),
-            address: peer_address(n),
-            revision: 1,
-            leaving: false,
-            log_reachable: true,
-            digest: Some(v1::Digest {
-                free: Some(sample::amount(4_000_000, 16_000_000, 2_000)),
-                largest: Some(sample::amount(32_000, 131_072, 16)),
-                queued_urgent: 0,
-                wait_ms: 0,
-                workers: 290,
-            }),
-            grants,
-            sent_us: self.now.0,
-        }
-    }
-
     fn after(&mut self, wait: Duration, due: Due) {
         self.numbered += 1;
         self.due.insert(self.numbered, due);
@@ -386,7 +305,9 @@
         let reply = ReplyId(self.numbered);
         let spec = sample::urgent(n);
         self.handle(match load {
-            Load::Callers(_) => Event::Request { reply, caller: caller(), request: quick(spec) },
+            Load::Callers(_) => {
+                Event::Request { reply, caller: answers::caller(), request: answers::quick(spec) }
+            }
             Load::Peers(_) => {
                 let request = PeerCall::Forward(v1::ForwardRequest {
                     task: Some(sample::task(n)),
@@ -427,127 +348,4 @@
             _ => {}
         }
     }
-
-    fn worker_call(&mut self, call: CallId, worker: &str, request: WorkerCall) {
-        let (wait, reply) = match request {
-            WorkerCall::Report(request) => {
-                let answer = self.report(worker);
-                let bytes = request.encoded_len() + answer.encoded_len();
-                self.traffic.count(Kind::Report, bytes);
-                (Duration::from_millis(request.wait_ms), WorkerReply::Report(answer))
-            }
-            WorkerCall::Renew(request) => {
-                let answer = v1::RenewTasksAnswer { worker_incarnation: 1, unknown: Vec::new() };
-                self.traffic.count(Kind::Renewal, request.encoded_len() + answer.encoded_len());
-                (Duration::ZERO, WorkerReply::Renew(answer))
-            }
-            WorkerCall::Run(request) => (RUN, WorkerReply::Run(ran(request))),
-            WorkerCall::Start(_) => {
-                let answer = v1::StartTaskAnswer {
-                    started: true,
-                    worker_incarnation: 1,
-                    ..Default::default()
-                };
-                (Duration::ZERO, WorkerReply::Start(answer))
-            }
-            WorkerCall::Control(_) => {
-                (Duration::ZERO, WorkerReply::Control(v1::ControlTaskAnswer { known: true }))
-            }
-        };
-        let done = Event::WorkerDone { call, sent_at: self.now, result: Ok(reply) };
-        self.after(wait + HOP * 2, Due::event(done));
-    }
-
-    fn report(&self, worker: &str) -> v1::ReportAnswer {
-        let number = worker.rsplit('-').next().and_then(|n| n.parse::<usize>().ok()).unwrap_or(0);
-        let each = self.around.tasks_each;
-        v1::ReportAnswer {
-            version: 1,
-            worker_incarnation: 1,
-            age_ms: 0,
-            tasks: (number * each..(number + 1) * each).map(reported).collect(),
-            leaving: false,
-        }
-    }
-
-    fn peer_call(&mut self, call: CallId, peer: &str, request: PeerCall) {
-        let (wait, result) = match request {
-            PeerCall::Heartbeat(beat) => {
-                self.traffic.count(Kind::Heartbeat, beat.encoded_len());
-                let all = 0..self.around.near + self.around.far;
-                let n = all.into_iter().find(|n| self.peer_name(*n) == peer).unwrap_or_default();
-                let grant = v1::Grant {
-                    to: sample::ME.to_owned(),
-                    to_incarnation: 1,
-                    grant_ms: 2_000,
-                    sent_us: beat.sent_us,
-                };
-                let grants = if n < self.around.near { vec![grant] } else { Vec::new() };
-                let answer = self.peer_beat(n, grants);
-                self.traffic.count(Kind::Heartbeat, answer.encoded_len());
-                (Duration::ZERO, Ok(PeerReply::Heartbeat(answer)))
-            }
-            PeerCall::Forward(request) => (RUN, Ok(PeerReply::Forward(forwarded(request)))),
-            _ => (Duration::ZERO, Err(refused())),
-        };
-        self.after(wait + HOP * 2, Due::event(Event::PeerDone { call, result }));
-    }
-}
-
-fn peer_address(n: usize) -> String {
-    format!("10.1.{}.{}:9000", n / 250, n % 250 + 1)
-}
-
-fn caller() -> Caller {
-    Caller { name: "caller".to_owned(), role: Role::Operator, team: None, origin: None }
-}
-
-fn quick(spec: v1::JobSpec) -> Request {
-    let deadline = DEADLINE;
-    Request::Quick(QuickRequest { spec, key: None, body_digest: String::new(), deadline })
-}
-
-fn ran(request: v1::RunRequest) -> v1::RunAnswer {
-    let result = "{\"findings\":0}".to_owned();
-    v1::RunAnswer {
-        task: request.task,
-        verdict: v1::Verdict::Ran.into(),
-        outcome: v1::TaskOutcome::Succeeded.into(),
-        result_bytes: result.len() as u64,
-        result,
-        run_ms: RUN.as_millis() as u64,
-    }
-}
-
-fn forwarded(request: v1::ForwardRequest) -> v1::ForwardAnswer {
-    let result = "{\"findings\":0}".to_owned();
-    v1::ForwardAnswer {
-        task: request.task,
-        verdict: v1::Verdict::Ran.into(),
-        outcome: v1::TaskOutcome::Succeeded.into(),
-        result_bytes: result.len() as u64,
-        result,
-        ..Default::default()
-    }
-}
-
-fn refused() -> CallFailure {
-    CallFailure {
-        verdict: Verdict::NotRun,
-        kind: FailureKind::Refused,
-        detail: "not part of the measurement".to_owned(),
-    }
-}
-
-/// The `n`-th recorded task, as its worker reports it.
-pub(crate) fn reported(n: usize) -> v1::ReportedTask {
-    v1::ReportedTask {
-        task: Some(sample::task(n)),
-        running: true,
-        given: Some(sample::amount(1_000, 1_024, 1)),
-        used: Some(sample::amount(700, 800, 1)),
-        run_ms: 3_600_000,
-        epoch: 1,
-        ..Default::default()
-    }
 }
