Describe the HTTP interface in OpenAPI, checked against the code

A test sends requests to a running front with a scripted state machine: paths and methods are the same in code and description, full answers fit their schemas with nothing undescribed, each body with one fault (another type, null, a field too many or too few) is taken exactly where its schema allows it, parameters and roles hold for each operation, and each of the 15 described problem statuses is met on one route at least. 404, 409, 412, 422 and 502 are the scripted machine's there, so that test shows their form and not when the real machine gives them.

Ruled out: a JSON-schema crate, since the few keywords that the description uses take a page of code, which also refuses what is not described. A first try had team and service as required fields of JobSpec; the test showed that the reader takes standing work without them, so they are required of request bodies alone.

Before: no description, no test.

--- a/lilacpass-codegen/src/main.rs
+++ b/lilacpass-codegen/src/main.rs
@@ -1,7 +1,12 @@
-//! Regenerates the committed code of `lilacpass-schema` from its `.proto` files.
+//! Regenerates what is made from the `.proto` files of `lilacpass-schema`: its code, and the OpenAPI
+//! description of the HTTP interface.
 //!
-//! `cargo run -p lilacpass-codegen` writes it; with `--check` nothing is written and the exit
-//! code is 1 where the committed code differs.
+//! `cargo run -p lilacpass-codegen` writes both; with `--check` nothing is written and the exit
+//! code is 1 where what is committed differs.
+
+mod openapi;
+mod operations;
+mod schema;
 
 use std::{
     env, error, fs,
@@ -9,9 +14,12 @@
     process::ExitCode,
 };
 
+use prost_types::{DescriptorProto, FileDescriptorProto, FileDescriptorSet};
+
 const PROTO_DIR: &str = "lilacpass-schema/proto";
 const GENERATED_DIR: &str = "lilacpass-schema/src/generated";
 const GENERATED_FILE: &str = "lilacpass.v1.rs";
+const OPENAPI_FILE: &str = "docs/openapi.json";
 
 /// All messages can be written as TOML and JSON.
 const SERDE_DERIVE: &str = "#[derive(serde::Serialize, serde::Deserialize)]";
@@ -31,7 +39,7 @@
     match run(check) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => {
-            eprintln!("generated code is out of date: run `cargo run -p lilacpass-codegen`");
+            eprintln!("what is generated is out of date: run `cargo run -p lilacpass-codegen`");
             ExitCode::FAILURE
         }
         Err(err) => {
@@ -41,33 +49,44 @@
     }
 }
 
-/// Generates into a scratch directory, then compares with or replaces the committed file.
-/// Returns whether the committed file is up to date.
+/// Compares with or replaces the committed files. Returns whether they are up to date.
 fn run(check: bool) -> Result<bool, Box<dyn error::Error>> {
-    let scratch = env::temp_dir().join(format!("lilacpass-codegen-{}", std::process::id()));
-    fs::create_dir_all(&scratch)?;
-    let generated = generate(&scratch);
-    let text = generated.and_then(|()| Ok(fs::read_to_string(scratch.join(GENERATED_FILE))?));
-    fs::remove_dir_all(&scratch)?;
-    let text = text?;
-    let committed = Path::new(GENERATED_DIR).join(GENERATED_FILE);
+    let descriptors = protox::compile(proto_files()?, [PROTO_DIR])?;
+    let openapi = openapi::text(&descriptors, is_strict)?;
+    let code = code(descriptors)?;
+    let committed = [
+        (Path::new(GENERATED_DIR).join(GENERATED_FILE), code),
+        (PathBuf::from(OPENAPI_FILE), openapi),
+    ];
     if check {
-        return Ok(fs::read_to_string(&committed).is_ok_and(|old| old == text));
+        let is_same = |(path, text): &(PathBuf, String)| {
+            fs::read_to_string(path).is_ok_and(|old| old == *text)
+        };
+        return Ok(committed.iter().all(is_same));
     }
     fs::create_dir_all(GENERATED_DIR)?;
-    fs::write(&committed, text)?;
+    for (path, text) in committed {
+        fs::write(path, text)?;
+    }
     Ok(true)
 }
 
-fn generate(out_dir: &Path) -> Result<(), Box<dyn error::Error>> {
-    let descriptors = protox::compile(proto_files()?, [PROTO_DIR])?;
+/// The code of the messages, by way of a scratch directory.
+fn code(descriptors: FileDescriptorSet) -> Result<String, Box<dyn error::Error>> {
+    let scratch = env::temp_dir().join(format!("lilacpass-codegen-{}", std::process::id()));
+    fs::create_dir_all(&scratch)?;
+    let generated = generate(descriptors, &scratch);
+    let text = generated.and_then(|()| Ok(fs::read_to_string(scratch.join(GENERATED_FILE))?));
+    fs::remove_dir_all(&scratch)?;
+    text
+}
+
+fn generate(descriptors: FileDescriptorSet, out_dir: &Path) -> Result<(), Box<dyn error::Error>> {
     let mut config = tonic_prost_build::Config::new();
     config.message_attribute(".", SERDE_DERIVE);
     for file in &descriptors.file {
         for message in &file.message_type {
-            let strict =
-                STRICT_FILES.contains(&file.name()) || STRICT_MESSAGES.contains(&message.name());
-            let attribute = if strict { SERDE_STRICT } else { SERDE_LENIENT };
+            let attribute = if is_strict(file, message) { SERDE_STRICT } else { SERDE_LENIENT };
             config.message_attribute(format!(".lilacpass.v1.{}", message.name()), attribute);
         }
     }
@@ -78,6 +97,11 @@
     Ok(())
 }
 
+/// Whether people write a message.
+fn is_strict(file: &FileDescriptorProto, message: &DescriptorProto) -> bool {
+    STRICT_FILES.contains(&file.name()) || STRICT_MESSAGES.contains(&message.name())
+}
+
 fn proto_files() -> Result<Vec<PathBuf>, Box<dyn error::Error>> {
     let mut files: Vec<PathBuf> = fs::read_dir(PROTO_DIR)?
         .filter_map(|entry| entry.ok().map(|e| e.path()))
