Notice a body schema that doesn't refuse unknown fields

The check of bodies took each field without description for refused, whatever additionalProperties said, so a schema that lost this keyword passed unseen. Bodies are now read by the keyword, and answers still allow nothing undescribed.

--- a/lilacpass-daemon/tests/openapi.rs
+++ b/lilacpass-daemon/tests/openapi.rs
@@ -98,15 +98,23 @@
     }
 }
 
-/// Whether a value is as its schema says. What is not described is an error also where later
-/// versions may add fields: today's daemon has to be described whole.
-fn check(value: &Value, schema: &'static Value) -> Result<(), String> {
+/// Which fields without description a value may have.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Undescribed {
+    /// None, also where later versions may add some: today's daemon has to be described whole.
+    None,
+    /// Any in objects whose schema doesn't refuse them.
+    Allowed,
+}
+
+/// Whether a value is as its schema says.
+fn check(value: &Value, schema: &'static Value, undescribed: Undescribed) -> Result<(), String> {
     // A reference may stand beside fields that are required in that place alone.
     let required = [schema, resolved(schema)].map(|schema| &schema["required"]);
     let schema = resolved(schema);
     let any = schema.get("anyOf").or(schema.get("oneOf")).and_then(Value::as_array);
     if let Some(any) = any {
-        let fits = any.iter().any(|one| check(value, one).is_ok());
+        let fits = any.iter().any(|one| check(value, one, undescribed).is_ok());
         return fits.then_some(()).ok_or(format!("{value} is none of {any:?}"));
     }
     match (schema["type"].as_str().expect("a type"), value) {
@@ -117,12 +125,16 @@
                 fields.get(name).ok_or(format!("{name} is missing"))?;
             }
             fields.iter().try_for_each(|(name, value)| {
-                let schema = described.get(name).ok_or(format!("{name} is not described"))?;
-                check(value, schema).map_err(|error| format!("{name}: {error}"))
+                let closed = schema["additionalProperties"] == false;
+                match described.get(name) {
+                    None if undescribed == Undescribed::Allowed && !closed => Ok(()),
+                    None => Err(format!("{name} is not described")),
+                    Some(schema) => check(value, schema, undescribed),
+                }
             })
         }
         ("array", Value::Array(items)) => {
-            items.iter().try_for_each(|item| check(item, &schema["items"]))
+            items.iter().try_for_each(|item| check(item, &schema["items"], undescribed))
         }
         ("integer", Value::Number(number)) => {
             let max = schema["maximum"].as_u64().unwrap_or(u64::MAX);
@@ -278,7 +290,7 @@
         assert!(matches!(reply.status, 200 | 202), "{line}: {reply:?}");
         let Some(schema) = operation.answer() else { continue };
         let body: Value = serde_json::from_str(&reply.body).expect("JSON");
-        assert_eq!(check(&body, schema), Ok(()), "{line}: {body:#}");
+        assert_eq!(check(&body, schema, Undescribed::None), Ok(()), "{line}: {body:#}");
         assert_eq!(reply.header("content-type"), Some("application/json"), "{line}");
         assert!(reply.header("x-request-id").is_some(), "{line}");
         assert_eq!(reply.header("location").is_some(), reply.status == 202, "{line}");
@@ -329,7 +341,7 @@
             for body in [body.clone()].into_iter().chain(altered) {
                 let (line, text) = (operation.line(), body.to_string());
                 let reply = http::send(daemon.http_address, &line, &["if-match: 1"], &text).await;
-                let described = check(&body, schema);
+                let described = check(&body, schema, Undescribed::Allowed);
                 let taken = matches!(reply.status, 200 | 202);
                 assert_eq!(taken, described.is_ok(), "{line} {text}: {described:?}, {reply:?}");
                 assert!(taken || reply.status == 400, "{line} {text}: {reply:?}");
@@ -443,7 +455,7 @@
     let schema = &response["content"]["application/problem+json"]["schema"];
     assert!(!schema.is_null(), "{line}: {} is not described", reply.status);
     let body: Value = serde_json::from_str(&reply.body).expect("JSON");
-    assert_eq!(check(&body, schema), Ok(()), "{line}: {body:#}");
+    assert_eq!(check(&body, schema, Undescribed::None), Ok(()), "{line}: {body:#}");
     assert_eq!(body["status"], reply.status, "{line}");
     assert_eq!(reply.header("content-type"), Some("application/problem+json"), "{line}");
     assert!(reply.header("x-request-id").is_some(), "{line}");
