Let nothing wait for a worker that stays silent, and say only what is certain

Ruled out: a timeout after which room counts as free on a held worker (nothing proves it). Change: starts of unknown outcome hold up a release or a stop only while they can arrive; verdicts come from the history; preparations carry a round.

--- a/lilacpass-control/src/calls.rs
+++ b/lilacpass-control/src/calls.rs
@@ -4,7 +4,7 @@
 
 use lilacpass_core::{
     MonoTime, Verdict,
-    ids::{InstanceId, JobId, RequestId, TaskId, WorkerId},
+    ids::{AttemptNo, InstanceId, JobId, RequestId, TaskId, WorkerId},
 };
 
 use crate::{
@@ -24,7 +24,7 @@
     /// Forwards an attempt of a quick request.
     Forward { request: RequestId, task: TaskId, holder: InstanceId },
     /// Asks a holder for room for tasks of a job.
-    Hold { job: JobId, holder: InstanceId },
+    Hold { job: JobId, attempt: AttemptNo, round: u64, holder: InstanceId },
     /// Starts held tasks of a job.
     StartHeld { job: JobId },
     /// Its end changes nothing here.
--- a/lilacpass-control/src/change.rs
+++ b/lilacpass-control/src/change.rs
@@ -1,10 +1,6 @@
 //! Changes of the configuration: asked for by operators, decided by the order of the log.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use lilacpass_config::{
     change::{self, Load, TeamLoad, WorkerLoad},
@@ -20,7 +16,7 @@
     Control, convert, counters,
     event::{Answer, CallFailure, Caller, ChangeRequest, Effect, PeerReply, ReplyId, Role, Stream},
     history,
-    inventory::Inventory,
+    inventory::{Inventory, Worker},
     problem,
 };
 
@@ -119,13 +115,18 @@
         Ok(next)
     }
 
-    /// A worker that `next` no longer has and on which recorded tasks run. Without the worker in the
-    /// inventory nobody could ask it how they ended.
+    /// A worker that `next` no longer has in the same place, and on which recorded tasks run: nobody
+    /// could ask it how they ended, or its new holder would know nothing of what runs there.
     fn removed_in_use(&self, next: &v1::Configuration) -> Option<WorkerId> {
-        let kept: BTreeSet<&str> = next.workers.iter().map(|worker| worker.name.as_str()).collect();
-        let removed = |id: &&WorkerId| !kept.contains(id.as_str());
+        let next = Inventory::index(next);
+        let stays = |id: &WorkerId, worker: &Worker| {
+            let same_place =
+                |other: &Worker| other.shard == worker.shard && other.address == worker.address;
+            next.worker(id).is_some_and(same_place)
+        };
         let in_use = |id: &&WorkerId| self.jobs.placements_on(id).next().is_some();
-        self.inventory.workers().map(|(id, _)| id).filter(removed).find(in_use).cloned()
+        let moved = self.inventory.workers().filter(|(id, worker)| !stays(id, worker));
+        moved.map(|(id, _)| id).find(in_use).cloned()
     }
 
     /// The conflict that an operator sees whose change builds on a revision that is no longer, or
@@ -267,7 +268,7 @@
         for id in held {
             match self.inventory.worker(&id) {
                 Some(_) => self.upsert_pool_worker(&id, now),
-                None => self.untrack_worker(&id),
+                None => self.untrack_worker(&id, now),
             }
         }
         let shards: Vec<ShardId> = self.holding.held().cloned().collect();
@@ -279,7 +280,7 @@
 
     /// Changes that were certainly not written are refused at once.
     pub(crate) fn refuse_unsent_changes(&mut self, now: MonoTime) {
-        for record in self.take_unsent(Stream::Config, |_| true) {
+        for record in self.take_unsent(Stream::Config, is_change) {
             let Some(pending) = self.changes.remove(&record.record_id) else { continue };
             let detail = "the log service did not take the change";
             let problem = problem::retry_later(
@@ -367,6 +368,10 @@
     }
 }
 
+fn is_change(record: &v1::Record) -> bool {
+    matches!(record.body, Some(v1::record::Body::Config(_)))
+}
+
 fn summary(ops: &[v1::ConfigOp]) -> String {
     const MAX_SHOWN: usize = 8;
     let shown: Vec<String> = ops.iter().take(MAX_SHOWN).map(change::describe_op).collect();
--- a/lilacpass-control/src/control.rs
+++ b/lilacpass-control/src/control.rs
@@ -34,8 +34,10 @@
     quick::{AttemptEnd, QuickRequests},
     serve::ServedTasks,
     settings::ControlSettings,
+    snapshots::JobsSnapshot,
     standing::StandingAsked,
     stop::Stop,
+    stranded::Stranded,
     streams::Streams,
     tasks::{RecordedTasks, RefusedTasks},
     waiters::Waiters,
@@ -74,6 +76,9 @@
     pub(crate) attempt_ends: VecDeque<(RequestId, TaskId, AttemptEnd)>,
     pub(crate) outboxes: BTreeMap<Stream, Outbox>,
     pub(crate) streams: Streams,
+    /// The snapshot of the jobs that this instance is writing.
+    pub(crate) jobs_snapshot: Option<JobsSnapshot>,
+    pub(crate) stranded: Stranded,
     pub(crate) members: Members,
     pub(crate) holding: Holding,
     /// Shards that are being given up: nothing more is started there.
@@ -88,6 +93,7 @@
     pub(crate) jobs: Jobs,
     pub(crate) queue: JobQueue,
     pub(crate) preparing: PreparingJobs,
+    pub(crate) last_round: u64,
     pub(crate) tries: BTreeMap<JobId, Tries>,
     pub(crate) waiters: Waiters,
     pub(crate) standing_asked: StandingAsked,
@@ -109,8 +115,9 @@
 impl Control {
     /// The state of an instance that has just started and knows nothing yet.
     pub fn new(settings: ControlSettings, now: MonoTime) -> Self {
-        let holding =
+        let mut holding =
             Holding::new(settings.me.clone(), settings.incarnation, settings.hold.clone(), now);
+        holding.set_address(&settings.peer_address.to_string());
         let scheduler =
             SchedulerOptions { max_queued: settings.max_queued, ..SchedulerOptions::default() };
         let jobs = JobsOptions {
@@ -131,6 +138,8 @@
             attempt_ends: VecDeque::new(),
             outboxes: outbox::outboxes(settings.batch),
             streams: Streams::new(settings.snapshot_records, now),
+            jobs_snapshot: None,
+            stranded: Stranded::default(),
             members: Members::default(),
             holding,
             releasing: BTreeSet::new(),
@@ -143,6 +152,7 @@
             jobs: Jobs::new(jobs),
             queue: JobQueue::new(),
             preparing: BTreeMap::new(),
+            last_round: 0,
             tries: BTreeMap::new(),
             waiters: BTreeMap::new(),
             standing_asked: BTreeMap::new(),
@@ -281,7 +291,9 @@
             Some(Pending::Forward { request, task, holder }) => {
                 self.forward_done(request, task, &holder, result, now);
             }
-            Some(Pending::Hold { job, holder }) => self.hold_done(job, &holder, result, now),
+            Some(Pending::Hold { job, attempt, round, holder }) => {
+                self.hold_done(job, (attempt, round), &holder, result, now);
+            }
             Some(Pending::StartHeld { job }) => self.start_held_done(job),
             _ => {}
         }
@@ -342,6 +354,11 @@
     }
 
     fn run_round(&mut self, now: MonoTime) {
+        // A newer process of the same name has taken this one's place, so this one stops.
+        if self.holding.superseded() && !self.is_leaving() {
+            log::error!("a newer process of this name is in the log; stopping");
+            self.on_stop(now);
+        }
         self.tick_holding(now);
         self.refresh_limits(now);
         self.scheduler.pool.expire(now);
@@ -361,14 +378,15 @@
         self.keep_gangs_whole(now);
         self.align_standing(now);
         self.write_snapshots(now);
+        self.watch_stranded(now);
         self.jobs.expire(now);
         self.count_peers(now);
         self.count_work(now);
-        self.update_ready(now);
+        self.update_ready();
     }
 
     /// An instance takes traffic once it knows a configuration, and no longer once it is to stop.
-    fn update_ready(&mut self, _now: MonoTime) {
+    fn update_ready(&mut self) {
         let ready = self.config.revision().0 > 0 && !self.is_leaving();
         if ready != self.ready {
             self.ready = ready;
--- a/lilacpass-control/src/counters.rs
+++ b/lilacpass-control/src/counters.rs
@@ -72,6 +72,8 @@
     snapshots,
     /// Times that records were gone from the log before they were read.
     history_lost,
+    /// Streams whose history is lost, with no snapshot to start from, for two minutes or more.
+    streams_stranded,
     /// Shards held now.
     shards_held,
     /// Workers that may be given work now.
--- a/lilacpass-control/src/drive.rs
+++ b/lilacpass-control/src/drive.rs
@@ -44,11 +44,6 @@
             .all(|(id, _)| rendezvous(job, id) < own)
     }
 
-    /// Whether this instance may come to drive a job: a cheap test that errs on the side of yes.
-    pub(crate) fn drives_soon(&self, _job: &JobId) -> bool {
-        !self.is_leaving()
-    }
-
     /// Queues a job that has come to wait.
     pub(crate) fn queue_job(&mut self, id: JobId, now: MonoTime) {
         let Some(job) = self.jobs.get(&id) else { return };
@@ -99,8 +94,10 @@
             return;
         };
         let left = self.holders_for(&spec, now);
+        self.last_round += 1;
         let preparing = Preparing {
             attempt,
+            round: self.last_round,
             spec,
             placements: Vec::new(),
             phase: Phase::Asking { left },
@@ -163,22 +160,31 @@
             hold_ms: convert::millis(self.settings.task_hold),
             avoid,
         });
-        let pending = Pending::Hold { job: id, holder: holder.clone() };
+        let (attempt, round) = (preparing.attempt, preparing.round);
+        let pending = Pending::Hold { job: id, attempt, round, holder: holder.clone() };
         self.call_peer(&holder, request, HOLDER_TIMEOUT, pending);
     }
 
-    /// A holder has answered whether it sets room aside.
+    /// A holder has answered whether it sets room aside. The answer may come after the preparation
+    /// was given up and another one begun; its room is given back then.
     pub(crate) fn hold_done(
         &mut self,
         id: JobId,
+        (attempt, round): (AttemptNo, u64),
         holder: &InstanceId,
         result: Result<PeerReply, CallFailure>,
         now: MonoTime,
     ) {
-        let Some(preparing) = self.preparing.get_mut(&id) else {
-            self.unhold_at(id, holder);
+        let under_way =
+            self.preparing.get(&id).map(|preparing| (preparing.attempt, preparing.round));
+        if under_way != Some((attempt, round)) {
+            // A later round of the same attempt may count on the same room.
+            if under_way.is_none_or(|(other, _)| other != attempt) {
+                self.unhold_at(id, attempt, holder);
+            }
             return;
-        };
+        }
+        let Some(preparing) = self.preparing.get_mut(&id) else { return };
         if let Ok(PeerReply::Hold(answer)) = result {
             if let Some(peer) = self.members.get_mut(holder)
                 && answer.digest.is_some()
@@ -194,27 +200,23 @@
         self.ask_next_holder(id, now);
     }
 
-    fn unhold_at(&mut self, id: JobId, holder: &InstanceId) {
-        let attempt = self
-            .jobs
-            .get(&id)
-            .and_then(lilacpass_records::Job::next_attempt)
-            .map_or(0, |attempt| attempt.0);
-        let request = PeerCall::Unhold(v1::UnholdRequest { job_id: id.to_string(), attempt });
-        self.call_peer(holder, request, HOLDER_TIMEOUT, Pending::Ignored);
+    fn unhold_at(&mut self, id: JobId, attempt: AttemptNo, holder: &InstanceId) {
+        let unhold = v1::UnholdRequest { job_id: id.to_string(), attempt: attempt.0 };
+        self.call_peer(holder, PeerCall::Unhold(unhold), HOLDER_TIMEOUT, Pending::Ignored);
+    }
+
+    /// Gives back the room that was set aside for a preparation.
+    fn unhold_all(&mut self, id: JobId, preparing: &Preparing) {
+        for holder in preparing.holders() {
+            self.unhold_at(id, preparing.attempt, &holder);
+        }
     }
 
     /// Not all tasks found room: everything set aside is given back, and the job waits a little.
     /// The pause is random, so that two gangs that stand in each other's way do not do so again.
     fn give_up_preparing(&mut self, id: JobId, now: MonoTime) {
         let Some(preparing) = self.preparing.remove(&id) else { return };
-        for holder in preparing.holders() {
-            let request = PeerCall::Unhold(v1::UnholdRequest {
-                job_id: id.to_string(),
-                attempt: preparing.attempt.0,
-            });
-            self.call_peer(&holder, request, HOLDER_TIMEOUT, Pending::Ignored);
-        }
+        self.unhold_all(id, &preparing);
         let tries = self.tries.entry(id).or_default();
         tries.failed += 1;
         let most = (LEAST_BACKOFF * 2_u32.saturating_pow(tries.failed.min(5))).min(MOST_BACKOFF);
@@ -286,13 +288,7 @@
     /// Gives back the room of an attempt that is no longer prepared.
     fn drop_preparing(&mut self, id: JobId) {
         let Some(preparing) = self.preparing.remove(&id) else { return };
-        for holder in preparing.holders() {
-            let request = PeerCall::Unhold(v1::UnholdRequest {
-                job_id: id.to_string(),
-                attempt: preparing.attempt.0,
-            });
-            self.call_peer(&holder, request, HOLDER_TIMEOUT, Pending::Ignored);
-        }
+        self.unhold_all(id, &preparing);
     }
 
     fn check_hold_age(&mut self, id: JobId, now: MonoTime) {
--- a/lilacpass-control/src/holds.rs
+++ b/lilacpass-control/src/holds.rs
@@ -1,6 +1,9 @@
 //! Carries out what the holding state machine asks for.
 
-use lilacpass_core::{MonoTime, Verdict, ids::Offset};
+use lilacpass_core::{
+    MonoTime, Verdict,
+    ids::{Offset, ShardId},
+};
 use lilacpass_hold::{AppendOutcome, FoldOutcome, HoldAction};
 use lilacpass_schema::v1;
 
@@ -19,11 +22,18 @@
             match action {
                 HoldAction::Append(record) => appends.push(record),
                 HoldAction::Gained(shard, _) => self.gained(&shard, now),
-                HoldAction::Lost(shard) => self.lost(&shard),
+                HoldAction::Lost(shard) => self.lost(&shard, now),
+            }
+        }
+        // A release that waits is asked for again from time to time; one copy is enough.
+        for record in std::mem::take(&mut self.deferred_releases) {
+            let asked_again =
+                |other: &v1::HoldingRecord| released_shard(other) == released_shard(&record);
+            if !appends.iter().any(asked_again) {
+                appends.push(record);
             }
         }
-        appends.append(&mut self.deferred_releases);
-        let (deferred, ready) = appends.into_iter().partition(|record| self.must_wait(record));
+        let (deferred, ready) = appends.into_iter().partition(|record| self.must_wait(record, now));
         self.deferred_releases = deferred;
         self.append_holding(ready);
         let held = self.holding.held().count() as u64;
@@ -33,10 +43,9 @@
     /// Whether the record gives a shard up while a call that could start something there is under
     /// way. Nothing more is started there, and the record waits for those calls to end: the next
     /// holder must find in the worker's report all that was started.
-    fn must_wait(&mut self, record: &v1::HoldingRecord) -> bool {
-        let Some(v1::holding_record::Body::Release(release)) = &record.body else { return false };
-        let shard = lilacpass_core::ids::ShardId::new(&release.shard);
-        let waits = self.starts_under_way(&shard);
+    fn must_wait(&mut self, record: &v1::HoldingRecord, now: MonoTime) -> bool {
+        let Some(shard) = released_shard(record) else { return false };
+        let waits = self.starts_under_way(&shard, now);
         self.releasing.insert(shard);
         waits
     }
@@ -76,9 +85,9 @@
         for record in records {
             self.holding.appended(record.sequence, outcome, now);
             if outcome == AppendOutcome::Failed
-                && let Some(v1::holding_record::Body::Release(release)) = &record.body
+                && let Some(shard) = released_shard(record)
             {
-                self.releasing.remove(&lilacpass_core::ids::ShardId::new(&release.shard));
+                self.releasing.remove(&shard);
             }
         }
     }
@@ -104,3 +113,11 @@
         }
     }
 }
+
+/// The shard that a record gives up, where it is a release.
+fn released_shard(record: &v1::HoldingRecord) -> Option<ShardId> {
+    match &record.body {
+        Some(v1::holding_record::Body::Release(release)) => Some(ShardId::new(&release.shard)),
+        _ => None,
+    }
+}
--- a/lilacpass-control/src/job_records.rs
+++ b/lilacpass-control/src/job_records.rs
@@ -61,7 +61,7 @@
         let task = lilacpass_core::ids::TaskId { job, attempt, index: ended.index };
         let Some(placement) = history::placement(&self.jobs, &task) else { return };
         let worker = placement.worker.clone();
-        if ended.outcome() != v1::TaskOutcome::Succeeded && self.drives_soon(&job) {
+        if ended.outcome() != v1::TaskOutcome::Succeeded && !self.is_leaving() {
             self.tries.entry(job).or_default().avoid(worker);
         }
     }
--- a/lilacpass-control/src/leases.rs
+++ b/lilacpass-control/src/leases.rs
@@ -1,7 +1,6 @@
 //! Leases of tasks on held workers: renewed, and told to have lapsed for certain.
 
 use lilacpass_core::{MonoTime, ids::WorkerId};
-use lilacpass_hold::Mode;
 use lilacpass_schema::v1;
 
 use crate::{Control, calls::Pending, convert, event::WorkerCall, workers::SMALL_CALL};
@@ -61,7 +60,7 @@
     /// has lapsed for certain while this tenure is not cleared, and the lease counts from then on.
     pub(crate) fn lapsed_at(&self, worker: &WorkerId, now: MonoTime) -> Option<MonoTime> {
         let held = self.held.get(worker)?;
-        if !held.is_silent() || self.holding.mode_of(&held.shard, now) == Some(Mode::Claimed) {
+        if !held.is_silent() || !self.holding.is_cleared(&held.shard) {
             return None;
         }
         if !self.settings.guards.lapse_wait {
--- a/lilacpass-control/src/lib.rs
+++ b/lilacpass-control/src/lib.rs
@@ -34,6 +34,7 @@
 mod standing;
 mod start;
 mod stop;
+mod stranded;
 mod streams;
 mod submit;
 mod tasks;
--- a/lilacpass-control/src/preparing.rs
+++ b/lilacpass-control/src/preparing.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 pub(crate) struct Preparing {
     pub(crate) attempt: AttemptNo,
+    /// Tells this preparation from earlier ones of the same attempt.
+    pub(crate) round: u64,
     pub(crate) spec: v1::JobSpec,
     pub(crate) placements: Vec<v1::Placement>,
     pub(crate) phase: Phase,
--- a/lilacpass-control/src/quick.rs
+++ b/lilacpass-control/src/quick.rs
@@ -237,15 +237,19 @@
         quick.may_have_run |= end.verdict == Verdict::MayHaveRun;
         let remaining = quick.deadline.since(now);
         let attempts_left = quick.attempt < MAX_ATTEMPTS;
-        let next =
-            retry::after_failure(end.failure, end.phase, true, &mut self.retry_budget, remaining);
-        match next {
-            retry::Next::RetryElsewhere if attempts_left => {
-                counters::bump(&self.counters.quick_retries);
-                self.send_attempt(id, now);
-            }
-            _ => self.give_up(id, &end),
+        let budget = &mut self.retry_budget;
+        if attempts_left
+            && retry::after_failure(end.failure, end.phase, true, budget, remaining)
+                == retry::Next::RetryElsewhere
+        {
+            counters::bump(&self.counters.quick_retries);
+            self.send_attempt(id, now);
+            return;
         }
+        if attempts_left && !remaining.is_zero() {
+            counters::bump(&self.counters.retries_denied);
+        }
+        self.give_up(id, &end);
     }
 
     fn answer_ran(&mut self, id: RequestId, end: AttemptEnd, now: MonoTime) {
@@ -279,7 +283,11 @@
     fn give_up(&mut self, id: RequestId, end: &AttemptEnd) {
         let Some(quick) = self.quick.requests.get(&id) else { return };
         let verdict = if quick.may_have_run { Verdict::MayHaveRun } else { end.verdict };
-        let kind = if end.never_fits { &problem::NEVER_FITS } else { &problem::OVERLOADED };
+        let kind = match (end.never_fits, end.failure) {
+            (true, _) => &problem::NEVER_FITS,
+            (false, retry::Failure::Refused) => &problem::OVERLOADED,
+            (false, _) => &problem::UNAVAILABLE,
+        };
         let retry_after = Duration::from_millis(end.retry_after_ms);
         let problem = problem::retry_later(kind, verdict, end.reason.clone(), retry_after);
         self.refuse_quick(id, verdict, problem);
--- a/lilacpass-control/src/requests.rs
+++ b/lilacpass-control/src/requests.rs
@@ -7,12 +7,14 @@
 
 use crate::{
     Control, convert,
-    event::{Answer, Caller, QuickRequest, ReplyId, Request, Role},
+    event::{Answer, Caller, QuickRequest, ReplyId, Request, Role, Stream},
     problem,
 };
 
 /// Deadline of a quick request where neither the caller nor the service sets one, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
+/// When to ask again for a job while the stream of jobs is being read.
+const READING_RETRY: Duration = Duration::from_secs(1);
 
 impl Control {
     /// Checks a specification and fills in what the service defines.
@@ -68,6 +70,17 @@
         Ok(())
     }
 
+    /// The answer on a job that this instance does not know. While it has not read the stream of
+    /// jobs to its tail it can't tell, and the job may be known, and have run, elsewhere.
+    fn unknown_job(&self, now: MonoTime) -> v1::Problem {
+        if self.streams.is_complete(Stream::Jobs) && self.log_reachable(now) {
+            let detail = "no such job is known to this instance";
+            return problem::problem(&problem::NOT_FOUND, Verdict::MayHaveRun, detail);
+        }
+        let detail = "this instance has not read all jobs; ask again, or ask another one";
+        problem::retry_later(&problem::UNAVAILABLE, Verdict::MayHaveRun, detail, READING_RETRY)
+    }
+
     /// Whether a caller may see a job.
     pub(crate) fn may_see(&self, caller: &Caller, id: JobId) -> bool {
         let team = self.jobs.get(&id).map(|job| job.spec().team.as_str());
@@ -115,7 +128,7 @@
                 self.answer(reply, Answer::Explanation(explanation));
             }
             _ => {
-                let problem = problem::problem(&problem::NOT_FOUND, Verdict::NotRun, "no such job");
+                let problem = self.unknown_job(now);
                 self.refuse(reply, problem);
             }
         }
--- a/lilacpass-control/src/serve.rs
+++ b/lilacpass-control/src/serve.rs
@@ -35,12 +35,19 @@
     spec: v1::JobSpec,
     deadline: MonoTime,
     /// The worker that it was sent to.
-    worker: Option<WorkerId>,
+    pub(crate) worker: Option<WorkerId>,
     /// Set where the call has ended without an answer: the room stays given until a report that
     /// was taken at or after this moment no longer lists the task.
     unsettled_until: Option<MonoTime>,
 }
 
+impl Served {
+    /// Whether somebody waits for its answer, or its start may still arrive at the worker.
+    pub(crate) fn is_in_flight(&self, now: MonoTime) -> bool {
+        self.unsettled_until.is_none_or(|until| !until.reached(now))
+    }
+}
+
 /// All attempts that this instance serves as holder.
 pub(crate) type ServedTasks = BTreeMap<TaskId, Served>;
 
@@ -267,11 +274,9 @@
             .any(|s| s.unsettled_until.is_some() && s.worker.as_ref() == Some(worker))
     }
 
-    /// Whether a quick task of unknown outcome may run on one of the workers that `picks` takes.
-    pub(crate) fn has_unsettled_served_in(&self, picks: impl Fn(&WorkerId) -> bool) -> bool {
-        self.served
-            .values()
-            .any(|s| s.unsettled_until.is_some() && s.worker.as_ref().is_some_and(&picks))
+    /// Forgets quick tasks of unknown outcome on a worker that is no longer held.
+    pub(crate) fn drop_unsettled_served(&mut self, worker: &WorkerId, now: MonoTime) {
+        self.settle_served(worker, MonoTime(u64::MAX), |_| false, now);
     }
 
     /// Whether this instance itself sent a quick task that it still accounts for.
--- a/lilacpass-control/src/snapshots.rs
+++ b/lilacpass-control/src/snapshots.rs
@@ -7,7 +7,7 @@
 };
 use lilacpass_decide::JobQueue;
 use lilacpass_records::{
-    jobs::{Job, Jobs},
+    jobs::{Frozen, Job, Jobs},
     snapshots,
 };
 use lilacpass_schema::v1::{self, snapshot::Body};
@@ -16,6 +16,23 @@
 
 /// Largest part of a snapshot, in bytes.
 const MAX_PART_BYTES: usize = 128 << 10;
+/// Parts of a snapshot of the jobs that are appended and not read back at once.
+const MAX_PARTS_AHEAD: u32 = 8;
+
+/// A snapshot of the jobs that is being written, a few parts in each slow round: all at once they
+/// would hold the control thread, and stand in the outbox before records that callers wait for.
+///
+/// Where its writer dies or stands still halfway, the others see no more parts and one of them
+/// writes another snapshot.
+#[derive(Debug)]
+pub(crate) struct JobsSnapshot {
+    parts: snapshots::Writer<JobsBodies>,
+    /// Parts that were appended and not read back yet.
+    ahead: u32,
+}
+
+/// The bodies of the parts, each made when it is asked for.
+type JobsBodies = std::iter::Map<Frozen, fn(v1::JobsSnapshot) -> Body>;
 
 impl Control {
     /// Writes the snapshots that are due and that this member is the first to write.
@@ -28,9 +45,13 @@
                 self.write_snapshot(stream, now);
             }
         }
+        self.write_jobs_parts(now);
     }
 
     fn snapshot_due(&mut self, stream: Stream, now: MonoTime) -> bool {
+        if stream == Stream::Jobs && self.jobs_snapshot.is_some() {
+            return false;
+        }
         let members = self.snapshot_writers(stream, now);
         let me = self.settings.me.clone();
         let Some(position) = self.streams.positions.get_mut(&stream) else { return false };
@@ -64,22 +85,65 @@
 
     fn write_snapshot(&mut self, stream: Stream, now: MonoTime) {
         let Some(covers) = self.snapshot_covers(stream) else { return };
-        let bodies: Vec<Body> = match stream {
-            Stream::Config => self.config.snapshot().into_iter().map(Body::Config).collect(),
-            Stream::Holding => vec![Body::Holding(self.holding.snapshot())],
-            Stream::Jobs => {
-                self.jobs.snapshot(MAX_PART_BYTES).into_iter().map(Body::Jobs).collect()
-            }
-            Stream::Audit => Vec::new(),
+        let body = match stream {
+            Stream::Config => self.config.snapshot().map(Body::Config),
+            Stream::Holding => Some(Body::Holding(self.holding.snapshot())),
+            Stream::Jobs => return self.begin_jobs_snapshot(covers),
+            Stream::Audit => None,
         };
-        self.last_record += 1;
-        let id = format!("{}.{}.{}", self.settings.me, self.settings.incarnation, self.last_record);
-        for part in snapshots::to_parts(&id, covers, bodies.into_iter()) {
+        let id = self.new_snapshot_id();
+        for part in snapshots::to_parts(&id, covers, body.into_iter()) {
             self.append(stream, v1::record::Body::Snapshot(part), now);
         }
         counters::bump(&self.counters.snapshots);
     }
 
+    fn new_snapshot_id(&mut self) -> String {
+        self.last_record += 1;
+        format!("{}.{}.{}", self.settings.me, self.settings.incarnation, self.last_record)
+    }
+
+    fn begin_jobs_snapshot(&mut self, covers: Offset) {
+        let bodies: JobsBodies = self.jobs.freeze(MAX_PART_BYTES).map(Body::Jobs);
+        let id = self.new_snapshot_id();
+        let parts = snapshots::Writer::new(id, covers, bodies);
+        self.jobs_snapshot = Some(JobsSnapshot { parts, ahead: 0 });
+    }
+
+    /// Appends the next parts of the snapshot of the jobs, as far as those before were read back.
+    fn write_jobs_parts(&mut self, now: MonoTime) {
+        let Some(mut snapshot) = self.jobs_snapshot.take() else { return };
+        if self.is_useless(snapshot.parts.covers()) {
+            log::warn!(covers:% = snapshot.parts.covers(); "a snapshot of jobs is given up halfway");
+            return;
+        }
+        while snapshot.ahead < MAX_PARTS_AHEAD {
+            let Some(part) = snapshot.parts.next() else {
+                counters::bump(&self.counters.snapshots);
+                return;
+            };
+            self.append(Stream::Jobs, v1::record::Body::Snapshot(part), now);
+            snapshot.ahead += 1;
+        }
+        self.jobs_snapshot = Some(snapshot);
+    }
+
+    /// Whether nobody could start from a snapshot that covers so little: another one covers as
+    /// much, or the log has dropped records behind it.
+    fn is_useless(&self, covers: Offset) -> bool {
+        self.streams.positions.get(&Stream::Jobs).is_none_or(|position| {
+            position.schedule.covers() >= covers || position.follower.oldest() > covers
+        })
+    }
+
+    fn jobs_part_read(&mut self, part: &v1::Snapshot) {
+        if let Some(snapshot) = &mut self.jobs_snapshot
+            && snapshot.parts.snapshot_id() == part.snapshot_id
+        {
+            snapshot.ahead = snapshot.ahead.saturating_sub(1);
+        }
+    }
+
     /// The offset before which the state of a stream holds all records. A configuration that was
     /// adopted from a peer may be ahead of what was read.
     fn snapshot_covers(&self, stream: Stream) -> Option<Offset> {
@@ -101,6 +165,7 @@
             position.schedule.saw_part(offset, part, now);
         }
         if let (Stream::Jobs, Some(Body::Jobs(jobs))) = (stream, &part.body) {
+            self.jobs_part_read(part);
             self.jobs.fold_snapshot(jobs);
         }
     }
--- a/lilacpass-control/src/stop.rs
+++ b/lilacpass-control/src/stop.rs
@@ -5,7 +5,7 @@
     ids::{ShardId, WorkerId},
 };
 
-use crate::{Control, calls::Pending, event::Effect, tasks::State};
+use crate::{Control, calls::Pending, event::Effect};
 
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +34,7 @@
         log::info!("planned stop");
         self.stop = Stop::Draining;
         self.out.push(Effect::Ready(false));
+        self.end_waits(now);
         // Peers learn at once, so that they stop forwarding to this instance.
         for (_, peer) in self.members.iter_mut() {
             peer.heartbeat_at = now;
@@ -48,7 +49,7 @@
     pub(crate) fn advance_stop(&mut self, now: MonoTime) {
         match self.stop {
             Stop::No | Stop::Done => {}
-            Stop::Draining if self.nothing_in_flight() || !self.settings.guards.stop_waits => {
+            Stop::Draining if self.nothing_in_flight(now) || !self.settings.guards.stop_waits => {
                 self.stop = Stop::Releasing;
                 self.holding.leave(now);
             }
@@ -61,16 +62,16 @@
         }
     }
 
-    fn nothing_in_flight(&self) -> bool {
-        let starts = self
-            .recorded
-            .values()
-            .any(|t| matches!(t.state, State::Starting | State::Unsettled(_)));
+    /// Starts of unknown outcome count only while they can still arrive: after that the next holder
+    /// finds them in the worker's report, also if the worker is silent for now.
+    fn nothing_in_flight(&self, now: MonoTime) -> bool {
+        let starts = self.recorded.values().any(|task| task.may_arrive(now));
+        let served = self.served.values().any(|served| served.is_in_flight(now));
         let running = self.calls.values().any(|call| {
             matches!(call, Pending::Run { .. } | Pending::Start { .. } | Pending::Forward { .. })
         });
         self.quick.is_empty()
-            && self.served.is_empty()
+            && !served
             && self.preparing.is_empty()
             && self.changes.is_empty()
             && self.waiters.is_empty()
@@ -89,16 +90,19 @@
     }
 
     /// Whether a call that could start something on a worker of `shard` is under way.
-    pub(crate) fn starts_under_way(&self, shard: &ShardId) -> bool {
+    pub(crate) fn starts_under_way(&self, shard: &ShardId, now: MonoTime) -> bool {
         let in_shard =
             |worker: &WorkerId| self.held.get(worker).is_some_and(|held| held.shard == *shard);
         let calls = self.calls.values().any(|call| match call {
             Pending::Run { worker, .. } | Pending::Start { worker, .. } => in_shard(worker),
             _ => false,
         });
-        let unsettled = self.recorded.values().any(|task| {
-            in_shard(&task.worker) && matches!(task.state, State::Starting | State::Unsettled(_))
-        });
-        calls || unsettled || self.has_unsettled_served_in(in_shard)
+        let recorded =
+            self.recorded.values().any(|task| in_shard(&task.worker) && task.may_arrive(now));
+        let served = self
+            .served
+            .values()
+            .any(|served| served.is_in_flight(now) && served.worker.as_ref().is_some_and(in_shard));
+        calls || recorded || served
     }
 }
--- a/lilacpass-control/src/tasks.rs
+++ b/lilacpass-control/src/tasks.rs
@@ -45,6 +45,17 @@
     pub(crate) heartbeat_age_ms: u64,
 }
 
+impl Recorded {
+    /// Whether its start may still arrive at the worker.
+    pub(crate) fn may_arrive(&self, now: MonoTime) -> bool {
+        match self.state {
+            State::Starting => true,
+            State::Unsettled(until) => !until.reached(now),
+            State::Running | State::Ended => false,
+        }
+    }
+}
+
 /// All recorded tasks on held workers.
 pub(crate) type RecordedTasks = BTreeMap<TaskId, Recorded>;
 
--- a/lilacpass-control/src/views.rs
+++ b/lilacpass-control/src/views.rs
@@ -76,7 +76,7 @@
         let mut view = v1::JobView {
             job_id: id.to_string(),
             state: self.job_state(id).to_owned(),
-            verdict: Verdict::NotRun.as_str().to_owned(),
+            verdict: waiting_verdict(job).as_str().to_owned(),
             team: spec.team.clone(),
             service: spec.service.clone(),
             kind: spec.kind.clone(),
@@ -320,6 +320,11 @@
     }
 }
 
+/// The verdict on a job that waits: earlier attempts may have started.
+fn waiting_verdict(job: &Job) -> Verdict {
+    if job.may_have_started() { Verdict::MayHaveRun } else { Verdict::NotRun }
+}
+
 fn mode_name(mode: Mode) -> &'static str {
     match mode {
         Mode::Lease => "lease",
--- a/lilacpass-control/src/waiters.rs
+++ b/lilacpass-control/src/waiters.rs
@@ -166,6 +166,16 @@
         }
     }
 
+    /// Tells those who only look at a job how it stands now, since this instance is to stop.
+    pub(crate) fn end_waits(&mut self, now: MonoTime) {
+        for waiter in self.waiters.values_mut().flatten() {
+            if waiter.wait_for == WaitFor::End {
+                waiter.until = now;
+            }
+        }
+        self.expire_waiters(now);
+    }
+
     /// Waits for the end of a job on behalf of a caller.
     pub(crate) fn wait_job(&mut self, reply: ReplyId, id: JobId, wait: Duration, now: MonoTime) {
         let waiter = Waiter {
--- a/lilacpass-control/src/workers.rs
+++ b/lilacpass-control/src/workers.rs
@@ -10,7 +10,7 @@
     ids::{Incarnation, ShardId, TaskId, WorkerId},
 };
 use lilacpass_decide::{How, Preempt, WorkerSpec};
-use lilacpass_hold::{Limit, Mode};
+use lilacpass_hold::Limit;
 use lilacpass_schema::v1;
 
 use crate::{
@@ -132,7 +132,7 @@
     }
 
     /// This instance no longer holds a shard.
-    pub(crate) fn lost(&mut self, shard: &ShardId) {
+    pub(crate) fn lost(&mut self, shard: &ShardId, now: MonoTime) {
         log::info!(shard:% = shard; "shard lost");
         let workers: Vec<WorkerId> = self
             .held
@@ -141,15 +141,16 @@
             .map(|(id, _)| id.clone())
             .collect();
         for worker in workers {
-            self.untrack_worker(&worker);
+            self.untrack_worker(&worker, now);
         }
         self.releasing.remove(shard);
     }
 
     /// Forgets a worker that is no longer held or no longer in the inventory.
-    pub(crate) fn untrack_worker(&mut self, worker: &WorkerId) {
+    pub(crate) fn untrack_worker(&mut self, worker: &WorkerId, now: MonoTime) {
         self.held.remove(worker);
         self.recorded.retain(|_, task| task.worker != *worker);
+        self.drop_unsettled_served(worker, now);
         self.scheduler.pool.remove_worker(worker);
         self.close_idle_worker(worker);
     }
@@ -187,7 +188,7 @@
         let ids: Vec<WorkerId> = self.held.keys().cloned().collect();
         for id in ids {
             let Some(held) = self.held.get_mut(&id) else { continue };
-            if self.holding.mode_of(&held.shard, now) == Some(Mode::Claimed) {
+            if !self.holding.is_cleared(&held.shard) {
                 held.shared_until = now;
             }
             let Some(held) = self.held.get(&id) else { continue };
--- a/lilacpass-control/tests/failures.rs
+++ b/lilacpass-control/tests/failures.rs
@@ -462,3 +462,52 @@
         cell.answers[&accepted]
     );
 }
+
+/// A planned stop hangs, and then is cut off: a worker of the instance has been silent since a
+/// quick request was sent to it, and nothing ever tells how that ended.
+/// Once the start can no longer arrive, the next holder learns from the worker what runs there.
+#[test]
+fn a_silent_worker_does_not_hold_up_a_planned_stop() {
+    let mut cell = one_data_centre();
+    for worker in cell.workers.values_mut() {
+        worker.silent = true;
+    }
+    for n in 0..9 {
+        cell.quick(n % 3, inventory::spec(&format!("300 q{n}")), SECOND);
+    }
+    cell.run_for(3 * SECOND);
+    cell.stop(1);
+    cell.run_until(20 * SECOND, |cell| !cell.stopped.is_empty());
+}
+
+/// A caller reads that its sweep was not run, although it ran for a while on a worker that fell
+/// silent, and the job waits for its next attempt.
+#[test]
+fn a_job_that_waits_again_after_it_ran_may_have_run() {
+    let mut cell = one_data_centre();
+    let id = running_job(&mut cell, 0, inventory::spec("60000 sweep"), "k");
+    for worker in cell.workers.values_mut() {
+        worker.silent = true;
+    }
+    cell.run_for(20 * SECOND);
+    let view = cell.job(1, id).unwrap();
+    assert_eq!((view.state.as_str(), view.verdict.as_str()), ("waiting", "may_have_run"));
+}
+
+/// A caller asks a new instance for its job and reads that there is none. The instance has not
+/// read the jobs yet; it says so instead.
+#[test]
+fn an_instance_that_has_not_read_all_jobs_does_not_deny_one() {
+    let mut cell = one_data_centre();
+    let (_, id) = cell.submit(0, crawl("20 crawl"), "k");
+    cell.run_for(2 * SECOND);
+    cell.fault(2, Fault::Killed);
+    cell.log.mode = Mode::Down;
+    let new = cell.replace(2, "a-new", 2);
+    cell.run_for(2 * SECOND);
+    let reply = cell.ask(new, Request::Job(id));
+    cell.run_for(SECOND);
+    let Answer::Problem(problem) = &cell.answers[&reply].0 else { panic!("an answer") };
+    assert_eq!((problem.status, problem.verdict.as_str()), (503, "may_have_run"));
+    assert!(problem.retry_after_ms > 0);
+}
--- a/lilacpass-control/tests/fakes/log.rs
+++ b/lilacpass-control/tests/fakes/log.rs
@@ -29,11 +29,19 @@
     pub(crate) appends: u64,
     /// Records that each stream keeps; older ones are dropped.
     pub(crate) retention: u64,
+    /// Records before these offsets are dropped too.
+    pub(crate) dropped: BTreeMap<Stream, u64>,
 }
 
 impl Log {
     pub(crate) fn new() -> Self {
-        Self { streams: BTreeMap::new(), mode: Mode::Up, appends: 0, retention: u64::MAX }
+        Self {
+            streams: BTreeMap::new(),
+            mode: Mode::Up,
+            appends: 0,
+            retention: u64::MAX,
+            dropped: BTreeMap::new(),
+        }
     }
 
     fn key(stream: Stream, data_centre: &str) -> (Stream, String) {
@@ -73,7 +81,8 @@
 
     /// The oldest offset that is still kept.
     pub(crate) fn oldest(&self, stream: Stream, data_centre: &str) -> u64 {
-        self.tail(stream, data_centre).saturating_sub(self.retention)
+        let dropped = self.dropped.get(&stream).copied().unwrap_or_default();
+        self.tail(stream, data_centre).saturating_sub(self.retention).max(dropped)
     }
 
     /// The offset behind the last record that was there at `at`.
