--- a/lilacpass-decide/examples/replay/slopes.rs
+++ b/lilacpass-decide/examples/replay/slopes.rs
@@ -25,6 +25,7 @@
 }
 
 pub(crate) fn run() {
+    bytes();
     println!(
         "| workers | tasks running | queue | teams | decisions/s | p50 us | p99 us | p99.9 us |"
     );
@@ -39,7 +40,6 @@
     for teams in [1, 16, 128] {
         measure(&case(2_300, 1_000, teams));
     }
-    bytes();
 }
 
 fn meta(team: usize, class: Class) -> TaskMeta {
--- a/lilacpass-decide/examples/replay/stats.rs
+++ b/lilacpass-decide/examples/replay/stats.rs
@@ -1,6 +1,6 @@
 //! What a replay measures, and the table.
 
-use std::time::Duration;
+use std::{thread, time::Duration};
 
 use lilacpass_core::Resources;
 
@@ -11,6 +11,7 @@
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Stats {
+    replays: u64,
     wait_us: [Vec<u64>; 3],
     jobs_arrived: [u64; 3],
     quick_answer_us: Vec<u64>,
@@ -46,6 +47,42 @@
 }
 
 impl Stats {
+    /// Takes in what another replay of the same setup, with another seed, has measured.
+    fn absorb(&mut self, other: Self) {
+        self.replays += other.replays;
+        for n in 0..3 {
+            self.wait_us[n].extend(&other.wait_us[n]);
+            self.jobs_arrived[n] += other.jobs_arrived[n];
+        }
+        self.quick_answer_us.extend(&other.quick_answer_us);
+        self.decisions_ns.extend(&other.decisions_ns);
+        self.quick_arrived += other.quick_arrived;
+        self.quick_admitted += other.quick_admitted;
+        self.quick_in_time += other.quick_in_time;
+        self.failed += other.failed;
+        self.slot_us += other.slot_us;
+        self.cpu_us += other.cpu_us;
+        self.lost_preempted_us += other.lost_preempted_us;
+        self.preempted += other.preempted;
+        self.jobs_done += other.jobs_done;
+        self.unsafe_preemptions += other.unsafe_preemptions;
+    }
+
+    /// Replays with each seed on a thread of its own, and takes all together.
+    pub(crate) fn over_seeds(setup: &Setup, replay: impl Fn(&Setup) -> Self + Sync) -> Self {
+        let seeds = setup.seed..setup.seed + setup.seeds;
+        let setups: Vec<Setup> = seeds.map(|seed| Setup { seed, ..setup.clone() }).collect();
+        let replay = &replay;
+        thread::scope(|scope| {
+            let spawn = |setup| scope.spawn(move || replay(setup));
+            let running: Vec<_> = setups.iter().map(spawn).collect();
+            running.into_iter().fold(Self::default(), |mut all, one| {
+                all.absorb(Self { replays: 1, ..one.join().expect("a replay ends") });
+                all
+            })
+        })
+    }
+
     /// Whether what becomes of this work is counted: not while the cell fills up, and not at the
     /// end, when the answer would come after the replay.
     fn counts(work: &Work, setup: &Setup) -> bool {
@@ -111,9 +148,10 @@
         let long = format!("{long}, {:.0}", percent(started[0], self.jobs_arrived[1]));
         let gang = format!("{gang}, {:.0}", percent(started[1], self.jobs_arrived[2]));
         let seconds = setup.seconds as f64 - (WARM_UP_US / SECOND_US) as f64;
-        let counted = seconds - (2 * DEADLINE_US / SECOND_US) as f64;
+        let replays = self.replays as f64;
+        let counted = replays * (seconds - (2 * DEADLINE_US / SECOND_US) as f64);
         let capacity = worker_capacity();
-        let area = setup.workers as f64 * seconds * SECOND_US as f64;
+        let area = replays * setup.workers as f64 * seconds * SECOND_US as f64;
         let slots = 100.0 * self.slot_us as f64 / (area * capacity.slots.0 as f64);
         let lost = 100.0 * self.lost_preempted_us as f64 / (area * capacity.slots.0 as f64);
         let decision = |ns: &mut Vec<u64>, permille| quantile(ns, permille) as f64 / 1e3;
@@ -125,8 +163,8 @@
             percent(self.quick_in_time, self.quick_admitted),
             self.quick_in_time as f64 / counted,
             self.failed,
-            self.jobs_done,
-            self.preempted,
+            self.jobs_done / self.replays.max(1),
+            self.preempted / self.replays.max(1),
             decision(&mut self.decisions_ns, 500),
             decision(&mut self.decisions_ns, 990),
         )
--- a/lilacpass-decide/examples/replay/workload.rs
+++ b/lilacpass-decide/examples/replay/workload.rs
@@ -16,7 +16,10 @@
 /// What is replayed.
 #[derive(Clone, Debug)]
 pub(crate) struct Setup {
+    /// The first seed.
     pub(crate) seed: u64,
+    /// The number of seeds.
+    pub(crate) seeds: u64,
     /// Offered work over the slots of the cell, in percent.
     pub(crate) load_percent: u32,
     pub(crate) seconds: u64,
--- a/lilacpass-decide/src/pool/gang.rs
+++ b/lilacpass-decide/src/pool/gang.rs
@@ -4,8 +4,6 @@
 
 use lilacpass_core::MonoTime;
 
-/// How long gangs find too little room before single batch tasks are held back.
-const PATIENCE: Duration = Duration::from_secs(5);
 /// How long single batch tasks are held back at most.
 const TURN: Duration = Duration::from_secs(15);
 /// How long they go on undisturbed after that; a gang that fits nowhere costs no more.
@@ -33,10 +31,10 @@
 
 impl Turn {
     /// A gang found too little room.
-    pub(super) fn gang_is_short(&mut self, now: MonoTime) {
+    pub(super) fn gang_is_short(&mut self, patience: Duration, now: MonoTime) {
         *self = match *self {
             Self::Short { since, asked } if now.since(asked) <= FORGET => {
-                match now.since(since) >= PATIENCE {
+                match now.since(since) >= patience {
                     true => Self::Gangs { until: now + TURN, asked: now },
                     false => Self::Short { since, asked: now },
                 }
--- a/lilacpass-decide/src/pool/hold.rs
+++ b/lilacpass-decide/src/pool/hold.rs
@@ -68,7 +68,7 @@
 
     fn note_short_gang(&mut self, gang: bool, now: MonoTime) {
         if gang {
-            self.turn.gang_is_short(now);
+            self.turn.gang_is_short(self.options.gang_patience, now);
         }
     }
 
--- a/lilacpass-decide/src/pool/index.rs
+++ b/lilacpass-decide/src/pool/index.rs
@@ -1,6 +1,8 @@
 //! What placing looks at for each worker, in blocks that are skipped as a whole where no worker
 //! in them can have room.
 
+use std::ops::Range;
+
 use lilacpass_core::{MonoTime, Resources};
 
 /// Whether a worker takes new work.
@@ -39,15 +41,19 @@
     }
 }
 
-/// Workers of one block.
-const BLOCK: usize = 16;
+/// Workers of one block, and blocks of one region.
+const FAN_OUT: usize = 16;
 
 /// All workers, by their numbers.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Index {
     entries: Vec<Entry>,
     /// Per block, the most room of any worker in it, resource by resource; closed ones left out.
-    most: Vec<Resources>,
+    blocks: Vec<Resources>,
+    /// The same per region.
+    regions: Vec<Resources>,
+    /// The same over all.
+    most: Resources,
     /// Sum of the room on the workers in use.
     open_room: Resources,
 }
@@ -56,7 +62,8 @@
     /// Adds a closed worker.
     pub(super) fn push(&mut self) {
         self.entries.push(Entry::default());
-        self.most.resize(self.entries.len().div_ceil(BLOCK), Resources::ZERO);
+        self.blocks.resize(self.entries.len().div_ceil(FAN_OUT), Resources::ZERO);
+        self.regions.resize(self.blocks.len().div_ceil(FAN_OUT), Resources::ZERO);
     }
 
     pub(super) fn get(&self, number: u32) -> &Entry {
@@ -67,12 +74,21 @@
         let at = number as usize;
         let old = std::mem::replace(&mut self.entries[at], entry);
         self.open_room = self.open_room.minus(&old.open_room()).plus(&entry.open_room());
-        let block = at / BLOCK;
-        let end = self.entries.len().min((block + 1) * BLOCK);
-        self.most[block] = self.entries[block * BLOCK..end]
-            .iter()
-            .filter(|entry| entry.gate != Gate::Closed)
-            .fold(Resources::ZERO, |most, entry| most.max(&entry.room));
+        let block = at / FAN_OUT;
+        let room = |entry: &Entry| match entry.gate {
+            Gate::Closed => Resources::ZERO,
+            _ => entry.room,
+        };
+        self.blocks[block] = most(self.entries[part(block, self.entries.len())].iter().map(room));
+        let region = block / FAN_OUT;
+        let blocks = &self.blocks[part(region, self.blocks.len())];
+        self.regions[region] = most(blocks.iter().copied());
+        self.most = most(self.regions.iter().copied());
+    }
+
+    /// Whether some worker may have room for `need`; `false` is certain.
+    pub(super) fn may_fit(&self, need: &Resources) -> bool {
+        need.fits(&self.most)
     }
 
     pub(super) fn iter(&self) -> impl Iterator<Item = &Entry> {
@@ -86,15 +102,23 @@
 
     /// The workers that are not closed and have room for `need`.
     pub(super) fn fitting(&self, need: &Resources) -> impl Iterator<Item = (u32, &Entry)> {
-        self.most
-            .iter()
-            .enumerate()
-            .filter(|(_, most)| need.fits(most))
-            .flat_map(|(block, _)| {
-                let start = block * BLOCK;
-                let end = self.entries.len().min(start + BLOCK);
-                (start as u32..).zip(&self.entries[start..end])
-            })
+        let regions = if self.may_fit(need) { self.regions.len() } else { 0 };
+        (0..regions)
+            .filter(|&region| need.fits(&self.regions[region]))
+            .flat_map(|region| part(region, self.blocks.len()))
+            .filter(|&block| need.fits(&self.blocks[block]))
+            .flat_map(|block| part(block, self.entries.len()))
+            .map(|at| (at as u32, &self.entries[at]))
             .filter(|(_, entry)| entry.gate != Gate::Closed && need.fits(&entry.room))
     }
 }
+
+/// The positions of the members of a block or region, of `len` in all.
+fn part(number: usize, len: usize) -> Range<usize> {
+    number * FAN_OUT..len.min((number + 1) * FAN_OUT)
+}
+
+/// The greatest of some amounts, resource by resource.
+fn most(rooms: impl Iterator<Item = Resources>) -> Resources {
+    rooms.fold(Resources::ZERO, |most, room| most.max(&room))
+}
--- a/lilacpass-decide/src/pool/mod.rs
+++ b/lilacpass-decide/src/pool/mod.rs
@@ -54,6 +54,9 @@
     /// One batch task in this time starts in a pool even in the room kept for urgent work; 5 s
     /// by default.
     pub batch_trickle: Duration,
+    /// How long gangs find too little room before single batch tasks are held back for them; 5 s
+    /// by default.
+    pub gang_patience: Duration,
 }
 
 impl Default for PoolOptions {
@@ -63,6 +66,7 @@
             max_reserve_permille: 150,
             max_cheap_reserve_permille: 350,
             batch_trickle: Duration::from_secs(5),
+            gang_patience: Duration::from_secs(5),
         }
     }
 }
--- a/lilacpass-decide/src/pool/place.rs
+++ b/lilacpass-decide/src/pool/place.rs
@@ -126,6 +126,11 @@
         self.shapes.iter().any(|(shape, _)| need.fits(shape))
     }
 
+    /// Whether some worker may have room for `need` now; `false` is certain.
+    pub fn may_fit(&self, need: &Resources) -> bool {
+        self.index.may_fit(need)
+    }
+
     /// Keeps the best worker for a task that finds no room: nothing else is placed on it before
     /// `until`, and it empties.
     ///
@@ -164,6 +169,11 @@
         }
     }
 
+    /// Whether a worker is kept for a task.
+    pub fn is_kept_for(&self, task: &TaskId) -> bool {
+        self.kept.is_some_and(|kept| kept.task == *task)
+    }
+
     pub(super) fn drop_kept(&mut self, number: u32) {
         self.kept = self.kept.filter(|kept| kept.worker != number);
     }
@@ -182,8 +192,9 @@
         now: MonoTime,
     ) -> Result<u32, NoPlace> {
         let Asked { meta, task, gang, aged } = *asked;
-        if !self.could_fit(need) {
-            return Err(NoPlace::NeverFits);
+        if !self.may_fit(need) {
+            let fits_some_day = self.could_fit(need);
+            return Err(if fits_some_day { NoPlace::NoRoom } else { NoPlace::NeverFits });
         }
         let best = self
             .index
--- a/lilacpass-decide/src/pool/preempt.rs
+++ b/lilacpass-decide/src/pool/preempt.rs
@@ -46,8 +46,10 @@
 /// Run time from which on a task is too dear to be stopped.
 const MAX_STOP_LOSS: Duration = Duration::from_secs(2);
 
+/// Workers on which tasks are looked at in one search.
+const MAX_EXAMINED: usize = 32;
 /// Workers on which tasks are compared; the search then ends, and the next one begins behind it.
-const MAX_CANDIDATES: usize = 64;
+const MAX_CANDIDATES: usize = 16;
 
 /// A task that could make room, and what is lost by it.
 struct Victim {
@@ -84,10 +86,14 @@
         let best = (0..count)
             .map(|n| (n + self.preempt_from) % count)
             .filter(usable)
+            .take(MAX_EXAMINED)
             .filter_map(|n| Some((n, self.victims_on(n, need, rules, now)?)))
             .take(MAX_CANDIDATES)
             .min_by_key(|(_, victims)| victims.iter().map(|v| v.lost).sum::<Duration>());
-        let Some((number, victims)) = best else { return Vec::new() };
+        let Some((number, victims)) = best else {
+            self.preempt_from += MAX_EXAMINED;
+            return Vec::new();
+        };
         self.preempt_from = number + 1;
         victims.into_iter().map(|victim| self.mark(&victim)).collect()
     }
--- a/lilacpass-decide/src/sched/admit.rs
+++ b/lilacpass-decide/src/sched/admit.rs
@@ -2,11 +2,7 @@
 
 use std::{cmp::Reverse, fmt, time::Duration};
 
-use lilacpass_core::{
-    Class, MonoTime,
-    ids::{TaskId, TeamId},
-    size::PerSecond,
-};
+use lilacpass_core::{Class, MonoTime, ids::TeamId, size::PerSecond};
 
 use crate::{
     sched::{Decision, QuickTask, Scheduler, Waiting},
@@ -162,7 +158,7 @@
             return Ok(());
         }
         let lower = Class::ALL.into_iter().rev().take_while(|c| *c > class);
-        let Some(task) = lower.into_iter().find_map(|c| self.newest(c)) else {
+        let Some(task) = lower.into_iter().find_map(|c| self.lines[c as usize].newest()) else {
             let retry_after = Some(MIN_RETRY_AFTER);
             return Err(Refusal { reason: RefusalReason::QueueFull, retry_after });
         };
@@ -172,20 +168,13 @@
         Ok(())
     }
 
-    /// The newest request in the longest line of a class.
-    fn newest(&self, class: Class) -> Option<TaskId> {
-        let longest = self.lines[class as usize].lines.iter().max_by_key(|line| line.live)?;
-        let live = longest.iter().rev().filter(|(number, task)| self.is_waiting(*number, task));
-        live.map(|(_, task)| *task).next()
-    }
-
     fn enqueue(&mut self, request: QuickTask, expected: Duration, now: MonoTime) {
         let QuickTask { task, need, meta, deadline, .. } = request;
         let number = self.next_number;
         self.next_number += 1;
         let class = meta.class as usize;
         let priority = self.shares.priority(&meta.team, meta.account.as_ref());
-        self.lines[class].push(&meta.team, priority, (number, task));
+        let place = self.lines[class].push(&meta.team, priority, task);
         let learned = self.pool.learned.mean_run_time(&meta.service, &meta.kind);
         let mean_run = learned.unwrap_or(expected);
         self.work[class] += mean_run;
@@ -193,6 +182,7 @@
         self.by_latest_start.push(Reverse((latest_start, number, task)));
         let waiting = Waiting {
             number,
+            place,
             need,
             meta,
             since: now,
--- a/lilacpass-decide/src/sched/dispatch.rs
+++ b/lilacpass-decide/src/sched/dispatch.rs
@@ -1,6 +1,6 @@
 //! Which of the requests that wait starts next, and where.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, collections::BTreeSet};
 
 use lilacpass_core::{Class, MonoTime, Resources, ids::TaskId};
 
@@ -11,9 +11,14 @@
 
 /// Starts of more urgent work between two starts of batch work that has waited too long.
 const STARTS_PER_AGED: u32 = 8;
-/// Requests of one line that are looked at in one dispatch, so that one that can't be placed
-/// never blocks those behind it.
+/// Requests of one line that are looked at for one start, so that one that can't be placed never
+/// blocks those behind it.
 const MAX_LOOKED_AT: usize = 32;
+/// Requests that find no room in one dispatch before the search gets short: only the first of each
+/// line is looked at, and only while it may fit.
+const MAX_BLOCKED: usize = 32;
+/// Searches for tasks that make room in one dispatch; one in vain is the last.
+const MAX_PREEMPTIONS: u32 = 2;
 
 /// Needs that found no room in this dispatch: what needs as much finds none either.
 #[derive(Default)]
@@ -21,8 +26,8 @@
     needs: Vec<(Class, bool, Resources)>,
     /// The requests that have these needs.
     tasks: Vec<TaskId>,
-    /// Whether no more tasks can make room.
-    no_victims: bool,
+    /// Searches for tasks that can make room.
+    preemptions: u32,
 }
 
 impl Blocked {
@@ -38,16 +43,15 @@
     fn add(&mut self, task: TaskId, request: &Waiting) {
         let meta = &request.meta;
         self.tasks.push(task);
-        self.needs.push((meta.class, meta.idempotent && !meta.standing, request.need));
+        let idempotent = meta.idempotent && !meta.standing;
+        // What this one covers too need not be kept.
+        self.needs.retain(|(class, other, need)| {
+            *class < meta.class || *other != idempotent || !request.need.fits(need)
+        });
+        self.needs.push((meta.class, idempotent, request.need));
     }
 }
 
-/// How looking at one line ended.
-enum Looked {
-    Started,
-    Nothing,
-}
-
 impl Scheduler {
     /// Starts all that can start, and refuses what can't meet its deadline any more.
     pub fn dispatch(&mut self, now: MonoTime) -> Vec<Decision> {
@@ -56,7 +60,6 @@
         self.refuse_late(now, &mut decisions);
         let mut blocked = Blocked::default();
         for class in Class::ALL {
-            self.trim(class);
             self.dispatch_class(class, &mut blocked, now, &mut decisions);
         }
         decisions
@@ -82,12 +85,6 @@
         }
     }
 
-    fn trim(&mut self, class: Class) {
-        let waiting = &self.waiting;
-        self.lines[class as usize]
-            .trim(|(number, task)| waiting.get(task).is_some_and(|w| w.number == *number));
-    }
-
     fn dispatch_class(
         &mut self,
         class: Class,
@@ -95,32 +92,28 @@
         now: MonoTime,
         decisions: &mut Vec<Decision>,
     ) {
-        let mut done: Vec<usize> = Vec::new();
-        while let Some(line) = self.next_line(class, &done) {
+        let busy: Vec<usize> = self.lines[class as usize].busy().map(|(line, _)| line).collect();
+        let mut lines: BTreeSet<(u64, usize)> =
+            busy.into_iter().map(|line| (self.rank(class, line), line)).collect();
+        while let Some((_, line)) = lines.pop_first() {
             if class < Class::Batch && self.is_turn_of_aged(now) {
                 self.start_aged(blocked, now, decisions);
             }
-            match self.look_at(class, line, blocked, now, decisions) {
-                // Lines may have moved: a line that ran empty is gone.
-                Looked::Started if self.lines[class as usize].lines.len() <= line => done.clear(),
-                Looked::Started => {}
-                Looked::Nothing => done.push(line),
+            if self.look_at(class, line, blocked, now, decisions) {
+                lines.insert((self.rank(class, line), line));
             }
         }
     }
 
-    /// The line whose team uses the least part of its quota, of those not done yet.
-    fn next_line(&self, class: Class, done: &[usize]) -> Option<usize> {
-        let lines = &self.lines[class as usize].lines;
+    /// The rank of the team of a line: the least part of its quota in use goes first.
+    fn rank(&self, class: Class, line: usize) -> u64 {
+        let team = &self.lines[class as usize].get(line).team;
         let capacity = self.pool.capacity().plus(&self.elsewhere.capacity);
-        (0..lines.len()).filter(|line| !done.contains(line)).min_by_key(|&line| {
-            let team = &lines[line].team;
-            let used = self.pool.team_given(team).plus(&self.elsewhere.given(team));
-            (self.shares.rank(team, &used, &capacity), team)
-        })
+        let used = self.pool.team_given(team).plus(&self.elsewhere.given(team));
+        self.shares.rank(team, &used, &capacity)
     }
 
-    /// Starts the first request of a line that can be placed.
+    /// Starts the first request of a line that can be placed; whether there was one.
     fn look_at(
         &mut self,
         class: Class,
@@ -128,19 +121,21 @@
         blocked: &mut Blocked,
         now: MonoTime,
         decisions: &mut Vec<Decision>,
-    ) -> Looked {
-        let line = &self.lines[class as usize].lines[line];
-        let live = line.iter().filter(|(number, task)| self.is_waiting(*number, task));
-        let tasks: Vec<TaskId> = live.map(|(_, task)| *task).take(MAX_LOOKED_AT).collect();
+    ) -> bool {
+        let window = if blocked.tasks.len() < MAX_BLOCKED { MAX_LOOKED_AT } else { 1 };
+        let tasks: Vec<TaskId> = self.lines[class as usize].tasks(line).take(window).collect();
         for task in tasks {
             let request = &self.waiting[&task];
-            if blocked.covers(request) || !self.may_take(request) {
+            let many = blocked.tasks.len() >= MAX_BLOCKED;
+            let hopeless = many && !self.pool.may_fit(&request.need)
+                || blocked.covers(request) && !self.pool.is_kept_for(&task);
+            if hopeless || !self.may_take(request) {
                 continue;
             }
             match self.start(&task, now, false, decisions) {
                 Ok(()) => {
                     self.count_overtaken(blocked);
-                    return Looked::Started;
+                    return true;
                 }
                 Err(NoPlace::NeverFits) => self.refuse_unfit(&task, decisions),
                 Err(_) => {
@@ -150,7 +145,7 @@
                 }
             }
         }
-        Looked::Nothing
+        false
     }
 
     /// Whether the quota of the team allows the request.
@@ -209,10 +204,13 @@
         let waited = now.since(request.since);
         let (need, meta) = (request.need, request.meta.clone());
         let may_preempt = meta.class == Class::Urgent && !request.has_preempted;
-        if may_preempt && !blocked.no_victims && self.is_slow() {
+        if may_preempt && blocked.preemptions < MAX_PREEMPTIONS && self.is_slow() {
             let rules = self.policy.preemption();
             let chosen = self.pool.preempt_for(&need, &meta, &rules, now);
-            blocked.no_victims = chosen.is_empty();
+            blocked.preemptions = match chosen.is_empty() {
+                true => MAX_PREEMPTIONS,
+                false => blocked.preemptions + 1,
+            };
             if let Some(request) = self.waiting.get_mut(task) {
                 request.has_preempted = !chosen.is_empty();
             }
@@ -248,12 +246,9 @@
     }
 
     fn start_aged(&mut self, blocked: &mut Blocked, now: MonoTime, decisions: &mut Vec<Decision>) {
-        let mut heads: Vec<(MonoTime, TaskId)> = self.lines[Class::Batch as usize]
-            .lines
-            .iter()
-            .flat_map(|line| line.heads(|(number, task)| self.is_waiting(*number, task)))
-            .map(|(_, task)| (self.waiting[task].since, *task))
-            .collect();
+        let heads = self.lines[Class::Batch as usize].heads();
+        let mut heads: Vec<(MonoTime, TaskId)> =
+            heads.map(|task| (self.waiting[&task].since, task)).collect();
         heads.sort_unstable();
         for (_, task) in heads.into_iter().take(MAX_LOOKED_AT) {
             let request = &self.waiting[&task];
--- a/lilacpass-decide/src/sched/mod.rs
+++ b/lilacpass-decide/src/sched/mod.rs
@@ -19,7 +19,10 @@
     map::Map,
     pool::{Pool, PoolOptions, Preempt},
     rules::Policy,
-    sched::{admit::RateLimit, queue::Lines},
+    sched::{
+        admit::RateLimit,
+        queue::{Lines, Place},
+    },
     share::{Shares, TeamUsage},
     task::{Outcome, Released, TaskMeta},
 };
@@ -118,6 +121,7 @@
 #[derive(Clone, Debug)]
 struct Waiting {
     number: u64,
+    place: Place,
     need: Resources,
     meta: TaskMeta,
     since: MonoTime,
@@ -215,10 +219,8 @@
 
     /// How long the oldest request of a class has waited.
     pub fn oldest(&self, class: Class, now: MonoTime) -> Option<Duration> {
-        let is_live = |(number, task): &(u64, TaskId)| self.is_waiting(*number, task);
-        let lines = &self.lines[class as usize].lines;
-        let heads = lines.iter().flat_map(|line| line.heads(is_live));
-        let since = heads.filter_map(|(_, task)| self.waiting.get(task)).map(|w| w.since).min();
+        let heads = self.lines[class as usize].heads();
+        let since = heads.map(|task| self.waiting[&task].since).min();
         since.map(|since| now.since(since))
     }
 
@@ -242,10 +244,7 @@
         let request = self.waiting.remove(task)?;
         let class = request.meta.class as usize;
         self.work[class] = self.work[class].saturating_sub(request.mean_run);
-        let waiting = &self.waiting;
-        self.lines[class].left(&request.meta.team, |(number, task)| {
-            waiting.get(task).is_some_and(|w| w.number == *number)
-        });
+        self.lines[class].remove(request.place);
         self.pool.unreserve(task);
         self.trim_deadlines();
         Some(request)
--- a/lilacpass-decide/src/share.rs
+++ b/lilacpass-decide/src/share.rs
@@ -25,7 +25,7 @@
 pub fn dominant_ppm(used: &Resources, whole: &Resources) -> u64 {
     let part = |used: u64, whole: u64| match whole {
         0 => 0,
-        _ => (u128::from(used) * u128::from(WHOLE_PPM) / u128::from(whole)) as u64,
+        _ => used.saturating_mul(WHOLE_PPM) / whole,
     };
     part(used.cpu.0, whole.cpu.0)
         .max(part(used.memory.0, whole.memory.0))
