Name what is lost in a fault run, and let a run have faults of chosen kinds

Change: the run prints of each such job its id, its runs and how every entry instance explains it, and takes the kinds of faults to draw from. Ruled out: a longer settling time, which would hide a slow recovery. Not found yet: the cause of the job's delay.

--- a/lilacpass-harness/src/fault_run.rs
+++ b/lilacpass-harness/src/fault_run.rs
@@ -10,10 +10,10 @@
 use crate::{
     caller::{Balancer, Caller},
     cell::{Cell, CellOptions},
-    client::Api,
+    client::{Api, Reply},
     deployment::{Deployment, VINDBAAR},
     error::Result,
-    faults::{Deck, Fault},
+    faults::{Deck, Fault, Kind},
     injector::Injector,
     judge::{self, Evidence, Finding},
     ledger::{JobKind, Ledger, Notes},
@@ -80,13 +80,14 @@
         )?;
         match lost.is_empty() {
             true => Ok(()),
-            false => write!(f, "\nlost: {}", lost.join(" ")),
+            false => write!(f, "\nlost: {}", lost.join("\nlost: ")),
         }
     }
 }
 
-/// Runs with the faults of `seed`, about `limit` long in all.
-pub async fn run(seed: u64, limit: Duration) -> Result<Outcome> {
+/// Runs with the faults of `seed`, about `limit` long in all. Where `only` names kinds of faults,
+/// there are no others.
+pub async fn run(seed: u64, limit: Duration, only: &[Kind]) -> Result<Outcome> {
     let deployment = VINDBAAR;
     let options = CellOptions { cuttable: true, seed, ..CellOptions::new(deployment) };
     let cell = Cell::start(options).await?;
@@ -109,7 +110,7 @@
         quick.run(caller.clone()),
         job_load(deployment, seed, duration).run(caller.clone()),
         keep_changing(&operator, duration),
-        inject(&mut injector, seed, duration - QUIET_END),
+        inject(&mut injector, Deck::new(seed, only), duration - QUIET_END),
     );
     let faults = faults?;
     watching.abort();
@@ -123,14 +124,13 @@
         findings: judge::judge(&evidence),
         quick,
         jobs: states(&notes),
-        lost: lost(&notes),
+        lost: lost(&caller, &notes, &spans).await,
         faults,
     })
 }
 
 /// Switches faults on and off by chance; returns how many.
-async fn inject(injector: &mut Injector, seed: u64, duration: Duration) -> Result<usize> {
-    let mut deck = Deck::new(seed);
+async fn inject(injector: &mut Injector, mut deck: Deck, duration: Duration) -> Result<usize> {
     let started = Instant::now();
     let mut on: Vec<(Instant, Fault)> = Vec::new();
     let mut next_at = started + Duration::from_secs(1);
@@ -232,12 +232,35 @@
     states
 }
 
-fn lost(notes: &Notes) -> Vec<String> {
-    let is_lost = |job: &crate::ledger::JobNote| {
-        job.kind != JobKind::Watcher && job.job_id.is_some() && job.end.is_none()
-    };
-    let mut lost: Vec<_> =
-        notes.jobs.iter().filter(|(_, job)| is_lost(job)).map(|(id, _)| id.clone()).collect();
+/// Accepted jobs that never ended, with what is known of each.
+async fn lost(caller: &Caller, notes: &Notes, spans: &Spans) -> Vec<String> {
+    let jobs = notes.jobs.iter().filter(|(_, job)| job.kind != JobKind::Watcher);
+    let mut lost = Vec::new();
+    for (id, job) in jobs.filter(|(_, job)| job.end.is_none()) {
+        let Some(job_id) = &job.job_id else {
+            continue;
+        };
+        let runs: Vec<_> = spans.of(id).iter().map(judge::show).collect();
+        let explained = explain(caller, job_id).await;
+        lost.push(format!("{id} {job_id} {explained} runs: {}", runs.join(", ")));
+    }
     lost.sort();
     lost
 }
+
+/// What each entry instance says about a job.
+async fn explain(caller: &Caller, job_id: &str) -> String {
+    let mut said = Vec::new();
+    for (entry, to) in caller.balancer.targets() {
+        let path = format!("/v1/jobs/{job_id}/explain");
+        let explanation: Reply<v1::Explanation> = caller.api.get(to, &path).await;
+        said.push(match explanation {
+            Reply::Done(explanation) => {
+                format!("{}: {} {}", entry.name, explanation.state, explanation.reason)
+            }
+            Reply::Problem(problem) => format!("{}: {}", entry.name, problem.detail),
+            Reply::Broken(detail) => format!("{}: {detail}", entry.name),
+        });
+    }
+    said.join("; ")
+}
--- a/lilacpass-harness/src/faults.rs
+++ b/lilacpass-harness/src/faults.rs
@@ -2,6 +2,7 @@
 
 use std::{fmt, ops::Range, time::Duration};
 
+use clap::ValueEnum;
 use rand::{
     RngExt, SeedableRng,
     rngs::StdRng,
@@ -51,9 +52,10 @@
     OperatorRace,
 }
 
-/// Kinds of faults.
-#[derive(Clone, Copy, Debug)]
-enum Kind {
+/// Kinds of faults; see [`Fault`].
+#[derive(Clone, Copy, Debug, ValueEnum)]
+#[allow(missing_docs)]
+pub enum Kind {
     KillEntry,
     PauseEntry,
     StopEntry,
@@ -102,13 +104,15 @@
 #[derive(Debug)]
 pub struct Deck {
     rng: StdRng,
+    kinds: Vec<Kind>,
     left: Vec<Kind>,
 }
 
 impl Deck {
-    /// The faults of a seed.
-    pub fn new(seed: u64) -> Self {
-        Self { rng: StdRng::seed_from_u64(seed), left: Vec::new() }
+    /// The faults of a seed, of the kinds given, or of all kinds where none is.
+    pub fn new(seed: u64, only: &[Kind]) -> Self {
+        let kinds = if only.is_empty() { KINDS.to_vec() } else { only.to_vec() };
+        Self { rng: StdRng::seed_from_u64(seed), kinds, left: Vec::new() }
     }
 
     /// A time between two bounds, in milliseconds.
@@ -119,7 +123,7 @@
     /// The next fault, and how long it lasts. `busy` names the workers on which most runs.
     pub fn draw(&mut self, cell: &Cell, busy: &[String]) -> (Fault, Duration) {
         if self.left.is_empty() {
-            self.left = KINDS.to_vec();
+            self.left.clone_from(&self.kinds);
             self.left.shuffle(&mut self.rng);
         }
         let kind = self.left.pop().unwrap_or(Kind::KillEntry);
--- a/lilacpass-harness/src/main.rs
+++ b/lilacpass-harness/src/main.rs
@@ -3,7 +3,7 @@
 use std::{process::ExitCode, time::Duration};
 
 use clap::{Parser, Subcommand};
-use lilacpass_harness::{Error, Result, fault_run, measure, sample_run};
+use lilacpass_harness::{Error, Result, fault_run, faults, measure, sample_run};
 
 /// Development tools that run whole cells as processes on loopback.
 #[derive(Debug, Parser)]
@@ -25,6 +25,9 @@
         /// How long the run takes about, in seconds.
         #[arg(long, default_value_t = 60)]
         seconds: u64,
+        /// Kinds of faults, separated by commas; all where none is named.
+        #[arg(long, value_enum, value_delimiter = ',')]
+        only: Vec<faults::Kind>,
     },
     /// Measures takeover, spreading of changes, footprint and added latency.
     Measure {
@@ -65,8 +68,8 @@
             measure::run(&parts, |line| println!("{line}")).await?;
             Ok(true)
         }
-        Command::Faults { seed, seconds } => {
-            let outcome = fault_run::run(seed, Duration::from_secs(seconds)).await?;
+        Command::Faults { seed, seconds, only } => {
+            let outcome = fault_run::run(seed, Duration::from_secs(seconds), &only).await?;
             println!("{outcome}");
             Ok(outcome.is_good())
         }
--- a/lilacpass-harness/src/measure/takeover.rs
+++ b/lilacpass-harness/src/measure/takeover.rs
@@ -18,8 +18,8 @@
 };
 
 const ROUNDS: usize = 3;
-/// Requests that keep all workers of one data centre busy.
-const REQUESTS_PER_SECOND: u32 = 60;
+/// With the run time below, requests that keep all slots of the cell busy.
+const REQUESTS_PER_SECOND: u32 = 200;
 const REQUEST_RUN: Duration = Duration::from_secs(2);
 const REQUEST_DEADLINE: Duration = Duration::from_secs(8);
 const WARM_UP: Duration = Duration::from_secs(4);
@@ -63,8 +63,7 @@
     balancer.set_targets(others);
     let caller = Caller { api: Api::new(&cell.team_token)?, balancer, ledger: Ledger::default() };
     let index = cell.entries.iter().position(|entry| entry.name == holder).unwrap_or_default();
-    let data_centre = cell.entries[index].data_centre.clone();
-    let load = tokio::spawn(keep_busy(caller, data_centre));
+    let load = tokio::spawn(keep_busy(caller));
     time::sleep(WARM_UP).await;
     let at_unix_ms = ledger::unix_ms();
     match end {
@@ -101,18 +100,15 @@
     Err(Error::TooLate("a worker to be held".to_owned()))
 }
 
-/// Sends requests to one data centre for ever.
-async fn keep_busy(caller: Caller, data_centre: String) {
+/// Sends requests for ever.
+async fn keep_busy(caller: Caller) {
     let mut requests = JoinSet::new();
     let mut ticks = time::interval(Duration::from_secs(1) / REQUESTS_PER_SECOND);
     for number in 0.. {
         ticks.tick().await;
         let payload =
             Payload { id: format!("busy-{number}"), run: Some(REQUEST_RUN), ..Payload::default() };
-        let spec = v1::JobSpec {
-            data_centre: data_centre.clone(),
-            ..VINDBAAR.quick(&payload.to_string())
-        };
+        let spec = VINDBAAR.quick(&payload.to_string());
         let caller = caller.clone();
         requests.spawn(async move { caller.quick(&spec, REQUEST_DEADLINE).await });
         while requests.try_join_next().is_some() {}
