Make the story of the silent holder notice its guard

Ruled out: fewer requests (nothing is forwarded while there is room here). Change: 44 requests at an instance with 24 free slots, one of the others paused. Result: without the mark an answer is missing after 2.2 s (red), with it all 44 are answered (green).

--- a/lilacpass-control/tests/failures.rs
+++ b/lilacpass-control/tests/failures.rs
@@ -516,19 +516,14 @@
 /// deadline. The heartbeat that goes unanswered tells earlier, and the lookup is tried elsewhere.
 #[test]
 fn a_lookup_at_a_holder_that_dies_silently_is_answered_elsewhere() {
-    let mut cell = one_data_centre();
-    let replies: Vec<u64> = (0..30)
-        .map(|n| {
-            let payload = format!("40 q{n}");
-            cell.quick(n % 3, inventory::spec(&payload), 10 * SECOND)
-        })
-        .collect();
-    cell.run_for(Duration::from_millis(2));
-    cell.fault(2, Fault::Paused);
+    let mut cell = Cell::new(&["a"], 3, 8, 1);
+    cell.run_for(6 * SECOND);
+    let replies: Vec<u64> =
+        (0..44).map(|n| cell.quick(0, inventory::spec(&format!("40 q{n}")), 10 * SECOND)).collect();
+    cell.fault(1, Fault::Paused);
     cell.run_for(Duration::from_millis(2_200));
-    let late = replies.iter().enumerate().filter(|(n, _)| n % 3 != 2);
-    for (n, reply) in late {
-        let answer = cell.answers.get(reply).map(|(answer, _)| answer);
-        assert!(matches!(answer, Some(Answer::Quick(_))), "q{n}: {answer:?}");
+    for reply in replies {
+        let answer = cell.answers.get(&reply).map(|(answer, _)| answer);
+        assert!(matches!(answer, Some(Answer::Quick(_))), "{answer:?}");
     }
 }
