Split the pool and the replay by job

The account of what is given and the inventory have files of their own now, and so have the drivers of the replay; nothing else changes.

--- a/lilacpass-decide/examples/replay/cell.rs
+++ b/lilacpass-decide/examples/replay/cell.rs
@@ -2,7 +2,7 @@
 //! centres, with stale digests of each other.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::BTreeMap,
     time::{Duration, Instant},
 };
 
@@ -11,8 +11,8 @@
     ids::{AttemptNo, DataCentreId, InstanceId, JobId, RackId, TaskId, WorkerId},
 };
 use lilacpass_decide::{
-    Decision, HoldId, HolderDigest, How, JobQueue, Outcome, Policy, Preempt, QuickTask,
-    RetryBudget, Scheduler, SchedulerOptions, TaskMeta, TeamUsage, WaitingJob, WorkerSpec, route,
+    Decision, HolderDigest, How, JobQueue, Outcome, Policy, Preempt, QuickTask, RetryBudget,
+    Scheduler, SchedulerOptions, TaskMeta, WorkerSpec, route,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
@@ -23,14 +23,11 @@
 };
 
 const DATA_CENTRES: usize = 3;
-const HOLDERS: usize = 9;
+pub(crate) const HOLDERS: usize = 9;
 const HEARTBEAT_US: u64 = 100_000;
 const DRIVER_TICK_US: u64 = 50_000;
 const STOP_US: u64 = 20_000;
 const MAX_ATTEMPTS: u64 = 3;
-/// A job that found no room is tried again after this time.
-const RETRY_JOB: Duration = Duration::from_millis(500);
-const HOLD_FOR: Duration = Duration::from_secs(2);
 /// Work that a resumed task does again.
 const RESUME_US: u64 = SECOND_US;
 
@@ -96,31 +93,31 @@
 
 /// A job between its arrival and its end.
 #[derive(Clone)]
-struct Job {
-    attempt: u64,
+pub(crate) struct Job {
+    pub(crate) attempt: u64,
     /// Run time that is left, after a checkpoint.
-    left_us: u64,
-    tasks_left: u32,
-    started: bool,
+    pub(crate) left_us: u64,
+    pub(crate) tasks_left: u32,
+    pub(crate) started: bool,
 }
 
-struct Cell<'a> {
-    setup: &'a Setup,
+pub(crate) struct Cell<'a> {
+    pub(crate) setup: &'a Setup,
     knobs: &'a Knobs,
-    works: Vec<Work>,
+    pub(crate) works: Vec<Work>,
     events: Events<Event>,
-    holders: Vec<Scheduler>,
+    pub(crate) holders: Vec<Scheduler>,
     digests: Vec<HolderDigest>,
     digests_at_us: u64,
     names: BTreeMap<InstanceId, usize>,
-    queues: Vec<JobQueue>,
-    jobs: BTreeMap<usize, Job>,
+    pub(crate) queues: Vec<JobQueue>,
+    pub(crate) jobs: BTreeMap<usize, Job>,
     running: BTreeMap<TaskId, Running>,
     wakes: Vec<u64>,
     budgets: Vec<RetryBudget>,
     runs: u64,
     rng: SmallRng,
-    stats: Stats,
+    pub(crate) stats: Stats,
 }
 
 pub(crate) fn worker_spec(n: usize) -> WorkerSpec {
@@ -150,7 +147,7 @@
     cell.stats
 }
 
-fn at(us: u64) -> MonoTime {
+pub(crate) fn at(us: u64) -> MonoTime {
     MonoTime(us)
 }
 
@@ -265,7 +262,7 @@
         }
     }
 
-    fn choose(
+    pub(crate) fn choose(
         &mut self,
         entry: usize,
         need: &Resources,
@@ -307,7 +304,7 @@
     }
 
     /// The size to ask for: learned, else declared.
-    fn size(&self, entry: usize, work: usize) -> Resources {
+    pub(crate) fn size(&self, entry: usize, work: usize) -> Resources {
         let work = &self.works[work];
         let learned = &self.holders[entry].pool.learned;
         match self.knobs.learn_sizes {
@@ -406,7 +403,7 @@
         self.events.add(now_us + STOP_US, event);
     }
 
-    fn run(
+    pub(crate) fn run(
         &mut self,
         task: TaskId,
         work: usize,
@@ -466,22 +463,6 @@
         self.stats.answered(&self.works[work], now_us, !bad, self.setup);
     }
 
-    fn job_ended(&mut self, index: usize, bad: bool, now_us: u64) {
-        let Some(job) = self.jobs.get_mut(&index) else { return };
-        if bad {
-            job.attempt += 1;
-            if self.works[index].tasks == 1 {
-                self.requeue(index, now_us);
-            }
-            return;
-        }
-        job.tasks_left = job.tasks_left.saturating_sub(1);
-        if job.tasks_left == 0 {
-            self.jobs.remove(&index);
-            self.stats.jobs_done += 1;
-        }
-    }
-
     fn stopped(&mut self, task: TaskId, run: u64, how: How, now_us: u64) {
         let Some(running) = self.running.get(&task).filter(|r| r.run == run) else { return };
         let (index, holder) = (running.work, running.holder);
@@ -522,118 +503,7 @@
         self.dispatch(holder, now_us);
     }
 
-    fn job(&mut self, index: usize, now_us: u64) {
-        self.stats.arrived(&self.works[index], self.setup);
-        let work = &self.works[index];
-        let job = Job { attempt: 1, left_us: work.run_us, tasks_left: work.tasks, started: false };
-        self.jobs.insert(index, job);
-        self.requeue(index, now_us);
-    }
-
-    fn requeue(&mut self, index: usize, now_us: u64) {
-        let entry = index % HOLDERS;
-        let work = &self.works[index];
-        let waiting = WaitingJob {
-            job: JobId(index as u128),
-            meta: work.meta.clone(),
-            each: self.size(entry, index),
-            tasks: work.tasks,
-            since: at(work.arrives_us),
-        };
-        self.queues[entry].push(waiting);
-        self.drive(entry, now_us);
-    }
-
-    /// Places the jobs that wait at one driver.
-    fn drive(&mut self, entry: usize, now_us: u64) {
-        const AT_ONCE: usize = 8;
-        let now = at(now_us);
-        let mut usage = TeamUsage::default();
-        for holder in &self.holders {
-            usage.capacity = usage.capacity.plus(&holder.pool.capacity());
-            holder.pool.usage().iter().for_each(|(team, given)| usage.add(team, given));
-        }
-        let clock = Instant::now();
-        let next = self.queues[entry].next(&usage, now, AT_ONCE);
-        if !next.is_empty() {
-            self.stats.decided(clock.elapsed());
-        }
-        for job in next {
-            let index = job.0 as usize;
-            let placed = match self.works[index].tasks {
-                1 => self.place_job(entry, index, now_us),
-                _ => self.place_gang(entry, index, now_us),
-            };
-            match placed {
-                true => drop(self.queues[entry].remove(&job)),
-                false => self.queues[entry].retry_at(&job, now + RETRY_JOB),
-            }
-        }
-    }
-
-    fn place_job(&mut self, entry: usize, index: usize, now_us: u64) -> bool {
-        let need = self.size(entry, index);
-        let meta = self.works[index].meta.clone();
-        let task = self.task_id(index, self.jobs[&index].attempt, 0);
-        let mut tried = BTreeSet::new();
-        while tried.len() < HOLDERS {
-            let avoid: Vec<usize> = tried.iter().copied().collect();
-            let Some(holder) = self.choose(entry, &need, &avoid, now_us) else { return false };
-            tried.insert(holder);
-            let clock = Instant::now();
-            let pool = &mut self.holders[holder].pool;
-            let placed = pool.place_and_give(task, need, &meta, &[], at(now_us));
-            self.stats.decided(clock.elapsed());
-            if let Ok(worker) = placed {
-                self.job_started(index, now_us);
-                self.run(task, index, holder, worker, need, now_us);
-                return true;
-            }
-        }
-        false
-    }
-
-    fn place_gang(&mut self, entry: usize, index: usize, now_us: u64) -> bool {
-        let now = at(now_us);
-        let need = self.size(entry, index);
-        let meta = self.works[index].meta.clone();
-        let attempt = AttemptNo(self.jobs[&index].attempt);
-        let id = HoldId { job: JobId(index as u128), attempt };
-        let mut left: Vec<u32> = (0..self.works[index].tasks).collect();
-        let mut held = Vec::new();
-        for (n, holder) in self.holders.iter_mut().enumerate() {
-            let clock = Instant::now();
-            let got = holder.pool.hold(id, &left, &need, &meta, &[], now + HOLD_FOR, now);
-            self.stats.decided(clock.elapsed() / u32::try_from(got.len().max(1)).unwrap_or(1));
-            left.retain(|task| !got.iter().any(|(index, _)| index == task));
-            held.extend(got.into_iter().map(|(task, _)| (task, n)));
-            if left.is_empty() {
-                break;
-            }
-        }
-        if !left.is_empty() {
-            self.holders.iter_mut().for_each(|holder| holder.pool.unhold(&id));
-            return false;
-        }
-        self.job_started(index, now_us);
-        for (task, holder) in held {
-            let task = id.task(task);
-            if let Some(worker) = self.holders[holder].pool.commit_hold(task, now) {
-                self.run(task, index, holder, worker, need, now_us);
-            }
-        }
-        true
-    }
-
-    fn job_started(&mut self, index: usize, now_us: u64) {
-        let job = self.jobs.get_mut(&index).expect("the job lives");
-        if !job.started {
-            job.started = true;
-            self.stats.started(&self.works[index], now_us, self.setup);
-        }
-    }
-
-    fn task_id(&self, work: usize, attempt: u64, index: u32) -> TaskId {
+    pub(crate) fn task_id(&self, work: usize, attempt: u64, index: u32) -> TaskId {
         TaskId { job: JobId(work as u128), attempt: AttemptNo(attempt), index }
     }
 }
--- a/lilacpass-decide/examples/replay/main.rs
+++ b/lilacpass-decide/examples/replay/main.rs
@@ -6,6 +6,7 @@
 mod cell;
 mod events;
 mod guards;
+mod jobs;
 mod slopes;
 mod stats;
 mod workload;
--- a/lilacpass-decide/src/pool/mod.rs
+++ b/lilacpass-decide/src/pool/mod.rs
@@ -3,10 +3,12 @@
 //! A pool accounts for every task from the moment that it is given to the moment that the caller
 //! reports how it ended. Workers have small internal numbers; names are looked up once.
 
+mod account;
 mod gang;
 pub(crate) mod health;
 mod hold;
 mod index;
+mod inventory;
 mod peak;
 mod place;
 mod preempt;
@@ -36,7 +38,7 @@
     },
     rules::Policy,
     share::TeamUsage,
-    task::{Given, HoldId, Outcome, Released, TaskMeta},
+    task::{Given, HoldId},
 };
 
 /// How a pool behaves, beyond the rules of the operators.
@@ -171,129 +173,6 @@
         self.keep_to_cap();
     }
 
-    /// Adds a worker, or changes what is known of it. A new one gets nothing before `set_limit`.
-    pub fn upsert_worker(&mut self, spec: WorkerSpec, _now: MonoTime) {
-        let next_rack = self.racks.len() as u32;
-        let rack = *self.racks.entry(spec.rack.clone()).or_insert(next_rack);
-        let number = self.number_or_new(&spec, rack);
-        self.unlist(number);
-        self.recount_standing(number, false);
-        let worker = &mut self.workers[number as usize];
-        worker.spec = spec;
-        worker.rack = rack;
-        self.recount_standing(number, true);
-        self.list(number);
-        self.keep_to_cap();
-        self.refresh(number);
-    }
-
-    /// Removes a worker. Its tasks stay accounted for until they are released.
-    pub fn remove_worker(&mut self, id: &WorkerId) {
-        let Some(&number) = self.numbers.get(id) else { return };
-        self.unlist(number);
-        let worker = &mut self.workers[number as usize];
-        worker.limit = Resources::ZERO;
-        self.drop_kept(number);
-        self.refresh(number);
-        self.keep_to_cap();
-        self.forget_if_empty(number);
-    }
-
-    /// Sets the most that may be given on a worker in all right now; zero for nothing new.
-    pub fn set_limit(&mut self, id: &WorkerId, limit: Resources, _now: MonoTime) {
-        let Some(&number) = self.numbers.get(id) else { return };
-        self.workers[number as usize].limit = limit;
-        self.refresh(number);
-    }
-
-    /// Says whether a worker is leaving, according to the instance list: it gets nothing new.
-    pub fn set_leaving(&mut self, id: &WorkerId, leaving: bool) {
-        let Some(&number) = self.numbers.get(id) else { return };
-        self.workers[number as usize].leaving = leaving;
-        self.refresh(number);
-    }
-
-    /// Accounts for a task that runs on a worker, whatever the limit says; for adoption.
-    ///
-    /// Returns the other worker that the task was accounted for on until now, if any: one of the
-    /// two reports must be wrong, and the caller has to find out which.
-    pub fn give(
-        &mut self,
-        task: TaskId,
-        worker: &WorkerId,
-        need: Resources,
-        meta: TaskMeta,
-        now: MonoTime,
-    ) -> Option<WorkerId> {
-        let number = self.number_or_unlisted(worker);
-        let earlier = self.take_out(&task);
-        if let Some((earlier, _)) = &earlier {
-            self.drop_probe(*earlier, &task, now);
-            self.refresh(*earlier);
-        }
-        self.put_in(task, number, need, meta, false, now);
-        let (earlier, _) = earlier.filter(|(earlier, _)| *earlier != number)?;
-        let name = self.name(earlier);
-        self.forget_if_empty(earlier);
-        Some(name)
-    }
-
-    /// Gives a task where the worker takes new work and has room; `false` changes nothing.
-    pub fn try_give(
-        &mut self,
-        task: TaskId,
-        worker: &WorkerId,
-        need: Resources,
-        meta: TaskMeta,
-        now: MonoTime,
-    ) -> bool {
-        let Some(&number) = self.numbers.get(worker) else { return false };
-        if self.tasks.contains_key(&task) || !self.takes(number, &need, &meta, Some(&task), now) {
-            return false;
-        }
-        self.start_probe(number, task, now);
-        self.put_in(task, number, need, meta, false, now);
-        true
-    }
-
-    /// Takes a task off its worker and learns from how it ended.
-    pub fn release(
-        &mut self,
-        task: &TaskId,
-        outcome: Outcome,
-        ran: Duration,
-        now: MonoTime,
-    ) -> Option<Released> {
-        let (number, given) = self.take_out(task)?;
-        self.worker_outcome(number, task, &given.meta, outcome, ran, now);
-        self.refresh(number);
-        let worker = self.name(number);
-        self.forget_if_empty(number);
-        Some(Released {
-            worker,
-            need: given.need,
-            meta: given.meta,
-            given_for: now.since(given.since),
-        })
-    }
-
-    /// Changes what is given to a task, such as after it was throttled.
-    ///
-    /// Returns `false` and changes nothing where the task is unknown or would outgrow the limit.
-    pub fn resize(&mut self, task: &TaskId, need: Resources, now: MonoTime) -> bool {
-        let Some(given) = self.tasks.get(task) else { return false };
-        let (number, old) = (given.worker, given.need);
-        let room = self.workers[number as usize].room();
-        if !need.minus(&old).fits(&room) {
-            return false;
-        }
-        let (_, given) = self.take_out(task).expect("the task was just found");
-        self.put_in(*task, number, need, given.meta, given.gang, now);
-        let resized = self.tasks.get_mut(task).expect("the task was just put in");
-        resized.since = given.since;
-        true
-    }
-
     /// What is given on a worker.
     pub fn given(&self, worker: &WorkerId) -> Resources {
         self.worker(worker).map(|w| w.given).unwrap_or_default()
@@ -381,136 +260,4 @@
     fn name(&self, number: u32) -> WorkerId {
         self.workers[number as usize].spec.id.clone()
     }
-
-    fn number_or_new(&mut self, spec: &WorkerSpec, rack: u32) -> u32 {
-        if let Some(&number) = self.numbers.get(&spec.id) {
-            return number;
-        }
-        let mut worker = Worker::new(spec.clone(), rack);
-        worker.listed = false;
-        let number = match self.vacant.pop() {
-            Some(number) => {
-                self.workers[number as usize] = worker;
-                number
-            }
-            None => {
-                self.workers.push(worker);
-                self.index.push();
-                self.workers.len() as u32 - 1
-            }
-        };
-        self.numbers.insert(spec.id.clone(), number);
-        number
-    }
-
-    /// The number of a worker, which is made up where the inventory does not have it (yet).
-    fn number_or_unlisted(&mut self, id: &WorkerId) -> u32 {
-        if let Some(&number) = self.numbers.get(id) {
-            return number;
-        }
-        let spec = WorkerSpec::unknown(id.clone());
-        self.number_or_new(&spec, u32::MAX)
-    }
-
-    fn list(&mut self, number: u32) {
-        let worker = &mut self.workers[number as usize];
-        worker.listed = true;
-        self.listed += 1;
-        self.in_quarantine += usize::from(worker.health.is_quarantined());
-        let capacity = worker.spec.capacity;
-        self.capacity = self.capacity.plus(&capacity);
-        self.usage.capacity = self.capacity;
-        match self.shapes.iter_mut().find(|(shape, _)| *shape == capacity) {
-            Some((_, count)) => *count += 1,
-            None => self.shapes.push((capacity, 1)),
-        }
-    }
-
-    fn unlist(&mut self, number: u32) {
-        let worker = &mut self.workers[number as usize];
-        if !worker.listed {
-            return;
-        }
-        worker.listed = false;
-        self.listed -= 1;
-        self.in_quarantine -= usize::from(worker.health.is_quarantined());
-        let capacity = worker.spec.capacity;
-        self.capacity = self.capacity.minus(&capacity);
-        self.usage.capacity = self.capacity;
-        if let Some(at) = self.shapes.iter().position(|(shape, _)| *shape == capacity) {
-            self.shapes[at].1 -= 1;
-            self.shapes.retain(|(_, count)| *count > 0);
-        }
-    }
-
-    fn forget_if_empty(&mut self, number: u32) {
-        let worker = &self.workers[number as usize];
-        if !worker.is_forgotten() || self.numbers.get(&worker.spec.id) != Some(&number) {
-            return;
-        }
-        self.numbers.remove(&worker.spec.id);
-        self.evidence.forget_worker(number);
-        self.vacant.push(number);
-    }
-
-    fn put_in(
-        &mut self,
-        task: TaskId,
-        number: u32,
-        need: Resources,
-        meta: TaskMeta,
-        gang: bool,
-        now: MonoTime,
-    ) {
-        self.usage.add(&meta.team, &need);
-        self.given = self.given.plus(&need);
-        self.running[meta.class as usize] += 1;
-        if meta.class == Class::Urgent {
-            self.urgent.add(&need, now);
-        }
-        if meta.class == Class::Batch {
-            self.last_batch = now;
-        }
-        if is_cheap(&meta, gang) {
-            self.cheap = self.cheap.plus(&need);
-        }
-        self.count_standing(number, &meta, true);
-        let worker = &mut self.workers[number as usize];
-        worker.given = worker.given.plus(&need);
-        worker.running[meta.class as usize] += 1;
-        worker.tasks.push(task);
-        let given = Given { need, meta, since: now, preempted: false, gang, worker: number };
-        self.tasks.insert(task, given);
-        self.unreserve(&task);
-        self.refresh(number);
-    }
-
-    fn take_out(&mut self, task: &TaskId) -> Option<(u32, Given)> {
-        let given = self.tasks.remove(task)?;
-        let number = given.worker;
-        self.usage.sub(&given.meta.team, &given.need);
-        self.given = self.given.minus(&given.need);
-        self.running[given.meta.class as usize] -= 1;
-        self.preempting -= usize::from(given.preempted);
-        if given.meta.class == Class::Urgent {
-            self.urgent.sub(&given.need);
-        }
-        if is_cheap(&given.meta, given.gang) {
-            self.cheap = self.cheap.minus(&given.need);
-        }
-        self.count_standing(number, &given.meta, false);
-        let worker = &mut self.workers[number as usize];
-        worker.given = worker.given.minus(&given.need);
-        worker.running[given.meta.class as usize] -= 1;
-        if let Some(at) = worker.tasks.iter().position(|t| t == task) {
-            worker.tasks.swap_remove(at);
-        }
-        self.refresh(number);
-        Some((number, given))
-    }
-}
-
-/// Whether a task can make room for urgent work at a small cost.
-fn is_cheap(meta: &TaskMeta, gang: bool) -> bool {
-    meta.class == Class::Batch && meta.checkpointable && !gang
 }
