--- a/lilacpass-control/examples/slopes/instance.rs
+++ b/lilacpass-control/examples/slopes/instance.rs
@@ -126,7 +126,6 @@
         hold: HoldOptions::default(),
         heartbeat: HEARTBEAT,
         silent: Duration::from_secs(3),
-        platform_timeout: Duration::from_secs(1),
         batch: Duration::from_millis(3),
         snapshot_records: 20_000,
         max_queued: 1_024,
--- a/lilacpass-control/src/change.rs
+++ b/lilacpass-control/src/change.rs
@@ -22,8 +22,6 @@
 
 /// Longest that an operator waits for a change to be decided.
 const CHANGE_TIMEOUT: Duration = Duration::from_secs(5);
-/// When to come back while the log can't be reached.
-const LOG_DOWN_RETRY: Duration = Duration::from_secs(5);
 
 /// An operator that waits for its change to be read back.
 #[derive(Debug)]
@@ -51,7 +49,7 @@
         let next = match checked {
             Ok(next) => next,
             Err(problem) => {
-                self.audit_change(caller, &request, None, &problem.detail, now);
+                self.audit_change(caller, request.base, None, &problem.detail, now);
                 self.refuse(reply, *problem);
                 return;
             }
@@ -105,12 +103,7 @@
         let log_ready = self.log_reachable(now) && read;
         if !request.dry_run && !log_ready {
             let detail = "the log service can't be reached, so no change can be accepted";
-            return Err(Box::new(problem::retry_later(
-                &problem::UNAVAILABLE,
-                Verdict::NotRun,
-                detail,
-                LOG_DOWN_RETRY,
-            )));
+            return Err(Box::new(problem::log_down(Verdict::NotRun, detail)));
         }
         Ok(next)
     }
@@ -184,14 +177,7 @@
         let Some(pending) = self.changes.remove(record_id) else { return };
         let (answer, to, detail) = self.change_answer(offset, outcome, &pending);
         self.answer(pending.reply, answer);
-        self.audit_entry(
-            &pending.caller,
-            "change",
-            "configuration",
-            (pending.base, to),
-            &detail,
-            now,
-        );
+        self.audit_change(&pending.caller, pending.base, to, &detail, now);
     }
 
     /// What the operator is told of a change that was read back, the revision where it is in force,
@@ -284,30 +270,17 @@
         for record in self.take_unsent(Stream::Config, is_change) {
             let Some(pending) = self.changes.remove(&record.record_id) else { continue };
             let detail = "the log service did not take the change";
-            let problem = problem::retry_later(
-                &problem::UNAVAILABLE,
-                Verdict::NotRun,
-                detail,
-                LOG_DOWN_RETRY,
-            );
-            self.refuse(pending.reply, problem);
-            self.audit_entry(
-                &pending.caller,
-                "change",
-                "configuration",
-                (pending.base, None),
-                detail,
-                now,
-            );
+            self.refuse_change(&pending, problem::log_down(Verdict::NotRun, detail), now);
         }
     }
 
     /// Operators whose change was not decided in time are told that it may yet come into force.
     pub(crate) fn expire_changes(&mut self, now: MonoTime) {
+        let is_over = |change: &PendingChange| change.until.reached(now);
         let over: Vec<String> = self
             .changes
             .iter()
-            .filter(|(_, change)| change.until.reached(now))
+            .filter(|(_, change)| is_over(change))
             .map(|(id, _)| id.clone())
             .collect();
         for id in over {
@@ -317,29 +290,24 @@
             let verdict = if unsent { Verdict::NotRun } else { Verdict::MayHaveRun };
             let detail =
                 "the log service did not decide the change in time; look at the revision in force";
-            let problem =
-                problem::retry_later(&problem::UNAVAILABLE, verdict, detail, LOG_DOWN_RETRY);
-            self.refuse(pending.reply, problem);
-            self.audit_entry(
-                &pending.caller,
-                "change",
-                "configuration",
-                (pending.base, None),
-                detail,
-                now,
-            );
+            self.refuse_change(&pending, problem::log_down(verdict, detail), now);
         }
     }
 
+    fn refuse_change(&mut self, pending: &PendingChange, problem: v1::Problem, now: MonoTime) {
+        self.audit_change(&pending.caller, pending.base, None, &problem.detail, now);
+        self.refuse(pending.reply, problem);
+    }
+
     fn audit_change(
         &mut self,
         caller: &Caller,
-        request: &ChangeRequest,
+        base: Revision,
         to: Option<Revision>,
         detail: &str,
         now: MonoTime,
     ) {
-        self.audit_entry(caller, "change", "configuration", (request.base, to), detail, now);
+        self.audit_entry(caller, "change", "configuration", (base, to), detail, now);
     }
 
     /// Writes an entry of the audit trail; `revisions` are those before and, where accepted, after.
--- a/lilacpass-control/src/control.rs
+++ b/lilacpass-control/src/control.rs
@@ -31,7 +31,7 @@
     members::Members,
     outbox::{self, Outbox},
     preparing::{PreparingJobs, Tries},
-    quick::{AttemptEnd, QuickRequests},
+    quick_requests::{AttemptEnd, QuickRequests},
     serve::ServedTasks,
     settings::ControlSettings,
     snapshots::JobsSnapshot,
--- a/lilacpass-control/src/heartbeat.rs
+++ b/lilacpass-control/src/heartbeat.rs
@@ -14,7 +14,7 @@
     calls::{PeerOrigin, Pending},
     convert, counters,
     event::{CallFailure, PeerCall, PeerReply},
-    quick,
+    quick_requests,
 };
 
 /// Heartbeats to peers of other data centres are so much rarer.
@@ -150,7 +150,11 @@
             .collect();
         for (request, task) in forwards {
             let failure = retry::Failure::ConnectionLost;
-            let end = quick::unanswered(Verdict::MayHaveRun, failure, "the holder does not answer");
+            let end = quick_requests::unanswered(
+                Verdict::MayHaveRun,
+                failure,
+                "the holder does not answer",
+            );
             self.attempt_ended(request, task, end, now);
         }
     }
--- a/lilacpass-control/src/lib.rs
+++ b/lilacpass-control/src/lib.rs
@@ -24,6 +24,7 @@
 mod preparing;
 mod problem;
 mod quick;
+mod quick_requests;
 mod reports;
 mod requests;
 mod room;
--- a/lilacpass-control/src/problem.rs
+++ b/lilacpass-control/src/problem.rs
@@ -7,6 +7,9 @@
 
 use crate::convert;
 
+/// When a caller should come back while the log service does not answer.
+const LOG_DOWN_RETRY: Duration = Duration::from_secs(5);
+
 /// A kind of problem: its name in the `type` member, its title and its HTTP status.
 pub(crate) struct Kind {
     name: &'static str,
@@ -61,3 +64,8 @@
 ) -> v1::Problem {
     v1::Problem { retry_after_ms: convert::millis(retry_after), ..problem(kind, verdict, detail) }
 }
+
+/// Builds the problem document for what can't be done while the log service does not answer.
+pub(crate) fn log_down(verdict: Verdict, detail: impl Into<String>) -> v1::Problem {
+    retry_later(&UNAVAILABLE, verdict, detail, LOG_DOWN_RETRY)
+}
--- a/lilacpass-control/src/quick.rs
+++ b/lilacpass-control/src/quick.rs
@@ -4,10 +4,7 @@
 //! runs an attempt or answers; it never hands it on. Each attempt has a number of its own, so that
 //! an answer which arrives late is told from the one that is waited for.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    time::Duration,
-};
+use std::time::Duration;
 
 use lilacpass_core::{
     MonoTime, Verdict,
@@ -20,8 +17,9 @@
     Control,
     calls::Pending,
     convert, counters,
-    event::{Answer, CallFailure, Effect, FailureKind, PeerCall, PeerReply, QuickRequest, ReplyId},
+    event::{Answer, CallFailure, Effect, PeerCall, PeerReply, QuickRequest, ReplyId},
     problem,
+    quick_requests::{AttemptEnd, Quick, failure_of, forward_answer, route_digest, unanswered},
     serve::Origin,
 };
 
@@ -30,86 +28,6 @@
 /// Most attempts for one request, whatever the budget allows.
 const MAX_ATTEMPTS: u64 = 4;
 
-/// A quick request that waits for its answer.
-#[derive(Debug)]
-pub(crate) struct Quick {
-    reply: ReplyId,
-    spec: v1::JobSpec,
-    job: JobId,
-    arrived: MonoTime,
-    deadline: MonoTime,
-    attempt: u64,
-    /// Where the attempt under way is.
-    holder: Option<InstanceId>,
-    /// Holders that an earlier attempt went to.
-    tried: Vec<InstanceId>,
-    /// Whether an earlier attempt may have run.
-    may_have_run: bool,
-}
-
-/// How an attempt ended.
-#[derive(Clone, Debug)]
-pub(crate) struct AttemptEnd {
-    /// Whether it ran.
-    pub(crate) verdict: Verdict,
-    /// Whether it ran with success.
-    pub(crate) succeeded: bool,
-    /// Output of the task.
-    pub(crate) result: String,
-    /// Time that it ran, in milliseconds.
-    pub(crate) run_ms: u64,
-    /// Why it was refused or failed.
-    pub(crate) reason: String,
-    /// When coming back helps, in milliseconds; 0 where it does not.
-    pub(crate) retry_after_ms: u64,
-    /// Whether no worker could ever hold it.
-    pub(crate) never_fits: bool,
-    /// What went wrong, for the retry rules.
-    pub(crate) failure: retry::Failure,
-    /// How far it had come, for the retry rules.
-    pub(crate) phase: retry::Phase,
-}
-
-/// All quick requests that wait for their answers.
-#[derive(Debug, Default)]
-pub(crate) struct QuickRequests {
-    requests: BTreeMap<RequestId, Quick>,
-    by_reply: BTreeMap<ReplyId, RequestId>,
-    deadlines: BTreeSet<(MonoTime, RequestId)>,
-    last: RequestId,
-}
-
-impl QuickRequests {
-    fn insert(&mut self, quick: Quick) -> RequestId {
-        self.last = self.last.next();
-        self.by_reply.insert(quick.reply, self.last);
-        self.deadlines.insert((quick.deadline, self.last));
-        self.requests.insert(self.last, quick);
-        self.last
-    }
-
-    fn remove(&mut self, id: RequestId) -> Option<Quick> {
-        let quick = self.requests.remove(&id)?;
-        self.by_reply.remove(&quick.reply);
-        self.deadlines.remove(&(quick.deadline, id));
-        Some(quick)
-    }
-
-    fn next_past(&self, now: MonoTime) -> Option<RequestId> {
-        self.deadlines.first().filter(|(deadline, _)| deadline.reached(now)).map(|(_, id)| *id)
-    }
-
-    /// When the next deadline passes.
-    pub(crate) fn next_deadline(&self) -> Option<MonoTime> {
-        self.deadlines.first().map(|(deadline, _)| *deadline)
-    }
-
-    /// Whether none waits.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.requests.is_empty()
-    }
-}
-
 impl Control {
     /// Takes an idempotent quick request from a caller.
     pub(crate) fn quick(&mut self, reply: ReplyId, request: QuickRequest, now: MonoTime) {
@@ -345,83 +263,3 @@
         false
     }
 }
-
-/// What routing knows of a holder.
-fn route_digest(
-    holder: InstanceId,
-    same_data_centre: bool,
-    digest: &v1::Digest,
-    age: Duration,
-) -> route::HolderDigest {
-    let amount =
-        |amount: &Option<v1::Amount>| amount.as_ref().map(convert::resources).unwrap_or_default();
-    route::HolderDigest {
-        holder,
-        same_data_centre,
-        free: amount(&digest.free),
-        largest: amount(&digest.largest),
-        queued: digest.queued_urgent,
-        wait: Duration::from_millis(digest.wait_ms),
-        age,
-    }
-}
-
-/// Checks the answer of a holder: it must be whole and belong to this attempt.
-fn forward_answer(task: &TaskId, answer: v1::ForwardAnswer) -> AttemptEnd {
-    let own = answer.task.as_ref().and_then(convert::task_id) == Some(*task);
-    let whole = answer.result.len() as u64 == answer.result_bytes;
-    if !own || !whole {
-        return unanswered(
-            Verdict::MayHaveRun,
-            retry::Failure::BadAnswer,
-            "answer is cut or not the own one",
-        );
-    }
-    let verdict = convert::verdict_from_schema(answer.verdict());
-    AttemptEnd {
-        verdict,
-        succeeded: answer.outcome() == v1::TaskOutcome::Succeeded,
-        run_ms: 0,
-        never_fits: answer.never_fits,
-        failure: failure_of_verdict(verdict),
-        phase: retry::Phase::Sent,
-        result: answer.result,
-        reason: answer.reason,
-        retry_after_ms: answer.retry_after_ms,
-    }
-}
-
-/// The end of an attempt that has no answer.
-pub(crate) fn unanswered(verdict: Verdict, failure: retry::Failure, reason: &str) -> AttemptEnd {
-    let phase = if verdict == Verdict::NotRun { retry::Phase::Queued } else { retry::Phase::Sent };
-    AttemptEnd {
-        verdict,
-        succeeded: false,
-        result: String::new(),
-        run_ms: 0,
-        reason: reason.to_owned(),
-        retry_after_ms: 0,
-        never_fits: false,
-        failure,
-        phase,
-    }
-}
-
-/// The failure that the retry rules know, for the failure of a call.
-pub(crate) fn failure_of(kind: FailureKind) -> retry::Failure {
-    match kind {
-        FailureKind::Connect => retry::Failure::ConnectFailed,
-        FailureKind::PermitLapsed | FailureKind::Refused => retry::Failure::Refused,
-        FailureKind::Timeout => retry::Failure::TimedOut,
-        FailureKind::Broken => retry::Failure::ConnectionLost,
-    }
-}
-
-/// The failure that the retry rules know, for an answer with `verdict`.
-pub(crate) fn failure_of_verdict(verdict: Verdict) -> retry::Failure {
-    match verdict {
-        Verdict::NotRun => retry::Failure::Refused,
-        Verdict::MayHaveRun => retry::Failure::ConnectionLost,
-        Verdict::Ran => retry::Failure::TaskFailed,
-    }
-}
--- a/lilacpass-control/src/serve.rs
+++ b/lilacpass-control/src/serve.rs
@@ -14,7 +14,7 @@
     calls::{PeerOrigin, Pending},
     convert, counters,
     event::{CallFailure, Effect, PeerReply, WorkerCall, WorkerReply},
-    quick::{self, AttemptEnd},
+    quick_requests::{self, AttemptEnd},
 };
 
 /// Who waits for the answer of an attempt.
@@ -92,7 +92,7 @@
         };
         if self.served.contains_key(&task) {
             // The first copy waits or runs here, so this one proves nothing.
-            let end = quick::unanswered(
+            let end = quick_requests::unanswered(
                 Verdict::MayHaveRun,
                 retry::Failure::BadAnswer,
                 "the attempt is known already",
@@ -153,7 +153,7 @@
     fn withdraw_start(&mut self, task: TaskId, reason: &str, now: MonoTime) {
         self.scheduler.ended(&task, Outcome::NotStarted, Duration::ZERO, now);
         let Some(served) = self.served.remove(&task) else { return };
-        let end = quick::unanswered(Verdict::NotRun, retry::Failure::Refused, reason);
+        let end = quick_requests::unanswered(Verdict::NotRun, retry::Failure::Refused, reason);
         self.answer_attempt(served.origin, task, end, now);
     }
 
@@ -176,15 +176,21 @@
                 let run_outcome = Outcome::NotStarted;
                 self.scheduler.ended(&task, run_outcome, Duration::ZERO, now);
                 let Some(served) = self.served.remove(&task) else { return };
-                let end = quick::unanswered(
+                let end = quick_requests::unanswered(
                     Verdict::NotRun,
-                    quick::failure_of(failure.kind),
+                    quick_requests::failure_of(failure.kind),
                     &failure.detail,
                 );
                 self.answer_attempt(served.origin, task, end, now);
             }
             Err(failure) => {
-                self.run_unanswered(task, worker, sent_at, quick::failure_of(failure.kind), now);
+                self.run_unanswered(
+                    task,
+                    worker,
+                    sent_at,
+                    quick_requests::failure_of(failure.kind),
+                    now,
+                );
             }
         }
     }
@@ -196,7 +202,8 @@
             self.scheduler.ended(&task, Outcome::Failed, Duration::ZERO, now);
             let Some(served) = self.served.remove(&task) else { return };
             let reason = "the worker's answer is cut or not the own one";
-            let end = quick::unanswered(Verdict::MayHaveRun, retry::Failure::BadAnswer, reason);
+            let end =
+                quick_requests::unanswered(Verdict::MayHaveRun, retry::Failure::BadAnswer, reason);
             self.answer_attempt(served.origin, task, end, now);
             return;
         }
@@ -217,7 +224,7 @@
             result: answer.result,
             retry_after_ms: 0,
             never_fits: false,
-            failure: quick::failure_of_verdict(verdict),
+            failure: quick_requests::failure_of_verdict(verdict),
             phase: retry::Phase::Sent,
         };
         self.answer_attempt(served.origin, task, end, now);
@@ -238,7 +245,8 @@
         served.unsettled_until = Some(now.max(sent_at) + self.settings.hold.start_flight);
         counters::bump(&self.counters.starts_unsettled);
         self.want_report(worker, now);
-        let end = quick::unanswered(Verdict::MayHaveRun, failure, "the worker did not answer");
+        let end =
+            quick_requests::unanswered(Verdict::MayHaveRun, failure, "the worker did not answer");
         self.answer_attempt(origin, task, end, now);
     }
 
@@ -342,7 +350,11 @@
             if self.cancel_served(&task, now)
                 && let Some(waiting) = waiting
             {
-                let end = quick::unanswered(Verdict::NotRun, retry::Failure::Refused, "cancelled");
+                let end = quick_requests::unanswered(
+                    Verdict::NotRun,
+                    retry::Failure::Refused,
+                    "cancelled",
+                );
                 self.answer_attempt(waiting, task, end, now);
             }
         }
@@ -354,6 +366,6 @@
     AttemptEnd {
         retry_after_ms: retry_after.map_or(0, convert::millis),
         never_fits: *reason == RefusalReason::NeverFits,
-        ..quick::unanswered(Verdict::NotRun, retry::Failure::Refused, &reason.to_string())
+        ..quick_requests::unanswered(Verdict::NotRun, retry::Failure::Refused, &reason.to_string())
     }
 }
--- a/lilacpass-control/src/settings.rs
+++ b/lilacpass-control/src/settings.rs
@@ -27,8 +27,6 @@
     pub heartbeat: Duration,
     /// Time without an answer after which a peer counts as silent.
     pub silent: Duration,
-    /// Deadline of one call to the platform.
-    pub platform_timeout: Duration,
     /// How long records are gathered before they are appended together.
     pub batch: Duration,
     /// Records after which a stream is written again as a snapshot.
@@ -77,7 +75,6 @@
             },
             heartbeat: settings.peers.heartbeat,
             silent: settings.peers.silent,
-            platform_timeout: settings.platform.call_timeout,
             batch: settings.platform.batch,
             snapshot_records: settings.platform.snapshot_records,
             max_queued: settings.traffic.max_queued,
--- a/lilacpass-control/src/submit.rs
+++ b/lilacpass-control/src/submit.rs
@@ -15,8 +15,6 @@
     waiters::{WaitFor, Waiter},
 };
 
-/// When a caller should come back while the log can't be reached.
-const LOG_DOWN_RETRY: Duration = Duration::from_secs(5);
 /// Longest that a caller waits for its job to be in the log.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -58,15 +56,7 @@
         if !self.log_reachable(now) || !self.streams.is_complete(Stream::Jobs) {
             let detail =
                 "the log service can't be reached, so nothing can be accepted that must be kept";
-            self.refuse(
-                reply,
-                problem::retry_later(
-                    &problem::UNAVAILABLE,
-                    Verdict::NotRun,
-                    detail,
-                    LOG_DOWN_RETRY,
-                ),
-            );
+            self.refuse(reply, problem::log_down(Verdict::NotRun, detail));
             return;
         }
         let accepted = v1::JobAccepted {
@@ -110,15 +100,7 @@
         }
         if !self.log_reachable(now) {
             let detail = "the log service can't be reached";
-            self.refuse(
-                reply,
-                problem::retry_later(
-                    &problem::UNAVAILABLE,
-                    Verdict::NotRun,
-                    detail,
-                    LOG_DOWN_RETRY,
-                ),
-            );
+            self.refuse(reply, problem::log_down(Verdict::NotRun, detail));
             return;
         }
         self.append_cancel(id, &caller.name, now);
@@ -135,12 +117,7 @@
 
 pub(crate) fn log_down_answer() -> Answer {
     let detail = "the log service did not take the job";
-    Answer::Problem(problem::retry_later(
-        &problem::UNAVAILABLE,
-        Verdict::NotRun,
-        detail,
-        LOG_DOWN_RETRY,
-    ))
+    Answer::Problem(problem::log_down(Verdict::NotRun, detail))
 }
 
 pub(crate) fn is_acceptance(record: &v1::Record) -> bool {
--- a/lilacpass-control/tests/fakes/cell.rs
+++ b/lilacpass-control/tests/fakes/cell.rs
@@ -146,7 +146,6 @@
         hold: HoldOptions::default(),
         heartbeat: Duration::from_millis(500),
         silent: Duration::from_millis(1_500),
-        platform_timeout: Duration::from_millis(500),
         batch: Duration::from_millis(2),
         snapshot_records: 200,
         max_queued: 1_000,
--- a/lilacpass-core/src/ids.rs
+++ b/lilacpass-core/src/ids.rs
@@ -121,7 +121,8 @@
     Offset
 }
 number_id! {
-    /// The revision of the configuration: the offset of the last change that was accepted.
+    /// The revision of the configuration: the offset behind the last change that was accepted, and 0
+    /// where there is none.
     Revision
 }
 number_id! {
@@ -172,7 +173,8 @@
 
 /// One task of one attempt of a job; printed as `job.attempt.index`.
 ///
-/// A quick request that is not recorded in the log has a random job id and attempt 1.
+/// A quick request that is not recorded in the log has a random job id, and a new attempt for each
+/// retry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct TaskId {
     /// The job.
