--- a/lilacpass-control/src/streams.rs
+++ b/lilacpass-control/src/streams.rs
@@ -41,7 +41,10 @@
         let position = |stream| {
             let options =
                 ScheduleOptions { every_records: snapshot_records, ..ScheduleOptions::default() };
-            let follower = Follower::new(FollowerOptions::default());
+            let follower = Follower::new(FollowerOptions {
+                needs_history: stream != Stream::Audit,
+                ..FollowerOptions::default()
+            });
             (stream, Position { follower, schedule: Schedule::new(options, now), tail_at: None })
         };
         let positions = Stream::ALL.into_iter().map(position).collect();
--- a/lilacpass-control/tests/snapshots.rs
+++ b/lilacpass-control/tests/snapshots.rs
@@ -5,7 +5,7 @@
 use std::{sync::atomic::Ordering, time::Duration};
 
 use fakes::{Cell, cell::Fault, inventory};
-use lilacpass_control::event::{Answer, Stream};
+use lilacpass_control::event::{Answer, Request, Stream};
 use lilacpass_core::ids::JobId;
 use lilacpass_schema::v1::{self, record::Body};
 
@@ -155,3 +155,24 @@
     }
     assert_eq!(cell.runs_of("10 old").len(), 1);
 }
+
+/// An operator asks a new instance for the audit trail and sees nothing, although entries are there.
+/// The log has dropped the oldest ones; the instance waits for a snapshot that nobody writes.
+#[test]
+fn a_new_instance_shows_the_audit_entries_that_are_left() {
+    let mut cell = one_data_centre();
+    for n in 0..6 {
+        let refused = Request::Refused { action: format!("try-{n}"), detail: String::new() };
+        cell.ask(0, refused);
+        cell.run_for(SECOND);
+    }
+    cell.log.dropped.insert(Stream::Audit, 4);
+    cell.fault(2, Fault::Killed);
+    let new = cell.replace(2, "a-new", 2);
+    cell.run_for(3 * SECOND);
+    let reply = cell.ask(new, Request::Audit);
+    let Answer::Audit(list) = &cell.answers[&reply].0 else { panic!("no audit trail") };
+    let shown: Vec<&str> = list.entries.iter().map(|entry| entry.action.as_str()).collect();
+    assert_eq!(shown.last(), Some(&"try-5"), "{shown:?}");
+    assert!(!shown.contains(&"try-0"), "{shown:?}");
+}
--- a/lilacpass-daemon/src/metrics.rs
+++ b/lilacpass-daemon/src/metrics.rs
@@ -25,7 +25,8 @@
 ];
 
 /// Figures of the state machine that go up and down; all others only grow.
-const GAUGES: [&str; 13] = [
+const GAUGES: [&str; 14] = [
+    "watchers_silent",
     "streams_stranded",
     "shards_held",
     "workers_serving",
--- a/lilacpass-records/src/positions.rs
+++ b/lilacpass-records/src/positions.rs
@@ -18,11 +18,14 @@
     /// Most records that are held back while a snapshot is searched for; default 200,000. A
     /// snapshot that covers less than the records held back can't be used.
     pub max_held_back: usize,
+    /// Whether a record means something only with all before it; default true. Where it does not,
+    /// as in the audit trail, the member goes on behind records that are gone.
+    pub needs_history: bool,
 }
 
 impl Default for FollowerOptions {
     fn default() -> Self {
-        Self { max_held_back: 200_000 }
+        Self { max_held_back: 200_000, needs_history: true }
     }
 }
 
@@ -151,6 +154,9 @@
         let from = outcome.lost.map_or(self.next, |lost| lost.from);
         outcome.lost = Some(Lost { from, to });
         self.next = to;
+        if !self.options.needs_history {
+            return;
+        }
         self.mode = Mode::Searching(Search { start: to, ..Search::default() });
     }
 
