Tell a peer that is cut from the log of a change at once

Cause: with one member cut from the log a change was in force everywhere at p99 1.656 s (aim 1 s): it came with the next heartbeat. Change: a change sends a heartbeat at once to peers that last said that they can't read the log.

--- a/lilacpass-control/src/change.rs
+++ b/lilacpass-control/src/change.rs
@@ -244,6 +244,10 @@
         let configuration = Arc::clone(self.config.configuration());
         let revision = self.config.revision();
         self.behind_since = None;
+        // A peer that is cut from the log learns of the change from the next heartbeat: now.
+        for (_, peer) in self.members.iter_mut().filter(|(_, peer)| !peer.log_reachable) {
+            peer.heartbeat_at = now;
+        }
         log::info!(revision:% = revision; "configuration in force");
         counters::set(&self.counters.revision, revision.0);
         self.inventory = Inventory::index(&configuration);
--- a/lilacpass-control/src/members.rs
+++ b/lilacpass-control/src/members.rs
@@ -29,6 +29,8 @@
     pub(crate) revision: Revision,
     /// Whether it is about to stop.
     pub(crate) leaving: bool,
+    /// Whether it reads the log, as it last told.
+    pub(crate) log_reachable: bool,
     /// Whether it has failed to answer a heartbeat since it was last heard.
     pub(crate) suspect: bool,
     /// What it can take, as it last told.
@@ -79,6 +81,7 @@
         peer.heard_at = Some(now);
         peer.revision = Revision(beat.revision);
         peer.leaving = beat.leaving;
+        peer.log_reachable = beat.log_reachable;
         peer.suspect = false;
         peer.digest = beat.digest;
         peer.digest_at = now;
@@ -126,6 +129,7 @@
             heartbeat_under_way: false,
             revision: Revision(0),
             leaving: false,
+            log_reachable: true,
             suspect: false,
             digest: None,
             digest_at: now,
--- a/lilacpass-records/tests/common/stream.rs
+++ b/lilacpass-records/tests/common/stream.rs
@@ -64,7 +64,8 @@
     }
 
     pub fn holding_back(max_held_back: usize) -> Self {
-        let follower = Follower::new(FollowerOptions { max_held_back });
+        let follower =
+            Follower::new(FollowerOptions { max_held_back, ..FollowerOptions::default() });
         Self { follower, jobs: Jobs::new(JobsOptions::default()) }
     }
 
