--- a/lilacpass-control/src/convert.rs
+++ b/lilacpass-control/src/convert.rs
@@ -150,6 +150,7 @@
             seconds => Duration::from_secs(seconds),
         },
         preempt_non_idempotent: rules.preempt_non_idempotent,
+        throttle: false,
         quarantine_cap_permille: match rules.quarantine_cap_permille {
             0 => default.quarantine_cap_permille,
             permille => permille,
--- a/lilacpass-decide/src/pool/preempt.rs
+++ b/lilacpass-decide/src/pool/preempt.rs
@@ -170,7 +170,7 @@
     let ran = now.since(given.since);
     let cores = |d: Duration| d.mul_f64(given.need.cpu.0.max(1) as f64 / 1_000.0);
     let only_cpu = Resources::new(missing.cpu.0, 0, 0, 0) == *missing;
-    let (how, lost) = if only_cpu && given.need.cpu.0 / 2 >= missing.cpu.0 {
+    let (how, lost) = if rules.throttle && only_cpu && given.need.cpu.0 / 2 >= missing.cpu.0 {
         (How::Throttle, Duration::ZERO)
     } else if given.meta.checkpointable {
         (How::Checkpoint, cores(CHECKPOINT_COST))
--- a/lilacpass-decide/src/rules.rs
+++ b/lilacpass-decide/src/rules.rs
@@ -35,6 +35,10 @@
     pub batch_aging: Duration,
     /// Whether a non-idempotent task that can't be checkpointed may be preempted.
     pub preempt_non_idempotent: bool,
+    /// Whether a task may be throttled to free a part of its processors; default no. What a worker
+    /// was told to give to a task stays what it reports, so that the next holder would count the
+    /// whole, and the sum given would be above what the worker has.
+    pub throttle: bool,
     /// The most workers in quarantine at once, in thousandths of the workers of a pool; one worker
     /// of two or more may always be in quarantine unless this is 0.
     pub quarantine_cap_permille: u32,
@@ -49,6 +53,7 @@
             urgent_reserve_permille: None,
             batch_aging: Duration::from_secs(600),
             preempt_non_idempotent: false,
+            throttle: false,
             quarantine_cap_permille: 250,
         }
     }
@@ -59,11 +64,13 @@
 pub struct Rules {
     /// Whether a non-idempotent task that can't be checkpointed may be stopped.
     pub preempt_non_idempotent: bool,
+    /// Whether a task may be throttled to free a part of its processors.
+    pub throttle: bool,
 }
 
 impl Policy {
     /// The part of the rules that a preemption needs.
     pub fn preemption(&self) -> Rules {
-        Rules { preempt_non_idempotent: self.preempt_non_idempotent }
+        Rules { preempt_non_idempotent: self.preempt_non_idempotent, throttle: self.throttle }
     }
 }
--- a/lilacpass-decide/tests/stories.rs
+++ b/lilacpass-decide/tests/stories.rs
@@ -390,7 +390,7 @@
     assert_eq!(chosen(1_000), [(task(7), How::Stop)], "the least work is lost");
     assert_eq!(chosen(1_000), [(task(6), How::Stop)], "none is chosen twice");
     assert_eq!(chosen(1_000), [], "audits stay");
-    let rules = Rules { preempt_non_idempotent: true };
+    let rules = Rules { preempt_non_idempotent: true, ..Rules::default() };
     assert_eq!(pool.preempt_for(&one_slot(), &urgent, &rules, at(1_000)).len(), 1);
 }
 
@@ -409,14 +409,28 @@
     assert_eq!((chosen[0].task, chosen[0].how), (task(3), How::Checkpoint));
 }
 
+/// A worker is given more than it has after its holder died: a throttled task counted as half, and
+/// the next holder reads the whole of it from the worker's report. Without leave nobody is throttled.
+#[test]
+fn nothing_is_throttled_to_make_room_unless_the_rules_say_so() {
+    let mut pool = common::pool(1);
+    let wide = Resources::new(60_000, 1_024, 0, 1);
+    let able = TaskMeta { checkpointable: true, ..meta(Class::Batch) };
+    assert!(pool.try_give(task(0), &worker_id(0), wide, able, at(0)));
+    let need = Resources::new(8_000, 1_024, 0, 1);
+    let chosen = pool.preempt_for(&need, &meta(Class::Urgent), &Rules::default(), at(10));
+    assert_eq!(chosen[0].how, How::Checkpoint);
+}
+
 /// Only processors are short: a batch task goes on with half of them, and nothing is stopped.
 #[test]
 fn a_throttle_goes_before_a_checkpoint() {
+    let rules = Rules { throttle: true, ..Rules::default() };
     let mut pool = common::pool(1);
     let wide = Resources::new(60_000, 1_024, 0, 1);
     assert!(pool.try_give(task(0), &worker_id(0), wide, meta(Class::Batch), at(0)));
     let need = Resources::new(8_000, 1_024, 0, 1);
-    let chosen = pool.preempt_for(&need, &meta(Class::Urgent), &Rules::default(), at(10));
+    let chosen = pool.preempt_for(&need, &meta(Class::Urgent), &rules, at(10));
     assert_eq!((chosen[0].how, chosen[0].keeps.cpu.0), (How::Throttle, 30_000));
     assert!(pool.resize(&task(0), chosen[0].keeps, at(20)));
     assert!(pool.place(&need, &meta(Class::Urgent), &[], at(20)).is_ok());
