Fill the cell of a fault run, so that giving twice shows

Cause: with 48 workers and small tasks a fault run used about 12 of 384 slots; capacity could hardly be exceeded even by a daemon that gives everything twice. Change: 18 workers in racks of 3, tasks of which four fill a worker, quick requests of up to 0.8 s, so that about half of the cell is in use without any fault. At most five lost jobs are printed. Ruled out: more load on the large cell, which would measure the machine instead.

--- a/lilacpass-harness/src/deployment.rs
+++ b/lilacpass-harness/src/deployment.rs
@@ -2,8 +2,6 @@
 
 use lilacpass_schema::v1;
 
-/// Racks hold this many workers.
-const RACK_WORKERS: usize = 8;
 const SLOTS: u64 = 8;
 const CONNECTIONS: u64 = 64;
 /// One worker in this many has accelerators.
@@ -21,6 +19,10 @@
     pub data_centres: [&'static str; 3],
     /// Number of workers.
     pub workers: usize,
+    /// Workers of a rack.
+    pub rack_workers: usize,
+    /// Size that its tasks declare.
+    pub task_size: v1::Amount,
     /// Processors of a worker, in thousandths of a core.
     pub cpu_milli: u64,
     /// Memory of a worker, in mebibytes.
@@ -49,6 +51,8 @@
     region: "nl-midden",
     data_centres: ["hal-a", "hal-b", "hal-c"],
     workers: 48,
+    rack_workers: 8,
+    task_size: TASK_SIZE,
     cpu_milli: 64_000,
     memory_mib: 262_144,
     service: "auditdienst",
@@ -67,6 +71,8 @@
     region: "wa-perth",
     data_centres: ["perth-north", "perth-east", "perth-south"],
     workers: 48,
+    rack_workers: 8,
+    task_size: TASK_SIZE,
     cpu_milli: 32_000,
     memory_mib: 131_072,
     service: "match-svc",
@@ -102,7 +108,7 @@
         };
         let service = v1::ServiceSpec {
             name: self.service.to_owned(),
-            default_each: Some(TASK_SIZE),
+            default_each: Some(self.task_size),
             default_deadline_ms: 2000,
             non_idempotent_kinds: vec![self.long_kind.to_owned(), self.alert_kind.to_owned()],
         };
@@ -154,21 +160,21 @@
             kind: kind.to_owned(),
             class: class.to_owned(),
             tasks: 1,
-            each: Some(TASK_SIZE),
+            each: Some(self.task_size),
             payload: payload.to_owned(),
             ..Default::default()
         }
     }
 
     fn worker_spec(&self, index: usize) -> v1::WorkerSpec {
-        let rack = index / RACK_WORKERS;
+        let rack = index / self.rack_workers;
         let data_centre = self.data_centre(rack);
         let accelerators = match index % ACCELERATOR_EVERY {
             0 => ACCELERATORS,
             _ => 0,
         };
         v1::WorkerSpec {
-            name: format!("{data_centre}-r{}-w{}", rack + 1, index % RACK_WORKERS + 1),
+            name: format!("{data_centre}-r{}-w{}", rack + 1, index % self.rack_workers + 1),
             data_centre: data_centre.to_owned(),
             rack: format!("{data_centre}-r{}", rack + 1),
             address: String::new(),
--- a/lilacpass-harness/src/fault_run.rs
+++ b/lilacpass-harness/src/fault_run.rs
@@ -31,6 +31,8 @@
 /// Jobs must have ended this long after the last was submitted.
 const SETTLE: Duration = Duration::from_secs(18);
 const MOST_AT_ONCE: usize = 2;
+/// Lost jobs that are printed.
+const MAX_SHOWN: usize = 5;
 const QUICK_PER_SECOND: u32 = 50;
 const ALERT_EVERY: u32 = 5;
 const JOB_INTERVAL: Duration = Duration::from_millis(250);
@@ -39,6 +41,16 @@
 const WATCHERS: u32 = 4;
 /// Time from one fault to the next, in milliseconds.
 const FAULT_PAUSE_MS: Range<u64> = 200..1200;
+/// Longest run time of a quick request, so long that many run at once.
+const QUICK_RUN: Duration = Duration::from_millis(800);
+/// Few workers and large tasks: four fill a worker, so that what is given is always near to what
+/// there is, and giving anything twice shows.
+const SMALL_CELL: Deployment = Deployment {
+    workers: 18,
+    rack_workers: 3,
+    task_size: v1::Amount { cpu_milli: 16_000, memory_mib: 65_536, accelerators: 0, slots: 2 },
+    ..VINDBAAR
+};
 const TICK: Duration = Duration::from_millis(50);
 
 /// What a fault run found.
@@ -78,17 +90,14 @@
             "work: quick={answered}/{asked} jobs {jobs} lost={} faults={faults}",
             lost.len()
         )?;
-        match lost.is_empty() {
-            true => Ok(()),
-            false => write!(f, "\nlost: {}", lost.join("\nlost: ")),
-        }
+        lost.iter().take(MAX_SHOWN).try_for_each(|job| write!(f, "\nlost: {job}"))
     }
 }
 
 /// Runs with the faults of `seed`, about `limit` long in all. Where `only` names kinds of faults,
 /// there are no others.
 pub async fn run(seed: u64, limit: Duration, only: &[Kind]) -> Result<Outcome> {
-    let deployment = VINDBAAR;
+    let deployment = SMALL_CELL;
     let options = CellOptions { cuttable: true, seed, ..CellOptions::new(deployment) };
     let cell = Cell::start(options).await?;
     let ledger = Ledger::default();
@@ -104,8 +113,13 @@
     let mut injector = Injector::new(cell, operator.clone());
     let watching = operator.watch_revisions();
     let duration = limit.saturating_sub(OVERHEAD).max(MIN_LOAD);
-    let quick =
-        QuickLoad { deployment, per_second: QUICK_PER_SECOND, alert_every: ALERT_EVERY, duration };
+    let quick = QuickLoad {
+        deployment,
+        per_second: QUICK_PER_SECOND,
+        alert_every: ALERT_EVERY,
+        duration,
+        longest_run: QUICK_RUN,
+    };
     let (quick, (), (), faults) = tokio::join!(
         quick.run(caller.clone()),
         job_load(deployment, seed, duration).run(caller.clone()),
--- a/lilacpass-harness/src/load.rs
+++ b/lilacpass-harness/src/load.rs
@@ -15,6 +15,8 @@
     ledger::{JobKind, RequestEnd},
 };
 
+/// Longest run time of quick requests where nothing else is wanted.
+pub const QUICK_RUN: Duration = Duration::from_millis(50);
 /// Deadline of a quick request.
 pub const QUICK_DEADLINE: Duration = Duration::from_secs(5);
 
@@ -29,6 +31,8 @@
     pub alert_every: u32,
     /// For how long requests are sent.
     pub duration: Duration,
+    /// Longest run time; requests run a fifth of it, two fifths and so on in turn.
+    pub longest_run: Duration,
 }
 
 /// How quick requests ended for their callers.
@@ -50,7 +54,7 @@
         for number in 0..count {
             ticks.tick().await;
             let is_alert = self.alert_every > 0 && number % self.alert_every == 0;
-            requests.spawn(send_quick(self.deployment, caller.clone(), number, is_alert));
+            requests.spawn(send_quick(self, caller.clone(), number, is_alert));
         }
         let ends = requests.join_all().await;
         let answered = ends.iter().filter(|whole| **whole).count();
@@ -59,9 +63,10 @@
 }
 
 /// Sends one quick request; whether it got its own whole result.
-async fn send_quick(deployment: Deployment, caller: Caller, number: u32, is_alert: bool) -> bool {
+async fn send_quick(load: QuickLoad, caller: Caller, number: u32, is_alert: bool) -> bool {
+    let deployment = load.deployment;
     let kind = if is_alert { "alert" } else { "quick" };
-    let run = Duration::from_millis(10 + u64::from(number % 5) * 10);
+    let run = load.longest_run * (number % 5 + 1) / 5;
     let payload = Payload { id: format!("{kind}-{number}"), run: Some(run), ..Payload::default() };
     let spec = match is_alert {
         true => deployment.alert(&payload.to_string()),
--- a/lilacpass-harness/src/measure/footprint.rs
+++ b/lilacpass-harness/src/measure/footprint.rs
@@ -12,7 +12,7 @@
     deployment::VINDBAAR,
     error::Result,
     ledger::Ledger,
-    load::QuickLoad,
+    load::{QUICK_RUN, QuickLoad},
     process::Usage,
 };
 
@@ -53,6 +53,7 @@
             per_second: QUICK_PER_SECOND,
             alert_every: 0,
             duration: OBSERVED,
+            longest_run: QUICK_RUN,
         };
         let before = read(&mut cell).await?;
         load.run(caller).await;
--- a/lilacpass-harness/src/sample_run.rs
+++ b/lilacpass-harness/src/sample_run.rs
@@ -14,7 +14,7 @@
     error::Result,
     judge::Evidence,
     ledger::{self, JobKind, Leaving, Ledger},
-    load::QuickLoad,
+    load::{QUICK_RUN, QuickLoad},
     operator::{self, Operator},
     spans::Spans,
 };
@@ -67,6 +67,7 @@
         per_second: QUICK_PER_SECOND,
         alert_every: ALERT_EVERY,
         duration: QUICK_TIME,
+        longest_run: QUICK_RUN,
     };
     let (quick, (), cancelled, operated) = tokio::join!(
         quick.run(caller.clone()),
