Let a late answer of a holder end only the preparation that it belongs to

Cause: the answer to a start took the job's preparation away whatever attempt it was for; an answer that came late could remove the next attempt's, which then was written and never started, until its room expired. Found by reading. Ruled out: a story (the attempt can only be over once that same holder has recorded an end, so it takes a lost and delayed answer besides; argued only). Change: the pending call names the attempt, and only its own starting preparation is removed. A log line that served nobody is gone; modules are imported by name.

--- a/lilacpass-control/src/calls.rs
+++ b/lilacpass-control/src/calls.rs
@@ -26,7 +26,7 @@
     /// Asks a holder for room for tasks of a job.
     Hold { job: JobId, attempt: AttemptNo, round: u64, holder: InstanceId },
     /// Starts held tasks of a job.
-    StartHeld { job: JobId },
+    StartHeld { job: JobId, attempt: AttemptNo },
     /// Its end changes nothing here.
     Ignored,
     /// Runs a quick request on a worker.
--- a/lilacpass-control/src/control.rs
+++ b/lilacpass-control/src/control.rs
@@ -8,7 +8,7 @@
 
 use lilacpass_config::fold::ConfigFold;
 use lilacpass_core::{
-    MonoTime,
+    Class, MonoTime,
     ids::{JobId, RequestId, ShardId, TaskId},
 };
 use lilacpass_decide::{JobQueue, Scheduler, SchedulerOptions, budget::RetryBudget};
@@ -303,7 +303,7 @@
             Some(Pending::Hold { job, attempt, round, holder }) => {
                 self.hold_done(job, (attempt, round), &holder, result, now);
             }
-            Some(Pending::StartHeld { job }) => self.start_held_done(job),
+            Some(Pending::StartHeld { job, attempt }) => self.start_held_done(job, attempt),
             _ => {}
         }
     }
@@ -405,7 +405,7 @@
 
     fn count_work(&mut self, now: MonoTime) {
         let counters = &self.counters;
-        let queued = self.scheduler.queued(lilacpass_core::Class::Urgent);
+        let queued = self.scheduler.queued(Class::Urgent);
         counters::set(&counters.queued_urgent, queued as u64);
         counters::set(&counters.jobs_waiting, self.jobs.waiting_len() as u64);
         counters::set(&counters.jobs_active, self.jobs.active_len() as u64);
--- a/lilacpass-control/src/drive.rs
+++ b/lilacpass-control/src/drive.rs
@@ -243,7 +243,7 @@
     }
 
     /// An attempt was read from the log and counts.
-    pub(crate) fn attempt_folded(&mut self, id: JobId, record_id: &str, now: MonoTime) {
+    pub(crate) fn attempt_folded(&mut self, id: JobId, record_id: &str) {
         self.queue.remove(&id);
         let own =
             self.preparing.get_mut(&id).filter(|preparing| preparing.is_written_as(record_id));
@@ -256,7 +256,6 @@
             tries.failed = 0;
         }
         self.start_attempt(id);
-        self.check_hold_age(id, now);
     }
 
     /// Tells the holders of an attempt to start its tasks.
@@ -264,13 +263,14 @@
         let Some(preparing) = self.preparing.get(&id) else { return };
         let checkpoints =
             self.jobs.get(&id).map(|job| job.checkpoints().to_vec()).unwrap_or_default();
+        let attempt = preparing.attempt;
         let calls: Vec<(InstanceId, v1::StartHeldRequest)> = preparing
             .holders()
             .into_iter()
             .map(|h| (h.clone(), preparing.start_request(id, &h, &checkpoints)))
             .collect();
         for (holder, request) in calls {
-            let pending = Pending::StartHeld { job: id };
+            let pending = Pending::StartHeld { job: id, attempt };
             self.call_peer(&holder, PeerCall::StartHeld(request), HOLDER_TIMEOUT, pending);
         }
     }
@@ -291,18 +291,16 @@
         self.unhold_all(id, &preparing);
     }
 
-    fn check_hold_age(&mut self, id: JobId, now: MonoTime) {
-        let late =
-            self.preparing.get(&id).is_some_and(|preparing| preparing.give_up_at.reached(now));
-        if late {
-            log::info!(job:% = id; "attempt was read back after its room was given back");
-        }
-    }
-
     /// A holder has answered whether it starts its tasks. A refusal is in the log as the end of the
     /// task; a call without an answer is settled by the holder's own report or by its successor.
-    pub(crate) fn start_held_done(&mut self, id: JobId) {
-        self.preparing.remove(&id);
+    pub(crate) fn start_held_done(&mut self, id: JobId, attempt: AttemptNo) {
+        // The answers of other holders come when the next attempt may be in preparation already.
+        let is_over = |preparing: &Preparing| {
+            preparing.attempt == attempt && matches!(preparing.phase, Phase::Starting)
+        };
+        if self.preparing.get(&id).is_some_and(is_over) {
+            self.preparing.remove(&id);
+        }
     }
 
     /// Gives up preparations that take too long, such as while the log is slow.
--- a/lilacpass-control/src/job_records.rs
+++ b/lilacpass-control/src/job_records.rs
@@ -2,7 +2,7 @@
 
 use lilacpass_core::{
     MonoTime,
-    ids::{JobId, Offset},
+    ids::{AttemptNo, JobId, Offset, TaskId},
 };
 use lilacpass_records::jobs::Folded;
 use lilacpass_schema::v1;
@@ -30,7 +30,7 @@
                 self.tell_waiters(id, now);
             }
             Folded::Attempted { job, .. } => {
-                self.attempt_folded(job, record_id, now);
+                self.attempt_folded(job, record_id);
                 self.tell_waiters(job, now);
             }
             Folded::VoidAttempt { job, .. } => {
@@ -59,8 +59,8 @@
     fn note_failed_worker(&mut self, record: &v1::JobRecord) {
         let Some(v1::job_record::Body::TaskEnded(ended)) = &record.body else { return };
         let Ok(job) = record.job_id.parse() else { return };
-        let attempt = lilacpass_core::ids::AttemptNo(ended.attempt);
-        let task = lilacpass_core::ids::TaskId { job, attempt, index: ended.index };
+        let attempt = AttemptNo(ended.attempt);
+        let task = TaskId { job, attempt, index: ended.index };
         let Some(placement) = history::placement(&self.jobs, &task) else { return };
         let worker = placement.worker.clone();
         if ended.outcome() != v1::TaskOutcome::Succeeded && !self.is_leaving() {
--- a/lilacpass-control/src/outbox.rs
+++ b/lilacpass-control/src/outbox.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use lilacpass_core::{MonoTime, Verdict};
+use lilacpass_core::{MonoTime, Verdict, ids::Offset};
 use lilacpass_schema::v1;
 use prost::Message;
 
@@ -190,7 +190,7 @@
     pub(crate) fn append_done(
         &mut self,
         stream: Stream,
-        result: Result<lilacpass_core::ids::Offset, CallFailure>,
+        result: Result<Offset, CallFailure>,
         now: MonoTime,
     ) {
         match result {
--- a/lilacpass-control/src/requests.rs
+++ b/lilacpass-control/src/requests.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lilacpass_core::{MonoTime, Verdict, ids::JobId};
+use lilacpass_core::{Class, MonoTime, Verdict, ids::JobId};
 use lilacpass_schema::v1;
 
 use crate::{
@@ -50,7 +50,7 @@
         if spec.class.is_empty() {
             spec.class = if spec.standing { "standing" } else { "batch" }.to_owned();
         }
-        if spec.class.parse::<lilacpass_core::Class>().is_err() {
+        if spec.class.parse::<Class>().is_err() {
             return Err(invalid(format!(
                 "class {:?} is none of urgent, standing, batch",
                 spec.class
--- a/lilacpass-control/src/start.rs
+++ b/lilacpass-control/src/start.rs
@@ -8,6 +8,7 @@
     MonoTime, Verdict,
     ids::{AttemptNo, Incarnation, JobId, TaskId, WorkerId},
 };
+use lilacpass_hold::Limit;
 use lilacpass_schema::v1;
 
 use crate::{
@@ -87,7 +88,7 @@
         task: TaskId,
         spec: &v1::JobSpec,
         worker: &WorkerId,
-        limit: lilacpass_hold::Limit,
+        limit: Limit,
         checkpoint: String,
         now: MonoTime,
     ) {
--- a/lilacpass-control/src/stop.rs
+++ b/lilacpass-control/src/stop.rs
@@ -5,7 +5,7 @@
     ids::{ShardId, WorkerId},
 };
 
-use crate::{Control, calls::Pending, event::Effect};
+use crate::{Control, calls::Pending, event::Effect, outbox::Outbox};
 
 /// How far a planned stop has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -82,7 +82,7 @@
     /// Whether everything is given back and written. Without the log the leases run out by
     /// themselves, so the process does not wait for it.
     fn has_left(&self, now: MonoTime) -> bool {
-        let written = self.outboxes.values().all(super::outbox::Outbox::is_empty);
+        let written = self.outboxes.values().all(Outbox::is_empty);
         if !self.settings.guards.stop_waits {
             return true;
         }
--- a/lilacpass-control/src/tasks.rs
+++ b/lilacpass-control/src/tasks.rs
@@ -13,6 +13,7 @@
     MonoTime,
     ids::{JobId, TaskId, WorkerId},
 };
+use lilacpass_decide::Outcome;
 use lilacpass_schema::v1;
 
 use crate::{Control, convert, counters, event::Stream, history};
@@ -139,12 +140,7 @@
         self.refused.remove(task);
         let Some(recorded) = self.recorded.remove(task) else { return };
         if recorded.state != State::Ended {
-            self.scheduler.pool.release(
-                task,
-                lilacpass_decide::Outcome::Stopped,
-                Duration::ZERO,
-                now,
-            );
+            self.scheduler.pool.release(task, Outcome::Stopped, Duration::ZERO, now);
         }
         self.forget_task(&recorded.worker, task);
     }
--- a/lilacpass-control/src/unwanted.rs
+++ b/lilacpass-control/src/unwanted.rs
@@ -7,7 +7,9 @@
 use lilacpass_decide::HoldId;
 use lilacpass_schema::v1;
 
-use crate::{Control, calls::PeerOrigin, event::PeerReply, history, tasks::State};
+use crate::{
+    Control, calls::PeerOrigin, event::PeerReply, history, tasks::State, workers::HeldWorker,
+};
 
 impl Control {
     /// Stops tasks of an attempt on request of its driver.
@@ -83,7 +85,7 @@
             return;
         };
         let draining = self.inventory.worker(&worker).is_some_and(|worker| worker.draining)
-            || self.held.get(&worker).is_some_and(super::workers::HeldWorker::is_leaving);
+            || self.held.get(&worker).is_some_and(HeldWorker::is_leaving);
         if !draining {
             return;
         }
