Ask once whether a worker takes no starts, and undo a start in one place

The same three conditions stood in the permission to start and in the refresh of limits; the end of a run that was not run repeated the withdrawal of a start; two filters spelled out that a peer stays; each end of a run looked through all calls to close a connection, also for a worker that is held and whose connection is not closed anyway. Change: takes_no_starts, Peer::stays, withdraw_start with the failure, and an early return before the look through the calls. Behaviour is as it was.

--- a/lilacpass-control/src/drive.rs
+++ b/lilacpass-control/src/drive.rs
@@ -40,7 +40,7 @@
         let own = rendezvous(job, &self.settings.me);
         self.members
             .iter()
-            .filter(|(_, peer)| peer.is_alive(silent, now) && !peer.leaving)
+            .filter(|(_, peer)| peer.stays(silent, now))
             .all(|(id, _)| rendezvous(job, id) < own)
     }
 
--- a/lilacpass-control/src/members.rs
+++ b/lilacpass-control/src/members.rs
@@ -138,9 +138,14 @@
 }
 
 impl Peer {
+    /// Whether it was heard lately and is not about to stop.
+    pub(crate) fn stays(&self, silent: Duration, now: MonoTime) -> bool {
+        self.is_alive(silent, now) && !self.leaving
+    }
+
     /// Whether work can be sent to it: heard lately, not about to stop, and no heartbeat unanswered.
     pub(crate) fn is_usable(&self, silent: Duration, now: MonoTime) -> bool {
-        self.is_alive(silent, now) && !self.leaving && !self.suspect
+        self.stays(silent, now) && !self.suspect
     }
 
     /// Whether it was heard within `silent`.
--- a/lilacpass-control/src/serve.rs
+++ b/lilacpass-control/src/serve.rs
@@ -125,7 +125,12 @@
     fn start_quick(&mut self, task: TaskId, worker: &WorkerId, waited: Duration, now: MonoTime) {
         let limit = self.start_limit(worker, now);
         let Some((limit, served)) = limit.zip(self.served.get_mut(&task)) else {
-            self.withdraw_start(task, "the permission to start work on the worker has lapsed", now);
+            self.withdraw_start(
+                task,
+                retry::Failure::Refused,
+                "the permission to start work on the worker has lapsed",
+                now,
+            );
             return;
         };
         served.worker = Some(worker.clone());
@@ -145,15 +150,26 @@
         counters::bump(&self.counters.starts);
         self.out.push(Effect::Waited { class, waited });
         if self.call_worker(worker, request, remaining, not_after, pending).is_none() {
-            self.withdraw_start(task, "the worker is not in the inventory", now);
+            self.withdraw_start(
+                task,
+                retry::Failure::Refused,
+                "the worker is not in the inventory",
+                now,
+            );
         }
     }
 
     /// Undoes a start that was decided and not sent.
-    fn withdraw_start(&mut self, task: TaskId, reason: &str, now: MonoTime) {
+    fn withdraw_start(
+        &mut self,
+        task: TaskId,
+        failure: retry::Failure,
+        reason: &str,
+        now: MonoTime,
+    ) {
         self.scheduler.ended(&task, Outcome::NotStarted, Duration::ZERO, now);
         let Some(served) = self.served.remove(&task) else { return };
-        let end = quick_requests::unanswered(Verdict::NotRun, retry::Failure::Refused, reason);
+        let end = quick_requests::unanswered(Verdict::NotRun, failure, reason);
         self.answer_attempt(served.origin, task, end, now);
     }
 
@@ -173,15 +189,8 @@
                 if failure.kind == crate::event::FailureKind::PermitLapsed {
                     counters::bump(&self.counters.permits_lapsed);
                 }
-                let run_outcome = Outcome::NotStarted;
-                self.scheduler.ended(&task, run_outcome, Duration::ZERO, now);
-                let Some(served) = self.served.remove(&task) else { return };
-                let end = quick_requests::unanswered(
-                    Verdict::NotRun,
-                    quick_requests::failure_of(failure.kind),
-                    &failure.detail,
-                );
-                self.answer_attempt(served.origin, task, end, now);
+                let kind = quick_requests::failure_of(failure.kind);
+                self.withdraw_start(task, kind, &failure.detail, now);
             }
             Err(failure) => {
                 self.run_unanswered(
--- a/lilacpass-control/src/snapshots.rs
+++ b/lilacpass-control/src/snapshots.rs
@@ -76,9 +76,7 @@
         let peers = self
             .members
             .iter()
-            .filter(|(_, peer)| {
-                peer.is_alive(silent, now) && !peer.leaving && reads(&peer.data_centre)
-            })
+            .filter(|(_, peer)| peer.stays(silent, now) && reads(&peer.data_centre))
             .map(|(id, _)| id.clone());
         std::iter::once(self.settings.me.clone()).chain(peers).collect()
     }
--- a/lilacpass-control/src/workers.rs
+++ b/lilacpass-control/src/workers.rs
@@ -157,11 +157,14 @@
 
     /// Drops the connection to a worker that is not held, once no call is under way there.
     pub(crate) fn close_idle_worker(&mut self, worker: &WorkerId) {
+        if self.held.contains_key(worker) {
+            return;
+        }
         let busy = self.calls.values().any(|pending| match pending {
             Pending::Run { worker: of, .. } | Pending::Start { worker: of, .. } => of == worker,
             _ => false,
         });
-        if !self.held.contains_key(worker) && !busy {
+        if !busy {
             self.out.push(Effect::CloseWorker { worker: worker.clone() });
         }
     }
@@ -170,10 +173,7 @@
     /// given already exceeds it.
     pub(crate) fn start_limit(&self, worker: &WorkerId, now: MonoTime) -> Option<Limit> {
         let held = self.held.get(worker)?;
-        if held.incarnation.is_none()
-            || self.takes_nothing(held)
-            || self.releasing.contains(&held.shard)
-        {
+        if self.takes_no_starts(held) {
             return None;
         }
         let limit = self.holding.limit(worker, now)?;
@@ -192,10 +192,7 @@
                 held.shared_until = now;
             }
             let Some(held) = self.held.get(&id) else { continue };
-            let blocked = held.incarnation.is_none()
-                || held.is_silent()
-                || self.takes_nothing(held)
-                || self.releasing.contains(&held.shard);
+            let blocked = held.is_silent() || self.takes_no_starts(held);
             silent += u64::from(held.is_silent());
             let limit = if blocked { None } else { self.holding.limit(&id, now) };
             serving += u64::from(limit.is_some());
@@ -206,6 +203,14 @@
         counters::set(&self.counters.workers_silent, silent);
     }
 
+    /// Whether nothing may be started on a held worker, whatever the permission: it has not told
+    /// what runs there, is leaving, or its shard is being given up.
+    fn takes_no_starts(&self, held: &HeldWorker) -> bool {
+        held.incarnation.is_none()
+            || self.takes_nothing(held)
+            || self.releasing.contains(&held.shard)
+    }
+
     /// Whether a worker that is leaving gets nothing new.
     fn takes_nothing(&self, held: &HeldWorker) -> bool {
         held.is_leaving() && self.settings.guards.leaving
