--- /dev/null
+++ b/lilacpass-jobs/src/end.rs
@@ -0,0 +1,74 @@
+//! How a run ended.
+
+use std::{fmt, str::FromStr};
+
+use crate::error::Error;
+
+/// How a run ended, as its worker tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum How {
+    /// It did its work.
+    Done,
+    /// It failed, by its own fault or the worker's. Counts as an attempt.
+    Failed,
+    /// It was told to stop.
+    Stopped,
+    /// Its lease ran out, or its worker is gone.
+    Lapsed,
+    /// Another member of its gang ended.
+    Broken,
+    /// It waited for the other members of its gang in vain.
+    Alone,
+    /// It was never started, and can't be any more.
+    Void,
+}
+
+impl How {
+    const ALL: [Self; 7] = [
+        Self::Done,
+        Self::Failed,
+        Self::Stopped,
+        Self::Lapsed,
+        Self::Broken,
+        Self::Alone,
+        Self::Void,
+    ];
+
+    /// The name in messages and logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Failed => "failed",
+            Self::Stopped => "stopped",
+            Self::Lapsed => "lapsed",
+            Self::Broken => "broken",
+            Self::Alone => "alone",
+            Self::Void => "void",
+        }
+    }
+}
+
+impl fmt::Display for How {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+impl FromStr for How {
+    type Err = Error;
+
+    fn from_str(s: &str) -> Result<Self, Error> {
+        Self::ALL.into_iter().find(|how| how.as_str() == s).ok_or_else(|| Error::name("end", s))
+    }
+}
+
+/// The end of one run of a task.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct End {
+    /// Number of the run.
+    pub run: u32,
+    /// How it ended.
+    pub how: How,
+    /// The progress that was saved; empty where there is none.
+    pub checkpoint: String,
+}
--- /dev/null
+++ b/lilacpass-jobs/src/job.rs
@@ -0,0 +1,301 @@
+//! A job: which tasks may start, and what the end of a run means for it.
+
+use lilacpass_schema::v1;
+
+use crate::{
+    end::{End, How},
+    ids::{JobKey, StepName, TaskName, WorkerName},
+    task::{Run, Task},
+};
+
+/// What has become of a job.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum Outcome {
+    /// Its tasks wait, run or repeat.
+    #[default]
+    Open,
+    /// All tasks are done.
+    Completed,
+    /// A task or a gang has failed too often.
+    Failed,
+    /// Its caller has cancelled it.
+    Cancelled,
+}
+
+impl Outcome {
+    /// The name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Completed => "completed",
+            Self::Failed => "failed",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// A step of one occurrence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+}
+
+impl Step {
+    /// Whether all tasks are done.
+    pub fn is_done(&self) -> bool {
+        self.tasks.iter().all(|task| task.done)
+    }
+
+    /// Whether all tasks wait, as a gang needs before its next run.
+    pub fn all_wait(&self) -> bool {
+        self.tasks.iter().all(Task::is_waiting)
+    }
+}
+
+/// A job with all its occurrences.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Job {
+    /// Its name.
+    pub key: JobKey,
+    /// What the caller asked for.
+    pub plan: v1::WorkPlan,
+    /// How its queue treats it, as of its acceptance.
+    pub queue: v1::QueuePolicy,
+    /// Time of day of its acceptance, in milliseconds since 1970.
+    pub accepted_ms: u64,
+    /// What has become of it.
+    pub outcome: Outcome,
+    /// Time of day at which the outcome was known, in milliseconds since 1970; 0 while open.
+    pub ended_ms: u64,
+    /// Per occurrence, its steps.
+    pub occurrences: Vec<Vec<Step>>,
+}
+
+/// What the end of a run changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The run was not known any more; nothing changed.
+    None,
+    /// The task may start again, or copies of it go on.
+    Waiting,
+    /// The task is done.
+    TaskDone,
+    /// The job has come to its outcome.
+    JobEnded,
+}
+
+impl Job {
+    /// A job that has just been accepted.
+    pub fn new(key: JobKey, record: v1::PlanRecord) -> Self {
+        let plan = record.plan.unwrap_or_default();
+        let occurrence: Vec<Step> = plan
+            .steps
+            .iter()
+            .map(|step| Step { tasks: vec![Task::default(); step.count as usize] })
+            .collect();
+        let occurrences = vec![occurrence; plan.repeat_count.max(1) as usize];
+        Self {
+            key,
+            plan,
+            queue: record.queue.unwrap_or_default(),
+            accepted_ms: record.accepted_ms,
+            outcome: Outcome::Open,
+            ended_ms: 0,
+            occurrences,
+        }
+    }
+
+    /// What the caller asked for in a step.
+    pub fn step_plan(&self, step: u32) -> &v1::WorkStep {
+        &self.plan.steps[step as usize]
+    }
+
+    /// The state of a step, if the job has it.
+    pub fn step(&self, name: StepName) -> Option<&Step> {
+        self.occurrences.get(name.occurrence as usize)?.get(name.step as usize)
+    }
+
+    /// A task, if the job has it.
+    pub fn task(&self, name: TaskName) -> Option<&Task> {
+        self.step(name.step)?.tasks.get(name.index as usize)
+    }
+
+    /// A task, to be changed.
+    pub fn task_mut(&mut self, name: TaskName) -> Option<&mut Task> {
+        let steps = self.occurrences.get_mut(name.step.occurrence as usize)?;
+        steps.get_mut(name.step.step as usize)?.tasks.get_mut(name.index as usize)
+    }
+
+    /// When an occurrence is due, as time of day in milliseconds since 1970; 0 is at once.
+    pub fn due_ms(&self, occurrence: u32) -> u64 {
+        if self.plan.repeat_count == 0 {
+            return 0;
+        }
+        self.plan.first_run_ms + u64::from(occurrence) * self.plan.interval_ms
+    }
+
+    /// Names of all steps, in order.
+    pub fn step_names(&self) -> impl Iterator<Item = StepName> + use<> {
+        let job = self.key;
+        let steps = self.plan.steps.len() as u32;
+        let occurrences = self.occurrences.len() as u32;
+        (0..occurrences).flat_map(move |occurrence| {
+            (0..steps).map(move |step| StepName { job, occurrence, step })
+        })
+    }
+
+    /// Names of the tasks of a step.
+    pub fn task_names(&self, step: StepName) -> impl Iterator<Item = TaskName> + use<> {
+        (0..self.step_plan(step.step).count).map(move |index| step.task(index))
+    }
+
+    /// Whether all steps that this one waits for are done and its time has come.
+    pub fn step_may_start(&self, name: StepName, unix_ms: u64) -> bool {
+        let Some(steps) = self.occurrences.get(name.occurrence as usize) else { return false };
+        self.outcome == Outcome::Open
+            && unix_ms >= self.due_ms(name.occurrence)
+            && self
+                .step_plan(name.step)
+                .after
+                .iter()
+                .all(|&earlier| steps[earlier as usize].is_done())
+    }
+
+    /// Whether no task has been started yet.
+    pub fn is_queued(&self) -> bool {
+        self.tasks().all(|task| task.last_run == 0 && !task.done)
+    }
+
+    /// All tasks.
+    pub fn tasks(&self) -> impl Iterator<Item = &Task> {
+        self.occurrences.iter().flatten().flat_map(|step| &step.tasks)
+    }
+
+    /// Names of all runs that may be on workers.
+    pub fn live_runs(&self) -> Vec<(TaskName, Run)> {
+        let mut live = Vec::new();
+        for step in self.step_names() {
+            for task in self.task_names(step) {
+                let runs = self.task(task).map(|t| t.runs.as_slice()).unwrap_or_default();
+                live.extend(runs.iter().map(|run| (task, run.clone())));
+            }
+        }
+        live
+    }
+
+    /// Gives the next run of a task to a worker. Returns its number.
+    pub fn begin_run(&mut self, name: TaskName, worker: WorkerName) -> Option<u32> {
+        let task = self.task_mut(name)?;
+        let number = task.last_run + 1;
+        task.last_run = number;
+        task.runs.push(Run { number, worker });
+        Some(number)
+    }
+
+    /// Gives the next run of a gang to its workers, one per task. All members share the number.
+    pub fn begin_gang(&mut self, name: StepName, workers: &[WorkerName]) -> Option<u32> {
+        let steps = self.occurrences.get_mut(name.occurrence as usize)?;
+        let tasks = &mut steps.get_mut(name.step as usize)?.tasks;
+        let number = tasks.iter().map(|task| task.last_run).max()? + 1;
+        for (task, worker) in tasks.iter_mut().zip(workers) {
+            task.last_run = number;
+            task.runs.push(Run { number, worker: worker.clone() });
+        }
+        Some(number)
+    }
+
+    /// The saved progress with which a task starts next. Members of a gang share theirs.
+    pub fn checkpoint(&self, name: TaskName) -> &str {
+        let shared = self.step_plan(name.step.step).gang;
+        let holder = if shared { name.step.task(0) } else { name };
+        self.task(holder).map(|task| task.checkpoint.as_str()).unwrap_or_default()
+    }
+
+    /// Notes progress that a worker reports of a run.
+    pub fn note_checkpoint(&mut self, name: TaskName, checkpoint: &str) {
+        let shared = self.step_plan(name.step.step).gang;
+        let holder = if shared { name.step.task(0) } else { name };
+        if checkpoint.is_empty() || self.checkpoint(holder) == checkpoint {
+            return;
+        }
+        if let Some(task) = self.task_mut(holder) {
+            task.checkpoint = checkpoint.to_owned();
+        }
+    }
+
+    /// Notes the end of a run. `unix_ms` is the time of day.
+    pub fn end_run(&mut self, name: TaskName, end: &End, unix_ms: u64) -> Change {
+        let Some(task) = self.task_mut(name) else { return Change::None };
+        let known = task.runs.len();
+        task.runs.retain(|run| run.number != end.run);
+        if task.runs.len() == known {
+            return Change::None;
+        }
+        self.note_checkpoint(name, &end.checkpoint);
+        match end.how {
+            How::Done => self.task_done(name, unix_ms),
+            How::Failed => self.task_failed(name, end.run, unix_ms),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone | How::Void => Change::Waiting,
+        }
+    }
+
+    fn task_done(&mut self, name: TaskName, unix_ms: u64) -> Change {
+        let plan = self.step_plan(name.step.step);
+        if plan.lasting {
+            return Change::Waiting;
+        }
+        let gang = plan.gang;
+        let Some(steps) = self.occurrences.get_mut(name.step.occurrence as usize) else {
+            return Change::None;
+        };
+        let tasks = &mut steps[name.step.step as usize].tasks;
+        if gang {
+            // The members end together; one end stands for all.
+            tasks.iter_mut().for_each(|task| task.done = true);
+        } else {
+            tasks[name.index as usize].done = true;
+        }
+        let all_done = self.occurrences.iter().flatten().all(Step::is_done);
+        if self.outcome == Outcome::Open && all_done {
+            return self.close(Outcome::Completed, unix_ms);
+        }
+        Change::TaskDone
+    }
+
+    fn task_failed(&mut self, name: TaskName, run: u32, unix_ms: u64) -> Change {
+        let plan = self.step_plan(name.step.step);
+        if plan.lasting {
+            return Change::Waiting;
+        }
+        let counted = if plan.gang { name.step.task(0) } else { name };
+        let attempts = self.queue.attempts.max(1);
+        let Some(task) = self.task_mut(counted) else { return Change::None };
+        // Of a gang each member reports the failure of the same run.
+        if task.done || run == task.failed_run {
+            return Change::Waiting;
+        }
+        task.failed_run = run;
+        task.failed += 1;
+        let spent = task.failed >= attempts;
+        if spent && self.outcome == Outcome::Open {
+            return self.close(Outcome::Failed, unix_ms);
+        }
+        Change::Waiting
+    }
+
+    /// Notes that the caller wants the job cancelled. Returns whether that changed anything.
+    pub fn cancel(&mut self, unix_ms: u64) -> bool {
+        if self.outcome != Outcome::Open {
+            return false;
+        }
+        self.close(Outcome::Cancelled, unix_ms);
+        true
+    }
+
+    fn close(&mut self, outcome: Outcome, unix_ms: u64) -> Change {
+        self.outcome = outcome;
+        self.ended_ms = unix_ms;
+        Change::JobEnded
+    }
+}
--- /dev/null
+++ b/lilacpass-jobs/src/plan.rs
@@ -0,0 +1,66 @@
+//! Checks of a plan that a caller hands in.
+
+use lilacpass_schema::v1;
+
+use crate::error::{Error, Result};
+
+/// Longest payload, in bytes; the platform's bound for what a task is told to do.
+pub const MAX_PAYLOAD_BYTES: usize = 4_000;
+/// Most steps of a job. Far above what callers use; bounds memory for hostile input.
+pub const MAX_STEPS: usize = 100;
+/// Most tasks of a job over all steps. Keeps the record of a job's state within one record of the
+/// store: about 40 bytes a task.
+pub const MAX_TASKS: u64 = 4_000;
+/// Most occurrences of a job; bounds memory together with [`MAX_TASKS`].
+pub const MAX_REPEATS: u32 = 1_000;
+
+/// Refuses a plan that no cell could carry out, with a reason that names the step.
+pub fn check(plan: &v1::WorkPlan) -> Result<()> {
+    if plan.payload.len() > MAX_PAYLOAD_BYTES {
+        return refuse(format!(
+            "the spec has {} bytes; at most {MAX_PAYLOAD_BYTES} are allowed",
+            plan.payload.len()
+        ));
+    }
+    if plan.steps.is_empty() {
+        return refuse("the job has no steps".to_owned());
+    }
+    if plan.steps.len() > MAX_STEPS {
+        return refuse(format!("{} steps; at most {MAX_STEPS} are allowed", plan.steps.len()));
+    }
+    if plan.repeat_count > MAX_REPEATS {
+        return refuse(format!(
+            "{} occurrences; at most {MAX_REPEATS} are allowed",
+            plan.repeat_count
+        ));
+    }
+    for (number, step) in plan.steps.iter().enumerate() {
+        check_step(number, step)?;
+    }
+    let tasks: u64 = plan.steps.iter().map(|step| u64::from(step.count)).sum();
+    let all = tasks * u64::from(plan.repeat_count.max(1));
+    if all > MAX_TASKS {
+        return refuse(format!("{all} tasks; at most {MAX_TASKS} are allowed"));
+    }
+    Ok(())
+}
+
+fn check_step(number: usize, step: &v1::WorkStep) -> Result<()> {
+    if step.count == 0 {
+        return refuse(format!("step {number} has no tasks"));
+    }
+    let forward = step.after.iter().find(|&&earlier| earlier as usize >= number);
+    if let Some(&later) = forward {
+        return refuse(format!(
+            "step {number} waits for step {later}, which is not an earlier one"
+        ));
+    }
+    if step.gang && step.speculative {
+        return refuse(format!("step {number} is a gang and can't have copies"));
+    }
+    Ok(())
+}
+
+fn refuse(reason: String) -> Result<()> {
+    Err(Error::Plan(reason))
+}
--- /dev/null
+++ b/lilacpass-jobs/src/record.rs
@@ -0,0 +1,135 @@
+//! Jobs as records of a keyed log: one record for the plan, written once, and one for the state.
+
+use lilacpass_schema::v1;
+use prost::Message;
+
+use crate::{
+    error::{Error, Result},
+    ids::{JobKey, StepName, TaskName, WorkerName},
+    job::{Job, Outcome},
+    task::{Run, Task},
+};
+
+const PLAN_PREFIX: char = 'p';
+const STATE_PREFIX: char = 's';
+
+/// What the key of a record stands for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Key {
+    /// The plan of a job.
+    Plan(JobKey),
+    /// The state of a job.
+    State(JobKey),
+}
+
+/// The key under which the plan of a job is kept.
+pub fn plan_key(job: JobKey) -> String {
+    format!("{PLAN_PREFIX}{job}")
+}
+
+/// The key under which the state of a job is kept.
+pub fn state_key(job: JobKey) -> String {
+    format!("{STATE_PREFIX}{job}")
+}
+
+/// Reads the key of a record; none where it is not of a job.
+pub fn parse_key(key: &str) -> Option<Key> {
+    let job = key.get(1..)?.parse().ok()?;
+    match key.chars().next()? {
+        PLAN_PREFIX => Some(Key::Plan(job)),
+        STATE_PREFIX => Some(Key::State(job)),
+        _ => None,
+    }
+}
+
+/// The plan of a job as a record.
+pub fn encode_plan(job: &Job) -> Vec<u8> {
+    v1::PlanRecord {
+        plan: Some(job.plan.clone()),
+        queue: Some(job.queue.clone()),
+        accepted_ms: job.accepted_ms,
+    }
+    .encode_to_vec()
+}
+
+/// The state of a job as a record.
+pub fn encode_state(job: &Job) -> Vec<u8> {
+    let mut tasks = Vec::new();
+    for step in job.step_names() {
+        for name in job.task_names(step) {
+            let Some(task) = job.task(name) else { continue };
+            if !task.is_untouched() {
+                tasks.push(task_record(name, task));
+            }
+        }
+    }
+    let outcome = match job.outcome {
+        Outcome::Open => 0,
+        Outcome::Completed => 1,
+        Outcome::Failed => 2,
+        Outcome::Cancelled => 3,
+    };
+    v1::StateRecord { outcome, tasks, ended_ms: job.ended_ms }.encode_to_vec()
+}
+
+fn task_record(name: TaskName, task: &Task) -> v1::TaskRecord {
+    v1::TaskRecord {
+        occurrence: name.step.occurrence,
+        step: name.step.step,
+        index: name.index,
+        done: task.done,
+        last_run: task.last_run,
+        failed: task.failed,
+        failed_run: task.failed_run,
+        checkpoint: task.checkpoint.clone(),
+        runs: task
+            .runs
+            .iter()
+            .map(|run| v1::RunRecord { run: run.number, worker: run.worker.as_str().to_owned() })
+            .collect(),
+    }
+}
+
+/// Reads a job from its two records. Without a state record nothing has happened to it yet.
+pub fn decode(key: JobKey, plan: &[u8], state: Option<&[u8]>) -> Result<Job> {
+    let wrong = |err: prost::DecodeError| Error::Record(format!("{key}: {err}"));
+    let plan = v1::PlanRecord::decode(plan).map_err(wrong)?;
+    if let Some(plan) = &plan.plan {
+        crate::plan::check(plan)?;
+    }
+    let mut job = Job::new(key, plan);
+    let Some(state) = state else { return Ok(job) };
+    let state = v1::StateRecord::decode(state).map_err(wrong)?;
+    job.outcome = match state.outcome {
+        0 => Outcome::Open,
+        1 => Outcome::Completed,
+        2 => Outcome::Failed,
+        3 => Outcome::Cancelled,
+        other => return Err(Error::Record(format!("{key}: outcome {other}"))),
+    };
+    job.ended_ms = state.ended_ms;
+    for record in state.tasks {
+        let step = StepName { job: key, occurrence: record.occurrence, step: record.step };
+        let name = step.task(record.index);
+        let task = job
+            .task_mut(name)
+            .ok_or_else(|| Error::Record(format!("{name} is not in the plan of its job")))?;
+        *task = read_task(record);
+    }
+    Ok(job)
+}
+
+fn read_task(record: v1::TaskRecord) -> Task {
+    Task {
+        done: record.done,
+        last_run: record.last_run,
+        failed: record.failed,
+        failed_run: record.failed_run,
+        checkpoint: record.checkpoint,
+        runs: record
+            .runs
+            .iter()
+            .map(|run| Run { number: run.run, worker: WorkerName::from(run.worker.as_str()) })
+            .collect(),
+    }
+}
--- /dev/null
+++ b/lilacpass-lead/src/advice.rs
@@ -0,0 +1,163 @@
+//! Advice: which workers may run a step, who asks, and how many workers are asked about.
+//!
+//! The service handles one call of an instance at a time and a call takes longer the more workers
+//! it names, so calls are the scarcest resource. They are spread over the instances ("lanes"), and
+//! a slow call never takes a lane that is kept for quick ones.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lilacpass_jobs::WorkerName;
+
+use crate::event::{Advice, Lane};
+
+/// Calls longer than this are slow. Between the two groups seen: about 40 ms and about 500 ms.
+const SLOW_CALL_MS: u64 = 120;
+/// One lane in so many is kept for quick calls. Quick calls need about a third of the time of all.
+const QUICK_LANE_IN: usize = 3;
+/// Pause after a call for advice that failed, before the next for the same step.
+const RETRY_MS: u64 = 200;
+
+/// What is known of the workers for one step. Which workers may run a step never changes.
+#[derive(Debug, Default)]
+pub struct StepAdvice {
+    tickets: BTreeMap<WorkerName, Ticket>,
+    good: BTreeSet<WorkerName>,
+    bad: BTreeSet<WorkerName>,
+    /// A call is under way.
+    pub asking: bool,
+    /// No call before this time.
+    pub ask_from_ms: u64,
+}
+
+#[derive(Debug)]
+struct Ticket {
+    text: String,
+    until_ms: u64,
+}
+
+impl StepAdvice {
+    /// The ticket for a worker, if it is valid now.
+    pub fn ticket(&self, worker: &WorkerName, now_ms: u64) -> Option<&str> {
+        let ticket = self.tickets.get(worker)?;
+        (now_ms < ticket.until_ms).then_some(ticket.text.as_str())
+    }
+
+    /// Forgets a ticket that a worker did not accept.
+    pub fn drop_ticket(&mut self, worker: &WorkerName) {
+        self.tickets.remove(worker);
+    }
+
+    /// Whether the worker is known to be allowed; none where that is not known.
+    pub fn verdict(&self, worker: &WorkerName) -> Option<bool> {
+        if self.good.contains(worker) {
+            return Some(true);
+        }
+        self.bad.contains(worker).then_some(false)
+    }
+
+    /// Takes in the answer to a call; none where it failed.
+    pub fn answered(
+        &mut self,
+        asked: &[WorkerName],
+        advice: Option<Advice>,
+        margin_ms: u64,
+        now_ms: u64,
+    ) {
+        self.asking = false;
+        let Some(advice) = advice else {
+            self.ask_from_ms = now_ms + RETRY_MS;
+            return;
+        };
+        let until_ms = (now_ms + advice.valid_ms).saturating_sub(margin_ms);
+        for row in advice.good {
+            self.good.insert(row.worker.clone());
+            self.tickets.insert(row.worker, Ticket { text: row.ticket, until_ms });
+        }
+        let bad = asked.iter().filter(|&worker| !self.good.contains(worker));
+        self.bad.extend(bad.cloned());
+    }
+}
+
+/// A worker that could be asked about.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Candidate {
+    /// The worker.
+    pub worker: WorkerName,
+    /// It is known to be allowed.
+    pub known_good: bool,
+    /// How many of the waiting tasks fit there.
+    pub fits: u64,
+}
+
+/// Chooses the workers to ask about so that about `wanted` tasks find room, where a share
+/// `good_share` of unknown workers is allowed. `candidates` are in order of preference; those known
+/// to be allowed go first, because they cost as much and are sure.
+pub fn choose(
+    candidates: &[Candidate],
+    wanted: u64,
+    good_share: f64,
+    most: usize,
+) -> Vec<WorkerName> {
+    let known = candidates.iter().filter(|candidate| candidate.known_good);
+    let unknown = candidates.iter().filter(|candidate| !candidate.known_good);
+    let mut chosen = Vec::new();
+    let mut expected = 0.0;
+    for candidate in known.chain(unknown) {
+        if expected >= wanted as f64 || chosen.len() == most {
+            break;
+        }
+        let share = if candidate.known_good { 1.0 } else { good_share };
+        expected += share * candidate.fits as f64;
+        chosen.push(candidate.worker.clone());
+    }
+    chosen
+}
+
+/// The instances that can ask, one call each at a time.
+#[derive(Debug, Default)]
+pub struct Lanes {
+    lanes: BTreeMap<Lane, LaneState>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LaneState {
+    Idle,
+    Busy,
+}
+
+impl Lanes {
+    /// Takes in which instances there are now.
+    pub fn set(&mut self, lanes: Vec<Lane>) {
+        let old = std::mem::take(&mut self.lanes);
+        self.lanes = lanes
+            .into_iter()
+            .map(|lane| {
+                let state = old.get(&lane).copied().unwrap_or(LaneState::Idle);
+                (lane, state)
+            })
+            .collect();
+    }
+
+    /// Takes an idle lane for a call that takes about `expected_ms`.
+    pub fn take(&mut self, expected_ms: u64) -> Option<Lane> {
+        let kept_for_quick = self.lanes.len() / QUICK_LANE_IN;
+        let skipped = if expected_ms > SLOW_CALL_MS { kept_for_quick } else { 0 };
+        let idle =
+            self.lanes.iter_mut().skip(skipped).find(|(_, state)| **state == LaneState::Idle);
+        let (lane, state) = idle?;
+        *state = LaneState::Busy;
+        Some(lane.clone())
+    }
+
+    /// Gives a lane back.
+    pub fn give_back(&mut self, lane: &Lane) {
+        if let Some(state) = self.lanes.get_mut(lane) {
+            *state = LaneState::Idle;
+        }
+    }
+
+    /// Whether any lane is idle.
+    pub fn any_idle(&self) -> bool {
+        self.lanes.values().any(|&state| state == LaneState::Idle)
+    }
+}
--- /dev/null
+++ b/lilacpass-lead/src/asks.rs
@@ -0,0 +1,143 @@
+//! What callers ask, and what they are told.
+
+use lilacpass_jobs::{Job, JobKey, Outcome, plan};
+use lilacpass_schema::v1;
+
+use crate::{
+    event::{Answer, Ask, Effect, JobState, Now, Token},
+    leader::{Entry, Leader},
+    outbox::After,
+    place,
+};
+
+/// When to come back after a refusal because the store does not answer. Outages of the store last
+/// seconds; the callers' own spread keeps them from returning at once.
+const STORE_RETRY_MS: u32 = 1_000;
+
+impl Leader {
+    pub(crate) fn on_asked(&mut self, token: Token, ask: Ask, now: Now) {
+        match ask {
+            Ask::Submit { job, plan, queue } => self.submit(token, job, plan, queue, now),
+            Ask::State(job) => self.tell_state(token, job, now),
+            Ask::Cancel(job) => self.cancel(token, job, now),
+            Ask::Pending { queue } => self.tell_pending(token, &queue, now),
+        }
+    }
+
+    fn submit(
+        &mut self,
+        token: Token,
+        key: JobKey,
+        plan: v1::WorkPlan,
+        queue: v1::QueuePolicy,
+        now: Now,
+    ) {
+        if let Some(entry) = self.jobs.get(&key) {
+            let same = entry.job.plan == plan;
+            if !same {
+                return self.reply(token, Answer::Conflict);
+            }
+            if entry.stored && self.outbox.stuck_ms(now.steady_ms) == 0 {
+                return self.reply(token, Answer::Done);
+            }
+            return self.outbox.then(After::Reply(token, Answer::Done));
+        }
+        if let Err(err) = plan::check(&plan) {
+            return self.reply(token, Answer::Invalid(err.to_string()));
+        }
+        if let Some(reason) = self.impossible(&plan, &queue) {
+            return self.reply(token, Answer::Invalid(reason));
+        }
+        if self.outbox.stuck_ms(now.steady_ms) > self.options.store_patience_ms {
+            let reason = "the store does not answer";
+            log::info!(job:% = key, reason, stuck_ms = self.store_stuck_ms(now); "job refused");
+            return self.reply(token, Answer::Refused { reason, retry_after_ms: STORE_RETRY_MS });
+        }
+        log::info!(
+            job:% = key, queue = queue.name.as_str(), steps = plan.steps.len(),
+            waiting = self.waiting.len();
+            "job taken"
+        );
+        let record =
+            v1::PlanRecord { plan: Some(plan), queue: Some(queue), accepted_ms: now.unix_ms };
+        let job = Job::new(key, record);
+        let entry = Entry { job, stored: false, shown: Outcome::Open, begun: false };
+        self.jobs.insert(key, entry);
+        self.outbox.plans.insert(key);
+        self.outbox.then(After::Reply(token, Answer::Done));
+        self.reindex(key, now);
+    }
+
+    /// Why no worker of the queue's service could ever run a step. Says nothing while no worker is
+    /// known.
+    fn impossible(&self, plan: &v1::WorkPlan, queue: &v1::QueuePolicy) -> Option<String> {
+        let workers: Vec<_> = self
+            .workers
+            .values()
+            .filter(|w| w.listed && w.entry.service == queue.service)
+            .collect();
+        if workers.is_empty() {
+            return None;
+        }
+        let number = plan.steps.iter().position(|step| {
+            let need = place::need(step);
+            !workers.iter().any(|worker| need.fits(&worker.entry.capacity))
+        })?;
+        Some(format!("step {number}: no worker is large enough for its tasks"))
+    }
+
+    fn tell_state(&mut self, token: Token, key: JobKey, now: Now) {
+        let Some(entry) = self.jobs.get(&key) else {
+            return self.tell_unknown(token, now);
+        };
+        let state = match entry.shown {
+            Outcome::Completed => JobState::Completed,
+            Outcome::Failed => JobState::Failed,
+            Outcome::Cancelled => JobState::Cancelled,
+            Outcome::Open if entry.begun => JobState::Running,
+            Outcome::Open => JobState::Queued,
+        };
+        self.reply(token, Answer::State(state));
+    }
+
+    /// Says that a job is unknown, but only as the sure leader: a former one does not know the jobs
+    /// of its successor, and a caller who is told so believes that the job is lost.
+    fn tell_unknown(&mut self, token: Token, now: Now) {
+        if self.is_sure(now) {
+            return self.reply(token, Answer::UnknownJob);
+        }
+        let reason = "the store has not confirmed the leader";
+        self.reply(token, Answer::Refused { reason, retry_after_ms: STORE_RETRY_MS });
+    }
+
+    fn cancel(&mut self, token: Token, key: JobKey, now: Now) {
+        let Some(entry) = self.jobs.get_mut(&key) else {
+            return self.tell_unknown(token, now);
+        };
+        let changed = entry.job.cancel(now.unix_ms);
+        if changed {
+            log::info!(job:% = key; "job cancelled");
+            self.job_ended(key, now);
+        }
+        self.outbox.then(After::Reply(token, Answer::Done));
+    }
+
+    fn tell_pending(&mut self, token: Token, queue: &str, now: Now) {
+        if !self.is_sure(now) {
+            let reason = "the store has not confirmed the leader";
+            return self.reply(token, Answer::Refused { reason, retry_after_ms: STORE_RETRY_MS });
+        }
+        let waits = |entry: &&Entry| {
+            entry.job.queue.name == queue
+                && entry.stored
+                && !entry.begun
+                && entry.job.outcome == Outcome::Open
+        };
+        let pending = self.jobs.values().filter(waits).count() as u64;
+        self.reply(token, Answer::Pending(pending));
+    }
+
+    pub(crate) fn reply(&mut self, token: Token, answer: Answer) {
+        self.effects.push(Effect::Reply { token, answer });
+    }
+}
--- /dev/null
+++ b/lilacpass-lead/src/holds.rs
@@ -0,0 +1,261 @@
+//! Looks at workers: what they tell of their runs, and what their silence means.
+
+use std::collections::BTreeSet;
+
+use lilacpass_jobs::{End, How, WorkerName};
+
+use crate::{
+    event::{CallError, Effect, EndRow, LookAnswer, Now, Refusal, RunningRow},
+    leader::Leader,
+    outbox::After,
+    worker::{Look, Phase, RunKey},
+};
+
+/// Most ends that a worker lists at a time. A list of that length may leave ends out.
+const ENDS_PAGE: usize = 500;
+/// Longest pause between looks at a worker that does not answer, in units of the first pause.
+const MOST_RETRY_PAUSES: u64 = 4;
+
+impl Leader {
+    pub(crate) fn on_looked(
+        &mut self,
+        name: &WorkerName,
+        sent_ms: u64,
+        extra: bool,
+        result: Result<LookAnswer, CallError>,
+        now: Now,
+    ) {
+        let retry_ms = self.options.look_retry_ms;
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if extra {
+            worker.extra_look = false;
+        }
+        match result {
+            Ok(answer) => {
+                if !extra {
+                    worker.look = Look::Due { at_ms: now.steady_ms };
+                }
+                self.on_look_answer(name, sent_ms, answer, now);
+            }
+            Err(CallError::OtherLife) => self.life_over(name, now),
+            Err(CallError::Refused(Refusal::Fence)) => self.effects.push(Effect::Deposed),
+            Err(err) => {
+                worker.failed_looks += 1;
+                if worker.failed_looks == 1 {
+                    log::info!(worker:% = name, error:? = err; "worker does not answer");
+                }
+                if !extra {
+                    let pauses = u64::from(worker.failed_looks).min(MOST_RETRY_PAUSES);
+                    worker.look = Look::Due { at_ms: now.steady_ms + retry_ms * pauses };
+                }
+                // A worker that drained and took back its registration has left, and all on it ended.
+                let left = worker.draining && !worker.listed;
+                if left {
+                    self.life_over(name, now);
+                }
+            }
+        }
+    }
+
+    fn on_look_answer(&mut self, name: &WorkerName, sent_ms: u64, answer: LookAnswer, now: Now) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.failed_looks > 0 {
+            log::info!(worker:% = name, failed = worker.failed_looks; "worker answers again");
+        }
+        let first = !worker.commanded;
+        worker.commanded = true;
+        worker.failed_looks = 0;
+        worker.read_clock(answer.clock_ms, now.steady_ms);
+        if answer.remaining_ms.is_some() && !worker.draining {
+            log::info!(worker:% = name, remaining_ms = answer.remaining_ms; "worker drains");
+            worker.draining = true;
+        }
+        let whole = answer.ends.len() < ENDS_PAGE;
+        let listed: BTreeSet<RunKey> =
+            answer.running.iter().map(|row| (row.task, row.run)).collect();
+        self.note_ends(name, answer.ends, now);
+        self.note_running(name, &answer.running, now);
+        if whole {
+            self.note_absent(name, &listed, sent_ms, first, now);
+        }
+    }
+
+    /// Handles ends that are new, and lets the worker forget them once they are stored.
+    fn note_ends(&mut self, name: &WorkerName, ends: Vec<EndRow>, now: Now) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let seen_upto = worker.seen_upto;
+        let new: Vec<EndRow> = ends.into_iter().filter(|row| row.number > seen_upto).collect();
+        let Some(upto) = new.iter().map(|row| row.number).max() else { return };
+        worker.seen_upto = upto;
+        for row in new {
+            self.judge_worker(name, row.end.how);
+            self.end_run(name, (row.task, row.end.run), &row.end, now);
+        }
+        self.outbox.then(After::Forget { worker: name.clone(), upto });
+    }
+
+    /// Tells a worker that spoils what it gets from one that merely got a bad task.
+    fn judge_worker(&mut self, name: &WorkerName, how: How) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        match how {
+            How::Done => worker.bad_ends = 0,
+            How::Failed => worker.bad_ends += 1,
+            How::Stopped | How::Lapsed | How::Broken | How::Alone | How::Void => {}
+        }
+    }
+
+    fn note_running(&mut self, name: &WorkerName, rows: &[RunningRow], now: Now) {
+        for row in rows {
+            let key = (row.task, row.run);
+            let need = self.need_of(row.task);
+            if let Some(entry) = self.jobs.get_mut(&row.task.step.job) {
+                entry.job.note_checkpoint(row.task, &row.checkpoint);
+            }
+            let Some(worker) = self.workers.get_mut(name) else { return };
+            match worker.runs.get(&key).map(|given| given.phase) {
+                Some(Phase::Ordered | Phase::Uncertain { .. }) => {
+                    worker.set_phase(key, Phase::Running { since_ms: now.steady_ms });
+                }
+                Some(Phase::Running { .. } | Phase::Stopping { .. } | Phase::Recording) => {}
+                None => {
+                    // Nobody asked for it any more: its end was noted for another reason, or it was
+                    // started late. It counts against the worker's room until it is gone.
+                    log::warn!(task:% = row.task, run = row.run, worker:% = name; "stray run");
+                    worker.give(key, need, Phase::Running { since_ms: now.steady_ms });
+                    self.stop_run(name, key, now);
+                }
+            }
+        }
+    }
+
+    /// Settles runs that a look does not list. Only a look that was sent after the last news of a
+    /// run says anything, since answers may overtake each other.
+    fn note_absent(
+        &mut self,
+        name: &WorkerName,
+        listed: &BTreeSet<RunKey>,
+        sent_ms: u64,
+        first: bool,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let absent: Vec<(RunKey, Phase)> = worker
+            .runs
+            .iter()
+            .filter(|(key, _)| !listed.contains(key))
+            .map(|(key, given)| (*key, given.phase))
+            .collect();
+        for (key, phase) in absent {
+            match phase {
+                Phase::Recording | Phase::Ordered => {}
+                // Orders of a former leader are void from the first look of its successor on.
+                Phase::Uncertain { .. } if first => self.void_run(name, key, now),
+                Phase::Uncertain { since_ms } | Phase::Running { since_ms } => {
+                    if sent_ms > since_ms {
+                        self.stop_run(name, key, now);
+                    }
+                }
+                Phase::Stopping { confirmed_ms: Some(confirmed_ms), .. } => {
+                    if first || sent_ms > confirmed_ms {
+                        self.void_run(name, key, now);
+                    }
+                }
+                Phase::Stopping { .. } if first => self.void_run(name, key, now),
+                Phase::Stopping { .. } => {}
+            }
+        }
+    }
+
+    /// A run that was not started and can't be any more.
+    pub(crate) fn void_run(&mut self, name: &WorkerName, key: RunKey, now: Now) {
+        let end = End { run: key.1, how: How::Void, checkpoint: String::new() };
+        self.end_run(name, key, &end, now);
+    }
+
+    /// The life of a worker is over: nothing runs there any more.
+    pub(crate) fn life_over(&mut self, name: &WorkerName, now: Now) {
+        log::info!(worker:% = name; "worker is gone");
+        self.end_all(name, now);
+        self.workers.remove(name);
+    }
+
+    fn end_all(&mut self, name: &WorkerName, now: Now) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let runs: Vec<RunKey> = worker.runs.keys().copied().collect();
+        for key in runs {
+            let end = End { run: key.1, how: How::Lapsed, checkpoint: String::new() };
+            self.end_run(name, key, &end, now);
+        }
+    }
+
+    /// Counts the work on workers as ended whose leases have run out by their slowest clock.
+    pub(crate) fn lapse_silent_workers(&mut self, now: Now) {
+        let lapsed: Vec<WorkerName> = self
+            .workers
+            .values()
+            .filter(|worker| now.steady_ms > worker.lapsed_by_ms)
+            .filter(|worker| !worker.runs.is_empty() || !worker.listed)
+            .map(|worker| worker.entry.name.clone())
+            .collect();
+        for name in lapsed {
+            let Some(worker) = self.workers.get_mut(&name) else { continue };
+            if !worker.runs.is_empty() {
+                log::info!(worker:% = name, runs = worker.runs.len(); "leases of a silent worker have lapsed");
+            }
+            worker.commanded = false;
+            self.end_all(&name, now);
+            self.workers.retain(|_, worker| worker.listed || !worker.runs.is_empty());
+        }
+    }
+
+    /// Starts the looks that are due.
+    pub(crate) fn plan_looks(&mut self, now: Now) {
+        let may_extend = self.may_extend(now);
+        let stuck = self.outbox.stuck_ms(now.steady_ms) > self.options.look_stuck_ms;
+        for worker in self.workers.values_mut() {
+            let Look::Due { at_ms } = worker.look else { continue };
+            if worker.entry.address.is_empty() || now.steady_ms < at_ms {
+                continue;
+            }
+            let unnoted = worker.seen_upto > worker.noted_upto;
+            if unnoted && !stuck {
+                // The look would return at once with ends that are handled already.
+                continue;
+            }
+            // Without an answer a lease is not extended again, else silence would never let it lapse.
+            let extend = may_extend && worker.failed_looks == 0;
+            let lease_until_ms = if extend {
+                worker.extend_lease(self.options.lease_ms, now.steady_ms)
+            } else {
+                None
+            };
+            let wait_ms = if worker.commanded && !unnoted { self.options.look_wait_ms } else { 0 };
+            worker.look = Look::UnderWay;
+            self.effects.push(Effect::Look {
+                worker: worker.entry.name.clone(),
+                address: worker.entry.address.clone(),
+                lease_until_ms,
+                forget_upto: worker.noted_upto,
+                wait_ms,
+                extra: false,
+            });
+        }
+    }
+
+    /// Looks at a worker beside the waiting look, to settle a run without delay.
+    pub(crate) fn look_now(&mut self, name: &WorkerName) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.extra_look || worker.entry.address.is_empty() {
+            return;
+        }
+        worker.extra_look = true;
+        self.effects.push(Effect::Look {
+            worker: name.clone(),
+            address: worker.entry.address.clone(),
+            lease_until_ms: None,
+            forget_upto: worker.noted_upto,
+            wait_ms: 0,
+            extra: true,
+        });
+    }
+}
--- /dev/null
+++ b/lilacpass-lead/src/leader.rs
@@ -0,0 +1,362 @@
+//! The state of the leader and the way of an event through it.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use lilacpass_core::Resources;
+use lilacpass_jobs::{
+    End, How, Job, JobKey, Outcome, StepName, TaskName, WorkerName, job::Change, record,
+};
+
+use crate::{
+    advice::{Lanes, StepAdvice},
+    event::{Effect, Event, Now, Record, Registration},
+    options::{self, Options},
+    outbox::{After, Outbox},
+    place,
+    rank::{self, Rank},
+    worker::{Phase, RunKey, Worker},
+};
+
+/// A job and what is stored and shown of it.
+#[derive(Debug)]
+pub struct Entry {
+    /// The job.
+    pub job: Job,
+    /// Its plan is stored: its caller may be told.
+    pub stored: bool,
+    /// The outcome that callers are shown: one that is stored.
+    pub shown: Outcome,
+    /// Some task has been given a run.
+    pub begun: bool,
+}
+
+/// The leader of a cell.
+#[derive(Debug)]
+pub struct Leader {
+    pub(crate) options: Options,
+    pub(crate) jobs: HashMap<JobKey, Entry>,
+    pub(crate) workers: BTreeMap<WorkerName, Worker>,
+    pub(crate) outbox: Outbox,
+    pub(crate) advice: HashMap<StepName, StepAdvice>,
+    pub(crate) lanes: Lanes,
+    /// Steps with tasks that may start, in the order in which they get room.
+    pub(crate) waiting: BTreeSet<Rank>,
+    ranks: HashMap<StepName, Rank>,
+    /// Occurrences whose time has not come, by time of day.
+    due: BTreeSet<(u64, JobKey)>,
+    /// Share of workers that are allowed, learned per queue.
+    pub(crate) good_shares: HashMap<String, f64>,
+    pub(crate) effects: Vec<Effect>,
+    /// Start of the last call by which the store confirmed that we lead.
+    pub(crate) confirmed_ms: u64,
+    append_sent_ms: u64,
+    /// Until when a former leader's leases may last at a worker that we can't reach.
+    inherited_until_ms: u64,
+    next_cleanup_ms: u64,
+}
+
+/// How often ended jobs are looked through for those that can be forgotten.
+const CLEANUP_INTERVAL_MS: u64 = 10_000;
+
+impl Leader {
+    /// A leader that has just taken over, with the jobs that are stored.
+    pub fn new(options: Options, jobs: Vec<Job>, now: Now) -> Self {
+        let last_lease_ms = options::longest_lease_ms(options.lease_ms, options.outlive_ms);
+        let inherited_until_ms = now.steady_ms + options.outlive_ms + last_lease_ms;
+        let mut leader = Self {
+            options,
+            jobs: HashMap::new(),
+            workers: BTreeMap::new(),
+            outbox: Outbox::default(),
+            advice: HashMap::new(),
+            lanes: Lanes::default(),
+            waiting: BTreeSet::new(),
+            ranks: HashMap::new(),
+            due: BTreeSet::new(),
+            good_shares: HashMap::new(),
+            effects: Vec::new(),
+            confirmed_ms: now.steady_ms,
+            append_sent_ms: now.steady_ms,
+            inherited_until_ms,
+            next_cleanup_ms: now.steady_ms + CLEANUP_INTERVAL_MS,
+        };
+        for job in jobs {
+            leader.inherit(job, now);
+        }
+        leader
+    }
+
+    /// Takes a stored job over. Runs that the former leader gave out may be anywhere between their
+    /// order and their end, until their worker tells.
+    fn inherit(&mut self, job: Job, now: Now) {
+        let key = job.key;
+        for (task, run) in job.live_runs() {
+            let need = place::need(job.step_plan(task.step.step));
+            let until_ms = self.inherited_until_ms;
+            let worker = self
+                .workers
+                .entry(run.worker.clone())
+                .or_insert_with(|| Worker::unlisted(run.worker.clone(), until_ms));
+            worker.give((task, run.number), need, Phase::Uncertain { since_ms: now.steady_ms });
+        }
+        let entry = Entry { shown: job.outcome, begun: !job.is_queued(), stored: true, job };
+        self.jobs.insert(key, entry);
+        self.reindex(key, now);
+        let ended = self.jobs.get(&key).is_some_and(|entry| entry.job.outcome != Outcome::Open);
+        if ended {
+            self.stop_job(key, now);
+        }
+    }
+
+    /// Takes in an event. Effects are collected until [`Leader::finish`].
+    pub fn handle(&mut self, event: Event, now: Now) {
+        match event {
+            Event::Asked { token, ask } => self.on_asked(token, ask, now),
+            Event::Appended => self.on_appended(now),
+            Event::Confirmed { sent_ms } => self.confirmed_ms = self.confirmed_ms.max(sent_ms),
+            Event::Looked { worker, sent_ms, extra, result } => {
+                self.on_looked(&worker, sent_ms, extra, result, now);
+            }
+            Event::Started { worker, task, run, result } => {
+                self.on_started(&worker, task, run, result, now);
+            }
+            Event::Stopped { worker, task, run, result } => {
+                self.on_stopped(&worker, task, run, result, now);
+            }
+            Event::Advised { lane, step, asked, advice } => {
+                self.on_advised(&lane, step, &asked, advice, now);
+            }
+            Event::WorkerListed(entry) => self.on_listed(entry),
+            Event::WorkerUnlisted(name) => self.on_unlisted(&name),
+            Event::Lanes(lanes) => self.lanes.set(lanes),
+            Event::Tick => self.on_tick(now),
+        }
+    }
+
+    /// Decides what follows from all events so far, and returns what is to be done.
+    pub fn finish(&mut self, now: Now) -> Vec<Effect> {
+        self.schedule(now);
+        self.plan_looks(now);
+        self.flush(now);
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Whether the store confirmed so lately that we lead that no other can have taken over.
+    pub fn is_sure(&self, now: Now) -> bool {
+        /// Below the shortest time in which another takes over from a leader that still runs.
+        const SURE_MS: u64 = 900;
+        now.steady_ms.saturating_sub(self.confirmed_ms) < SURE_MS
+    }
+
+    /// Whether leases may be extended: only so long after the last confirmation, because a
+    /// successor that can't reach a worker waits just this long before it starts its work again.
+    pub(crate) fn may_extend(&self, now: Now) -> bool {
+        now.steady_ms.saturating_sub(self.confirmed_ms) < self.options.outlive_ms
+    }
+
+    /// How long the store has owed the answer to an append.
+    pub fn store_stuck_ms(&self, now: Now) -> u64 {
+        self.outbox.stuck_ms(now.steady_ms)
+    }
+
+    fn on_listed(&mut self, entry: Registration) {
+        let until_ms = self.inherited_until_ms;
+        let worker = self
+            .workers
+            .entry(entry.name.clone())
+            .or_insert_with(|| Worker::new(entry.clone(), until_ms));
+        worker.listed = true;
+        worker.draining |= entry.draining;
+        worker.entry = entry;
+    }
+
+    fn on_unlisted(&mut self, name: &WorkerName) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.listed = false;
+        }
+    }
+
+    fn on_tick(&mut self, now: Now) {
+        while let Some(&(due_ms, key)) = self.due.first() {
+            if due_ms > now.unix_ms {
+                break;
+            }
+            self.due.pop_first();
+            self.reindex(key, now);
+        }
+        self.lapse_silent_workers(now);
+        self.repeat_stops(now);
+        if now.steady_ms >= self.next_cleanup_ms {
+            self.next_cleanup_ms = now.steady_ms + CLEANUP_INTERVAL_MS;
+            self.forget_old_jobs(now);
+        }
+    }
+
+    /// Updates which steps of a job wait for room.
+    pub(crate) fn reindex(&mut self, key: JobKey, now: Now) {
+        let Some(entry) = self.jobs.get(&key) else { return };
+        let job = &entry.job;
+        let mut next_due_ms = None;
+        for name in job.step_names() {
+            let gang = job.step_plan(name.step).gang;
+            let waits = job.step(name).is_some_and(|step| {
+                if gang { step.all_wait() } else { step.tasks.iter().any(|task| task.is_waiting()) }
+            });
+            let rank = rank::of_step(job, name);
+            if waits && job.step_may_start(name, now.unix_ms) {
+                self.waiting.insert(rank);
+                self.ranks.insert(name, rank);
+                continue;
+            }
+            if let Some(rank) = self.ranks.remove(&name) {
+                self.waiting.remove(&rank);
+            }
+            let due_ms = job.due_ms(name.occurrence);
+            if waits && job.outcome == Outcome::Open && due_ms > now.unix_ms {
+                next_due_ms = Some(next_due_ms.map_or(due_ms, |ms: u64| ms.min(due_ms)));
+            }
+        }
+        if let Some(due_ms) = next_due_ms {
+            self.due.insert((due_ms, key));
+        }
+    }
+
+    /// Takes note that a run has ended on a worker, and of what follows for its job.
+    pub(crate) fn end_run(&mut self, worker: &WorkerName, key: RunKey, end: &End, now: Now) {
+        let (task, run) = key;
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.take(key);
+        }
+        let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
+        let change = entry.job.end_run(task, end, now.unix_ms);
+        let outcome = entry.job.outcome;
+        log::info!(
+            task:% = task, run, worker:% = worker, how:% = end.how, job = outcome.as_str();
+            "run ended"
+        );
+        if change == Change::None {
+            return;
+        }
+        if end.how != How::Void {
+            self.outbox.states.insert(task.step.job);
+        }
+        match change {
+            Change::JobEnded => self.job_ended(task.step.job, now),
+            Change::TaskDone => self.stop_copies(task, now),
+            Change::None | Change::Waiting => {}
+        }
+        self.reindex(task.step.job, now);
+    }
+
+    /// A job has come to its outcome: shows it once it is stored, and stops what still runs.
+    pub(crate) fn job_ended(&mut self, key: JobKey, now: Now) {
+        self.outbox.states.insert(key);
+        self.outbox.then(After::Show(key));
+        self.stop_job(key, now);
+        self.reindex(key, now);
+        self.advice.retain(|step, _| step.job != key);
+    }
+
+    pub(crate) fn stop_job(&mut self, key: JobKey, now: Now) {
+        let live = self.jobs.get(&key).map(|entry| entry.job.live_runs()).unwrap_or_default();
+        for (task, run) in live {
+            self.stop_run(&run.worker, (task, run.number), now);
+        }
+    }
+
+    fn stop_copies(&mut self, task: TaskName, now: Now) {
+        let runs = self
+            .jobs
+            .get(&task.step.job)
+            .and_then(|entry| entry.job.task(task))
+            .map(|task| task.runs.clone())
+            .unwrap_or_default();
+        for run in runs {
+            self.stop_run(&run.worker, (task, run.number), now);
+        }
+    }
+
+    /// What a run of a task takes; nothing where the task is not known.
+    pub(crate) fn need_of(&self, task: TaskName) -> Resources {
+        let Some(entry) = self.jobs.get(&task.step.job) else { return Resources::ZERO };
+        let step = entry.job.plan.steps.get(task.step.step as usize);
+        step.map(place::need).unwrap_or(Resources::ZERO)
+    }
+
+    fn on_appended(&mut self, now: Now) {
+        self.confirmed_ms = self.confirmed_ms.max(self.append_sent_ms);
+        for after in self.outbox.stored() {
+            match after {
+                After::Reply(token, answer) => self.effects.push(Effect::Reply { token, answer }),
+                After::Order { worker, task, run } => self.order(&worker, task, run, now),
+                After::Forget { worker, upto } => {
+                    if let Some(worker) = self.workers.get_mut(&worker) {
+                        worker.noted_upto = worker.noted_upto.max(upto);
+                    }
+                }
+                After::Show(key) => {
+                    if let Some(entry) = self.jobs.get_mut(&key) {
+                        entry.shown = entry.job.outcome;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends what has changed into the store, unless an append is under way.
+    fn flush(&mut self, now: Now) {
+        if !self.outbox.is_due() {
+            return;
+        }
+        let mut records = Vec::new();
+        for key in std::mem::take(&mut self.outbox.plans) {
+            if let Some(entry) = self.jobs.get_mut(&key) {
+                entry.stored = true;
+                let value = record::encode_plan(&entry.job);
+                records.push(Record { key: record::plan_key(key), value });
+            }
+        }
+        for key in std::mem::take(&mut self.outbox.states) {
+            if let Some(entry) = self.jobs.get(&key) {
+                let value = record::encode_state(&entry.job);
+                records.push(Record { key: record::state_key(key), value });
+            }
+        }
+        for key in std::mem::take(&mut self.outbox.drops) {
+            records.push(Record { key: record::plan_key(key), value: Vec::new() });
+            records.push(Record { key: record::state_key(key), value: Vec::new() });
+        }
+        self.outbox.sent(now.steady_ms);
+        self.append_sent_ms = now.steady_ms;
+        if records.is_empty() {
+            // Only what hangs on earlier changes waits, and those are stored.
+            self.on_appended_nothing(now);
+            return;
+        }
+        self.effects.push(Effect::Append(records));
+    }
+
+    fn on_appended_nothing(&mut self, now: Now) {
+        let confirmed_ms = self.confirmed_ms;
+        self.on_appended(now);
+        self.confirmed_ms = confirmed_ms;
+    }
+
+    fn forget_old_jobs(&mut self, now: Now) {
+        let retention_ms = self.options.retention_ms;
+        let old: Vec<JobKey> = self
+            .jobs
+            .values()
+            .filter(|entry| {
+                entry.shown != Outcome::Open
+                    && entry.job.ended_ms + retention_ms < now.unix_ms
+                    && entry.job.live_runs().is_empty()
+            })
+            .map(|entry| entry.job.key)
+            .collect();
+        for key in old {
+            self.jobs.remove(&key);
+            self.outbox.drops.insert(key);
+        }
+    }
+}
--- /dev/null
+++ b/lilacpass-lead/src/options.rs
@@ -0,0 +1,63 @@
+//! Times and limits of the leader, each with its source.
+
+/// Times and limits of the leader. All are in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// How far each call to a worker extends the leases there. Long enough for a take-over, about
+    /// two seconds, with time to spare; short, because work on a dead worker waits for its end.
+    pub lease_ms: u64,
+    /// How long a leader goes on extending leases after the store last confirmed that it leads. The
+    /// store may be down for that long before accepted work ends.
+    pub outlive_ms: u64,
+    /// How long a worker may wait with its answer to a look until something ends there. Half of
+    /// what the lease has left after the longest wait must be enough for the next look.
+    pub look_wait_ms: u64,
+    /// Pause after a look that failed, before the next.
+    pub look_retry_ms: u64,
+    /// Pause between looks while ends can't be recorded because the store does not answer.
+    pub look_stuck_ms: u64,
+    /// Pause before a stop that got no answer is sent again.
+    pub stop_retry_ms: u64,
+    /// How long nothing is started on a worker that has just refused or not answered.
+    pub avoid_ms: u64,
+    /// Age of an unanswered append from which on new jobs are refused instead of kept waiting.
+    pub store_patience_ms: u64,
+    /// How long an ended job can still be asked for.
+    pub retention_ms: u64,
+    /// Longest time that a worker takes to stop a run.
+    pub stop_ms: u64,
+    /// Taken off the validity of a ticket for the time that the start is under way.
+    pub ticket_margin_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            lease_ms: 5_000,
+            outlive_ms: 7_000,
+            look_wait_ms: 1_500,
+            look_retry_ms: 250,
+            look_stuck_ms: 400,
+            stop_retry_ms: 400,
+            avoid_ms: 1_000,
+            store_patience_ms: 1_500,
+            retention_ms: 150_000,
+            stop_ms: 900,
+            ticket_margin_ms: 150,
+        }
+    }
+}
+
+/// The steady clock of a worker may be slow by this share, so its leases last longer for us.
+const WORKER_CLOCK_SLOW_PERCENT: u64 = 2;
+/// Added to each bound on a lease for the rounding of clocks to whole milliseconds and for the time
+/// between reading the clock and sending.
+const LEASE_MARGIN_MS: u64 = 100;
+
+/// The longest time, on our clock, until a lease of `lease_ms` on a worker's clock has run out,
+/// where that clock was last read `age_ms` ago.
+pub fn longest_lease_ms(lease_ms: u64, age_ms: u64) -> u64 {
+    let drift_ms = age_ms * WORKER_CLOCK_SLOW_PERCENT / 100;
+    let slow_ms = (lease_ms + drift_ms) * (100 + WORKER_CLOCK_SLOW_PERCENT + 1) / 100;
+    slow_ms + LEASE_MARGIN_MS
+}
--- /dev/null
+++ b/lilacpass-lead/src/schedule.rs
@@ -0,0 +1,249 @@
+//! What starts where, and for which steps advice is asked.
+
+use lilacpass_core::Resources;
+use lilacpass_jobs::{StepName, TaskName, WorkerName};
+use lilacpass_schema::v1;
+
+use crate::{
+    advice::{self, Candidate},
+    event::{Advice, Effect, Lane, Now},
+    leader::Leader,
+    outbox::After,
+    place,
+    worker::{Phase, Worker},
+};
+
+/// Most workers that one call for advice may name.
+const MOST_ASKED: usize = 100;
+/// Share of workers that are allowed, before a queue has shown its own.
+const GOOD_SHARE_AT_FIRST: f64 = 0.5;
+/// Weight of a new answer in the learned share.
+const GOOD_SHARE_WEIGHT: f64 = 0.1;
+/// Room that is asked about beyond what the waiting tasks take, because others take some of it
+/// before the answer is there.
+const ASK_MARGIN: f64 = 1.5;
+/// Fewest tasks that the workers asked about should hold.
+const FEWEST_WANTED: u64 = 4;
+
+impl Leader {
+    /// Places waiting tasks and asks for the advice that others need.
+    pub(crate) fn schedule(&mut self, now: Now) {
+        let steps: Vec<StepName> = self.waiting.iter().map(|rank| rank.step).collect();
+        for step in steps {
+            self.place_step(step, now);
+            if self.lanes.any_idle() {
+                self.ask_advice(step, now);
+            }
+        }
+    }
+
+    fn place_step(&mut self, name: StepName, now: Now) {
+        let Some(entry) = self.jobs.get(&name.job) else { return };
+        let Some(step) = entry.job.step(name) else { return };
+        let plan = entry.job.step_plan(name.step).clone();
+        let waiting: Vec<TaskName> = step
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| task.is_waiting())
+            .map(|(index, _)| name.task(index as u32))
+            .collect();
+        if waiting.is_empty() {
+            return;
+        }
+        let mut hosts = self.hosts(name, &plan, now);
+        let picks = pick(&mut hosts, &plan, waiting.len());
+        if plan.gang {
+            if picks.len() == waiting.len() {
+                self.give_gang(name, &picks, now);
+            }
+            return;
+        }
+        for (task, worker) in waiting.into_iter().zip(picks) {
+            self.give(task, worker, now);
+        }
+    }
+
+    /// The workers that may start tasks of a step now.
+    fn hosts(&self, name: StepName, plan: &v1::WorkStep, now: Now) -> Vec<Host> {
+        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
+        let queue = &entry.job.queue;
+        let advice = self.advice.get(&name);
+        let need = place::need(plan);
+        let is_host = |worker: &&Worker| {
+            let allowed = queue.advice.is_none()
+                || advice.is_some_and(|a| a.ticket(&worker.entry.name, now.steady_ms).is_some());
+            allowed
+                && worker.takes_starts(now.steady_ms)
+                && place::is_eligible(worker, &queue.service, plan)
+                && need.fits(&worker.room())
+        };
+        self.workers
+            .values()
+            .filter(is_host)
+            .map(|worker| Host {
+                name: worker.entry.name.clone(),
+                room: worker.room(),
+                capacity_cpu: worker.entry.capacity.cpu.0.max(1),
+                near: place::score(worker, plan).0,
+                may_take: self.may_take(worker, name, plan),
+            })
+            .collect()
+    }
+
+    /// How many more tasks of a step a worker may run, by the step's own limit.
+    fn may_take(&self, worker: &Worker, name: StepName, plan: &v1::WorkStep) -> u64 {
+        if plan.max_per_worker == 0 {
+            return u64::MAX;
+        }
+        let there = worker.runs.keys().filter(|(task, _)| task.step == name).count() as u64;
+        u64::from(plan.max_per_worker).saturating_sub(there)
+    }
+
+    fn give(&mut self, task: TaskName, worker: WorkerName, now: Now) {
+        let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(run) = entry.job.begin_run(task, worker.clone()) else { return };
+        entry.begun = true;
+        self.record_start(task, run, worker);
+        self.reindex(task.step.job, now);
+    }
+
+    fn give_gang(&mut self, name: StepName, workers: &[WorkerName], now: Now) {
+        let Some(entry) = self.jobs.get_mut(&name.job) else { return };
+        let Some(run) = entry.job.begin_gang(name, workers) else { return };
+        entry.begun = true;
+        for (index, worker) in workers.iter().enumerate() {
+            self.record_start(name.task(index as u32), run, worker.clone());
+        }
+        self.reindex(name.job, now);
+    }
+
+    /// Records a start; its order follows once that is stored.
+    fn record_start(&mut self, task: TaskName, run: u32, name: WorkerName) {
+        let need = self.need_of(task);
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.give((task, run), need, Phase::Recording);
+        }
+        log::info!(task:% = task, run, worker:% = name; "task placed");
+        self.outbox.states.insert(task.step.job);
+        self.outbox.then(After::Order { worker: name, task, run });
+    }
+
+    fn ask_advice(&mut self, name: StepName, now: Now) {
+        let Some(entry) = self.jobs.get(&name.job) else { return };
+        let Some(policy) = entry.job.queue.advice else { return };
+        let known = self.advice.get(&name);
+        if known.is_some_and(|a| a.asking || now.steady_ms < a.ask_from_ms) {
+            return;
+        }
+        let plan = entry.job.step_plan(name.step);
+        let Some(step) = entry.job.step(name) else { return };
+        let waiting = step.tasks.iter().filter(|task| task.is_waiting()).count() as u64;
+        if waiting == 0 {
+            return;
+        }
+        let candidates = self.candidates(name, plan, waiting, now);
+        let share = self.good_shares.get(&entry.job.queue.name).copied();
+        let wanted = ((waiting as f64 * ASK_MARGIN) as u64).max(FEWEST_WANTED);
+        let share = share.unwrap_or(GOOD_SHARE_AT_FIRST);
+        let workers = advice::choose(&candidates, wanted, share, MOST_ASKED);
+        if workers.is_empty() {
+            return;
+        }
+        let expected_ms = (policy.base_ms + policy.per_worker_ms * workers.len() as f64) as u64;
+        let Some(lane) = self.lanes.take(expected_ms) else { return };
+        self.advice.entry(name).or_default().asking = true;
+        self.effects.push(Effect::Advise { lane, step: name, workers, expected_ms });
+    }
+
+    /// Workers that could run tasks of a step if they were allowed to, best first.
+    fn candidates(
+        &self,
+        name: StepName,
+        plan: &v1::WorkStep,
+        waiting: u64,
+        now: Now,
+    ) -> Vec<Candidate> {
+        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
+        let need = place::need(plan);
+        let advice = self.advice.get(&name);
+        let mut rated = Vec::new();
+        for worker in self.workers.values() {
+            let worker_name = &worker.entry.name;
+            let verdict = advice.and_then(|a| a.verdict(worker_name));
+            let holds_ticket =
+                advice.is_some_and(|a| a.ticket(worker_name, now.steady_ms).is_some());
+            let usable = verdict != Some(false)
+                && !holds_ticket
+                && worker.takes_starts(now.steady_ms)
+                && place::is_eligible(worker, &entry.job.queue.service, plan);
+            if !usable {
+                continue;
+            }
+            let most = waiting.min(self.may_take(worker, name, plan));
+            let fits = place::fits(&worker.room(), &need, most);
+            if fits == 0 {
+                continue;
+            }
+            let candidate =
+                Candidate { worker: worker_name.clone(), known_good: verdict == Some(true), fits };
+            rated.push((place::score(worker, plan), candidate));
+        }
+        rated.sort_by(|a, b| b.0.cmp(&a.0));
+        rated.into_iter().map(|(_, candidate)| candidate).collect()
+    }
+
+    pub(crate) fn on_advised(
+        &mut self,
+        lane: &Lane,
+        step: StepName,
+        asked: &[WorkerName],
+        answer: Option<Advice>,
+        now: Now,
+    ) {
+        self.lanes.give_back(lane);
+        let Some(entry) = self.jobs.get(&step.job) else { return };
+        if let Some(answer) = &answer {
+            let share = answer.good.len() as f64 / asked.len().max(1) as f64;
+            let learned =
+                self.good_shares.entry(entry.job.queue.name.clone()).or_insert(GOOD_SHARE_AT_FIRST);
+            *learned += (share - *learned) * GOOD_SHARE_WEIGHT;
+        }
+        let margin_ms = self.options.ticket_margin_ms;
+        let known = self.advice.entry(step).or_default();
+        known.answered(asked, answer, margin_ms, now.steady_ms);
+    }
+}
+
+/// A worker during one round of placing.
+#[derive(Debug)]
+struct Host {
+    name: WorkerName,
+    room: Resources,
+    capacity_cpu: u64,
+    near: bool,
+    may_take: u64,
+}
+
+impl Host {
+    fn score(&self) -> (bool, u64) {
+        (self.near, self.room.cpu.0 * 1_000 / self.capacity_cpu)
+    }
+}
+
+/// Picks workers for up to `count` tasks, the emptiest first.
+fn pick(hosts: &mut [Host], plan: &v1::WorkStep, count: usize) -> Vec<WorkerName> {
+    let need = place::need(plan);
+    let mut picks = Vec::new();
+    while picks.len() < count {
+        let best = hosts
+            .iter_mut()
+            .filter(|host| host.may_take > 0 && need.fits(&host.room))
+            .max_by_key(|host| host.score());
+        let Some(host) = best else { break };
+        host.room = host.room.minus(&need);
+        host.may_take -= 1;
+        picks.push(host.name.clone());
+    }
+    picks
+}
--- /dev/null
+++ b/lilacpass-lead/src/worker.rs
@@ -0,0 +1,192 @@
+//! A worker as its commander sees it: what was given to it, what it told, and how long that holds.
+
+use std::collections::BTreeMap;
+
+use lilacpass_core::Resources;
+use lilacpass_jobs::{TaskName, WorkerName};
+
+use crate::{event::Registration, options};
+
+/// A run on a worker.
+pub type RunKey = (TaskName, u32);
+
+/// What is known of a run that was given to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It is being recorded; the order has not been sent.
+    Recording,
+    /// The order is under way.
+    Ordered,
+    /// The order got no answer, or a former leader gave it: it may run, or start later.
+    Uncertain {
+        /// When this became so, on the steady clock.
+        since_ms: u64,
+    },
+    /// It started.
+    Running {
+        /// When this became known, on the steady clock.
+        since_ms: u64,
+    },
+    /// It is to stop.
+    Stopping {
+        /// When the stop was last sent, on the steady clock.
+        sent_ms: u64,
+        /// When the worker confirmed the stop: from then on the run can't start any more.
+        confirmed_ms: Option<u64>,
+    },
+}
+
+/// A run that was given to a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Given {
+    /// What is known of it.
+    pub phase: Phase,
+    /// What it takes.
+    pub need: Resources,
+}
+
+/// The state of the call that looks at a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Look {
+    /// None is under way; the next is due at this time.
+    Due {
+        /// On the steady clock.
+        at_ms: u64,
+    },
+    /// One is under way.
+    UnderWay,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// What it registered. Empty but for the name where only records tell of it.
+    pub entry: Registration,
+    /// Whether it is registered now.
+    pub listed: bool,
+    /// It has answered a look under our epoch, and no bound on its leases has passed since.
+    pub commanded: bool,
+    /// It drains, by its registration or its own word.
+    pub draining: bool,
+    /// Its clock less ours, and when that was read.
+    clock: Option<(i64, u64)>,
+    /// When everything there has surely lapsed, if nothing more is sent.
+    pub lapsed_by_ms: u64,
+    /// Runs given to it that are not known to have ended.
+    pub runs: BTreeMap<RunKey, Given>,
+    /// What these take.
+    pub used: Resources,
+    /// Number of the last end that was handled.
+    pub seen_upto: u64,
+    /// Number of the last end that is recorded.
+    pub noted_upto: u64,
+    /// The waiting look.
+    pub look: Look,
+    /// An extra look is under way.
+    pub extra_look: bool,
+    /// Looks that failed since the last answer.
+    pub failed_looks: u32,
+    /// Nothing is started there before this time.
+    pub avoid_until_ms: u64,
+    /// Runs in a row that failed or were refused there; a worker that spoils all it gets stands out.
+    pub bad_ends: u32,
+}
+
+impl Worker {
+    /// A worker of which nothing is known yet, whose leases run out by `lapsed_by_ms`.
+    pub fn new(entry: Registration, lapsed_by_ms: u64) -> Self {
+        Self {
+            draining: entry.draining,
+            entry,
+            listed: false,
+            commanded: false,
+            clock: None,
+            lapsed_by_ms,
+            runs: BTreeMap::new(),
+            used: Resources::ZERO,
+            seen_upto: 0,
+            noted_upto: 0,
+            look: Look::Due { at_ms: 0 },
+            extra_look: false,
+            failed_looks: 0,
+            avoid_until_ms: 0,
+            bad_ends: 0,
+        }
+    }
+
+    /// A worker that only records tell of: it can't be reached.
+    pub fn unlisted(name: WorkerName, lapsed_by_ms: u64) -> Self {
+        let entry = Registration {
+            name,
+            address: String::new(),
+            data_centre: String::new(),
+            service: String::new(),
+            capacity: Resources::ZERO,
+            labels: Vec::new(),
+            draining: false,
+        };
+        Self::new(entry, lapsed_by_ms)
+    }
+
+    /// The rack that it stands in.
+    pub fn rack(&self) -> &str {
+        self.entry.labels.get(1).map(String::as_str).unwrap_or_default()
+    }
+
+    /// Notes what its clock showed.
+    pub fn read_clock(&mut self, clock_ms: u64, now_ms: u64) {
+        self.clock = Some((clock_ms as i64 - now_ms as i64, now_ms));
+    }
+
+    /// The end of a lease of `lease_ms` from now on, on the worker's clock, if that is known. Notes
+    /// how long it may last.
+    pub fn extend_lease(&mut self, lease_ms: u64, now_ms: u64) -> Option<u64> {
+        let (offset_ms, read_ms) = self.clock?;
+        let age_ms = now_ms.saturating_sub(read_ms);
+        let lapsed_by_ms = now_ms + options::longest_lease_ms(lease_ms, age_ms);
+        self.lapsed_by_ms = self.lapsed_by_ms.max(lapsed_by_ms);
+        Some((now_ms as i64 + offset_ms + lease_ms as i64).max(0) as u64)
+    }
+
+    /// Gives it a run.
+    pub fn give(&mut self, key: RunKey, need: Resources, phase: Phase) {
+        if self.runs.insert(key, Given { phase, need }).is_none() {
+            self.used = self.used.plus(&need);
+        }
+    }
+
+    /// Takes a run that has ended off it. Returns whether it was there.
+    pub fn take(&mut self, key: RunKey) -> bool {
+        let Some(given) = self.runs.remove(&key) else { return false };
+        self.used = self.used.minus(&given.need);
+        true
+    }
+
+    /// Sets what is known of a run.
+    pub fn set_phase(&mut self, key: RunKey, phase: Phase) {
+        if let Some(given) = self.runs.get_mut(&key) {
+            given.phase = phase;
+        }
+    }
+
+    /// What is free.
+    pub fn room(&self) -> Resources {
+        self.entry.capacity.minus(&self.used)
+    }
+
+    /// Whether starts may be given to it now.
+    pub fn takes_starts(&self, now_ms: u64) -> bool {
+        self.listed
+            && self.commanded
+            && !self.draining
+            && self.failed_looks == 0
+            && now_ms >= self.avoid_until_ms
+    }
+
+    /// Starts nothing there for a while, longer after each further trouble.
+    pub fn avoid(&mut self, now_ms: u64, pause_ms: u64) {
+        const MOST_DOUBLINGS: u32 = 3;
+        let pause_ms = pause_ms << self.bad_ends.min(MOST_DOUBLINGS);
+        self.avoid_until_ms = self.avoid_until_ms.max(now_ms + pause_ms);
+    }
+}
--- /dev/null
+++ b/lilacpass-node/src/clock.rs
@@ -0,0 +1,15 @@
+//! The only place that reads clocks.
+
+use lilacpass_lead::Now;
+use rustix::time::{ClockId, clock_gettime};
+
+/// The present time. The steady part goes on while the machine is suspended, so that whoever was
+/// suspended notices how old its knowledge is.
+pub fn now() -> Now {
+    Now { steady_ms: read_ms(ClockId::Boottime), unix_ms: read_ms(ClockId::Realtime) }
+}
+
+fn read_ms(clock: ClockId) -> u64 {
+    let time = clock_gettime(clock);
+    time.tv_sec as u64 * 1_000 + time.tv_nsec as u64 / 1_000_000
+}
--- /dev/null
+++ b/lilacpass-node/src/election.rs
@@ -0,0 +1,218 @@
+//! Who leads: follows the leader while it lives, and takes its place when it does not.
+//!
+//! Safety never rests on what is decided here: only one of several that take over at once can close
+//! the log, and whoever did not is refused by the store and by the workers. This module decides only
+//! that somebody leads soon, and that a leader that lives is left alone.
+
+use std::{rc::Rc, time::Duration};
+
+use lilacpass_core::Verdict;
+use lilacpass_lead::event::Record;
+use lilacpass_platform::{
+    Error,
+    store::{self, Append, Condition, Newest},
+};
+use lilacpass_schema::v1;
+use prost::Message;
+use rand::RngExt;
+use tokio::time;
+
+use crate::{clock, leading, node::Node, peers, takeover};
+
+/// Time between greetings to the leader.
+const HELLO_INTERVAL: Duration = Duration::from_millis(300);
+/// How long the leader may take to answer a greeting. A slow instance of an eighth of the ordinary
+/// speed answers within 100 ms.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(450);
+/// How long a leader that is silent must go without renewal. Over twice the interval of renewals,
+/// so that a leader that merely can't be reached from here is left alone.
+const SILENT_WATCH: Duration = Duration::from_millis(750);
+/// The same where its address refuses connections: its process is most likely gone.
+const REFUSED_WATCH: Duration = Duration::from_millis(420);
+/// How long another that has announced its take-over is given for it.
+const CLAIM_WATCH: Duration = Duration::from_millis(1_300);
+/// Spreads instances that notice the same loss at the same time.
+const SPREAD: Duration = Duration::from_millis(40);
+/// Greetings in a row in which a leader says that the store does not answer it, before an instance
+/// that the store does answer takes over.
+const CUT_OFF_GREETINGS: u32 = 3;
+/// How long the store may take for a call here.
+const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Pause after a store call that failed.
+const STORE_RETRY: Duration = Duration::from_millis(250);
+/// Key of the record by which an instance announces that it is taking over.
+const CLAIM_KEY: &str = "claim";
+
+/// What a greeting showed.
+enum Greeting {
+    Leads { store_reachable: bool },
+    Elsewhere,
+    NotLeading,
+    Refused,
+    Silent,
+}
+
+/// Follows or leads as long as the process runs.
+pub async fn run(node: Rc<Node>) {
+    let mut cut_off = 0;
+    loop {
+        if node.leads() {
+            leading::ended(&node).await;
+            continue;
+        }
+        let view = node.leader.borrow().clone();
+        let Some(address) = view.address else {
+            contest(&node, Duration::ZERO).await;
+            continue;
+        };
+        match greet(&node, &address, view.epoch).await {
+            Greeting::Leads { store_reachable } => {
+                cut_off = if store_reachable { 0 } else { cut_off + 1 };
+                if cut_off >= CUT_OFF_GREETINGS && node.store_reachable() {
+                    log::info!(leader = address.as_str(); "the store does not answer the leader");
+                    contest(&node, REFUSED_WATCH).await;
+                }
+                let mut leaving = node.leaving.subscribe();
+                tokio::select! {
+                    () = time::sleep(HELLO_INTERVAL) => {}
+                    _ = leaving.changed() => {}
+                }
+            }
+            Greeting::Elsewhere => {}
+            Greeting::NotLeading => contest(&node, Duration::ZERO).await,
+            Greeting::Refused => contest(&node, REFUSED_WATCH).await,
+            Greeting::Silent => contest(&node, SILENT_WATCH).await,
+        }
+    }
+}
+
+async fn greet(node: &Rc<Node>, address: &str, epoch: u64) -> Greeting {
+    if address == node.peer_address() {
+        // A former life of this instance led.
+        return Greeting::NotLeading;
+    }
+    match peers::hello(node, address, HELLO_TIMEOUT).await {
+        Ok(reply) if reply.leads => {
+            node.leader_heard_ms.set(clock::now().steady_ms);
+            node.follow(reply.epoch, address);
+            *node.known_peers.borrow_mut() = reply.peers;
+            Greeting::Leads { store_reachable: reply.store_reachable }
+        }
+        Ok(reply) if reply.epoch > epoch && !reply.leader_address.is_empty() => {
+            node.follow(reply.epoch, &reply.leader_address);
+            Greeting::Elsewhere
+        }
+        Ok(_) => Greeting::NotLeading,
+        Err(Error::Call(Verdict::NotRun, _)) => Greeting::Refused,
+        Err(_) => Greeting::Silent,
+    }
+}
+
+/// Takes over if the leader is not renewed for `watch`.
+async fn contest(node: &Rc<Node>, watch: Duration) {
+    let partition = takeover::lead_partition();
+    let page = match node.store.newest(&partition, None, STORE_TIMEOUT).await {
+        Ok(page) => page,
+        Err(err) => {
+            log::info!(error:% = err; "leader can't be looked up");
+            ask_peers(node).await;
+            time::sleep(STORE_RETRY).await;
+            return;
+        }
+    };
+    node.store_heard();
+    let known = node.leader.borrow().clone();
+    let lead = newest_lead(&page);
+    if let Some(lead) = &lead
+        && (lead.epoch > known.epoch || known.address.is_none())
+        && !lead.resigned
+    {
+        node.follow(lead.epoch, &lead.address);
+        return;
+    }
+    if node.is_leaving() {
+        time::sleep(HELLO_INTERVAL).await;
+        return;
+    }
+    let watch = match &lead {
+        Some(lead) if !lead.resigned => watch,
+        _ => Duration::ZERO,
+    };
+    let watch = if claimed_by_other(node, &page) { watch.max(CLAIM_WATCH) } else { watch };
+    let spread = SPREAD.mul_f64(rand::rng().random());
+    time::sleep(watch + spread).await;
+    if claim(node, page.end).await {
+        take_over(node).await;
+    }
+}
+
+/// Takes over at the word of the former leader.
+pub fn promote(node: &Rc<Node>) {
+    if node.leads() || node.is_leaving() {
+        return;
+    }
+    log::info!("asked to take over");
+    let node = node.clone();
+    tokio::task::spawn_local(async move { take_over(&node).await });
+}
+
+async fn take_over(node: &Rc<Node>) {
+    if let Some(won) = takeover::take_over(node).await {
+        leading::start(node, won);
+    }
+}
+
+/// Announces a take-over, only if nothing was written since the look at the leader: neither a
+/// renewal nor another's announcement.
+async fn claim(node: &Rc<Node>, end: u64) -> bool {
+    let value = node.settings.instance.clone().into_bytes();
+    let record = Record { key: CLAIM_KEY.to_owned(), value };
+    let Ok(records) = store::encode_records(&[record]) else { return false };
+    let condition = Condition { at: Some(end), writer: None };
+    let partition = takeover::lead_partition();
+    match node.store.append(&partition, condition, &records, STORE_TIMEOUT).await {
+        Ok(Append::Stored { .. }) => true,
+        Ok(Append::Elsewhere { .. } | Append::Fenced | Append::OutOfSequence) => false,
+        Err(err) => {
+            log::info!(error:% = err; "take-over can't be announced");
+            time::sleep(STORE_RETRY).await;
+            false
+        }
+    }
+}
+
+fn newest_lead(page: &Newest) -> Option<v1::LeadRecord> {
+    let placed = page.records.iter().find(|placed| placed.record.key == takeover::LEAD_KEY)?;
+    v1::LeadRecord::decode(placed.record.value.as_slice())
+        .inspect_err(|err| log::warn!(error:% = err; "record of the leader is passed over"))
+        .ok()
+}
+
+/// Whether another has announced its take-over since the leader last wrote.
+fn claimed_by_other(node: &Node, page: &Newest) -> bool {
+    let offset = |key: &str| {
+        page.records.iter().find(|placed| placed.record.key == key).map(|placed| placed.offset)
+    };
+    let own = node.settings.instance.as_bytes();
+    let by_other = page
+        .records
+        .iter()
+        .any(|placed| placed.record.key == CLAIM_KEY && placed.record.value != own);
+    by_other && offset(CLAIM_KEY) > offset(takeover::LEAD_KEY)
+}
+
+/// Asks other instances who leads, for one that the store does not answer.
+async fn ask_peers(node: &Rc<Node>) {
+    let peers = node.known_peers.borrow().clone();
+    let epoch = node.leader.borrow().epoch;
+    for address in peers.iter().filter(|address| **address != node.peer_address()) {
+        match peers::hello(node, address, HELLO_TIMEOUT).await {
+            Ok(reply) if reply.epoch > epoch && !reply.leader_address.is_empty() => {
+                node.follow(reply.epoch, &reply.leader_address);
+                return;
+            }
+            Ok(_) => {}
+            Err(err) => log::debug!(peer = address.as_str(), error:% = err; "peer does not answer"),
+        }
+    }
+}
--- /dev/null
+++ b/lilacpass-node/src/entry.rs
@@ -0,0 +1,145 @@
+//! Callers' requests: checked here, then answered by the leader.
+
+use std::{rc::Rc, time::Duration};
+
+use http::StatusCode;
+use lilacpass_core::Verdict;
+use lilacpass_lead::event::{Answer, Ask};
+use lilacpass_platform::{
+    callers::{self, Wanted},
+    server::{Received, Reply},
+};
+use tokio::time::{self, Instant};
+
+use crate::{
+    clock, metrics,
+    node::Node,
+    peers::{self, Handed},
+};
+
+/// Taken off the time that a caller waits, so that our answer is there before it leaves.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
+/// How long a request waits for a leader to be found before it is refused. A take-over takes about
+/// a second and a half when the former leader has lost power.
+const LEADER_PATIENCE: Duration = Duration::from_millis(1_900);
+/// Pause before a request is handed on again.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// When to come back if no leader was found.
+const NO_LEADER_RETRY_MS: u32 = 1_000;
+/// When to come back before the first desired state is known.
+const NO_DESIRED_RETRY_S: u64 = 1;
+/// An instance that has not heard of the leader for so long is not ready.
+const READY_HEARD_MS: u64 = 2_500;
+
+/// Answers whether this instance takes callers.
+pub async fn ready(node: Rc<Node>, received: Received) -> Reply {
+    if received.path != callers::READY_PATH {
+        return Reply::error(StatusCode::NOT_FOUND, "no such path");
+    }
+    let heard_ms = clock::now().steady_ms.saturating_sub(node.leader_heard_ms.get());
+    let has_leader = node.leads() || heard_ms < READY_HEARD_MS;
+    let is_ready = node.published().is_some() && has_leader && !node.is_leaving();
+    Reply::status(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
+/// Serves a caller.
+pub async fn serve(node: Rc<Node>, received: Received) -> Reply {
+    if received.path == callers::READY_PATH {
+        return ready(node, received).await;
+    }
+    metrics::count(&node.metrics.requests);
+    node.open_requests.set(node.open_requests.get() + 1);
+    let reply = answer(&node, &received).await;
+    node.open_requests.set(node.open_requests.get() - 1);
+    Reply { close: reply.close || node.is_leaving(), ..reply }
+}
+
+async fn answer(node: &Node, received: &Received) -> Reply {
+    let Some(published) = node.published() else {
+        let retry_after_s = Some(NO_DESIRED_RETRY_S);
+        let reply = Reply::error(StatusCode::SERVICE_UNAVAILABLE, "no desired state is known yet");
+        return Reply { retry_after_s, ..reply };
+    };
+    let request = match callers::decode(&published.desired, received) {
+        Ok(request) => request,
+        Err(reply) => return reply,
+    };
+    let queue = &request.queue.policy;
+    let ask = match request.wanted {
+        Wanted::Submit(job, plan) => Ask::Submit { job, plan, queue: queue.clone() },
+        Wanted::State(job) => Ask::State(job),
+        Wanted::Cancel(job) => Ask::Cancel(job),
+        Wanted::Pending => Ask::Pending { queue: queue.name.clone() },
+    };
+    let timeout_ms = match request.queue.timeout_ms {
+        0 => request.deadline_ms,
+        timeout_ms => request.deadline_ms.min(timeout_ms),
+    };
+    let timeout = Duration::from_millis(timeout_ms).saturating_sub(ANSWER_MARGIN);
+    let answer = ask_leader(node, ask, timeout).await;
+    match &answer {
+        Answer::Refused { reason, .. } => {
+            metrics::count(&node.metrics.refused);
+            log::info!(path = received.path.as_str(), reason; "request refused");
+        }
+        Answer::Uncertain => {
+            metrics::count(&node.metrics.uncertain);
+            log::info!(path = received.path.as_str(); "request uncertain");
+        }
+        _ => {}
+    }
+    callers::encode(&answer)
+}
+
+/// Asks the leader, and its successor if there is one, until there is an answer or time is up. All
+/// that callers ask is idempotent, so it may be asked twice.
+async fn ask_leader(node: &Node, ask: Ask, timeout: Duration) -> Answer {
+    let start = Instant::now();
+    let end = start + timeout;
+    let refuse_at = start + LEADER_PATIENCE.min(timeout);
+    let mut may_be_done = false;
+    let mut changes = node.leader.subscribe();
+    loop {
+        changes.mark_unchanged();
+        let now = Instant::now();
+        if now >= end || now >= refuse_at && !may_be_done {
+            break;
+        }
+        let own = node.lead.borrow().clone();
+        let address = node.leader.borrow().address.clone();
+        let handed = async {
+            match (own, address) {
+                (Some(lead), _) => match lead.ask(ask.clone()).await {
+                    Some(answer) => Handed::Answered(answer),
+                    None => Handed::Failed(Verdict::MayHaveRun),
+                },
+                (None, Some(address)) => peers::hand_on(node, &address, &ask, end - now).await,
+                (None, None) => Handed::NotLeading,
+            }
+        };
+        // A leader that is replaced will not answer any more.
+        let handed = tokio::select! {
+            handed = handed => handed,
+            _ = changes.changed() => Handed::Failed(Verdict::MayHaveRun),
+            () = time::sleep_until(end) => Handed::Failed(Verdict::MayHaveRun),
+        };
+        match handed {
+            Handed::Answered(answer) => return settle(answer, may_be_done),
+            Handed::NotLeading | Handed::Failed(Verdict::NotRun) => {}
+            Handed::Failed(Verdict::MayHaveRun | Verdict::Ran) => may_be_done = true,
+        }
+        time::sleep(RETRY_PAUSE.min(end.saturating_duration_since(Instant::now()))).await;
+    }
+    if may_be_done {
+        return Answer::Uncertain;
+    }
+    Answer::Refused { reason: "no leader is known", retry_after_ms: NO_LEADER_RETRY_MS }
+}
+
+/// A refusal after an earlier try that may have been done proves nothing.
+fn settle(answer: Answer, may_be_done: bool) -> Answer {
+    match answer {
+        Answer::Refused { .. } if may_be_done => Answer::Uncertain,
+        answer => answer,
+    }
+}
--- /dev/null
+++ b/lilacpass-node/src/leading.rs
@@ -0,0 +1,379 @@
+//! Runs the leader: brings it events, carries out what it asks for.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use lilacpass_lead::{
+    Effect, Event, Leader, Options,
+    event::{Answer, Ask, Lane, Record, Token},
+};
+use lilacpass_platform::{
+    store::{self, Writer},
+    workers::{Look, Start, Target},
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time,
+};
+
+use crate::{
+    append, clock,
+    node::{LeaderView, Node},
+    peers, registry_watch,
+    takeover::{self, Won},
+};
+
+/// Time between ticks of the leader, which bound how late it notices that a time has passed.
+const TICK: Duration = Duration::from_millis(50);
+/// Time between renewals in the store. Followers take a leader for gone after about 0.75 s.
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(300);
+/// An instance that has not greeted the leader for so long gets no calls for advice.
+const LANE_HEARD_MS: u64 = 900;
+/// Time between updates of the lanes.
+const LANES_INTERVAL_MS: u64 = 200;
+/// Added to the time that a call for advice should take, before it is given up.
+const ADVICE_SLACK: Duration = Duration::from_millis(900);
+/// How long the request to take over may take.
+const PROMOTE_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a leader that steps down waits for the append under way.
+const RESIGN_WAIT: Duration = Duration::from_millis(300);
+
+/// What is told to the loop of the leader.
+#[derive(Debug)]
+pub enum Message {
+    /// Something happened.
+    Event(Event),
+    /// A caller asks.
+    Ask(Ask, oneshot::Sender<Answer>),
+    /// Another leads.
+    Deposed,
+    /// Step down.
+    Resign,
+}
+
+/// The way to the leader within its own instance.
+#[derive(Clone)]
+pub struct LeadHandle {
+    messages: mpsc::UnboundedSender<Message>,
+    ended: watch::Receiver<bool>,
+}
+
+impl LeadHandle {
+    /// Asks the leader. None where it ended before it answered: it may have done what was asked.
+    pub async fn ask(&self, ask: Ask) -> Option<Answer> {
+        let (sender, receiver) = oneshot::channel();
+        self.messages.send(Message::Ask(ask, sender)).ok()?;
+        receiver.await.ok()
+    }
+
+    /// Has the leader step down.
+    pub fn resign(&self) {
+        // A leader that has ended needs no telling.
+        let _ended = self.messages.send(Message::Resign);
+    }
+}
+
+/// Waits until this instance does not lead any more.
+pub async fn ended(node: &Node) {
+    let Some(mut lead) = node.lead.borrow().clone() else { return };
+    // The sender is dropped when the loop ends, which is what is waited for.
+    let _dropped = lead.ended.wait_for(|ended| *ended).await;
+}
+
+/// Begins to lead.
+pub fn start(node: &Rc<Node>, won: Won) {
+    let (messages, inbox) = mpsc::unbounded_channel();
+    let (end, ended) = watch::channel(false);
+    let options = options(node);
+    let now = clock::now();
+    let leader = Leader::new(options, won.jobs, now);
+    *node.lead.borrow_mut() = Some(LeadHandle { messages: messages.clone(), ended });
+    let address = node.peer_address();
+    node.leader.send_replace(LeaderView { epoch: won.epoch, address: Some(address) });
+    node.metrics.takeovers.set(node.metrics.takeovers.get() + 1);
+    tokio::task::spawn_local(registry_watch::run(node.clone(), messages.clone()));
+    tokio::task::spawn_local(renew(node.clone(), won.epoch, messages.clone()));
+    let driver = Driver {
+        node: node.clone(),
+        epoch: won.epoch,
+        leader,
+        messages,
+        callers: HashMap::new(),
+        next_token: 0,
+        next_sequence: 1,
+        lanes_at_ms: 0,
+        deposed: false,
+    };
+    tokio::task::spawn_local(driver.run(inbox, end));
+}
+
+fn options(node: &Node) -> Options {
+    let bounds = &node.settings.bounds;
+    let defaults = Options::default();
+    Options {
+        lease_ms: defaults.lease_ms.min(bounds.longest_lease_ms),
+        stop_ms: bounds.stop_ms,
+        retention_ms: defaults.retention_ms.max(bounds.retention_ms),
+        ..defaults
+    }
+}
+
+/// Renews the record of the leader, which shows to all that it lives, and to it that it still leads.
+async fn renew(node: Rc<Node>, epoch: u64, messages: mpsc::UnboundedSender<Message>) {
+    let partition = takeover::lead_partition();
+    let mut renewal = 0;
+    while !messages.is_closed() {
+        time::sleep(RENEWAL_INTERVAL).await;
+        if messages.is_closed() {
+            return;
+        }
+        renewal += 1;
+        let record = takeover::lead_record(&node, epoch, renewal, false);
+        let Ok(records) = store::encode_records(&[record]) else { return };
+        let sent_ms = clock::now().steady_ms;
+        let writer = Writer { epoch, sequence: renewal };
+        let message = match append::store(&node, &partition, writer, &records).await {
+            Ok(()) => Message::Event(Event::Confirmed { sent_ms }),
+            Err(append::Deposed) => Message::Deposed,
+        };
+        if messages.send(message).is_err() {
+            return;
+        }
+    }
+}
+
+struct Driver {
+    node: Rc<Node>,
+    epoch: u64,
+    leader: Leader,
+    messages: mpsc::UnboundedSender<Message>,
+    callers: HashMap<Token, oneshot::Sender<Answer>>,
+    next_token: u64,
+    next_sequence: u64,
+    lanes_at_ms: u64,
+    deposed: bool,
+}
+
+impl Driver {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>, end: watch::Sender<bool>) {
+        let mut ticks = time::interval(TICK);
+        ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+        let mut resigning = false;
+        while !self.deposed && !resigning {
+            tokio::select! {
+                message = inbox.recv() => {
+                    let Some(message) = message else { break };
+                    resigning |= self.take_in(message);
+                    while let Ok(message) = inbox.try_recv() {
+                        resigning |= self.take_in(message);
+                    }
+                }
+                _ = ticks.tick() => self.tick(),
+            }
+            self.carry_out();
+        }
+        if resigning && !self.deposed {
+            self.step_down(&mut inbox).await;
+        }
+        self.node.lead.borrow_mut().take();
+        log::info!(epoch = self.epoch, deposed = self.deposed; "leads no more");
+        end.send_replace(true);
+    }
+
+    /// Takes a message in. Returns whether it asks the leader to step down.
+    fn take_in(&mut self, message: Message) -> bool {
+        let now = clock::now();
+        match message {
+            Message::Event(event) => self.leader.handle(event, now),
+            Message::Ask(ask, caller) => {
+                let token = Token(self.next_token);
+                self.next_token += 1;
+                self.callers.insert(token, caller);
+                self.leader.handle(Event::Asked { token, ask }, now);
+            }
+            Message::Deposed => self.deposed = true,
+            Message::Resign => return true,
+        }
+        false
+    }
+
+    fn tick(&mut self) {
+        let now = clock::now();
+        if now.steady_ms >= self.lanes_at_ms {
+            self.lanes_at_ms = now.steady_ms + LANES_INTERVAL_MS;
+            let lanes = self.lanes(now.steady_ms);
+            self.leader.handle(Event::Lanes(lanes), now);
+        }
+        self.leader.handle(Event::Tick, now);
+    }
+
+    /// Instances that can call for advice: this one, and those that greet it.
+    fn lanes(&self, now_ms: u64) -> Vec<Lane> {
+        let peers = self.node.peers.borrow();
+        let near = peers
+            .iter()
+            .filter(|(_, peer)| !peer.leaving && peer.heard_ms + LANE_HEARD_MS > now_ms)
+            .map(|(address, _)| Lane(address.clone()));
+        near.chain([Lane(self.node.peer_address())]).collect()
+    }
+
+    /// Has what is under way stored, then asks a peer to take over.
+    async fn step_down(&mut self, inbox: &mut mpsc::UnboundedReceiver<Message>) {
+        let wait = time::sleep(RESIGN_WAIT);
+        tokio::pin!(wait);
+        while self.leader.store_stuck_ms(clock::now()) > 0 {
+            tokio::select! {
+                () = &mut wait => break,
+                message = inbox.recv() => {
+                    let Some(message) = message else { break };
+                    if !matches!(message, Message::Ask(..)) {
+                        self.take_in(message);
+                    }
+                    self.carry_out();
+                }
+            }
+        }
+        self.node.lead.borrow_mut().take();
+        let now_ms = clock::now().steady_ms;
+        let candidates: Vec<String> = self
+            .node
+            .peers
+            .borrow()
+            .iter()
+            .filter(|(_, peer)| !peer.leaving && peer.store_reachable)
+            .filter(|(_, peer)| peer.heard_ms + LANE_HEARD_MS > now_ms)
+            .map(|(address, _)| address.clone())
+            .collect();
+        for address in candidates {
+            match peers::promote(&self.node, &address, PROMOTE_TIMEOUT).await {
+                Ok(()) => {
+                    log::info!(peer = address.as_str(); "peer asked to take over");
+                    return;
+                }
+                Err(err) => {
+                    log::info!(peer = address.as_str(), error:% = err; "peer does not take over")
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for effect in self.leader.finish(clock::now()) {
+            self.carry_out_one(effect);
+        }
+    }
+
+    fn carry_out_one(&mut self, effect: Effect) {
+        match effect {
+            Effect::Reply { token, answer } => {
+                if let Some(caller) = self.callers.remove(&token) {
+                    // A caller that has left needs no answer.
+                    let _left = caller.send(answer);
+                }
+            }
+            Effect::Append(records) => self.append(records),
+            Effect::Look { worker, address, lease_until_ms, forget_upto, wait_ms, extra } => {
+                let look = Look { lease_until_ms, forget_upto, wait_ms };
+                let node = self.node.clone();
+                let epoch = self.epoch;
+                self.spawn(async move {
+                    let sent_ms = clock::now().steady_ms;
+                    let target = Target { name: &worker, address: &address, epoch };
+                    let result = node.workers.look(target, look).await;
+                    Event::Looked { worker, sent_ms, extra, result }
+                });
+            }
+            Effect::Start {
+                worker,
+                address,
+                task,
+                run,
+                payload,
+                lease_until_ms,
+                checkpoint,
+                ticket,
+            } => {
+                let node = self.node.clone();
+                let epoch = self.epoch;
+                self.spawn(async move {
+                    let target = Target { name: &worker, address: &address, epoch };
+                    let start = Start {
+                        task,
+                        run,
+                        payload: &payload,
+                        lease_until_ms,
+                        checkpoint: &checkpoint,
+                        ticket: ticket.as_deref(),
+                    };
+                    let result = node.workers.start(target, start).await;
+                    Event::Started { worker, task, run, result }
+                });
+            }
+            Effect::Stop { worker, address, task, run } => {
+                let node = self.node.clone();
+                let epoch = self.epoch;
+                self.spawn(async move {
+                    let target = Target { name: &worker, address: &address, epoch };
+                    let result = node.workers.stop(target, task, run).await;
+                    Event::Stopped { worker, task, run, result }
+                });
+            }
+            Effect::Pace { worker, address, task, run, percent } => {
+                let node = self.node.clone();
+                let epoch = self.epoch;
+                tokio::task::spawn_local(async move {
+                    let target = Target { name: &worker, address: &address, epoch };
+                    if let Err(err) = node.workers.pace(target, task, run, percent).await {
+                        log::info!(task:% = task, run, worker:% = worker, error:? = err; "pace not set");
+                    }
+                });
+            }
+            Effect::Advise { lane, step, workers, expected_ms } => {
+                let node = self.node.clone();
+                self.spawn(async move {
+                    let timeout = Duration::from_millis(expected_ms) + ADVICE_SLACK;
+                    let advice = if lane.0 == node.peer_address() {
+                        peers::advise(&node, step, &workers, timeout).await
+                    } else {
+                        peers::advise_by(&node, &lane.0, step, &workers, timeout).await
+                    };
+                    Event::Advised { lane, step, asked: workers, advice }
+                });
+            }
+            Effect::Deposed => {
+                log::info!(epoch = self.epoch; "a worker has heard of a later leader");
+                self.deposed = true;
+            }
+        }
+    }
+
+    fn append(&mut self, records: Vec<Record>) {
+        let calls = append::split(&records, self.node.settings.store_call_bytes);
+        let first_sequence = self.next_sequence;
+        self.next_sequence += calls.len() as u64;
+        let node = self.node.clone();
+        let epoch = self.epoch;
+        let messages = self.messages.clone();
+        tokio::task::spawn_local(async move {
+            let partition = takeover::jobs_partition();
+            let mut message = Message::Event(Event::Appended);
+            for (sequence, call) in (first_sequence..).zip(&calls) {
+                let writer = Writer { epoch, sequence };
+                if append::store(&node, &partition, writer, call).await.is_err() {
+                    message = Message::Deposed;
+                    break;
+                }
+            }
+            // The loop has ended where nobody listens.
+            let _ended = messages.send(message);
+        });
+    }
+
+    fn spawn(&self, work: impl Future<Output = Event> + 'static) {
+        let messages = self.messages.clone();
+        tokio::task::spawn_local(async move {
+            let event = work.await;
+            // The loop has ended where nobody listens.
+            let _ended = messages.send(Message::Event(event));
+        });
+    }
+}
--- /dev/null
+++ b/lilacpass-node/src/lib.rs
@@ -0,0 +1,69 @@
+//! One instance of lilacpass on the platform: takes callers' requests, and leads the cell or follows
+//! the instance that does.
+//!
+//! All work of an instance runs on one thread; lines of its log are written by another. Instances
+//! have a fraction of one processor, and each hand-over between threads would be a wake-up to pay
+//! for.
+
+pub mod append;
+pub mod clock;
+pub mod desired_watch;
+pub mod election;
+pub mod entry;
+pub mod leading;
+pub mod logging;
+pub mod metrics;
+pub mod node;
+pub mod peers;
+pub mod registry_watch;
+pub mod signals;
+pub mod takeover;
+
+use std::{process::ExitCode, rc::Rc};
+
+use lilacpass_platform::settings;
+use tokio::{runtime, task::LocalSet};
+
+use crate::node::Node;
+
+/// Runs an instance until it is asked to stop.
+pub fn run() -> ExitCode {
+    logging::init();
+    let settings = match settings::read() {
+        Ok(settings) => settings,
+        Err(err) => {
+            log::error!(error:% = err; "settings can't be read");
+            logging::flush();
+            return ExitCode::FAILURE;
+        }
+    };
+    let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(err) => {
+            log::error!(error:% = err; "runtime can't be started");
+            logging::flush();
+            return ExitCode::FAILURE;
+        }
+    };
+    let node = Rc::new(Node::new(settings));
+    let code = LocalSet::new().block_on(&runtime, serve(node));
+    logging::flush();
+    code
+}
+
+async fn serve(node: Rc<Node>) -> ExitCode {
+    log::info!(
+        instance = node.settings.instance.as_str(),
+        data_centre = node.settings.data_centre.as_str();
+        "instance starts"
+    );
+    if let Err(err) = node.listen() {
+        log::error!(error:% = err; "addresses can't be listened on");
+        return ExitCode::FAILURE;
+    }
+    tokio::task::spawn_local(desired_watch::run(node.clone()));
+    tokio::task::spawn_local(election::run(node.clone()));
+    signals::run(node).await;
+    log::info!("instance ends");
+    ExitCode::SUCCESS
+}
--- /dev/null
+++ b/lilacpass-node/src/logging.rs
@@ -0,0 +1,91 @@
+//! Log lines, written to standard output by a thread of their own.
+//!
+//! Whoever logs never waits: lines go into a bounded buffer, and what finds it full is dropped and
+//! counted. A reader that stops reading the output can't stop the instance that way.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        OnceLock,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{self, SyncSender, TrySendError},
+    },
+    thread,
+    time::Duration,
+};
+
+use env_logger::{Builder, Env, Target};
+
+/// Lines that may wait to be written. At 300 bytes each about 1 MB.
+const BUFFERED_LINES: usize = 4_096;
+/// How long the end of the process waits for the last lines.
+const FLUSH_WAIT: Duration = Duration::from_millis(200);
+
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+static QUEUE: OnceLock<SyncSender<Line>> = OnceLock::new();
+
+enum Line {
+    Text(Vec<u8>),
+    Flush(SyncSender<()>),
+}
+
+struct Buffer;
+
+impl Write for Buffer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let Some(queue) = QUEUE.get() else { return Ok(bytes.len()) };
+        if let Err(TrySendError::Full(_)) = queue.try_send(Line::Text(bytes.to_vec())) {
+            DROPPED.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Starts logging.
+pub fn init() {
+    let (sender, receiver) = mpsc::sync_channel(BUFFERED_LINES);
+    if QUEUE.set(sender).is_err() {
+        return;
+    }
+    thread::spawn(move || write_lines(&receiver));
+    Builder::from_env(Env::default().default_filter_or("info"))
+        .target(Target::Pipe(Box::new(Buffer)))
+        .format_target(false)
+        .init();
+}
+
+/// Lines dropped so far because the buffer was full.
+pub fn dropped() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Waits a little for the lines that are buffered.
+pub fn flush() {
+    let Some(queue) = QUEUE.get() else { return };
+    let (sender, receiver) = mpsc::sync_channel(1);
+    if queue.try_send(Line::Flush(sender)).is_ok() {
+        // A reader that does not read must not keep the process alive.
+        let _late = receiver.recv_timeout(FLUSH_WAIT);
+    }
+}
+
+fn write_lines(receiver: &mpsc::Receiver<Line>) {
+    let mut output = io::stdout();
+    while let Ok(line) = receiver.recv() {
+        match line {
+            Line::Text(text) => {
+                if output.write_all(&text).is_err() {
+                    DROPPED.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+            Line::Flush(done) => {
+                let _closed = output.flush();
+                let _gone = done.send(());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lilacpass-node/src/main.rs
@@ -0,0 +1,7 @@
+//! The program of one instance; see the library.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    lilacpass_node::run()
+}
--- /dev/null
+++ b/lilacpass-node/src/node.rs
@@ -0,0 +1,198 @@
+//! What all parts of an instance share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+};
+
+use bytes::Bytes;
+use lilacpass_platform::{
+    client::Client,
+    desired::{Desired, Limits},
+    server,
+    settings::Settings,
+    store::Store,
+    workers::Workers,
+};
+use tokio::sync::watch;
+
+use crate::{clock, entry, leading::LeadHandle, metrics::Metrics, peers};
+
+/// Who leads, as far as this instance knows.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LeaderView {
+    /// The epoch; 0 while no leader is known.
+    pub epoch: u64,
+    /// Address for peers; none while no leader is known.
+    pub address: Option<String>,
+}
+
+/// A desired state as it was published.
+#[derive(Debug)]
+pub struct Published {
+    /// Decoded.
+    pub desired: Desired,
+    /// As it stands in the store, to be handed to peers that can't reach the store.
+    pub bytes: Bytes,
+}
+
+/// Another instance, as the leader hears of it.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// When it was last heard of, on the steady clock.
+    pub heard_ms: u64,
+    /// It is about to stop.
+    pub leaving: bool,
+    /// It reaches the store.
+    pub store_reachable: bool,
+}
+
+/// What all parts of an instance share.
+pub struct Node {
+    /// What the platform says of this instance.
+    pub settings: Settings,
+    /// Connections to others.
+    pub client: Client,
+    /// The store.
+    pub store: Store,
+    /// Orders to workers.
+    pub workers: Workers,
+    /// The newest desired state that is known.
+    pub desired: RefCell<Option<Rc<Published>>>,
+    /// Who leads.
+    pub leader: watch::Sender<LeaderView>,
+    /// Our own leadership.
+    pub lead: RefCell<Option<LeadHandle>>,
+    /// When the leader last answered, on the steady clock.
+    pub leader_heard_ms: Cell<u64>,
+    /// When the store last answered, on the steady clock.
+    pub store_heard_ms: Cell<u64>,
+    /// The process is to stop.
+    pub leaving: watch::Sender<bool>,
+    /// Other instances by address, as they greet us.
+    pub peers: RefCell<BTreeMap<String, Peer>>,
+    /// Addresses that the leader has told of, for when it is gone.
+    pub known_peers: RefCell<Vec<String>>,
+    /// Requests of callers that are being served.
+    pub open_requests: Cell<u64>,
+    /// Counters.
+    pub metrics: Metrics,
+}
+
+/// The store counts as reachable for so long after its last answer. The watch for the desired state
+/// gets an answer at least every two seconds, renewals several a second.
+const STORE_HEARD_MS: u64 = 900;
+
+impl Node {
+    /// An instance that knows its settings only.
+    pub fn new(settings: Settings) -> Self {
+        let client = Client::default();
+        let store = Store::new(client.clone(), settings.store_address.clone());
+        Self {
+            store,
+            workers: Workers::new(client.clone()),
+            client,
+            settings,
+            desired: RefCell::new(None),
+            leader: watch::Sender::new(LeaderView::default()),
+            lead: RefCell::new(None),
+            leader_heard_ms: Cell::new(0),
+            store_heard_ms: Cell::new(0),
+            leaving: watch::Sender::new(false),
+            peers: RefCell::new(BTreeMap::new()),
+            known_peers: RefCell::new(Vec::new()),
+            open_requests: Cell::new(0),
+            metrics: Metrics::default(),
+        }
+    }
+
+    /// Address at which other instances reach this one.
+    pub fn peer_address(&self) -> String {
+        format!("{}:{}", self.settings.ip, self.settings.first_peer_port)
+    }
+
+    /// Listens for callers, for the platform's question whether we are ready, and for peers.
+    pub fn listen(self: &Rc<Self>) -> io::Result<()> {
+        let peers = server::listen(parse(&self.peer_address())?)?;
+        let ready = server::listen(parse(&self.settings.ready_address)?)?;
+        let callers = server::listen(parse(&self.settings.callers_address)?)?;
+        let node = self.clone();
+        let limits = move || node.limits();
+        let node = self.clone();
+        let handler = move |received| entry::serve(node.clone(), received);
+        tokio::task::spawn_local(server::serve(callers, limits, handler));
+        let node = self.clone();
+        let handler = move |received| entry::ready(node.clone(), received);
+        tokio::task::spawn_local(server::serve(ready, Limits::default, handler));
+        let node = self.clone();
+        let handler = move |received| peers::serve(node.clone(), received);
+        tokio::task::spawn_local(server::serve(peers, peers::limits, handler));
+        Ok(())
+    }
+
+    fn limits(&self) -> Limits {
+        self.desired.borrow().as_ref().map(|p| p.desired.limits).unwrap_or_default()
+    }
+
+    /// The newest desired state that is known.
+    pub fn published(&self) -> Option<Rc<Published>> {
+        self.desired.borrow().clone()
+    }
+
+    /// Version of the newest desired state that is known; 0 where there is none.
+    pub fn desired_version(&self) -> u64 {
+        self.desired.borrow().as_ref().map_or(0, |published| published.desired.version)
+    }
+
+    /// Takes a desired state in, unless a newer one is known.
+    pub fn publish(&self, desired: Desired, bytes: Bytes, source: &str) {
+        if desired.version <= self.desired_version() {
+            return;
+        }
+        log::info!(version = desired.version, queues = desired.queues.len(), source; "desired state");
+        *self.desired.borrow_mut() = Some(Rc::new(Published { desired, bytes }));
+    }
+
+    /// Whether this instance leads.
+    pub fn leads(&self) -> bool {
+        self.lead.borrow().is_some()
+    }
+
+    /// Takes in who leads, unless a later leader is known.
+    pub fn follow(&self, epoch: u64, address: &str) {
+        let known = self.leader.borrow().clone();
+        if epoch < known.epoch || known.address.as_deref() == Some(address) && epoch == known.epoch
+        {
+            return;
+        }
+        log::info!(epoch, leader = address; "leader known");
+        self.leader.send_replace(LeaderView { epoch, address: Some(address.to_owned()) });
+    }
+
+    /// Notes that the store has answered.
+    pub fn store_heard(&self) {
+        let now_ms = clock::now().steady_ms;
+        self.store_heard_ms.set(now_ms);
+    }
+
+    /// Whether the store has answered lately.
+    pub fn store_reachable(&self) -> bool {
+        let limit_ms = if self.leads() { STORE_HEARD_MS } else { FOLLOWER_STORE_HEARD_MS };
+        clock::now().steady_ms.saturating_sub(self.store_heard_ms.get()) < limit_ms
+    }
+
+    /// Whether the process is to stop.
+    pub fn is_leaving(&self) -> bool {
+        *self.leaving.borrow()
+    }
+}
+
+/// The same for an instance that does not lead: it hears from the store at least this often.
+const FOLLOWER_STORE_HEARD_MS: u64 = 3_000;
+
+fn parse(address: &str) -> io::Result<SocketAddr> {
+    address.parse().map_err(|err| io::Error::new(io::ErrorKind::InvalidInput, err))
+}
--- /dev/null
+++ b/lilacpass-node/src/peers.rs
@@ -0,0 +1,338 @@
+//! What instances say to each other: greetings to the leader, callers' requests handed on to it, and
+//! calls for advice that it hands out.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use http::{Method, StatusCode};
+use lilacpass_core::Verdict;
+use lilacpass_jobs::{JobKey, StepName, WorkerName};
+use lilacpass_lead::event::{Advice, Answer, Ask, JobState, TicketRow};
+use lilacpass_platform::{
+    advice,
+    client::Call,
+    desired,
+    desired::Limits,
+    error::{Error, Result},
+    server::{Received, Reply},
+};
+use lilacpass_schema::v1;
+use prost::Message;
+use tokio::time;
+
+use crate::{
+    clock, election, metrics,
+    node::{Node, Peer},
+};
+
+const HELLO_PATH: &str = "/peer/hello";
+const WORK_PATH: &str = "/peer/work";
+const ADVISE_PATH: &str = "/peer/advise";
+const PROMOTE_PATH: &str = "/peer/promote";
+/// Added to the time that a call for advice may take, for the way to the peer and back.
+const HOP_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Bounds for what peers send: as for callers, with room for the head.
+pub fn limits() -> Limits {
+    Limits { idle_timeout_ms: 60_000, ..Limits::default() }
+}
+
+/// Serves a peer.
+pub async fn serve(node: Rc<Node>, received: Received) -> Reply {
+    let body = match received.path.as_str() {
+        HELLO_PATH => decode(&received.body).map(|hello| on_hello(&node, &hello).encode_to_vec()),
+        WORK_PATH => match decode::<v1::PeerWork>(&received.body) {
+            Ok(work) => Ok(on_work(&node, work).await.encode_to_vec()),
+            Err(err) => Err(err),
+        },
+        ADVISE_PATH => match decode::<v1::PeerAdvise>(&received.body) {
+            Ok(question) => Ok(on_advise(&node, question).await.encode_to_vec()),
+            Err(err) => Err(err),
+        },
+        PROMOTE_PATH => {
+            election::promote(&node);
+            Ok(Vec::new())
+        }
+        _ => return Reply::error(StatusCode::NOT_FOUND, "no such call"),
+    };
+    match body {
+        Ok(body) => Reply::body(StatusCode::OK, Bytes::from(body)),
+        Err(err) => Reply::error(StatusCode::BAD_REQUEST, &err.to_string()),
+    }
+}
+
+fn decode<M: Message + Default>(bytes: &[u8]) -> Result<M> {
+    M::decode(bytes).map_err(|err| Error::Decode("message of a peer", err.to_string()))
+}
+
+async fn post<M: Message + Default>(
+    node: &Node,
+    address: &str,
+    path: &str,
+    message: &impl Message,
+    timeout: Duration,
+) -> Result<M> {
+    let call = Call {
+        address,
+        method: Method::POST,
+        path,
+        headers: &[],
+        body: Bytes::from(message.encode_to_vec()),
+        timeout,
+    };
+    let response = node.client.call(&call).await?;
+    if response.status != StatusCode::OK {
+        return Err(Error::Status(response.status.as_u16()));
+    }
+    decode(&response.body)
+}
+
+/// Greets the leader, or one that may be it.
+pub async fn hello(node: &Node, address: &str, timeout: Duration) -> Result<v1::PeerHelloReply> {
+    let message = v1::PeerHello {
+        instance: node.settings.instance.clone(),
+        address: node.peer_address(),
+        data_centre: node.settings.data_centre.clone(),
+        config_version: node.desired_version(),
+        leaving: node.is_leaving(),
+        store_reachable: node.store_reachable(),
+    };
+    let reply: v1::PeerHelloReply = post(node, address, HELLO_PATH, &message, timeout).await?;
+    if !reply.config.is_empty() {
+        match desired::decode(&reply.config) {
+            Ok(state) => node.publish(state, Bytes::from(reply.config.clone()), "peer"),
+            Err(err) => log::warn!(error:% = err; "desired state of a peer is passed over"),
+        }
+    }
+    Ok(reply)
+}
+
+fn on_hello(node: &Node, hello: &v1::PeerHello) -> v1::PeerHelloReply {
+    let peer = Peer {
+        heard_ms: clock::now().steady_ms,
+        leaving: hello.leaving,
+        store_reachable: hello.store_reachable,
+    };
+    node.peers.borrow_mut().insert(hello.address.clone(), peer);
+    let published = node.published();
+    let newer = published.filter(|p| p.desired.version > hello.config_version);
+    let view = node.leader.borrow().clone();
+    v1::PeerHelloReply {
+        leads: node.leads(),
+        epoch: view.epoch,
+        leader_address: view.address.unwrap_or_default(),
+        store_reachable: node.store_reachable(),
+        config: newer.map(|p| p.bytes.to_vec()).unwrap_or_default(),
+        peers: node.peers.borrow().keys().cloned().collect(),
+    }
+}
+
+/// Asks a peer to take over.
+pub async fn promote(node: &Node, address: &str, timeout: Duration) -> Result<()> {
+    let nothing = v1::PeerHello::default();
+    post::<v1::PeerHelloReply>(node, address, PROMOTE_PATH, &nothing, timeout).await.map(drop)
+}
+
+/// What came of handing a request to the leader.
+#[derive(Debug)]
+pub enum Handed {
+    /// It answered.
+    Answered(Answer),
+    /// It does not lead, and has done nothing.
+    NotLeading,
+    /// No answer; the verdict says whether it may have been done.
+    Failed(Verdict),
+}
+
+/// Hands a request to the leader.
+pub async fn hand_on(node: &Node, address: &str, ask: &Ask, timeout: Duration) -> Handed {
+    let message = encode_ask(ask);
+    match post::<v1::PeerWorkReply>(node, address, WORK_PATH, &message, timeout).await {
+        Ok(reply) => decode_answer(ask, reply),
+        Err(err) => Handed::Failed(err.verdict()),
+    }
+}
+
+async fn on_work(node: &Node, work: v1::PeerWork) -> v1::PeerWorkReply {
+    let not_leading = || reply(v1::WorkOutcome::WorkNotLeading);
+    let Some(ask) = decode_ask(work) else {
+        let detail = "the request is incomplete".to_owned();
+        return v1::PeerWorkReply { detail, ..reply(v1::WorkOutcome::WorkInvalid) };
+    };
+    let Some(lead) = node.lead.borrow().clone() else { return not_leading() };
+    match lead.ask(ask).await {
+        Some(answer) => encode_answer(&answer),
+        None => reply(v1::WorkOutcome::WorkUncertain),
+    }
+}
+
+fn encode_ask(ask: &Ask) -> v1::PeerWork {
+    let mut work = v1::PeerWork::default();
+    match ask {
+        Ask::Submit { job, plan, queue } => {
+            work.set_op(v1::WorkOp::WorkSubmit);
+            work.job = job.0;
+            work.plan = Some(plan.clone());
+            work.queue = Some(queue.clone());
+        }
+        Ask::State(job) => {
+            work.set_op(v1::WorkOp::WorkState);
+            work.job = job.0;
+        }
+        Ask::Cancel(job) => {
+            work.set_op(v1::WorkOp::WorkCancel);
+            work.job = job.0;
+        }
+        Ask::Pending { queue } => {
+            work.set_op(v1::WorkOp::WorkPending);
+            work.queue = Some(v1::QueuePolicy { name: queue.clone(), ..Default::default() });
+        }
+    }
+    work
+}
+
+fn decode_ask(work: v1::PeerWork) -> Option<Ask> {
+    let job = JobKey(work.job);
+    Some(match work.op() {
+        v1::WorkOp::WorkSubmit => Ask::Submit { job, plan: work.plan?, queue: work.queue? },
+        v1::WorkOp::WorkState => Ask::State(job),
+        v1::WorkOp::WorkCancel => Ask::Cancel(job),
+        v1::WorkOp::WorkPending => Ask::Pending { queue: work.queue?.name },
+    })
+}
+
+fn reply(outcome: v1::WorkOutcome) -> v1::PeerWorkReply {
+    let mut reply = v1::PeerWorkReply::default();
+    reply.set_outcome(outcome);
+    reply
+}
+
+/// The states of a job by their number on the wire.
+const STATES: [JobState; 5] = [
+    JobState::Queued,
+    JobState::Running,
+    JobState::Completed,
+    JobState::Failed,
+    JobState::Cancelled,
+];
+
+fn encode_answer(answer: &Answer) -> v1::PeerWorkReply {
+    match answer {
+        Answer::Done => reply(v1::WorkOutcome::WorkOk),
+        Answer::State(state) => {
+            let number = STATES.iter().position(|s| s == state).unwrap_or_default() as u64;
+            v1::PeerWorkReply { pending: number, ..reply(v1::WorkOutcome::WorkOk) }
+        }
+        Answer::Pending(pending) => {
+            v1::PeerWorkReply { pending: *pending, ..reply(v1::WorkOutcome::WorkOk) }
+        }
+        Answer::UnknownJob => reply(v1::WorkOutcome::WorkUnknownJob),
+        Answer::Refused { reason, retry_after_ms } => v1::PeerWorkReply {
+            detail: (*reason).to_owned(),
+            retry_after_ms: *retry_after_ms,
+            ..reply(v1::WorkOutcome::WorkRefused)
+        },
+        Answer::Invalid(reason) => {
+            v1::PeerWorkReply { detail: reason.clone(), ..reply(v1::WorkOutcome::WorkInvalid) }
+        }
+        Answer::Conflict => reply(v1::WorkOutcome::WorkConflict),
+        Answer::Uncertain => reply(v1::WorkOutcome::WorkUncertain),
+    }
+}
+
+fn decode_answer(ask: &Ask, reply: v1::PeerWorkReply) -> Handed {
+    let answer = match reply.outcome() {
+        v1::WorkOutcome::WorkNotLeading => return Handed::NotLeading,
+        v1::WorkOutcome::WorkOk => match ask {
+            Ask::Submit { .. } | Ask::Cancel(_) => Answer::Done,
+            Ask::State(_) => match STATES.get(reply.pending as usize) {
+                Some(&state) => Answer::State(state),
+                None => return Handed::Failed(Verdict::MayHaveRun),
+            },
+            Ask::Pending { .. } => Answer::Pending(reply.pending),
+        },
+        v1::WorkOutcome::WorkUnknownJob => Answer::UnknownJob,
+        v1::WorkOutcome::WorkRefused => Answer::Refused {
+            reason: "refused by the leader",
+            retry_after_ms: reply.retry_after_ms,
+        },
+        v1::WorkOutcome::WorkInvalid => Answer::Invalid(reply.detail),
+        v1::WorkOutcome::WorkConflict => Answer::Conflict,
+        v1::WorkOutcome::WorkUncertain => return Handed::Failed(Verdict::MayHaveRun),
+    };
+    Handed::Answered(answer)
+}
+
+/// Obtains advice by way of a peer.
+pub async fn advise_by(
+    node: &Node,
+    address: &str,
+    step: StepName,
+    workers: &[WorkerName],
+    timeout: Duration,
+) -> Option<Advice> {
+    let message = v1::PeerAdvise {
+        step: step.to_string(),
+        workers: workers.iter().map(|worker| worker.as_str().to_owned()).collect(),
+        timeout_ms: timeout.as_millis() as u32,
+    };
+    let timeout = timeout + HOP_TIMEOUT;
+    let reply: v1::PeerAdviseReply = post(node, address, ADVISE_PATH, &message, timeout)
+        .await
+        .inspect_err(|err| log::debug!(step:% = step, error:% = err; "no advice by peer"))
+        .ok()?;
+    if !reply.answered {
+        return None;
+    }
+    let row = |row: v1::AdviceTicket| TicketRow {
+        worker: WorkerName::from(row.worker.as_str()),
+        ticket: row.ticket,
+    };
+    Some(Advice {
+        good: reply.good.into_iter().map(row).collect(),
+        valid_ms: u64::from(reply.valid_ms.saturating_sub(reply.age_ms)),
+    })
+}
+
+/// Obtains advice ourselves.
+pub async fn advise(
+    node: &Node,
+    step: StepName,
+    workers: &[WorkerName],
+    timeout: Duration,
+) -> Option<Advice> {
+    let address = node.settings.advice_address.as_deref()?;
+    metrics::count(&node.metrics.advice_calls);
+    advice::ask(&node.client, address, step, workers, timeout)
+        .await
+        .inspect_err(|err| log::info!(step:% = step, error:% = err; "no advice"))
+        .ok()
+}
+
+async fn on_advise(node: &Node, question: v1::PeerAdvise) -> v1::PeerAdviseReply {
+    let nothing = v1::PeerAdviseReply::default();
+    let Some(step) = parse_step(&question.step) else { return nothing };
+    let workers: Vec<WorkerName> =
+        question.workers.iter().map(|name| WorkerName::from(name.as_str())).collect();
+    let timeout = Duration::from_millis(u64::from(question.timeout_ms));
+    let asked = time::Instant::now();
+    let Some(advice) = advise(node, step, &workers, timeout).await else { return nothing };
+    log::debug!(step:% = step, took_ms = asked.elapsed().as_millis() as u64; "advice");
+    let row = |row: TicketRow| v1::AdviceTicket {
+        worker: row.worker.as_str().to_owned(),
+        ticket: row.ticket,
+    };
+    v1::PeerAdviseReply {
+        answered: true,
+        good: advice.good.into_iter().map(row).collect(),
+        valid_ms: advice.valid_ms as u32,
+        age_ms: 0,
+        detail: String::new(),
+    }
+}
+
+/// A step is named as a task without its index.
+fn parse_step(text: &str) -> Option<StepName> {
+    let task: lilacpass_jobs::TaskName = format!("{text}.0").parse().ok()?;
+    Some(task.step)
+}
--- /dev/null
+++ b/lilacpass-node/src/signals.rs
@@ -0,0 +1,63 @@
+//! Signals of the platform: SIGTERM for a planned stop, SIGHUP for changed settings.
+
+use std::{rc::Rc, time::Duration};
+
+use lilacpass_platform::settings;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    time::{self, Instant},
+};
+
+use crate::node::Node;
+
+/// Kept back from the time that the platform gives to stop, for the last answers to get out.
+const GRACE_MARGIN: Duration = Duration::from_millis(900);
+/// How long a stopping instance stays for callers that have not noticed yet. The platform looks once
+/// a second whether it is ready, and takes it out of rotation after two misses.
+const NOTICE: Duration = Duration::from_millis(2_600);
+/// Time between looks whether requests are still being served.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Handles signals until the process is to end.
+pub async fn run(node: Rc<Node>) {
+    let (mut terminate, mut hangup) =
+        match (signal(SignalKind::terminate()), signal(SignalKind::hangup())) {
+            (Ok(terminate), Ok(hangup)) => (terminate, hangup),
+            (Err(err), _) | (_, Err(err)) => {
+                log::error!(error:% = err; "signals can't be handled");
+                return;
+            }
+        };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = hangup.recv() => reload(&node),
+        }
+    }
+    stop(&node).await;
+}
+
+/// Reads the settings again. Addresses stay as they are for the life of a process.
+fn reload(node: &Node) {
+    match settings::read() {
+        Ok(settings) if settings == node.settings => log::info!("settings read again, no change"),
+        Ok(_) => log::info!("settings read again; what has changed holds from the next start"),
+        Err(err) => log::error!(error:% = err; "settings can't be read again, the old ones stay"),
+    }
+}
+
+/// A planned stop: hands the lead over, serves what comes until callers have moved, then ends.
+async fn stop(node: &Node) {
+    log::info!(leads = node.leads(); "asked to stop");
+    node.leaving.send_replace(true);
+    if let Some(lead) = node.lead.borrow().as_ref() {
+        lead.resign();
+    }
+    let start = Instant::now();
+    let grace = Duration::from_millis(node.settings.bounds.grace_ms);
+    let last = start + grace.saturating_sub(GRACE_MARGIN);
+    time::sleep_until((start + NOTICE).min(last)).await;
+    while node.open_requests.get() > 0 && Instant::now() < last {
+        time::sleep(POLL).await;
+    }
+}
--- /dev/null
+++ b/lilacpass-node/src/takeover.rs
@@ -0,0 +1,214 @@
+//! Taking over: reads all jobs, then closes the log to the former leader.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use lilacpass_jobs::{Job, JobKey, record};
+use lilacpass_lead::event::Record;
+use lilacpass_platform::store::{self, Append, Condition, Partition, Placed, Read, Writer};
+use lilacpass_schema::v1;
+use prost::Message;
+use tokio::time::{self, Instant};
+
+use crate::{append, node::Node};
+
+/// Key of the record that names the leader.
+pub const LEAD_KEY: &str = "lead";
+/// How long the store may take for one call of a take-over. Its slowest answers take 0.6 s.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// How long a take-over may take altogether before it is given up.
+const PATIENCE: Duration = Duration::from_secs(6);
+/// Pause before a call that failed is made again.
+const RETRY: Duration = Duration::from_millis(60);
+
+/// What a take-over has won.
+#[derive(Debug)]
+pub struct Won {
+    /// The new epoch.
+    pub epoch: u64,
+    /// All jobs.
+    pub jobs: Vec<Job>,
+}
+
+/// The partition that holds the jobs.
+pub fn jobs_partition() -> Partition {
+    Partition::of_cell("jobs", 0)
+}
+
+/// The partition in which leaders make themselves known.
+pub fn lead_partition() -> Partition {
+    Partition::of_cell("lead", 0)
+}
+
+/// The record by which this instance makes itself known as the leader.
+pub fn lead_record(node: &Node, epoch: u64, renewal: u64, resigned: bool) -> Record {
+    let lead = v1::LeadRecord {
+        epoch,
+        instance: node.settings.instance.clone(),
+        address: node.peer_address(),
+        renewal,
+        resigned,
+    };
+    Record { key: LEAD_KEY.to_owned(), value: lead.encode_to_vec() }
+}
+
+/// Tries to take over. None where another was faster or the store does not let us.
+pub async fn take_over(node: &Rc<Node>) -> Option<Won> {
+    let start = Instant::now();
+    let partition = jobs_partition();
+    let mut state = State::default();
+    let mut end = read_all(node, &partition, &mut state, start).await?;
+    loop {
+        end = read_tail(node, &partition, &mut state, end, start).await?;
+        // Offsets never go back, so an epoch made of the end is above all earlier ones.
+        let epoch = end + 1;
+        match close_log(node, &partition, end, epoch, start).await? {
+            Append::Stored { .. } => {
+                announce(node, epoch).await?;
+                let took_ms = start.elapsed().as_millis() as u64;
+                let jobs = state.into_jobs();
+                log::info!(epoch, jobs = jobs.len(), took_ms; "took over");
+                return Some(Won { epoch, jobs });
+            }
+            Append::Elsewhere { .. } => {}
+            Append::Fenced | Append::OutOfSequence => return None,
+        }
+        if state.leader_since_start {
+            log::info!("another instance took over first");
+            return None;
+        }
+    }
+}
+
+/// Appends the record after which the store refuses all of the former leader. Only if the partition
+/// still ends where we have read to, so that nothing of its records is missed.
+async fn close_log(
+    node: &Rc<Node>,
+    partition: &Partition,
+    end: u64,
+    epoch: u64,
+    start: Instant,
+) -> Option<Append> {
+    let condition = Condition { at: Some(end), writer: Some(Writer { epoch, sequence: 0 }) };
+    let records = store::encode_records(&[lead_record(node, epoch, 0, false)]).ok()?;
+    loop {
+        match node.store.append(partition, condition, &records, CALL_TIMEOUT).await {
+            Ok(result) => return Some(result),
+            Err(err) => retry(start, "take-over", &err).await?,
+        }
+    }
+}
+
+async fn announce(node: &Rc<Node>, epoch: u64) -> Option<()> {
+    let records = store::encode_records(&[lead_record(node, epoch, 0, false)]).ok()?;
+    let writer = Writer { epoch, sequence: 0 };
+    append::store(node, &lead_partition(), writer, &records).await.ok()
+}
+
+async fn retry(start: Instant, what: &str, err: &lilacpass_platform::Error) -> Option<()> {
+    log::info!(what, error:% = err; "store call of a take-over failed");
+    if start.elapsed() > PATIENCE {
+        return None;
+    }
+    time::sleep(RETRY).await;
+    Some(())
+}
+
+/// Records of jobs as they are read.
+#[derive(Debug, Default)]
+struct State {
+    plans: HashMap<JobKey, (u64, Vec<u8>)>,
+    states: HashMap<JobKey, (u64, Vec<u8>)>,
+    reading_tail: bool,
+    leader_since_start: bool,
+}
+
+impl State {
+    /// Keeps the newest record of each key.
+    fn take_in(&mut self, placed: Placed) {
+        let Placed { offset, record: read } = placed;
+        if read.key == LEAD_KEY {
+            self.leader_since_start |= self.reading_tail;
+            return;
+        }
+        let (map, key) = match record::parse_key(&read.key) {
+            Some(record::Key::Plan(key)) => (&mut self.plans, key),
+            Some(record::Key::State(key)) => (&mut self.states, key),
+            None => {
+                log::warn!(key = read.key.as_str(), offset; "record is passed over");
+                return;
+            }
+        };
+        let newer = map.get(&key).is_none_or(|(known, _)| *known < offset);
+        if newer {
+            map.insert(key, (offset, read.value));
+        }
+    }
+
+    fn into_jobs(self) -> Vec<Job> {
+        let mut jobs = Vec::with_capacity(self.plans.len());
+        for (key, (_, plan)) in &self.plans {
+            if plan.is_empty() {
+                continue;
+            }
+            let state = self.states.get(key).map(|(_, state)| state.as_slice());
+            match record::decode(*key, plan, state) {
+                Ok(job) => jobs.push(job),
+                Err(err) => log::error!(job:% = key, error:% = err; "job is passed over"),
+            }
+        }
+        jobs
+    }
+}
+
+/// Reads the newest record of each key. Returns where the partition ended at the first page, since
+/// pages are no snapshot: what came later is read from there on.
+async fn read_all(
+    node: &Rc<Node>,
+    partition: &Partition,
+    state: &mut State,
+    start: Instant,
+) -> Option<u64> {
+    let mut first_end = None;
+    let mut after: Option<String> = None;
+    loop {
+        let page = match node.store.newest(partition, after.as_deref(), CALL_TIMEOUT).await {
+            Ok(page) => page,
+            Err(err) => {
+                retry(start, "read", &err).await?;
+                continue;
+            }
+        };
+        first_end = first_end.or(Some(page.end));
+        after = page.records.last().map(|placed| placed.record.key.clone());
+        page.records.into_iter().for_each(|placed| state.take_in(placed));
+        if !page.more || after.is_none() {
+            return first_end;
+        }
+    }
+}
+
+/// Reads from `from` to the end. Returns the end.
+async fn read_tail(
+    node: &Rc<Node>,
+    partition: &Partition,
+    state: &mut State,
+    from: u64,
+    start: Instant,
+) -> Option<u64> {
+    state.reading_tail = true;
+    let mut next = from;
+    loop {
+        match node.store.read(partition, next, Duration::ZERO, CALL_TIMEOUT).await {
+            Ok(Read::Records { records, end }) => {
+                let read = records.len() as u64;
+                records.into_iter().for_each(|placed| state.take_in(placed));
+                next += read;
+                if next >= end || read == 0 {
+                    return Some(end);
+                }
+            }
+            Ok(Read::Gone) => next = read_all(node, partition, state, start).await?,
+            Err(err) => retry(start, "tail", &err).await?,
+        }
+    }
+}
