Let one instance win an epoch, and hand the lead over when the store fails its holder

Two instances had read to the same end, chose the same epoch and sent their first append under the same number; the store took the second for a repetition and told both that they had won.

Ruled out: claims in the lead topic as a guard; they only spread attempts, both had claimed.

--- a/lilacpass-lead/src/asks.rs
+++ b/lilacpass-lead/src/asks.rs
@@ -37,10 +37,10 @@
             if !same {
                 return self.reply(token, Answer::Conflict);
             }
-            if entry.stored && self.outbox.stuck_ms(now.steady_ms) == 0 {
+            if entry.stored {
                 return self.reply(token, Answer::Done);
             }
-            return self.outbox.then(After::Reply(token, Answer::Done));
+            return self.outbox.then(After::Accept(token, key));
         }
         if let Err(err) = plan::check(&plan) {
             return self.reply(token, Answer::Invalid(err.to_string()));
@@ -49,9 +49,7 @@
             return self.reply(token, Answer::Invalid(reason));
         }
         if self.outbox.stuck_ms(now.steady_ms) > self.options.store_patience_ms {
-            let reason = "the store does not answer";
-            log::info!(job:% = key, reason, stuck_ms = self.store_stuck_ms(now); "job refused");
-            return self.reply(token, Answer::Refused { reason, retry_after_ms: STORE_RETRY_MS });
+            return self.refuse_for_store(token, key, now);
         }
         log::info!(
             job:% = key, queue = queue.name.as_str(), steps = plan.steps.len(),
@@ -63,9 +61,46 @@
         let job = Job::new(key, record);
         let entry = Entry { job, stored: false, shown: Outcome::Open, begun: false };
         self.jobs.insert(key, entry);
-        self.outbox.plans.insert(key);
-        self.outbox.then(After::Reply(token, Answer::Done));
+        self.outbox.waiting.plans.insert(key);
+        self.outbox.then(After::Accept(token, key));
+        self.reindex(key, now);
+    }
+
+    /// A job is stored: its caller may be told.
+    pub(crate) fn accept(&mut self, token: Token, key: JobKey) {
+        if let Some(entry) = self.jobs.get_mut(&key) {
+            entry.stored = true;
+        }
+        self.reply(token, Answer::Done);
+    }
+
+    fn refuse_for_store(&mut self, token: Token, key: JobKey, now: Now) {
+        let reason = "the store takes nothing";
+        log::info!(job:% = key, reason, stuck_ms = self.store_stuck_ms(now); "job refused");
+        self.reply(token, Answer::Refused { reason, retry_after_ms: STORE_RETRY_MS });
+    }
+
+    /// Refuses the jobs that wait for a store that takes nothing. Those that are part of an append
+    /// without an answer stay: they may be stored.
+    pub(crate) fn refuse_stuck_jobs(&mut self, now: Now) {
+        if self.outbox.stuck_ms(now.steady_ms) <= self.options.store_patience_ms {
+            return;
+        }
+        for (token, key) in self.outbox.take_back_jobs() {
+            self.withdraw(key, now);
+            self.refuse_for_store(token, key, now);
+        }
+    }
+
+    /// Forgets a job that was never stored, with what was prepared for it.
+    fn withdraw(&mut self, key: JobKey, now: Now) {
+        let Some(entry) = self.jobs.get_mut(&key) else { return };
+        entry.job.cancel(now.unix_ms);
+        self.stop_job(key, now);
         self.reindex(key, now);
+        self.advice.retain(|step, _| step.job != key);
+        self.jobs.remove(&key);
+        self.outbox.waiting.states.remove(&key);
     }
 
     /// Why no worker of the queue's service could ever run a step. Says nothing while no worker is
--- a/lilacpass-lead/src/event.rs
+++ b/lilacpass-lead/src/event.rs
@@ -204,6 +204,8 @@
     },
     /// The records of the append under way are stored.
     Appended,
+    /// The store has surely done nothing of the append under way.
+    NotAppended,
     /// The store confirmed, at the time of this call's start, that we still lead.
     Confirmed {
         /// When the call was sent, on the steady clock.
--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -26,6 +26,8 @@
         now: Now,
     ) {
         let retry_ms = self.options.look_retry_ms;
+        let stuck_pause_ms = self.options.look_stuck_ms;
+        let stuck = self.outbox.stuck_ms(now.steady_ms) > stuck_pause_ms;
         let Some(worker) = self.workers.get_mut(name) else { return };
         if extra {
             worker.extra_look = false;
@@ -33,7 +35,9 @@
         match result {
             Ok(answer) => {
                 if !extra {
-                    worker.look = Look::Due { at_ms: now.steady_ms };
+                    // A look returns at once while there are ends that the worker may not forget.
+                    let pause_ms = if stuck { stuck_pause_ms } else { 0 };
+                    worker.look = Look::Due { at_ms: now.steady_ms + pause_ms };
                 }
                 self.on_look_answer(name, sent_ms, answer, now);
             }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -4,7 +4,7 @@
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::{
-    End, How, Job, JobKey, Outcome, StepName, TaskName, WorkerName, job::Change, record,
+    End, How, Job, JobKey, Outcome, StepName, Task, TaskName, WorkerName, job::Change, record,
 };
 
 use crate::{
@@ -113,6 +113,10 @@
         match event {
             Event::Asked { token, ask } => self.on_asked(token, ask, now),
             Event::Appended => self.on_appended(now),
+            Event::NotAppended => {
+                self.outbox.refused(now.steady_ms);
+                self.refuse_stuck_jobs(now);
+            }
             Event::Confirmed { sent_ms } => self.confirmed_ms = self.confirmed_ms.max(sent_ms),
             Event::Looked { worker, sent_ms, extra, result } => {
                 self.on_looked(&worker, sent_ms, extra, result, now);
@@ -186,6 +190,7 @@
         }
         self.lapse_silent_workers(now);
         self.repeat_stops(now);
+        self.refuse_stuck_jobs(now);
         if now.steady_ms >= self.next_cleanup_ms {
             self.next_cleanup_ms = now.steady_ms + CLEANUP_INTERVAL_MS;
             self.forget_old_jobs(now);
@@ -200,7 +205,7 @@
         for name in job.step_names() {
             let gang = job.step_plan(name.step).gang;
             let waits = job.step(name).is_some_and(|step| {
-                if gang { step.all_wait() } else { step.tasks.iter().any(|task| task.is_waiting()) }
+                if gang { step.all_wait() } else { step.tasks.iter().any(Task::is_waiting) }
             });
             let rank = rank::of_step(job, name);
             if waits && job.step_may_start(name, now.unix_ms) {
@@ -238,19 +243,39 @@
             return;
         }
         if end.how != How::Void {
-            self.outbox.states.insert(task.step.job);
+            self.outbox.waiting.states.insert(task.step.job);
         }
         match change {
             Change::JobEnded => self.job_ended(task.step.job, now),
             Change::TaskDone => self.stop_copies(task, now),
             Change::None | Change::Waiting => {}
         }
+        if end.how != How::Done {
+            self.stop_gang_run(task, run, now);
+        }
         self.reindex(task.step.job, now);
     }
 
+    /// Stops the other members of a gang whose run has lost one. They would wait for it in vain,
+    /// for seconds, and hold their room.
+    fn stop_gang_run(&mut self, lost: TaskName, run: u32, now: Now) {
+        let Some(entry) = self.jobs.get(&lost.step.job) else { return };
+        if !entry.job.step_plan(lost.step.step).gang {
+            return;
+        }
+        let members: Vec<(TaskName, WorkerName)> = entry
+            .job
+            .task_names(lost.step)
+            .filter_map(|task| Some((task, entry.job.task(task)?.run(run)?.worker.clone())))
+            .collect();
+        for (task, worker) in members {
+            self.stop_run(&worker, (task, run), now);
+        }
+    }
+
     /// A job has come to its outcome: shows it once it is stored, and stops what still runs.
     pub(crate) fn job_ended(&mut self, key: JobKey, now: Now) {
-        self.outbox.states.insert(key);
+        self.outbox.waiting.states.insert(key);
         self.outbox.then(After::Show(key));
         self.stop_job(key, now);
         self.reindex(key, now);
@@ -287,6 +312,7 @@
         self.confirmed_ms = self.confirmed_ms.max(self.append_sent_ms);
         for after in self.outbox.stored() {
             match after {
+                After::Accept(token, key) => self.accept(token, key),
                 After::Reply(token, answer) => self.effects.push(Effect::Reply { token, answer }),
                 After::Order { worker, task, run } => self.order(&worker, task, run, now),
                 After::Forget { worker, upto } => {
@@ -305,28 +331,27 @@
 
     /// Sends what has changed into the store, unless an append is under way.
     fn flush(&mut self, now: Now) {
-        if !self.outbox.is_due() {
+        if !self.outbox.is_due(now.steady_ms) {
             return;
         }
+        let changes = self.outbox.send(now.steady_ms);
         let mut records = Vec::new();
-        for key in std::mem::take(&mut self.outbox.plans) {
-            if let Some(entry) = self.jobs.get_mut(&key) {
-                entry.stored = true;
+        for key in &changes.plans {
+            if let Some(entry) = self.jobs.get(key) {
                 let value = record::encode_plan(&entry.job);
-                records.push(Record { key: record::plan_key(key), value });
+                records.push(Record { key: record::plan_key(*key), value });
             }
         }
-        for key in std::mem::take(&mut self.outbox.states) {
-            if let Some(entry) = self.jobs.get(&key) {
+        for key in &changes.states {
+            if let Some(entry) = self.jobs.get(key) {
                 let value = record::encode_state(&entry.job);
-                records.push(Record { key: record::state_key(key), value });
+                records.push(Record { key: record::state_key(*key), value });
             }
         }
-        for key in std::mem::take(&mut self.outbox.drops) {
-            records.push(Record { key: record::plan_key(key), value: Vec::new() });
-            records.push(Record { key: record::state_key(key), value: Vec::new() });
+        for key in &changes.drops {
+            records.push(Record { key: record::plan_key(*key), value: Vec::new() });
+            records.push(Record { key: record::state_key(*key), value: Vec::new() });
         }
-        self.outbox.sent(now.steady_ms);
         self.append_sent_ms = now.steady_ms;
         if records.is_empty() {
             // Only what hangs on earlier changes waits, and those are stored.
@@ -356,7 +381,7 @@
             .collect();
         for key in old {
             self.jobs.remove(&key);
-            self.outbox.drops.insert(key);
+            self.outbox.waiting.drops.insert(key);
         }
     }
 }
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -20,7 +20,9 @@
     pub stop_retry_ms: u64,
     /// How long nothing is started on a worker that has just refused or not answered.
     pub avoid_ms: u64,
-    /// Age of an unanswered append from which on new jobs are refused instead of kept waiting.
+    /// How long the store may take nothing until jobs that wait for it are refused. A slow store
+    /// takes 0.6 s for an append; a caller that returns after a second is served sooner than one
+    /// that waits for the end of an outage.
     pub store_patience_ms: u64,
     /// How long an ended job can still be asked for.
     pub retention_ms: u64,
@@ -40,7 +42,7 @@
             look_stuck_ms: 400,
             stop_retry_ms: 400,
             avoid_ms: 1_000,
-            store_patience_ms: 1_500,
+            store_patience_ms: 700,
             retention_ms: 150_000,
             stop_ms: 900,
             ticket_margin_ms: 150,
--- a/lilacpass-lead/src/outbox.rs
+++ b/lilacpass-lead/src/outbox.rs
@@ -6,9 +6,14 @@
 
 use crate::event::{Answer, Token};
 
+/// Pause before an append that the store refused is sent again.
+const RETRY_MS: u64 = 60;
+
 /// What becomes possible once a change is stored.
 #[derive(Clone, Debug, PartialEq)]
 pub enum After {
+    /// Tell a caller that its job is accepted.
+    Accept(Token, JobKey),
     /// Answer a caller.
     Reply(Token, Answer),
     /// Order a run.
@@ -31,9 +36,9 @@
     Show(JobKey),
 }
 
-/// Changes that are to be stored.
+/// Changes, and what follows once they are stored.
 #[derive(Debug, Default)]
-pub struct Outbox {
+pub struct Changes {
     /// Jobs whose plan is to be stored.
     pub plans: BTreeSet<JobKey>,
     /// Jobs whose state is to be stored.
@@ -41,43 +46,88 @@
     /// Jobs whose records are to be dropped.
     pub drops: BTreeSet<JobKey>,
     after: Vec<After>,
-    under_way: Option<UnderWay>,
 }
 
-#[derive(Debug)]
-struct UnderWay {
-    after: Vec<After>,
-    sent_ms: u64,
+impl Changes {
+    fn is_empty(&self) -> bool {
+        self.plans.is_empty()
+            && self.states.is_empty()
+            && self.drops.is_empty()
+            && self.after.is_empty()
+    }
+}
+
+/// Changes that are to be stored.
+#[derive(Debug, Default)]
+pub struct Outbox {
+    /// Those that wait for the append under way.
+    pub waiting: Changes,
+    under_way: Option<Changes>,
+    /// When the append under way was first sent.
+    first_sent_ms: Option<u64>,
+    not_before_ms: u64,
 }
 
 impl Outbox {
     /// Waits with `after` until all that has changed so far is stored.
     pub fn then(&mut self, after: After) {
-        self.after.push(after);
+        self.waiting.after.push(after);
+    }
+
+    /// Whether something is to be sent now.
+    pub fn is_due(&self, now_ms: u64) -> bool {
+        !self.waiting.is_empty() && self.under_way.is_none() && now_ms >= self.not_before_ms
     }
 
-    /// Whether something waits and no append is under way.
-    pub fn is_due(&self) -> bool {
-        let waits = !self.plans.is_empty()
-            || !self.states.is_empty()
-            || !self.drops.is_empty()
-            || !self.after.is_empty();
-        waits && self.under_way.is_none()
+    /// Whether nothing is stored that hangs on the store: neither waiting nor under way.
+    pub fn is_settled(&self) -> bool {
+        self.waiting.is_empty() && self.under_way.is_none()
     }
 
-    /// Notes that all that waits is being stored.
-    pub fn sent(&mut self, now_ms: u64) {
-        let after = mem::take(&mut self.after);
-        self.under_way = Some(UnderWay { after, sent_ms: now_ms });
+    /// Takes all that waits to be sent.
+    pub fn send(&mut self, now_ms: u64) -> &Changes {
+        self.first_sent_ms.get_or_insert(now_ms);
+        self.under_way.insert(mem::take(&mut self.waiting))
     }
 
     /// Notes that the append under way is stored. Returns what became possible.
     pub fn stored(&mut self) -> Vec<After> {
-        self.under_way.take().map(|under_way| under_way.after).unwrap_or_default()
+        self.first_sent_ms = None;
+        self.under_way.take().map(|changes| changes.after).unwrap_or_default()
     }
 
-    /// How long the append under way has gone without an answer.
+    /// Notes that the store has surely done nothing of the append under way.
+    pub fn refused(&mut self, now_ms: u64) {
+        let Some(mut changes) = self.under_way.take() else { return };
+        changes.plans.append(&mut self.waiting.plans);
+        changes.states.append(&mut self.waiting.states);
+        changes.drops.append(&mut self.waiting.drops);
+        changes.after.append(&mut self.waiting.after);
+        self.waiting = changes;
+        self.not_before_ms = now_ms + RETRY_MS;
+    }
+
+    /// How long the store has not taken what was sent to it.
     pub fn stuck_ms(&self, now_ms: u64) -> u64 {
-        self.under_way.as_ref().map_or(0, |u| now_ms.saturating_sub(u.sent_ms))
+        self.first_sent_ms.map_or(0, |sent_ms| now_ms.saturating_sub(sent_ms))
+    }
+
+    /// Takes back jobs that have surely not been stored. Returns their callers.
+    pub fn take_back_jobs(&mut self) -> Vec<(Token, JobKey)> {
+        let taken = mem::take(&mut self.waiting.plans);
+        self.waiting.states.retain(|job| !taken.contains(job));
+        let mut callers = Vec::new();
+        self.waiting.after.retain(|after| match after {
+            After::Accept(token, job) if taken.contains(job) => {
+                callers.push((*token, *job));
+                false
+            }
+            After::Accept(..)
+            | After::Reply(..)
+            | After::Order { .. }
+            | After::Forget { .. }
+            | After::Show(_) => true,
+        });
+        callers
     }
 }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -1,5 +1,7 @@
 //! What starts where, and for which steps advice is asked.
 
+use std::cmp::Reverse;
+
 use lilacpass_core::Resources;
 use lilacpass_jobs::{StepName, TaskName, WorkerName};
 use lilacpass_schema::v1;
@@ -125,7 +127,7 @@
             worker.give((task, run), need, Phase::Recording);
         }
         log::info!(task:% = task, run, worker:% = name; "task placed");
-        self.outbox.states.insert(task.step.job);
+        self.outbox.waiting.states.insert(task.step.job);
         self.outbox.then(After::Order { worker: name, task, run });
     }
 
@@ -189,7 +191,7 @@
                 Candidate { worker: worker_name.clone(), known_good: verdict == Some(true), fits };
             rated.push((place::score(worker, plan), candidate));
         }
-        rated.sort_by(|a, b| b.0.cmp(&a.0));
+        rated.sort_by_key(|(score, _)| Reverse(*score));
         rated.into_iter().map(|(_, candidate)| candidate).collect()
     }
 
--- a/lilacpass-lead/src/starts.rs
+++ b/lilacpass-lead/src/starts.rs
@@ -29,7 +29,7 @@
         let lease_ms = self.options.lease_ms;
         let may_extend = self.may_extend(now);
         let Some(worker) = self.workers.get_mut(name) else { return };
-        let startable = may_extend && worker.takes_starts(now.steady_ms);
+        let startable = may_extend && worker.commanded && !worker.draining;
         if !startable || needs_ticket && ticket.is_none() {
             log::info!(task:% = task, run, worker:% = name, startable; "order not sent");
             return self.void_run(name, key, now);
--- a/lilacpass-node/src/append.rs
+++ b/lilacpass-node/src/append.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use lilacpass_core::Verdict;
 use lilacpass_lead::event::Record;
 use lilacpass_platform::store::{self, Append, Condition, Partition, Writer};
 use rand::RngExt;
@@ -19,11 +20,16 @@
 /// The longest pause. All instances together may make a few hundred calls a second.
 const MOST_PAUSE: Duration = Duration::from_millis(300);
 
-/// Another instance has taken over, so this one must not write any more.
+/// Why an append was not stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Deposed;
+pub enum Failure {
+    /// Another instance has taken over, so this one must not write any more.
+    Deposed,
+    /// The store has surely done nothing. The number may be used again, for other records too.
+    NotDone,
+}
 
-/// Stores records as the append number `sequence` of an epoch. Returns once they are stored.
+/// Stores records as one append of a writer. Returns once the store has said what became of them.
 ///
 /// An append without an answer may be carried out later, so it is sent again under the same number
 /// until there is an answer; the store carries it out once.
@@ -32,10 +38,11 @@
     partition: &Partition,
     writer: Writer,
     records: &Bytes,
-) -> Result<(), Deposed> {
+) -> Result<(), Failure> {
     let condition = Condition { at: None, writer: Some(writer) };
     let mut timeout = FIRST_TIMEOUT;
     let mut pause = FIRST_PAUSE;
+    let mut may_be_done = false;
     loop {
         metrics::count(&node.metrics.appends);
         match node.store.append(partition, condition, records, timeout).await {
@@ -46,10 +53,15 @@
             Ok(other @ (Append::Fenced | Append::Elsewhere { .. } | Append::OutOfSequence)) => {
                 node.store_heard();
                 log::info!(epoch = writer.epoch, sequence = writer.sequence, result:? = other; "append refused");
-                return Err(Deposed);
+                return Err(Failure::Deposed);
             }
             Err(err) => {
                 log::info!(epoch = writer.epoch, sequence = writer.sequence, error:% = err; "append failed");
+                node.store_failed();
+                may_be_done |= err.verdict() != Verdict::NotRun;
+                if !may_be_done {
+                    return Err(Failure::NotDone);
+                }
                 timeout = (timeout * 3 / 2).min(MOST_TIMEOUT);
             }
         }
--- a/lilacpass-node/src/desired_watch.rs
+++ b/lilacpass-node/src/desired_watch.rs
@@ -74,7 +74,7 @@
     match desired::decode(&placed.record.value) {
         Ok(state) => node.publish(state, Bytes::from(placed.record.value.clone()), "store"),
         Err(err) => {
-            log::warn!(offset = placed.offset, error:% = err; "desired state is passed over")
+            log::warn!(offset = placed.offset, error:% = err; "desired state is passed over");
         }
     }
 }
--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -38,6 +38,9 @@
 const CUT_OFF_GREETINGS: u32 = 3;
 /// How long the store may take for a call here.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// How fast the store must answer an instance that is asked to take over. One that is slow for all
+/// is no reason to change the leader.
+const PROMOTE_STORE_TIMEOUT: Duration = Duration::from_millis(150);
 /// Pause after a store call that failed.
 const STORE_RETRY: Duration = Duration::from_millis(250);
 /// Key of the record by which an instance announces that it is taking over.
@@ -146,20 +149,33 @@
     }
 }
 
-/// Takes over at the word of the former leader.
-pub fn promote(node: &Rc<Node>) {
+/// Takes over at the word of the former leader, if the store answers this instance at once.
+pub async fn promote(node: &Rc<Node>) {
     if node.leads() || node.is_leaving() {
         return;
     }
+    let partition = takeover::lead_partition();
+    if let Err(err) = node.store.newest(&partition, None, PROMOTE_STORE_TIMEOUT).await {
+        log::info!(error:% = err; "asked to take over, but the store does not answer");
+        return;
+    }
     log::info!("asked to take over");
     let node = node.clone();
-    tokio::task::spawn_local(async move { take_over(&node).await });
+    // Goes on if the connection to the former leader ends meanwhile.
+    let taking_over = tokio::task::spawn_local(async move { take_over(&node).await });
+    if let Err(err) = taking_over.await {
+        log::error!(error:% = err; "take-over was broken off");
+    }
 }
 
 async fn take_over(node: &Rc<Node>) {
+    if node.taking_over.replace(true) {
+        return;
+    }
     if let Some(won) = takeover::take_over(node).await {
         leading::start(node, won);
     }
+    node.taking_over.set(false);
 }
 
 /// Announces a take-over, only if nothing was written since the look at the leader: neither a
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -16,7 +16,8 @@
 };
 
 use crate::{
-    append, clock,
+    append::{self, Failure},
+    clock, handover,
     node::{LeaderView, Node},
     peers, registry_watch,
     takeover::{self, Won},
@@ -32,8 +33,6 @@
 const LANES_INTERVAL_MS: u64 = 200;
 /// Added to the time that a call for advice should take, before it is given up.
 const ADVICE_SLACK: Duration = Duration::from_millis(900);
-/// How long the request to take over may take.
-const PROMOTE_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a leader that steps down waits for the append under way.
 const RESIGN_WAIT: Duration = Duration::from_millis(300);
 
@@ -44,6 +43,11 @@
     Event(Event),
     /// A caller asks.
     Ask(Ask, oneshot::Sender<Answer>),
+    /// The store has surely done nothing of the append under way.
+    NotAppended {
+        /// Number of the next append.
+        next_sequence: u64,
+    },
     /// Another leads.
     Deposed,
     /// Step down.
@@ -91,7 +95,8 @@
     node.leader.send_replace(LeaderView { epoch: won.epoch, address: Some(address) });
     node.metrics.takeovers.set(node.metrics.takeovers.get() + 1);
     tokio::task::spawn_local(registry_watch::run(node.clone(), messages.clone()));
-    tokio::task::spawn_local(renew(node.clone(), won.epoch, messages.clone()));
+    tokio::task::spawn_local(handover::run(node.clone(), won.epoch, messages.clone()));
+    tokio::task::spawn_local(renew(node.clone(), won.epoch, won.sequence, messages.clone()));
     let driver = Driver {
         node: node.clone(),
         epoch: won.epoch,
@@ -99,7 +104,7 @@
         messages,
         callers: HashMap::new(),
         next_token: 0,
-        next_sequence: 1,
+        next_sequence: won.sequence + 1,
         lanes_at_ms: 0,
         deposed: false,
     };
@@ -118,7 +123,12 @@
 }
 
 /// Renews the record of the leader, which shows to all that it lives, and to it that it still leads.
-async fn renew(node: Rc<Node>, epoch: u64, messages: mpsc::UnboundedSender<Message>) {
+async fn renew(
+    node: Rc<Node>,
+    epoch: u64,
+    first_sequence: u64,
+    messages: mpsc::UnboundedSender<Message>,
+) {
     let partition = takeover::lead_partition();
     let mut renewal = 0;
     while !messages.is_closed() {
@@ -130,10 +140,14 @@
         let record = takeover::lead_record(&node, epoch, renewal, false);
         let Ok(records) = store::encode_records(&[record]) else { return };
         let sent_ms = clock::now().steady_ms;
-        let writer = Writer { epoch, sequence: renewal };
+        let writer = Writer { epoch, sequence: first_sequence + renewal };
         let message = match append::store(&node, &partition, writer, &records).await {
             Ok(()) => Message::Event(Event::Confirmed { sent_ms }),
-            Err(append::Deposed) => Message::Deposed,
+            Err(Failure::Deposed) => Message::Deposed,
+            Err(Failure::NotDone) => {
+                renewal -= 1;
+                continue;
+            }
         };
         if messages.send(message).is_err() {
             return;
@@ -190,6 +204,10 @@
                 self.callers.insert(token, caller);
                 self.leader.handle(Event::Asked { token, ask }, now);
             }
+            Message::NotAppended { next_sequence } => {
+                self.next_sequence = next_sequence;
+                self.leader.handle(Event::NotAppended, now);
+            }
             Message::Deposed => self.deposed = true,
             Message::Resign => return true,
         }
@@ -244,14 +262,8 @@
             .map(|(address, _)| address.clone())
             .collect();
         for address in candidates {
-            match peers::promote(&self.node, &address, PROMOTE_TIMEOUT).await {
-                Ok(()) => {
-                    log::info!(peer = address.as_str(); "peer asked to take over");
-                    return;
-                }
-                Err(err) => {
-                    log::info!(peer = address.as_str(), error:% = err; "peer does not take over")
-                }
+            if handover::to(&self.node, &address, self.epoch).await {
+                return;
             }
         }
     }
@@ -358,9 +370,16 @@
             let mut message = Message::Event(Event::Appended);
             for (sequence, call) in (first_sequence..).zip(&calls) {
                 let writer = Writer { epoch, sequence };
-                if append::store(&node, &partition, writer, call).await.is_err() {
-                    message = Message::Deposed;
-                    break;
+                match append::store(&node, &partition, writer, call).await {
+                    Ok(()) => {}
+                    Err(Failure::Deposed) => {
+                        message = Message::Deposed;
+                        break;
+                    }
+                    Err(Failure::NotDone) => {
+                        message = Message::NotAppended { next_sequence: sequence };
+                        break;
+                    }
                 }
             }
             // The loop has ended where nobody listens.
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod desired_watch;
 pub mod election;
 pub mod entry;
+pub mod handover;
 pub mod leading;
 pub mod logging;
 pub mod metrics;
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -70,6 +70,10 @@
     pub leader_heard_ms: Cell<u64>,
     /// When the store last answered, on the steady clock.
     pub store_heard_ms: Cell<u64>,
+    /// Since when the store has failed without an answer between, on the steady clock.
+    pub store_failing_since_ms: Cell<Option<u64>>,
+    /// A take-over by this instance is under way.
+    pub taking_over: Cell<bool>,
     /// The process is to stop.
     pub leaving: watch::Sender<bool>,
     /// Other instances by address, as they greet us.
@@ -101,6 +105,8 @@
             lead: RefCell::new(None),
             leader_heard_ms: Cell::new(0),
             store_heard_ms: Cell::new(0),
+            store_failing_since_ms: Cell::new(None),
+            taking_over: Cell::new(false),
             leaving: watch::Sender::new(false),
             peers: RefCell::new(BTreeMap::new()),
             known_peers: RefCell::new(Vec::new()),
@@ -176,6 +182,23 @@
     pub fn store_heard(&self) {
         let now_ms = clock::now().steady_ms;
         self.store_heard_ms.set(now_ms);
+        if let Some(since_ms) = self.store_failing_since_ms.take() {
+            log::info!(failed_ms = now_ms.saturating_sub(since_ms); "store answers again");
+        }
+    }
+
+    /// Notes that the store has refused a call, or not answered it.
+    pub fn store_failed(&self) {
+        if self.store_failing_since_ms.get().is_none() {
+            log::info!("store fails");
+            self.store_failing_since_ms.set(Some(clock::now().steady_ms));
+        }
+    }
+
+    /// How long the store has failed without an answer between.
+    pub fn store_failing_ms(&self) -> u64 {
+        let now_ms = clock::now().steady_ms;
+        self.store_failing_since_ms.get().map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
     }
 
     /// Whether the store has answered lately.
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -50,8 +50,8 @@
             Err(err) => Err(err),
         },
         PROMOTE_PATH => {
-            election::promote(&node);
-            Ok(Vec::new())
+            election::promote(&node).await;
+            Ok(own_view(&node).encode_to_vec())
         }
         _ => return Reply::error(StatusCode::NOT_FOUND, "no such call"),
     };
@@ -116,21 +116,29 @@
     node.peers.borrow_mut().insert(hello.address.clone(), peer);
     let published = node.published();
     let newer = published.filter(|p| p.desired.version > hello.config_version);
+    v1::PeerHelloReply {
+        config: newer.map(|p| p.bytes.to_vec()).unwrap_or_default(),
+        peers: node.peers.borrow().keys().cloned().collect(),
+        ..own_view(node)
+    }
+}
+
+/// Who leads, as far as this instance knows.
+fn own_view(node: &Node) -> v1::PeerHelloReply {
     let view = node.leader.borrow().clone();
     v1::PeerHelloReply {
         leads: node.leads(),
         epoch: view.epoch,
         leader_address: view.address.unwrap_or_default(),
         store_reachable: node.store_reachable(),
-        config: newer.map(|p| p.bytes.to_vec()).unwrap_or_default(),
-        peers: node.peers.borrow().keys().cloned().collect(),
+        ..Default::default()
     }
 }
 
 /// Asks a peer to take over.
-pub async fn promote(node: &Node, address: &str, timeout: Duration) -> Result<()> {
+pub async fn promote(node: &Node, address: &str, timeout: Duration) -> Result<v1::PeerHelloReply> {
     let nothing = v1::PeerHello::default();
-    post::<v1::PeerHelloReply>(node, address, PROMOTE_PATH, &nothing, timeout).await.map(drop)
+    post(node, address, PROMOTE_PATH, &nothing, timeout).await
 }
 
 /// What came of handing a request to the leader.
--- a/lilacpass-node/src/registry_watch.rs
+++ b/lilacpass-node/src/registry_watch.rs
@@ -79,7 +79,7 @@
         match registry::decode(&placed.record.key, &placed.record.value) {
             Ok(entry) => events.push(Event::WorkerListed(entry)),
             Err(err) => {
-                log::warn!(worker = placed.record.key.as_str(), error:% = err; "registration is passed over")
+                log::warn!(worker = placed.record.key.as_str(), error:% = err; "registration is passed over");
             }
         }
     }
--- a/lilacpass-node/src/takeover.rs
+++ b/lilacpass-node/src/takeover.rs
@@ -7,6 +7,7 @@
 use lilacpass_platform::store::{self, Append, Condition, Partition, Placed, Read, Writer};
 use lilacpass_schema::v1;
 use prost::Message;
+use rand::RngExt;
 use tokio::time::{self, Instant};
 
 use crate::{append, node::Node};
@@ -25,6 +26,8 @@
 pub struct Won {
     /// The new epoch.
     pub epoch: u64,
+    /// Number of the append that closed the log; those of the leader follow it.
+    pub sequence: u64,
     /// All jobs.
     pub jobs: Vec<Job>,
 }
@@ -55,19 +58,21 @@
 pub async fn take_over(node: &Rc<Node>) -> Option<Won> {
     let start = Instant::now();
     let partition = jobs_partition();
+    let sequence = first_sequence();
     let mut state = State::default();
     let mut end = read_all(node, &partition, &mut state, start).await?;
     loop {
         end = read_tail(node, &partition, &mut state, end, start).await?;
         // Offsets never go back, so an epoch made of the end is above all earlier ones.
         let epoch = end + 1;
-        match close_log(node, &partition, end, epoch, start).await? {
+        let writer = Writer { epoch, sequence };
+        match close_log(node, &partition, end, writer, start).await? {
             Append::Stored { .. } => {
-                announce(node, epoch).await?;
+                announce(node, writer).await?;
                 let took_ms = start.elapsed().as_millis() as u64;
                 let jobs = state.into_jobs();
                 log::info!(epoch, jobs = jobs.len(), took_ms; "took over");
-                return Some(Won { epoch, jobs });
+                return Some(Won { epoch, sequence, jobs });
             }
             Append::Elsewhere { .. } => {}
             Append::Fenced | Append::OutOfSequence => return None,
@@ -79,17 +84,28 @@
     }
 }
 
+/// A number for the first append under a new epoch, at random.
+///
+/// Two instances that read to the same end choose the same epoch. If their first appends had the
+/// same number too, the store would take the second for a repetition of the first and tell both
+/// that they had won: both would lead, and start each task twice. With unlike numbers the second
+/// is refused.
+fn first_sequence() -> u64 {
+    const MOST: u64 = 1 << 40;
+    rand::rng().random_range(0..MOST)
+}
+
 /// Appends the record after which the store refuses all of the former leader. Only if the partition
 /// still ends where we have read to, so that nothing of its records is missed.
 async fn close_log(
     node: &Rc<Node>,
     partition: &Partition,
     end: u64,
-    epoch: u64,
+    writer: Writer,
     start: Instant,
 ) -> Option<Append> {
-    let condition = Condition { at: Some(end), writer: Some(Writer { epoch, sequence: 0 }) };
-    let records = store::encode_records(&[lead_record(node, epoch, 0, false)]).ok()?;
+    let condition = Condition { at: Some(end), writer: Some(writer) };
+    let records = store::encode_records(&[lead_record(node, writer.epoch, 0, false)]).ok()?;
     loop {
         match node.store.append(partition, condition, &records, CALL_TIMEOUT).await {
             Ok(result) => return Some(result),
@@ -98,9 +114,8 @@
     }
 }
 
-async fn announce(node: &Rc<Node>, epoch: u64) -> Option<()> {
-    let records = store::encode_records(&[lead_record(node, epoch, 0, false)]).ok()?;
-    let writer = Writer { epoch, sequence: 0 };
+async fn announce(node: &Rc<Node>, writer: Writer) -> Option<()> {
+    let records = store::encode_records(&[lead_record(node, writer.epoch, 0, false)]).ok()?;
     append::store(node, &lead_partition(), writer, &records).await.ok()
 }
 
