Play the leader in a small cell under made-up time, and count work that is done late

The cell (leaders, store, workers, faults from a list of operations) judges each start: capacity, two places, order, again after done. Its first finding: a leader that was suspended counted the runs of a worker as lapsed before it read the ends that waited for it, and started a task again that was done.

Ruled out: a run of 4,000 plays found two jobs that never ended; the trace showed that no worker was left that the made-up advice allowed, so the cell now replaces a worker by one that is as allowed.

Change: an end as done counts also for a run that was given up, and stops the newer one. Callers that are refused are told to come back after as long as the outage has lasted, 1 to 3 s; a leader that has not answered greetings for 0.8 s is handed nothing, so that a refusal can be true.

--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -229,7 +229,10 @@
         let Some(task) = self.task_mut(name) else { return Change::None };
         let known = task.runs.len();
         task.runs.retain(|run| run.number != end.run);
-        if task.runs.len() == known {
+        let was_given_up = task.runs.len() == known;
+        // A run that was given up because its worker was silent may have done its work all the same.
+        let counts_late = end.how == How::Done && !task.done;
+        if was_given_up && !counts_late {
             return Change::None;
         }
         self.note_checkpoint(name, &end.checkpoint);
--- a/lilacpass-lead/src/asks.rs
+++ b/lilacpass-lead/src/asks.rs
@@ -10,9 +10,16 @@
     place,
 };
 
-/// When to come back after a refusal because the store does not answer. Outages of the store last
-/// seconds; the callers' own spread keeps them from returning at once.
-const STORE_RETRY_MS: u32 = 1_000;
+/// Shortest and longest time after which a caller is asked to come back.
+const RETRY_BOUNDS_MS: (u64, u64) = (1_000, 3_000);
+
+/// When to come back after an outage has lasted for `outage_ms`: after as long again, within bounds.
+/// An outage that has lasted for long will most likely last for longer, and callers try only a few
+/// times; the bound keeps them from staying away long after it has ended.
+pub fn retry_after_ms(outage_ms: u64) -> u32 {
+    let (least_ms, most_ms) = RETRY_BOUNDS_MS;
+    outage_ms.clamp(least_ms, most_ms) as u32
+}
 
 impl Leader {
     pub(crate) fn on_asked(&mut self, token: Token, ask: Ask, now: Now) {
@@ -77,7 +84,8 @@
     fn refuse_for_store(&mut self, token: Token, key: JobKey, now: Now) {
         let reason = "the store takes nothing";
         log::info!(job:% = key, reason, stuck_ms = self.store_stuck_ms(now); "job refused");
-        self.reply(token, Answer::Refused { reason, retry_after_ms: STORE_RETRY_MS });
+        let retry_after_ms = retry_after_ms(self.store_stuck_ms(now));
+        self.reply(token, Answer::Refused { reason, retry_after_ms });
     }
 
     /// Refuses the jobs that wait for a store that takes nothing. Those that are part of an append
@@ -141,8 +149,13 @@
         if self.is_sure(now) {
             return self.reply(token, Answer::UnknownJob);
         }
+        self.refuse_unsure(token, now);
+    }
+
+    fn refuse_unsure(&mut self, token: Token, now: Now) {
         let reason = "the store has not confirmed the leader";
-        self.reply(token, Answer::Refused { reason, retry_after_ms: STORE_RETRY_MS });
+        let retry_after_ms = retry_after_ms(self.store_stuck_ms(now));
+        self.reply(token, Answer::Refused { reason, retry_after_ms });
     }
 
     fn cancel(&mut self, token: Token, key: JobKey, now: Now) {
@@ -159,8 +172,7 @@
 
     fn tell_pending(&mut self, token: Token, queue: &str, now: Now) {
         if !self.is_sure(now) {
-            let reason = "the store has not confirmed the leader";
-            return self.reply(token, Answer::Refused { reason, retry_after_ms: STORE_RETRY_MS });
+            return self.refuse_unsure(token, now);
         }
         let waits = |entry: &&Entry| {
             entry.job.queue.name == queue
--- /dev/null
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -0,0 +1,512 @@
+//! A small cell under made-up time: leaders, a store and workers, with faults switched on by calls.
+//!
+//! Each start of a run is judged as it happens: no worker above its capacity, no task in two places,
+//! none after it was done and that was noted, none before the steps that it waits for.
+
+#![allow(dead_code, unreachable_pub)]
+
+pub(crate) mod store;
+pub(crate) mod worker;
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use lilacpass_core::{Resources, Verdict};
+use lilacpass_jobs::{Job, JobKey, TaskName, WorkerName, record};
+use lilacpass_lead::{
+    Effect, Event, Leader, Now, Options,
+    event::{Advice, Answer, Ask, CallError, Lane, Record, Registration, TicketRow, Token},
+};
+use lilacpass_schema::v1;
+
+use store::Store;
+use worker::Worker;
+
+/// Time of day at the start, in milliseconds since 1970.
+const DAY_MS: u64 = 1_800_000_000_000;
+/// How long a call without an answer takes to fail.
+const CALL_TIMEOUT_MS: u64 = 600;
+/// The latest that an order without an answer is carried out.
+const LATEST_MS: u64 = 12_000;
+/// Time between ticks of a leader.
+const TICK_MS: u64 = 50;
+
+/// Numbers at random, the same for the same seed.
+pub struct Random(pub u64);
+
+impl Random {
+    /// A number from 0 to below `below`.
+    pub fn below(&mut self, below: u64) -> u64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        self.0 % below.max(1)
+    }
+
+    /// True in so many of a hundred cases.
+    pub fn percent(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+/// One leader, in force or not.
+pub struct Member {
+    pub leader: Leader,
+    pub epoch: u64,
+    pub alive: bool,
+    pub paused_until_ms: u64,
+    next_sequence: u64,
+}
+
+#[derive(Debug)]
+enum Action {
+    /// An effect arrives at its receiver.
+    Arrive { member: usize, effect: Effect, answered: bool },
+    /// An event reaches a leader.
+    Tell { member: usize, event: Event },
+    /// A leader ticks.
+    Tick { member: usize },
+    /// A member sends its renewal.
+    Renew { member: usize },
+}
+
+struct Timed {
+    at_ms: u64,
+    order: u64,
+    action: Action,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at_ms, self.order) == (other.at_ms, other.order)
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at_ms, self.order).cmp(&(other.at_ms, other.order))
+    }
+}
+
+/// The cell.
+pub struct World {
+    pub now_ms: u64,
+    pub random: Random,
+    pub store: Store,
+    pub workers: Vec<Worker>,
+    pub members: Vec<Member>,
+    pub answers: Vec<(Token, Answer)>,
+    /// Share of orders, in percent, that get no answer and may be carried out late.
+    pub lose_percent: u64,
+    pub options: Options,
+    actions: BinaryHeap<Reverse<Timed>>,
+    order: u64,
+    next_token: u64,
+}
+
+impl World {
+    pub fn new(seed: u64, workers: usize, capacity: Resources) -> Self {
+        let workers = (0..workers).map(|n| Worker::new(n, capacity)).collect();
+        // With RUST_LOG set, the log lines of a play show what led to its end.
+        let _already = env_logger::builder().is_test(true).try_init();
+        let mut world = Self {
+            now_ms: 1_000,
+            random: Random(seed | 1),
+            store: Store::default(),
+            workers,
+            members: Vec::new(),
+            answers: Vec::new(),
+            lose_percent: 0,
+            options: Options::default(),
+            actions: BinaryHeap::new(),
+            order: 0,
+            next_token: 0,
+        };
+        world.take_over();
+        world
+    }
+
+    pub fn now(&self) -> Now {
+        Now { steady_ms: self.now_ms, unix_ms: DAY_MS + self.now_ms }
+    }
+
+    /// The member that the store lets write.
+    pub fn current(&mut self) -> &mut Member {
+        self.members.last_mut().expect("a member leads")
+    }
+
+    /// Another member takes over, whether the former one lives or not.
+    pub fn take_over(&mut self) {
+        let epoch = self.store.close();
+        let jobs = self.store.jobs();
+        let leader = Leader::new(self.options.clone(), jobs, self.now());
+        self.members.push(Member {
+            leader,
+            epoch,
+            alive: true,
+            paused_until_ms: 0,
+            next_sequence: 1,
+        });
+        let member = self.members.len() - 1;
+        self.plan(0, Action::Tick { member });
+        self.plan(1, Action::Renew { member });
+        self.list_workers(member);
+        self.tell(member, Event::Lanes(vec![Lane("a".to_owned()), Lane("b".to_owned())]));
+    }
+
+    fn list_workers(&mut self, member: usize) {
+        let entries: Vec<Registration> =
+            self.workers.iter().filter(|w| w.alive).map(Worker::registration).collect();
+        for entry in entries {
+            self.tell(member, Event::WorkerListed(entry));
+        }
+    }
+
+    /// A new worker comes at the address of one that crashed.
+    pub fn replace_worker(&mut self, index: usize) {
+        // As good for advice as the old one, so that some worker is allowed for each step.
+        let count = self.workers.len();
+        let old = &mut self.workers[index];
+        let number = 2 * count + old.number % 2;
+        old.alive = false;
+        let mut new = Worker::new(number, old.capacity);
+        new.address = old.address.clone();
+        self.workers.push(new);
+        let member = self.members.len() - 1;
+        self.list_workers(member);
+    }
+
+    /// Asks the leader, and returns the token of the answer.
+    pub fn ask(&mut self, ask: Ask) -> Token {
+        let token = Token(self.next_token);
+        self.next_token += 1;
+        let member = self.members.len() - 1;
+        self.tell(member, Event::Asked { token, ask });
+        token
+    }
+
+    pub fn submit(&mut self, key: u64, plan: v1::WorkPlan, queue: v1::QueuePolicy) -> Token {
+        self.ask(Ask::Submit { job: JobKey(key), plan, queue })
+    }
+
+    pub fn answer(&self, token: Token) -> Option<&Answer> {
+        self.answers.iter().find(|(t, _)| *t == token).map(|(_, answer)| answer)
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, for_ms: u64) {
+        let end_ms = self.now_ms + for_ms;
+        while let Some(Reverse(next)) = self.actions.peek() {
+            if next.at_ms > end_ms {
+                break;
+            }
+            let Some(Reverse(timed)) = self.actions.pop() else { break };
+            self.advance(timed.at_ms);
+            self.act(timed.action);
+        }
+        self.advance(end_ms);
+    }
+
+    fn advance(&mut self, to_ms: u64) {
+        self.now_ms = self.now_ms.max(to_ms);
+        for worker in &mut self.workers {
+            worker.advance(self.now_ms);
+        }
+    }
+
+    fn plan(&mut self, after_ms: u64, action: Action) {
+        self.order += 1;
+        let timed = Timed { at_ms: self.now_ms + after_ms, order: self.order, action };
+        self.actions.push(Reverse(timed));
+    }
+
+    fn act(&mut self, action: Action) {
+        log::trace!("{} {action:?}", self.now_ms);
+        match action {
+            Action::Tell { member, event } => self.tell(member, event),
+            Action::Tick { member } => {
+                if self.members[member].alive {
+                    self.plan(TICK_MS, Action::Tick { member });
+                    self.tell(member, Event::Tick);
+                }
+            }
+            Action::Renew { member } => {
+                if !self.members[member].alive {
+                    return;
+                }
+                self.plan(300, Action::Renew { member });
+                let sent_ms = self.now_ms;
+                let in_force = self.members[member].epoch == self.store.epoch;
+                if in_force && !self.store.down && !self.is_paused(member) {
+                    self.tell(member, Event::Confirmed { sent_ms });
+                }
+            }
+            Action::Arrive { member, effect, answered } => self.arrive(member, effect, answered),
+        }
+    }
+
+    fn is_paused(&self, member: usize) -> bool {
+        self.members[member].paused_until_ms > self.now_ms
+    }
+
+    fn tell(&mut self, member: usize, event: Event) {
+        if !self.members[member].alive {
+            return;
+        }
+        if self.is_paused(member) {
+            let after_ms = self.members[member].paused_until_ms - self.now_ms;
+            return self.plan(after_ms, Action::Tell { member, event });
+        }
+        let now = self.now();
+        let leader = &mut self.members[member].leader;
+        leader.handle(event, now);
+        for effect in leader.finish(now) {
+            self.send(member, effect);
+        }
+    }
+
+    /// An effect leaves its leader.
+    fn send(&mut self, member: usize, effect: Effect) {
+        let delay_ms = 1 + self.random.below(4);
+        let is_order =
+            matches!(effect, Effect::Start { .. } | Effect::Stop { .. } | Effect::Look { .. });
+        if is_order && self.random.percent(self.lose_percent) {
+            // No answer; perhaps carried out, perhaps late.
+            self.fail(member, &effect);
+            if self.random.percent(70) {
+                let late_ms = self.random.below(LATEST_MS);
+                self.plan(late_ms, Action::Arrive { member, effect, answered: false });
+            }
+            return;
+        }
+        self.plan(delay_ms, Action::Arrive { member, effect, answered: true });
+    }
+
+    fn fail(&mut self, member: usize, effect: &Effect) {
+        let error = CallError::Failed(Verdict::MayHaveRun);
+        if let Some(event) = self.outcome(effect, Err(error)) {
+            self.plan(CALL_TIMEOUT_MS, Action::Tell { member, event });
+        }
+    }
+
+    /// The event by which a leader hears of the end of an order.
+    fn outcome(&self, effect: &Effect, result: Result<(), CallError>) -> Option<Event> {
+        Some(match effect {
+            Effect::Start { worker, task, run, .. } => {
+                Event::Started { worker: worker.clone(), task: *task, run: *run, result }
+            }
+            Effect::Stop { worker, task, run, .. } => {
+                Event::Stopped { worker: worker.clone(), task: *task, run: *run, result }
+            }
+            Effect::Look { worker, extra, .. } => Event::Looked {
+                worker: worker.clone(),
+                sent_ms: self.now_ms,
+                extra: *extra,
+                result: Err(result.err()?),
+            },
+            _ => return None,
+        })
+    }
+
+    fn arrive(&mut self, member: usize, effect: Effect, answered: bool) {
+        match effect {
+            Effect::Reply { token, answer } => self.answers.push((token, answer)),
+            Effect::Append(records) => self.append(member, &records),
+            Effect::Advise { lane, step, workers, .. } => {
+                let good = workers
+                    .iter()
+                    .filter(|worker| is_good(worker))
+                    .map(|worker| TicketRow { worker: worker.clone(), ticket: "t".to_owned() })
+                    .collect();
+                let advice = Some(Advice { good, valid_ms: 2_500 });
+                let event = Event::Advised { lane, step, asked: workers, advice };
+                self.plan(40, Action::Tell { member, event });
+            }
+            Effect::Deposed => self.members[member].alive = false,
+            Effect::Pace { .. } => {}
+            order => self.order_arrives(member, &order, answered),
+        }
+    }
+
+    fn append(&mut self, member: usize, records: &[Record]) {
+        if self.store.down {
+            let event = Event::NotAppended;
+            return self.plan(2, Action::Tell { member, event });
+        }
+        let Member { epoch, next_sequence, .. } = self.members[member];
+        if !self.store.append(epoch, records) {
+            self.members[member].alive = false;
+            return;
+        }
+        self.members[member].next_sequence = next_sequence + 1;
+        self.plan(5, Action::Tell { member, event: Event::Appended });
+    }
+
+    fn order_arrives(&mut self, member: usize, effect: &Effect, answered: bool) {
+        let (name, address) = match effect {
+            Effect::Start { worker, address, .. }
+            | Effect::Stop { worker, address, .. }
+            | Effect::Look { worker, address, .. } => (worker.clone(), address.clone()),
+            _ => return,
+        };
+        let at = self.workers.iter().position(|w| w.alive && w.address == address);
+        let reachable = at.filter(|&at| !self.workers[at].cut);
+        let Some(at) = reachable else {
+            if answered {
+                self.fail(member, effect);
+            }
+            return;
+        };
+        if self.workers[at].name != name {
+            let event = match effect {
+                Effect::Look { extra, .. } => Some(Event::Looked {
+                    worker: name,
+                    sent_ms: self.now_ms,
+                    extra: *extra,
+                    result: Err(CallError::OtherLife),
+                }),
+                other => self.outcome(other, Err(CallError::OtherLife)),
+            };
+            return self.answer_order(member, event, answered);
+        }
+        let epoch = self.members[member].epoch;
+        let now_ms = self.now_ms;
+        let event = match effect {
+            Effect::Look { worker, lease_until_ms, forget_upto, wait_ms, extra, .. } => {
+                let result = self.workers[at].look(epoch, *lease_until_ms, *forget_upto);
+                // A waiting look is answered when something ends; here, after part of the wait.
+                let wait_ms = (*wait_ms).min(100);
+                let event = Event::Looked {
+                    worker: worker.clone(),
+                    sent_ms: now_ms,
+                    extra: *extra,
+                    result,
+                };
+                if answered {
+                    self.plan(1 + wait_ms, Action::Tell { member, event });
+                }
+                return;
+            }
+            Effect::Start { task, run, lease_until_ms, .. } => {
+                let result = self.start(at, *task, *run, epoch, *lease_until_ms);
+                self.outcome(effect, result)
+            }
+            Effect::Stop { task, run, .. } => {
+                let result = self.workers[at].stop(*task, *run, epoch, now_ms);
+                self.outcome(effect, result)
+            }
+            _ => None,
+        };
+        self.answer_order(member, event, answered);
+    }
+
+    fn answer_order(&mut self, member: usize, event: Option<Event>, answered: bool) {
+        if let Some(event) = event.filter(|_| answered) {
+            let delay_ms = 1 + self.random.below(4);
+            self.plan(delay_ms, Action::Tell { member, event });
+        }
+    }
+
+    fn start(
+        &mut self,
+        at: usize,
+        task: TaskName,
+        run: u32,
+        epoch: u64,
+        lease_until_ms: u64,
+    ) -> Result<(), CallError> {
+        self.workers[at].accepts(task, run, epoch, lease_until_ms)?;
+        if self.workers[at].runs.contains_key(&task) {
+            return Ok(());
+        }
+        let job = self.store.job(task.step.job).expect("a task of a stored job");
+        self.judge_start(at, task, &job);
+        let plan = job.step_plan(task.step.step);
+        let work_ms = u64::from(plan.estimate_ms).max(1);
+        let fails = self.random.percent(3);
+        let need = lilacpass_lead::place::need(plan);
+        let now_ms = self.now_ms;
+        self.workers[at].begin(task, run, need, now_ms + work_ms, fails, plan.lasting);
+        Ok(())
+    }
+
+    /// What must hold at each start.
+    fn judge_start(&self, at: usize, task: TaskName, job: &Job) {
+        for worker in self.workers.iter().filter(|worker| worker.alive) {
+            assert!(
+                !worker.runs.contains_key(&task),
+                "{task} starts on {} while it runs on {}",
+                self.workers[at].name,
+                worker.name
+            );
+            assert!(
+                !worker.noted_done.contains(&task),
+                "{task} starts again after it was done and that was noted"
+            );
+        }
+        let plan = job.step_plan(task.step.step);
+        let need = lilacpass_lead::place::need(plan);
+        let used = self.workers[at].used().plus(&need);
+        assert!(
+            used.fits(&self.workers[at].capacity),
+            "{task} brings {} over its capacity: {used}",
+            self.workers[at].name
+        );
+        for &earlier in &plan.after {
+            let step = lilacpass_jobs::StepName { step: earlier, ..task.step };
+            for index in 0..job.step_plan(earlier).count {
+                let earlier = step.task(index);
+                let done = self.workers.iter().any(|worker| worker.done.contains(&earlier));
+                assert!(done, "{task} starts before {earlier} is done");
+            }
+        }
+    }
+}
+
+/// Workers with an even number may run what needs advice.
+fn is_good(worker: &WorkerName) -> bool {
+    worker.as_str().bytes().last().is_some_and(|b| b.is_ascii_digit() && (b - b'0') % 2 == 0)
+}
+
+/// A plan of steps, each after the one before.
+pub fn plan(steps: &[v1::WorkStep]) -> v1::WorkPlan {
+    let steps = steps
+        .iter()
+        .enumerate()
+        .map(|(number, step)| {
+            let after = number.checked_sub(1).map(|earlier| earlier as u32).into_iter().collect();
+            v1::WorkStep { after, ..step.clone() }
+        })
+        .collect();
+    v1::WorkPlan { payload: "do".to_owned(), steps, ..Default::default() }
+}
+
+/// A step of `count` tasks that take `cpu_milli` for `estimate_ms`.
+pub fn step(count: u32, cpu_milli: u32, estimate_ms: u32) -> v1::WorkStep {
+    v1::WorkStep { count, cpu_milli, memory_mb: 10, estimate_ms, ..Default::default() }
+}
+
+/// A queue without advice.
+pub fn queue(name: &str, priority: u32) -> v1::QueuePolicy {
+    v1::QueuePolicy {
+        name: name.to_owned(),
+        service: "pool".to_owned(),
+        priority,
+        attempts: 20,
+        stretch: 1.5,
+        objective_ms: 250,
+        advice: None,
+    }
+}
+
+/// The key of a record of a job, for tests that read the store.
+pub fn state_key(key: u64) -> String {
+    record::state_key(JobKey(key))
+}
--- /dev/null
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -0,0 +1,212 @@
+//! A worker: keeps the highest epoch, runs what it is told to under a lease, lists ends.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use lilacpass_core::Resources;
+use lilacpass_jobs::{End, How, TaskName, WorkerName};
+use lilacpass_lead::event::{CallError, EndRow, LookAnswer, Refusal, Registration, RunningRow};
+
+/// How long a stop takes.
+const STOP_MS: u64 = 100;
+/// Its clock at the start of the made-up time, so that no test takes one clock for the other.
+const CLOCK_AHEAD_MS: u64 = 500_000;
+
+pub struct Running {
+    pub run: u32,
+    pub need: Resources,
+    ends_ms: u64,
+    how: How,
+}
+
+pub struct Worker {
+    pub number: usize,
+    pub name: WorkerName,
+    pub address: String,
+    pub capacity: Resources,
+    pub alive: bool,
+    /// Nobody reaches it, and it runs on.
+    pub cut: bool,
+    pub draining: bool,
+    pub runs: BTreeMap<TaskName, Running>,
+    /// Tasks that were done here.
+    pub done: BTreeSet<TaskName>,
+    /// Those of them whose end was noted.
+    pub noted_done: BTreeSet<TaskName>,
+    epoch: u64,
+    lease_until_ms: u64,
+    ends: Vec<EndRow>,
+    next_end: u64,
+    /// Ends up to this number were listed before a lease ran out: they may be noted too late, after
+    /// the task was started elsewhere.
+    lapsed_upto: u64,
+    over: BTreeMap<TaskName, u32>,
+    clock_ms: u64,
+}
+
+impl Worker {
+    pub fn new(number: usize, capacity: Resources) -> Self {
+        Self {
+            number,
+            name: WorkerName::from(format!("w-{number}").as_str()),
+            address: format!("10.0.0.{number}:80"),
+            capacity,
+            alive: true,
+            cut: false,
+            draining: false,
+            runs: BTreeMap::new(),
+            done: BTreeSet::new(),
+            noted_done: BTreeSet::new(),
+            epoch: 0,
+            lease_until_ms: 0,
+            ends: Vec::new(),
+            next_end: 1,
+            lapsed_upto: 0,
+            over: BTreeMap::new(),
+            clock_ms: CLOCK_AHEAD_MS,
+        }
+    }
+
+    pub fn registration(&self) -> Registration {
+        Registration {
+            name: self.name.clone(),
+            address: self.address.clone(),
+            data_centre: "here".to_owned(),
+            service: "pool".to_owned(),
+            capacity: self.capacity,
+            labels: vec!["a".to_owned(), "r-1".to_owned()],
+            draining: self.draining,
+        }
+    }
+
+    pub fn used(&self) -> Resources {
+        self.runs.values().fold(Resources::ZERO, |sum, run| sum.plus(&run.need))
+    }
+
+    /// Lets time pass: runs end, leases run out.
+    pub fn advance(&mut self, now_ms: u64) {
+        if !self.alive {
+            return;
+        }
+        let over: Vec<TaskName> =
+            self.runs.iter().filter(|(_, run)| run.ends_ms <= now_ms).map(|(t, _)| *t).collect();
+        for task in over {
+            let how = self.runs[&task].how;
+            self.end(task, how);
+        }
+        if now_ms + CLOCK_AHEAD_MS > self.lease_until_ms {
+            let lapsed: Vec<TaskName> = self.runs.keys().copied().collect();
+            lapsed.into_iter().for_each(|task| self.end(task, How::Lapsed));
+            self.lapsed_upto = self.next_end - 1;
+        }
+        self.now_ms_is(now_ms);
+    }
+
+    fn now_ms_is(&mut self, now_ms: u64) {
+        self.clock_ms = now_ms + CLOCK_AHEAD_MS;
+    }
+
+    fn end(&mut self, task: TaskName, how: How) {
+        let Some(run) = self.runs.remove(&task) else { return };
+        if how == How::Done {
+            self.done.insert(task);
+        }
+        self.over.insert(task, run.run);
+        let end = End { run: run.run, how, checkpoint: String::new() };
+        self.ends.push(EndRow { number: self.next_end, task, end });
+        self.next_end += 1;
+    }
+
+    fn fence(&mut self, epoch: u64) -> Result<(), CallError> {
+        if epoch < self.epoch {
+            return Err(CallError::Refused(Refusal::Fence));
+        }
+        self.epoch = epoch;
+        Ok(())
+    }
+
+    pub fn look(
+        &mut self,
+        epoch: u64,
+        lease_until_ms: Option<u64>,
+        forget_upto: u64,
+    ) -> Result<LookAnswer, CallError> {
+        self.fence(epoch)?;
+        if let Some(until_ms) = lease_until_ms {
+            self.lease_until_ms = self.lease_until_ms.max(until_ms);
+        }
+        for row in self.ends.iter().filter(|row| row.number <= forget_upto) {
+            if row.end.how == How::Done && row.number > self.lapsed_upto {
+                self.noted_done.insert(row.task);
+            }
+        }
+        self.ends.retain(|row| row.number > forget_upto);
+        let running = self.runs.iter().map(|(task, run)| RunningRow {
+            task: *task,
+            run: run.run,
+            checkpoint: String::new(),
+            percent: 100,
+            gauge: 0,
+        });
+        Ok(LookAnswer {
+            clock_ms: self.clock_ms,
+            running: running.collect(),
+            ends: self.ends.clone(),
+            remaining_ms: None,
+        })
+    }
+
+    /// Whether an order to start is carried out.
+    pub fn accepts(
+        &mut self,
+        task: TaskName,
+        run: u32,
+        epoch: u64,
+        lease_until_ms: u64,
+    ) -> Result<(), CallError> {
+        self.fence(epoch)?;
+        if self.over.get(&task).is_some_and(|&over| run <= over) {
+            return Err(CallError::Refused(Refusal::Old));
+        }
+        if lease_until_ms <= self.clock_ms {
+            return Err(CallError::Refused(Refusal::Late));
+        }
+        self.lease_until_ms = self.lease_until_ms.max(lease_until_ms);
+        Ok(())
+    }
+
+    pub fn begin(
+        &mut self,
+        task: TaskName,
+        run: u32,
+        need: Resources,
+        ends_ms: u64,
+        fails: bool,
+        lasting: bool,
+    ) {
+        let ends_ms = if lasting { u64::MAX } else { ends_ms };
+        let how = if fails { How::Failed } else { How::Done };
+        self.runs.insert(task, Running { run, need, ends_ms, how });
+    }
+
+    pub fn stop(
+        &mut self,
+        task: TaskName,
+        run: u32,
+        epoch: u64,
+        now_ms: u64,
+    ) -> Result<(), CallError> {
+        self.fence(epoch)?;
+        match self.runs.get_mut(&task) {
+            Some(running) if running.run <= run => {
+                running.ends_ms = running.ends_ms.min(now_ms + STOP_MS);
+                running.how = How::Stopped;
+            }
+            Some(_) => {}
+            None => {
+                let over = self.over.entry(task).or_insert(run);
+                *over = (*over).max(run);
+            }
+        }
+        Ok(())
+    }
+}
--- a/lilacpass-node/src/entry.rs
+++ b/lilacpass-node/src/entry.rs
@@ -4,7 +4,10 @@
 
 use http::StatusCode;
 use lilacpass_core::Verdict;
-use lilacpass_lead::event::{Answer, Ask};
+use lilacpass_lead::{
+    asks::retry_after_ms,
+    event::{Answer, Ask},
+};
 use lilacpass_platform::{
     callers::{self, Wanted},
     server::{Received, Reply},
@@ -24,8 +27,10 @@
 const LEADER_PATIENCE: Duration = Duration::from_millis(1_900);
 /// Pause before a request is handed on again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
-/// When to come back if no leader was found.
-const NO_LEADER_RETRY_MS: u32 = 1_000;
+/// A leader that has not answered a greeting for so long is not handed requests: it may take them
+/// and its answer be lost, and their callers could then not be told that they have not run. Two
+/// greetings and the longest wait for an answer.
+const HANDED_HEARD_MS: u64 = 800;
 /// When to come back before the first desired state is known.
 const NO_DESIRED_RETRY_S: u64 = 1;
 /// An instance that has not heard of the leader for so long is not ready.
@@ -36,8 +41,7 @@
     if received.path != callers::READY_PATH {
         return Reply::error(StatusCode::NOT_FOUND, "no such path");
     }
-    let heard_ms = clock::now().steady_ms.saturating_sub(node.leader_heard_ms.get());
-    let has_leader = node.leads() || heard_ms < READY_HEARD_MS;
+    let has_leader = node.leads() || leader_silent_ms(&node) < READY_HEARD_MS;
     let is_ready = node.published().is_some() && has_leader && !node.is_leaving();
     Reply::status(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
@@ -113,8 +117,10 @@
                     Some(answer) => Handed::Answered(answer),
                     None => Handed::Failed(Verdict::MayHaveRun),
                 },
-                (None, Some(address)) => peers::hand_on(node, &address, &ask, end - now).await,
-                (None, None) => Handed::NotLeading,
+                (None, Some(address)) if leader_silent_ms(node) < HANDED_HEARD_MS => {
+                    peers::hand_on(node, &address, &ask, end - now).await
+                }
+                (None, _) => Handed::NotLeading,
             }
         };
         // A leader that is replaced will not answer any more.
@@ -133,7 +139,13 @@
     if may_be_done {
         return Answer::Uncertain;
     }
-    Answer::Refused { reason: "no leader is known", retry_after_ms: NO_LEADER_RETRY_MS }
+    let retry_after_ms = retry_after_ms(leader_silent_ms(node));
+    Answer::Refused { reason: "no leader is known", retry_after_ms }
+}
+
+/// How long the leader has not answered this instance.
+fn leader_silent_ms(node: &Node) -> u64 {
+    clock::now().steady_ms.saturating_sub(node.leader_heard_ms.get())
 }
 
 /// A refusal after an earlier try that may have been done proves nothing.
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -175,6 +175,7 @@
             return;
         }
         log::info!(epoch, leader = address; "leader known");
+        self.leader_heard_ms.set(clock::now().steady_ms);
         self.leader.send_replace(LeaderView { epoch, address: Some(address.to_owned()) });
     }
 
