--- a/lilacpass-lead/src/asks.rs
+++ b/lilacpass-lead/src/asks.rs
@@ -66,8 +66,7 @@
         let record =
             v1::PlanRecord { plan: Some(plan), queue: Some(queue), accepted_ms: now.unix_ms };
         let job = Job::new(key, record);
-        let entry = Entry { job, stored: false, shown: Outcome::Open, begun: false };
-        self.jobs.insert(key, entry);
+        self.jobs.insert(key, Entry::new(job, false));
         self.outbox.waiting.plans.insert(key);
         self.outbox.then(After::Accept(token, key));
         self.reindex(key, now);
--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeSet;
 
-use lilacpass_jobs::{End, How, WorkerName};
+use lilacpass_jobs::{End, How, JobKey, WorkerName};
 
 use crate::{
     event::{CallError, Effect, EndRow, LookAnswer, Now, Refusal, RunningRow},
+    health,
     leader::Leader,
     outbox::After,
     worker::{Look, Phase, RunKey},
@@ -52,10 +53,13 @@
                     let pauses = u64::from(worker.failed_looks).min(MOST_RETRY_PAUSES);
                     worker.look = Look::Due { at_ms: now.steady_ms + retry_ms * pauses };
                 }
+                let suspicious = worker.failed_looks == 1;
                 // A worker that drained and took back its registration has left, and all on it ended.
                 let left = worker.draining && !worker.listed;
                 if left {
                     self.life_over(name, now);
+                } else if suspicious {
+                    self.suspect_data_centre(name, now);
                 }
             }
         }
@@ -67,6 +71,7 @@
             log::info!(worker:% = name, failed = worker.failed_looks; "worker answers again");
         }
         let first = !worker.commanded;
+        worker.heard_ms = now.steady_ms;
         worker.commanded = true;
         worker.failed_looks = 0;
         worker.read_clock(answer.clock_ms, now.steady_ms);
@@ -92,22 +97,49 @@
         let Some(upto) = new.iter().map(|row| row.number).max() else { return };
         worker.seen_upto = upto;
         for row in new {
-            self.judge_worker(name, row.end.how);
+            self.judge_worker(name, row.task.step.job, row.end.how, now);
             self.end_run(name, (row.task, row.end.run), &row.end, now);
         }
         self.outbox.then(After::Forget { worker: name.clone(), upto });
     }
 
-    /// Tells a worker that spoils what it gets from one that merely got a bad task.
-    fn judge_worker(&mut self, name: &WorkerName, how: How) {
-        let Some(worker) = self.workers.get_mut(name) else { return };
+    /// Notes what the end of a run says about its worker and its job.
+    pub(crate) fn judge_worker(&mut self, name: &WorkerName, job: JobKey, how: How, now: Now) {
         match how {
-            How::Done => worker.bad_ends = 0,
-            How::Failed => worker.bad_ends += 1,
+            How::Done => {
+                if let Some(worker) = self.workers.get_mut(name) {
+                    worker.health.done();
+                }
+                if let Some(entry) = self.jobs.get_mut(&job) {
+                    entry.failed_on.clear();
+                }
+            }
+            How::Failed => self.blame(name, job, now),
             How::Stopped | How::Lapsed | How::Broken | How::Alone | How::Void => {}
         }
     }
 
+    /// A job came to grief on a worker: weighs whose doing it was.
+    pub(crate) fn blame(&mut self, name: &WorkerName, job: JobKey, now: Now) {
+        if let Some(entry) = self.jobs.get_mut(&job) {
+            entry.failed_on.insert(name.clone());
+        }
+        let quarantined =
+            self.workers.values().filter(|w| w.health.is_quarantined(now.steady_ms)).count();
+        let may_quarantine = (quarantined + 1) * health::MOST_QUARANTINED_IN <= self.workers.len();
+        let jobs = &self.jobs;
+        // A job that failed on several workers speaks against none of them.
+        let speaks = |job| jobs.get(&job).is_none_or(|entry| entry.failed_on.len() <= 1);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.health.failed(job, speaks) && may_quarantine {
+            worker.health.quarantine(now.steady_ms);
+            log::info!(
+                worker:% = name, until_ms = worker.health.quarantined_until_ms - now.steady_ms;
+                "worker spoils its work and gets none"
+            );
+        }
+    }
+
     fn note_running(&mut self, name: &WorkerName, rows: &[RunningRow], now: Now) {
         for row in rows {
             let key = (row.task, row.run);
@@ -116,6 +148,7 @@
                 entry.job.note_checkpoint(row.task, &row.checkpoint);
             }
             let Some(worker) = self.workers.get_mut(name) else { return };
+            worker.note_progress(key, row.percent, now.steady_ms);
             match worker.runs.get(&key).map(|given| given.phase) {
                 Some(Phase::Ordered | Phase::Uncertain { .. }) => {
                     worker.set_phase(key, Phase::Running { since_ms: now.steady_ms });
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -4,7 +4,7 @@
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::{
-    End, How, Job, JobKey, Outcome, StepName, Task, TaskName, WorkerName, job::Change, record,
+    End, How, Job, JobKey, Outcome, StepName, TaskName, WorkerName, job::Change, record,
 };
 
 use crate::{
@@ -28,6 +28,31 @@
     pub shown: Outcome,
     /// Some task has been given a run.
     pub begun: bool,
+    /// Workers on which its tasks failed or stood still since one of them was done.
+    pub failed_on: BTreeSet<WorkerName>,
+    /// Tasks of which a copy is to run, because the run that they have may be lost.
+    pub copies: BTreeSet<TaskName>,
+}
+
+impl Entry {
+    /// An entry for a job; `stored` tells whether its plan is.
+    pub fn new(job: Job, stored: bool) -> Self {
+        Self {
+            shown: job.outcome,
+            begun: !job.is_queued(),
+            stored,
+            job,
+            failed_on: BTreeSet::new(),
+            copies: BTreeSet::new(),
+        }
+    }
+
+    /// Whether a task may be given a run now: it has none, or is to have a copy.
+    pub fn wants_run(&self, name: TaskName) -> bool {
+        self.job.task(name).is_some_and(|task| {
+            task.is_waiting() || !task.done && task.runs.len() == 1 && self.copies.contains(&name)
+        })
+    }
 }
 
 /// The leader of a cell.
@@ -53,8 +78,12 @@
     /// Until when a former leader's leases may last at a worker that we can't reach.
     inherited_until_ms: u64,
     next_cleanup_ms: u64,
+    next_review_ms: u64,
 }
 
+/// How often all runs are looked through for lost ones. It costs time for each run; progress is
+/// reported hardly more often.
+const REVIEW_INTERVAL_MS: u64 = 200;
 /// How often ended jobs are looked through for those that can be forgotten.
 const CLEANUP_INTERVAL_MS: u64 = 10_000;
 
@@ -79,6 +108,7 @@
             append_sent_ms: now.steady_ms,
             inherited_until_ms,
             next_cleanup_ms: now.steady_ms + CLEANUP_INTERVAL_MS,
+            next_review_ms: now.steady_ms,
         };
         for job in jobs {
             leader.inherit(job, now);
@@ -99,8 +129,7 @@
                 .or_insert_with(|| Worker::unlisted(run.worker.clone(), until_ms));
             worker.give((task, run.number), need, Phase::Uncertain { since_ms: now.steady_ms });
         }
-        let entry = Entry { shown: job.outcome, begun: !job.is_queued(), stored: true, job };
-        self.jobs.insert(key, entry);
+        self.jobs.insert(key, Entry::new(job, true));
         self.reindex(key, now);
         let ended = self.jobs.get(&key).is_some_and(|entry| entry.job.outcome != Outcome::Open);
         if ended {
@@ -190,6 +219,10 @@
         }
         self.lapse_silent_workers(now);
         self.repeat_stops(now);
+        if now.steady_ms >= self.next_review_ms {
+            self.next_review_ms = now.steady_ms + REVIEW_INTERVAL_MS;
+            self.replace_lost_runs(now);
+        }
         self.refuse_stuck_jobs(now);
         if now.steady_ms >= self.next_cleanup_ms {
             self.next_cleanup_ms = now.steady_ms + CLEANUP_INTERVAL_MS;
@@ -205,7 +238,11 @@
         for name in job.step_names() {
             let gang = job.step_plan(name.step).gang;
             let waits = job.step(name).is_some_and(|step| {
-                if gang { step.all_wait() } else { step.tasks.iter().any(Task::is_waiting) }
+                if gang {
+                    step.all_wait()
+                } else {
+                    job.task_names(name).any(|task| entry.wants_run(task))
+                }
             });
             let rank = rank::of_step(job, name);
             if waits && job.step_may_start(name, now.unix_ms) {
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -15,11 +15,13 @@
 pub mod advice;
 pub mod asks;
 pub mod event;
+pub mod health;
 pub mod holds;
 pub mod leader;
 pub mod options;
 pub mod outbox;
 pub mod place;
+pub mod progress;
 pub mod rank;
 pub mod schedule;
 pub mod starts;
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -37,7 +37,7 @@
         Self {
             lease_ms: 5_000,
             outlive_ms: 7_000,
-            look_wait_ms: 1_500,
+            look_wait_ms: 800,
             look_retry_ms: 250,
             look_stuck_ms: 400,
             stop_retry_ms: 400,
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -41,15 +41,9 @@
 
     fn place_step(&mut self, name: StepName, now: Now) {
         let Some(entry) = self.jobs.get(&name.job) else { return };
-        let Some(step) = entry.job.step(name) else { return };
         let plan = entry.job.step_plan(name.step).clone();
-        let waiting: Vec<TaskName> = step
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(_, task)| task.is_waiting())
-            .map(|(index, _)| name.task(index as u32))
-            .collect();
+        let waiting: Vec<TaskName> =
+            entry.job.task_names(name).filter(|task| entry.wants_run(*task)).collect();
         if waiting.is_empty() {
             return;
         }
@@ -62,10 +56,19 @@
             return;
         }
         for (task, worker) in waiting.into_iter().zip(picks) {
-            self.give(task, worker, now);
+            if !self.runs_on(task, &worker) {
+                self.give(task, worker, now);
+            }
         }
     }
 
+    /// Whether a run of a task may be on a worker already: a copy there would gain nothing.
+    fn runs_on(&self, task: TaskName, worker: &WorkerName) -> bool {
+        let entry = self.jobs.get(&task.step.job);
+        let runs = entry.and_then(|entry| entry.job.task(task)).map(|task| &task.runs);
+        runs.is_some_and(|runs| runs.iter().any(|run| run.worker == *worker))
+    }
+
     /// The workers that may start tasks of a step now.
     fn hosts(&self, name: StepName, plan: &v1::WorkStep, now: Now) -> Vec<Host> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
@@ -87,6 +90,7 @@
                 name: worker.entry.name.clone(),
                 room: worker.room(),
                 capacity_cpu: worker.entry.capacity.cpu.0.max(1),
+                clean: worker.health.is_clean() && !entry.failed_on.contains(&worker.entry.name),
                 near: place::score(worker, plan).0,
                 may_take: self.may_take(worker, name, plan),
             })
@@ -139,8 +143,7 @@
             return;
         }
         let plan = entry.job.step_plan(name.step);
-        let Some(step) = entry.job.step(name) else { return };
-        let waiting = step.tasks.iter().filter(|task| task.is_waiting()).count() as u64;
+        let waiting = entry.job.task_names(name).filter(|t| entry.wants_run(*t)).count() as u64;
         if waiting == 0 {
             return;
         }
@@ -223,13 +226,15 @@
     name: WorkerName,
     room: Resources,
     capacity_cpu: u64,
+    /// Nothing speaks against it, for this job.
+    clean: bool,
     near: bool,
     may_take: u64,
 }
 
 impl Host {
-    fn score(&self) -> (bool, u64) {
-        (self.near, self.room.cpu.0 * 1_000 / self.capacity_cpu)
+    fn score(&self) -> (bool, bool, u64) {
+        (self.clean, self.near, self.room.cpu.0 * 1_000 / self.capacity_cpu)
     }
 }
 
--- a/lilacpass-lead/src/starts.rs
+++ b/lilacpass-lead/src/starts.rs
@@ -1,12 +1,16 @@
 //! Orders to workers: starts and stops, and what their answers or silence mean.
 
+use std::collections::BTreeMap;
+
 use lilacpass_core::Verdict;
-use lilacpass_jobs::{TaskName, WorkerName};
+use lilacpass_jobs::{StepName, TaskName, WorkerName};
+use lilacpass_schema::v1;
 
 use crate::{
     event::{CallError, Effect, Now, Refusal},
     leader::Leader,
-    worker::{Phase, RunKey},
+    progress,
+    worker::{Given, Phase, RunKey, Worker},
 };
 
 impl Leader {
@@ -65,6 +69,7 @@
         let Some(given) = worker.runs.get(&key).copied() else { return };
         match result {
             Ok(()) => {
+                worker.heard_ms = now.steady_ms;
                 if given.phase == Phase::Ordered {
                     worker.set_phase(key, Phase::Running { since_ms: now.steady_ms });
                 }
@@ -81,6 +86,7 @@
                 if given.phase == Phase::Ordered {
                     worker.set_phase(key, Phase::Uncertain { since_ms: now.steady_ms });
                 }
+                self.suspect_data_centre(name, now);
                 self.look_now(name);
             }
             Err(CallError::Refused(refusal)) => {
@@ -102,6 +108,41 @@
         }
     }
 
+    /// Starts nothing for a while in a data centre of which several workers have just gone silent,
+    /// but on workers that have answered since. Where a whole data centre is cut off, each start sent
+    /// there costs its task the time until it is given up, and then the rest of the lease.
+    pub(crate) fn suspect_data_centre(&mut self, name: &WorkerName, now: Now) {
+        /// A worker that answered so lately is not suspected.
+        const HEARD_MS: u64 = 150;
+        let Some(worker) = self.workers.get(name) else { return };
+        let data_centre = worker.entry.data_centre.clone();
+        let avoid_ms = self.options.avoid_ms;
+        let is_near = |worker: &Worker| worker.entry.data_centre == data_centre;
+        let silent = self
+            .workers
+            .values()
+            .filter(|worker| is_near(worker) && worker.entry.name != *name)
+            .any(|worker| worker.failed_looks > 0 || now.steady_ms < worker.avoid_until_ms);
+        if !silent {
+            return;
+        }
+        let suspects: Vec<WorkerName> = self
+            .workers
+            .values_mut()
+            .filter(|worker| is_near(worker) && worker.takes_starts(now.steady_ms))
+            .filter(|worker| worker.heard_ms + HEARD_MS < now.steady_ms)
+            .map(|worker| {
+                worker.avoid(now.steady_ms, avoid_ms);
+                worker.entry.name.clone()
+            })
+            .collect();
+        if suspects.is_empty() {
+            return;
+        }
+        log::info!(data_centre = data_centre.as_str(), workers = suspects.len(); "data centre is suspected");
+        suspects.iter().for_each(|name| self.look_now(name));
+    }
+
     /// Has a run stopped. A run that has not been ordered is dropped at once.
     pub(crate) fn stop_run(&mut self, name: &WorkerName, key: RunKey, now: Now) {
         let Some(worker) = self.workers.get_mut(name) else { return };
@@ -153,6 +194,80 @@
         }
     }
 
+    /// Replaces runs that stand still, are on a worker that is far too slow, or on one that does not
+    /// answer: by a copy where the step allows it, else by a new run once the old one is stopped.
+    pub(crate) fn replace_lost_runs(&mut self, now: Now) {
+        let totals = self.totals();
+        let mut lost = Vec::new();
+        for (name, worker) in &self.workers {
+            let silent = worker.failed_looks > 0;
+            let slow = !silent && progress::is_slow_worker(&times_as_long(name, &totals));
+            for (key, given) in &worker.runs {
+                let Some(plan) = self.replaceable(*key, given) else { continue };
+                let estimate_ms = u64::from(plan.estimate_ms);
+                let is_lost = given.progress.is_some_and(|seen| {
+                    !silent && seen.is_stalled(estimate_ms, now.steady_ms)
+                        || slow && !seen.is_nearly_done()
+                });
+                if is_lost || silent && plan.speculative {
+                    lost.push((name.clone(), *key, plan.speculative, is_lost));
+                }
+            }
+        }
+        for (name, key, may_copy, is_lost) in lost {
+            self.replace_run(&name, key, may_copy, is_lost, now);
+        }
+    }
+
+    /// The plan of a run that may be replaced: one whose work shows in its progress.
+    fn replaceable(&self, key: RunKey, given: &Given) -> Option<&v1::WorkStep> {
+        if !matches!(given.phase, Phase::Running { .. }) {
+            return None;
+        }
+        let entry = self.jobs.get(&key.0.step.job)?;
+        let plan = entry.job.step_plan(key.0.step.step);
+        (!plan.lasting && !plan.gang && !plan.fills).then_some(plan)
+    }
+
+    /// How long the runs of each step take by their pace, with their workers.
+    fn totals(&self) -> Totals {
+        let mut totals = Totals::new();
+        for (name, worker) in &self.workers {
+            for (key, given) in &worker.runs {
+                if self.replaceable(*key, given).is_none() {
+                    continue;
+                }
+                if let Some(total_ms) = given.progress.and_then(|seen| seen.total_ms()) {
+                    totals.entry(key.0.step).or_default().push((name.clone(), total_ms));
+                }
+            }
+        }
+        totals
+    }
+
+    fn replace_run(
+        &mut self,
+        name: &WorkerName,
+        key: RunKey,
+        may_copy: bool,
+        is_lost: bool,
+        now: Now,
+    ) {
+        let (task, run) = key;
+        if may_copy {
+            let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
+            entry.failed_on.insert(name.clone());
+            if entry.copies.insert(task) {
+                log::info!(task:% = task, run, worker:% = name, is_lost; "copy wanted");
+                self.reindex(task.step.job, now);
+            }
+            return;
+        }
+        log::info!(task:% = task, run, worker:% = name; "run makes no progress and is replaced");
+        self.blame(name, task.step.job, now);
+        self.stop_run(name, key, now);
+    }
+
     /// Sends stops again that were not confirmed, and looks where confirmed ones are not settled.
     pub(crate) fn repeat_stops(&mut self, now: Now) {
         let retry_ms = self.options.stop_retry_ms;
@@ -180,3 +295,20 @@
         }
     }
 }
+
+/// How long the runs of each step take, in ms, with their workers.
+type Totals = BTreeMap<StepName, Vec<(WorkerName, u64)>>;
+
+/// For each step that runs on a worker and elsewhere, how many times as long it takes there, by the
+/// quickest of its runs there.
+fn times_as_long(name: &WorkerName, totals: &Totals) -> Vec<f64> {
+    let mut times = Vec::new();
+    for runs in totals.values() {
+        let here = runs.iter().filter(|(worker, _)| worker == name).map(|(_, ms)| *ms).min();
+        let Some(here_ms) = here else { continue };
+        let elsewhere = runs.iter().filter(|(worker, _)| worker != name);
+        let mut elsewhere_ms: Vec<u64> = elsewhere.map(|(_, ms)| *ms).collect();
+        times.extend(progress::times_as_long(here_ms, &mut elsewhere_ms));
+    }
+    times
+}
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -5,7 +5,7 @@
 use lilacpass_core::Resources;
 use lilacpass_jobs::{TaskName, WorkerName};
 
-use crate::{event::Registration, options};
+use crate::{event::Registration, health, options, progress::Progress};
 
 /// A run on a worker.
 pub type RunKey = (TaskName, u32);
@@ -43,6 +43,8 @@
     pub phase: Phase,
     /// What it takes.
     pub need: Resources,
+    /// What was seen of its work.
+    pub progress: Option<Progress>,
 }
 
 /// The state of the call that looks at a worker.
@@ -88,8 +90,10 @@
     pub failed_looks: u32,
     /// Nothing is started there before this time.
     pub avoid_until_ms: u64,
-    /// Runs in a row that failed or were refused there; a worker that spoils all it gets stands out.
-    pub bad_ends: u32,
+    /// What speaks against it.
+    pub health: health::Record,
+    /// When it last answered anything, on the steady clock.
+    pub heard_ms: u64,
 }
 
 impl Worker {
@@ -110,7 +114,8 @@
             extra_look: false,
             failed_looks: 0,
             avoid_until_ms: 0,
-            bad_ends: 0,
+            health: health::Record::default(),
+            heard_ms: 0,
         }
     }
 
@@ -150,16 +155,16 @@
 
     /// Gives it a run.
     pub fn give(&mut self, key: RunKey, need: Resources, phase: Phase) {
-        if self.runs.insert(key, Given { phase, need }).is_none() {
+        if self.runs.insert(key, Given { phase, need, progress: None }).is_none() {
             self.used = self.used.plus(&need);
         }
     }
 
-    /// Takes a run that has ended off it. Returns whether it was there.
-    pub fn take(&mut self, key: RunKey) -> bool {
-        let Some(given) = self.runs.remove(&key) else { return false };
+    /// Takes a run that has ended off it, if it is there.
+    pub fn take(&mut self, key: RunKey) -> Option<Given> {
+        let given = self.runs.remove(&key)?;
         self.used = self.used.minus(&given.need);
-        true
+        Some(given)
     }
 
     /// Sets what is known of a run.
@@ -169,6 +174,13 @@
         }
     }
 
+    /// Notes the share of the work of a run that is done.
+    pub fn note_progress(&mut self, key: RunKey, percent: u32, now_ms: u64) {
+        if let Some(given) = self.runs.get_mut(&key) {
+            given.progress.get_or_insert(Progress::new(percent, now_ms)).note(percent, now_ms);
+        }
+    }
+
     /// What is free.
     pub fn room(&self) -> Resources {
         self.entry.capacity.minus(&self.used)
@@ -181,12 +193,11 @@
             && !self.draining
             && self.failed_looks == 0
             && now_ms >= self.avoid_until_ms
+            && !self.health.is_quarantined(now_ms)
     }
 
-    /// Starts nothing there for a while, longer after each further trouble.
+    /// Starts nothing there for a while.
     pub fn avoid(&mut self, now_ms: u64, pause_ms: u64) {
-        const MOST_DOUBLINGS: u32 = 3;
-        let pause_ms = pause_ms << self.bad_ends.min(MOST_DOUBLINGS);
         self.avoid_until_ms = self.avoid_until_ms.max(now_ms + pause_ms);
     }
 }
--- a/lilacpass-lead/tests/fuzz.rs
+++ b/lilacpass-lead/tests/fuzz.rs
@@ -52,11 +52,7 @@
             }
             7 => world.store.down = !world.store.down,
             8 => world.workers[worker].cut = !world.workers[worker].cut,
-            9 => {
-                if world.workers[worker].alive {
-                    world.replace_worker(worker);
-                }
-            }
+            9 if world.workers[worker].alive => world.replace_worker(worker),
             10 => world.lose_percent = u64::from(much) % 40,
             _ => {}
         }
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -472,7 +472,11 @@
 
 /// Workers with an even number may run what needs advice.
 fn is_good(worker: &WorkerName) -> bool {
-    worker.as_str().bytes().last().is_some_and(|b| b.is_ascii_digit() && (b - b'0') % 2 == 0)
+    worker
+        .as_str()
+        .bytes()
+        .last()
+        .is_some_and(|b| b.is_ascii_digit() && (b - b'0').is_multiple_of(2))
 }
 
 /// A plan of steps, each after the one before.
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -14,10 +14,18 @@
 pub struct Running {
     pub run: u32,
     pub need: Resources,
+    began_ms: u64,
     ends_ms: u64,
     how: How,
 }
 
+impl Running {
+    fn percent(&self, now_ms: u64) -> u32 {
+        let whole_ms = self.ends_ms.saturating_sub(self.began_ms).max(1);
+        (now_ms.saturating_sub(self.began_ms).min(whole_ms) * 100 / whole_ms) as u32
+    }
+}
+
 pub struct Worker {
     pub number: usize,
     pub name: WorkerName,
@@ -144,7 +152,7 @@
             task: *task,
             run: run.run,
             checkpoint: String::new(),
-            percent: 100,
+            percent: run.percent(self.clock_ms - CLOCK_AHEAD_MS),
             gauge: 0,
         });
         Ok(LookAnswer {
@@ -185,7 +193,8 @@
     ) {
         let ends_ms = if lasting { u64::MAX } else { ends_ms };
         let how = if fails { How::Failed } else { How::Done };
-        self.runs.insert(task, Running { run, need, ends_ms, how });
+        let began_ms = self.clock_ms - CLOCK_AHEAD_MS;
+        self.runs.insert(task, Running { run, need, began_ms, ends_ms, how });
     }
 
     pub fn stop(
