Send an append without an answer again at once, and hand over on refusals or silence only

Change: an answer is late after 8 times the learned time (at least 90 ms), the same append is sent four times before the wait doubles; the lead is handed over when calls are refused, or nothing at all is heard for 0.9 s.

--- a/lilacpass-node/src/append.rs
+++ b/lilacpass-node/src/append.rs
@@ -7,16 +7,22 @@
 use lilacpass_lead::event::Record;
 use lilacpass_platform::store::{self, Append, Condition, Partition, Writer};
 use rand::RngExt;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::{metrics, node::Node};
 
-/// How long the store may take at first. Slow stores have been seen to take 0.6 s.
-const FIRST_TIMEOUT: Duration = Duration::from_millis(900);
+/// An answer is late after so many times the usual time.
+const LATE_TIMES: u32 = 8;
+/// The shortest time after which an answer is late. The store takes 8 ms ordinarily. Sending again
+/// costs one call; waiting for an answer that was lost stops all work meanwhile.
+const LEAST_TIMEOUT: Duration = Duration::from_millis(90);
+/// Tries with the same timeout, before it doubles each time: lost answers come at random, and with
+/// every second one lost most appends are settled by then.
+const QUICK_TRIES: u32 = 4;
 /// The longest wait for one answer.
 const MOST_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// First pause before an append is sent again; doubles up to the most.
-const FIRST_PAUSE: Duration = Duration::from_millis(30);
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
 /// The longest pause. All instances together may make a few hundred calls a second.
 const MOST_PAUSE: Duration = Duration::from_millis(300);
 
@@ -40,14 +46,17 @@
     records: &Bytes,
 ) -> Result<(), Failure> {
     let condition = Condition { at: None, writer: Some(writer) };
-    let mut timeout = FIRST_TIMEOUT;
+    let mut timeout = first_timeout(node);
     let mut pause = FIRST_PAUSE;
     let mut may_be_done = false;
+    let mut tries = 0;
     loop {
         metrics::count(&node.metrics.appends);
+        let sent = Instant::now();
         match node.store.append(partition, condition, records, timeout).await {
             Ok(Append::Stored { .. }) => {
                 node.store_heard();
+                learn(node, sent.elapsed());
                 return Ok(());
             }
             Ok(other @ (Append::Fenced | Append::Elsewhere { .. } | Append::OutOfSequence)) => {
@@ -57,12 +66,18 @@
             }
             Err(err) => {
                 log::info!(epoch = writer.epoch, sequence = writer.sequence, error:% = err; "append failed");
-                node.store_failed();
-                may_be_done |= err.verdict() != Verdict::NotRun;
+                if err.verdict() == Verdict::NotRun {
+                    node.store_refused();
+                } else {
+                    may_be_done = true;
+                }
                 if !may_be_done {
                     return Err(Failure::NotDone);
                 }
-                timeout = (timeout * 3 / 2).min(MOST_TIMEOUT);
+                tries += 1;
+                if tries >= QUICK_TRIES {
+                    timeout = (timeout * 2).min(MOST_TIMEOUT);
+                }
             }
         }
         time::sleep(pause.mul_f64(rand::rng().random_range(0.5..1.5))).await;
@@ -70,6 +85,18 @@
     }
 }
 
+/// How long the store may take, by what it took lately.
+fn first_timeout(node: &Node) -> Duration {
+    (node.append_time.get() * LATE_TIMES).clamp(LEAST_TIMEOUT, MOST_TIMEOUT)
+}
+
+/// Learns how long the store takes: a slow one must not be sent everything several times.
+fn learn(node: &Node, took: Duration) {
+    let known = node.append_time.get();
+    let learned = if took > known { took } else { (known * 7 + took) / 8 };
+    node.append_time.set(learned);
+}
+
 /// Splits records into calls that the store accepts, in order.
 pub fn split(records: &[Record], most_bytes: usize) -> Vec<Bytes> {
     let mut calls = Vec::new();
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -6,6 +6,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -72,8 +73,10 @@
     pub leader_store_reachable: Cell<bool>,
     /// When the store last answered, on the steady clock.
     pub store_heard_ms: Cell<u64>,
-    /// Since when the store has failed without an answer between, on the steady clock.
+    /// Since when the store has refused calls without an answer between, on the steady clock.
     pub store_failing_since_ms: Cell<Option<u64>>,
+    /// How long the store takes for an append, as learned.
+    pub append_time: Cell<Duration>,
     /// A take-over by this instance is under way.
     pub taking_over: Cell<bool>,
     /// The process is to stop.
@@ -109,6 +112,7 @@
             leader_store_reachable: Cell::new(true),
             store_heard_ms: Cell::new(0),
             store_failing_since_ms: Cell::new(None),
+            append_time: Cell::new(Duration::ZERO),
             taking_over: Cell::new(false),
             leaving: watch::Sender::new(false),
             peers: RefCell::new(BTreeMap::new()),
@@ -191,18 +195,22 @@
         }
     }
 
-    /// Notes that the store has refused a call, or not answered it.
-    pub fn store_failed(&self) {
+    /// Notes that the store has refused a call.
+    pub fn store_refused(&self) {
         if self.store_failing_since_ms.get().is_none() {
-            log::info!("store fails");
+            log::info!("store refuses calls");
             self.store_failing_since_ms.set(Some(clock::now().steady_ms));
         }
     }
 
-    /// How long the store has failed without an answer between.
+    /// How long the store has refused everything, or has been silent for longer than it ever is.
     pub fn store_failing_ms(&self) -> u64 {
         let now_ms = clock::now().steady_ms;
-        self.store_failing_since_ms.get().map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+        if let Some(since_ms) = self.store_failing_since_ms.get() {
+            return now_ms.saturating_sub(since_ms);
+        }
+        let silent_ms = now_ms.saturating_sub(self.store_heard_ms.get());
+        if silent_ms > STORE_HEARD_MS { silent_ms } else { 0 }
     }
 
     /// Whether the store has answered lately.
