--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -236,11 +236,17 @@
         }
     }
 
-    /// Notes the end of a run. `unix_ms` is the time of day.
-    pub fn end_run(&mut self, name: TaskName, end: &End, unix_ms: u64) -> Change {
+    /// Notes the end of a run on a worker. `unix_ms` is the time of day.
+    pub fn end_run(
+        &mut self,
+        name: TaskName,
+        worker: &WorkerName,
+        end: &End,
+        unix_ms: u64,
+    ) -> Change {
         let Some(task) = self.task_mut(name) else { return Change::None };
         let known = task.runs.len();
-        task.runs.retain(|run| run.number != end.run);
+        task.runs.retain(|run| run.number != end.run || run.worker != *worker);
         let was_given_up = task.runs.len() == known;
         // A run that was given up because its worker was silent may have done its work all the same.
         let counts_late = end.how == How::Done && !task.done;
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -265,16 +265,16 @@
     }
 
     /// Takes note that a run has ended on a worker, and of what follows for its job.
-    pub(crate) fn end_run(&mut self, worker: &WorkerName, key: RunKey, end: &End, now: Now) {
+    pub(crate) fn end_run(&mut self, worker_name: &WorkerName, key: RunKey, end: &End, now: Now) {
         let (task, run) = key;
-        if let Some(worker) = self.workers.get_mut(worker) {
+        if let Some(worker) = self.workers.get_mut(worker_name) {
             worker.take(key);
         }
         let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
-        let change = entry.job.end_run(task, end, now.unix_ms);
+        let change = entry.job.end_run(task, worker_name, end, now.unix_ms);
         let outcome = entry.job.outcome;
         log::info!(
-            task:% = task, run, worker:% = worker, how:% = end.how, job = outcome.as_str();
+            task:% = task, run, worker:% = worker_name, how:% = end.how, job = outcome.as_str();
             "run ended"
         );
         if change == Change::None {
--- /dev/null
+++ b/lilacpass-node/tests/main_job.rs
@@ -0,0 +1,25 @@
+//! The main job with real processes on the stand-in for the platform.
+
+use std::path::PathBuf;
+
+use lilacpass_platform_standin::trial::{self, Options};
+use tokio::{runtime, task::LocalSet};
+
+fn run(faults: bool, first_port: u16, seconds: u64) -> bool {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_lilacpass-node"));
+    let options = Options { program, faults, first_port, seconds };
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, trial::run(&options)).expect("a run")
+}
+
+#[test]
+fn jobs_of_all_kinds_are_done_on_a_calm_cell() {
+    assert!(run(false, 22_300, 2));
+}
+
+/// Instances are killed and stopped, workers crash and spoil their work, and the store loses answers,
+/// goes down and forgets its history, while jobs come in. Callers still get all that was accepted.
+#[test]
+fn accepted_jobs_are_done_once_whatever_fails() {
+    assert!(run(true, 22_500, 6));
+}
