--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod event;
 pub mod health;
 pub mod holds;
+pub mod inspect;
 pub mod leader;
 pub mod options;
 pub mod outbox;
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -200,6 +200,26 @@
             && !self.health.is_quarantined(now_ms)
     }
 
+    /// Why it gets no work now; empty where it does.
+    pub fn held_back(&self, now_ms: u64) -> &'static str {
+        if !self.listed {
+            return "not registered";
+        }
+        if !self.commanded {
+            return "has not answered this leader";
+        }
+        if self.draining {
+            return "drains";
+        }
+        if self.failed_looks > 0 {
+            return "does not answer";
+        }
+        if self.health.is_quarantined(now_ms) {
+            return "spoils its work";
+        }
+        if now_ms < self.avoid_until_ms { "suspected" } else { "" }
+    }
+
     /// Starts nothing there for a while.
     pub fn avoid(&mut self, now_ms: u64, pause_ms: u64) {
         self.avoid_until_ms = self.avoid_until_ms.max(now_ms + pause_ms);
--- a/lilacpass-node/src/append.rs
+++ b/lilacpass-node/src/append.rs
@@ -51,9 +51,10 @@
     let mut may_be_done = false;
     let mut tries = 0;
     loop {
-        metrics::count(&node.metrics.appends);
         let sent = Instant::now();
-        match node.store.append(partition, condition, records, timeout).await {
+        let result = node.store.append(partition, condition, records, timeout).await;
+        node.metrics.append(metrics::outcome(&result), sent.elapsed());
+        match result {
             Ok(Append::Stored { .. }) => {
                 node.store_heard();
                 learn(node, sent.elapsed());
--- a/lilacpass-node/src/entry.rs
+++ b/lilacpass-node/src/entry.rs
@@ -15,7 +15,7 @@
 use tokio::time::{self, Instant};
 
 use crate::{
-    clock, metrics,
+    clock,
     node::Node,
     peers::{self, Handed},
 };
@@ -57,10 +57,11 @@
     if received.path == callers::READY_PATH {
         return ready(node, received).await;
     }
-    metrics::count(&node.metrics.requests);
+    let arrived = Instant::now();
     node.open_requests.set(node.open_requests.get() + 1);
     let reply = answer(&node, &received).await;
     node.open_requests.set(node.open_requests.get() - 1);
+    node.metrics.request(reply.status, arrived.elapsed());
     Reply { close: reply.close || node.is_leaving(), ..reply }
 }
 
@@ -89,11 +90,9 @@
     let answer = ask_leader(node, ask, timeout).await;
     match &answer {
         Answer::Refused { reason, .. } => {
-            metrics::count(&node.metrics.refused);
             log::info!(path = received.path.as_str(), reason; "request refused");
         }
         Answer::Uncertain => {
-            metrics::count(&node.metrics.uncertain);
             log::info!(path = received.path.as_str(); "request uncertain");
         }
         _ => {}
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
+use lilacpass_jobs::JobKey;
 use lilacpass_lead::{
     Effect, Event, Leader, Options,
     event::{Answer, Ask, Lane, Record, Token},
@@ -17,7 +18,7 @@
 
 use crate::{
     append::{self, Failure},
-    clock, handover,
+    clock, handover, metrics,
     node::{LeaderView, Node},
     peers, registry_watch,
     takeover::{self, Won},
@@ -49,12 +50,23 @@
         /// Number of the next append.
         next_sequence: u64,
     },
+    /// An operator asks.
+    Inspect(Inspect, oneshot::Sender<serde_json::Value>),
     /// Another leads.
     Deposed,
     /// Step down.
     Resign,
 }
 
+/// What an operator asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Inspect {
+    /// The state of the cell.
+    Status,
+    /// Why a job is where it is.
+    Job(JobKey),
+}
+
 /// The way to the leader within its own instance.
 #[derive(Clone)]
 pub struct LeadHandle {
@@ -70,6 +82,13 @@
         receiver.await.ok()
     }
 
+    /// Tells an operator. None where the leader ended before it answered.
+    pub async fn inspect(&self, inspect: Inspect) -> Option<serde_json::Value> {
+        let (sender, receiver) = oneshot::channel();
+        self.messages.send(Message::Inspect(inspect, sender)).ok()?;
+        receiver.await.ok()
+    }
+
     /// Has the leader step down.
     pub fn resign(&self) {
         // A leader that has ended needs no telling.
@@ -94,7 +113,7 @@
     *node.lead.borrow_mut() = Some(LeadHandle { messages: messages.clone(), ended });
     let address = node.peer_address();
     node.leader.send_replace(LeaderView { epoch: won.epoch, address: Some(address) });
-    node.metrics.takeovers.set(node.metrics.takeovers.get() + 1);
+    node.metrics.took_over();
     tokio::task::spawn_local(registry_watch::run(node.clone(), messages.clone()));
     tokio::task::spawn_local(handover::run(node.clone(), won.epoch, messages.clone()));
     tokio::task::spawn_local(renew(node.clone(), won.epoch, won.sequence, messages.clone()));
@@ -190,6 +209,7 @@
             self.step_down(&mut inbox).await;
         }
         self.node.lead.borrow_mut().take();
+        self.node.metrics.leads_no_more();
         log::info!(epoch = self.epoch, deposed = self.deposed; "leads no more");
         end.send_replace(true);
     }
@@ -209,12 +229,25 @@
                 self.next_sequence = next_sequence;
                 self.leader.handle(Event::NotAppended, now);
             }
+            Message::Inspect(inspect, operator) => {
+                // An operator that has left needs no answer.
+                let _left = operator.send(self.inspect(inspect));
+            }
             Message::Deposed => self.deposed = true,
             Message::Resign => return true,
         }
         false
     }
 
+    fn inspect(&self, inspect: Inspect) -> serde_json::Value {
+        let now = clock::now();
+        let value = match inspect {
+            Inspect::Status => serde_json::to_value(self.leader.status(now)),
+            Inspect::Job(key) => serde_json::to_value(self.leader.explain(key, now)),
+        };
+        value.unwrap_or_else(|err| serde_json::json!({ "error": err.to_string() }))
+    }
+
     fn tick(&mut self) {
         let now = clock::now();
         if now.steady_ms >= self.lanes_at_ms {
@@ -291,7 +324,9 @@
                 self.spawn(async move {
                     let sent_ms = clock::now().steady_ms;
                     let target = Target { name: &worker, address: &address, epoch };
+                    let sent = time::Instant::now();
                     let result = node.workers.look(target, look).await;
+                    node.metrics.order("look", metrics::outcome(&result), sent.elapsed());
                     Event::Looked { worker, sent_ms, extra, result }
                 });
             }
@@ -317,7 +352,9 @@
                         checkpoint: &checkpoint,
                         ticket: ticket.as_deref(),
                     };
+                    let sent = time::Instant::now();
                     let result = node.workers.start(target, start).await;
+                    node.metrics.order("start", metrics::outcome(&result), sent.elapsed());
                     Event::Started { worker, task, run, result }
                 });
             }
@@ -326,7 +363,9 @@
                 let epoch = self.epoch;
                 self.spawn(async move {
                     let target = Target { name: &worker, address: &address, epoch };
+                    let sent = time::Instant::now();
                     let result = node.workers.stop(target, task, run).await;
+                    node.metrics.order("stop", metrics::outcome(&result), sent.elapsed());
                     Event::Stopped { worker, task, run, result }
                 });
             }
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -15,10 +15,12 @@
 pub mod logging;
 pub mod metrics;
 pub mod node;
+pub mod operators;
 pub mod peers;
 pub mod registry_watch;
 pub mod signals;
 pub mod takeover;
+pub mod trace;
 
 use std::{process::ExitCode, rc::Rc};
 
--- a/lilacpass-node/src/logging.rs
+++ b/lilacpass-node/src/logging.rs
@@ -55,6 +55,7 @@
     Builder::from_env(Env::default().default_filter_or("info"))
         .target(Target::Pipe(Box::new(Buffer)))
         .format_target(false)
+        .format_timestamp_millis()
         .init();
 }
 
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -20,7 +20,12 @@
 };
 use tokio::sync::watch;
 
-use crate::{clock, entry, leading::LeadHandle, metrics::Metrics, peers};
+use crate::{
+    clock, entry,
+    leading::LeadHandle,
+    metrics::{self, Metrics},
+    peers,
+};
 
 /// Who leads, as far as this instance knows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -143,9 +148,26 @@
         let node = self.clone();
         let handler = move |received| peers::serve(node.clone(), received);
         tokio::task::spawn_local(server::serve(peers, peers::limits, handler));
+        self.listen_for_metrics();
         Ok(())
     }
 
+    /// Serves the metrics. An instance whose metrics port is taken does its work without.
+    fn listen_for_metrics(self: &Rc<Self>) {
+        let address = format!("{}:{}", self.settings.ip, metrics::PORT);
+        match parse(&address).and_then(server::listen) {
+            Ok(listener) => {
+                let node = self.clone();
+                let handler = move |received: server::Received| {
+                    let reply = node.metrics.reply(&received.path);
+                    async move { reply }
+                };
+                tokio::task::spawn_local(server::serve(listener, Limits::default, handler));
+            }
+            Err(err) => log::warn!(address, error:% = err; "metrics can't be served"),
+        }
+    }
+
     fn limits(&self) -> Limits {
         self.desired.borrow().as_ref().map(|p| p.desired.limits).unwrap_or_default()
     }
--- /dev/null
+++ b/lilacpass-node/src/operators.rs
@@ -0,0 +1,69 @@
+//! What operators can ask an instance: its own state, the state of the cell, and why a job is where
+//! it is. The last two are answered by the leader; any other instance names it.
+
+use bytes::Bytes;
+use http::StatusCode;
+use lilacpass_jobs::JobKey;
+use lilacpass_platform::server::Reply;
+use serde_json::{Value, json};
+
+use crate::{clock, leading::Inspect, node::Node};
+
+/// Path of the state of an instance.
+pub const INSTANCE_PATH: &str = "/operator/instance";
+/// Path of the state of the cell.
+pub const STATUS_PATH: &str = "/operator/status";
+/// Path before the id of a job.
+pub const EXPLAIN_PATH: &str = "/operator/explain/";
+
+/// Serves an operator.
+pub async fn serve(node: &Node, path: &str) -> Reply {
+    if path == INSTANCE_PATH {
+        return ok(&instance(node));
+    }
+    let inspect = if path == STATUS_PATH {
+        Inspect::Status
+    } else if let Some(key) = path.strip_prefix(EXPLAIN_PATH) {
+        match key.parse::<JobKey>() {
+            Ok(key) => Inspect::Job(key),
+            Err(err) => return Reply::error(StatusCode::BAD_REQUEST, &err.to_string()),
+        }
+    } else {
+        return Reply::error(StatusCode::NOT_FOUND, "no such call");
+    };
+    let lead = node.lead.borrow().clone();
+    let answer = match lead {
+        Some(lead) => lead.inspect(inspect).await,
+        None => None,
+    };
+    match answer {
+        Some(Value::Null) => Reply::error(StatusCode::NOT_FOUND, "no such job"),
+        Some(value) => ok(&value),
+        None => {
+            let leader = node.leader.borrow().address.clone();
+            let body = json!({ "error": "this instance does not lead", "leader": leader });
+            Reply::body(StatusCode::MISDIRECTED_REQUEST, Bytes::from(body.to_string()))
+        }
+    }
+}
+
+fn instance(node: &Node) -> Value {
+    let view = node.leader.borrow().clone();
+    let now_ms = clock::now().steady_ms;
+    json!({
+        "instance": node.settings.instance,
+        "data_centre": node.settings.data_centre,
+        "leads": node.leads(),
+        "epoch": view.epoch,
+        "leader": view.address,
+        "leader_heard_ago_ms": now_ms.saturating_sub(node.leader_heard_ms.get()),
+        "store_heard_ago_ms": now_ms.saturating_sub(node.store_heard_ms.get()),
+        "desired_version": node.desired_version(),
+        "open_requests": node.open_requests.get(),
+        "leaving": node.is_leaving(),
+    })
+}
+
+fn ok(value: &Value) -> Reply {
+    Reply::body(StatusCode::OK, Bytes::from(value.to_string()))
+}
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -23,6 +23,7 @@
 use crate::{
     clock, election, metrics,
     node::{Node, Peer},
+    operators,
 };
 
 const HELLO_PATH: &str = "/peer/hello";
@@ -53,7 +54,7 @@
             election::promote(&node).await;
             Ok(own_view(&node).encode_to_vec())
         }
-        _ => return Reply::error(StatusCode::NOT_FOUND, "no such call"),
+        path => return operators::serve(&node, path).await,
     };
     match body {
         Ok(body) => Reply::body(StatusCode::OK, Bytes::from(body)),
@@ -310,11 +311,9 @@
     timeout: Duration,
 ) -> Option<Advice> {
     let address = node.settings.advice_address.as_deref()?;
-    metrics::count(&node.metrics.advice_calls);
-    advice::ask(&node.client, address, step, workers, timeout)
-        .await
-        .inspect_err(|err| log::info!(step:% = step, error:% = err; "no advice"))
-        .ok()
+    let result = advice::ask(&node.client, address, step, workers, timeout).await;
+    node.metrics.advice(metrics::outcome(&result));
+    result.inspect_err(|err| log::info!(step:% = step, error:% = err; "no advice")).ok()
 }
 
 async fn on_advise(node: &Node, question: v1::PeerAdvise) -> v1::PeerAdviseReply {
