Wait longer for a slow store than for one that refuses

Change: 0.7 s where the store refuses, 1.5 s where it is silent; not ready after 0.65 s without leader.

--- a/lilacpass-lead/src/asks.rs
+++ b/lilacpass-lead/src/asks.rs
@@ -55,7 +55,7 @@
         if let Some(reason) = self.impossible(&plan, &queue) {
             return self.reply(token, Answer::Invalid(reason));
         }
-        if self.outbox.stuck_ms(now.steady_ms) > self.options.store_patience_ms {
+        if self.store_takes_nothing(now) {
             return self.refuse_for_store(token, key, now);
         }
         log::info!(
@@ -87,10 +87,21 @@
         self.reply(token, Answer::Refused { reason, retry_after_ms });
     }
 
+    /// Whether the store has taken nothing for so long that new jobs are refused.
+    fn store_takes_nothing(&self, now: Now) -> bool {
+        let options = &self.options;
+        let patience_ms = if self.outbox.is_refused() {
+            options.store_patience_ms
+        } else {
+            options.store_silence_ms
+        };
+        self.outbox.stuck_ms(now.steady_ms) > patience_ms
+    }
+
     /// Refuses the jobs that wait for a store that takes nothing. Those that are part of an append
     /// without an answer stay: they may be stored.
     pub(crate) fn refuse_stuck_jobs(&mut self, now: Now) {
-        if self.outbox.stuck_ms(now.steady_ms) <= self.options.store_patience_ms {
+        if !self.store_takes_nothing(now) {
             return;
         }
         for (token, key) in self.outbox.take_back_jobs() {
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -20,10 +20,12 @@
     pub stop_retry_ms: u64,
     /// How long nothing is started on a worker that has just refused or not answered.
     pub avoid_ms: u64,
-    /// How long the store may take nothing until jobs that wait for it are refused. A slow store
-    /// takes 0.6 s for an append; a caller that returns after a second is served sooner than one
-    /// that waits for the end of an outage.
+    /// How long the store may refuse everything until jobs that wait for it are refused. A caller that
+    /// returns after a second is served sooner than one that waits for the end of an outage.
     pub store_patience_ms: u64,
+    /// The same while the store has not answered at all: a slow one takes up to 0.6 s for an append,
+    /// and twice that for one that waits for another.
+    pub store_silence_ms: u64,
     /// How long an ended job can still be asked for.
     pub retention_ms: u64,
     /// How long a worker that lives can be unregistered while it reaches the store: entries that
@@ -46,6 +48,7 @@
             stop_retry_ms: 400,
             avoid_ms: 1_000,
             store_patience_ms: 700,
+            store_silence_ms: 1_500,
             retention_ms: 150_000,
             registration_ms: 2_500,
             stop_ms: 900,
--- a/lilacpass-lead/src/outbox.rs
+++ b/lilacpass-lead/src/outbox.rs
@@ -112,6 +112,11 @@
         self.first_sent_ms.map_or(0, |sent_ms| now_ms.saturating_sub(sent_ms))
     }
 
+    /// Whether the store has refused what was sent to it, and nothing is under way.
+    pub fn is_refused(&self) -> bool {
+        self.under_way.is_none() && self.first_sent_ms.is_some()
+    }
+
     /// Takes back jobs that have surely not been stored. Returns their callers.
     pub fn take_back_jobs(&mut self) -> Vec<(Token, JobKey)> {
         let taken = mem::take(&mut self.waiting.plans);
--- a/lilacpass-node/src/entry.rs
+++ b/lilacpass-node/src/entry.rs
@@ -34,7 +34,7 @@
 /// When to come back before the first desired state is known.
 const NO_DESIRED_RETRY_S: u64 = 1;
 /// An instance that has not heard of the leader for so long is not ready.
-const READY_HEARD_MS: u64 = 900;
+const READY_HEARD_MS: u64 = 650;
 
 /// Answers whether this instance takes callers.
 pub async fn ready(node: Rc<Node>, received: Received) -> Reply {
