Keep filling tasks off workers that serve users, and tasks that want one rack on one

Change: a step that fills and one with a target never share a worker; filling tasks make way. Tasks that want one rack get one with room for all, else are spread.

--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -12,7 +12,7 @@
     leader::Leader,
     outbox::After,
     place,
-    worker::{Phase, Worker},
+    worker::{Phase, RunKey, Worker},
 };
 
 /// Most workers that one call for advice may name.
@@ -48,7 +48,13 @@
             return;
         }
         let mut hosts = self.hosts(name, &plan, now);
+        if plan.one_rack {
+            keep_one_rack(&mut hosts, &plan, waiting.len());
+        }
         let picks = pick(&mut hosts, &plan, waiting.len());
+        if plan.target_ms > 0 && picks.len() < waiting.len() {
+            self.make_way(name, &plan, now);
+        }
         if plan.gang {
             if picks.len() == waiting.len() {
                 self.give_gang(name, &picks, now);
@@ -82,6 +88,7 @@
                 && worker.takes_starts(now.steady_ms)
                 && place::is_eligible(worker, &queue.service, plan)
                 && need.fits(&worker.room())
+                && !self.would_disturb(worker, plan)
         };
         self.workers
             .values()
@@ -91,12 +98,51 @@
                 room: worker.room(),
                 capacity_cpu: worker.entry.capacity.cpu.0.max(1),
                 clean: worker.health.is_clean() && !entry.failed_on.contains(&worker.entry.name),
+                rack: worker.rack().to_owned(),
                 near: place::score(worker, plan).0,
                 may_take: self.may_take(worker, name, plan),
             })
             .collect()
     }
 
+    /// Whether a task of this step and those on the worker would disturb each other: one that fills
+    /// takes processors that nobody reserved, and the tail of the response times of one that serves
+    /// users grows with that, by an amount that nobody knows beforehand.
+    fn would_disturb(&self, worker: &Worker, plan: &v1::WorkStep) -> bool {
+        let any = |is_such: fn(&v1::WorkStep) -> bool| {
+            worker.runs.keys().any(|(task, _)| self.plan_of(*task).is_some_and(is_such))
+        };
+        plan.fills && any(|other| other.target_ms > 0)
+            || plan.target_ms > 0 && any(|other| other.fills)
+    }
+
+    fn plan_of(&self, task: TaskName) -> Option<&v1::WorkStep> {
+        let entry = self.jobs.get(&task.step.job)?;
+        entry.job.plan.steps.get(task.step.step as usize)
+    }
+
+    /// Stops tasks that fill on a worker that could serve users. Without this, filling tasks that
+    /// came first would keep tasks with a target waiting for as long as they run.
+    fn make_way(&mut self, name: StepName, plan: &v1::WorkStep, now: Now) {
+        let Some(entry) = self.jobs.get(&name.job) else { return };
+        let service = &entry.job.queue.service;
+        let need = place::need(plan);
+        let filled = self.workers.values().find(|worker| {
+            worker.takes_starts(now.steady_ms)
+                && place::is_eligible(worker, service, plan)
+                && need.fits(&worker.room())
+                && self.would_disturb(worker, plan)
+        });
+        let Some(worker) = filled else { return };
+        let host = worker.entry.name.clone();
+        let fills = |task: TaskName| self.plan_of(task).is_some_and(|plan| plan.fills);
+        let stopped: Vec<RunKey> =
+            worker.runs.keys().copied().filter(|(task, _)| fills(*task)).collect();
+        for key in stopped {
+            self.stop_run(&host, key, now);
+        }
+    }
+
     /// How many more tasks of a step a worker may run, by the step's own limit.
     fn may_take(&self, worker: &Worker, name: StepName, plan: &v1::WorkStep) -> u64 {
         if plan.max_per_worker == 0 {
@@ -237,6 +283,7 @@
     capacity_cpu: u64,
     /// Nothing speaks against it, for this job.
     clean: bool,
+    rack: String,
     near: bool,
     may_take: u64,
 }
@@ -247,6 +294,23 @@
     }
 }
 
+/// Keeps the hosts of one rack, if that has room for all `count` tasks: on several racks they would
+/// take longer. Where no rack has room for all, spread tasks are better than waiting ones.
+fn keep_one_rack(hosts: &mut Vec<Host>, plan: &v1::WorkStep, count: usize) {
+    let need = place::need(plan);
+    let mut rooms: BTreeMap<String, u64> = BTreeMap::new();
+    for host in hosts.iter() {
+        let most = host.may_take.min(count as u64);
+        *rooms.entry(host.rack.clone()).or_default() += place::fits(&host.room, &need, most);
+    }
+    let best = rooms.into_iter().max_by_key(|(_, room)| *room);
+    if let Some((rack, room)) = best
+        && room >= count as u64
+    {
+        hosts.retain(|host| host.rack == rack);
+    }
+}
+
 /// Picks workers for up to `count` tasks, the emptiest first.
 fn pick(hosts: &mut [Host], plan: &v1::WorkStep, count: usize) -> Vec<WorkerName> {
     let need = place::need(plan);
--- a/lilacpass-lead/tests/stories.rs
+++ b/lilacpass-lead/tests/stories.rs
@@ -108,6 +108,39 @@
     assert_eq!(outcome(&world, 1), None, "what was refused never runs");
 }
 
+/// Users of a watcher wait too long: a task that fills took the processors beside it. It is placed
+/// elsewhere, and makes way where it came first.
+#[test]
+fn filling_tasks_and_serving_tasks_do_not_share_a_worker() {
+    let mut world = World::new(9, 1, Resources::new(8_000, 1_000, 0, 0));
+    let fills = v1::WorkStep { fills: true, ..step(1, 4_000, 60_000) };
+    world.submit(1, plan(&[fills]), queue("fill", 2));
+    world.run(500);
+    assert_eq!(world.workers[0].runs.len(), 1, "the filling task runs alone");
+    let serves = v1::WorkStep { lasting: true, target_ms: 30, ..step(1, 4_000, 500) };
+    world.submit(2, plan(&[serves]), queue("serve", 0));
+    world.run(2_000);
+    let running: Vec<u64> = world.workers[0].runs.keys().map(|task| task.step.job.0).collect();
+    assert_eq!(running, [2], "the serving task has taken its place");
+}
+
+/// A sweep whose tasks talk to each other is slow: its tasks were spread over two racks though one
+/// had room for all.
+#[test]
+fn tasks_that_want_one_rack_get_one_that_has_room() {
+    let mut single = Single::new(&[]);
+    for (name, rack) in [("w-0", "r-1"), ("w-1", "r-2"), ("w-2", "r-2")] {
+        let entry =
+            Registration { labels: vec!["a".to_owned(), rack.to_owned()], ..registration(name) };
+        single.tell(Event::WorkerListed(entry));
+        single.looked(name, &[], &[]);
+    }
+    let effects = single.submit(1, &[v1::WorkStep { one_rack: true, ..step(3, 4_000, 1_000) }]);
+    let hosts: Vec<WorkerName> = starts(&effects).into_iter().map(|(worker, ..)| worker).collect();
+    assert_eq!(hosts.len(), 3);
+    assert!(!hosts.contains(&WorkerName::from("w-0")), "all are on the rack with room for three");
+}
+
 /// A leader with one worker, whose calls are answered by hand.
 struct Single {
     leader: Leader,
