Lead on until a peer has taken over, and bound leases from a worker's first answer

And from a story written for a guard that no test noticed: for 12 s after each take-over, work on a worker that went dark waited for the bound on the former leader's leases, though the worker had refused that leader since its first answer to us.

Change: a leader that is to stop asks one peer after the other and leads on until one has taken over; the first answer of a worker bounds the leases there by our own.

--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -8,6 +8,7 @@
     event::{CallError, Effect, EndRow, LookAnswer, Now, Refusal, RunningRow},
     health,
     leader::Leader,
+    options,
     outbox::After,
     worker::{Look, Phase, RunKey},
 };
@@ -72,6 +73,13 @@
         }
         let first = !worker.commanded;
         worker.heard_ms = now.steady_ms;
+        if first {
+            // From now on it refuses a former leader, whose last lease began before this answer. Without
+            // this, work on a worker that goes dark soon after a take-over would wait for the bound
+            // on a leader that can still extend leases, seven seconds longer.
+            let lease_ms = options::longest_lease_ms(self.options.lease_ms, 0);
+            worker.lapsed_by_ms = now.steady_ms + lease_ms;
+        }
         worker.commanded = true;
         worker.failed_looks = 0;
         worker.read_clock(answer.clock_ms, now.steady_ms);
--- a/lilacpass-lead/tests/stories.rs
+++ b/lilacpass-lead/tests/stories.rs
@@ -41,6 +41,20 @@
     assert_eq!(running, 1, "the task runs again four seconds after the take-over");
 }
 
+/// A check never comes back: its worker went dark, and each look at it was taken for an extension of
+/// the lease, though none was answered.
+#[test]
+fn work_on_a_silent_worker_starts_again_when_its_lease_has_lapsed() {
+    let mut world = four_workers(3);
+    world.submit(1, plan(&[step(1, 4_000, 3_000)]), queue("quick", 0));
+    world.run(1_000);
+    let host = world.workers.iter().position(|w| !w.runs.is_empty()).expect("the task runs");
+    world.workers[host].cut = true;
+    world.run(8_000);
+    let elsewhere = world.workers.iter().filter(|w| !w.cut && !w.runs.is_empty()).count();
+    assert_eq!(elsewhere, 1, "it runs elsewhere eight seconds later");
+}
+
 /// The same, but nothing of the data centre answers: the former leader and the worker may be cut off
 /// together, and the task run on. Then the bound on the lease must be waited for.
 #[test]
@@ -295,6 +309,68 @@
     assert_eq!(on_bad, 0, "a worker with a failure gets nothing while clean ones have room");
 }
 
+/// The same worker, when it is the only one with room: it gets no work at all for a while, else each
+/// retry would burn an attempt of its job.
+#[test]
+fn a_worker_that_fails_several_jobs_rests_even_if_it_alone_has_room() {
+    let mut single = Single::new(&["w-0", "w-1", "w-2", "w-3"]);
+    let filler =
+        single.submit(100, &[v1::WorkStep { max_per_worker: 1, ..step(4, 7_000, 60_000) }]);
+    let mut ends = Vec::new();
+    for (worker, task, run) in starts(&filler) {
+        single.tell(Event::Started { worker: worker.clone(), task, run, result: Ok(()) });
+        if worker.as_str() == WORKER {
+            let end = lilacpass_jobs::End { run, how: How::Done, checkpoint: String::new() };
+            ends.push(EndRow { number: 1, task, end });
+        }
+    }
+    single.looked(WORKER, &[], &ends);
+    for key in 1..=2 {
+        let effects = single.submit(key, &[step(1, 5_000, 1_000)]);
+        let (worker, task, run) = starts(&effects)[0].clone();
+        assert_eq!(worker.as_str(), WORKER, "no other has room");
+        single.tell(Event::Started { worker, task, run, result: Ok(()) });
+        let end = lilacpass_jobs::End { run, how: How::Failed, checkpoint: String::new() };
+        ends.push(EndRow { number: ends.len() as u64 + 1, task, end });
+        let effects = single.looked(WORKER, &[], &ends);
+        if key == 2 {
+            assert!(starts(&effects).is_empty(), "two jobs failed there, and it rests");
+        } else {
+            // The retry of the first job runs on; it frees its room for the second.
+            for (worker, task, run) in starts(&effects) {
+                single.tell(Event::Started { worker, task, run, result: Ok(()) });
+                let end = lilacpass_jobs::End { run, how: How::Stopped, checkpoint: String::new() };
+                ends.push(EndRow { number: ends.len() as u64 + 1, task, end });
+            }
+            single.tell(Event::Asked { token: Token(50), ask: Ask::Cancel(JobKey(1)) });
+            single.looked(WORKER, &[], &ends);
+        }
+    }
+}
+
+/// An audit runs a second time though its report was there: its worker was silent for longer than its
+/// lease, was given up, and then listed the end as done.
+#[test]
+fn an_end_as_done_counts_after_its_run_was_given_up() {
+    let mut single = Single::new(&["w-0", "w-1"]);
+    let effects = single.submit(1, &[step(1, 5_000, 1_000)]);
+    let (worker, task, run) = starts(&effects)[0].clone();
+    single.tell(Event::Started { worker: worker.clone(), task, run, result: Ok(()) });
+    single.now_ms += 10_000;
+    let sent_ms = single.now_ms;
+    single.tell(Event::Confirmed { sent_ms });
+    let effects = single.tell(Event::Tick);
+    let again = starts(&effects);
+    assert_eq!(again.len(), 1, "it starts elsewhere");
+    let end = lilacpass_jobs::End { run, how: How::Done, checkpoint: String::new() };
+    let effects = single.looked(worker.as_str(), &[], &[EndRow { number: 1, task, end }]);
+    let stopped = effects.iter().any(|effect| matches!(effect, Effect::Stop { run: 2, .. }));
+    assert!(stopped, "the second run is stopped");
+    let effects = single.tell(Event::Asked { token: Token(9), ask: Ask::State(JobKey(1)) });
+    let completed = Answer::State(lilacpass_lead::event::JobState::Completed);
+    assert!(replies(&effects).contains(&completed), "the first counts");
+}
+
 /// Callers' records: an accepted job must be in the store before its caller hears of it.
 #[test]
 fn a_job_is_stored_before_its_caller_is_told() {
--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -150,13 +150,15 @@
     }
 }
 
-/// Takes over at the word of the former leader, if the store answers this instance at once.
-pub async fn promote(node: &Rc<Node>) {
+/// Takes over at the word of the former leader, if the store answers this instance: at once, or
+/// where the former leader is leaving, at all.
+pub async fn promote(node: &Rc<Node>, former_is_leaving: bool) {
     if node.leads() || node.is_leaving() {
         return;
     }
     let partition = takeover::lead_partition();
-    if let Err(err) = node.store.newest(&partition, None, PROMOTE_STORE_TIMEOUT).await {
+    let timeout = if former_is_leaving { STORE_TIMEOUT } else { PROMOTE_STORE_TIMEOUT };
+    if let Err(err) = node.store.newest(&partition, None, timeout).await {
         log::info!(error:% = err; "asked to take over, but the store does not answer");
         return;
     }
--- a/lilacpass-node/src/handover.rs
+++ b/lilacpass-node/src/handover.rs
@@ -27,15 +27,31 @@
         if node.store_failing_ms() < FAILING_MS || messages.is_closed() {
             continue;
         }
-        let Some(peer) = pick(&node) else { continue };
-        if to(&node, &peer, epoch).await {
-            // The loop has ended where nobody listens.
-            let _ended = messages.send(Message::Deposed);
+        if to_any(&node, epoch, &messages).await {
             return;
         }
     }
 }
 
+/// Hands over before a planned stop: asks one peer after the other until one has taken over. The
+/// leader leads on meanwhile, also where the store is too slow for a hand-over just now.
+pub async fn resign(node: Rc<Node>, epoch: u64, messages: mpsc::UnboundedSender<Message>) {
+    while !messages.is_closed() && !to_any(&node, epoch, &messages).await {
+        time::sleep(INTERVAL).await;
+    }
+}
+
+/// Asks a peer to take over. Returns whether it did.
+async fn to_any(node: &Node, epoch: u64, messages: &mpsc::UnboundedSender<Message>) -> bool {
+    let Some(peer) = pick(node) else { return false };
+    let handed = to(node, &peer, epoch).await;
+    if handed {
+        // The loop has ended where nobody listens.
+        let _ended = messages.send(Message::Deposed);
+    }
+    handed
+}
+
 /// Any peer that lives and stays.
 fn pick(node: &Node) -> Option<String> {
     let now_ms = clock::now().steady_ms;
@@ -48,7 +64,7 @@
 }
 
 /// Asks a peer to take over from the leader of `epoch`. Returns whether it did.
-pub async fn to(node: &Node, address: &str, epoch: u64) -> bool {
+async fn to(node: &Node, address: &str, epoch: u64) -> bool {
     match peers::promote(node, address, TIMEOUT).await {
         Ok(reply) if reply.leads && reply.epoch > epoch => {
             log::info!(peer = address, epoch = reply.epoch; "lead handed over");
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -35,8 +35,6 @@
 const LANES_INTERVAL_MS: u64 = 200;
 /// Added to the time that a call for advice should take, before it is given up.
 const ADVICE_SLACK: Duration = Duration::from_millis(900);
-/// How long a leader that steps down waits for the append under way.
-const RESIGN_WAIT: Duration = Duration::from_millis(300);
 
 /// What is told to the loop of the leader.
 #[derive(Debug)]
@@ -54,7 +52,7 @@
     Inspect(Inspect, oneshot::Sender<serde_json::Value>),
     /// Another leads.
     Deposed,
-    /// Step down.
+    /// Hand the lead over, and lead on until that is done.
     Resign,
 }
 
@@ -89,7 +87,7 @@
         receiver.await.ok()
     }
 
-    /// Has the leader step down.
+    /// Has the leader hand over.
     pub fn resign(&self) {
         // A leader that has ended needs no telling.
         let _ended = self.messages.send(Message::Resign);
@@ -191,31 +189,26 @@
     async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>, end: watch::Sender<bool>) {
         let mut ticks = time::interval(TICK);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
-        let mut resigning = false;
-        while !self.deposed && !resigning {
+        while !self.deposed {
             tokio::select! {
                 message = inbox.recv() => {
                     let Some(message) = message else { break };
-                    resigning |= self.take_in(message);
+                    self.take_in(message);
                     while let Ok(message) = inbox.try_recv() {
-                        resigning |= self.take_in(message);
+                        self.take_in(message);
                     }
                 }
                 _ = ticks.tick() => self.tick(),
             }
             self.carry_out();
         }
-        if resigning && !self.deposed {
-            self.step_down(&mut inbox).await;
-        }
         self.node.lead.borrow_mut().take();
         self.node.metrics.leads_no_more();
-        log::info!(epoch = self.epoch, deposed = self.deposed; "leads no more");
+        log::info!(epoch = self.epoch; "leads no more");
         end.send_replace(true);
     }
 
-    /// Takes a message in. Returns whether it asks the leader to step down.
-    fn take_in(&mut self, message: Message) -> bool {
+    fn take_in(&mut self, message: Message) {
         let now = clock::now();
         match message {
             Message::Event(event) => self.leader.handle(event, now),
@@ -234,9 +227,12 @@
                 let _left = operator.send(self.inspect(inspect));
             }
             Message::Deposed => self.deposed = true,
-            Message::Resign => return true,
+            Message::Resign => {
+                let node = self.node.clone();
+                let messages = self.messages.clone();
+                tokio::task::spawn_local(handover::resign(node, self.epoch, messages));
+            }
         }
-        false
     }
 
     fn inspect(&self, inspect: Inspect) -> serde_json::Value {
@@ -268,40 +264,6 @@
         near.chain([Lane(self.node.peer_address())]).collect()
     }
 
-    /// Has what is under way stored, then asks a peer to take over.
-    async fn step_down(&mut self, inbox: &mut mpsc::UnboundedReceiver<Message>) {
-        let wait = time::sleep(RESIGN_WAIT);
-        tokio::pin!(wait);
-        while self.leader.store_stuck_ms(clock::now()) > 0 {
-            tokio::select! {
-                () = &mut wait => break,
-                message = inbox.recv() => {
-                    let Some(message) = message else { break };
-                    if !matches!(message, Message::Ask(..)) {
-                        self.take_in(message);
-                    }
-                    self.carry_out();
-                }
-            }
-        }
-        self.node.lead.borrow_mut().take();
-        let now_ms = clock::now().steady_ms;
-        let candidates: Vec<String> = self
-            .node
-            .peers
-            .borrow()
-            .iter()
-            .filter(|(_, peer)| !peer.leaving && peer.store_reachable)
-            .filter(|(_, peer)| peer.heard_ms + LANE_HEARD_MS > now_ms)
-            .map(|(address, _)| address.clone())
-            .collect();
-        for address in candidates {
-            if handover::to(&self.node, &address, self.epoch).await {
-                return;
-            }
-        }
-    }
-
     fn carry_out(&mut self) {
         for effect in self.leader.finish(clock::now()) {
             self.carry_out_one(effect);
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -50,10 +50,13 @@
             Ok(question) => Ok(on_advise(&node, question).await.encode_to_vec()),
             Err(err) => Err(err),
         },
-        PROMOTE_PATH => {
-            election::promote(&node).await;
-            Ok(own_view(&node).encode_to_vec())
-        }
+        PROMOTE_PATH => match decode::<v1::PeerHello>(&received.body) {
+            Ok(former) => {
+                election::promote(&node, former.leaving).await;
+                Ok(own_view(&node).encode_to_vec())
+            }
+            Err(err) => Err(err),
+        },
         path => return operators::serve(&node, path).await,
     };
     match body {
@@ -138,8 +141,8 @@
 
 /// Asks a peer to take over.
 pub async fn promote(node: &Node, address: &str, timeout: Duration) -> Result<v1::PeerHelloReply> {
-    let nothing = v1::PeerHello::default();
-    post(node, address, PROMOTE_PATH, &nothing, timeout).await
+    let former = v1::PeerHello { leaving: node.is_leaving(), ..Default::default() };
+    post(node, address, PROMOTE_PATH, &former, timeout).await
 }
 
 /// What came of handing a request to the leader.
