Take over once for one hand-over

Change: an instance that leads does not take over, nor one whose view of the leader has changed while it watched; whoever is asked to take over announces that first.

--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -145,7 +145,8 @@
     let watch = if claimed_by_other(node, &page) { watch.max(CLAIM_WATCH) } else { watch };
     let spread = SPREAD.mul_f64(rand::rng().random());
     time::sleep(watch + spread).await;
-    if claim(node, page.end).await {
+    let has_changed = node.leads() || *node.leader.borrow() != known;
+    if !has_changed && claim(node, page.end).await {
         take_over(node).await;
     }
 }
@@ -158,11 +159,17 @@
     }
     let partition = takeover::lead_partition();
     let timeout = if former_is_leaving { STORE_TIMEOUT } else { PROMOTE_STORE_TIMEOUT };
-    if let Err(err) = node.store.newest(&partition, None, timeout).await {
-        log::info!(error:% = err; "asked to take over, but the store does not answer");
-        return;
-    }
+    let page = match node.store.newest(&partition, None, timeout).await {
+        Ok(page) => page,
+        Err(err) => {
+            log::info!(error:% = err; "asked to take over, but the store does not answer");
+            return;
+        }
+    };
     log::info!("asked to take over");
+    // Keeps others, who see the former leader give up before the new one is known, from taking over
+    // from the new one at once. A renewal in between makes this fail, which does no harm.
+    claim(node, page.end).await;
     let node = node.clone();
     // Goes on if the connection to the former leader ends meanwhile.
     let taking_over = tokio::task::spawn_local(async move { take_over(&node).await });
@@ -172,7 +179,7 @@
 }
 
 async fn take_over(node: &Rc<Node>) {
-    if node.taking_over.replace(true) {
+    if node.leads() || node.taking_over.replace(true) {
         return;
     }
     if let Some(won) = takeover::take_over(node).await {
