--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -274,7 +274,7 @@
         let change = entry.job.end_run(task, worker_name, end, now.unix_ms);
         let outcome = entry.job.outcome;
         log::info!(
-            task:% = task, run, worker:% = worker_name, how:% = end.how, job = outcome.as_str();
+            how:% = end.how, job = outcome.as_str(), task:% = task, run, worker:% = worker_name;
             "run ended"
         );
         if change == Change::None {
