Count open requests to their end, and give a failing take-over up sooner

Cause, from reading: a caller that leaves drops the work on its request, and the count of open requests never fell, so a planned stop waited for its whole grace; a take-over whose store calls fail went on for 6 s, in which the instance does not notice another leader. Change: the count falls when the work is dropped; 2 s.

--- a/lilacpass-node/src/entry.rs
+++ b/lilacpass-node/src/entry.rs
@@ -58,13 +58,30 @@
         return ready(node, received).await;
     }
     let arrived = Instant::now();
-    node.open_requests.set(node.open_requests.get() + 1);
+    let open = OpenRequest::new(&node);
     let reply = answer(&node, &received).await;
-    node.open_requests.set(node.open_requests.get() - 1);
+    drop(open);
     node.metrics.request(reply.status, arrived.elapsed());
     Reply { close: reply.close || node.is_leaving(), ..reply }
 }
 
+/// Counts a request as open while it lives. A caller that leaves drops the work on its request, and
+/// a planned stop would wait for a count that never falls.
+struct OpenRequest<'a>(&'a Node);
+
+impl<'a> OpenRequest<'a> {
+    fn new(node: &'a Node) -> Self {
+        node.open_requests.set(node.open_requests.get() + 1);
+        Self(node)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open_requests.set(self.0.open_requests.get() - 1);
+    }
+}
+
 async fn answer(node: &Node, received: &Received) -> Reply {
     let Some(published) = node.published() else {
         let retry_after_s = Some(NO_DESIRED_RETRY_S);
--- a/lilacpass-node/src/takeover.rs
+++ b/lilacpass-node/src/takeover.rs
@@ -16,8 +16,9 @@
 pub const LEAD_KEY: &str = "lead";
 /// How long the store may take for one call of a take-over. Its slowest answers take 0.6 s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// How long a take-over may take altogether before it is given up.
-const PATIENCE: Duration = Duration::from_secs(6);
+/// How long calls of a take-over may go on failing before it is given up. Meanwhile this instance
+/// does not notice that another has taken over.
+const PATIENCE: Duration = Duration::from_secs(2);
 /// Pause before a call that failed is made again.
 const RETRY: Duration = Duration::from_millis(60);
 
