Give up only a batch of which nothing is stored, and rate workers in one place

Where a later call was refused, all of the batch counted as not done, and a job whose plan was in an earlier call could be refused as not run although it was stored. Never seen: a batch must pass 2 MB for it. Also, the free share of a worker was worked out twice, once for candidates and once for hosts.

Ruled out: telling the leader which records are stored; more state for a case that waiting settles. Change: only the first call of a batch may be given up; the rest are sent until the store takes them. place::score and place::is_near serve both places. Placing is unchanged.

--- a/lilacpass-lead/src/place.rs
+++ b/lilacpass-lead/src/place.rs
@@ -26,10 +26,13 @@
         .min(most)
 }
 
-/// How well a worker suits a task; the greatest comes first. Data on the rack goes first, then
-/// the share of processors left free, which spreads load and with it what a lost worker costs.
-pub fn score(worker: &Worker, step: &v1::WorkStep) -> (bool, u64) {
-    let near = !step.affinity_rack.is_empty() && worker.entry.labels.contains(&step.affinity_rack);
-    let capacity = worker.entry.capacity.cpu.0.max(1);
-    (near, worker.room().cpu.0 * 1_000 / capacity)
+/// Whether the data of a step is on the worker's rack.
+pub fn is_near(worker: &Worker, step: &v1::WorkStep) -> bool {
+    !step.affinity_rack.is_empty() && worker.entry.labels.contains(&step.affinity_rack)
+}
+
+/// How well a worker suits a task; the greatest comes first. Data on the rack goes first, then the
+/// share of processors left free, which spreads load and with it what a lost worker costs.
+pub fn score(near: bool, room: &Resources, capacity: &Resources) -> (bool, u64) {
+    (near, room.cpu.0 * 1_000 / capacity.cpu.0.max(1))
 }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -96,10 +96,10 @@
             .map(|worker| Host {
                 name: worker.entry.name.clone(),
                 room: worker.room(),
-                capacity_cpu: worker.entry.capacity.cpu.0.max(1),
+                capacity: worker.entry.capacity,
                 clean: worker.health.is_clean() && !entry.failed_on.contains(&worker.entry.name),
                 rack: worker.rack().to_owned(),
-                near: place::score(worker, plan).0,
+                near: place::is_near(worker, plan),
                 may_take: self.may_take(worker, name, plan),
             })
             .collect()
@@ -243,7 +243,9 @@
             }
             let candidate =
                 Candidate { worker: worker_name.clone(), known_good: verdict == Some(true), fits };
-            rated.push((place::score(worker, plan), candidate));
+            let near = place::is_near(worker, plan);
+            let score = place::score(near, &worker.room(), &worker.entry.capacity);
+            rated.push((score, candidate));
         }
         rated.sort_by_key(|(score, _)| Reverse(*score));
         rated.into_iter().map(|(_, candidate)| candidate).collect()
@@ -280,7 +282,7 @@
 struct Host {
     name: WorkerName,
     room: Resources,
-    capacity_cpu: u64,
+    capacity: Resources,
     /// Nothing speaks against it, for this job.
     clean: bool,
     rack: String,
@@ -289,8 +291,8 @@
 }
 
 impl Host {
-    fn score(&self) -> (bool, bool, u64) {
-        (self.clean, self.near, self.room.cpu.0 * 1_000 / self.capacity_cpu)
+    fn score(&self) -> (bool, (bool, u64)) {
+        (self.clean, place::score(self.near, &self.room, &self.capacity))
     }
 }
 
--- a/lilacpass-node/src/append.rs
+++ b/lilacpass-node/src/append.rs
@@ -86,6 +86,23 @@
     }
 }
 
+/// Stores one call of a batch. Only the first may be given up as not done: after it, part of the batch
+/// is stored, and a job in it must not be refused as not run.
+pub async fn store_rest(
+    node: &Rc<Node>,
+    partition: &Partition,
+    writer: Writer,
+    records: &Bytes,
+    is_first: bool,
+) -> Result<(), Failure> {
+    loop {
+        match store(node, partition, writer, records).await {
+            Err(Failure::NotDone) if !is_first => time::sleep(MOST_PAUSE).await,
+            result => return result,
+        }
+    }
+}
+
 /// How long the store may take, by what it took lately.
 fn first_timeout(node: &Node) -> Duration {
     (node.append_time.get() * LATE_TIMES).clamp(LEAST_TIMEOUT, MOST_TIMEOUT)
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -361,7 +361,8 @@
             let mut message = Message::Event(Event::Appended);
             for (sequence, call) in (first_sequence..).zip(&calls) {
                 let writer = Writer { epoch, sequence };
-                match append::store(&node, &partition, writer, call).await {
+                let is_first = sequence == first_sequence;
+                match append::store_rest(&node, &partition, writer, call, is_first).await {
                     Ok(()) => {}
                     Err(Failure::Deposed) => {
                         message = Message::Deposed;
