Send an order again when its answer is late

Cause: where 5.5 % of the calls to workers get no answer, 60 % of the jobs with 16 tasks have a start among them. It was given up after 0.4 s, looked for, stopped and given to another worker: 0.65 to 2.1 s in the two that were traced.

Ruled out: sending the task elsewhere at once (it would run twice when the first start arrives).

Change: a start or a stop is sent again after 0.1 s under the same number of the run, of which a worker carries out one. Only an answer that tells what became of both copies counts; any other leaves the run uncertain, as before.

Lost looks remain.

--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -20,7 +20,7 @@
     append::{self, Failure},
     clock, handover, metrics,
     node::{LeaderView, Node},
-    peers, registry_watch,
+    orders, peers, registry_watch,
     takeover::{self, Won},
 };
 
@@ -312,7 +312,7 @@
                         ticket: ticket.as_deref(),
                     };
                     let sent = time::Instant::now();
-                    let result = node.workers.start(target, start).await;
+                    let result = orders::start(&node.workers, target, start).await;
                     node.metrics.order("start", metrics::outcome(&result), sent.elapsed());
                     Event::Started { worker, task, run, result }
                 });
@@ -323,7 +323,7 @@
                 self.spawn(async move {
                     let target = Target { name: &worker, address: &address, epoch };
                     let sent = time::Instant::now();
-                    let result = node.workers.stop(target, task, run).await;
+                    let result = orders::stop(&node.workers, target, task, run).await;
                     node.metrics.order("stop", metrics::outcome(&result), sent.elapsed());
                     Event::Stopped { worker, task, run, result }
                 });
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod node;
 pub mod operators;
+pub mod orders;
 pub mod peers;
 pub mod registry_watch;
 pub mod signals;
