Look more often while answers of workers get lost

Cause: a look waits up to 0.8 s for an end and is given up 0.4 s later. One whose answer is lost hides the ends on its worker for 1.2 s and another 0.25 s until the next look. With 5.5 % of the calls lost, 80 looks a second were, and most jobs of 16 tasks had an end among them.

Ruled out: shorter looks at all times (three times the looks, which are priced and take processor).

Change: four workers that answer again after one lost call within two seconds make looks wait 0.3 s and be given up 0.2 s later; the look after a first failure follows at once.

The story fails without the change.

--- a/lilacpass-lead/src/event.rs
+++ b/lilacpass-lead/src/event.rs
@@ -291,6 +291,8 @@
         forget_upto: u64,
         /// How long to wait for an end.
         wait_ms: u64,
+        /// How long the answer may take beyond that.
+        answer_ms: u64,
         /// Whether it is an extra look beside the waiting one.
         extra: bool,
     },
--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -51,7 +51,8 @@
                     log::info!(worker:% = name, error:? = err; "worker does not answer");
                 }
                 if !extra {
-                    let pauses = u64::from(worker.failed_looks).min(MOST_RETRY_PAUSES);
+                    // The first may have lost its answer only, and hides ends until the next.
+                    let pauses = u64::from(worker.failed_looks - 1).min(MOST_RETRY_PAUSES);
                     worker.look = Look::Due { at_ms: now.steady_ms + retry_ms * pauses };
                 }
                 let suspicious = worker.failed_looks == 1;
@@ -68,6 +69,9 @@
 
     fn on_look_answer(&mut self, name: &WorkerName, sent_ms: u64, answer: LookAnswer, now: Now) {
         let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.failed_looks == 1 {
+            self.loss.lost(now.steady_ms);
+        }
         if worker.failed_looks > 0 {
             log::info!(worker:% = name, failed = worker.failed_looks; "worker answers again");
         }
@@ -302,6 +306,12 @@
     pub(crate) fn plan_looks(&mut self, now: Now) {
         let may_extend = self.may_extend(now);
         let stuck = self.outbox.stuck_ms(now.steady_ms) > self.options.look_stuck_ms;
+        let options = &self.options;
+        let (look_wait_ms, answer_ms) = if self.loss.is_lossy(now.steady_ms) {
+            (options.look_wait_lossy_ms, options.look_answer_lossy_ms)
+        } else {
+            (options.look_wait_ms, options.look_answer_ms)
+        };
         for worker in self.workers.values_mut() {
             let Look::Due { at_ms } = worker.look else { continue };
             if worker.entry.address.is_empty() || now.steady_ms < at_ms {
@@ -319,7 +329,7 @@
             } else {
                 None
             };
-            let wait_ms = if worker.commanded && !unnoted { self.options.look_wait_ms } else { 0 };
+            let wait_ms = if worker.commanded && !unnoted { look_wait_ms } else { 0 };
             worker.look = Look::UnderWay;
             self.effects.push(Effect::Look {
                 worker: worker.entry.name.clone(),
@@ -327,6 +337,7 @@
                 lease_until_ms,
                 forget_upto: worker.noted_upto,
                 wait_ms,
+                answer_ms,
                 extra: false,
             });
         }
@@ -345,6 +356,7 @@
             lease_until_ms: None,
             forget_upto: worker.noted_upto,
             wait_ms: 0,
+            answer_ms: self.options.look_answer_ms,
             extra: true,
         });
     }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -10,6 +10,7 @@
 use crate::{
     advice::{Lanes, StepAdvice},
     event::{Effect, Event, Now, Record, Registration},
+    loss::LossMeter,
     news::News,
     options::{self, Options},
     outbox::{After, Outbox},
@@ -69,6 +70,7 @@
     pub(crate) waiting: BTreeSet<Rank>,
     ranks: HashMap<StepName, Rank>,
     pub(crate) news: News,
+    pub(crate) loss: LossMeter,
     /// Occurrences whose time has not come, by time of day.
     due: BTreeSet<(u64, JobKey)>,
     /// Share of workers that are allowed, learned per queue.
@@ -104,6 +106,7 @@
             waiting: BTreeSet::new(),
             ranks: HashMap::new(),
             news: News::default(),
+            loss: LossMeter::default(),
             due: BTreeSet::new(),
             good_shares: HashMap::new(),
             effects: Vec::new(),
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod holds;
 pub mod inspect;
 pub mod leader;
+pub mod loss;
 pub mod news;
 pub mod options;
 pub mod outbox;
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -12,6 +12,14 @@
     /// How long a worker may wait with its answer to a look until something ends there. Half of
     /// what the lease has left after the longest wait must be enough for the next look.
     pub look_wait_ms: u64,
+    /// The same while answers get lost: a lost one hides the end of a task for this long and
+    /// `look_answer_lossy_ms`.
+    pub look_wait_lossy_ms: u64,
+    /// How long the answer to a look may take beyond its wait. Sound workers answer within 5 ms; a slow
+    /// link or a busy instance adds tens, a slow instance some hundreds.
+    pub look_answer_ms: u64,
+    /// The same while answers get lost.
+    pub look_answer_lossy_ms: u64,
     /// Pause after a look that failed, before the next.
     pub look_retry_ms: u64,
     /// Pause between looks while ends can't be recorded because the store does not answer.
@@ -41,6 +49,9 @@
             lease_ms: 5_000,
             outlive_ms: 7_000,
             look_wait_ms: 800,
+            look_wait_lossy_ms: 300,
+            look_answer_ms: 400,
+            look_answer_lossy_ms: 200,
             look_retry_ms: 250,
             look_stuck_ms: 400,
             stop_retry_ms: 400,
--- a/lilacpass-lead/tests/stories.rs
+++ b/lilacpass-lead/tests/stories.rs
@@ -455,3 +455,26 @@
     let hosts: Vec<WorkerName> = starts(&effects).into_iter().map(|(worker, ..)| worker).collect();
     assert_eq!(hosts, [WorkerName::from("w-3")], "until it answers");
 }
+
+/// Checks are late though their tasks ended in time: one answer in twenty is lost, and each hides what
+/// ended on its worker until the look is given up. Looks must then wait for less time.
+#[test]
+fn looks_are_short_while_answers_get_lost() {
+    let workers = ["w-0", "w-1", "w-2", "w-3"];
+    let mut single = Single::new(&workers);
+    let waits = |effects: &[Effect]| -> Vec<u64> {
+        let wait = |effect: &Effect| match effect {
+            Effect::Look { wait_ms, answer_ms, .. } => Some(wait_ms + answer_ms),
+            _ => None,
+        };
+        effects.iter().filter_map(wait).collect()
+    };
+    let before = waits(&single.looked("w-0", &[], &[]));
+    for name in workers {
+        let effects = single.look_lost(name);
+        assert_eq!(waits(&effects).len(), 1, "the first lost look is followed by another at once");
+        single.looked(name, &[], &[]);
+    }
+    let after = waits(&single.looked("w-0", &[], &[]));
+    assert!(after[0] < before[0] / 2, "{after:?} and {before:?}");
+}
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -276,8 +276,16 @@
                 }
             }
             Effect::Append(records) => self.append(records),
-            Effect::Look { worker, address, lease_until_ms, forget_upto, wait_ms, extra } => {
-                let look = Look { lease_until_ms, forget_upto, wait_ms };
+            Effect::Look {
+                worker,
+                address,
+                lease_until_ms,
+                forget_upto,
+                wait_ms,
+                answer_ms,
+                extra,
+            } => {
+                let look = Look { lease_until_ms, forget_upto, wait_ms, answer_ms };
                 let node = self.node.clone();
                 let epoch = self.epoch;
                 self.spawn(async move {
