Let callers go elsewhere when there is no leader, and sooner

Cause: in a data centre that is cut off, callers were refused for as long as the cut lasted: the balancer sends new connections elsewhere, and theirs stayed open. Requests handed to a leader within 0.8 s after it went silent hung until their deadline and ended as uncertain, which callers can't repeat; later ones waited 1.9 s for a leader that this instance could not hear of.

Ruled out: an instance of the cut-off data centre that stays ready (a log line at each change of readiness, kept, showed all fourteen not ready 1.9 s after the cut).

Change: a refusal for want of a leader closes its connection. A leader silent for 0.5 s (before 0.8 s) is handed nothing; after 0.4 s (0.65 s) the instance is not ready. One that reaches neither leader nor store refuses at once instead of after 1.9 s.

The test with processes fails without the close.

--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -107,6 +107,7 @@
     match peers::hello(node, address, HELLO_TIMEOUT).await {
         Ok(reply) if reply.leads => {
             node.leader_heard_ms.set(clock::now().steady_ms);
+            node.cut_off.set(false);
             node.leader_store_reachable.set(reply.store_reachable);
             node.follow(reply.epoch, address);
             node.most_cpu_millis.set(reply.most_cpu_millis);
@@ -131,6 +132,7 @@
         Ok(page) => page,
         Err(err) => {
             log::info!(error:% = err; "leader can't be looked up");
+            node.cut_off.set(true);
             ask_peers(node).await;
             time::sleep(STORE_RETRY).await;
             return;
--- a/lilacpass-node/src/entry.rs
+++ b/lilacpass-node/src/entry.rs
@@ -22,34 +22,47 @@
 
 /// Taken off the time that a caller waits, so that our answer is there before it leaves.
 const ANSWER_MARGIN: Duration = Duration::from_millis(150);
-/// How long a request waits for a leader to be found before it is refused. A take-over takes about
-/// a second and a half when the former leader has lost power.
+/// How long a request waits for a leader to be found before it is refused, unless this instance knows
+/// that it is cut off. A take-over takes about a second when the former leader has lost power.
 const LEADER_PATIENCE: Duration = Duration::from_millis(1_900);
 /// Pause before a request is handed on again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// A leader that has not answered a greeting for so long is not handed requests: it may take them
-/// and its answer be lost, and their callers could then not be told that they have not run. Two
-/// greetings and the longest wait for an answer.
-const HANDED_HEARD_MS: u64 = 800;
+/// and its answer be lost, and their callers could then not be told that they have not run. A greeting
+/// and the longest wait for its answer.
+const HANDED_HEARD_MS: u64 = 500;
 /// When to come back before the first desired state is known.
 const NO_DESIRED_RETRY_S: u64 = 1;
-/// An instance that has not heard of the leader for so long is not ready.
-const READY_HEARD_MS: u64 = 650;
+/// An instance that has not heard of the leader for so long is not ready. Callers are sent elsewhere
+/// after it was so for a second or two, when a leader that was lost has long been replaced.
+const READY_HEARD_MS: u64 = 400;
 
 /// Answers whether this instance takes callers.
 pub async fn ready(node: Rc<Node>, received: Received) -> Reply {
     if received.path != callers::READY_PATH {
         return Reply::error(StatusCode::NOT_FOUND, "no such path");
     }
-    // A leader that the store does not answer takes no jobs. Where a zone is cut off, callers are
-    // better served by another zone, and go there once no instance of this one is ready.
-    let has_leader = if node.leads() {
+    let is_ready = node.published().is_some() && has_leader(&node) && !node.is_leaving();
+    if node.told_ready.replace(is_ready) != is_ready {
+        log::info!(
+            is_ready, leads = node.leads(), leader_silent_ms = leader_silent_ms(&node),
+            leader_store_reachable = node.leader_store_reachable.get(),
+            leaving = node.is_leaving();
+            "readiness changes"
+        );
+    }
+    Reply::status(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
+/// Whether there is a leader that takes jobs. One that the store does not answer takes none. Where a
+/// data centre is cut off, callers are better served by another, and go there once no instance of
+/// this one is ready.
+fn has_leader(node: &Node) -> bool {
+    if node.leads() {
         node.store_failing_ms() < READY_HEARD_MS
     } else {
-        leader_silent_ms(&node) < READY_HEARD_MS && node.leader_store_reachable.get()
-    };
-    let is_ready = node.published().is_some() && has_leader && !node.is_leaving();
-    Reply::status(if is_ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+        leader_silent_ms(node) < READY_HEARD_MS && node.leader_store_reachable.get()
+    }
 }
 
 /// Serves a caller.
@@ -62,7 +75,10 @@
     let reply = answer(&node, &received).await;
     drop(open);
     node.metrics.request(reply.status, arrived.elapsed());
-    Reply { close: reply.close || node.is_leaving(), ..reply }
+    // Callers are sent elsewhere by the connection: one that stays open keeps its caller here, where it
+    // would be refused again and again.
+    let is_refused = reply.status == StatusCode::SERVICE_UNAVAILABLE && !has_leader(&node);
+    Reply { close: reply.close || is_refused || node.is_leaving(), ..reply }
 }
 
 /// Counts a request as open while it lives. A caller that leaves drops the work on its request, and
@@ -128,7 +144,8 @@
     loop {
         changes.mark_unchanged();
         let now = Instant::now();
-        if now >= end || now >= refuse_at && !may_be_done {
+        let is_hopeless = now >= refuse_at || node.cut_off.get();
+        if now >= end || is_hopeless && !may_be_done {
             break;
         }
         let own = node.lead.borrow().clone();
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -86,6 +86,11 @@
     pub lead: RefCell<Option<LeadHandle>>,
     /// When the leader last answered, on the steady clock.
     pub leader_heard_ms: Cell<u64>,
+    /// Neither the leader nor the store answers this instance: nobody can take over that it would hear
+    /// of soon.
+    pub cut_off: Cell<bool>,
+    /// What the platform was last told when it asked whether this instance takes callers.
+    pub told_ready: Cell<bool>,
     /// The leader said that the store answers it.
     pub leader_store_reachable: Cell<bool>,
     /// When the store last answered, on the steady clock.
@@ -129,6 +134,8 @@
             leader: watch::Sender::new(LeaderView::default()),
             lead: RefCell::new(None),
             leader_heard_ms: Cell::new(0),
+            cut_off: Cell::new(false),
+            told_ready: Cell::new(false),
             leader_store_reachable: Cell::new(true),
             store_heard_ms: Cell::new(0),
             store_failing_since_ms: Cell::new(None),
@@ -234,6 +241,7 @@
 
     /// Notes that the store has answered.
     pub fn store_heard(&self) {
+        self.cut_off.set(false);
         let now_ms = clock::now().steady_ms;
         self.store_heard_ms.set(now_ms);
         if let Some(since_ms) = self.store_failing_since_ms.take() {
