Fail a fault run in which a promise was not put to the test

Cause: a fault run ended with "planned-stop: held checks=0" and exit 0.

Change: the verdict of a fault run needs at least one check of each promise; one without is printed as NOT CHECKED. Runs without faults judge as before, as they can't exercise all.

The test fails without it (is_shown is new). The old fault run itself was not run again.

--- a/lilacpass-harness/src/fault_run.rs
+++ b/lilacpass-harness/src/fault_run.rs
@@ -71,7 +71,7 @@
 impl Outcome {
     /// Whether all promises held and nothing was lost.
     pub fn is_good(&self) -> bool {
-        self.lost.is_empty() && self.findings.iter().all(Finding::holds)
+        self.lost.is_empty() && self.findings.iter().all(Finding::is_shown)
     }
 }
 
--- a/lilacpass-harness/src/judge.rs
+++ b/lilacpass-harness/src/judge.rs
@@ -62,14 +62,23 @@
     pub fn holds(&self) -> bool {
         self.violations.is_empty()
     }
+
+    /// Whether it was put to the test and nothing contradicts it. A run in which a fault did not come
+    /// about proves nothing of the promise that the fault would have tested.
+    pub fn is_shown(&self) -> bool {
+        self.checks > 0 && self.holds()
+    }
 }
 
 impl fmt::Display for Finding {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self { promise, checks, violations } = self;
-        if self.holds() {
+        if self.is_shown() {
             return write!(f, "promise {promise}: held checks={checks}");
         }
+        if self.holds() {
+            return write!(f, "promise {promise}: NOT CHECKED");
+        }
         let shown = violations.iter().take(MAX_SHOWN).cloned().collect::<Vec<_>>().join("; ");
         write!(f, "promise {promise}: BROKEN checks={checks} broken={}: {shown}", violations.len())
     }
--- a/lilacpass-harness/tests/judge.rs
+++ b/lilacpass-harness/tests/judge.rs
@@ -184,3 +184,14 @@
     let twice = Notes { changes: vec![change("kept"), change("kept")], ..Notes::default() };
     assert_eq!(broken(&twice, &counts(Vec::new())), ["in-force"]);
 }
+
+/// A fault run passed though its planned stop was never seen to matter: nothing was in flight, nothing
+/// was checked, and the promise counted as held.
+#[test]
+fn a_promise_that_was_never_put_to_the_test_is_not_shown() {
+    let findings = judge(&Notes::default(), &counts(Vec::new()));
+    let planned_stop = findings.iter().find(|finding| finding.promise == "planned-stop");
+    let planned_stop = planned_stop.expect("it is judged");
+    assert!(planned_stop.holds() && !planned_stop.is_shown());
+    assert_eq!(planned_stop.to_string(), "promise planned-stop: NOT CHECKED");
+}
