Notice a settings file that changes without a signal, and forget gone peers

Cause: settings were read at start and at SIGHUP only. Instances that are gone stayed in the list of peers for ever; one that the store did not answer greeted all known peers in turn, 0.25 s each that is dead, ten seconds with forty, before it tried the store again.

Change: the file's time of change is looked at each 2 s. Peers silent for 30 s are forgotten. Four peers, drawn at random, are asked who leads before the store is tried again.

--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -14,7 +14,7 @@
 };
 use lilacpass_schema::v1;
 use prost::Message;
-use rand::RngExt;
+use rand::{RngExt, seq::IteratorRandom};
 use tokio::time;
 
 use crate::{clock, leading, node::Node, peers, takeover};
@@ -51,6 +51,9 @@
 /// How fast the store must answer an instance that is asked to take over. One that is slow for all
 /// is no reason to change the leader.
 const PROMOTE_STORE_TIMEOUT: Duration = Duration::from_millis(150);
+/// How many peers, drawn at random, are asked who leads before the store is tried again. Each that does
+/// not answer takes the time of a greeting; forty of them took ten seconds.
+const PEERS_ASKED: usize = 4;
 /// Pause after a store call that failed.
 const STORE_RETRY: Duration = Duration::from_millis(250);
 /// Key of the record by which an instance announces that it is taking over.
@@ -253,9 +256,14 @@
 
 /// Asks other instances who leads, for one that the store does not answer.
 async fn ask_peers(node: &Rc<Node>) {
-    let peers = node.known_peers.borrow().clone();
+    let own_address = node.peer_address();
+    let peers = {
+        let known = node.known_peers.borrow();
+        let others = known.iter().filter(|address| **address != own_address).cloned();
+        others.sample(&mut rand::rng(), PEERS_ASKED)
+    };
     let epoch = node.leader.borrow().epoch;
-    for address in peers.iter().filter(|address| **address != node.peer_address()) {
+    for address in &peers {
         match peers::hello(node, address, HELLO_TIMEOUT).await {
             Ok(reply) if reply.epoch > epoch && !reply.leader_address.is_empty() => {
                 node.follow(reply.epoch, &reply.leader_address);
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -61,6 +61,9 @@
 impl Peer {
     /// A peer that has not greeted for so long is not counted on.
     const HEARD_MS: u64 = 900;
+    /// One that has not greeted for so long is forgotten. Instances are replaced at new addresses all
+    /// the time, and the list of peers goes out with each greeting.
+    const FORGOTTEN_MS: u64 = 30_000;
 
     /// Whether it lives and stays.
     pub fn is_present(&self, now_ms: u64) -> bool {
@@ -199,6 +202,12 @@
         able.map(|peer| peer.cpu_millis).fold(self.settings.cpu_millis, u32::max)
     }
 
+    /// Forgets peers that have long been silent.
+    pub fn forget_gone_peers(&self, now_ms: u64) {
+        let is_known = |peer: &Peer| peer.heard_ms + Peer::FORGOTTEN_MS > now_ms;
+        self.peers.borrow_mut().retain(|_, peer| is_known(peer));
+    }
+
     fn limits(&self) -> Limits {
         self.desired.borrow().as_ref().map(|p| p.desired.limits).unwrap_or_default()
     }
--- a/lilacpass-node/src/signals.rs
+++ b/lilacpass-node/src/signals.rs
@@ -1,4 +1,5 @@
-//! Signals of the platform: SIGTERM for a planned stop, SIGHUP for changed settings.
+//! Signals of the platform: SIGTERM for a planned stop, SIGHUP for changed settings, which may also
+//! change without one.
 
 use std::{rc::Rc, time::Duration};
 
@@ -18,6 +19,10 @@
 /// Time between looks whether requests are still being served.
 const POLL: Duration = Duration::from_millis(50);
 
+/// Time between looks at the settings file. A look costs one system call; nothing of the settings is
+/// urgent.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Handles signals until the process is to end.
 pub async fn run(node: Rc<Node>) {
     let (mut terminate, mut hangup) =
@@ -28,10 +33,20 @@
                 return;
             }
         };
+    let mut written = settings::written_at();
+    let mut looks = time::interval(SETTINGS_INTERVAL);
+    looks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = hangup.recv() => reload(&node),
+            _ = looks.tick() => {
+                let now = settings::written_at();
+                if now != written {
+                    written = now;
+                    reload(&node);
+                }
+            }
         }
     }
     stop(&node).await;
