--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -3,13 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::{
-    End, How, Job, JobKey, Outcome, StepName, TaskName, WorkerName, job::Change, record,
-};
+use lilacpass_jobs::{End, How, Job, JobKey, Outcome, StepName, TaskName, WorkerName, job::Change};
 
 use crate::{
     advice::{Lanes, StepAdvice},
-    event::{Effect, Event, Now, Record, Registration},
+    event::{Effect, Event, Now, Registration},
     loss::LossMeter,
     news::News,
     options::{self, Options},
@@ -81,7 +79,7 @@
     pub(crate) effects: Vec<Effect>,
     /// Start of the last call by which the store confirmed that we lead.
     pub(crate) confirmed_ms: u64,
-    append_sent_ms: u64,
+    pub(crate) append_sent_ms: u64,
     /// Until when a former leader's leases may last at a worker that we can't reach.
     inherited_until_ms: u64,
     next_cleanup_ms: u64,
@@ -358,65 +356,6 @@
         step.map(place::need).unwrap_or(Resources::ZERO)
     }
 
-    fn on_appended(&mut self, now: Now) {
-        self.confirmed_ms = self.confirmed_ms.max(self.append_sent_ms);
-        for after in self.outbox.stored() {
-            match after {
-                After::Accept(token, key) => self.accept(token, key),
-                After::Reply(token, answer) => self.effects.push(Effect::Reply { token, answer }),
-                After::Order { worker, task, run } => self.order(&worker, task, run, now),
-                After::Forget { worker, upto } => {
-                    if let Some(worker) = self.workers.get_mut(&worker) {
-                        worker.noted_upto = worker.noted_upto.max(upto);
-                    }
-                }
-                After::Show(key) => {
-                    if let Some(entry) = self.jobs.get_mut(&key) {
-                        entry.shown = entry.job.outcome;
-                    }
-                }
-            }
-        }
-    }
-
-    /// Sends what has changed into the store, unless an append is under way.
-    fn flush(&mut self, now: Now) {
-        if !self.outbox.is_due(now.steady_ms) {
-            return;
-        }
-        let changes = self.outbox.send(now.steady_ms);
-        let mut records = Vec::new();
-        for key in &changes.plans {
-            if let Some(entry) = self.jobs.get(key) {
-                let value = record::encode_plan(&entry.job);
-                records.push(Record { key: record::plan_key(*key), value });
-            }
-        }
-        for key in &changes.states {
-            if let Some(entry) = self.jobs.get(key) {
-                let value = record::encode_state(&entry.job);
-                records.push(Record { key: record::state_key(*key), value });
-            }
-        }
-        for key in &changes.drops {
-            records.push(Record { key: record::plan_key(*key), value: Vec::new() });
-            records.push(Record { key: record::state_key(*key), value: Vec::new() });
-        }
-        self.append_sent_ms = now.steady_ms;
-        if records.is_empty() {
-            // Only what hangs on earlier changes waits, and those are stored.
-            self.on_appended_nothing(now);
-            return;
-        }
-        self.effects.push(Effect::Append(records));
-    }
-
-    fn on_appended_nothing(&mut self, now: Now) {
-        let confirmed_ms = self.confirmed_ms;
-        self.on_appended(now);
-        self.confirmed_ms = confirmed_ms;
-    }
-
     fn forget_old_jobs(&mut self, now: Now) {
         let retention_ms = self.options.retention_ms;
         let old: Vec<JobKey> = self
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -13,6 +13,7 @@
 //! [`event::Effect`]s to carry out.
 
 pub mod advice;
+pub mod asking;
 pub mod asks;
 pub mod event;
 pub mod health;
@@ -26,6 +27,7 @@
 pub mod place;
 pub mod progress;
 pub mod rank;
+pub mod recording;
 pub mod schedule;
 pub mod starts;
 pub mod worker;
--- /dev/null
+++ b/lilacpass-lead/src/recording.rs
@@ -0,0 +1,71 @@
+//! What goes into the store, and what follows once it is stored.
+
+use lilacpass_jobs::record;
+
+use crate::{
+    event::{Effect, Now, Record},
+    leader::Leader,
+    outbox::After,
+};
+
+impl Leader {
+    /// The append under way is stored: does what waited for it.
+    pub(crate) fn on_appended(&mut self, now: Now) {
+        self.confirmed_ms = self.confirmed_ms.max(self.append_sent_ms);
+        for after in self.outbox.stored() {
+            match after {
+                After::Accept(token, key) => self.accept(token, key),
+                After::Reply(token, answer) => self.effects.push(Effect::Reply { token, answer }),
+                After::Order { worker, task, run } => self.order(&worker, task, run, now),
+                After::Forget { worker, upto } => {
+                    if let Some(worker) = self.workers.get_mut(&worker) {
+                        worker.noted_upto = worker.noted_upto.max(upto);
+                    }
+                }
+                After::Show(key) => {
+                    if let Some(entry) = self.jobs.get_mut(&key) {
+                        entry.shown = entry.job.outcome;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends what has changed into the store, unless an append is under way.
+    pub(crate) fn flush(&mut self, now: Now) {
+        if !self.outbox.is_due(now.steady_ms) {
+            return;
+        }
+        let changes = self.outbox.send(now.steady_ms);
+        let mut records = Vec::new();
+        for key in &changes.plans {
+            if let Some(entry) = self.jobs.get(key) {
+                let value = record::encode_plan(&entry.job);
+                records.push(Record { key: record::plan_key(*key), value });
+            }
+        }
+        for key in &changes.states {
+            if let Some(entry) = self.jobs.get(key) {
+                let value = record::encode_state(&entry.job);
+                records.push(Record { key: record::state_key(*key), value });
+            }
+        }
+        for key in &changes.drops {
+            records.push(Record { key: record::plan_key(*key), value: Vec::new() });
+            records.push(Record { key: record::state_key(*key), value: Vec::new() });
+        }
+        self.append_sent_ms = now.steady_ms;
+        if records.is_empty() {
+            // Only what hangs on earlier changes waits, and those are stored.
+            self.on_appended_nothing(now);
+            return;
+        }
+        self.effects.push(Effect::Append(records));
+    }
+
+    fn on_appended_nothing(&mut self, now: Now) {
+        let confirmed_ms = self.confirmed_ms;
+        self.on_appended(now);
+        self.confirmed_ms = confirmed_ms;
+    }
+}
