Do not take the lateness of a busy leader for lost answers

A leader that is short of processor handles answers late; it would take them for lost, look three times as often and give looks up after 0.2 s, and be busier for it.

Change: a tick that comes 0.15 s after the one before clears the count of lost answers.

The story fails without the change.

--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -87,8 +87,11 @@
     inherited_until_ms: u64,
     next_cleanup_ms: u64,
     next_review_ms: u64,
+    last_tick_ms: u64,
 }
 
+/// Time between two ticks that shows a leader to be late itself. Ticks come each 0.05 s.
+const LATE_TICK_MS: u64 = 150;
 /// How often all runs are looked through for lost ones. It costs time for each run; progress is
 /// reported hardly more often.
 const REVIEW_INTERVAL_MS: u64 = 200;
@@ -120,6 +123,7 @@
             inherited_until_ms,
             next_cleanup_ms: now.steady_ms + CLEANUP_INTERVAL_MS,
             next_review_ms: now.steady_ms,
+            last_tick_ms: now.steady_ms,
         };
         for job in jobs {
             leader.inherit(job, now);
@@ -227,6 +231,10 @@
     }
 
     fn on_tick(&mut self, now: Now) {
+        if now.steady_ms > self.last_tick_ms + LATE_TICK_MS {
+            self.loss.forget();
+        }
+        self.last_tick_ms = now.steady_ms;
         while let Some(&(due_ms, key)) = self.due.first() {
             if due_ms > now.unix_ms {
                 break;
--- a/lilacpass-lead/src/loss.rs
+++ b/lilacpass-lead/src/loss.rs
@@ -27,6 +27,12 @@
         self.lost_ms.push_back(now_ms);
     }
 
+    /// Forgets what was noted. For a leader that is late itself: answers waited in its own queue, and
+    /// more looks would make it later still, until no worker seems to answer.
+    pub fn forget(&mut self) {
+        self.lost_ms.clear();
+    }
+
     /// Whether answers get lost.
     pub fn is_lossy(&self, now_ms: u64) -> bool {
         let first_ms = self.lost_ms.front().copied().unwrap_or(0);
--- a/lilacpass-lead/tests/calls.rs
+++ b/lilacpass-lead/tests/calls.rs
@@ -354,3 +354,27 @@
     let after = waits(&single.looked("w-0", &[], &[]));
     assert!(after[0] < before[0] / 2, "{after:?} and {before:?}");
 }
+
+/// Nobody is served any more for as long as load stays high: a busy leader takes answers that wait in its
+/// own queue for lost ones, looks more often for that, and is busier still.
+#[test]
+fn a_busy_leader_does_not_take_its_own_lateness_for_lost_answers() {
+    let workers = ["w-0", "w-1", "w-2", "w-3"];
+    let mut single = Single::new(&workers);
+    let longest = |effects: &[Effect]| {
+        let wait = |effect: &Effect| match effect {
+            Effect::Look { wait_ms, .. } => Some(*wait_ms),
+            _ => None,
+        };
+        effects.iter().filter_map(wait).max()
+    };
+    single.tell(Event::Tick);
+    let before = longest(&single.looked("w-0", &[], &[]));
+    for name in workers {
+        single.look_lost(name);
+        single.looked(name, &[], &[]);
+    }
+    single.now_ms += 300;
+    single.tell(Event::Tick);
+    assert_eq!(longest(&single.looked("w-0", &[], &[])), before);
+}
