Send orders again within a budget

Where a leader or a network is slow, every order is late, and sending each again doubles the calls just when there are too many.

Change: one order in ten may be sent again, twenty saved up at most.

The test is new with the budget; without one all 500 late orders would be sent twice.

--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -320,7 +320,8 @@
                         ticket: ticket.as_deref(),
                     };
                     let sent = time::Instant::now();
-                    let result = orders::start(&node.workers, target, start).await;
+                    let result =
+                        orders::start(&node.workers, &node.order_budget, target, start).await;
                     node.metrics.order("start", metrics::outcome(&result), sent.elapsed());
                     Event::Started { worker, task, run, result }
                 });
@@ -331,7 +332,8 @@
                 self.spawn(async move {
                     let target = Target { name: &worker, address: &address, epoch };
                     let sent = time::Instant::now();
-                    let result = orders::stop(&node.workers, target, task, run).await;
+                    let result =
+                        orders::stop(&node.workers, &node.order_budget, target, task, run).await;
                     node.metrics.order("stop", metrics::outcome(&result), sent.elapsed());
                     Event::Stopped { worker, task, run, result }
                 });
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -6,6 +6,7 @@
 //! for.
 
 pub mod append;
+pub mod budget;
 pub mod clock;
 pub mod desired_watch;
 pub mod election;
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 
 use crate::{
+    budget::RetryBudget,
     clock, entry,
     leading::LeadHandle,
     metrics::{self, Metrics},
@@ -81,6 +82,8 @@
     pub store: Store,
     /// Orders to workers.
     pub workers: Workers,
+    /// How many orders may be sent again.
+    pub order_budget: RetryBudget,
     /// The newest desired state that is known.
     pub desired: RefCell<Option<Rc<Published>>>,
     /// Who leads.
@@ -131,6 +134,7 @@
         Self {
             store,
             workers: Workers::new(client.clone()),
+            order_budget: RetryBudget::default(),
             client,
             settings,
             desired: RefCell::new(None),
--- a/lilacpass-node/src/orders.rs
+++ b/lilacpass-node/src/orders.rs
@@ -12,6 +12,8 @@
 use lilacpass_platform::workers::{Start, Target, Workers};
 use tokio::time;
 
+use crate::budget::RetryBudget;
+
 /// An order is sent again after so long. Sound workers answer within 5 ms, and a busy leader handles
 /// the answer some tens of milliseconds later.
 const LATE: Duration = Duration::from_millis(100);
@@ -19,31 +21,38 @@
 /// Starts a run.
 pub async fn start(
     workers: &Workers,
+    budget: &RetryBudget,
     target: Target<'_>,
     start: Start<'_>,
 ) -> Result<(), CallError> {
-    twice(|| workers.start(target, start)).await
+    twice(budget, || workers.start(target, start)).await
 }
 
 /// Stops a run, or prevents it from starting later.
 pub async fn stop(
     workers: &Workers,
+    budget: &RetryBudget,
     target: Target<'_>,
     task: TaskName,
     run: u32,
 ) -> Result<(), CallError> {
-    twice(|| workers.stop(target, task, run)).await
+    twice(budget, || workers.stop(target, task, run)).await
 }
 
-/// Sends an order, and again if its answer is late. Returns the first answer that settles both.
-pub async fn twice<F>(send: impl Fn() -> F) -> Result<(), CallError>
+/// Sends an order, and again if its answer is late and the budget allows it. Returns the first answer
+/// that settles both.
+pub async fn twice<F>(budget: &RetryBudget, send: impl Fn() -> F) -> Result<(), CallError>
 where
     F: Future<Output = Result<(), CallError>>,
 {
+    budget.earn();
     let mut first = pin!(send());
     if let Ok(result) = time::timeout(LATE, &mut first).await {
         return result;
     }
+    if !budget.spend() {
+        return first.await;
+    }
     let mut second = pin!(send());
     let (answer, first_answered) = tokio::select! {
         answer = &mut first => (answer, true),
--- a/lilacpass-node/tests/orders.rs
+++ b/lilacpass-node/tests/orders.rs
@@ -4,7 +4,7 @@
 
 use lilacpass_core::Verdict;
 use lilacpass_lead::event::{CallError, Refusal};
-use lilacpass_node::orders;
+use lilacpass_node::{budget::RetryBudget, orders};
 use tokio::{runtime, time};
 
 type Answer = Result<(), CallError>;
@@ -12,6 +12,10 @@
 /// Answers each copy of an order in turn, after so many milliseconds; none for an answer that is lost.
 /// Returns what came of the order, and how many copies were sent.
 fn play(answers: &[Option<(u64, Answer)>]) -> (Answer, usize) {
+    play_with(&RetryBudget::default(), answers)
+}
+
+fn play_with(budget: &RetryBudget, answers: &[Option<(u64, Answer)>]) -> (Answer, usize) {
     let sent = Cell::new(0);
     let send = || {
         let answer = answers[sent.get()].clone();
@@ -31,7 +35,7 @@
         .start_paused(true)
         .build()
         .expect("a runtime");
-    let result = runtime.block_on(orders::twice(send));
+    let result = runtime.block_on(orders::twice(budget, send));
     (result, sent.get())
 }
 
@@ -71,3 +75,14 @@
     let fenced: Answer = Err(CallError::Refused(Refusal::Fence));
     assert_eq!(play(&[None, Some((5, fenced.clone()))]), (fenced, 2));
 }
+
+/// Load rises a little, and nobody is served any more: the leader is slow, so every order is late, so
+/// every order is sent twice, and the leader is slower still.
+#[test]
+fn few_orders_are_sent_again_where_all_are_late() {
+    let budget = RetryBudget::default();
+    let late = Some((150, Ok(())));
+    let sent: usize = (0..500).map(|_| play_with(&budget, &[late.clone(), late.clone()]).1).sum();
+    assert!(sent < 500 + 500 / 9 + 21, "{sent}");
+    assert!(sent > 500 + 500 / 11, "{sent}");
+}
