Wait for the lease of a draining worker that falls silent

Change: the shortcut is gone. A silent worker's tasks start elsewhere when its leases have run out, whatever is registered; a worker that drains gets leases of 2 s instead of 5 s, so that this takes 2.2 s at most once its notice is longer than the older lease.

The story fails without the change (the task starts again at once).

--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -57,12 +57,7 @@
                     let pauses = u64::from(worker.failed_looks - 1).min(MOST_RETRY_PAUSES);
                     worker.look = Look::Due { at_ms: now.steady_ms + retry_ms * pauses };
                 }
-                let suspicious = worker.failed_looks == 1;
-                // A worker that drained and took back its registration has left, and all on it ended.
-                let left = worker.draining && !worker.listed;
-                if left {
-                    self.life_over(name, now);
-                } else if suspicious {
+                if worker.failed_looks == 1 {
                     self.suspect_data_centre(name, now);
                 }
             }
@@ -331,11 +326,10 @@
             }
             // Without an answer a lease is not extended again, else silence would never let it lapse.
             let extend = may_extend && worker.failed_looks == 0;
-            let lease_until_ms = if extend {
-                worker.extend_lease(self.options.lease_ms, now.steady_ms)
-            } else {
-                None
-            };
+            let lease_ms =
+                if worker.draining { options.draining_lease_ms } else { options.lease_ms };
+            let lease_until_ms =
+                if extend { worker.extend_lease(lease_ms, now.steady_ms) } else { None };
             let wait_ms = if worker.commanded && !unnoted { look_wait_ms } else { 0 };
             worker.look = Look::UnderWay;
             self.looks_due.remove(&name);
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -6,6 +6,10 @@
     /// How far each call to a worker extends the leases there. Long enough for a take-over, about
     /// two seconds, with time to spare; short, because work on a dead worker waits for its end.
     pub lease_ms: u64,
+    /// Length of the leases on a worker that drains. Once it is silent and unregistered it has left, or is
+    /// cut off and works on; its tasks start elsewhere only when its leases have run out, so these are
+    /// short. Long enough for a change of the leader.
+    pub draining_lease_ms: u64,
     /// How long a leader goes on extending leases after the store last confirmed that it leads. The
     /// store may be down for that long before accepted work ends.
     pub outlive_ms: u64,
@@ -47,6 +51,7 @@
     fn default() -> Self {
         Self {
             lease_ms: 5_000,
+            draining_lease_ms: 2_000,
             outlive_ms: 7_000,
             look_wait_ms: 800,
             look_wait_lossy_ms: 300,
--- a/lilacpass-lead/tests/calls.rs
+++ b/lilacpass-lead/tests/calls.rs
@@ -378,3 +378,32 @@
     single.tell(Event::Tick);
     assert_eq!(longest(&single.looked("w-0", &[], &[])), before);
 }
+
+/// An overnight sweep runs twice. Its worker drained when its data centre was cut off; the store took the
+/// registration back for want of a sign of life, and the leader took the worker for one that had left.
+#[test]
+fn a_draining_worker_that_is_cut_off_is_not_taken_for_gone() {
+    let mut single = Single::new(&["w-0", "w-1"]);
+    let effects = single.submit(1, &[step(1, 5_000, 6_000)]);
+    let (worker, task, run) = starts(&effects)[0].clone();
+    single.tell(Event::Started { worker: worker.clone(), task, run, result: Ok(()) });
+    let other = if worker.as_str() == "w-0" { "w-1" } else { "w-0" };
+    let drains = Registration { draining: true, ..registration(worker.as_str()) };
+    single.tell(Event::WorkerListed(drains));
+    single.now_ms += 5_000;
+    single.looked(other, &[], &[]);
+    single.looked(worker.as_str(), &[(task, run)], &[]);
+    single.tell(Event::Confirmed { sent_ms: single.now_ms });
+    single.looked(worker.as_str(), &[(task, run)], &[]);
+    single.tell(Event::WorkerUnlisted(worker.clone()));
+    let effects = single.look_lost(worker.as_str());
+    assert!(starts(&effects).is_empty(), "it may run on");
+    single.now_ms += 1_900;
+    single.looked(other, &[], &[]);
+    assert!(starts(&single.tell(Event::Tick)).is_empty(), "for as long as its lease lasts");
+    single.now_ms += 500;
+    single.looked(other, &[], &[]);
+    let again = starts(&single.tell(Event::Tick));
+    assert_eq!(again.len(), 1, "a draining worker's leases are short");
+    assert_eq!(again[0].2, 2);
+}
