--- a/lilacpass-lead/src/asking.rs
+++ b/lilacpass-lead/src/asking.rs
@@ -75,7 +75,7 @@
         now: Now,
     ) -> Vec<Candidate> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
-        let home = entry.home.as_deref().filter(|_| !plan.lasting);
+        let home = entry.home_of(plan);
         let need = place::need(plan);
         let advice = self.advice.get(&name);
         let mut rated: Vec<Rated<'_>> = Vec::new();
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -5,6 +5,8 @@
 use lilacpass_core::Resources;
 use lilacpass_jobs::{End, How, Job, JobKey, Outcome, StepName, TaskName, WorkerName, job::Change};
 
+use lilacpass_schema::v1;
+
 use crate::{
     advice::{Lanes, StepAdvice},
     event::{Effect, Event, Now, Registration},
@@ -50,6 +52,11 @@
         }
     }
 
+    /// The data centre in which tasks of a step are to run; none where they are spread or it is open.
+    pub fn home_of(&self, step: &v1::WorkStep) -> Option<&str> {
+        self.home.as_deref().filter(|_| !step.lasting)
+    }
+
     /// Whether a task may be given a run now: it has none, or is to have a copy.
     pub fn wants_run(&self, name: TaskName) -> bool {
         self.job.task(name).is_some_and(|task| {
--- a/lilacpass-lead/src/place.rs
+++ b/lilacpass-lead/src/place.rs
@@ -48,15 +48,19 @@
 impl Score {
     /// The score of a worker for a step of a job with this home.
     pub fn new(worker: &Worker, step: &v1::WorkStep, home: Option<&str>) -> Self {
-        let capacity = worker.entry.capacity.cpu.0.max(1);
         Self {
             near: is_near(worker, step),
             at_home: home == Some(worker.entry.data_centre.as_str()),
-            free_share: worker.room().cpu.0 * 1_000 / capacity,
+            free_share: free_share(&worker.room(), &worker.entry.capacity),
         }
     }
 }
 
+/// The share of processors that is free, in thousandths.
+pub fn free_share(room: &Resources, capacity: &Resources) -> u64 {
+    room.cpu.0 * 1_000 / capacity.cpu.0.max(1)
+}
+
 /// The data centre with most room for tasks of a step, among workers that could run them.
 ///
 /// The tasks of a job are kept in one data centre, because a job is done when its last task is. When
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -124,7 +124,7 @@
     ) -> Vec<Host> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
         let queue = &entry.job.queue;
-        let home = entry.home.as_deref().filter(|_| !plan.lasting);
+        let home = entry.home_of(plan);
         let need = place::need(plan);
         let is_host = |worker: &&Worker| {
             need.fits(&worker.room())
@@ -268,7 +268,7 @@
     /// Takes a task of the round.
     fn take(&mut self, need: &Resources) {
         self.room = self.room.minus(need);
-        self.score.free_share = self.room.cpu.0 * 1_000 / self.capacity.cpu.0.max(1);
+        self.score.free_share = place::free_share(&self.room, &self.capacity);
         self.may_take -= 1;
     }
 }
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -245,6 +245,7 @@
         let now = clock::now();
         if now.steady_ms >= self.lanes_at_ms {
             self.lanes_at_ms = now.steady_ms + LANES_INTERVAL_MS;
+            self.node.forget_gone_peers(now.steady_ms);
             let lanes = self.lanes(now.steady_ms);
             self.leader.handle(Event::Lanes(lanes), now);
         }
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -121,7 +121,6 @@
         cpu_millis: hello.cpu_millis,
     };
     node.peers.borrow_mut().insert(hello.address.clone(), peer);
-    node.forget_gone_peers(now_ms);
     let published = node.published();
     let newer = published.filter(|p| p.desired.version > hello.config_version);
     v1::PeerHelloReply {
--- a/lilacpass-node/tests/cut_off.rs
+++ b/lilacpass-node/tests/cut_off.rs
@@ -1,21 +1,19 @@
 //! What callers are told by an instance that reaches neither the leader nor the store, with real
 //! processes on the stand-in for the platform.
 
+mod cluster;
+
 use std::{
-    env, fs,
     io::{Read, Write},
     net::TcpStream,
-    path::Path,
     time::Duration,
 };
 
-use lilacpass_core::Resources;
 use lilacpass_platform_standin::{
-    cell::{Cell, Faults},
-    instances::{Instance, Spec},
-    load::{self, Callers, HOST, QUEUES},
+    cell::Faults,
+    load::{HOST, QUEUES},
 };
-use tokio::{runtime, task, task::LocalSet, time};
+use tokio::{task, time};
 
 const FIRST_PORT: u16 = 22_850;
 /// How often something is looked for before it counts as missing, and the pause between.
@@ -39,34 +37,19 @@
 /// their connections stay open, and the balancer sends only new connections elsewhere.
 #[test]
 fn a_caller_that_is_refused_for_want_of_a_leader_is_let_go() {
-    let folder = env::temp_dir().join(format!("lilacpass-cut-off-{}", std::process::id()));
-    fs::create_dir_all(&folder).expect("a folder");
-    let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, play(&folder));
-    fs::remove_dir_all(&folder).expect("removed");
-}
-
-async fn play(folder: &Path) {
-    let program = Path::new(env!("CARGO_BIN_EXE_lilacpass-node"));
-    let cell = Cell::serve(FIRST_PORT, 1, Resources::new(16_000, 65_536, 0, 0)).expect("a cell");
-    cell.publish("config", &load::desired_state(1));
-    let mut instances: Vec<Instance> = (0..2)
-        .map(|number| Spec { number, cpu_share: 1.0 })
-        .map(|spec| Instance::new(spec, FIRST_PORT + 10, &cell, program, folder).expect("made"))
-        .collect();
-    instances.iter_mut().for_each(|instance| instance.start().expect("started"));
-    let addresses: Vec<String> = instances.iter().map(|i| i.callers_address.clone()).collect();
-    let peers: Vec<String> = instances.iter().map(|i| i.peer_address.clone()).collect();
-    let callers = Callers::new(addresses.clone(), cell.clone());
-    for address in &addresses {
-        wait_for(address, |head| head.contains(" 200 ") && !head.contains("connection: close"))
-            .await;
-    }
-    let leader = callers.leader(&peers).await.expect("one leads");
-    cell.faults.replace(Faults { store_down: true, ..Faults::default() });
-    instances[leader].kill().expect("killed");
-    let other = &addresses[1 - leader];
-    wait_for(other, |head| head.contains(" 503 ") && head.contains("connection: close")).await;
+    cluster::play(FIRST_PORT, &[1.0, 1.0], async |mut cluster| {
+        cluster.instances.iter_mut().for_each(|instance| instance.start().expect("started"));
+        for instance in &cluster.instances {
+            let is_open =
+                |head: &str| head.contains(" 200 ") && !head.contains("connection: close");
+            wait_for(&instance.callers_address, is_open).await;
+        }
+        let leader = cluster.callers.leader(&cluster.peer_addresses()).await.expect("one leads");
+        cluster.cell.faults.replace(Faults { store_down: true, ..Faults::default() });
+        cluster.instances[leader].kill().expect("killed");
+        let is_let_go = |head: &str| head.contains(" 503 ") && head.contains("connection: close");
+        wait_for(&cluster.instances[1 - leader].callers_address, is_let_go).await;
+    });
 }
 
 /// Asks until the head of the answer is as it should be.
