Send an append again beside those under way

Cause: after a silent outage of the store jobs were refused for three seconds more. Ruled out: a short timeout in place of the long one. A store that takes longer than that would never be heard. Change: each try keeps waiting up to 3 s, the next is sent beside it after 0.09 s (four times the usual time for a slow store), doubling up to 0.5 s. The store gives all copies of one number the same answer. Three tests under made-up time; the first is red with the former loop (waits for the last try alone).

--- a/lilacpass-node/src/append.rs
+++ b/lilacpass-node/src/append.rs
@@ -3,25 +3,33 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use lilacpass_core::Verdict;
 use lilacpass_lead::event::Record;
-use lilacpass_platform::store::{self, Append, Condition, Partition, Writer};
+use lilacpass_platform::{
+    error::Result as CallResult,
+    store::{self, Append, Condition, Partition, Writer},
+};
 use rand::RngExt;
 use tokio::time::{self, Instant};
 
 use crate::{metrics, node::Node};
 
 /// An answer is late after so many times the usual time.
-const LATE_TIMES: u32 = 8;
+const LATE_TIMES: u32 = 4;
 /// The shortest time after which an answer is late. The store takes 8 ms ordinarily. Sending again
 /// costs one call; waiting for an answer that was lost stops all work meanwhile.
-const LEAST_TIMEOUT: Duration = Duration::from_millis(90);
-/// Tries with the same timeout, before it doubles each time: lost answers come at random, and with
+const LEAST_PATIENCE: Duration = Duration::from_millis(90);
+/// Tries after the same time, before it doubles each time: lost answers come at random, and with
 /// every second one lost most appends are settled by then.
 const QUICK_TRIES: u32 = 4;
+/// The longest time until an append is sent once more beside those under way, unless the store is known
+/// to take longer. When a silent store answers again, the append is stored this much later at most;
+/// waiting for the last one alone, up to 3 s, lost all jobs handed in for 3 s after an outage of 4 s.
+const MOST_PATIENCE: Duration = Duration::from_millis(500);
 /// The longest wait for one answer.
 const MOST_TIMEOUT: Duration = Duration::from_millis(3_000);
-/// First pause before an append is sent again; doubles up to the most.
+/// First pause before an append that was refused is sent again; doubles up to the most.
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
 /// The longest pause. All instances together may make a few hundred calls a second.
 const MOST_PAUSE: Duration = Duration::from_millis(300);
@@ -36,9 +44,6 @@
 }
 
 /// Stores records as one append of a writer. Returns once the store has said what became of them.
-///
-/// An append without an answer may be carried out later, so it is sent again under the same number
-/// until there is an answer; the store carries it out once.
 pub async fn store(
     node: &Rc<Node>,
     partition: &Partition,
@@ -46,46 +51,86 @@
     records: &Bytes,
 ) -> Result<(), Failure> {
     let condition = Condition { at: None, writer: Some(writer) };
-    let mut timeout = first_timeout(node);
-    let mut pause = FIRST_PAUSE;
-    let mut may_be_done = false;
-    let mut tries = 0;
-    loop {
+    let send = || async {
         let sent = Instant::now();
-        let result = node.store.append(partition, condition, records, timeout).await;
+        let result = node.store.append(partition, condition, records, MOST_TIMEOUT).await;
         node.metrics.append(metrics::outcome(&result), sent.elapsed());
-        match result {
-            Ok(Append::Stored { .. }) => {
-                node.store_heard();
-                learn(node, sent.elapsed());
-                return Ok(());
-            }
-            Ok(other @ (Append::Fenced | Append::Elsewhere { .. } | Append::OutOfSequence)) => {
+        match &result {
+            Ok(answer) => {
                 node.store_heard();
-                log::info!(epoch = writer.epoch, sequence = writer.sequence, result:? = other; "append refused");
-                return Err(Failure::Deposed);
+                if matches!(answer, Append::Stored { .. }) {
+                    learn(node, sent.elapsed());
+                } else {
+                    log::info!(
+                        epoch = writer.epoch, sequence = writer.sequence, result:? = answer;
+                        "append refused"
+                    );
+                }
             }
             Err(err) => {
-                log::info!(epoch = writer.epoch, sequence = writer.sequence, error:% = err; "append failed");
+                log::info!(
+                    epoch = writer.epoch, sequence = writer.sequence, error:% = err;
+                    "append failed"
+                );
                 if err.verdict() == Verdict::NotRun {
                     node.store_refused();
-                } else {
-                    may_be_done = true;
-                }
-                if !may_be_done {
-                    return Err(Failure::NotDone);
                 }
+            }
+        }
+        result
+    };
+    until_settled(send, node.append_time.get()).await
+}
+
+/// Sends an append until the store has said what became of it. `usual` is how long the store takes.
+///
+/// An append without an answer may be carried out later, so it is sent again under the same number,
+/// beside those under way; the store carries it out once and gives each the same answer.
+pub async fn until_settled<F>(send: impl Fn() -> F, usual: Duration) -> Result<(), Failure>
+where
+    F: Future<Output = CallResult<Append>>,
+{
+    let mut under_way = FuturesUnordered::new();
+    let mut patience = first_patience(usual);
+    let mut pause = FIRST_PAUSE;
+    let mut may_be_done = false;
+    let mut tries = 0;
+    let mut next = Instant::now();
+    loop {
+        let answer = tokio::select! {
+            () = time::sleep_until(next) => {
+                under_way.push(send());
                 tries += 1;
-                if tries >= QUICK_TRIES {
-                    timeout = (timeout * 2).min(MOST_TIMEOUT);
+                if tries > QUICK_TRIES {
+                    patience = (patience * 2).min(MOST_PATIENCE.max(patience));
                 }
+                next = Instant::now() + patience;
+                continue;
+            }
+            Some(answer) = under_way.next() => answer,
+        };
+        match answer {
+            Ok(Append::Stored { .. }) => return Ok(()),
+            Ok(Append::Fenced | Append::Elsewhere { .. } | Append::OutOfSequence) => {
+                return Err(Failure::Deposed);
+            }
+            Err(err) => {
+                may_be_done |= err.verdict() != Verdict::NotRun;
+                if !may_be_done && under_way.is_empty() {
+                    return Err(Failure::NotDone);
+                }
+                // What others under way are told is waited for beside this.
+                next = next.min(Instant::now() + spread(pause));
+                pause = (pause * 2).min(MOST_PAUSE);
             }
         }
-        time::sleep(pause.mul_f64(rand::rng().random_range(0.5..1.5))).await;
-        pause = (pause * 2).min(MOST_PAUSE);
     }
 }
 
+fn spread(pause: Duration) -> Duration {
+    pause.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
 /// Stores one call of a batch. Only the first may be given up as not done: after it, part of the batch
 /// is stored, and a job in it must not be refused as not run.
 pub async fn store_rest(
@@ -103,9 +148,10 @@
     }
 }
 
-/// How long the store may take, by what it took lately.
-fn first_timeout(node: &Node) -> Duration {
-    (node.append_time.get() * LATE_TIMES).clamp(LEAST_TIMEOUT, MOST_TIMEOUT)
+/// When an append is sent again first, by how long the store takes: a slow one must not be sent
+/// everything several times.
+fn first_patience(usual: Duration) -> Duration {
+    (usual * LATE_TIMES).clamp(LEAST_PATIENCE, MOST_TIMEOUT)
 }
 
 /// Learns how long the store takes: a slow one must not be sent everything several times.
--- a/lilacpass-node/tests/append.rs
+++ b/lilacpass-node/tests/append.rs
@@ -1,8 +1,15 @@
 //! How records are divided among the calls of an append.
 
+use std::{cell::Cell, time::Duration};
+
+use lilacpass_core::Verdict;
 use lilacpass_lead::event::Record;
 use lilacpass_node::append;
-use lilacpass_platform::store;
+use lilacpass_platform::{
+    error::Error,
+    store::{self, Append},
+};
+use tokio::time::{self, Instant};
 
 fn record(number: usize, bytes: usize) -> Record {
     Record { key: format!("key-{number}"), value: vec![number as u8; bytes] }
@@ -32,3 +39,58 @@
     let records = [record(0, 10), record(1, 900), record(2, 10)];
     assert_eq!(append::split(&records, 400).len(), 3);
 }
+
+/// Jobs that are handed in after an outage of the store are refused for three more seconds. The store had
+/// been silent for four seconds; the append under way was sent once more just before its end, and the
+/// leader waited for that one's answer alone.
+#[tokio::test(start_paused = true)]
+async fn an_append_is_stored_soon_after_a_silent_store_answers_again() {
+    const SILENT: Duration = Duration::from_millis(4_200);
+    const ANSWER: Duration = Duration::from_millis(8);
+    let begin = Instant::now();
+    let send = || async {
+        if begin.elapsed() < SILENT {
+            // Nothing comes back on the connection, and the call is given up.
+            time::sleep(Duration::from_secs(3)).await;
+            return Err(Error::Call(Verdict::MayHaveRun, "no answer in time".to_owned()));
+        }
+        time::sleep(ANSWER).await;
+        Ok(Append::Stored { end: 1 })
+    };
+    assert_eq!(append::until_settled(send, ANSWER).await, Ok(()));
+    let late = begin.elapsed() - SILENT;
+    assert!(late < Duration::from_millis(600), "stored {late:?} after the end of the outage");
+}
+
+/// A slow store is sent each append once: more copies would make it slower still.
+#[tokio::test(start_paused = true)]
+async fn a_store_that_is_known_to_be_slow_is_sent_an_append_once() {
+    const ANSWER: Duration = Duration::from_millis(600);
+    let calls = Cell::new(0);
+    let send = || async {
+        calls.set(calls.get() + 1);
+        time::sleep(ANSWER).await;
+        Ok(Append::Stored { end: 1 })
+    };
+    assert_eq!(append::until_settled(send, ANSWER).await, Ok(()));
+    assert_eq!(calls.get(), 1);
+}
+
+/// A caller is told that its job was not taken although it runs later: one copy of the append was refused
+/// while another had got no answer.
+#[tokio::test(start_paused = true)]
+async fn a_refusal_settles_nothing_while_another_copy_may_be_done() {
+    let calls = Cell::new(0);
+    let send = || async {
+        calls.set(calls.get() + 1);
+        match calls.get() {
+            1 => {
+                time::sleep(Duration::from_secs(2)).await;
+                Err(Error::Call(Verdict::MayHaveRun, "no answer in time".to_owned()))
+            }
+            2..=8 => Err(Error::Busy(503)),
+            _ => Ok(Append::Stored { end: 1 }),
+        }
+    };
+    assert_eq!(append::until_settled(send, Duration::ZERO).await, Ok(()));
+}
