Give room to what needs most of a worker, and ask about all workers at once

Three causes under it: a step asked about the few workers with room alone and learned one verdict a call; small tasks lay on all large workers; a gang or task that needs most of a worker waits until all small ones there happen to end. Ruled out: asking about full workers in calls of their own (a trial of the issue: the lanes fill).

--- a/lilacpass-core/src/resources.rs
+++ b/lilacpass-core/src/resources.rs
@@ -56,6 +56,12 @@
         self.zip(other, u64::saturating_sub)
     }
 
+    /// So many times as much of each resource.
+    #[must_use]
+    pub fn times(&self, count: u64) -> Self {
+        self.zip(&Self::ZERO, |amount, _| amount.saturating_mul(count))
+    }
+
     /// The greater of both, resource by resource.
     #[must_use]
     pub fn max(&self, other: &Self) -> Self {
--- /dev/null
+++ b/lilacpass-lead/src/ahead.rs
@@ -0,0 +1,127 @@
+//! Keeps room that has not fallen free yet for a step that has waited for long.
+//!
+//! Load pattern: a full pool of small tasks, each of which is replaced as it ends. Room for a task that needs
+//! most of a worker never comes together, nor does it for a step that may run on one worker only. Such a
+//! step gets the worker on which it comes first, and later ones keep off.
+
+use lilacpass_core::Resources;
+use lilacpass_jobs::{StepName, WorkerName};
+use lilacpass_schema::v1;
+
+use crate::{
+    event::Now,
+    leader::Leader,
+    place,
+    rank::{self, Rank},
+    reserve::Share,
+    worker::Worker,
+};
+
+/// How long a step waits in vain until room is kept ahead for it. Most wait for less in a pool that is
+/// merely busy, and room that is kept stands idle until all of it is there.
+const WAITED_MS: u64 = 4_000;
+/// At most one step for so many workers of a pool has room kept ahead, so that most of the pool goes on
+/// with whatever fits.
+const WORKERS_A_STEP: usize = 12;
+/// How long room is kept beyond the time at which it should be there.
+const SLACK_MS: u64 = 1_500;
+/// The longest time for which room is kept ahead, where nobody knows when it falls free.
+const MOST_KEPT_MS: u64 = 10_000;
+
+impl Leader {
+    /// Keeps the next room that can hold tasks of a step (all that wait, for a gang), if it has waited for
+    /// long and few others have room kept ahead.
+    pub(crate) fn keep_ahead(
+        &mut self,
+        name: StepName,
+        plan: &v1::WorkStep,
+        waiting: u64,
+        now: Now,
+    ) {
+        if self.reservations.has(name) || now.steady_ms < self.waits_since_ms(name, now) + WAITED_MS
+        {
+            return;
+        }
+        let Some(entry) = self.jobs.get(&name.job) else { return };
+        let rank = rank::of_step(&entry.job, name);
+        let service = entry.job.queue.service.clone();
+        let pool = self.workers.values().filter(|worker| worker.entry.service == service).count();
+        if self.reservations.ahead(&service) >= (pool / WORKERS_A_STEP).max(1) {
+            return;
+        }
+        let wanted = if plan.gang { waiting } else { 1 };
+        let mut offers = self.rooms_ahead(name, plan, &rank, now);
+        offers.sort();
+        if (offers.len() as u64) < wanted {
+            return;
+        }
+        offers.truncate(wanted as usize);
+        let need = place::need(plan);
+        let wait_ms = offers.last().map_or(0, |(wait_ms, _)| *wait_ms);
+        let until_ms = now.steady_ms + (wait_ms + SLACK_MS).min(MOST_KEPT_MS);
+        let shares: Vec<Share> = offers.into_iter().map(|(_, worker)| (worker, need)).collect();
+        log::info!(step:% = name, wait_ms, workers = shares.len(); "room kept ahead");
+        self.reservations.set_ahead(rank, shares, until_ms, &service);
+    }
+
+    /// The workers that can hold a task of a step, with the time in ms after which each will have room.
+    fn rooms_ahead(
+        &self,
+        name: StepName,
+        plan: &v1::WorkStep,
+        rank: &Rank,
+        now: Now,
+    ) -> Vec<(u64, WorkerName)> {
+        let advice = self.advice.get(&name);
+        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
+        let is_allowed = |worker: &Worker| {
+            entry.job.queue.advice.is_none()
+                || advice.and_then(|advice| advice.verdict(&worker.entry.name)) == Some(true)
+        };
+        self.workers
+            .values()
+            .filter(|worker| is_allowed(worker) && self.could_start(worker, name, plan, now))
+            .filter(|worker| self.may_take(worker, name, plan) > 0)
+            .filter_map(|worker| {
+                let wait_ms = self.wait_for_room_ms(worker, plan, rank, now)?;
+                Some((wait_ms, worker.entry.name.clone()))
+            })
+            .collect()
+    }
+
+    /// The time after which a worker will have room for a task beside what is kept there for others; none
+    /// where tasks that last, or what is kept, take too much.
+    fn wait_for_room_ms(
+        &self,
+        worker: &Worker,
+        plan: &v1::WorkStep,
+        rank: &Rank,
+        now: Now,
+    ) -> Option<u64> {
+        let need = place::need(plan);
+        let kept = self.reservations.kept_from(rank, &worker.entry.name);
+        let mut ends: Vec<(u64, Resources)> = worker
+            .runs
+            .iter()
+            .filter_map(|((task, _), given)| {
+                let running = self.jobs.get(&task.step.job)?.job.step_plan(task.step.step);
+                let estimate_ms = u64::from(running.estimate_ms);
+                let left_ms = given
+                    .progress
+                    .and_then(|seen| seen.left_ms(now.steady_ms))
+                    .unwrap_or(estimate_ms);
+                (!running.lasting).then_some((left_ms, given.need))
+            })
+            .collect();
+        ends.sort_by_key(|(left_ms, _)| *left_ms);
+        let mut room = worker.room();
+        let mut wait_ms = 0;
+        let mut ends = ends.into_iter();
+        while !need.fits(&room.minus(&kept)) {
+            let (left_ms, freed) = ends.next()?;
+            wait_ms = left_ms;
+            room = room.plus(&freed);
+        }
+        Some(wait_ms)
+    }
+}
--- a/lilacpass-lead/src/asking.rs
+++ b/lilacpass-lead/src/asking.rs
@@ -9,7 +9,8 @@
     advice::{self, Candidate},
     event::{Advice, Effect, Lane, Now},
     leader::Leader,
-    place,
+    place, rank,
+    worker::Worker,
 };
 
 /// Most workers that one call for advice may name.
@@ -21,6 +22,8 @@
 /// Room that is asked about beyond what the waiting tasks take, because others take some of it
 /// before the answer is there.
 const ASK_MARGIN: f64 = 1.5;
+/// Share of the time that a call takes at least which may be spent on workers that have no room now.
+const EXTRA_SHARE: f64 = 0.5;
 /// Fewest tasks that the workers asked about should hold.
 const FEWEST_WANTED: u64 = 4;
 /// Most workers that are put in order for one call, of thousands that may come into question. A call names
@@ -56,16 +59,52 @@
         let share = self.good_shares.get(&entry.job.queue.name).copied();
         let wanted = ((waiting as f64 * ASK_MARGIN) as u64).max(FEWEST_WANTED);
         let share = share.unwrap_or(GOOD_SHARE_AT_FIRST);
-        let workers = advice::choose(&candidates, wanted, share, MOST_ASKED);
+        let mut workers = advice::choose(&candidates, wanted, share, MOST_ASKED);
         if workers.is_empty() {
             return;
         }
+        let extra = self.unknown_workers(name, &plan, &workers, extra_workers(&policy));
+        workers.extend(extra);
         let expected_ms = (policy.base_ms + policy.per_worker_ms * workers.len() as f64) as u64;
         let Some(lane) = self.lanes.take(expected_ms) else { return };
         self.advice.entry(name).or_default().asking = true;
+        log::info!(
+            step:% = name, waiting, workers = workers.len(), candidates = candidates.len(),
+            expected_ms, lane = lane.0.as_str();
+            "advice asked"
+        );
         self.effects.push(Effect::Advise { lane, step: name, workers, expected_ms });
     }
 
+    /// Up to `most` more workers that have no room now and of which it is not known whether the step may
+    /// run there.
+    ///
+    /// Which workers may run a step never changes. Asked about the few with room alone, a step for which
+    /// three in ten are allowed learned of one after the other, half a second each, and the calls of such
+    /// steps held nearly all lanes.
+    fn unknown_workers(
+        &self,
+        name: StepName,
+        plan: &v1::WorkStep,
+        asked: &[WorkerName],
+        most: usize,
+    ) -> Vec<WorkerName> {
+        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
+        let need = place::need(plan);
+        let advice = self.advice.get(&name);
+        let is_unknown = |worker: &&Worker| {
+            worker.listed
+                && !worker.draining
+                && need.fits(&worker.entry.capacity)
+                && place::is_eligible(worker, &entry.job.queue.service, plan)
+                && advice.is_none_or(|advice| advice.verdict(&worker.entry.name).is_none())
+                && !asked.contains(&worker.entry.name)
+        };
+        let most = most.min(MOST_ASKED.saturating_sub(asked.len()));
+        let unknown = self.workers.values().filter(is_unknown).take(most);
+        unknown.map(|worker| worker.entry.name.clone()).collect()
+    }
+
     /// Workers that could run tasks of a step if they were allowed to, best first.
     fn candidates(
         &self,
@@ -78,9 +117,11 @@
         let home = entry.home_of(plan);
         let need = place::need(plan);
         let advice = self.advice.get(&name);
+        let rank = rank::of_step(&entry.job, name);
         let mut rated: Vec<Rated<'_>> = Vec::new();
         for worker in self.workers.values() {
-            if !need.fits(&worker.room()) {
+            let room = self.possible_room(&rank, worker);
+            if !need.fits(&room) {
                 continue;
             }
             let worker_name = &worker.entry.name;
@@ -95,19 +136,19 @@
                 continue;
             }
             let most = waiting.min(self.may_take(worker, name, plan));
-            let fits = place::fits(&worker.room(), &need, most);
+            let fits = place::fits(&room, &need, most);
             if fits == 0 {
                 continue;
             }
             let known_good = verdict == Some(true);
             rated.push((known_good, place::Score::new(worker, plan, home), worker_name, fits));
         }
-        let rank = |&(known_good, score, ..): &Rated<'_>| Reverse((known_good, score));
+        let by_preference = |&(known_good, score, ..): &Rated<'_>| Reverse((known_good, score));
         if rated.len() > MOST_RATED {
-            rated.select_nth_unstable_by_key(MOST_RATED, rank);
+            rated.select_nth_unstable_by_key(MOST_RATED, by_preference);
             rated.truncate(MOST_RATED);
         }
-        rated.sort_by_key(rank);
+        rated.sort_by_key(by_preference);
         let candidate = |(known_good, _, worker, fits): Rated<'_>| Candidate {
             worker: worker.clone(),
             known_good,
@@ -126,6 +167,8 @@
     ) {
         self.lanes.give_back(lane);
         let Some(entry) = self.jobs.get(&step.job) else { return };
+        let good = answer.as_ref().map(|answer| answer.good.len());
+        log::info!(step:% = step, asked = asked.len(), good:? = good; "advice answered");
         if let Some(answer) = &answer {
             let share = answer.good.len() as f64 / asked.len().max(1) as f64;
             let learned =
@@ -138,3 +181,8 @@
         self.news.change(step);
     }
 }
+
+/// How many workers a call may name beyond those with room, so that it takes little longer.
+fn extra_workers(policy: &v1::AdvicePolicy) -> usize {
+    (policy.base_ms * EXTRA_SHARE / policy.per_worker_ms.max(f64::MIN_POSITIVE)) as usize
+}
--- a/lilacpass-lead/src/asks.rs
+++ b/lilacpass-lead/src/asks.rs
@@ -116,7 +116,7 @@
         entry.job.cancel(now.unix_ms);
         self.stop_job(key, now);
         self.reindex(key, now);
-        self.advice.retain(|step, _| step.job != key);
+        self.forget_steps(key);
         self.jobs.remove(&key);
         self.outbox.waiting.states.remove(&key);
     }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -16,6 +16,7 @@
     outbox::{After, Outbox},
     place,
     rank::{self, Rank},
+    reserve::Reservations,
     worker::{Look, Phase, RunKey, Worker},
 };
 
@@ -34,6 +35,8 @@
     pub failed_on: BTreeSet<WorkerName>,
     /// Tasks of which a copy is to run, because the run that they have may be lost.
     pub copies: BTreeSet<TaskName>,
+    /// How often each task was stopped for more urgent work.
+    pub preempted: BTreeMap<TaskName, u32>,
     /// The data centre in which its tasks are to run, once one was chosen.
     pub home: Option<String>,
 }
@@ -48,6 +51,7 @@
             job,
             failed_on: BTreeSet::new(),
             copies: BTreeSet::new(),
+            preempted: BTreeMap::new(),
             home: None,
         }
     }
@@ -77,6 +81,9 @@
     /// Steps with tasks that may start, in the order in which they get room.
     pub(crate) waiting: BTreeSet<Rank>,
     ranks: HashMap<StepName, Rank>,
+    /// When a step began to wait, or was last given a run, on the steady clock.
+    pub(crate) waits_since: HashMap<StepName, u64>,
+    pub(crate) reservations: Reservations,
     pub(crate) news: News,
     pub(crate) loss: LossMeter,
     /// Workers at which no look is under way: hardly any. Going through all workers at each event, and
@@ -119,6 +126,8 @@
             lanes: Lanes::default(),
             waiting: BTreeSet::new(),
             ranks: HashMap::new(),
+            waits_since: HashMap::new(),
+            reservations: Reservations::default(),
             news: News::default(),
             loss: LossMeter::default(),
             looks_due: BTreeSet::new(),
@@ -280,9 +289,11 @@
             if waits && job.step_may_start(name, now.unix_ms) {
                 self.waiting.insert(rank);
                 self.ranks.insert(name, rank);
+                self.waits_since.entry(name).or_insert(now.steady_ms);
                 self.news.change(name);
                 continue;
             }
+            self.waits_since.remove(&name);
             if let Some(rank) = self.ranks.remove(&name) {
                 self.waiting.remove(&rank);
             }
@@ -296,6 +307,11 @@
         }
     }
 
+    /// Since when a step has waited without being given a run.
+    pub(crate) fn waits_since_ms(&self, name: StepName, now: Now) -> u64 {
+        self.waits_since.get(&name).copied().unwrap_or(now.steady_ms)
+    }
+
     /// Takes note that a run has ended on a worker, and of what follows for its job.
     pub(crate) fn end_run(&mut self, worker_name: &WorkerName, key: RunKey, end: &End, now: Now) {
         let (task, run) = key;
@@ -350,7 +366,15 @@
         self.outbox.then(After::Show(key));
         self.stop_job(key, now);
         self.reindex(key, now);
+        self.forget_steps(key);
+    }
+
+    /// Forgets what was prepared for the steps of a job.
+    pub(crate) fn forget_steps(&mut self, key: JobKey) {
         self.advice.retain(|step, _| step.job != key);
+        for worker in self.reservations.release_job(key) {
+            self.news.free(&worker);
+        }
     }
 
     pub(crate) fn stop_job(&mut self, key: JobKey, now: Now) {
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -13,6 +13,7 @@
 //! [`event::Effect`]s to carry out.
 
 pub mod advice;
+pub mod ahead;
 pub mod asking;
 pub mod asks;
 pub mod event;
@@ -25,9 +26,11 @@
 pub mod options;
 pub mod outbox;
 pub mod place;
+pub mod preempt;
 pub mod progress;
 pub mod rank;
 pub mod recording;
+pub mod reserve;
 pub mod schedule;
 pub mod starts;
 pub mod worker;
--- a/lilacpass-lead/src/place.rs
+++ b/lilacpass-lead/src/place.rs
@@ -40,6 +40,9 @@
     pub near: bool,
     /// It is in the data centre in which the job is to run.
     pub at_home: bool,
+    /// How many of its accelerators are in use: small tasks fill workers that are in use already, so that
+    /// tasks that need most of a worker's accelerators find some whole.
+    pub used_accelerators: u64,
     /// Share of its processors that is free, in thousandths: spreads load, and with it what a lost
     /// worker costs.
     pub free_share: u64,
@@ -51,6 +54,7 @@
         Self {
             near: is_near(worker, step),
             at_home: home == Some(worker.entry.data_centre.as_str()),
+            used_accelerators: worker.used.accelerators.0,
             free_share: free_share(&worker.room(), &worker.entry.capacity),
         }
     }
--- a/lilacpass-lead/src/progress.rs
+++ b/lilacpass-lead/src/progress.rs
@@ -78,6 +78,12 @@
         Some(worked_ms * 100 / u64::from(self.percent - self.began_percent))
     }
 
+    /// The time in ms until the run is done at its pace; none before that can be told.
+    pub fn left_ms(&self, now_ms: u64) -> Option<u64> {
+        let left_ms = self.total_ms()? * u64::from(100 - self.percent.min(100)) / 100;
+        Some(left_ms.saturating_sub(now_ms.saturating_sub(self.changed_ms)))
+    }
+
     /// Whether most of the work is done, so that a new run would hardly be done sooner.
     pub fn is_nearly_done(&self) -> bool {
         const NEARLY_PERCENT: u32 = 75;
--- /dev/null
+++ b/lilacpass-lead/src/reserve.rs
@@ -0,0 +1,113 @@
+//! Room that is kept for a step until it can use it.
+//!
+//! Load pattern: a full pool, in which room falls free in small parts. What several parts together would
+//! hold never starts, because each part goes to a small task at once.
+//!
+//! A reservation keeps out only the steps that come later in the order, so an urgent step is never
+//! held up by one that can wait.
+
+use std::collections::{BTreeMap, HashMap};
+
+use lilacpass_core::Resources;
+use lilacpass_jobs::{JobKey, StepName, WorkerName};
+
+use crate::rank::Rank;
+
+/// Room on one worker.
+pub type Share = (WorkerName, Resources);
+
+/// The reservations of all steps.
+#[derive(Debug, Default)]
+pub struct Reservations {
+    by_worker: BTreeMap<WorkerName, Vec<(Rank, Resources)>>,
+    by_step: HashMap<StepName, Booking>,
+}
+
+/// What is reserved for one step.
+#[derive(Debug)]
+struct Booking {
+    workers: Vec<WorkerName>,
+    until_ms: u64,
+    /// The pool whose room is kept ahead; none where the room is there, or is being made.
+    ahead_in: Option<String>,
+}
+
+impl Reservations {
+    /// Reserves room for a step until a time on the steady clock, in place of what was reserved for it
+    /// before.
+    pub fn set(&mut self, rank: Rank, shares: Vec<Share>, until_ms: u64) {
+        self.release(rank.step);
+        let workers = shares.iter().map(|(worker, _)| worker.clone()).collect();
+        self.by_step.insert(rank.step, Booking { workers, until_ms, ahead_in: None });
+        for (worker, room) in shares {
+            self.by_worker.entry(worker).or_default().push((rank, room));
+        }
+    }
+
+    /// Reserves room that has yet to fall free on workers of a pool.
+    pub fn set_ahead(&mut self, rank: Rank, shares: Vec<Share>, until_ms: u64, service: &str) {
+        self.set(rank, shares, until_ms);
+        if let Some(booking) = self.by_step.get_mut(&rank.step) {
+            booking.ahead_in = Some(service.to_owned());
+        }
+    }
+
+    /// How many steps have room kept ahead in a pool.
+    pub fn ahead(&self, service: &str) -> usize {
+        let is_there = |booking: &&Booking| booking.ahead_in.as_deref() == Some(service);
+        self.by_step.values().filter(is_there).count()
+    }
+
+    /// Gives up what is reserved for a step. Returns the workers on which that was.
+    pub fn release(&mut self, step: StepName) -> Vec<WorkerName> {
+        let workers = self.by_step.remove(&step).map(|booking| booking.workers).unwrap_or_default();
+        for worker in &workers {
+            let Some(shares) = self.by_worker.get_mut(worker) else { continue };
+            shares.retain(|(rank, _)| rank.step != step);
+            if shares.is_empty() {
+                self.by_worker.remove(worker);
+            }
+        }
+        workers
+    }
+
+    /// A task of a step has been given room on a worker: that much less is kept there.
+    pub fn used(&mut self, step: StepName, worker: &WorkerName, need: &Resources) {
+        let Some(shares) = self.by_worker.get_mut(worker) else { return };
+        for (rank, room) in shares.iter_mut() {
+            if rank.step == step {
+                *room = room.minus(need);
+            }
+        }
+    }
+
+    /// Gives up what is reserved for all steps of a job. Returns the workers on which that was.
+    pub fn release_job(&mut self, job: JobKey) -> Vec<WorkerName> {
+        let steps: Vec<StepName> =
+            self.by_step.keys().copied().filter(|step| step.job == job).collect();
+        steps.into_iter().flat_map(|step| self.release(step)).collect()
+    }
+
+    /// Gives up the reservations whose time is over. Returns the workers on which they were.
+    pub fn expire(&mut self, now_ms: u64) -> Vec<WorkerName> {
+        let over: Vec<StepName> = self
+            .by_step
+            .iter()
+            .filter(|(_, booking)| now_ms >= booking.until_ms)
+            .map(|(step, _)| *step)
+            .collect();
+        over.into_iter().flat_map(|step| self.release(step)).collect()
+    }
+
+    /// Whether something is reserved for a step.
+    pub fn has(&self, step: StepName) -> bool {
+        self.by_step.contains_key(&step)
+    }
+
+    /// What is reserved on a worker for steps that come before `rank`.
+    pub fn kept_from(&self, rank: &Rank, worker: &WorkerName) -> Resources {
+        let shares = self.by_worker.get(worker).map(Vec::as_slice).unwrap_or_default();
+        let earlier = shares.iter().filter(|(other, _)| other < rank);
+        earlier.fold(Resources::ZERO, |sum, (_, room)| sum.plus(room))
+    }
+}
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -15,6 +15,7 @@
     news::Digest,
     outbox::After,
     place,
+    rank::{self, Rank},
     worker::{Phase, RunKey, Worker},
 };
 
@@ -22,6 +23,9 @@
     /// Places waiting tasks and asks for the advice that others need.
     pub(crate) fn schedule(&mut self, now: Now) {
         let steps: Vec<StepName> = self.waiting.iter().map(|rank| rank.step).collect();
+        for worker in self.reservations.expire(now.steady_ms) {
+            self.news.free(&worker);
+        }
         let news = self.news.take(now.steady_ms);
         for step in steps {
             match self.scope(step, &news) {
@@ -80,8 +84,16 @@
         if plan.target_ms > 0 && picks.len() < waiting.len() {
             self.make_way(name, &plan, now);
         }
+        let missing = (waiting.len() - picks.len()) as u64;
+        if missing > 0 && among.is_none() {
+            let wanted = if plan.gang { waiting.len() as u64 } else { missing };
+            if !plan.lasting {
+                self.make_room(name, &plan, wanted, now);
+            }
+            self.keep_ahead(name, &plan, wanted, now);
+        }
         if plan.gang {
-            if picks.len() == waiting.len() {
+            if missing == 0 {
                 self.give_gang(name, &picks, now);
             }
             return;
@@ -123,31 +135,18 @@
         now: Now,
     ) -> Vec<Host> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
-        let queue = &entry.job.queue;
         let home = entry.home_of(plan);
         let need = place::need(plan);
+        let rank = rank::of_step(&entry.job, name);
         let is_host = |worker: &&Worker| {
-            need.fits(&worker.room())
-                && worker.takes_starts(now.steady_ms)
-                && place::is_eligible(worker, &queue.service, plan)
-                && !self.would_disturb(worker, plan)
-        };
-        let allowed: Vec<&Worker> = if queue.advice.is_some() {
-            let Some(advice) = self.advice.get(&name) else { return Vec::new() };
-            let ticketed = advice.ticketed(now.steady_ms);
-            let within = ticketed.filter(|name| among.is_none_or(|among| among.contains(*name)));
-            within.filter_map(|name| self.workers.get(name)).collect()
-        } else if let Some(among) = among {
-            among.iter().filter_map(|name| self.workers.get(name)).collect()
-        } else {
-            self.workers.values().collect()
+            need.fits(&self.room_for(&rank, worker)) && self.could_start(worker, name, plan, now)
         };
-        allowed
+        self.allowed(name, among, now)
             .into_iter()
             .filter(is_host)
             .map(|worker| Host {
                 name: worker.entry.name.clone(),
-                room: worker.room(),
+                room: self.room_for(&rank, worker),
                 clean: worker.health.is_clean() && !entry.failed_on.contains(&worker.entry.name),
                 rack: worker.rack().to_owned(),
                 score: place::Score::new(worker, plan, home),
@@ -157,6 +156,45 @@
             .collect()
     }
 
+    /// The workers that a step may start on as far as advice goes, among some or all.
+    pub(crate) fn allowed(
+        &self,
+        name: StepName,
+        among: Option<&BTreeSet<WorkerName>>,
+        now: Now,
+    ) -> Vec<&Worker> {
+        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
+        if entry.job.queue.advice.is_some() {
+            let Some(advice) = self.advice.get(&name) else { return Vec::new() };
+            let ticketed = advice.ticketed(now.steady_ms);
+            let within = ticketed.filter(|name| among.is_none_or(|among| among.contains(*name)));
+            within.filter_map(|name| self.workers.get(name)).collect()
+        } else if let Some(among) = among {
+            among.iter().filter_map(|name| self.workers.get(name)).collect()
+        } else {
+            self.workers.values().collect()
+        }
+    }
+
+    /// Whether a worker takes starts of a step now, if it has room.
+    pub(crate) fn could_start(
+        &self,
+        worker: &Worker,
+        name: StepName,
+        plan: &v1::WorkStep,
+        now: Now,
+    ) -> bool {
+        let Some(entry) = self.jobs.get(&name.job) else { return false };
+        worker.takes_starts(now.steady_ms)
+            && place::is_eligible(worker, &entry.job.queue.service, plan)
+            && !self.would_disturb(worker, plan)
+    }
+
+    /// The room on a worker that is open to a step with this rank.
+    pub(crate) fn room_for(&self, rank: &Rank, worker: &Worker) -> Resources {
+        worker.room().minus(&self.reservations.kept_from(rank, &worker.entry.name))
+    }
+
     /// Whether a task of this step and those on the worker would disturb each other: one that fills
     /// takes processors that nobody reserved, and the tail of the response times of one that serves
     /// users grows with that, by an amount that nobody knows beforehand.
@@ -209,7 +247,7 @@
         let data_centre = data_centre_of(&self.workers, &worker);
         let Some(run) = entry.job.begin_run(task, worker.clone(), data_centre) else { return };
         entry.begun = true;
-        self.record_start(task, run, worker);
+        self.record_start(task, run, worker, now);
         self.reindex(task.step.job, now);
     }
 
@@ -221,19 +259,22 @@
             .collect();
         let Some(run) = entry.job.begin_gang(name, &hosts) else { return };
         entry.begun = true;
+        self.reservations.release(name);
         for (index, worker) in workers.iter().enumerate() {
-            self.record_start(name.task(index as u32), run, worker.clone());
+            self.record_start(name.task(index as u32), run, worker.clone(), now);
         }
         self.reindex(name.job, now);
     }
 
     /// Records a start; its order follows once that is stored.
-    fn record_start(&mut self, task: TaskName, run: u32, name: WorkerName) {
+    fn record_start(&mut self, task: TaskName, run: u32, name: WorkerName, now: Now) {
         let need = self.need_of(task);
+        self.reservations.used(task.step, &name, &need);
+        self.waits_since.insert(task.step, now.steady_ms);
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.give((task, run), need, Phase::Recording);
         }
-        log::info!(task:% = task, run, worker:% = name; "task placed");
+        log::info!(task:% = task, run, worker:% = name, need:% = need; "task placed");
         self.outbox.waiting.states.insert(task.step.job);
         self.outbox.then(After::Order { worker: name, task, run });
     }
@@ -268,6 +309,7 @@
     /// Takes a task of the round.
     fn take(&mut self, need: &Resources) {
         self.room = self.room.minus(need);
+        self.score.used_accelerators += need.accelerators.0;
         self.score.free_share = place::free_share(&self.room, &self.capacity);
         self.may_take -= 1;
     }
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -11,7 +11,7 @@
 use std::{cmp::Reverse, collections::BinaryHeap};
 
 use lilacpass_core::{Resources, Verdict};
-use lilacpass_jobs::{Job, JobKey, TaskName, WorkerName, record};
+use lilacpass_jobs::{Job, JobKey, StepName, TaskName, WorkerName, record};
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
     event::{Advice, Answer, Ask, CallError, Lane, Record, Registration, TicketRow, Token},
@@ -27,6 +27,8 @@
 const CALL_TIMEOUT_MS: u64 = 600;
 /// The latest that an order without an answer is carried out.
 const LATEST_MS: u64 = 12_000;
+/// The shortest time of a call for advice.
+const LEAST_ADVICE_MS: u64 = 40;
 /// Time between ticks of a leader.
 const TICK_MS: u64 = 50;
 
@@ -103,6 +105,8 @@
     pub workers: Vec<Worker>,
     pub members: Vec<Member>,
     pub answers: Vec<(Token, Answer)>,
+    /// Calls for advice: the step, and how many workers were named.
+    pub calls_for_advice: Vec<(StepName, usize)>,
     /// Share of orders, in percent, that get no answer and may be carried out late.
     pub lose_percent: u64,
     pub options: Options,
@@ -123,6 +127,7 @@
             workers,
             members: Vec::new(),
             answers: Vec::new(),
+            calls_for_advice: Vec::new(),
             lose_percent: 0,
             options: Options::default(),
             actions: BinaryHeap::new(),
@@ -320,7 +325,8 @@
         match effect {
             Effect::Reply { token, answer } => self.answers.push((token, answer)),
             Effect::Append(records) => self.append(member, &records),
-            Effect::Advise { lane, step, workers, .. } => {
+            Effect::Advise { lane, step, workers, expected_ms } => {
+                self.calls_for_advice.push((step, workers.len()));
                 let good = workers
                     .iter()
                     .filter(|worker| is_good(worker))
@@ -328,7 +334,7 @@
                     .collect();
                 let advice = Some(Advice { good, valid_ms: 2_500 });
                 let event = Event::Advised { lane, step, asked: workers, advice };
-                self.plan(40, Action::Tell { member, event });
+                self.plan(expected_ms.max(LEAST_ADVICE_MS), Action::Tell { member, event });
             }
             Effect::Deposed => self.members[member].alive = false,
             order => self.order_arrives(member, &order, answered),
@@ -460,7 +466,7 @@
             self.workers[at].name
         );
         for &earlier in &plan.after {
-            let step = lilacpass_jobs::StepName { step: earlier, ..task.step };
+            let step = StepName { step: earlier, ..task.step };
             for index in 0..job.step_plan(earlier).count {
                 let earlier = step.task(index);
                 let done = self.workers.iter().any(|worker| worker.done.contains(&earlier));
