Read all jobs while a take-over is announced, and lead at once

The log shows the leader killed at 12.0 s in a store that takes 0.7 s for an append, and no leader until 15.6 s: two announcements were given up after 0.7 s (and stored all the same, which kept the others waiting), and each call of a take-over waited for the one before. Change: announcements may take 1.5 s; jobs are read beside them; the log is closed where the read ended, and its tail is read only if that fails; the record that tells who leads is the first renewal, sent while the leader already leads.

--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -48,6 +48,9 @@
 const CUT_OFF_GREETINGS: u32 = 3;
 /// How long the store may take for a call here.
 const STORE_TIMEOUT: Duration = Duration::from_millis(700);
+/// How long the store may take to note an announcement: a slow one takes 0.8 s. Given up sooner, it was noted
+/// all the same, and kept everybody waiting for a take-over that nobody made.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// How fast the store must answer an instance that is asked to take over. One that is slow for all
 /// is no reason to change the leader.
 const PROMOTE_STORE_TIMEOUT: Duration = Duration::from_millis(150);
@@ -173,8 +176,8 @@
         return;
     }
     let has_changed = node.leads() || *node.leader.borrow() != known;
-    if !has_changed && claim(node, page.end).await {
-        take_over(node).await;
+    if !has_changed {
+        claim_and_take_over(node, page.end).await;
     }
 }
 
@@ -205,20 +208,31 @@
     log::info!("asked to take over");
     // Keeps others, who see the former leader give up before the new one is known, from taking over
     // from the new one at once. A renewal in between makes this fail, which does no harm.
-    claim(node, page.end).await;
     let node = node.clone();
     // Goes on if the connection to the former leader ends meanwhile.
-    let taking_over = tokio::task::spawn_local(async move { take_over(&node).await });
+    let taking_over = tokio::task::spawn_local(async move {
+        let (_, snapshot) = tokio::join!(claim(&node, page.end), takeover::read(&node));
+        take_over(&node, snapshot).await;
+    });
     if let Err(err) = taking_over.await {
         log::error!(error:% = err; "take-over was broken off");
     }
 }
 
-async fn take_over(node: &Rc<Node>) {
+/// Announces a take-over, and takes over if nobody else has written since `end`.
+async fn claim_and_take_over(node: &Rc<Node>, end: u64) {
+    let (claimed, snapshot) = tokio::join!(claim(node, end), takeover::read(node));
+    if claimed {
+        take_over(node, snapshot).await;
+    }
+}
+
+async fn take_over(node: &Rc<Node>, snapshot: Option<takeover::Snapshot>) {
+    let Some(snapshot) = snapshot else { return };
     if node.leads() || node.taking_over.replace(true) {
         return;
     }
-    if let Some(won) = takeover::take_over(node).await {
+    if let Some(won) = takeover::close(node, snapshot).await {
         leading::start(node, won);
     }
     node.taking_over.set(false);
@@ -232,7 +246,7 @@
     let Ok(records) = store::encode_records(&[record]) else { return false };
     let condition = Condition { at: Some(end), writer: None };
     let partition = takeover::lead_partition();
-    match node.store.append(&partition, condition, &records, STORE_TIMEOUT).await {
+    match node.store.append(&partition, condition, &records, CLAIM_TIMEOUT).await {
         Ok(Append::Stored { .. }) => true,
         Ok(Append::Elsewhere { .. } | Append::Fenced | Append::OutOfSequence) => false,
         Err(err) => {
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -145,13 +145,9 @@
     messages: mpsc::UnboundedSender<Message>,
 ) {
     let partition = takeover::lead_partition();
+    // The first tells who leads, and is sent at once.
     let mut renewal = 0;
     while !messages.is_closed() {
-        time::sleep(RENEWAL_INTERVAL).await;
-        if messages.is_closed() {
-            return;
-        }
-        renewal += 1;
         let record = takeover::lead_record(&node, epoch, renewal);
         let Ok(records) = store::encode_records(&[record]) else { return };
         let sent_ms = clock::now().steady_ms;
@@ -160,13 +156,15 @@
             Ok(()) => Message::Event(Event::Confirmed { sent_ms }),
             Err(Failure::Deposed) => Message::Deposed,
             Err(Failure::NotDone) => {
-                renewal -= 1;
+                time::sleep(RENEWAL_INTERVAL).await;
                 continue;
             }
         };
         if messages.send(message).is_err() {
             return;
         }
+        renewal += 1;
+        time::sleep(RENEWAL_INTERVAL).await;
     }
 }
 
--- a/lilacpass-node/src/takeover.rs
+++ b/lilacpass-node/src/takeover.rs
@@ -10,7 +10,7 @@
 use rand::RngExt;
 use tokio::time::{self, Instant};
 
-use crate::{append, node::Node};
+use crate::node::Node;
 
 /// Key of the record that names the leader.
 pub const LEAD_KEY: &str = "lead";
@@ -27,7 +27,8 @@
 pub struct Won {
     /// The new epoch.
     pub epoch: u64,
-    /// Number of the append that closed the log; those of the leader follow it.
+    /// Number of the append that closed the log; those of the leader follow it. The first renewal in the
+    /// partition of the leader has the same number.
     pub sequence: u64,
     /// All jobs.
     pub jobs: Vec<Job>,
@@ -54,21 +55,36 @@
     Record { key: LEAD_KEY.to_owned(), value: lead.encode_to_vec() }
 }
 
-/// Tries to take over. None where another was faster or the store does not let us.
-pub async fn take_over(node: &Rc<Node>) -> Option<Won> {
+/// All jobs as they were read, up to a place in the log.
+#[derive(Debug)]
+pub struct Snapshot {
+    state: State,
+    end: u64,
+    start: Instant,
+}
+
+/// Reads all jobs. None where the store does not let us.
+///
+/// Changes nothing, so it goes on beside the announcement of a take-over: a slow store takes 0.7 s for that,
+/// and as long again for this.
+pub async fn read(node: &Rc<Node>) -> Option<Snapshot> {
     let start = Instant::now();
+    let mut state = State::default();
+    let end = read_all(node, &jobs_partition(), &mut state, start).await?;
+    Some(Snapshot { state, end, start })
+}
+
+/// Tries to take over with what was read. None where another was faster or the store does not let us.
+pub async fn close(node: &Rc<Node>, snapshot: Snapshot) -> Option<Won> {
+    let Snapshot { mut state, mut end, start } = snapshot;
     let partition = jobs_partition();
     let sequence = first_sequence();
-    let mut state = State::default();
-    let mut end = read_all(node, &partition, &mut state, start).await?;
     loop {
-        end = read_tail(node, &partition, &mut state, end, start).await?;
         // Offsets never go back, so an epoch made of the end is above all earlier ones.
         let epoch = end + 1;
         let writer = Writer { epoch, sequence };
         match close_log(node, &partition, end, writer, start).await? {
             Append::Stored { .. } => {
-                announce(node, writer).await?;
                 let took_ms = start.elapsed().as_millis() as u64;
                 let jobs = state.into_jobs();
                 log::info!(epoch, jobs = jobs.len(), took_ms; "took over");
@@ -77,6 +93,7 @@
             Append::Elsewhere { .. } => {}
             Append::Fenced | Append::OutOfSequence => return None,
         }
+        end = read_tail(node, &partition, &mut state, end, start).await?;
         if state.leader_since_start {
             log::info!("another instance took over first");
             return None;
@@ -114,11 +131,6 @@
     }
 }
 
-async fn announce(node: &Rc<Node>, writer: Writer) -> Option<()> {
-    let records = store::encode_records(&[lead_record(node, writer.epoch, 0)]).ok()?;
-    append::store(node, &lead_partition(), writer, &records).await.ok()
-}
-
 async fn retry(start: Instant, what: &str, err: &lilacpass_platform::Error) -> Option<()> {
     log::info!(what, error:% = err; "store call of a take-over failed");
     if start.elapsed() > PATIENCE {
