--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -4,7 +4,7 @@
 //! the log, and whoever did not is refused by the store and by the workers. This module decides only
 //! that somebody leads soon, and that a leader that lives is left alone.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use lilacpass_core::Verdict;
 use lilacpass_lead::event::Record;
@@ -89,7 +89,7 @@
                 cut_off = if store_reachable { 0 } else { cut_off + 1 };
                 if cut_off >= CUT_OFF_GREETINGS && node.store_reachable() {
                     log::info!(leader = address.as_str(); "the store does not answer the leader");
-                    contest(&node, REFUSED_WATCH).await;
+                    contest_beside_greetings(&node, &address, view.epoch).await;
                 }
                 let mut leaving = node.leaving.subscribe();
                 tokio::select! {
@@ -105,6 +105,22 @@
     }
 }
 
+/// Tries to take over from a leader that the store does not answer, and greets it meanwhile.
+///
+/// Where the store answers nobody this takes over a second. Callers who asked for the state of their jobs in
+/// that time used to be told that there is no leader, though it lives and knows.
+async fn contest_beside_greetings(node: &Rc<Node>, address: &str, epoch: u64) {
+    let mut contest = pin!(contest(node, REFUSED_WATCH));
+    loop {
+        tokio::select! {
+            () = &mut contest => return,
+            () = time::sleep(HELLO_INTERVAL) => {}
+        }
+        // What it shows is noted; the next greeting after this acts on it.
+        let _greeting = greet(node, address, epoch).await;
+    }
+}
+
 async fn greet(node: &Rc<Node>, address: &str, epoch: u64) -> Greeting {
     if address == node.peer_address() {
         // A former life of this instance led.
--- a/lilacpass-node/tests/cut_off.rs
+++ b/lilacpass-node/tests/cut_off.rs
@@ -11,8 +11,9 @@
 
 use lilacpass_platform_standin::{
     cell::Faults,
-    load::{HOST, QUEUES},
+    load::{HOST, Handed, QUEUES},
 };
+use lilacpass_schema::v1;
 use tokio::{task, time};
 
 const FIRST_PORT: u16 = 22_850;
@@ -22,9 +23,13 @@
 
 /// Asks for a count over a connection of its own, and returns the head of the answer.
 fn ask(address: &str) -> String {
+    get(address, &format!("/{}/", QUEUES[0].name))
+}
+
+/// Asks for something over a connection of its own, and returns the head of the answer.
+fn get(address: &str, path: &str) -> String {
     let Ok(mut stream) = TcpStream::connect(address) else { return String::new() };
-    let queue = QUEUES[0].name;
-    let head = format!("GET /{queue}/ HTTP/1.1\r\nHost: {HOST}\r\nX-Deadline-Ms: 3000\r\n\r\n");
+    let head = format!("GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Deadline-Ms: 3000\r\n\r\n");
     let timeout = Some(Duration::from_secs(10));
     stream.set_read_timeout(timeout).expect("a timeout");
     stream.write_all(head.as_bytes()).expect("sent");
@@ -52,6 +57,47 @@
     });
 }
 
+/// Callers who ask for the state of their jobs are told that there is no leader, while the store is silent for
+/// all: instances that the store had answered just before tried to take over, and greeted the leader
+/// no more until their calls to the store had failed.
+#[test]
+fn states_are_told_while_the_store_is_silent() {
+    const POLLS: u32 = 60;
+    cluster::play(FIRST_PORT + 50, &[1.0, 1.0], async |mut cluster| {
+        cluster.instances.iter_mut().for_each(|instance| instance.start().expect("started"));
+        let is_served = |head: &str| head.contains(" 200 ");
+        for instance in &cluster.instances {
+            wait_for(&instance.callers_address, is_served).await;
+        }
+        let (key, handed) = cluster.callers.submit(QUEUES[0], lasting_job()).await;
+        assert_eq!(handed, Handed::Accepted);
+        let leader = cluster.callers.leader(&cluster.peer_addresses()).await.expect("one leads");
+        let follower = cluster.instances[1 - leader].callers_address.clone();
+        cluster.cell.faults.replace(Faults { store_slow_ms: 60_000, ..Faults::default() });
+        let mut refused = 0;
+        for _ in 0..POLLS {
+            let to = follower.clone();
+            let path = format!("/{}/{key}", QUEUES[0].name);
+            let head = task::spawn_blocking(move || get(&to, &path)).await.expect("asked");
+            refused += u32::from(!is_served(&head));
+            time::sleep(PAUSE).await;
+        }
+        assert!(refused * 10 <= POLLS, "{refused} of {POLLS} were not told");
+    });
+}
+
+/// A job that runs for as long as the test.
+fn lasting_job() -> v1::WorkPlan {
+    let step = v1::WorkStep {
+        count: 1,
+        cpu_milli: 1_000,
+        memory_mb: 10,
+        lasting: true,
+        ..Default::default()
+    };
+    v1::WorkPlan { payload: "watch".to_owned(), steps: vec![step], ..Default::default() }
+}
+
 /// Asks until the head of the answer is as it should be.
 async fn wait_for(address: &str, is_right: impl Fn(&str) -> bool) {
     let mut head = String::new();
