--- a/lilacpass-node/src/registry_watch.rs
+++ b/lilacpass-node/src/registry_watch.rs
@@ -19,10 +19,12 @@
 /// Looks in a row in which a worker must be missing: entries come back after the store does.
 const MISSING_LOOKS: u32 = 2;
 
-/// A worker as it was last seen.
-struct Seen {
+/// A worker, or what is written in the place of one, as it was last seen.
+pub struct Seen {
     offset: u64,
     missing: u32,
+    /// Its entry names a worker that can be used.
+    usable: bool,
 }
 
 /// Follows the workers until the leader has ended.
@@ -65,24 +67,32 @@
 }
 
 /// What has changed since the last look.
-fn changes(seen: &mut HashMap<WorkerName, Seen>, records: Vec<Placed>) -> Vec<Event> {
+pub fn changes(seen: &mut HashMap<WorkerName, Seen>, records: Vec<Placed>) -> Vec<Event> {
     let mut events = Vec::new();
     for worker in seen.values_mut() {
         worker.missing += 1;
     }
     for placed in records {
         let name = WorkerName::from(placed.record.key.as_str());
-        let known = seen.entry(name).or_insert(Seen { offset: u64::MAX, missing: 0 });
+        let known = seen.entry(name).or_insert(Seen { offset: u64::MAX, missing: 0, usable: true });
         known.missing = 0;
         if known.offset == placed.offset {
             continue;
         }
         known.offset = placed.offset;
         match registry::decode(&placed.record.key, &placed.record.value) {
-            Ok(entry) => events.push(Event::WorkerListed(entry)),
-            Err(err) => {
+            Ok(entry) => {
+                known.usable = true;
+                events.push(Event::WorkerListed(entry));
+            }
+            // Entries change with each heartbeat; one line tells of all until the entry can be read.
+            Err(err) if known.usable => {
+                known.usable = false;
                 log::warn!(worker = placed.record.key.as_str(), error:% = err; "registration is passed over");
+                let name = WorkerName::from(placed.record.key.as_str());
+                events.push(Event::WorkerUnlisted(name));
             }
+            Err(_) => {}
         }
     }
     seen.retain(|name, worker| {
