Keep room ahead for those that have waited longest

Cause: room was kept ahead for the first in order, so a step of the same priority that others are always ahead of had no turn, nor had one that had never come to ask for advice. Tried and dropped: within a priority, jobs that can still be in time before those that are late, before those three times late. Change: room is kept ahead by waiting time, against all of the same or a lower priority, also on workers of which nothing is known, and given up when the advice says no. Ranks are kept instead of computed anew.

--- a/lilacpass-lead/src/ahead.rs
+++ b/lilacpass-lead/src/ahead.rs
@@ -8,14 +8,7 @@
 use lilacpass_jobs::{StepName, WorkerName};
 use lilacpass_schema::v1;
 
-use crate::{
-    event::Now,
-    leader::Leader,
-    place,
-    rank::{self, Rank},
-    reserve::Share,
-    worker::Worker,
-};
+use crate::{event::Now, leader::Leader, place, rank::Rank, reserve::Share, worker::Worker};
 
 /// How long a step waits in vain until room is kept ahead for it. Most wait for less in a pool that is
 /// merely busy, and room that is kept stands idle until all of it is there.
@@ -28,28 +21,45 @@
 /// The longest time for which room is kept ahead, where nobody knows when it falls free.
 const MOST_KEPT_MS: u64 = 10_000;
 
+/// A worker that will have room, the best first.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Offer {
+    is_unknown: bool,
+    wait_ms: u64,
+    worker: WorkerName,
+}
+
 impl Leader {
-    /// Keeps the next room that can hold tasks of a step (all that wait, for a gang), if it has waited for
-    /// long and few others have room kept ahead.
-    pub(crate) fn keep_ahead(
-        &mut self,
-        name: StepName,
-        plan: &v1::WorkStep,
-        waiting: u64,
-        now: Now,
-    ) {
-        if self.reservations.has(name) || now.steady_ms < self.waits_since_ms(name, now) + WAITED_MS
-        {
-            return;
+    /// Keeps room ahead for the steps that have waited longest, if that is for long.
+    ///
+    /// By waiting time and not by order: in an overload the first in order change all the time, and the last
+    /// would never have a turn.
+    pub(crate) fn keep_room_ahead(&mut self, now: Now) {
+        let waited_long = |since_ms: u64| since_ms + WAITED_MS <= now.steady_ms;
+        let mut starved: Vec<(u64, StepName)> = self
+            .waits_since
+            .iter()
+            .filter(|(name, since_ms)| waited_long(**since_ms) && !self.reservations.has(**name))
+            .map(|(name, since_ms)| (*since_ms, *name))
+            .collect();
+        starved.sort_unstable();
+        for (_, name) in starved {
+            self.keep_ahead(name, now);
         }
+    }
+
+    /// Keeps the next room that can hold a task of a step (all that wait, for a gang), if few others have
+    /// room kept ahead.
+    fn keep_ahead(&mut self, name: StepName, now: Now) {
         let Some(entry) = self.jobs.get(&name.job) else { return };
-        let rank = rank::of_step(&entry.job, name);
+        let Some(rank) = self.rank_of(name) else { return };
+        let plan = entry.job.step_plan(name.step);
         let service = &entry.job.queue.service;
         let pool = self.pool_sizes.get(service).copied().unwrap_or(0);
         if self.reservations.ahead(service) >= (pool / WORKERS_A_STEP).max(1) {
             return;
         }
-        let wanted = if plan.gang { waiting } else { 1 };
+        let wanted = if plan.gang { u64::from(plan.count) } else { 1 };
         let mut offers = self.rooms_ahead(name, plan, &rank, now);
         offers.sort();
         if (offers.len() as u64) < wanted {
@@ -57,35 +67,36 @@
         }
         offers.truncate(wanted as usize);
         let need = place::need(plan);
-        let wait_ms = offers.last().map_or(0, |(wait_ms, _)| *wait_ms);
+        let wait_ms = offers.iter().map(|offer| offer.wait_ms).max().unwrap_or(0);
         let until_ms = now.steady_ms + (wait_ms + SLACK_MS).min(MOST_KEPT_MS);
-        let shares: Vec<Share> = offers.into_iter().map(|(_, worker)| (worker, need)).collect();
+        let shares: Vec<Share> = offers.into_iter().map(|offer| (offer.worker, need)).collect();
         log::info!(step:% = name, wait_ms, workers = shares.len(); "room kept ahead");
         let service = service.clone();
         self.reservations.set_ahead(rank, shares, until_ms, &service);
     }
 
-    /// The workers that can hold a task of a step, with the time in ms after which each will have room.
+    /// The workers that can hold a task of a step. Those of which it is not known whether it may run there
+    /// are among them: where all room is taken at once, it never gets to ask.
     fn rooms_ahead(
         &self,
         name: StepName,
         plan: &v1::WorkStep,
         rank: &Rank,
         now: Now,
-    ) -> Vec<(u64, WorkerName)> {
+    ) -> Vec<Offer> {
         let advice = self.advice.get(&name);
-        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
-        let is_allowed = |worker: &Worker| {
-            entry.job.queue.advice.is_none()
-                || advice.and_then(|advice| advice.verdict(&worker.entry.name)) == Some(true)
-        };
+        let verdict =
+            |worker: &Worker| advice.and_then(|advice| advice.verdict(&worker.entry.name));
         self.workers
             .values()
-            .filter(|worker| is_allowed(worker) && self.could_start(worker, name, plan, now))
+            .filter(|worker| {
+                verdict(worker) != Some(false) && self.could_start(worker, name, plan, now)
+            })
             .filter(|worker| self.may_take(worker, name, plan) > 0)
             .filter_map(|worker| {
                 let wait_ms = self.wait_for_room_ms(worker, plan, rank, now)?;
-                Some((wait_ms, worker.entry.name.clone()))
+                let is_unknown = verdict(worker).is_none();
+                Some(Offer { is_unknown, wait_ms, worker: worker.entry.name.clone() })
             })
             .collect()
     }
--- a/lilacpass-lead/src/asking.rs
+++ b/lilacpass-lead/src/asking.rs
@@ -9,7 +9,7 @@
     advice::{self, Candidate},
     event::{Advice, Effect, Lane, Now},
     leader::Leader,
-    place, rank,
+    place,
     worker::Worker,
 };
 
@@ -138,7 +138,7 @@
         let home = entry.home_of(plan);
         let need = place::need(plan);
         let advice = self.advice.get(&name);
-        let rank = rank::of_step(&entry.job, name);
+        let Some(rank) = self.rank_of(name) else { return Vec::new() };
         let mut rated: Vec<Rated<'_>> = Vec::new();
         for worker in self.workers.values() {
             // What is cheap to tell comes first: in a full cell each waiting step goes through all workers.
@@ -204,6 +204,12 @@
         let margin_ms = self.options.ticket_margin_ms;
         let known = self.advice.entry(step).or_default();
         known.answered(asked, answer, margin_ms, now.steady_ms);
+        let is_bad = |worker: &WorkerName| known.verdict(worker) == Some(false);
+        if self.reservations.workers_of(step).iter().any(is_bad) {
+            for worker in self.reservations.release(step) {
+                self.news.free(&worker);
+            }
+        }
         self.news.change(step);
     }
 }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -309,10 +309,9 @@
                     job.task_names(name).any(|task| entry.wants_run(task))
                 }
             });
-            let rank = rank::of_step(job, name);
             if waits && job.step_may_start(name, now.unix_ms) {
+                let rank = *self.ranks.entry(name).or_insert_with(|| rank::of_step(job, name));
                 self.waiting.insert(rank);
-                self.ranks.insert(name, rank);
                 self.waits_since.entry(name).or_insert(now.steady_ms);
                 self.news.change(name);
                 continue;
@@ -331,9 +330,9 @@
         }
     }
 
-    /// Since when a step has waited without being given a run.
-    pub(crate) fn waits_since_ms(&self, name: StepName, now: Now) -> u64 {
-        self.waits_since.get(&name).copied().unwrap_or(now.steady_ms)
+    /// The place of a waiting step.
+    pub(crate) fn rank_of(&self, name: StepName) -> Option<Rank> {
+        self.ranks.get(&name).copied()
     }
 
     /// Takes note that a run has ended on a worker, and of what follows for its job.
--- a/lilacpass-lead/src/preempt.rs
+++ b/lilacpass-lead/src/preempt.rs
@@ -12,7 +12,7 @@
     event::Now,
     leader::Leader,
     place,
-    rank::{self, Rank},
+    rank::Rank,
     reserve::Share,
     worker::{Given, Phase, RunKey, Worker},
 };
@@ -59,8 +59,7 @@
         if self.reservations.has(name) || !self.may_preempt_any(name) {
             return;
         }
-        let Some(entry) = self.jobs.get(&name.job) else { return };
-        let rank = rank::of_step(&entry.job, name);
+        let Some(rank) = self.rank_of(name) else { return };
         let need = place::need(plan);
         let mut offers = self.offers(name, plan, &rank, waiting, now);
         offers.sort_by_key(|offer| offer.stops.len());
--- a/lilacpass-lead/src/rank.rs
+++ b/lilacpass-lead/src/rank.rs
@@ -13,6 +13,13 @@
     pub step: StepName,
 }
 
+impl Rank {
+    /// The place before all steps of the same priority.
+    pub fn first_of_priority(self) -> Self {
+        Self { late_from_ms: 0, ..self }
+    }
+}
+
 /// The rank of a step. Within a priority the job that is late first comes first, so that a short job
 /// is not kept behind a long one that has time.
 pub fn of_step(job: &Job, step: StepName) -> Rank {
--- a/lilacpass-lead/src/reserve.rs
+++ b/lilacpass-lead/src/reserve.rs
@@ -36,17 +36,23 @@
     /// Reserves room for a step until a time on the steady clock, in place of what was reserved for it
     /// before.
     pub fn set(&mut self, rank: Rank, shares: Vec<Share>, until_ms: u64) {
+        self.book(rank, rank, shares, until_ms);
+    }
+
+    /// The same, against all steps that come after the place `as_if`.
+    fn book(&mut self, rank: Rank, as_if: Rank, shares: Vec<Share>, until_ms: u64) {
         self.release(rank.step);
         let workers = shares.iter().map(|(worker, _)| worker.clone()).collect();
         self.by_step.insert(rank.step, Booking { workers, until_ms, ahead_in: None });
         for (worker, room) in shares {
-            self.by_worker.entry(worker).or_default().push((rank, room));
+            self.by_worker.entry(worker).or_default().push((as_if, room));
         }
     }
 
-    /// Reserves room that has yet to fall free on workers of a pool.
+    /// Reserves room that has yet to fall free on workers of a pool, against all that is not more urgent.
+    /// Otherwise steps of the same priority that come earlier in order would take it again and again.
     pub fn set_ahead(&mut self, rank: Rank, shares: Vec<Share>, until_ms: u64, service: &str) {
-        self.set(rank, shares, until_ms);
+        self.book(rank, rank.first_of_priority(), shares, until_ms);
         if let Some(booking) = self.by_step.get_mut(&rank.step) {
             booking.ahead_in = Some(service.to_owned());
         }
@@ -99,6 +105,11 @@
         over.into_iter().flat_map(|step| self.release(step)).collect()
     }
 
+    /// The workers on which something is reserved for a step.
+    pub fn workers_of(&self, step: StepName) -> &[WorkerName] {
+        self.by_step.get(&step).map(|booking| booking.workers.as_slice()).unwrap_or_default()
+    }
+
     /// Whether something is reserved for a step.
     pub fn has(&self, step: StepName) -> bool {
         self.by_step.contains_key(&step)
@@ -110,7 +121,7 @@
             return Resources::ZERO;
         }
         let shares = self.by_worker.get(worker).map(Vec::as_slice).unwrap_or_default();
-        let earlier = shares.iter().filter(|(other, _)| other < rank);
+        let earlier = shares.iter().filter(|(other, _)| other < rank && other.step != rank.step);
         earlier.fold(Resources::ZERO, |sum, (_, room)| sum.plus(room))
     }
 }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -15,7 +15,7 @@
     news::Digest,
     outbox::After,
     place,
-    rank::{self, Rank},
+    rank::Rank,
     worker::{Phase, RunKey, Worker},
 };
 
@@ -26,12 +26,12 @@
 impl Leader {
     /// Places waiting tasks and asks for the advice that others need.
     pub(crate) fn schedule(&mut self, now: Now) {
-        let steps: Vec<StepName> = self.waiting.iter().map(|rank| rank.step).collect();
         for worker in self.reservations.expire(now.steady_ms) {
             self.news.free(&worker);
         }
         let news = self.news.take(now.steady_ms);
         self.tries_for_room = 0;
+        let steps: Vec<StepName> = self.waiting.iter().map(|rank| rank.step).collect();
         for step in steps {
             match self.scope(step, &news) {
                 Scope::Nothing => {}
@@ -42,6 +42,9 @@
                 self.ask_advice(step, now);
             }
         }
+        if news.all {
+            self.keep_room_ahead(now);
+        }
     }
 
     /// Which workers may have come into question for a step since it was last looked at.
@@ -96,7 +99,6 @@
                 self.tries_for_room += 1;
                 self.make_room(name, &plan, wanted, now);
             }
-            self.keep_ahead(name, &plan, wanted, now);
         }
         if plan.gang {
             if missing == 0 {
@@ -143,7 +145,7 @@
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
         let home = entry.home_of(plan);
         let need = place::need(plan);
-        let rank = rank::of_step(&entry.job, name);
+        let Some(rank) = self.rank_of(name) else { return Vec::new() };
         let is_host = |worker: &&Worker| {
             need.fits(&self.room_for(&rank, worker)) && self.could_start(worker, name, plan, now)
         };
--- a/lilacpass-lead/tests/placement.rs
+++ b/lilacpass-lead/tests/placement.rs
@@ -164,3 +164,23 @@
     }
     assert!(started_ms.is_some_and(|ms| ms < 9_000), "started after {started_ms:?} ms");
 }
+
+/// A report of low urgency waits for as long as a burst lasts, and longer: checks of the same priority that are
+/// late sooner come in all the time, and are always ahead of it.
+#[test]
+fn a_step_that_others_are_always_ahead_of_gets_its_turn() {
+    let mut world = World::new(3, 1, Resources::new(8_000, 1_000, 0, 0));
+    let patient = v1::QueuePolicy { objective_ms: 600_000, ..advised("report", 2, 170.0, 1.0) };
+    world.submit(1, plan(&[step(4, 2_000, 1_000)]), queue("check", 2));
+    world.run(100);
+    world.submit(2, plan(&[step(1, 4_000, 1_000)]), patient);
+    let begin_ms = world.now_ms;
+    let mut key = 10;
+    while running(&world, 2) == 0 && world.now_ms < begin_ms + 20_000 {
+        world.submit(key, plan(&[step(2, 2_000, 1_000)]), queue("check", 2));
+        key += 1;
+        world.run(300);
+    }
+    let waited_ms = world.now_ms - begin_ms;
+    assert!(waited_ms < 9_000, "started after {waited_ms} ms");
+}
