Ask for the next step's advice while a step ends

Hypothesis: in a slow store the second step of a job waits for one append more than it must, because its advice comes when the append with the end of the first is on its way. Change: when the first task of a step is done, advice is asked for the steps after it, where a call takes 50 ms or less.

--- a/lilacpass-lead/src/asking.rs
+++ b/lilacpass-lead/src/asking.rs
@@ -9,7 +9,7 @@
     advice::{self, Candidate},
     event::{Advice, Effect, Lane, Now},
     leader::Leader,
-    place,
+    place, rank,
     worker::Worker,
 };
 
@@ -22,6 +22,9 @@
 /// Room that is asked about beyond what the waiting tasks take, because others take some of it
 /// before the answer is there.
 const ASK_MARGIN: f64 = 1.5;
+/// Calls that take longer are not made before their step may start: tickets lapse after some 2 s, and the
+/// time of these calls is scarce.
+const MOST_AHEAD_MS: f64 = 50.0;
 /// Share of the time that a call takes at least which may be spent on workers that have no room now.
 const EXTRA_SHARE: f64 = 0.5;
 /// Fewest tasks that the workers asked about should hold.
@@ -35,6 +38,29 @@
 type Rated<'a> = (bool, place::Score, &'a WorkerName, u64);
 
 impl Leader {
+    /// Asks about the steps that wait for this one, of which a task is done, where that takes little time.
+    ///
+    /// Its other tasks end soon after. With tickets at hand by then, the end of this step and the starts of the
+    /// next are recorded together: in a store that takes 0.7 s for an append, a job of two steps is done that much
+    /// sooner.
+    pub(crate) fn ask_for_next_steps(&mut self, done: StepName, now: Now) {
+        let Some(entry) = self.jobs.get(&done.job) else { return };
+        let is_quick = entry.job.queue.advice.is_some_and(|policy| policy.base_ms <= MOST_AHEAD_MS);
+        if !is_quick || !self.lanes.any_idle() {
+            return;
+        }
+        let next: Vec<StepName> = entry
+            .job
+            .step_names()
+            .filter(|name| name.occurrence == done.occurrence)
+            .filter(|name| entry.job.step_plan(name.step).after.contains(&done.step))
+            .filter(|name| !self.advice.contains_key(name))
+            .collect();
+        for name in next {
+            self.ask_advice(name, now);
+        }
+    }
+
     /// Asks which workers may run a step, unless a call is under way, its time has not come, or there is
     /// nobody to ask about.
     pub(crate) fn ask_advice(&mut self, name: StepName, now: Now) {
@@ -138,7 +164,7 @@
         let home = entry.home_of(plan);
         let need = place::need(plan);
         let advice = self.advice.get(&name);
-        let Some(rank) = self.rank_of(name) else { return Vec::new() };
+        let rank = self.rank_of(name).unwrap_or_else(|| rank::of_step(&entry.job, name));
         let mut rated: Vec<Rated<'_>> = Vec::new();
         for worker in self.workers.values() {
             // What is cheap to tell comes first: in a full cell each waiting step goes through all workers.
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -357,7 +357,10 @@
         }
         match change {
             Change::JobEnded => self.job_ended(task.step.job, now),
-            Change::TaskDone => self.stop_copies(task, now),
+            Change::TaskDone => {
+                self.stop_copies(task, now);
+                self.ask_for_next_steps(task.step, now);
+            }
             Change::None | Change::Waiting => {}
         }
         if end.how != How::Done {
