Look at workers while their ends are being stored

Cause: a worker with an end that was not stored yet was not looked at until it was, or for 0.4 s; where an append takes 0.7 s, the ends of other tasks there were heard of that much later. Change: it is looked at again after 0.1 s, after up to 0.4 s in cells with many workers (300 such looks a second in all), and at once when its ends are stored. Ruled out: several appends under way at once. An append of 0.7 s is 0.3 s in the store's queue and 0.4 s on its way, so two at a time would save 0.2 s of the 4 s that a job takes then, and a refused one could no longer be taken back. The story fails with a pause of 0.4 s.

--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -18,6 +18,10 @@
 /// Longest pause between looks at a worker that does not answer, in units of the first pause.
 const MOST_RETRY_PAUSES: u64 = 4;
 
+/// Looks in a second at workers that list ends which are not noted yet, over all workers. Each costs the
+/// leader some 0.1 ms.
+const UNNOTED_LOOKS_A_SECOND: u64 = 300;
+
 impl Leader {
     pub(crate) fn on_looked(
         &mut self,
@@ -28,8 +32,6 @@
         now: Now,
     ) {
         let retry_ms = self.options.look_retry_ms;
-        let stuck_pause_ms = self.options.look_stuck_ms;
-        let stuck = self.outbox.stuck_ms(now.steady_ms) > stuck_pause_ms;
         let Some(worker) = self.workers.get_mut(name) else { return };
         if extra {
             worker.extra_look = false;
@@ -39,11 +41,12 @@
         match result {
             Ok(answer) => {
                 if !extra {
-                    // A look returns at once while there are ends that the worker may not forget.
-                    let pause_ms = if stuck { stuck_pause_ms } else { 0 };
-                    worker.look = Look::Due { at_ms: now.steady_ms + pause_ms };
+                    worker.look = Look::Due { at_ms: now.steady_ms };
                 }
                 self.on_look_answer(name, sent_ms, answer, now);
+                if !extra {
+                    self.pause_looks_until_noted(name, now);
+                }
             }
             Err(CallError::OtherLife) => self.life_over(name, now),
             Err(CallError::Refused(Refusal::Fence)) => self.effects.push(Effect::Deposed),
@@ -105,6 +108,18 @@
         }
     }
 
+    /// Puts the next look off if the worker lists ends that it may not forget yet: it would return at once.
+    /// Ends of other tasks are heard of by it all the same, where the store takes long to note the first.
+    fn pause_looks_until_noted(&mut self, name: &WorkerName, now: Now) {
+        let per_worker_ms = self.workers.len() as u64 * 1_000 / UNNOTED_LOOKS_A_SECOND;
+        let longest_ms = self.options.look_stuck_ms;
+        let pause_ms = per_worker_ms.clamp(self.options.look_unnoted_ms, longest_ms);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.seen_upto > worker.noted_upto && worker.look != Look::UnderWay {
+            worker.look = Look::Due { at_ms: now.steady_ms + pause_ms };
+        }
+    }
+
     /// Handles ends that are new, and lets the worker forget them once they are stored.
     fn note_ends(&mut self, name: &WorkerName, ends: Vec<EndRow>, now: Now) {
         let Some(worker) = self.workers.get_mut(name) else { return };
@@ -302,7 +317,6 @@
     /// Starts the looks that are due.
     pub(crate) fn plan_looks(&mut self, now: Now) {
         let may_extend = self.may_extend(now);
-        let stuck = self.outbox.stuck_ms(now.steady_ms) > self.options.look_stuck_ms;
         let options = &self.options;
         let (look_wait_ms, answer_ms) = if self.loss.is_lossy(now.steady_ms) {
             (options.look_wait_lossy_ms, options.look_answer_lossy_ms)
@@ -320,10 +334,6 @@
                 continue;
             }
             let unnoted = worker.seen_upto > worker.noted_upto;
-            if unnoted && !stuck {
-                // The look would return at once with ends that are handled already.
-                continue;
-            }
             // Without an answer a lease is not extended again, else silence would never let it lapse.
             let extend = may_extend && worker.failed_looks == 0;
             let lease_ms =
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -26,7 +26,10 @@
     pub look_answer_lossy_ms: u64,
     /// Pause after a look that failed, before the next.
     pub look_retry_ms: u64,
-    /// Pause between looks while ends can't be recorded because the store does not answer.
+    /// Shortest pause between looks at a worker whose ends are not recorded yet. A look brings the ends of
+    /// other tasks; an ordinary append takes 8 ms, a slow one 0.7 s.
+    pub look_unnoted_ms: u64,
+    /// The longest, for cells with many workers.
     pub look_stuck_ms: u64,
     /// Pause before a stop that got no answer is sent again.
     pub stop_retry_ms: u64,
@@ -58,6 +61,7 @@
             look_answer_ms: 400,
             look_answer_lossy_ms: 200,
             look_retry_ms: 250,
+            look_unnoted_ms: 100,
             look_stuck_ms: 400,
             stop_retry_ms: 400,
             avoid_ms: 1_000,
--- a/lilacpass-lead/src/recording.rs
+++ b/lilacpass-lead/src/recording.rs
@@ -20,6 +20,7 @@
                 After::Forget { worker, upto } => {
                     if let Some(worker) = self.workers.get_mut(&worker) {
                         worker.noted_upto = worker.noted_upto.max(upto);
+                        worker.look_at_once(now.steady_ms);
                     }
                 }
                 After::Show(key) => {
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -188,6 +188,13 @@
         }
     }
 
+    /// Makes the next look due now, unless one is under way or the worker does not answer.
+    pub fn look_at_once(&mut self, now_ms: u64) {
+        if self.failed_looks == 0 && self.look != Look::UnderWay {
+            self.look = Look::Due { at_ms: now_ms };
+        }
+    }
+
     /// What is free.
     pub fn room(&self) -> Resources {
         self.entry.capacity.minus(&self.used)
--- a/lilacpass-lead/tests/calls.rs
+++ b/lilacpass-lead/tests/calls.rs
@@ -407,3 +407,40 @@
     assert_eq!(again.len(), 1, "a draining worker's leases are short");
     assert_eq!(again[0].2, 2);
 }
+
+/// A check of several tasks is late while the store is slow: one task's end was being stored, and until that was
+/// done, most of a second, nobody looked whether the others on the worker had ended too.
+#[test]
+fn ends_are_heard_of_while_an_earlier_one_is_being_stored() {
+    let mut single = Single::new(&[WORKER]);
+    let started = starts(&single.submit(1, &[step(2, 1_000, 500)]));
+    let (first, second) = (started[0].1, started[1].1);
+    let end = |number, task| EndRow {
+        number,
+        task,
+        end: lilacpass_jobs::End { run: 1, how: How::Done, checkpoint: String::new() },
+    };
+    let looked = |now_ms: u64, ends: Vec<EndRow>| Event::Looked {
+        worker: WorkerName::from(WORKER),
+        sent_ms: now_ms,
+        extra: false,
+        result: Ok(LookAnswer { clock_ms: now_ms, running: Vec::new(), ends, remaining_ms: None }),
+    };
+    // From here on no append is answered.
+    single.leader.handle(looked(single.now_ms, vec![end(1, first)]), single.now());
+    single.leader.finish(single.now());
+    let is_look = |effect: &Effect| matches!(effect, Effect::Look { extra: false, .. });
+    let mut look_after_ms = None;
+    for after_ms in (50..=500).step_by(50) {
+        single.now_ms += 50;
+        single.leader.handle(Event::Tick, single.now());
+        if single.leader.finish(single.now()).iter().any(is_look) {
+            look_after_ms = Some(after_ms);
+            break;
+        }
+    }
+    assert!(look_after_ms.is_some_and(|ms| ms <= 150), "looked after {look_after_ms:?} ms");
+    single.leader.handle(looked(single.now_ms, vec![end(1, first), end(2, second)]), single.now());
+    let job = single.leader.explain(JobKey(1), single.now()).expect("the job is known");
+    assert_eq!(job.outcome, "completed");
+}
