Split the ends of runs and the order of waiting steps from the leader

Change: waiting.rs holds the three as one; ends.rs has what follows when a run or a job ends. Ruled out: none; a tidying. All tests of lilacpass-lead pass.

--- a/lilacpass-lead/src/ahead.rs
+++ b/lilacpass-lead/src/ahead.rs
@@ -35,15 +35,7 @@
     /// By waiting time and not by order: in an overload the first in order change all the time, and the last
     /// would never have a turn.
     pub(crate) fn keep_room_ahead(&mut self, now: Now) {
-        let waited_long = |since_ms: u64| since_ms + WAITED_MS <= now.steady_ms;
-        let mut starved: Vec<(u64, StepName)> = self
-            .waits_since
-            .iter()
-            .filter(|(name, since_ms)| waited_long(**since_ms) && !self.reservations.has(**name))
-            .map(|(name, since_ms)| (*since_ms, *name))
-            .collect();
-        starved.sort_unstable();
-        for (_, name) in starved {
+        for name in self.waiting.since(now.steady_ms.saturating_sub(WAITED_MS)) {
             self.keep_ahead(name, now);
         }
     }
@@ -51,8 +43,11 @@
     /// Keeps the next room that can hold a task of a step (all that wait, for a gang), if few others have
     /// room kept ahead.
     fn keep_ahead(&mut self, name: StepName, now: Now) {
+        if self.reservations.has(name) {
+            return;
+        }
         let Some(entry) = self.jobs.get(&name.job) else { return };
-        let Some(rank) = self.rank_of(name) else { return };
+        let Some(rank) = self.waiting.rank_of(name) else { return };
         let plan = entry.job.step_plan(name.step);
         let service = &entry.job.queue.service;
         let pool = self.pool_sizes.get(service).copied().unwrap_or(0);
--- a/lilacpass-lead/src/asking.rs
+++ b/lilacpass-lead/src/asking.rs
@@ -41,8 +41,7 @@
     /// Asks about the steps that wait for this one, of which a task is done, where that takes little time.
     ///
     /// Its other tasks end soon after. With tickets at hand by then, the end of this step and the starts of the
-    /// next are recorded together: in a store that takes 0.7 s for an append, a job of two steps is done that much
-    /// sooner.
+    /// next are recorded together.
     pub(crate) fn ask_for_next_steps(&mut self, done: StepName, now: Now) {
         let Some(entry) = self.jobs.get(&done.job) else { return };
         let is_quick = entry.job.queue.advice.is_some_and(|policy| policy.base_ms <= MOST_AHEAD_MS);
@@ -164,7 +163,7 @@
         let home = entry.home_of(plan);
         let need = place::need(plan);
         let advice = self.advice.get(&name);
-        let rank = self.rank_of(name).unwrap_or_else(|| rank::of_step(&entry.job, name));
+        let rank = self.waiting.rank_of(name).unwrap_or_else(|| rank::of_step(&entry.job, name));
         let mut rated: Vec<Rated<'_>> = Vec::new();
         for worker in self.workers.values() {
             // What is cheap to tell comes first: in a full cell each waiting step goes through all workers.
--- /dev/null
+++ b/lilacpass-lead/src/ends.rs
@@ -0,0 +1,94 @@
+//! What follows when a run or a job ends.
+
+use lilacpass_jobs::{End, How, JobKey, TaskName, WorkerName, job::Change};
+
+use crate::{event::Now, leader::Leader, outbox::After, worker::RunKey};
+
+impl Leader {
+    /// Takes note that a run has ended on a worker, and of what follows for its job.
+    pub(crate) fn end_run(&mut self, worker_name: &WorkerName, key: RunKey, end: &End, now: Now) {
+        let (task, run) = key;
+        if let Some(worker) = self.workers.get_mut(worker_name) {
+            worker.take(key);
+            self.news.free(worker_name);
+        }
+        let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
+        let change = entry.job.end_run(task, worker_name, end, now.unix_ms);
+        let outcome = entry.job.outcome;
+        log::info!(
+            how:% = end.how, job = outcome.as_str(), task:% = task, run, worker:% = worker_name;
+            "run ended"
+        );
+        if change == Change::None {
+            return;
+        }
+        if end.how != How::Void {
+            self.outbox.waiting.states.insert(task.step.job);
+        }
+        match change {
+            Change::JobEnded => self.job_ended(task.step.job, now),
+            Change::TaskDone => {
+                self.stop_copies(task, now);
+                self.ask_for_next_steps(task.step, now);
+            }
+            Change::None | Change::Waiting => {}
+        }
+        if end.how != How::Done {
+            self.stop_gang_run(task, run, now);
+        }
+        self.reindex(task.step.job, now);
+    }
+
+    /// Stops the other members of a gang whose run has lost one. They would wait for it in vain,
+    /// for seconds, and hold their room.
+    fn stop_gang_run(&mut self, lost: TaskName, run: u32, now: Now) {
+        let Some(entry) = self.jobs.get(&lost.step.job) else { return };
+        if !entry.job.step_plan(lost.step.step).gang {
+            return;
+        }
+        let members: Vec<(TaskName, WorkerName)> = entry
+            .job
+            .task_names(lost.step)
+            .filter_map(|task| Some((task, entry.job.task(task)?.run(run)?.worker.clone())))
+            .collect();
+        for (task, worker) in members {
+            self.stop_run(&worker, (task, run), now);
+        }
+    }
+
+    /// A job has come to its outcome: shows it once it is stored, and stops what still runs.
+    pub(crate) fn job_ended(&mut self, key: JobKey, now: Now) {
+        self.outbox.waiting.states.insert(key);
+        self.outbox.then(After::Show(key));
+        self.stop_job(key, now);
+        self.reindex(key, now);
+        self.forget_steps(key);
+    }
+
+    /// Forgets what was prepared for the steps of a job.
+    pub(crate) fn forget_steps(&mut self, key: JobKey) {
+        self.advice.retain(|step, _| step.job != key);
+        for worker in self.reservations.release_job(key) {
+            self.news.free(&worker);
+        }
+    }
+
+    pub(crate) fn stop_job(&mut self, key: JobKey, now: Now) {
+        let live = self.jobs.get(&key).map(|entry| entry.job.live_runs()).unwrap_or_default();
+        for (task, run) in live {
+            self.stop_run(&run.worker, (task, run.number), now);
+        }
+    }
+
+    fn stop_copies(&mut self, task: TaskName, now: Now) {
+        let runs = self
+            .jobs
+            .get(&task.step.job)
+            .and_then(|entry| entry.job.task(task))
+            .map(|task| task.runs.clone())
+            .unwrap_or_default();
+        for run in runs {
+            self.stop_run(&run.worker, (task, run.number), now);
+        }
+    }
+}
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::{End, How, Job, JobKey, Outcome, StepName, TaskName, WorkerName, job::Change};
+use lilacpass_jobs::{Job, JobKey, Outcome, StepName, TaskName, WorkerName};
 
 use lilacpass_schema::v1;
 
@@ -13,11 +13,11 @@
     loss::LossMeter,
     news::News,
     options::{self, Options},
-    outbox::{After, Outbox},
-    place,
-    rank::{self, Rank},
+    outbox::Outbox,
+    place, rank,
     reserve::Reservations,
-    worker::{Look, Phase, RunKey, Worker},
+    waiting::Waiting,
+    worker::{Look, Phase, Worker},
 };
 
 /// A job and what is stored and shown of it.
@@ -78,11 +78,7 @@
     pub(crate) outbox: Outbox,
     pub(crate) advice: HashMap<StepName, StepAdvice>,
     pub(crate) lanes: Lanes,
-    /// Steps with tasks that may start, in the order in which they get room.
-    pub(crate) waiting: BTreeSet<Rank>,
-    ranks: HashMap<StepName, Rank>,
-    /// When a step began to wait, or was last given a run, on the steady clock.
-    pub(crate) waits_since: HashMap<StepName, u64>,
+    pub(crate) waiting: Waiting,
     pub(crate) reservations: Reservations,
     /// Steps for which room was looked for by preemption in this round.
     pub(crate) tries_for_room: u32,
@@ -130,9 +126,7 @@
             outbox: Outbox::default(),
             advice: HashMap::new(),
             lanes: Lanes::default(),
-            waiting: BTreeSet::new(),
-            ranks: HashMap::new(),
-            waits_since: HashMap::new(),
+            waiting: Waiting::default(),
             reservations: Reservations::default(),
             tries_for_room: 0,
             news: News::default(),
@@ -310,16 +304,11 @@
                 }
             });
             if waits && job.step_may_start(name, now.unix_ms) {
-                let rank = *self.ranks.entry(name).or_insert_with(|| rank::of_step(job, name));
-                self.waiting.insert(rank);
-                self.waits_since.entry(name).or_insert(now.steady_ms);
+                self.waiting.add(name, now.steady_ms, || rank::of_step(job, name));
                 self.news.change(name);
                 continue;
             }
-            self.waits_since.remove(&name);
-            if let Some(rank) = self.ranks.remove(&name) {
-                self.waiting.remove(&rank);
-            }
+            self.waiting.remove(name);
             let due_ms = job.due_ms(name.occurrence);
             if waits && job.outcome == Outcome::Open && due_ms > now.unix_ms {
                 next_due_ms = Some(next_due_ms.map_or(due_ms, |ms: u64| ms.min(due_ms)));
@@ -330,98 +319,6 @@
         }
     }
 
-    /// The place of a waiting step.
-    pub(crate) fn rank_of(&self, name: StepName) -> Option<Rank> {
-        self.ranks.get(&name).copied()
-    }
-
-    /// Takes note that a run has ended on a worker, and of what follows for its job.
-    pub(crate) fn end_run(&mut self, worker_name: &WorkerName, key: RunKey, end: &End, now: Now) {
-        let (task, run) = key;
-        if let Some(worker) = self.workers.get_mut(worker_name) {
-            worker.take(key);
-            self.news.free(worker_name);
-        }
-        let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
-        let change = entry.job.end_run(task, worker_name, end, now.unix_ms);
-        let outcome = entry.job.outcome;
-        log::info!(
-            how:% = end.how, job = outcome.as_str(), task:% = task, run, worker:% = worker_name;
-            "run ended"
-        );
-        if change == Change::None {
-            return;
-        }
-        if end.how != How::Void {
-            self.outbox.waiting.states.insert(task.step.job);
-        }
-        match change {
-            Change::JobEnded => self.job_ended(task.step.job, now),
-            Change::TaskDone => {
-                self.stop_copies(task, now);
-                self.ask_for_next_steps(task.step, now);
-            }
-            Change::None | Change::Waiting => {}
-        }
-        if end.how != How::Done {
-            self.stop_gang_run(task, run, now);
-        }
-        self.reindex(task.step.job, now);
-    }
-
-    /// Stops the other members of a gang whose run has lost one. They would wait for it in vain,
-    /// for seconds, and hold their room.
-    fn stop_gang_run(&mut self, lost: TaskName, run: u32, now: Now) {
-        let Some(entry) = self.jobs.get(&lost.step.job) else { return };
-        if !entry.job.step_plan(lost.step.step).gang {
-            return;
-        }
-        let members: Vec<(TaskName, WorkerName)> = entry
-            .job
-            .task_names(lost.step)
-            .filter_map(|task| Some((task, entry.job.task(task)?.run(run)?.worker.clone())))
-            .collect();
-        for (task, worker) in members {
-            self.stop_run(&worker, (task, run), now);
-        }
-    }
-
-    /// A job has come to its outcome: shows it once it is stored, and stops what still runs.
-    pub(crate) fn job_ended(&mut self, key: JobKey, now: Now) {
-        self.outbox.waiting.states.insert(key);
-        self.outbox.then(After::Show(key));
-        self.stop_job(key, now);
-        self.reindex(key, now);
-        self.forget_steps(key);
-    }
-
-    /// Forgets what was prepared for the steps of a job.
-    pub(crate) fn forget_steps(&mut self, key: JobKey) {
-        self.advice.retain(|step, _| step.job != key);
-        for worker in self.reservations.release_job(key) {
-            self.news.free(&worker);
-        }
-    }
-
-    pub(crate) fn stop_job(&mut self, key: JobKey, now: Now) {
-        let live = self.jobs.get(&key).map(|entry| entry.job.live_runs()).unwrap_or_default();
-        for (task, run) in live {
-            self.stop_run(&run.worker, (task, run.number), now);
-        }
-    }
-
-    fn stop_copies(&mut self, task: TaskName, now: Now) {
-        let runs = self
-            .jobs
-            .get(&task.step.job)
-            .and_then(|entry| entry.job.task(task))
-            .map(|task| task.runs.clone())
-            .unwrap_or_default();
-        for run in runs {
-            self.stop_run(&run.worker, (task, run.number), now);
-        }
-    }
-
     /// What a run of a task takes; nothing where the task is not known.
     pub(crate) fn need_of(&self, task: TaskName) -> Resources {
         let Some(entry) = self.jobs.get(&task.step.job) else { return Resources::ZERO };
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod ahead;
 pub mod asking;
 pub mod asks;
+pub mod ends;
 pub mod event;
 pub mod health;
 pub mod holds;
@@ -33,6 +34,7 @@
 pub mod reserve;
 pub mod schedule;
 pub mod starts;
+pub mod waiting;
 pub mod worker;
 
 pub use event::{Effect, Event, Now};
--- a/lilacpass-lead/src/preempt.rs
+++ b/lilacpass-lead/src/preempt.rs
@@ -59,7 +59,7 @@
         if self.reservations.has(name) || !self.may_preempt_any(name) {
             return;
         }
-        let Some(rank) = self.rank_of(name) else { return };
+        let Some(rank) = self.waiting.rank_of(name) else { return };
         let need = place::need(plan);
         let mut offers = self.offers(name, plan, &rank, waiting, now);
         offers.sort_by_key(|offer| offer.stops.len());
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -31,8 +31,7 @@
         }
         let news = self.news.take(now.steady_ms);
         self.tries_for_room = 0;
-        let steps: Vec<StepName> = self.waiting.iter().map(|rank| rank.step).collect();
-        for step in steps {
+        for step in self.waiting.in_order() {
             match self.scope(step, &news) {
                 Scope::Nothing => {}
                 Scope::All => self.place_step(step, None, now),
@@ -145,7 +144,7 @@
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
         let home = entry.home_of(plan);
         let need = place::need(plan);
-        let Some(rank) = self.rank_of(name) else { return Vec::new() };
+        let Some(rank) = self.waiting.rank_of(name) else { return Vec::new() };
         let is_host = |worker: &&Worker| {
             need.fits(&self.room_for(&rank, worker)) && self.could_start(worker, name, plan, now)
         };
@@ -278,7 +277,7 @@
     fn record_start(&mut self, task: TaskName, run: u32, name: WorkerName, now: Now) {
         let need = self.need_of(task);
         self.reservations.used(task.step, &name, &need);
-        self.waits_since.insert(task.step, now.steady_ms);
+        self.waiting.note_start(task.step, now.steady_ms);
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.give((task, run), need, Phase::Recording);
         }
