Let no queue hold all lanes for slow calls for advice

Ruled out: its place in the order, since no lane was free for it at all. Change: a queue may have two thirds of the lanes for slow calls; a queue at its limit does not look for workers.

--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -14,6 +14,10 @@
 const SLOW_CALL_MS: u64 = 120;
 /// One lane in so many is kept for quick calls. Quick calls need about a third of the time of all.
 const QUICK_LANE_IN: usize = 3;
+/// Share of the lanes for slow calls that one queue may hold, in percent. Where its steps find no room, each asks
+/// again as soon as its tickets have lapsed; sixty of them held all lanes for seven seconds, and a step of
+/// another queue stood still beside free workers.
+const QUEUE_LANES_PERCENT: usize = 67;
 /// Pause after a call for advice that failed, before the next for the same step.
 const RETRY_MS: u64 = 200;
 
@@ -131,10 +135,14 @@
     lanes: BTreeMap<Lane, LaneState>,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 enum LaneState {
     Idle,
-    Busy,
+    Busy {
+        /// Whose step is asked about.
+        queue: String,
+        is_slow: bool,
+    },
 }
 
 impl Lanes {
@@ -144,23 +152,43 @@
         self.lanes = lanes
             .into_iter()
             .map(|lane| {
-                let state = old.get(&lane).copied().unwrap_or(LaneState::Idle);
+                let state = old.get(&lane).cloned().unwrap_or(LaneState::Idle);
                 (lane, state)
             })
             .collect();
     }
 
-    /// Takes an idle lane for a call that takes about `expected_ms`.
-    pub fn take(&mut self, expected_ms: u64) -> Option<Lane> {
+    /// Takes an idle lane for a call about a step of a queue that takes about `expected_ms`.
+    pub fn take(&mut self, queue: &str, expected_ms: u64) -> Option<Lane> {
+        if !self.may_call(queue, expected_ms) {
+            return None;
+        }
+        let is_slow = expected_ms > SLOW_CALL_MS;
         let kept_for_quick = self.lanes.len() / QUICK_LANE_IN;
-        let skipped = if expected_ms > SLOW_CALL_MS { kept_for_quick } else { 0 };
+        let skipped = if is_slow { kept_for_quick } else { 0 };
         let idle =
             self.lanes.iter_mut().skip(skipped).find(|(_, state)| **state == LaneState::Idle);
         let (lane, state) = idle?;
-        *state = LaneState::Busy;
+        *state = LaneState::Busy { queue: queue.to_owned(), is_slow };
         Some(lane.clone())
     }
 
+    /// Whether a queue may make one more call that takes so long, if a lane is idle.
+    pub fn may_call(&self, queue: &str, expected_ms: u64) -> bool {
+        expected_ms <= SLOW_CALL_MS || self.slow_calls_of(queue) < self.most_slow_calls()
+    }
+
+    fn slow_calls_of(&self, asking: &str) -> usize {
+        let is_such = |state: &&LaneState| matches!(state, LaneState::Busy { queue, is_slow: true } if queue == asking);
+        self.lanes.values().filter(is_such).count()
+    }
+
+    /// How many slow calls about steps of one queue may be under way.
+    fn most_slow_calls(&self) -> usize {
+        let open_to_slow = self.lanes.len() - self.lanes.len() / QUICK_LANE_IN;
+        (open_to_slow * QUEUE_LANES_PERCENT / 100).max(1)
+    }
+
     /// Gives a lane back.
     pub fn give_back(&mut self, lane: &Lane) {
         if let Some(state) = self.lanes.get_mut(lane) {
@@ -170,6 +198,6 @@
 
     /// Whether any lane is idle.
     pub fn any_idle(&self) -> bool {
-        self.lanes.values().any(|&state| state == LaneState::Idle)
+        self.lanes.values().any(|state| *state == LaneState::Idle)
     }
 }
--- a/lilacpass-lead/src/asking.rs
+++ b/lilacpass-lead/src/asking.rs
@@ -70,6 +70,9 @@
             return;
         }
         let plan = entry.job.step_plan(name.step).clone();
+        if !self.lanes.may_call(&entry.job.queue.name, policy.base_ms as u64) {
+            return;
+        }
         let waiting = entry.job.task_names(name).filter(|t| entry.wants_run(*t)).count() as u64;
         if waiting == 0 {
             return;
@@ -93,7 +96,7 @@
             workers.extend(self.unknown_workers(name, &plan, &workers, extra_workers(&policy)));
         }
         let expected_ms = (policy.base_ms + policy.per_worker_ms * workers.len() as f64) as u64;
-        let Some(lane) = self.lanes.take(expected_ms) else { return };
+        let Some(lane) = self.lanes.take(&entry.job.queue.name, expected_ms) else { return };
         self.advice.entry(name).or_default().asking = true;
         log::info!(
             step:% = name, waiting, workers = workers.len(), candidates = candidates.len(),
--- a/lilacpass-lead/tests/fuzz.rs
+++ b/lilacpass-lead/tests/fuzz.rs
@@ -81,7 +81,7 @@
 fn some_plan(who: u8, much: u8) -> v1::WorkPlan {
     let wide = step(1 + u32::from(much) % 5, 500 + u32::from(who) * 10, 300 + u32::from(much) * 10);
     // Work that saves its progress may be stopped for more urgent work.
-    let wide = v1::WorkStep { checkpointing: much % 2 == 0, ..wide };
+    let wide = v1::WorkStep { checkpointing: much.is_multiple_of(2), ..wide };
     let gang = v1::WorkStep { gang: true, ..step(2, 2_000, 400) };
     match who % 3 {
         0 => plan(&[wide]),
