Say whom a reservation keeps out

Cause: read once more, the page of the module said that a reservation keeps out only later steps; since room is kept ahead by waiting time, such a one keeps out all of its priority. Ruled out: the pairs that look alike (constants and doc comments of other crates) share no logic.

--- a/lilacpass-lead/src/ahead.rs
+++ b/lilacpass-lead/src/ahead.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: a full pool of small tasks, each of which is replaced as it ends. Room for a task that needs
 //! most of a worker never comes together, nor does it for a step that may run on one worker only. Such a
-//! step gets the worker on which it comes first, and later ones keep off.
+//! step gets the worker on which it comes first, and all that is not more urgent keeps off.
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::{StepName, WorkerName};
--- a/lilacpass-lead/src/reserve.rs
+++ b/lilacpass-lead/src/reserve.rs
@@ -3,8 +3,8 @@
 //! Load pattern: a full pool, in which room falls free in small parts. What several parts together would
 //! hold never starts, because each part goes to a small task at once.
 //!
-//! A reservation keeps out only the steps that come later in the order, so an urgent step is never
-//! held up by one that can wait.
+//! A reservation keeps out the steps that come later in the order. One that is kept ahead, for a step that has
+//! waited for long, keeps out all of its own priority too. A more urgent step is never held up by either.
 
 use std::collections::{BTreeMap, HashMap};
 
