Tests that fail: a large desired state does not come over a thin link

An answer to a greeting carries all of it (936,664 bytes in the test) to each instance that does not have it, and counts as unanswered after 250 ms; a read of the newest record is given up after 0.7 s and begun anew, and takes 0.82 s over 10 Mbit/s. Both together keep the link full, so neither ever ends. The stand-in's instances take the address of the store, so that a link can lie between.

--- a/lilacpass-node/tests/cluster/mod.rs
+++ b/lilacpass-node/tests/cluster/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub mod link;
+
 use std::{env, fs, path::Path, rc::Rc};
 
 use lilacpass_core::Resources;
@@ -12,6 +14,8 @@
 };
 use tokio::{runtime, task::LocalSet};
 
+use link::Link;
+
 /// Workers of the cell.
 const WORKERS: usize = 2;
 
@@ -19,25 +23,53 @@
 pub struct Cluster {
     pub cell: Rc<Cell>,
     pub instances: Vec<Instance>,
+    /// The link of each instance to the store.
+    pub links: Vec<Rc<Link>>,
     pub callers: Callers,
 }
 
+/// What sets one instance of a cluster apart from the others.
+#[derive(Clone, Copy)]
+pub struct Member {
+    /// Part of a core that it is told it may use.
+    pub cpu_share: f64,
+    /// What its link to the store carries.
+    pub bytes_a_second: u64,
+}
+
+impl Member {
+    /// An instance with a link that is never full.
+    pub fn with_cpu(cpu_share: f64) -> Self {
+        Self { cpu_share, bytes_a_second: 125_000_000 }
+    }
+}
+
 impl Cluster {
-    /// One instance for each share of a core, from `first_port` on.
-    fn new(first_port: u16, cpu_shares: &[f64], folder: &Path) -> Self {
+    /// One instance for each member, from `first_port` on.
+    fn new(first_port: u16, members: &[Member], folder: &Path) -> Self {
         let program = Path::new(env!("CARGO_BIN_EXE_lilacpass-node"));
         let resources = Resources::new(16_000, 65_536, 0, 0);
         let cell = Cell::serve(first_port, WORKERS, resources).expect("a cell");
         cell.publish("config", &load::desired_state(1));
-        let port = first_port + 2 + WORKERS as u16;
+        let link_port = first_port + 2 + WORKERS as u16;
+        let links: Vec<Rc<Link>> = (link_port..)
+            .zip(members)
+            .map(|(port, member)| Link::open(port, &cell.store_address, member.bytes_a_second))
+            .collect();
+        let port = link_port + members.len() as u16;
         let instances: Vec<Instance> = (0..)
-            .zip(cpu_shares)
-            .map(|(number, &cpu_share)| Spec { number, cpu_share })
+            .zip(members)
+            .zip(&links)
+            .map(|((number, member), link)| Spec {
+                number,
+                cpu_share: member.cpu_share,
+                store_address: link.address.clone(),
+            })
             .map(|spec| Instance::new(spec, port, &cell, program, folder).expect("an instance"))
             .collect();
         let addresses = instances.iter().map(|i| i.callers_address.clone()).collect();
         let callers = Callers::new(addresses, cell.clone());
-        Self { cell, instances, callers }
+        Self { cell, instances, links, callers }
     }
 
     /// Where operators and other instances reach the instances.
@@ -46,14 +78,20 @@
     }
 }
 
-/// Plays a test on a cluster.
+/// Plays a test on a cluster of one instance for each share of a core.
 pub fn play(first_port: u16, cpu_shares: &[f64], test: impl AsyncFnOnce(Cluster)) {
+    let members: Vec<Member> = cpu_shares.iter().copied().map(Member::with_cpu).collect();
+    play_members(first_port, &members, test);
+}
+
+/// Plays a test on a cluster of such instances.
+pub fn play_members(first_port: u16, members: &[Member], test: impl AsyncFnOnce(Cluster)) {
     let name = format!("lilacpass-cluster-{}-{first_port}", std::process::id());
     let folder = env::temp_dir().join(name);
     fs::create_dir_all(&folder).expect("a folder");
     let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
-        test(Cluster::new(first_port, cpu_shares, &folder)).await;
+        test(Cluster::new(first_port, members, &folder)).await;
     });
     fs::remove_dir_all(&folder).expect("removed");
 }
