Say when greetings go unanswered and the desired state can't be read

Cause: the logs of the incident showed refusals for want of a leader and full links, but not which calls failed: reads of the desired state and greetings failed on lines of level debug, which are not written. Change: one line when either begins to fail and one when it ends to; counters of both by outcome, the version in force as a gauge, the bytes of a desired state in its line.

--- a/lilacpass-node/src/desired_watch.rs
+++ b/lilacpass-node/src/desired_watch.rs
@@ -5,11 +5,12 @@
 use bytes::Bytes;
 use lilacpass_platform::{
     desired,
+    error::Result,
     store::{Partition, Placed, Read},
 };
 use tokio::time;
 
-use crate::node::Node;
+use crate::{clock, metrics, node::Node};
 
 /// How long a read waits for a change. Bounds how long a connection that has gone silent hides one,
 /// together with the timeout below; the platform allows 2 s for a change to be in force.
@@ -23,47 +24,58 @@
 pub async fn run(node: Rc<Node>) {
     let partition = Partition::of_platform(desired::TOPIC);
     let mut next = None;
+    let mut failing_since_ms = None;
     loop {
-        next = match next {
-            None => newest(&node, &partition).await,
+        let result = match next {
+            None => newest(&node, &partition).await.map(Some),
             Some(from) => read(&node, &partition, from).await,
         };
+        node.metrics.desired_read("store", metrics::outcome(&result));
+        note_failing(&mut failing_since_ms, &result);
+        next = result.ok().flatten();
         if next.is_none() {
             time::sleep(RETRY).await;
         }
     }
 }
 
-/// Takes in the newest desired state. Returns where to read on.
-async fn newest(node: &Node, partition: &Partition) -> Option<u64> {
-    match node.store.newest(partition, None, TIMEOUT).await {
-        Ok(page) => {
-            node.store_heard();
-            page.records.iter().for_each(|placed| take_in(node, placed));
-            Some(page.end)
+/// Writes a line when reads begin to fail, and one when they end to.
+fn note_failing<T>(failing_since_ms: &mut Option<u64>, result: &Result<T>) {
+    let now_ms = clock::now().steady_ms;
+    match result {
+        Ok(_) => {
+            if let Some(since_ms) = failing_since_ms.take() {
+                let failed_ms = now_ms.saturating_sub(since_ms);
+                log::info!(failed_ms; "desired state can be read again");
+            }
         }
-        Err(err) => {
-            log::debug!(error:% = err; "desired state can't be read");
-            None
+        Err(err) if failing_since_ms.is_none() => {
+            *failing_since_ms = Some(now_ms);
+            log::info!(error:% = err; "desired state can't be read");
         }
+        Err(_) => {}
     }
 }
 
+/// Takes in the newest desired state. Returns where to read on.
+async fn newest(node: &Node, partition: &Partition) -> Result<u64> {
+    let page = node.store.newest(partition, None, TIMEOUT).await?;
+    node.store_heard();
+    page.records.iter().for_each(|placed| take_in(node, placed));
+    Ok(page.end)
+}
+
 /// Takes in changes from a place on. Returns where to read on; none to begin anew.
-async fn read(node: &Node, partition: &Partition, from: u64) -> Option<u64> {
-    match node.store.read(partition, from, WAIT, TIMEOUT).await {
-        Ok(Read::Records { records, end }) => {
+async fn read(node: &Node, partition: &Partition, from: u64) -> Result<Option<u64>> {
+    match node.store.read(partition, from, WAIT, TIMEOUT).await? {
+        Read::Records { records, end } => {
             node.store_heard();
             records.iter().for_each(|placed| take_in(node, placed));
             let next = records.last().map_or(from, |placed| placed.offset + 1);
             // A store that has lost its history may end before the place that we know.
-            Some(next.min(end.max(from)))
-        }
-        Ok(Read::Gone) => None,
-        Err(err) => {
-            log::debug!(error:% = err; "desired state can't be followed");
-            None
+            Ok(Some(next.min(end.max(from))))
         }
+        Read::Gone => Ok(None),
     }
 }
 
--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -17,7 +17,7 @@
 use rand::{RngExt, seq::IteratorRandom};
 use tokio::time::{self, Instant};
 
-use crate::{clock, leading, node::Node, peers, takeover};
+use crate::{clock, leading, metrics, node::Node, peers, takeover};
 
 /// Time between greetings to the leader.
 const HELLO_INTERVAL: Duration = Duration::from_millis(200);
@@ -126,7 +126,10 @@
         // A former life of this instance led.
         return Greeting::NotLeading;
     }
-    match peers::hello(node, address, HELLO_TIMEOUT).await {
+    let result = peers::hello(node, address, HELLO_TIMEOUT).await;
+    node.metrics.greeting(metrics::outcome(&result));
+    note_silence(node, address, &result);
+    match result {
         Ok(reply) if reply.leads => {
             node.leader_heard_ms.set(clock::now().steady_ms);
             node.cut_off.set(false);
@@ -146,6 +149,18 @@
     }
 }
 
+/// Writes a line when greetings begin to go unanswered, and one when they are answered again.
+fn note_silence<T>(node: &Node, address: &str, result: &Result<T, Error>) {
+    let is_silent = result.is_err();
+    if node.leader_is_silent.replace(is_silent) == is_silent {
+        return;
+    }
+    match result {
+        Ok(_) => log::info!(leader = address; "greetings are answered again"),
+        Err(err) => log::info!(leader = address, error:% = err; "greeting is not answered"),
+    }
+}
+
 /// Takes over if the leader is not renewed for `watch`.
 async fn contest(node: &Rc<Node>, watch: Duration) {
     let partition = takeover::lead_partition();
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -34,6 +34,9 @@
     append_seconds: Histogram<f64>,
     appends: Counter<u64>,
     advice: Counter<u64>,
+    greetings: Counter<u64>,
+    desired_reads: Counter<u64>,
+    desired_version: Gauge<u64>,
     takeovers: Counter<u64>,
     leads: Gauge<u64>,
     dropped_lines: Gauge<u64>,
@@ -72,6 +75,9 @@
             append_seconds: seconds("lilacpass_append_seconds"),
             appends: meter.u64_counter("lilacpass_appends").build(),
             advice: meter.u64_counter("lilacpass_advice_calls").build(),
+            greetings: meter.u64_counter("lilacpass_greetings").build(),
+            desired_reads: meter.u64_counter("lilacpass_desired_reads").build(),
+            desired_version: meter.u64_gauge("lilacpass_desired_version").build(),
             takeovers: meter.u64_counter("lilacpass_takeovers").build(),
             leads: meter.u64_gauge("lilacpass_leads").build(),
             dropped_lines: meter.u64_gauge("lilacpass_dropped_log_lines").build(),
@@ -105,6 +111,22 @@
         self.advice.add(1, &[KeyValue::new("outcome", outcome)]);
     }
 
+    /// A greeting to the leader has ended.
+    pub fn greeting(&self, outcome: &'static str) {
+        self.greetings.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A read of the desired state has ended. `source` is the store or another instance.
+    pub fn desired_read(&self, source: &'static str, outcome: &'static str) {
+        let source = KeyValue::new("source", source);
+        self.desired_reads.add(1, &[source, KeyValue::new("outcome", outcome)]);
+    }
+
+    /// A desired state was taken in.
+    pub fn desired_version(&self, version: u64) {
+        self.desired_version.record(version, &[]);
+    }
+
     /// This instance took over.
     pub fn took_over(&self) {
         self.takeovers.add(1, &[]);
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -92,6 +92,8 @@
     pub lead: RefCell<Option<LeadHandle>>,
     /// When the leader last answered, on the steady clock.
     pub leader_heard_ms: Cell<u64>,
+    /// The last greeting to the leader was not answered.
+    pub leader_is_silent: Cell<bool>,
     /// Neither the leader nor the store answers this instance: nobody can take over that it would hear
     /// of soon.
     pub cut_off: Cell<bool>,
@@ -141,6 +143,7 @@
             leader: watch::Sender::new(LeaderView::default()),
             lead: RefCell::new(None),
             leader_heard_ms: Cell::new(0),
+            leader_is_silent: Cell::new(false),
             cut_off: Cell::new(false),
             told_ready: Cell::new(false),
             leader_store_reachable: Cell::new(true),
@@ -231,7 +234,11 @@
         if desired.version <= self.desired_version() {
             return;
         }
-        log::info!(version = desired.version, queues = desired.queues.len(), source; "desired state");
+        log::info!(
+            version = desired.version, queues = desired.queues.len(), bytes = bytes.len(), source;
+            "desired state"
+        );
+        self.metrics.desired_version(desired.version);
         *self.desired.borrow_mut() = Some(Rc::new(Published { desired, bytes }));
     }
 
