Wait for a read of the store as long as it goes on arriving

Cause: reads of the desired state had a limit of 0.7 s for the whole answer, and 1.7 s with the wait for a change; what is larger than the link carries in that time never arrives, and each try begins at nothing. 1,030 KB take 0.82 s over 10 Mbit/s. After a failed read the newest record of each key was asked for, which comes as text a third longer. Ruled out: a longer limit, which only moves the size at which it fails; smaller records, which are not ours. After a failed read the place is kept.

--- a/lilacpass-node/src/desired_watch.rs
+++ b/lilacpass-node/src/desired_watch.rs
@@ -15,7 +15,8 @@
 /// How long a read waits for a change. Bounds how long a connection that has gone silent hides one,
 /// together with the timeout below; the platform allows 2 s for a change to be in force.
 const WAIT: Duration = Duration::from_millis(1_000);
-/// How long the store may take beyond the wait. Its slowest answers take 0.6 s.
+/// How long the store may take to begin its answer beyond the wait, and may pause within it. Its slowest
+/// answers take 0.6 s.
 const TIMEOUT: Duration = Duration::from_millis(700);
 /// Pause after a failed read.
 const RETRY: Duration = Duration::from_millis(200);
@@ -32,8 +33,12 @@
         };
         node.metrics.desired_read("store", metrics::outcome(&result));
         note_failing(&mut failing_since_ms, &result);
-        next = result.ok().flatten();
-        if next.is_none() {
+        let has_failed = result.is_err();
+        if let Ok(place) = result {
+            next = place;
+        }
+        // After a failure the place is kept: the newest records of all keys would be longer than what has come since.
+        if has_failed || next.is_none() {
             time::sleep(RETRY).await;
         }
     }
