Greetings tell the version of the desired state, not the state

Cause: each answer to a greeting carried the whole desired state to an instance that did not have it, five times a second, and counted as unanswered after 250 ms. Over 10 Mbit/s 312 KB come in that time; a state of 770 KB made the leader silent to whoever lacked it, and what had come was thrown away. Ruled out: longer limits for greetings (a leader that is lost would be noticed later); sending it in every fifth greeting (the leader would be silent in those). Change: greetings carry the version. An instance that has known of a newer one for 0.8 s asks for it by a call of its own, which waits as long as the answer goes on arriving; whoever answers fills no more than half of its link with that. A leader that the store does not answer learns from its followers, too. During an upgrade old and new instances get it from the store only. Conclusion: liveness rests on small messages alone.

--- a/lilacpass-core/src/size.rs
+++ b/lilacpass-core/src/size.rs
@@ -4,6 +4,7 @@
     fmt,
     ops::{Add, AddAssign},
     str::FromStr,
+    time::Duration,
 };
 
 use crate::error::{self, Error};
@@ -80,3 +81,17 @@
     /// A rate in events per second.
     PerSecond, "/s"
 }
+size! {
+    /// What a link carries, in bytes per second.
+    BytesPerSecond, "B/s"
+}
+
+impl BytesPerSecond {
+    /// How long so many bytes take; no time where nothing is known of the link.
+    pub fn time_for(self, bytes: Bytes) -> Duration {
+        if self.0 == 0 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64(bytes.0 as f64 / self.0 as f64)
+    }
+}
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod append;
 pub mod budget;
 pub mod clock;
+pub mod desired_relay;
 pub mod desired_watch;
 pub mod election;
 pub mod entry;
@@ -67,6 +68,7 @@
         return ExitCode::FAILURE;
     }
     tokio::task::spawn_local(desired_watch::run(node.clone()));
+    tokio::task::spawn_local(desired_relay::run(node.clone()));
     tokio::task::spawn_local(election::run(node.clone()));
     signals::run(node).await;
     log::info!("instance ends");
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -22,7 +22,9 @@
 
 use crate::{
     budget::RetryBudget,
-    clock, entry,
+    clock,
+    desired_relay::{Elsewhere, Pacing},
+    entry,
     leading::LeadHandle,
     metrics::{self, Metrics},
     peers,
@@ -42,7 +44,7 @@
 pub struct Published {
     /// Decoded.
     pub desired: Desired,
-    /// As it stands in the store, to be handed to peers that can't reach the store.
+    /// As it stands in the store, to be handed to peers that the store does not answer.
     pub bytes: Bytes,
 }
 
@@ -86,6 +88,10 @@
     pub order_budget: RetryBudget,
     /// The newest desired state that is known.
     pub desired: RefCell<Option<Rc<Published>>>,
+    /// The newest version that another instance was heard to have.
+    pub desired_elsewhere: RefCell<Option<Elsewhere>>,
+    /// Spaces out what goes to peers that ask for the desired state.
+    pub relay_pacing: Pacing,
     /// Who leads.
     pub leader: watch::Sender<LeaderView>,
     /// Our own leadership.
@@ -140,6 +146,8 @@
             client,
             settings,
             desired: RefCell::new(None),
+            desired_elsewhere: RefCell::new(None),
+            relay_pacing: Pacing::default(),
             leader: watch::Sender::new(LeaderView::default()),
             lead: RefCell::new(None),
             leader_heard_ms: Cell::new(0),
@@ -242,6 +250,21 @@
         *self.desired.borrow_mut() = Some(Rc::new(Published { desired, bytes }));
     }
 
+    /// Notes which version another instance has.
+    pub fn note_desired_elsewhere(&self, version: u64, address: &str) {
+        let mut elsewhere = self.desired_elsewhere.borrow_mut();
+        // The last that was heard to have it is the likeliest to live.
+        if elsewhere.as_ref().is_none_or(|known| known.version <= version) {
+            *elsewhere = Some(Elsewhere { version, address: address.to_owned() });
+        }
+    }
+
+    /// A version that is newer than the one here.
+    pub fn newer_elsewhere(&self) -> Option<Elsewhere> {
+        let own_version = self.desired_version();
+        self.desired_elsewhere.borrow().clone().filter(|known| known.version > own_version)
+    }
+
     /// Whether this instance leads.
     pub fn leads(&self) -> bool {
         self.lead.borrow().is_some()
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -10,8 +10,7 @@
 use lilacpass_lead::event::{Advice, Answer, Ask, JobState, TicketRow};
 use lilacpass_platform::{
     advice,
-    client::Call,
-    desired,
+    client::{Call, Response},
     desired::Limits,
     error::{Error, Result},
     server::{Received, Reply},
@@ -21,7 +20,7 @@
 use tokio::time;
 
 use crate::{
-    clock, election, metrics,
+    clock, desired_relay, election, metrics,
     node::{Node, Peer},
     operators,
 };
@@ -30,6 +29,7 @@
 const WORK_PATH: &str = "/peer/work";
 const ADVISE_PATH: &str = "/peer/advise";
 const PROMOTE_PATH: &str = "/peer/promote";
+const CONFIG_PATH: &str = "/peer/config";
 /// Added to the time that a call for advice may take, for the way to the peer and back.
 const HOP_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -57,6 +57,8 @@
             }
             Err(err) => Err(err),
         },
+        CONFIG_PATH => decode(&received.body)
+            .map(|question| desired_relay::serve(&node, &question).encode_to_vec()),
         path => return operators::serve(&node, path).await,
     };
     match body {
@@ -76,21 +78,40 @@
     message: &impl Message,
     timeout: Duration,
 ) -> Result<M> {
-    let call = Call {
-        address,
-        method: Method::POST,
-        path,
-        headers: &[],
-        body: Bytes::from(message.encode_to_vec()),
-        timeout,
-    };
-    let response = node.client.call(&call).await?;
+    let call = build(address, path, message, timeout);
+    read(&node.client.call(&call).await?)
+}
+
+fn build<'a>(
+    address: &'a str,
+    path: &'a str,
+    message: &impl Message,
+    timeout: Duration,
+) -> Call<'a> {
+    let body = Bytes::from(message.encode_to_vec());
+    Call { address, method: Method::POST, path, headers: &[], body, timeout }
+}
+
+fn read<M: Message + Default>(response: &Response) -> Result<M> {
     if response.status != StatusCode::OK {
         return Err(Error::Status(response.status.as_u16()));
     }
     decode(&response.body)
 }
 
+/// Asks an instance for the desired state, if it has a newer one than `known_version`. `timeout` bounds the time
+/// until the answer begins, and each pause within it.
+pub async fn fetch_config(
+    node: &Node,
+    address: &str,
+    known_version: u64,
+    timeout: Duration,
+) -> Result<v1::PeerConfigReply> {
+    let question = v1::PeerConfig { known_version };
+    let call = build(address, CONFIG_PATH, &question, timeout);
+    read(&node.client.fetch(&call, timeout).await?)
+}
+
 /// Greets the leader, or one that may be it.
 pub async fn hello(node: &Node, address: &str, timeout: Duration) -> Result<v1::PeerHelloReply> {
     let message = v1::PeerHello {
@@ -103,12 +124,7 @@
         cpu_millis: node.settings.cpu_millis,
     };
     let reply: v1::PeerHelloReply = post(node, address, HELLO_PATH, &message, timeout).await?;
-    if !reply.config.is_empty() {
-        match desired::decode(&reply.config) {
-            Ok(state) => node.publish(state, Bytes::from(reply.config.clone()), "peer"),
-            Err(err) => log::warn!(error:% = err; "desired state of a peer is passed over"),
-        }
-    }
+    node.note_desired_elsewhere(reply.config_version, address);
     Ok(reply)
 }
 
@@ -121,10 +137,8 @@
         cpu_millis: hello.cpu_millis,
     };
     node.peers.borrow_mut().insert(hello.address.clone(), peer);
-    let published = node.published();
-    let newer = published.filter(|p| p.desired.version > hello.config_version);
+    node.note_desired_elsewhere(hello.config_version, &hello.address);
     v1::PeerHelloReply {
-        config: newer.map(|p| p.bytes.to_vec()).unwrap_or_default(),
         peers: node.peers.borrow().keys().cloned().collect(),
         most_cpu_millis: node.most_cpu_of_present_millis(now_ms),
         ..own_view(node)
@@ -139,6 +153,7 @@
         epoch: view.epoch,
         leader_address: view.address.unwrap_or_default(),
         store_reachable: node.store_reachable(),
+        config_version: node.desired_version(),
         ..Default::default()
     }
 }
