Send the list of instances with a greeting only when it has changed

Ruled out: fewer greetings, which would find a lost leader later. Change: the list has a revision, which greetings and their answers carry; the list goes out where it differs. Members and what is told of them are a module of their own. Absent fields mean what they meant: an older leader sends all, an older follower gets all. Conclusion: the cost of following a leader does not grow with the number of instances any more.

--- a/lilacpass-node/src/desired_relay.rs
+++ b/lilacpass-node/src/desired_relay.rs
@@ -119,8 +119,8 @@
 /// at once, and those that have it by then share the work.
 fn pick(node: &Node, elsewhere: &Elsewhere) -> String {
     let own_address = node.peer_address();
-    let known = node.known_peers.borrow();
-    let others = known.iter().filter(|address| **address != own_address);
+    let known = node.known_members.borrow();
+    let others = known.addresses.iter().filter(|address| **address != own_address);
     let any = others.choose(&mut rand::rng()).cloned();
     any.filter(|_| rand::rng().random()).unwrap_or_else(|| elsewhere.address.clone())
 }
--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -136,7 +136,7 @@
             node.leader_store_reachable.set(reply.store_reachable);
             node.follow(reply.epoch, address);
             node.most_cpu_millis.set(reply.most_cpu_millis);
-            *node.known_peers.borrow_mut() = reply.peers;
+            node.known_members.borrow_mut().told(reply.peers_revision, reply.peers);
             Greeting::Leads { store_reachable: reply.store_reachable }
         }
         Ok(reply) if reply.epoch > epoch && !reply.leader_address.is_empty() => {
@@ -338,8 +338,8 @@
 async fn ask_peers(node: &Rc<Node>) {
     let own_address = node.peer_address();
     let peers = {
-        let known = node.known_peers.borrow();
-        let others = known.iter().filter(|address| **address != own_address).cloned();
+        let known = node.known_members.borrow();
+        let others = known.addresses.iter().filter(|address| **address != own_address).cloned();
         others.sample(&mut rand::rng(), PEERS_ASKED)
     };
     let epoch = node.leader.borrow().epoch;
--- a/lilacpass-node/src/handover.rs
+++ b/lilacpass-node/src/handover.rs
@@ -9,12 +9,7 @@
 use rand::RngExt;
 use tokio::{sync::mpsc, time};
 
-use crate::{
-    clock,
-    leading::Message,
-    node::{Node, Peer},
-    peers,
-};
+use crate::{clock, leading::Message, members::Peer, node::Node, peers};
 
 /// How long the store must have refused all calls before the lead is handed over. Single refusals
 /// pass sooner.
@@ -105,14 +100,14 @@
     /// small ones, any of those that are alike.
     fn pick(&self, least_cpu_millis: u32) -> Option<String> {
         let now_ms = clock::now().steady_ms;
-        let peers = self.node.peers.borrow();
+        let members = self.node.members.borrow();
         let rank = |peer: &Peer| Reverse((peer.store_reachable, peer.cpu_millis));
-        peers
-            .iter()
-            .filter(|(_, peer)| peer.is_present(now_ms) && peer.cpu_millis >= least_cpu_millis)
+        members
+            .present(now_ms)
+            .filter(|(_, peer)| peer.cpu_millis >= least_cpu_millis)
             .filter(|(address, _)| !self.asked.contains(*address))
             .min_by_key(|(_, peer)| (rank(peer), rand::rng().random::<u32>()))
-            .map(|(address, _)| address.clone())
+            .map(|(address, _)| address.to_owned())
     }
 
     /// Asks a peer to take over. Returns whether it did.
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -243,7 +243,7 @@
         let now = clock::now();
         if now.steady_ms >= self.lanes_at_ms {
             self.lanes_at_ms = now.steady_ms + LANES_INTERVAL_MS;
-            self.node.forget_gone_peers(now.steady_ms);
+            self.node.members.borrow_mut().forget_gone(now.steady_ms);
             let lanes = self.lanes(now.steady_ms);
             self.leader.handle(Event::Lanes(lanes), now);
         }
@@ -252,11 +252,8 @@
 
     /// Instances that can call for advice: this one, and those that greet it.
     fn lanes(&self, now_ms: u64) -> Vec<Lane> {
-        let peers = self.node.peers.borrow();
-        let near = peers
-            .iter()
-            .filter(|(_, peer)| peer.is_present(now_ms))
-            .map(|(address, _)| Lane(address.clone()));
+        let members = self.node.members.borrow();
+        let near = members.present(now_ms).map(|(address, _)| Lane(address.to_owned()));
         near.chain([Lane(self.node.peer_address())]).collect()
     }
 
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod handover;
 pub mod leading;
 pub mod logging;
+pub mod members;
 pub mod metrics;
 pub mod node;
 pub mod operators;
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
     io,
     net::SocketAddr,
     rc::Rc,
@@ -26,6 +25,7 @@
     desired_relay::{Elsewhere, Pacing},
     entry,
     leading::LeadHandle,
+    members::{KnownMembers, Members},
     metrics::{self, Metrics},
     peers,
 };
@@ -48,32 +48,6 @@
     pub bytes: Bytes,
 }
 
-/// Another instance, as the leader hears of it.
-#[derive(Clone, Debug)]
-pub struct Peer {
-    /// When it was last heard of, on the steady clock.
-    pub heard_ms: u64,
-    /// It is about to stop.
-    pub leaving: bool,
-    /// It reaches the store.
-    pub store_reachable: bool,
-    /// Processor that it may use, in thousandths of a core.
-    pub cpu_millis: u32,
-}
-
-impl Peer {
-    /// A peer that has not greeted for so long is not counted on.
-    const HEARD_MS: u64 = 900;
-    /// One that has not greeted for so long is forgotten. Instances are replaced at new addresses all
-    /// the time, and the list of peers goes out with each greeting.
-    const FORGOTTEN_MS: u64 = 30_000;
-
-    /// Whether it lives and stays.
-    pub fn is_present(&self, now_ms: u64) -> bool {
-        !self.leaving && self.heard_ms + Self::HEARD_MS > now_ms
-    }
-}
-
 /// What all parts of an instance share.
 pub struct Node {
     /// What the platform says of this instance.
@@ -117,13 +91,13 @@
     pub taking_over: Cell<bool>,
     /// The process is to stop.
     pub leaving: watch::Sender<bool>,
-    /// Other instances by address, as they greet us.
-    pub peers: RefCell<BTreeMap<String, Peer>>,
+    /// The instances that greet this one.
+    pub members: RefCell<Members>,
     /// The most processor of any instance that could lead, as the leader said, in thousandths of a
     /// core; 0 before it said so.
     pub most_cpu_millis: Cell<u32>,
-    /// Addresses that the leader has told of, for when it is gone.
-    pub known_peers: RefCell<Vec<String>>,
+    /// The instances that the leader has told of.
+    pub known_members: RefCell<KnownMembers>,
     /// Requests of callers that are being served.
     pub open_requests: Cell<u64>,
     /// Counters.
@@ -160,9 +134,9 @@
             append_time: Cell::new(Duration::ZERO),
             taking_over: Cell::new(false),
             leaving: watch::Sender::new(false),
-            peers: RefCell::new(BTreeMap::new()),
+            members: RefCell::default(),
             most_cpu_millis: Cell::new(0),
-            known_peers: RefCell::new(Vec::new()),
+            known_members: RefCell::default(),
             open_requests: Cell::new(0),
             metrics: Metrics::default(),
         }
@@ -212,15 +186,9 @@
     /// The most processor of any instance that could lead: this one, and those that greet it and
     /// reach the store. In thousandths of a core.
     pub fn most_cpu_of_present_millis(&self, now_ms: u64) -> u32 {
-        let peers = self.peers.borrow();
-        let able = peers.values().filter(|peer| peer.is_present(now_ms) && peer.store_reachable);
-        able.map(|peer| peer.cpu_millis).fold(self.settings.cpu_millis, u32::max)
-    }
-
-    /// Forgets peers that have long been silent.
-    pub fn forget_gone_peers(&self, now_ms: u64) {
-        let is_known = |peer: &Peer| peer.heard_ms + Peer::FORGOTTEN_MS > now_ms;
-        self.peers.borrow_mut().retain(|_, peer| is_known(peer));
+        let members = self.members.borrow();
+        let able = members.present(now_ms).filter(|(_, peer)| peer.store_reachable);
+        able.map(|(_, peer)| peer.cpu_millis).fold(self.settings.cpu_millis, u32::max)
     }
 
     fn limits(&self) -> Limits {
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -19,11 +19,7 @@
 use prost::Message;
 use tokio::time;
 
-use crate::{
-    clock, desired_relay, election, metrics,
-    node::{Node, Peer},
-    operators,
-};
+use crate::{clock, desired_relay, election, members::Peer, metrics, node::Node, operators};
 
 const HELLO_PATH: &str = "/peer/hello";
 const WORK_PATH: &str = "/peer/work";
@@ -122,6 +118,7 @@
         leaving: node.is_leaving(),
         store_reachable: node.store_reachable(),
         cpu_millis: node.settings.cpu_millis,
+        peers_revision: node.known_members.borrow().revision,
     };
     let reply: v1::PeerHelloReply = post(node, address, HELLO_PATH, &message, timeout).await?;
     node.note_desired_elsewhere(reply.config_version, address);
@@ -136,10 +133,13 @@
         store_reachable: hello.store_reachable,
         cpu_millis: hello.cpu_millis,
     };
-    node.peers.borrow_mut().insert(hello.address.clone(), peer);
+    node.members.borrow_mut().greeted(&hello.address, peer);
     node.note_desired_elsewhere(hello.config_version, &hello.address);
+    let members = node.members.borrow();
+    let is_known = hello.peers_revision == members.revision();
     v1::PeerHelloReply {
-        peers: node.peers.borrow().keys().cloned().collect(),
+        peers: if is_known { Vec::new() } else { members.addresses() },
+        peers_revision: members.revision(),
         most_cpu_millis: node.most_cpu_of_present_millis(now_ms),
         ..own_view(node)
     }
--- a/lilacpass-node/tests/thin_links.rs
+++ b/lilacpass-node/tests/thin_links.rs
@@ -66,9 +66,8 @@
     false
 }
 
-/// Greets an instance as one that knows no desired state, and returns the size of the answer.
-async fn greeting_answer_bytes(cluster: &Cluster, instance: usize) -> usize {
-    let hello = v1::PeerHello { address: "127.0.0.1:1".to_owned(), ..Default::default() };
+/// Greets an instance, and returns its answer as it came.
+async fn greet(cluster: &Cluster, instance: usize, hello: &v1::PeerHello) -> Bytes {
     let call = Call {
         address: &cluster.instances[instance].peer_address,
         method: Method::POST,
@@ -77,7 +76,12 @@
         body: Bytes::from(hello.encode_to_vec()),
         timeout: Duration::from_secs(4),
     };
-    Client::default().call(&call).await.expect("an answer").body.len()
+    Client::default().call(&call).await.expect("an answer").body
+}
+
+/// A greeting from an instance that knows nothing.
+fn first_greeting(address: &str) -> v1::PeerHello {
+    v1::PeerHello { address: address.to_owned(), ..Default::default() }
 }
 
 /// Callers of two data centres were told `no leader is known` for half a minute, though one instance led
@@ -95,8 +99,31 @@
         cluster.cell.publish("config", &large_desired_state(2));
         cluster.instances[0].start().expect("started");
         assert!(comes_to_serve(&cluster.instances[0].callers_address, QUEUES[0].name).await);
-        let bytes = greeting_answer_bytes(&cluster, 0).await;
-        assert!(bytes <= MOST_BYTES, "{bytes} bytes");
+        let answer = greet(&cluster, 0, &first_greeting("127.0.0.1:1")).await;
+        assert!(answer.len() <= MOST_BYTES, "{} bytes", answer.len());
+    });
+}
+
+/// The same cause at another place: a cell of hundreds of instances does nothing and fills the link of its leader, because
+/// each answer to a greeting lists them all.
+#[test]
+fn an_answer_to_a_greeting_lists_the_instances_only_to_those_that_lack_the_list() {
+    const INSTANCES: usize = 200;
+    const MOST_BYTES: usize = 200;
+    cluster::play(FIRST_PORT + 150, &[1.0], async |mut cluster| {
+        cluster.instances[0].start().expect("started");
+        assert!(comes_to_serve(&cluster.instances[0].callers_address, QUEUES[0].name).await);
+        let addresses: Vec<String> = (1..=INSTANCES).map(|n| format!("10.1.2.3:{n}")).collect();
+        for address in &addresses {
+            greet(&cluster, 0, &first_greeting(address)).await;
+        }
+        let first = greet(&cluster, 0, &first_greeting(&addresses[0])).await;
+        let told = v1::PeerHelloReply::decode(first).expect("an answer");
+        assert_eq!(told.peers.len(), INSTANCES);
+        let peers_revision = told.peers_revision;
+        let second = v1::PeerHello { peers_revision, ..first_greeting(&addresses[0]) };
+        let answer = greet(&cluster, 0, &second).await;
+        assert!(answer.len() <= MOST_BYTES, "{} bytes", answer.len());
     });
 }
 
