A lab that plays the leader on a model of a cell, with policies side by side

Change: lilacpass-lab: the real leader under made-up time; scenarios in TOML, five ways to choose a worker, six mechanisms that can be switched off one by one, an all-knowing bound; table, JSON, plots. The leader's options name the way and the mechanism; their defaults are today's, and no setting reaches them. Ruled out: a second copy of the decisions for the model; the tests of lilacpass-lead as a base, which judge rules and not worth. Conclusion: a tool to find hypotheses with; what it says of overload needs a better model first.

--- /dev/null
+++ b/lilacpass-lab/src/cell.rs
@@ -0,0 +1,496 @@
+//! A model of a cell around the real leader, under made-up time.
+//!
+//! Modelled: workers with room, leases, ends and saved progress; appends one at a time; calls for advice;
+//! callers that try again; bursts, slow and failing workers, a store that is slow or away, advice that
+//! is silent. Left out: other instances and take-overs, lost messages, cancelled jobs, racks that make
+//! tasks slow, and the processor of the leader: deciding takes no made-up time, and is measured beside.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap},
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Instant,
+};
+
+use lilacpass_core::Resources;
+use lilacpass_jobs::{How, JobKey, StepName, TaskName, WorkerName, record};
+use lilacpass_lead::{
+    Effect, Event, Leader, Now, Options,
+    event::{Answer, Ask, CallError, Lane, Record, Registration, Token},
+};
+use lilacpass_schema::v1;
+use prost::Message;
+
+use crate::{
+    arrivals::{self, Arrival, DAY_MS},
+    callers::{Caller, Standing},
+    model_worker::{ModelWorker, Running, WaitingLook},
+    outcome::{Outcome, Recorder},
+    policy::Policy,
+    scenario::{FaultKind, Pool, Scenario},
+    services,
+};
+
+/// Time between ticks of the leader.
+const TICK_MS: u64 = 50;
+/// Time between confirmations that it still leads.
+const RENEWAL_MS: u64 = 200;
+/// Time between looks at the registrations.
+const REGISTRY_MS: u64 = 500;
+/// Time before the first job, in which the leader meets its workers.
+const START_MS: u64 = 1_000;
+/// One way between the leader and a worker.
+const HOP_MS: u64 = 1;
+/// An append that is refused is answered after so long.
+const REFUSED_MS: u64 = 2;
+/// Interval of the samples of use and of waiting tasks.
+const SAMPLE_MS: u64 = 1_000;
+/// How long a task that fails has worked, as a part of its work.
+const FAILS_AFTER: f64 = 0.5;
+
+#[derive(Debug)]
+enum Action {
+    /// An event reaches the leader.
+    Tell(Event),
+    /// An effect reaches its receiver.
+    Arrive(Effect),
+    /// Something may happen on a worker.
+    Worker(usize),
+    /// A caller hands its job in.
+    Submit(usize),
+    Tick,
+    Renew,
+    Registry,
+    Sample,
+}
+
+struct Timed {
+    at_ms: u64,
+    order: u64,
+    action: Action,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at_ms, self.order) == (other.at_ms, other.order)
+    }
+}
+
+impl Eq for Timed {}
+
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Timed {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at_ms, self.order).cmp(&(other.at_ms, other.order))
+    }
+}
+
+/// A play of a policy.
+struct Cell<'a> {
+    scenario: &'a Scenario,
+    arrivals: &'a [Arrival],
+    by_key: HashMap<JobKey, usize>,
+    seed: u64,
+    leader: Leader,
+    now_ms: u64,
+    workers: Vec<ModelWorker>,
+    by_name: BTreeMap<WorkerName, usize>,
+    callers: Vec<Caller>,
+    recorder: Recorder,
+    /// Tasks that are done, by step.
+    done: HashMap<StepName, u32>,
+    actions: BinaryHeap<Reverse<Timed>>,
+    order: u64,
+    /// When the append under way is done; the next waits for it.
+    store_free_ms: u64,
+    /// Until when each lane is busy with a call.
+    lanes_free_ms: HashMap<Lane, u64>,
+}
+
+/// Plays a scenario with the real leader under these options.
+pub fn play(
+    scenario: &Scenario,
+    arrivals: &[Arrival],
+    policy: Policy,
+    options: Options,
+    seed: u64,
+) -> Outcome {
+    let mut cell = Cell::new(scenario, arrivals, options, seed);
+    let end_ms = START_MS + ((scenario.length_s + scenario.rest_s) * 1_000.0) as u64;
+    cell.run(end_ms);
+    let Cell { recorder, callers, .. } = cell;
+    recorder.finish(policy.to_string(), seed, scenario, arrivals, &callers)
+}
+
+impl<'a> Cell<'a> {
+    fn new(scenario: &'a Scenario, arrivals: &'a [Arrival], options: Options, seed: u64) -> Self {
+        let workers: Vec<ModelWorker> =
+            scenario.pools.iter().flat_map(registrations).map(ModelWorker::new).collect();
+        let names = workers.iter().enumerate().map(|(at, worker)| (worker.name().clone(), at));
+        let start = Now { steady_ms: 0, unix_ms: DAY_MS };
+        let mut cell = Self {
+            by_name: names.collect(),
+            by_key: arrivals.iter().enumerate().map(|(job, a)| (a.key, job)).collect(),
+            leader: Leader::new(options, Vec::new(), start),
+            now_ms: 0,
+            workers,
+            callers: vec![Caller::default(); arrivals.len()],
+            recorder: Recorder::new(scenario.classes.len()),
+            done: HashMap::new(),
+            actions: BinaryHeap::new(),
+            order: 0,
+            store_free_ms: 0,
+            lanes_free_ms: HashMap::new(),
+            scenario,
+            arrivals,
+            seed,
+        };
+        for action in [Action::Registry, Action::Tick, Action::Renew] {
+            cell.plan(0, action);
+        }
+        cell.plan(START_MS, Action::Sample);
+        for (job, arrival) in arrivals.iter().enumerate() {
+            cell.plan(START_MS + arrival.at_ms, Action::Submit(job));
+        }
+        cell
+    }
+
+    /// Milliseconds from the first job.
+    fn play_ms(&self) -> u64 {
+        self.now_ms.saturating_sub(START_MS)
+    }
+
+    fn now(&self) -> Now {
+        Now { steady_ms: self.now_ms, unix_ms: DAY_MS + self.now_ms }
+    }
+
+    fn plan(&mut self, at_ms: u64, action: Action) {
+        self.order += 1;
+        self.actions.push(Reverse(Timed { at_ms, order: self.order, action }));
+    }
+
+    fn run(&mut self, end_ms: u64) {
+        while let Some(Reverse(timed)) = self.actions.pop() {
+            if timed.at_ms > end_ms {
+                return;
+            }
+            self.now_ms = timed.at_ms;
+            self.act(timed.action);
+            let next_ms = self.actions.peek().map(|Reverse(next)| next.at_ms);
+            if next_ms != Some(self.now_ms) {
+                self.decide();
+            }
+        }
+    }
+
+    /// Has the leader decide what follows from all that happened at this time.
+    fn decide(&mut self) {
+        let now = self.now();
+        let begin = Instant::now();
+        let effects = self.leader.finish(now);
+        self.recorder.round(begin.elapsed());
+        for effect in effects {
+            let delay_ms = match &effect {
+                Effect::Reply { .. } | Effect::Append(_) | Effect::Advise { .. } => 0,
+                _ => HOP_MS,
+            };
+            self.plan(self.now_ms + delay_ms, Action::Arrive(effect));
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Tell(event) => self.leader.handle(event, self.now()),
+            Action::Arrive(effect) => self.arrive(effect),
+            Action::Worker(at) => self.worker_advances(at),
+            Action::Submit(job) => self.submit(job),
+            Action::Tick => {
+                self.plan(self.now_ms + TICK_MS, Action::Tick);
+                self.leader.handle(Event::Tick, self.now());
+            }
+            Action::Renew => self.renew(),
+            Action::Registry => self.read_registry(),
+            Action::Sample => self.sample(),
+        }
+    }
+
+    fn renew(&mut self) {
+        self.plan(self.now_ms + RENEWAL_MS, Action::Renew);
+        let play_ms = self.play_ms();
+        if services::append_ms(self.scenario, play_ms).is_some() {
+            let sent_ms = self.now_ms;
+            self.leader.handle(Event::Confirmed { sent_ms }, self.now());
+        }
+    }
+
+    fn read_registry(&mut self) {
+        let now = self.now();
+        if self.now_ms == 0 {
+            for worker in &self.workers {
+                self.leader.handle(Event::WorkerListed(worker.entry.clone()), now);
+            }
+            let lanes = (0..self.scenario.advice.lanes).map(|n| Lane(format!("lane-{n:03}")));
+            self.leader.handle(Event::Lanes(lanes.collect()), now);
+        }
+        self.leader.handle(Event::WorkersRead, now);
+        self.plan(self.now_ms + REGISTRY_MS, Action::Registry);
+    }
+
+    fn sample(&mut self) {
+        self.plan(self.now_ms + SAMPLE_MS, Action::Sample);
+        let cpu = |resources: Resources| resources.cpu.0 as f64;
+        let used: f64 = self.workers.iter().map(|worker| cpu(worker.used())).sum();
+        let all: f64 = self.workers.iter().map(|worker| cpu(worker.entry.capacity)).sum();
+        self.recorder.use_by_s.push(used / all.max(1.0));
+        self.recorder.waiting_by_s.push(self.leader.status(self.now()).waiting_steps);
+    }
+
+    fn submit(&mut self, job: usize) {
+        let arrival = &self.arrivals[job];
+        let class = &self.scenario.classes[arrival.class];
+        let step = StepName { job: arrival.key, occurrence: 0, step: 0 };
+        self.recorder.ready(step, self.now_ms);
+        let ask = Ask::Submit {
+            job: arrival.key,
+            plan: arrival.plan(class),
+            queue: arrivals::queue(class, self.scenario),
+        };
+        self.leader.handle(Event::Asked { token: Token(job as u64), ask }, self.now());
+    }
+
+    fn arrive(&mut self, effect: Effect) {
+        match effect {
+            Effect::Reply { token, answer } => self.caller_hears(token, &answer),
+            Effect::Append(records) => self.append(&records),
+            Effect::Advise { lane, step, workers, .. } => self.advise(lane, step, workers),
+            Effect::Look { worker, lease_until_ms, forget_upto, wait_ms, extra, .. } => {
+                self.look(&worker, lease_until_ms, forget_upto, wait_ms, extra);
+            }
+            Effect::Start { worker, task, run, lease_until_ms, checkpoint, .. } => {
+                let result = self.start(&worker, task, run, lease_until_ms, &checkpoint);
+                let event = Event::Started { worker, task, run, result };
+                self.plan(self.now_ms + HOP_MS, Action::Tell(event));
+            }
+            Effect::Stop { worker, task, run, .. } => {
+                self.stop(&worker, task, run);
+                let event = Event::Stopped { worker, task, run, result: Ok(()) };
+                self.plan(self.now_ms + HOP_MS, Action::Tell(event));
+            }
+            Effect::Deposed => log::error!("the only leader is deposed"),
+        }
+    }
+
+    fn caller_hears(&mut self, token: Token, answer: &Answer) {
+        let job = token.0 as usize;
+        if let Some(again_ms) = self.callers[job].answered(answer, self.now_ms) {
+            self.plan(again_ms, Action::Submit(job));
+        }
+    }
+
+    fn append(&mut self, records: &[Record]) {
+        let play_ms = self.play_ms();
+        let Some(takes_ms) = services::append_ms(self.scenario, play_ms) else {
+            return self.plan(self.now_ms + REFUSED_MS, Action::Tell(Event::NotAppended));
+        };
+        self.store_free_ms = self.store_free_ms.max(self.now_ms) + takes_ms;
+        let stored_ms = self.store_free_ms;
+        for record in records {
+            self.note_outcome(record, stored_ms);
+        }
+        self.plan(stored_ms, Action::Tell(Event::Appended));
+    }
+
+    /// A job is completed for its caller once that is stored.
+    fn note_outcome(&mut self, record: &Record, stored_ms: u64) {
+        let Some(record::Key::State(key)) = record::parse_key(&record.key) else { return };
+        let Some(&job) = self.by_key.get(&key) else { return };
+        let Ok(state) = v1::StateRecord::decode(record.value.as_slice()) else { return };
+        let at_ms = stored_ms.saturating_sub(START_MS);
+        let standing = match state.outcome {
+            1 => Standing::Completed { at_ms },
+            2 => Standing::Failed,
+            _ => return,
+        };
+        let is_open = matches!(self.callers[job].standing, Standing::Open | Standing::Accepted);
+        if is_open {
+            self.callers[job].standing = standing;
+        }
+    }
+
+    fn advise(&mut self, lane: Lane, step: StepName, workers: Vec<WorkerName>) {
+        let play_ms = self.play_ms();
+        let (takes_ms, advice) = services::advise(self.scenario, step, &workers, play_ms);
+        let free_ms = self.lanes_free_ms.get(&lane).copied().unwrap_or(0).max(self.now_ms);
+        let answered_ms = free_ms + takes_ms + HOP_MS;
+        self.lanes_free_ms.insert(lane.clone(), answered_ms);
+        let event = Event::Advised { lane, step, asked: workers, advice };
+        self.plan(answered_ms, Action::Tell(event));
+    }
+
+    fn look(
+        &mut self,
+        name: &WorkerName,
+        lease_until_ms: Option<u64>,
+        forget_upto: u64,
+        wait_ms: u64,
+        extra: bool,
+    ) {
+        let Some(&at) = self.by_name.get(name) else { return };
+        let now_ms = self.now_ms;
+        let worker = &mut self.workers[at];
+        worker.look(lease_until_ms, forget_upto);
+        if wait_ms == 0 || worker.lists_ends() {
+            return self.answer_look(at, now_ms, extra);
+        }
+        let until_ms = now_ms + wait_ms;
+        worker.waiting_look = Some(WaitingLook { sent_ms: now_ms, until_ms });
+        self.plan(until_ms, Action::Worker(at));
+        self.plan_next(at);
+    }
+
+    fn answer_look(&mut self, at: usize, sent_ms: u64, extra: bool) {
+        let worker = &self.workers[at];
+        let event = Event::Looked {
+            worker: worker.name().clone(),
+            sent_ms,
+            extra,
+            result: Ok(worker.look_answer(self.now_ms)),
+        };
+        self.plan(self.now_ms + HOP_MS, Action::Tell(event));
+    }
+
+    fn plan_next(&mut self, at: usize) {
+        if let Some(next_ms) = self.workers[at].next_ms() {
+            self.plan(next_ms.max(self.now_ms), Action::Worker(at));
+        }
+    }
+
+    fn worker_advances(&mut self, at: usize) {
+        let now_ms = self.now_ms;
+        let ends = self.workers[at].advance(now_ms);
+        for row in &ends {
+            if row.end.how == How::Done {
+                self.note_next_step(row.task.step);
+            }
+        }
+        if !ends.is_empty() {
+            self.plan_next(at);
+        }
+        let waiting = self.workers[at].waiting_look;
+        if let Some(look) = waiting.filter(|look| !ends.is_empty() || look.until_ms <= now_ms) {
+            self.workers[at].waiting_look = None;
+            self.answer_look(at, look.sent_ms, false);
+        }
+    }
+
+    /// From the last end of its tasks on, the step after it could start.
+    fn note_next_step(&mut self, step: StepName) {
+        let Some(&job) = self.by_key.get(&step.job) else { return };
+        let tasks = self.scenario.classes[self.arrivals[job].class].tasks;
+        let done = self.done.entry(step).or_default();
+        *done += 1;
+        if *done >= tasks {
+            let next = StepName { step: step.step + 1, ..step };
+            self.recorder.ready(next, self.now_ms);
+        }
+    }
+
+    fn start(
+        &mut self,
+        name: &WorkerName,
+        task: TaskName,
+        run: u32,
+        lease_until_ms: u64,
+        checkpoint: &str,
+    ) -> Result<(), CallError> {
+        let Some(&at) = self.by_name.get(name) else { return Err(CallError::OtherLife) };
+        let Some(&job) = self.by_key.get(&task.step.job) else { return Ok(()) };
+        let running = self.begin(at, job, task, run, checkpoint);
+        let result = self.workers[at].start(task, running, lease_until_ms);
+        if result.is_ok() && run == 1 {
+            let class = self.arrivals[job].class;
+            self.recorder.started(task.step, class, self.now_ms);
+        }
+        self.plan_next(at);
+        result
+    }
+
+    fn begin(&self, at: usize, job: usize, task: TaskName, run: u32, checkpoint: &str) -> Running {
+        let arrival = &self.arrivals[job];
+        let class = &self.scenario.classes[arrival.class];
+        let work_ms = arrival.work_ms[task.step.step as usize][task.index as usize];
+        // Without a checkpoint there is none to read.
+        let saved_ms = checkpoint.parse().unwrap_or(0).min(work_ms);
+        let slowness = self.acting_on(at, FaultKind::SlowWorkers).unwrap_or(1.0);
+        let fails = self
+            .acting_on(at, FaultKind::FailingWorkers)
+            .is_some_and(|part| drawn(&(self.seed, task, run)) < part);
+        let part = if fails { FAILS_AFTER } else { 1.0 };
+        let left_ms = (work_ms - saved_ms) as f64 * slowness * part;
+        Running {
+            run,
+            need: lilacpass_lead::place::need(&arrival.plan(class).steps[0]),
+            began_ms: self.now_ms,
+            ends_ms: self.now_ms + (left_ms as u64).max(1),
+            how: if fails { How::Failed } else { How::Done },
+            saved_ms,
+            slowness,
+            saves: class.checkpointing,
+        }
+    }
+
+    /// How strong a fault of workers is on this one now; the same workers have it as long as it lasts.
+    fn acting_on(&self, at: usize, kind: FaultKind) -> Option<f64> {
+        let play_ms = self.play_ms();
+        let mut faults = self.scenario.faults.iter().enumerate();
+        faults.find_map(|(number, fault)| {
+            let is_hit = drawn(&(self.seed, number, at)) < fault.share;
+            let acts = fault.kind == kind && fault.acts_at(play_ms) && is_hit;
+            acts.then_some(fault.x)
+        })
+    }
+
+    fn stop(&mut self, name: &WorkerName, task: TaskName, run: u32) {
+        let Some(&at) = self.by_name.get(name) else { return };
+        let lost_ms = self.workers[at].stop(task, run, self.now_ms);
+        if let Some(&job) = self.by_key.get(&task.step.job) {
+            let cpu_milli = self.scenario.classes[self.arrivals[job].class].cpu_milli;
+            self.recorder.thrown_away_milli_ms += lost_ms * u64::from(cpu_milli);
+        }
+        self.plan_next(at);
+    }
+}
+
+/// A number from 0 to below 1 that is always the same for the same value.
+fn drawn(value: &impl Hash) -> f64 {
+    /// Steps between 0 and 1.
+    const STEPS: u64 = 10_000;
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    (hasher.finish() % STEPS) as f64 / STEPS as f64
+}
+
+/// The workers of a pool as they register.
+fn registrations(pool: &Pool) -> Vec<Registration> {
+    let capacity = Resources::new(pool.cores * 1_000, pool.memory_mb, pool.accelerators, 0);
+    (0..pool.workers)
+        .map(|number| {
+            let rack = number / pool.rack_workers;
+            let data_centre = rack % pool.data_centres;
+            Registration {
+                name: WorkerName::from(format!("{}-{number:05}", pool.service).as_str()),
+                address: format!("{}:{number}", pool.service),
+                data_centre: format!("dc-{data_centre}"),
+                service: pool.service.clone(),
+                capacity,
+                labels: vec![pool.service.clone(), format!("rack-{rack}")],
+                draining: false,
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/lilacpass-lab/tests/lab.rs
@@ -0,0 +1,141 @@
+//! The lab's own promises: the same seed gives the same play, the bound is a bound, a scenario that makes no
+//! sense is refused with the name of the field, and policies differ where they should.
+
+use std::path::Path;
+
+use lilacpass_lab::{
+    cli,
+    outcome::{Decisions, Outcome},
+    policy::Policy,
+    scenario::{self, Scenario},
+};
+use lilacpass_lead::options::{Mechanism, Placement};
+
+const SMALL: &str = r#"
+name = "small"
+length_s = 8.0
+rest_s = 10.0
+
+[[pool]]
+service = "s"
+workers = 6
+cores = 8
+memory_mb = 10000
+accelerators = 2
+
+[[class]]
+name = "quick"
+service = "s"
+priority = 0
+rate = 5.0
+tasks = 3
+cpu_milli = 1000
+work_ms = 500
+objective_ms = 250
+advised = true
+
+[[class]]
+name = "long"
+service = "s"
+priority = 2
+rate = 1.0
+steps = 2
+tasks = 4
+cpu_milli = 2000
+work_ms = 1500
+objective_ms = 1000
+checkpointing = true
+worth = 3.0
+worth_late = 1.0
+
+[[fault]]
+kind = "failing-workers"
+at_s = 3.0
+for_s = 3.0
+share = 0.3
+x = 0.5
+"#;
+
+fn small() -> Scenario {
+    scenario::parse(SMALL).expect("a good scenario")
+}
+
+/// The part of an outcome that does not depend on the machine of the lab.
+fn without_times(outcome: Outcome) -> Outcome {
+    Outcome { decisions: Decisions::default(), ..outcome }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_play() {
+    let play = |seed| without_times(cli::play(&small(), Policy::Today, seed));
+    assert_eq!(play(3), play(3));
+    assert_ne!(play(3), play(4));
+}
+
+#[test]
+fn all_policies_serve_a_small_cell_and_none_beats_the_bound() {
+    let bound = cli::play(&small(), Policy::Bound, 5);
+    assert!(bound.worth > 0.99, "{bound:?}");
+    for policy in Policy::all() {
+        let outcome = cli::play(&small(), policy, 5);
+        assert!(outcome.worth <= bound.worth, "{outcome:?}");
+        assert!(outcome.worth > 0.5, "{outcome:?}");
+        let asked: u32 = outcome.classes.iter().map(|class| class.asked).sum();
+        assert!(asked > 30, "{outcome:?}");
+    }
+}
+
+#[test]
+fn names_of_policies_are_read_as_they_are_printed() {
+    for policy in Policy::all() {
+        assert_eq!(policy.to_string().parse::<Policy>().expect("a known name"), policy);
+    }
+    assert!("best".parse::<Policy>().is_err());
+    assert_eq!("first-fit".parse::<Policy>().ok(), Some(Policy::Placed(Placement::FirstFit)));
+    let without = Policy::Without(Mechanism::Preemption);
+    assert_eq!("without-preemption".parse::<Policy>().ok(), Some(without));
+}
+
+/// Urgent work finds all workers full of work that saves its progress. Without preemption it waits until that
+/// ends, and its callers get it late.
+#[test]
+fn preemption_helps_urgent_work_among_work_that_saves_its_progress() {
+    let text = SMALL
+        .replace("rate = 1.0\n", "rate = 4.0\n")
+        .replace("work_ms = 1500", "work_ms = 6000")
+        .replace("length_s = 8.0", "length_s = 20.0");
+    let full = scenario::parse(&text).expect("a good scenario");
+    let quick = |policy| cli::play(&full, policy, 7).classes[0].worth;
+    let with = quick(Policy::Today);
+    let without = quick(Policy::Without(Mechanism::Preemption));
+    assert!(with > without + 0.1, "{with:.3} with, {without:.3} without");
+}
+
+#[test]
+fn a_scenario_that_makes_no_sense_is_refused_with_the_name_of_the_field() {
+    for (from, to, named) in [
+        ("workers = 6", "workers = 0", "pool[0].workers"),
+        ("rate = 5.0", "rate = 0.0", "class[0].rate"),
+        ("cpu_milli = 2000", "cpu_milli = 9000", "class[1].service"),
+        ("share = 0.3", "share = 1.3", "fault[0].share"),
+        ("kind = \"failing-workers\"", "kind = \"flood\"", "flood"),
+        ("rest_s = 10.0", "rest_s = -1.0", "rest_s"),
+        ("rest_s = 10.0", "rest = 10.0", "rest"),
+    ] {
+        let text = SMALL.replace(from, to);
+        let reason = scenario::parse(&text).expect_err(named).to_string();
+        assert!(reason.contains(named), "{reason:?} names {named}");
+    }
+}
+
+#[test]
+fn the_scenarios_of_the_repository_are_good() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/lab");
+    let mut count = 0;
+    for entry in folder.read_dir().expect("a folder") {
+        let path = entry.expect("an entry").path();
+        scenario::read(&path).unwrap_or_else(|err| panic!("{err}"));
+        count += 1;
+    }
+    assert!(count >= 6, "{count} scenarios");
+}
--- a/lilacpass-lead/src/ends.rs
+++ b/lilacpass-lead/src/ends.rs
@@ -2,7 +2,7 @@
 
 use lilacpass_jobs::{End, How, JobKey, TaskName, WorkerName, job::Change};
 
-use crate::{event::Now, leader::Leader, outbox::After, worker::RunKey};
+use crate::{event::Now, leader::Leader, options::Mechanism, outbox::After, worker::RunKey};
 
 impl Leader {
     /// Takes note that a run has ended on a worker, and of what follows for its job.
@@ -29,7 +29,9 @@
             Change::JobEnded => self.job_ended(task.step.job, now),
             Change::TaskDone => {
                 self.stop_copies(task, now);
-                self.ask_for_next_steps(task.step, now);
+                if self.options.uses(Mechanism::NextStepAdvice) {
+                    self.ask_for_next_steps(task.step, now);
+                }
             }
             Change::None | Change::Waiting => {}
         }
--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -8,7 +8,7 @@
     event::{CallError, Effect, EndRow, LookAnswer, Now, Refusal, RunningRow},
     health,
     leader::Leader,
-    options,
+    options::{self, Mechanism},
     outbox::After,
     worker::{Look, Phase, RunKey},
 };
@@ -161,6 +161,7 @@
         let jobs = &self.jobs;
         // A job that failed on several workers speaks against none of them.
         let speaks = |job| jobs.get(&job).is_none_or(|entry| entry.failed_on.len() <= 1);
+        let may_quarantine = may_quarantine && self.options.uses(Mechanism::Quarantine);
         let Some(worker) = self.workers.get_mut(name) else { return };
         if worker.health.failed(job, speaks) && may_quarantine {
             worker.health.quarantine(now.steady_ms);
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -12,7 +12,7 @@
     event::{Effect, Event, Now, Registration},
     loss::LossMeter,
     news::News,
-    options::{self, Options},
+    options::{self, Mechanism, Options},
     outbox::Outbox,
     place, rank,
     reserve::Reservations,
@@ -265,7 +265,9 @@
         self.repeat_stops(now);
         if now.steady_ms >= self.next_review_ms {
             self.next_review_ms = now.steady_ms + REVIEW_INTERVAL_MS;
-            self.replace_lost_runs(now);
+            if self.options.uses(Mechanism::Replacement) {
+                self.replace_lost_runs(now);
+            }
             self.review_pools();
         }
         self.refuse_stuck_jobs(now);
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -1,4 +1,6 @@
-//! Times and limits of the leader, each with its source.
+//! Times and limits of the leader, each with its source, and what is switched for comparisons.
+
+use std::{fmt, str::FromStr};
 
 /// Times and limits of the leader. All are in milliseconds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,8 +50,116 @@
     pub registration_ms: u64,
     /// Taken off the validity of a ticket for the time that the start is under way.
     pub ticket_margin_ms: u64,
+    /// How a worker is chosen among those that have room. Others than the default are for comparisons.
+    pub placement: Placement,
+    /// A mechanism that is switched off, to find out what it is worth; none in service.
+    pub switched_off: Option<Mechanism>,
+}
+
+impl Options {
+    /// Whether a mechanism is in use.
+    pub fn uses(&self, mechanism: Mechanism) -> bool {
+        self.switched_off != Some(mechanism)
+    }
+}
+
+/// How a worker is chosen among those that have room.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Placement {
+    /// By its [`crate::place::Score`].
+    #[default]
+    Suited,
+    /// The first by name.
+    FirstFit,
+    /// The one with the largest free share of processors.
+    LeastLoaded,
+    /// Any.
+    Random,
+    /// The less loaded of two at random.
+    TwoChoices,
+}
+
+impl Placement {
+    /// All ways.
+    pub const ALL: [Self; 5] =
+        [Self::Suited, Self::FirstFit, Self::LeastLoaded, Self::Random, Self::TwoChoices];
+
+    /// Its name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Suited => "suited",
+            Self::FirstFit => "first-fit",
+            Self::LeastLoaded => "least-loaded",
+            Self::Random => "random",
+            Self::TwoChoices => "two-choices",
+        }
+    }
+}
+
+/// Something that the leader does beyond placing in order, and that can be switched off by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Work that saves its progress makes way for more urgent work.
+    Preemption,
+    /// Room is kept ahead for what has waited longest.
+    RoomAhead,
+    /// Advice for the next step is asked for while a step ends.
+    NextStepAdvice,
+    /// Workers that spoil their work get none for a while.
+    Quarantine,
+    /// Runs that stand still, are slow or silent are replaced.
+    Replacement,
+    /// The tasks of a job run in one data centre.
+    Home,
 }
 
+impl Mechanism {
+    /// All mechanisms.
+    pub const ALL: [Self; 6] = [
+        Self::Preemption,
+        Self::RoomAhead,
+        Self::NextStepAdvice,
+        Self::Quarantine,
+        Self::Replacement,
+        Self::Home,
+    ];
+
+    /// Its name.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Preemption => "preemption",
+            Self::RoomAhead => "room-ahead",
+            Self::NextStepAdvice => "next-step-advice",
+            Self::Quarantine => "quarantine",
+            Self::Replacement => "replacement",
+            Self::Home => "home",
+        }
+    }
+}
+
+/// Makes the printed form the name, and reads it.
+macro_rules! named {
+    ($name:ident) => {
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(self.as_str())
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = String;
+
+            fn from_str(s: &str) -> Result<Self, String> {
+                let known = Self::ALL.into_iter().find(|value| value.as_str() == s);
+                known.ok_or_else(|| format!("{s:?} is not known"))
+            }
+        }
+    };
+}
+
+named!(Placement);
+named!(Mechanism);
+
 impl Default for Options {
     fn default() -> Self {
         Self {
@@ -70,6 +180,8 @@
             retention_ms: 150_000,
             registration_ms: 2_500,
             ticket_margin_ms: 150,
+            placement: Placement::default(),
+            switched_off: None,
         }
     }
 }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
 };
 
@@ -13,6 +14,7 @@
     event::Now,
     leader::Leader,
     news::Digest,
+    options::{Mechanism, Placement},
     outbox::After,
     place,
     rank::Rank,
@@ -41,7 +43,7 @@
                 self.ask_advice(step, now);
             }
         }
-        if news.all {
+        if news.all && self.options.uses(Mechanism::RoomAhead) {
             self.keep_room_ahead(now);
         }
     }
@@ -87,14 +89,17 @@
         if plan.one_rack {
             keep_one_rack(&mut hosts, &plan, waiting.len());
         }
-        let picks = pick(&mut hosts, &plan, waiting.len());
+        let chooser =
+            Chooser { placement: self.options.placement, step: name, now_ms: now.steady_ms };
+        let picks = pick(&mut hosts, &plan, waiting.len(), &chooser);
         if plan.target_ms > 0 && picks.len() < waiting.len() {
             self.make_way(name, &plan, now);
         }
         let missing = (waiting.len() - picks.len()) as u64;
         if missing > 0 && among.is_none() {
             let wanted = if plan.gang { waiting.len() as u64 } else { missing };
-            if !plan.lasting && self.tries_for_room < MOST_TRIES_FOR_ROOM {
+            let may_preempt = !plan.lasting && self.options.uses(Mechanism::Preemption);
+            if may_preempt && self.tries_for_room < MOST_TRIES_FOR_ROOM {
                 self.tries_for_room += 1;
                 self.make_room(name, &plan, wanted, now);
             }
@@ -116,7 +121,7 @@
     /// last are spread instead: each that is lost counts by itself.
     pub(crate) fn choose_home(&mut self, name: StepName, plan: &v1::WorkStep, now: Now) {
         let Some(entry) = self.jobs.get_mut(&name.job) else { return };
-        if entry.home.is_some() || plan.lasting {
+        if entry.home.is_some() || plan.lasting || !self.options.uses(Mechanism::Home) {
             return;
         }
         let service = entry.job.queue.service.as_str();
@@ -322,6 +327,32 @@
     }
 }
 
+/// Chooses among hosts as a comparison asks for.
+struct Chooser {
+    placement: Placement,
+    step: StepName,
+    now_ms: u64,
+}
+
+impl Chooser {
+    /// The host for the next task of the round, of which `picked` have one.
+    fn choose<'a>(&self, mut able: Vec<&'a mut Host>, picked: usize) -> Option<&'a mut Host> {
+        let draw = |number: u64| {
+            let mut hasher = DefaultHasher::new();
+            (self.step, self.now_ms, picked, number).hash(&mut hasher);
+            hasher.finish() as usize % able.len().max(1)
+        };
+        let free = |at: usize| able.get(at).map(|host| host.score.free_share);
+        let at = match self.placement {
+            Placement::Suited | Placement::FirstFit => 0,
+            Placement::LeastLoaded => (0..able.len()).max_by_key(|&at| free(at))?,
+            Placement::Random => draw(0),
+            Placement::TwoChoices => [draw(0), draw(1)].into_iter().max_by_key(|&at| free(at))?,
+        };
+        (at < able.len()).then(|| able.swap_remove(at))
+    }
+}
+
 /// Keeps the hosts of one rack, if that has room for all `count` tasks: on several racks they would
 /// take longer. Where no rack has room for all, spread tasks are better than waiting ones.
 fn keep_one_rack(hosts: &mut Vec<Host>, plan: &v1::WorkStep, count: usize) {
@@ -339,15 +370,23 @@
     }
 }
 
-/// Picks workers for up to `count` tasks, the emptiest first.
-fn pick(hosts: &mut [Host], plan: &v1::WorkStep, count: usize) -> Vec<WorkerName> {
+/// Picks workers for up to `count` tasks, the best by their score first or as the chooser says.
+fn pick(
+    hosts: &mut [Host],
+    plan: &v1::WorkStep,
+    count: usize,
+    chooser: &Chooser,
+) -> Vec<WorkerName> {
     let need = place::need(plan);
     let mut picks = Vec::new();
     while picks.len() < count {
-        let best = hosts
-            .iter_mut()
-            .filter(|host| host.may_take > 0 && need.fits(&host.room))
-            .max_by_key(|host| (host.clean, host.score));
+        let able = |host: &&mut Host| host.may_take > 0 && need.fits(&host.room);
+        let best = if chooser.placement == Placement::Suited {
+            hosts.iter_mut().filter(able).max_by_key(|host| (host.clean, host.score))
+        } else {
+            let able: Vec<&mut Host> = hosts.iter_mut().filter(able).collect();
+            chooser.choose(able, picks.len())
+        };
         let Some(host) = best else { break };
         host.take(&need);
         picks.push(host.name.clone());
