Appends: leave a copy the time that its records need on the link

Cause: a copy of an append was sent after 90 ms and each was given up after 3 s, whatever its length. Over 2 Mbit/s the copies of 300 KB shared the link, and none was whole in time. It did not end: not stored after 40 s in a run of the test with a longer limit.

Ruled out: leaving it to the learned time of the store alone. It is learned from appends that were answered, and none is.

Change: the time that the records need on the link of this instance, as the platform tells it, is added twice to the patience and eight times to the time limit, and is left out of the learned time. Nothing changes where the link is not told; at 200 Mbit/s 300 KB add 24 ms.

--- a/lilacpass-node/src/append.rs
+++ b/lilacpass-node/src/append.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use lilacpass_core::Verdict;
+use lilacpass_core::{Verdict, size};
 use lilacpass_lead::event::Record;
 use lilacpass_platform::{
     error::Result as CallResult,
@@ -29,6 +29,11 @@
 const MOST_PATIENCE: Duration = Duration::from_millis(500);
 /// The longest wait for one answer.
 const MOST_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// How many times as long as its records need on the link of this instance an append may take before it is
+/// sent once more. Others use the link too.
+const LINK_TIMES: u32 = 2;
+/// How many times as long it may take before it is given up.
+const MOST_LINK_TIMES: u32 = 8;
 /// An append that takes so long is worth a line in the log. Ordinary ones take 8 ms.
 const SLOW: Duration = Duration::from_millis(100);
 /// First pause before an append that was refused is sent again; doubles up to the most.
@@ -46,6 +51,9 @@
 }
 
 /// Stores records as one append of a writer. Returns once the store has said what became of them.
+///
+/// Time on the link counts for nothing: where copies were sent and given up after the same time whatever their
+/// length, those of 300 KB filled 2 Mbit/s, none was whole after 3 s, and none was ever stored.
 pub async fn store(
     node: &Rc<Node>,
     partition: &Partition,
@@ -53,16 +61,18 @@
     records: &Bytes,
 ) -> Result<(), Failure> {
     let condition = Condition { at: None, writer: Some(writer) };
+    let on_link = node.settings.link.time_for(size::Bytes(records.len() as u64));
+    let timeout = MOST_TIMEOUT + on_link * MOST_LINK_TIMES;
     let send = || async {
         let sent = Instant::now();
-        let result = node.store.append(partition, condition, records, MOST_TIMEOUT).await;
+        let result = node.store.append(partition, condition, records, timeout).await;
         node.metrics.append(metrics::outcome(&result), sent.elapsed());
         match &result {
             Ok(answer) => {
                 node.store_heard();
                 if matches!(answer, Append::Stored { .. }) {
                     let took = sent.elapsed();
-                    learn(node, took);
+                    learn(node, took.saturating_sub(on_link));
                     if took >= SLOW {
                         let took_ms = took.as_millis() as u64;
                         log::info!(sequence = writer.sequence, took_ms, bytes = records.len(); "append was slow");
@@ -86,7 +96,8 @@
         }
         result
     };
-    until_settled(send, node.append_time.get()).await
+    let patience = first_patience(node.append_time.get()) + on_link * LINK_TIMES;
+    until_settled_after(send, patience).await
 }
 
 /// Sends an append until the store has said what became of it. `usual` is how long the store takes.
@@ -94,11 +105,19 @@
 /// An append without an answer may be carried out later, so it is sent again under the same number,
 /// beside those under way; the store carries it out once and gives each the same answer.
 pub async fn until_settled<F>(send: impl Fn() -> F, usual: Duration) -> Result<(), Failure>
+where
+    F: Future<Output = CallResult<Append>>,
+{
+    until_settled_after(send, first_patience(usual)).await
+}
+
+/// The same; the second copy is sent after `patience`.
+async fn until_settled_after<F>(send: impl Fn() -> F, patience: Duration) -> Result<(), Failure>
 where
     F: Future<Output = CallResult<Append>>,
 {
     let mut under_way = FuturesUnordered::new();
-    let mut patience = first_patience(usual);
+    let mut patience = patience;
     let mut pause = FIRST_PAUSE;
     let mut may_be_done = false;
     let mut tries = 0;
