Take-overs: count failing calls from the last that was answered

Cause: the patience of 2 s with failing calls counted from the beginning of the take-over. Reading all jobs takes 3.3 s over 10 Mbit/s where they come as 4.1 MB of text; one refusal after 2 s threw all of it away, and the next try began with the first page. The same held for the append that closes the log after a long reading, which may have been carried out when its answer is lost: the log was closed then, and nobody led.

Change: failures are counted from the last answer. A long answer that breaks off counts as failing for the time of one call at most. A store that goes on refusing or is silent is given up as soon as before.

--- a/lilacpass-node/src/takeover.rs
+++ b/lilacpass-node/src/takeover.rs
@@ -16,8 +16,8 @@
 pub const LEAD_KEY: &str = "lead";
 /// How long the store may take for one call of a take-over. Its slowest answers take 0.6 s.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// How long calls of a take-over may go on failing before it is given up. Meanwhile this instance
-/// does not notice that another has taken over.
+/// How long calls of a take-over may go on failing, without an answer between, before it is given up.
+/// Meanwhile this instance does not notice that another has taken over.
 const PATIENCE: Duration = Duration::from_secs(2);
 /// Pause before a call that failed is made again.
 const RETRY: Duration = Duration::from_millis(60);
@@ -70,7 +70,8 @@
 pub async fn read(node: &Rc<Node>) -> Option<Snapshot> {
     let start = Instant::now();
     let mut state = State::default();
-    let end = read_all(node, &jobs_partition(), &mut state, start).await?;
+    let mut failures = Failures::new(start);
+    let end = read_all(node, &jobs_partition(), &mut state, &mut failures).await?;
     Some(Snapshot { state, end, start })
 }
 
@@ -79,11 +80,12 @@
     let Snapshot { mut state, mut end, start } = snapshot;
     let partition = jobs_partition();
     let sequence = first_sequence();
+    let mut failures = Failures::new(Instant::now());
     loop {
         // Offsets never go back, so an epoch made of the end is above all earlier ones.
         let epoch = end + 1;
         let writer = Writer { epoch, sequence };
-        match close_log(node, &partition, end, writer, start).await? {
+        match close_log(node, &partition, end, writer, &mut failures).await? {
             Append::Stored { .. } => {
                 let took_ms = start.elapsed().as_millis() as u64;
                 let jobs = state.into_jobs();
@@ -93,7 +95,7 @@
             Append::Elsewhere { .. } => {}
             Append::Fenced | Append::OutOfSequence => return None,
         }
-        end = read_tail(node, &partition, &mut state, end, start).await?;
+        end = read_tail(node, &partition, &mut state, end, &mut failures).await?;
         if state.leader_since_start {
             log::info!("another instance took over first");
             return None;
@@ -119,25 +121,53 @@
     partition: &Partition,
     end: u64,
     writer: Writer,
-    start: Instant,
+    failures: &mut Failures,
 ) -> Option<Append> {
     let condition = Condition { at: Some(end), writer: Some(writer) };
     let records = store::encode_records(&[lead_record(node, writer.epoch, 0)]).ok()?;
     loop {
         match node.store.append(partition, condition, &records, CALL_TIMEOUT).await {
-            Ok(result) => return Some(result),
-            Err(err) => retry(start, "take-over", &err).await?,
+            Ok(result) => {
+                failures.end();
+                return Some(result);
+            }
+            Err(err) => failures.retry("take-over", &err).await?,
         }
     }
 }
 
-async fn retry(start: Instant, what: &str, err: &lilacpass_platform::Error) -> Option<()> {
-    log::info!(what, error:% = err; "store call of a take-over failed");
-    if start.elapsed() > PATIENCE {
-        return None;
+/// Calls that have failed since the last that was answered.
+///
+/// Counted from the beginning of a take-over, a single refusal late in a long reading threw away all that was
+/// read. An instance with a thin link, which needs longer than the patience for it, never got to its end.
+struct Failures {
+    answered: Instant,
+    since: Option<Instant>,
+}
+
+impl Failures {
+    fn new(begun: Instant) -> Self {
+        Self { answered: begun, since: None }
+    }
+
+    /// A call was answered.
+    fn end(&mut self) {
+        *self = Self::new(Instant::now());
+    }
+
+    /// A call has failed: waits before the next. None where they have been failing for too long.
+    async fn retry(&mut self, what: &str, err: &lilacpass_platform::Error) -> Option<()> {
+        log::info!(what, error:% = err; "store call of a take-over failed");
+        let now = Instant::now();
+        // Of a long answer that broke off, what arrived before counts for no failure.
+        let lately = now.checked_sub(CALL_TIMEOUT).unwrap_or(self.answered);
+        let since = *self.since.get_or_insert(lately.max(self.answered));
+        if now - since > PATIENCE {
+            return None;
+        }
+        time::sleep(RETRY).await;
+        Some(())
     }
-    time::sleep(RETRY).await;
-    Some(())
 }
 
 /// Records of jobs as they are read.
@@ -193,7 +223,7 @@
     node: &Rc<Node>,
     partition: &Partition,
     state: &mut State,
-    start: Instant,
+    failures: &mut Failures,
 ) -> Option<u64> {
     let mut first_end = None;
     let mut after: Option<String> = None;
@@ -201,10 +231,11 @@
         let page = match node.store.newest(partition, after.as_deref(), CALL_TIMEOUT).await {
             Ok(page) => page,
             Err(err) => {
-                retry(start, "read", &err).await?;
+                failures.retry("read", &err).await?;
                 continue;
             }
         };
+        failures.end();
         first_end = first_end.or(Some(page.end));
         after = page.records.last().map(|placed| placed.record.key.clone());
         page.records.into_iter().for_each(|placed| state.take_in(placed));
@@ -220,13 +251,14 @@
     partition: &Partition,
     state: &mut State,
     from: u64,
-    start: Instant,
+    failures: &mut Failures,
 ) -> Option<u64> {
     state.reading_tail = true;
     let mut next = from;
     loop {
         match node.store.read(partition, next, Duration::ZERO, CALL_TIMEOUT).await {
             Ok(Read::Records { records, end }) => {
+                failures.end();
                 let read = records.len() as u64;
                 records.into_iter().for_each(|placed| state.take_in(placed));
                 next += read;
@@ -234,8 +266,8 @@
                     return Some(end);
                 }
             }
-            Ok(Read::Gone) => next = read_all(node, partition, state, start).await?,
-            Err(err) => retry(start, "tail", &err).await?,
+            Ok(Read::Gone) => next = read_all(node, partition, state, failures).await?,
+            Err(err) => failures.retry("tail", &err).await?,
         }
     }
 }
