A test that fails: a desired state that can't be read is fetched from others without end

An instance that can't read the desired state that others have fetched all of it three times a second: 7 times in 4 s, where each is as long as the desired state.

--- a/lilacpass-node/tests/relay.rs
+++ b/lilacpass-node/tests/relay.rs
@@ -1,7 +1,22 @@
-//! How an instance spaces out the desired states that it hands to others.
+//! Desired states from one instance to another.
 
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use http::StatusCode;
 use lilacpass_core::size::{Bytes, BytesPerSecond};
-use lilacpass_node::desired_relay::Pacing;
+use lilacpass_node::{
+    desired_relay::{self, Pacing},
+    node::Node,
+};
+use lilacpass_platform::{
+    desired::Limits,
+    server::{self, Reply},
+    settings,
+};
+use lilacpass_schema::v1;
+use prost::Message;
+use serde_json::json;
+use tokio::{runtime, task, time};
 
 const STATE: Bytes = Bytes(800_000);
 const THIN: BytesPerSecond = BytesPerSecond(1_250_000);
@@ -24,3 +39,47 @@
     assert_eq!(pacing.take(STATE, BytesPerSecond(0), 1_000), None);
     assert_eq!(pacing.take(STATE, BytesPerSecond(0), 1_000), None);
 }
+
+fn node() -> Rc<Node> {
+    let settings = json!({
+        "nodeName": "front-a-1", "ip": "127.0.0.1", "zone": "a",
+        "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"}, "internalPorts": [3, 6],
+        "platform": {"address": "127.0.0.1:3", "parts": 16},
+        "bounds": {"graceS": 6, "holdMaxMs": 9000, "stopMs": 400, "status_s": 120}
+    });
+    Rc::new(Node::new(settings::parse(&settings.to_string()).expect("settings")))
+}
+
+/// Opens an instance that hands out a desired state which nobody can read, and counts how often. Returns its address.
+fn open_peer(asked: Rc<Cell<u32>>) -> String {
+    let listener = server::listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let handler = move |_question| {
+        asked.set(asked.get() + 1);
+        let reply = v1::PeerConfigReply { config: b"unreadable".to_vec(), retry_after_ms: 0 };
+        async move { Reply::body(StatusCode::OK, reply.encode_to_vec().into()) }
+    };
+    task::spawn_local(server::serve(listener, Limits::default, handler));
+    address
+}
+
+/// During an upgrade, instances of the newer version have a desired state that those of the older can't read. Each
+/// of these asked for all of it again three times a second, as it still knew of a newer one, and so filled its own
+/// link and that of the instance that it asked until the upgrade was over.
+#[test]
+fn a_desired_state_that_can_not_be_read_is_asked_for_once() {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    task::LocalSet::new().block_on(&runtime, async {
+        let asked = Rc::new(Cell::new(0));
+        let peer = open_peer(asked.clone());
+        let node = node();
+        node.note_desired_elsewhere(5, &peer);
+        task::spawn_local(desired_relay::run(node.clone()));
+        time::sleep(Duration::from_secs(4)).await;
+        assert_eq!(asked.get(), 1);
+        // A later one may be readable.
+        node.note_desired_elsewhere(6, &peer);
+        time::sleep(Duration::from_secs(2)).await;
+        assert_eq!(asked.get(), 2);
+    });
+}
