Ask others once for a desired state that can't be read here

Cause: the version elsewhere stayed newer than the one here after its text was found unreadable, so the same text was fetched again 0.15 to 0.45 s later, for good; 44 instances of an older version at 772 KB each keep the half of each link that answers may fill busy.

Change: up to which version the state of the instance that is known to have it was fetched and found unreadable is kept; only a later one is asked for. The store's newer ones are taken in as before.

--- a/lilacpass-node/src/desired_relay.rs
+++ b/lilacpass-node/src/desired_relay.rs
@@ -94,7 +94,7 @@
 /// Asks an instance for its desired state, and takes it in. Returns how long to wait before the next call.
 async fn fetch(node: &Node, elsewhere: &Elsewhere) -> Duration {
     let address = pick(node, elsewhere);
-    let result = ask(node, &address).await;
+    let result = ask(node, &address, elsewhere).await;
     node.metrics.desired_read("instance", metrics::outcome(&result));
     match result {
         Ok(pause) => pause,
@@ -105,11 +105,16 @@
     }
 }
 
-async fn ask(node: &Node, address: &str) -> Result<Duration> {
+async fn ask(node: &Node, address: &str, elsewhere: &Elsewhere) -> Result<Duration> {
     let known_version = node.desired_version();
     let reply = peers::fetch_config(node, address, known_version, TIMEOUT).await?;
     if !reply.config.is_empty() {
-        let state = desired::decode(&reply.config)?;
+        let state = desired::decode(&reply.config).inspect_err(|_| {
+            // Fetched again and again, it would fill both links for as long as this instance can't read it.
+            if address == elsewhere.address {
+                node.desired_unreadable.set(elsewhere.version);
+            }
+        })?;
         node.publish(state, Bytes::from(reply.config), "instance");
     }
     Ok(cmp::max(RETRY, Duration::from_millis(u64::from(reply.retry_after_ms))))
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -90,6 +90,8 @@
     pub desired: RefCell<Option<Rc<Published>>>,
     /// The newest version that another instance was heard to have.
     pub desired_elsewhere: RefCell<Option<Elsewhere>>,
+    /// Up to this version, what another instance has was fetched and can't be read here.
+    pub desired_unreadable: Cell<u64>,
     /// Spaces out what goes to peers that ask for the desired state.
     pub relay_pacing: Pacing,
     /// Who leads.
@@ -147,6 +149,7 @@
             settings,
             desired: RefCell::new(None),
             desired_elsewhere: RefCell::new(None),
+            desired_unreadable: Cell::new(0),
             relay_pacing: Pacing::default(),
             leader: watch::Sender::new(LeaderView::default()),
             lead: RefCell::new(None),
@@ -259,10 +262,10 @@
         }
     }
 
-    /// A version that is newer than the one here.
+    /// A version that is newer than the one here, and may be readable.
     pub fn newer_elsewhere(&self) -> Option<Elsewhere> {
-        let own_version = self.desired_version();
-        self.desired_elsewhere.borrow().clone().filter(|known| known.version > own_version)
+        let tried_version = self.desired_version().max(self.desired_unreadable.get());
+        self.desired_elsewhere.borrow().clone().filter(|known| known.version > tried_version)
     }
 
     /// Whether this instance leads.
