A test that fails: jobs whose orders never arrived are not said to wait

A leader that is cut off between record and order leaves jobs that callers are told run, though nothing of them ever did. Ruled out: an answer of a former leader (it answers only while the store confirmed it within 0.9 s), and hand-ins on their way into the store (not accepted yet).

--- /dev/null
+++ b/lilacpass-lead/tests/waiting_jobs.rs
@@ -0,0 +1,103 @@
+//! Which jobs are said to wait and which to run: what workers have begun decides, not what was ordered.
+
+mod world;
+
+use lilacpass_core::Resources;
+use lilacpass_jobs::JobKey;
+use lilacpass_lead::event::{Answer, Ask, JobState};
+use world::{World, plan, queue, step};
+
+const QUEUE: &str = "checks";
+
+fn four_workers() -> World {
+    World::new(3, 4, Resources::new(8_000, 1_000, 0, 0))
+}
+
+fn submit(world: &mut World, key: u64) {
+    world.submit(key, plan(&[step(2, 1_000, 60_000)]), queue(QUEUE, 0));
+}
+
+fn ask(world: &mut World, ask: Ask) -> Answer {
+    let token = world.ask(ask);
+    world.run(20);
+    world.answer(token).cloned().expect("an answer within 20 ms")
+}
+
+fn count(world: &mut World) -> Answer {
+    ask(world, Ask::Pending { queue: QUEUE.to_owned() })
+}
+
+fn state(world: &mut World, key: u64) -> Answer {
+    ask(world, Ask::State(JobKey(key)))
+}
+
+fn set_cut(world: &mut World, cut: bool) {
+    world.workers.iter_mut().for_each(|worker| worker.cut = cut);
+}
+
+/// Four checks have waited for five seconds, and the count of waiting checks says 0. Their leader recorded
+/// the starts and was cut off before an order arrived; its successor read the starts, could not reach the
+/// workers yet, and took each job for one that runs.
+#[test]
+fn a_job_whose_orders_never_arrived_waits_for_a_successor_too() {
+    let mut world = four_workers();
+    world.run(500);
+    set_cut(&mut world, true);
+    (1..=4).for_each(|key| submit(&mut world, key));
+    world.run(300);
+    world.current().alive = false;
+    world.run(1_000);
+    world.take_over();
+    world.run(3_000);
+    assert!(world.workers.iter().all(|worker| worker.runs.is_empty()), "nothing ever ran");
+    assert_eq!(count(&mut world), Answer::Pending(4));
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Queued));
+}
+
+/// What runs must not be shown as waiting again: a worker began it, and the successor of the leader that
+/// heard of that can't reach the worker for seconds.
+#[test]
+fn a_job_that_a_worker_has_begun_is_not_said_to_wait_again() {
+    let mut world = four_workers();
+    submit(&mut world, 1);
+    world.run(300);
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Running));
+    submit(&mut world, 2);
+    world.run(300);
+    set_cut(&mut world, true);
+    world.current().alive = false;
+    world.take_over();
+    world.run(1_000);
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Running));
+}
+
+/// The same where nothing was stored after the worker had begun: a look at the worker tells.
+#[test]
+fn a_successor_hears_of_runs_from_their_workers() {
+    let mut world = four_workers();
+    submit(&mut world, 1);
+    world.run(300);
+    world.current().alive = false;
+    world.take_over();
+    world.run(300);
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Running));
+    assert_eq!(count(&mut world), Answer::Pending(0));
+}
+
+/// And where the run ended before the successor looked: the end that the worker lists tells.
+#[test]
+fn a_successor_hears_of_ended_runs_from_their_workers() {
+    let mut world = four_workers();
+    let short = step(1, 1_000, 200);
+    let long = step(1, 1_000, 60_000);
+    world.submit(1, plan(&[short, long]), queue(QUEUE, 0));
+    world.run(60);
+    assert_eq!(world.workers.iter().map(|worker| worker.runs.len()).sum::<usize>(), 1);
+    world.current().alive = false;
+    world.run(1_000);
+    world.workers.iter_mut().for_each(|worker| worker.draining = true);
+    world.take_over();
+    world.run(300);
+    assert_eq!(world.workers.iter().map(|worker| worker.runs.len()).sum::<usize>(), 0);
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Running));
+}
