A job has begun once a worker has begun one of its tasks

Cause: a job counted as begun as soon as a start was given, and for a successor as soon as one was recorded. A start whose order never arrived, was refused or lapsed left its job shown as running, and out of the count of waiting jobs, though nothing of it ever ran. Change: a worker's word decides: its answer to the start, a row of a look, or an end that it lists. The record of a job's state says when that word is missing (`not_begun`); where it does not say, as in records of an earlier version, whatever was given out counts, as before. The word is stored beside the next change and costs no append of its own; until then a successor learns it from its first look at the worker. The small cell now judges every such answer by what its workers have begun, and the fuzz asks for all of them after each step.

--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -70,6 +70,9 @@
     pub outcome: Outcome,
     /// Time of day at which the outcome was known, in milliseconds since 1970; 0 while open.
     pub ended_ms: u64,
+    /// A worker is known to have begun a task. Runs that were only given out don't count: their orders
+    /// may never have arrived.
+    pub begun: bool,
     /// Per occurrence, its steps.
     pub occurrences: Vec<Vec<Step>>,
 }
@@ -104,6 +107,7 @@
             accepted_ms: record.accepted_ms,
             outcome: Outcome::Open,
             ended_ms: 0,
+            begun: false,
             occurrences,
         }
     }
@@ -164,9 +168,11 @@
                 .all(|&earlier| steps[earlier as usize].is_done())
     }
 
-    /// Whether no task has been started yet.
-    pub fn is_queued(&self) -> bool {
-        self.tasks().all(|task| task.last_run == 0 && !task.done)
+    /// Notes that a worker has begun a task. Returns whether that is news.
+    pub fn note_begun(&mut self) -> bool {
+        let is_news = !self.begun;
+        self.begun = true;
+        is_news
     }
 
     /// All tasks.
--- a/lilacpass-jobs/src/record.rs
+++ b/lilacpass-jobs/src/record.rs
@@ -71,7 +71,8 @@
         Outcome::Failed => 2,
         Outcome::Cancelled => 3,
     };
-    v1::StateRecord { outcome, tasks, ended_ms: job.ended_ms }.encode_to_vec()
+    v1::StateRecord { outcome, tasks, ended_ms: job.ended_ms, not_begun: !job.begun }
+        .encode_to_vec()
 }
 
 fn task_record(name: TaskName, task: &Task) -> v1::TaskRecord {
@@ -122,6 +123,8 @@
             .ok_or_else(|| Error::Record(format!("{name} is not in the plan of its job")))?;
         *task = read_task(record);
     }
+    let was_given = job.tasks().any(|task| task.done || task.last_run > 0);
+    job.begun = was_given && !state.not_begun;
     Ok(job)
 }
 
--- a/lilacpass-jobs/tests/jobs.rs
+++ b/lilacpass-jobs/tests/jobs.rs
@@ -6,6 +6,7 @@
     End, How, Job, JobKey, Outcome, StepName, TaskName, WorkerName, job::Change, record,
 };
 use lilacpass_schema::v1;
+use prost::Message;
 
 fn job(steps: Vec<v1::WorkStep>) -> Job {
     let queue = v1::QueuePolicy { attempts: 2, ..Default::default() };
@@ -134,6 +135,35 @@
     assert_eq!(record::parse_key("lead"), None);
 }
 
+/// A job that was only given out is read back as one that no worker has begun, and one that was begun as such.
+#[test]
+fn what_workers_have_begun_is_read_back() {
+    let mut job = job(vec![step(1, vec![])]);
+    begin(&mut job, name(0).task(0));
+    let plan = record::encode_plan(&job);
+    let given = record::decode(job.key, &plan, Some(&record::encode_state(&job)));
+    assert!(given.is_ok_and(|job| !job.begun));
+    assert!(job.note_begun() && !job.note_begun());
+    let begun = record::decode(job.key, &plan, Some(&record::encode_state(&job)));
+    assert!(begun.is_ok_and(|job| job.begun));
+}
+
+/// Records of an earlier version don't tell what workers have begun; there, whatever was given out counts, as it
+/// did then. Else all running jobs would be said to wait while a cell is upgraded.
+#[test]
+fn a_record_that_does_not_tell_counts_what_was_given_out_as_begun() {
+    let mut job = job(vec![step(1, vec![])]);
+    let plan = record::encode_plan(&job);
+    let read = |job: &Job| {
+        let state = v1::StateRecord::decode(record::encode_state(job).as_slice());
+        let state = v1::StateRecord { not_begun: false, ..state.expect("it was just encoded") };
+        record::decode(job.key, &plan, Some(&state.encode_to_vec())).expect("it was just encoded")
+    };
+    assert!(!read(&job).begun, "nothing was given out");
+    begin(&mut job, name(0).task(0));
+    assert!(read(&job).begun);
+}
+
 #[test]
 fn names_are_read_back_and_others_refused() {
     let task = name(3).task(7);
--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -128,6 +128,7 @@
         let Some(upto) = new.iter().map(|row| row.number).max() else { return };
         worker.seen_upto = upto;
         for row in new {
+            self.note_begun(row.task.step.job);
             self.judge_worker(name, row.task.step.job, row.end.how, now);
             self.end_run(name, (row.task, row.end.run), &row.end, now);
         }
@@ -175,6 +176,7 @@
         for row in rows {
             let key = (row.task, row.run);
             let need = self.need_of(row.task);
+            self.note_begun(row.task.step.job);
             if let Some(entry) = self.jobs.get_mut(&row.task.step.job) {
                 entry.job.note_checkpoint(row.task, &row.checkpoint);
             }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -29,8 +29,6 @@
     pub stored: bool,
     /// The outcome that callers are shown: one that is stored.
     pub shown: Outcome,
-    /// Some task has been given a run.
-    pub begun: bool,
     /// Workers on which its tasks failed or stood still since one of them was done.
     pub failed_on: BTreeSet<WorkerName>,
     /// Tasks of which a copy is to run, because the run that they have may be lost.
@@ -46,7 +44,6 @@
     pub fn new(job: Job, stored: bool) -> Self {
         Self {
             shown: job.outcome,
-            begun: !job.is_queued(),
             stored,
             job,
             failed_on: BTreeSet::new(),
--- a/lilacpass-lead/src/outbox.rs
+++ b/lilacpass-lead/src/outbox.rs
@@ -45,15 +45,18 @@
     pub states: BTreeSet<JobKey>,
     /// Jobs whose records are to be dropped.
     pub drops: BTreeSet<JobKey>,
+    /// Jobs whose state is stored together with whatever is stored next, since it alone is not worth a call.
+    pub beside: BTreeSet<JobKey>,
     after: Vec<After>,
 }
 
 impl Changes {
     fn is_empty(&self) -> bool {
-        self.plans.is_empty()
-            && self.states.is_empty()
-            && self.drops.is_empty()
-            && self.after.is_empty()
+        !self.has_records() && self.after.is_empty()
+    }
+
+    fn has_records(&self) -> bool {
+        !(self.plans.is_empty() && self.states.is_empty() && self.drops.is_empty())
     }
 }
 
@@ -82,7 +85,13 @@
     /// Takes all that waits to be sent.
     pub fn send(&mut self, now_ms: u64) -> &Changes {
         self.first_sent_ms.get_or_insert(now_ms);
-        self.under_way.insert(mem::take(&mut self.waiting))
+        let mut changes = mem::take(&mut self.waiting);
+        if changes.has_records() {
+            changes.states.append(&mut changes.beside);
+        } else {
+            self.waiting.beside = mem::take(&mut changes.beside);
+        }
+        self.under_way.insert(changes)
     }
 
     /// Notes that the append under way is stored. Returns what became possible.
@@ -97,6 +106,7 @@
         changes.plans.append(&mut self.waiting.plans);
         changes.states.append(&mut self.waiting.states);
         changes.drops.append(&mut self.waiting.drops);
+        changes.beside.append(&mut self.waiting.beside);
         changes.after.append(&mut self.waiting.after);
         self.waiting = changes;
         self.not_before_ms = now_ms + RETRY_MS;
--- a/lilacpass-lead/src/recording.rs
+++ b/lilacpass-lead/src/recording.rs
@@ -1,6 +1,6 @@
 //! What goes into the store, and what follows once it is stored.
 
-use lilacpass_jobs::record;
+use lilacpass_jobs::{JobKey, record};
 
 use crate::{
     event::{Effect, Now, Record},
@@ -32,6 +32,17 @@
         }
     }
 
+    /// A worker has begun a task of a job.
+    ///
+    /// Recorded beside other changes: a successor that can't reach the worker would else tell callers that
+    /// a job waits which they were told runs, until the worker answers.
+    pub(crate) fn note_begun(&mut self, key: JobKey) {
+        let Some(entry) = self.jobs.get_mut(&key) else { return };
+        if entry.job.note_begun() {
+            self.outbox.waiting.beside.insert(key);
+        }
+    }
+
     /// Sends what has changed into the store, unless an append is under way.
     pub(crate) fn flush(&mut self, now: Now) {
         if !self.outbox.is_due(now.steady_ms) {
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -253,7 +253,6 @@
         let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
         let data_centre = data_centre_of(&self.workers, &worker);
         let Some(run) = entry.job.begin_run(task, worker.clone(), data_centre) else { return };
-        entry.begun = true;
         self.record_start(task, run, worker, now);
         self.reindex(task.step.job, now);
     }
@@ -265,7 +264,6 @@
             .map(|worker| (worker.clone(), data_centre_of(&self.workers, worker)))
             .collect();
         let Some(run) = entry.job.begin_gang(name, &hosts) else { return };
-        entry.begun = true;
         self.reservations.release(name);
         for (index, worker) in workers.iter().enumerate() {
             self.record_start(name.task(index as u32), run, worker.clone(), now);
--- a/lilacpass-lead/src/starts.rs
+++ b/lilacpass-lead/src/starts.rs
@@ -65,6 +65,9 @@
     ) {
         let key = (task, run);
         let avoid_ms = self.options.avoid_ms;
+        if result.is_ok() {
+            self.note_begun(task.step.job);
+        }
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(given) = worker.runs.get(&key).copied() else { return };
         match result {
--- a/lilacpass-lead/tests/fuzz.rs
+++ b/lilacpass-lead/tests/fuzz.rs
@@ -56,8 +56,10 @@
             10 => world.lose_percent = u64::from(much) % 40,
             _ => {}
         }
+        ask_of_jobs(&mut world, jobs.len() as u64);
         world.run(u64::from(much) * 10);
     }
+    ask_of_jobs(&mut world, jobs.len() as u64);
     world.lose_percent = 0;
     world.store.down = false;
     world.workers.iter_mut().for_each(|worker| worker.cut = false);
@@ -73,6 +75,16 @@
     }
 }
 
+/// Asks for what the small cell judges the answers of.
+fn ask_of_jobs(world: &mut World, jobs: u64) {
+    for queue in ["quick", "advised"] {
+        world.ask(Ask::Pending { queue: queue.to_owned() });
+    }
+    for key in 1..=jobs {
+        world.ask(Ask::State(JobKey(key)));
+    }
+}
+
 fn advised() -> v1::QueuePolicy {
     let advice = v1::AdvicePolicy { base_ms: 20.0, per_worker_ms: 1.0, valid_ms: 2_500 };
     v1::QueuePolicy { advice: Some(advice), ..queue("advised", 1) }
--- a/lilacpass-lead/tests/waiting_jobs.rs
+++ b/lilacpass-lead/tests/waiting_jobs.rs
@@ -54,6 +54,57 @@
     assert_eq!(state(&mut world, 1), Answer::State(JobState::Queued));
 }
 
+/// The same without a change of leader: the orders get no answer, and once the runs are given up there is
+/// nowhere to start them again. The job was shown as one that runs for as long as that lasted.
+#[test]
+fn a_job_whose_orders_got_no_answer_waits() {
+    let mut world = four_workers();
+    world.run(500);
+    set_cut(&mut world, true);
+    submit(&mut world, 1);
+    for _ in 0..6 {
+        world.run(2_000);
+        assert_eq!(count(&mut world), Answer::Pending(1));
+        assert_eq!(state(&mut world, 1), Answer::State(JobState::Queued));
+    }
+}
+
+/// A check is shown as one that runs while its start is still on the way into a store that takes nothing.
+#[test]
+fn a_job_whose_start_is_not_stored_yet_waits() {
+    let mut world = four_workers();
+    world.run(500);
+    world.workers.iter_mut().for_each(|worker| worker.draining = true);
+    world.take_over();
+    world.run(500);
+    submit(&mut world, 1);
+    world.run(300);
+    assert_eq!(count(&mut world), Answer::Pending(1), "no worker takes starts");
+    world.store.down = true;
+    let number = world.workers.len() - 1;
+    world.replace_worker(number);
+    world.run(600);
+    assert_eq!(count(&mut world), Answer::Pending(1));
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Queued));
+    world.store.down = false;
+    world.run(500);
+    assert_eq!(count(&mut world), Answer::Pending(0));
+}
+
+/// A job that has run for most of a second is said to wait: the answer to its start was passed over, and the look
+/// that lists it waits for an end.
+#[test]
+fn a_job_runs_once_its_worker_has_confirmed_the_start() {
+    let mut world = four_workers();
+    world.run(500);
+    submit(&mut world, 1);
+    while world.workers.iter().all(|worker| worker.runs.is_empty()) {
+        world.run(1);
+    }
+    world.run(5);
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Running));
+}
+
 /// What runs must not be shown as waiting again: a worker began it, and the successor of the leader that
 /// heard of that can't reach the worker for seconds.
 #[test]
@@ -101,3 +152,23 @@
     assert_eq!(world.workers.iter().map(|worker| worker.runs.len()).sum::<usize>(), 0);
     assert_eq!(state(&mut world, 1), Answer::State(JobState::Running));
 }
+
+/// Calls of the store are priced and bounded: what workers have begun is stored with the next change, and costs
+/// no append of its own.
+#[test]
+fn hearing_of_a_begun_run_costs_no_append() {
+    let mut world = four_workers();
+    world.run(500);
+    submit(&mut world, 1);
+    while world.workers.iter().all(|worker| worker.runs.is_empty()) {
+        world.run(1);
+    }
+    let appends = world.store.appends;
+    world.run(2_000);
+    assert_eq!(state(&mut world, 1), Answer::State(JobState::Running));
+    assert_eq!(world.store.appends, appends);
+    submit(&mut world, 2);
+    world.run(300);
+    let job = world.store.job(JobKey(1)).expect("the job is stored");
+    assert!(job.begun, "stored beside the next job");
+}
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -1,10 +1,12 @@
 //! A small cell under made-up time: leaders, a store and workers, with faults switched on by calls.
 //!
 //! Each start of a run is judged as it happens: no worker above its capacity, no task in two places,
-//! none after it was done and that was noted, none before the steps that it waits for.
+//! none after it was done and that was noted, none before the steps that it waits for. Each answer about jobs
+//! that wait or run is judged by what workers have begun.
 
 #![allow(dead_code, unreachable_pub)]
 
+pub(crate) mod answers;
 pub(crate) mod store;
 pub(crate) mod worker;
 
@@ -18,6 +20,7 @@
 };
 use lilacpass_schema::v1;
 
+use answers::Asked;
 use store::Store;
 use worker::Worker;
 
@@ -105,6 +108,8 @@
     pub workers: Vec<Worker>,
     pub members: Vec<Member>,
     pub answers: Vec<(Token, Answer)>,
+    /// What was asked, and what workers have begun.
+    pub asked: Asked,
     /// Calls for advice: the step, and how many workers were named.
     pub calls_for_advice: Vec<(StepName, usize)>,
     /// Share of orders, in percent, that get no answer and may be carried out late.
@@ -127,6 +132,7 @@
             workers,
             members: Vec::new(),
             answers: Vec::new(),
+            asked: Asked::default(),
             calls_for_advice: Vec::new(),
             lose_percent: 0,
             options: Options::default(),
@@ -200,6 +206,7 @@
         let token = Token(self.next_token);
         self.next_token += 1;
         let member = self.members.len() - 1;
+        self.asked.note(token, &ask);
         self.tell(member, Event::Asked { token, ask });
         token
     }
@@ -330,7 +337,12 @@
 
     fn arrive(&mut self, member: usize, effect: Effect, answered: bool) {
         match effect {
-            Effect::Reply { token, answer } => self.answers.push((token, answer)),
+            Effect::Reply { token, answer } => {
+                if member + 1 == self.members.len() {
+                    self.asked.judge(token, &answer, &self.store);
+                }
+                self.answers.push((token, answer));
+            }
             Effect::Append(records) => self.append(member, &records),
             Effect::Advise { lane, step, workers, expected_ms } => {
                 self.calls_for_advice.push((step, workers.len()));
@@ -441,6 +453,7 @@
         }
         let job = self.store.job(task.step.job).expect("a task of a stored job");
         self.judge_start(at, task, &job);
+        self.asked.begun.insert(job.key);
         let plan = job.step_plan(task.step.step);
         let work_ms = u64::from(plan.estimate_ms).max(1);
         let fails = self.random.percent(3);
--- a/lilacpass-lead/tests/world/store.rs
+++ b/lilacpass-lead/tests/world/store.rs
@@ -11,6 +11,8 @@
     pub epoch: u64,
     /// It refuses everything.
     pub down: bool,
+    /// Appends that were taken.
+    pub appends: u64,
     end: u64,
 }
 
@@ -28,6 +30,7 @@
             return false;
         }
         self.end += records.len() as u64;
+        self.appends += 1;
         for record in records {
             if record.value.is_empty() {
                 self.records.remove(&record.key);
