Show operators which jobs no worker has begun

Cause: `status` counted open jobs only, and `explain` showed runs of which nobody knew whether their workers had them; neither told what callers are told. Change: `not_begun_jobs` by queue in `status`, `begun` in `explain`, both by the workers' word. Figures: a story in the small cell, green with the change; without the fields it does not compile.

--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -17,6 +17,8 @@
 pub struct Status {
     /// Jobs that are not ended, by queue.
     pub open_jobs: BTreeMap<String, u64>,
+    /// Those of them of which no worker is known to have begun a task, by queue.
+    pub not_begun_jobs: BTreeMap<String, u64>,
     /// Steps that wait for room or advice.
     pub waiting_steps: u64,
     /// Runs on workers, by what is known of them.
@@ -55,6 +57,8 @@
     pub queue: String,
     /// What has become of it.
     pub outcome: &'static str,
+    /// A worker is known to have begun a task.
+    pub begun: bool,
     /// Time since its acceptance, in ms.
     pub age_ms: u64,
     /// Its steps.
@@ -86,7 +90,11 @@
             ..Status::default()
         };
         for entry in self.jobs.values().filter(|entry| entry.job.outcome == Outcome::Open) {
-            *status.open_jobs.entry(entry.job.queue.name.clone()).or_default() += 1;
+            let queue = &entry.job.queue.name;
+            *status.open_jobs.entry(queue.clone()).or_default() += 1;
+            if !entry.job.begun {
+                *status.not_begun_jobs.entry(queue.clone()).or_default() += 1;
+            }
         }
         for worker in self.workers.values() {
             for given in worker.runs.values() {
@@ -112,6 +120,7 @@
             job: key.to_string(),
             queue: job.queue.name.clone(),
             outcome: job.outcome.as_str(),
+            begun: job.begun,
             age_ms: now.unix_ms.saturating_sub(job.accepted_ms),
             steps: job.step_names().map(|step| self.explain_step(entry, step, now)).collect(),
         })
--- a/lilacpass-lead/tests/waiting_jobs.rs
+++ b/lilacpass-lead/tests/waiting_jobs.rs
@@ -172,3 +172,21 @@
     let job = world.store.job(JobKey(1)).expect("the job is stored");
     assert!(job.begun, "stored beside the next job");
 }
+
+/// Operators looked for jobs that stand still and saw open ones only: those of which nothing ran were among them,
+/// with runs on workers that had never heard of them.
+#[test]
+fn operators_see_which_jobs_no_worker_has_begun() {
+    let mut world = four_workers();
+    submit(&mut world, 1);
+    world.run(500);
+    set_cut(&mut world, true);
+    submit(&mut world, 2);
+    world.run(300);
+    let now = world.now();
+    let leader = &world.current().leader;
+    let status = leader.status(now);
+    assert_eq!((status.open_jobs[QUEUE], status.not_begun_jobs[QUEUE]), (2, 1));
+    let has_begun = |key| leader.explain(JobKey(key), now).is_some_and(|job| job.begun);
+    assert!(has_begun(1) && !has_begun(2));
+}
