Tests that fail: a leader that is given more than it can decide

Cause: the leader takes in every hand-in, and a round of deciding looks at all steps however late the leader already is. Looks at workers, ends and answers wait behind that round. Change: the small cell can charge made-up time for what a leader does (`world/cost.rs`): events, looks, requests, and each step that is looked at, which the leader counts (`Leader::work`). The loop around it is that of an instance: all that has come, one round, and the next tick 50 ms after the last. Looks wait for the next end there.

--- a/lilacpass-lead/src/asking.rs
+++ b/lilacpass-lead/src/asking.rs
@@ -77,6 +77,7 @@
         if waiting == 0 {
             return;
         }
+        self.work.tries += 1;
         self.choose_home(name, &plan, now);
         let Some(entry) = self.jobs.get(&name.job) else { return };
         let candidates = self.candidates(name, &plan, waiting, now);
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -69,6 +69,13 @@
     }
 }
 
+/// What deciding has taken since the leader began. What takes its time is looking at steps.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Steps that were looked at for room, or for workers to ask about.
+    pub tries: u64,
+}
+
 /// The leader of a cell.
 #[derive(Debug)]
 pub struct Leader {
@@ -82,6 +89,7 @@
     pub(crate) reservations: Reservations,
     /// Steps for which room was looked for by preemption in this round.
     pub(crate) tries_for_room: u32,
+    pub(crate) work: Work,
     pub(crate) news: News,
     pub(crate) loss: LossMeter,
     /// Workers at which no look is under way: hardly any. Going through all workers at each event, and
@@ -129,6 +137,7 @@
             waiting: Waiting::default(),
             reservations: Reservations::default(),
             tries_for_room: 0,
+            work: Work::default(),
             news: News::default(),
             loss: LossMeter::default(),
             looks_due: BTreeSet::new(),
@@ -210,6 +219,11 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// What deciding has taken so far.
+    pub fn work(&self) -> Work {
+        self.work
+    }
+
     /// Whether the store confirmed so lately that we lead that no other can have taken over.
     pub fn is_sure(&self, now: Now) -> bool {
         /// Below the shortest time in which another takes over from a leader that still runs.
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -76,6 +76,7 @@
             return;
         }
         let plan = entry.job.step_plan(name.step).clone();
+        self.work.tries += 1;
         self.choose_home(name, &plan, now);
         let mut hosts = self.hosts(name, &plan, among, now);
         let strays =
--- /dev/null
+++ b/lilacpass-lead/tests/overload.rs
@@ -0,0 +1,190 @@
+//! A leader that is given more than it can decide: its operations take made-up time.
+
+mod world;
+
+use std::collections::BTreeMap;
+
+use lilacpass_core::Resources;
+use lilacpass_jobs::{JobKey, Outcome};
+use lilacpass_lead::event::{Answer, Ask, Token};
+use world::{World, cost::Costs, plan, queue, step};
+
+/// With these a job of the plays takes the leader about 10 ms: one try, two starts, two ends. Looks at 60 idle
+/// workers take it a tenth of its time.
+const COSTS: Costs = Costs { event_us: 200, look_us: 1_000, try_us: 4_000, ask_us: 50 };
+const WORKERS: usize = 60;
+/// Jobs a second that the leader can decide beside its looks.
+const CAN_DECIDE: u64 = 90;
+/// How long jobs come in.
+const TRAFFIC_MS: u64 = 8_000;
+/// What the tasks of a job take.
+const TASK_MS: u32 = 400;
+/// A caller that is turned away should hear of it while it can still go elsewhere.
+const REFUSED_WITHIN_MS: u64 = 1_000;
+/// Callers wait so long for any answer.
+const PATIENCE_MS: u64 = 3_000;
+/// Callers count on a job of 0.4 s within this time, the longest wait for room that starts a reservation
+/// included.
+const DONE_WITHIN_MS: u64 = 5_000;
+
+fn cell() -> World {
+    let mut world = World::new(11, WORKERS, Resources::new(8_000, 10_000, 0, 0));
+    // The leader knows its workers, and has nothing to do.
+    world.run(2_000);
+    world.costs = Some(COSTS);
+    world.run(1_000);
+    world
+}
+
+fn lapsed(world: &World) -> u64 {
+    world.workers.iter().map(|worker| worker.lapsed).sum()
+}
+
+/// What came of a hand-in.
+struct HandIn {
+    key: u64,
+    token: Token,
+    sent_ms: u64,
+}
+
+/// Hands `a_second` jobs in each second, evenly.
+fn hand_in(world: &mut World, a_second: u64) -> Vec<HandIn> {
+    let mut sent = Vec::new();
+    for number in 0..a_second * TRAFFIC_MS / 1_000 {
+        let due_ms = number * 1_000 / a_second;
+        let next_ms = (number + 1) * 1_000 / a_second;
+        let key = 1 + number;
+        let job = plan(&[step(2, 1_000, TASK_MS)]);
+        let sent_ms = world.now_ms;
+        let token = world.submit(key, job, queue(&format!("quick-{}", key % 3), (key % 3) as u32));
+        sent.push(HandIn { key, token, sent_ms });
+        world.run(next_ms - due_ms);
+    }
+    sent
+}
+
+/// Nobody hears of ends, workers stop accepted work, and after the rush nothing has come of half of it: the
+/// leader has so many steps to look at that looks at workers wait behind them for longer than a lease. It
+/// took in every hand-in meanwhile, so that the next round took longer still. Given more than it can
+/// decide it should look at its workers in time, do what it accepted in time, and turn the rest away at once.
+fn play_rush(times: u64) {
+    let mut world = cell();
+    let sent = hand_in(&mut world, CAN_DECIDE * times);
+    world.run(DONE_WITHIN_MS);
+    let answers: BTreeMap<u64, Answer> =
+        world.answers.iter().map(|(token, answer)| (token.0, answer.clone())).collect();
+    assert_eq!(lapsed(&world), 0, "leases lapsed on sound workers");
+    let mut done = 0;
+    for hand_in in &sent {
+        let key = hand_in.key;
+        let answer = answers.get(&hand_in.token.0);
+        let answer_ms = world.answered_ms.get(&hand_in.token.0).map(|ms| ms - hand_in.sent_ms);
+        let job = world.store.job(JobKey(key));
+        match answer {
+            Some(Answer::Refused { retry_after_ms, .. }) => {
+                assert!(job.is_none(), "job {key} was refused and is stored");
+                assert!(answer_ms.is_some_and(|ms| ms < REFUSED_WITHIN_MS), "{answer_ms:?}");
+                assert!((1_000..=3_000).contains(retry_after_ms), "{retry_after_ms}");
+            }
+            Some(Answer::Done) => {
+                assert!(answer_ms.is_some_and(|ms| ms < PATIENCE_MS), "job {key}: {answer_ms:?}");
+                let job = job.expect("an accepted job is stored");
+                assert_eq!(job.outcome, Outcome::Completed, "job {key} was accepted");
+                let took_ms = job.ended_ms - job.accepted_ms;
+                assert!(took_ms < DONE_WITHIN_MS, "job {key} took {took_ms} ms");
+                done += 1;
+            }
+            other => panic!("job {key}: {other:?}"),
+        }
+    }
+    let possible = CAN_DECIDE * TRAFFIC_MS / 1_000;
+    assert!(done > possible / 2, "{done} jobs were done, and {possible} could be decided");
+}
+
+#[test]
+fn twice_the_jobs_that_can_be_decided_break_no_promise() {
+    play_rush(2);
+}
+
+#[test]
+fn five_times_the_jobs_that_can_be_decided_break_no_promise() {
+    play_rush(5);
+}
+
+#[test]
+fn twenty_times_the_jobs_that_can_be_decided_break_no_promise() {
+    play_rush(20);
+}
+
+/// The same with work that was accepted long ago, by a former leader, and has no room: looking at all of it
+/// takes `times` the time between two looks at it. Each waiting job gets its turn as room falls free.
+fn play_backlog(times: u64) {
+    /// Time between rounds over everything, as the leader has it.
+    const ALL_INTERVAL_US: u64 = 100_000;
+    const LONG_TASK_MS: u64 = 1_500;
+    let mut world = cell();
+    world.costs = None;
+    let jobs = WORKERS as u64 + times * ALL_INTERVAL_US / COSTS.try_us;
+    for key in 1..=jobs {
+        world.submit(key, plan(&[step(1, 8_000, LONG_TASK_MS as u32)]), queue("long", 1));
+    }
+    world.run(20);
+    world.costs = Some(COSTS);
+    // In turn on all workers, with as much time again for what the leader does between.
+    let waves = jobs.div_ceil(WORKERS as u64);
+    world.run(2 * waves * LONG_TASK_MS + PATIENCE_MS);
+    assert_eq!(lapsed(&world), 0, "leases lapsed on sound workers");
+    for key in 1..=jobs {
+        let outcome = world.store.job(JobKey(key)).map(|job| job.outcome);
+        assert_eq!(outcome, Some(Outcome::Completed), "job {key}");
+    }
+}
+
+#[test]
+fn a_backlog_of_twice_what_a_round_can_look_at_is_worked_off() {
+    play_backlog(2);
+}
+
+#[test]
+fn a_backlog_of_five_times_what_a_round_can_look_at_is_worked_off() {
+    play_backlog(5);
+}
+
+#[test]
+fn a_backlog_of_twenty_times_what_a_round_can_look_at_is_worked_off() {
+    play_backlog(20);
+}
+
+/// Somebody who asks what became of a job, or wants it stopped, is told so in the middle of the rush.
+#[test]
+fn states_and_cancels_are_answered_in_a_rush() {
+    let mut world = cell();
+    let long = step(1, 1_000, 60_000);
+    world.submit(100_000, plan(&[long]), queue("long", 1));
+    world.run(1_000);
+    hand_in(&mut world, CAN_DECIDE * 20);
+    let state = world.ask(Ask::State(JobKey(100_000)));
+    let cancel = world.ask(Ask::Cancel(JobKey(100_000)));
+    let repeated = world.submit(100_000, plan(&[step(1, 1_000, 60_000)]), queue("long", 1));
+    world.run(REFUSED_WITHIN_MS);
+    assert!(matches!(world.answer(state), Some(Answer::State(_))), "{:?}", world.answer(state));
+    assert_eq!(world.answer(cancel), Some(&Answer::Done));
+    assert_eq!(world.answer(repeated), Some(&Answer::Done), "it was accepted, and stays so");
+    world.run(PATIENCE_MS);
+    let outcome = world.store.job(JobKey(100_000)).map(|job| job.outcome);
+    assert_eq!(outcome, Some(Outcome::Cancelled));
+}
+
+/// Without trouble nobody is turned away.
+#[test]
+fn half_of_the_jobs_that_can_be_decided_are_all_accepted() {
+    let mut world = cell();
+    let sent = hand_in(&mut world, CAN_DECIDE / 2);
+    world.run(DONE_WITHIN_MS);
+    assert_eq!(lapsed(&world), 0, "leases lapsed on sound workers");
+    for HandIn { key, token, .. } in sent {
+        assert_eq!(world.answer(token), Some(&Answer::Done), "job {key}");
+        let outcome = world.store.job(JobKey(key)).map(|job| job.outcome);
+        assert_eq!(outcome, Some(Outcome::Completed), "job {key}");
+    }
+}
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -5,10 +5,15 @@
 
 #![allow(dead_code, unreachable_pub)]
 
+pub(crate) mod cost;
 pub(crate) mod store;
 pub(crate) mod worker;
 
-use std::{cmp::Reverse, collections::BinaryHeap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    mem,
+};
 
 use lilacpass_core::{Resources, Verdict};
 use lilacpass_jobs::{Job, JobKey, StepName, TaskName, WorkerName, record};
@@ -18,6 +23,7 @@
 };
 use lilacpass_schema::v1;
 
+use cost::{Costs, Loop};
 use store::Store;
 use worker::Worker;
 
@@ -57,6 +63,7 @@
     pub alive: bool,
     pub paused_until_ms: u64,
     next_sequence: u64,
+    turns: Loop,
 }
 
 #[derive(Debug)]
@@ -69,6 +76,10 @@
     Tick { member: usize },
     /// A member sends its renewal.
     Renew { member: usize },
+    /// A member whose operations take time is free again.
+    Round { member: usize },
+    /// A look that waited for an end is answered.
+    LookEnds { member: usize, at: usize, effect: Effect, sent_ms: u64 },
 }
 
 struct Timed {
@@ -110,6 +121,10 @@
     /// Share of orders, in percent, that get no answer and may be carried out late.
     pub lose_percent: u64,
     pub options: Options,
+    /// When each request was answered.
+    pub answered_ms: BTreeMap<u64, u64>,
+    /// What the operations of a leader take; none where they take no time.
+    pub costs: Option<Costs>,
     actions: BinaryHeap<Reverse<Timed>>,
     order: u64,
     next_token: u64,
@@ -130,6 +145,8 @@
             calls_for_advice: Vec::new(),
             lose_percent: 0,
             options: Options::default(),
+            answered_ms: BTreeMap::new(),
+            costs: None,
             actions: BinaryHeap::new(),
             order: 0,
             next_token: 0,
@@ -158,6 +175,7 @@
             alive: true,
             paused_until_ms: 0,
             next_sequence: 1,
+            turns: Loop::default(),
         });
         let member = self.members.len() - 1;
         self.plan(0, Action::Tick { member });
@@ -245,7 +263,9 @@
             Action::Tell { member, event } => self.tell(member, event),
             Action::Tick { member } => {
                 if self.members[member].alive {
-                    self.plan(TICK_MS, Action::Tick { member });
+                    if self.costs.is_none() {
+                        self.plan(TICK_MS, Action::Tick { member });
+                    }
                     self.tell(member, Event::Tick);
                     self.tell(member, Event::WorkersRead);
                 }
@@ -262,6 +282,10 @@
                 }
             }
             Action::Arrive { member, effect, answered } => self.arrive(member, effect, answered),
+            Action::Round { member } => self.round(member),
+            Action::LookEnds { member, at, effect, sent_ms } => {
+                self.look_ends(member, at, &effect, sent_ms);
+            }
         }
     }
 
@@ -277,17 +301,58 @@
             let after_ms = self.members[member].paused_until_ms - self.now_ms;
             return self.plan(after_ms, Action::Tell { member, event });
         }
+        if self.costs.is_some() {
+            self.members[member].turns.inbox.push(event);
+            return self.wake(member);
+        }
         let now = self.now();
         let leader = &mut self.members[member].leader;
         leader.handle(event, now);
         for effect in leader.finish(now) {
-            self.send(member, effect);
+            self.send(member, effect, 0);
+        }
+    }
+
+    /// Has a member look into its inbox once it is free.
+    fn wake(&mut self, member: usize) {
+        let turns = &mut self.members[member].turns;
+        if mem::replace(&mut turns.is_woken, true) {
+            return;
+        }
+        let free_ms = turns.busy_until_us.div_ceil(1_000);
+        self.plan(free_ms.saturating_sub(self.now_ms), Action::Round { member });
+    }
+
+    /// A member takes in all that has come, and decides; both take time.
+    fn round(&mut self, member: usize) {
+        let Some(costs) = self.costs else { return };
+        let now = self.now();
+        let Member { leader, turns, .. } = &mut self.members[member];
+        turns.is_woken = false;
+        let before = leader.work();
+        let mut cost_us = 0;
+        let mut ticks = false;
+        for event in mem::take(&mut turns.inbox) {
+            cost_us += costs.of_event(&event);
+            ticks |= event == Event::Tick;
+            leader.handle(event, now);
+        }
+        let effects = leader.finish(now);
+        cost_us += costs.of_work(before, leader.work());
+        cost_us += effects.iter().map(|effect| costs.of_effect(effect)).sum::<u64>();
+        turns.busy_until_us = turns.busy_until_us.max(self.now_ms * 1_000) + cost_us;
+        let cost_ms = cost_us / 1_000;
+        if ticks {
+            self.plan(TICK_MS, Action::Tick { member });
+        }
+        for effect in effects {
+            self.send(member, effect, cost_ms);
         }
     }
 
     /// An effect leaves its leader.
-    fn send(&mut self, member: usize, effect: Effect) {
-        let delay_ms = 1 + self.random.below(4);
+    fn send(&mut self, member: usize, effect: Effect, after_ms: u64) {
+        let delay_ms = 1 + self.random.below(4) + after_ms;
         let is_order =
             matches!(effect, Effect::Start { .. } | Effect::Stop { .. } | Effect::Look { .. });
         if is_order && self.random.percent(self.lose_percent) {
@@ -330,7 +395,10 @@
 
     fn arrive(&mut self, member: usize, effect: Effect, answered: bool) {
         match effect {
-            Effect::Reply { token, answer } => self.answers.push((token, answer)),
+            Effect::Reply { token, answer } => {
+                self.answered_ms.insert(token.0, self.now_ms);
+                self.answers.push((token, answer));
+            }
             Effect::Append(records) => self.append(member, &records),
             Effect::Advise { lane, step, workers, expected_ms } => {
                 self.calls_for_advice.push((step, workers.len()));
@@ -394,6 +462,12 @@
         let event = match effect {
             Effect::Look { worker, lease_until_ms, forget_upto, wait_ms, extra, .. } => {
                 let result = self.workers[at].look(epoch, *lease_until_ms, *forget_upto);
+                if self.costs.is_some() && result.is_ok() {
+                    let wait_ms = self.workers[at].next_end_ms(*wait_ms, now_ms);
+                    let effect = effect.clone();
+                    let ends = Action::LookEnds { member, at, effect, sent_ms: now_ms };
+                    return self.plan(wait_ms, ends);
+                }
                 // A waiting look is answered when something ends; here, after part of the wait.
                 let wait_ms = (*wait_ms).min(100);
                 let event = Event::Looked {
@@ -420,6 +494,15 @@
         self.answer_order(member, event, answered);
     }
 
+    /// A look that waited is answered with what there is now.
+    fn look_ends(&mut self, member: usize, at: usize, effect: &Effect, sent_ms: u64) {
+        let Effect::Look { worker, forget_upto, extra, .. } = effect else { return };
+        let epoch = self.members[member].epoch;
+        let result = self.workers[at].look(epoch, None, *forget_upto);
+        let event = Event::Looked { worker: worker.clone(), sent_ms, extra: *extra, result };
+        self.plan(1, Action::Tell { member, event });
+    }
+
     fn answer_order(&mut self, member: usize, event: Option<Event>, answered: bool) {
         if let Some(event) = event.filter(|_| answered) {
             let delay_ms = 1 + self.random.below(4);
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -52,6 +52,8 @@
     lapsed_upto: u64,
     over: BTreeMap<TaskName, u32>,
     clock_ms: u64,
+    /// Runs whose lease ran out.
+    pub lapsed: u64,
 }
 
 impl Worker {
@@ -76,6 +78,7 @@
             lapsed_upto: 0,
             over: BTreeMap::new(),
             clock_ms: CLOCK_AHEAD_MS,
+            lapsed: 0,
         }
     }
 
@@ -108,6 +111,7 @@
         }
         if now_ms + CLOCK_AHEAD_MS > self.lease_until_ms {
             let lapsed: Vec<TaskName> = self.runs.keys().copied().collect();
+            self.lapsed += lapsed.len() as u64;
             lapsed.into_iter().for_each(|task| self.end(task, How::Lapsed));
             self.lapsed_upto = self.next_end - 1;
         }
@@ -168,6 +172,15 @@
         })
     }
 
+    /// How long a look that waits `most_ms` at most waits for an end.
+    pub fn next_end_ms(&self, most_ms: u64, now_ms: u64) -> u64 {
+        if !self.ends.is_empty() {
+            return 0;
+        }
+        let ends = self.runs.values().map(|run| run.ends_ms.saturating_sub(now_ms));
+        ends.min().unwrap_or(most_ms).min(most_ms)
+    }
+
     /// Whether an order to start is carried out.
     pub fn accepts(
         &mut self,
