Ask for looks before placing, within a round

Cause: looks extend leases, and were asked for after all of a round's placing. Change: `plan_looks` before `schedule`. Both read the same time; nothing that placing does makes a look due, and looks change nothing that placing reads, so only the order of a round's effects changes.

--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -213,8 +213,8 @@
 
     /// Decides what follows from all events so far, and returns what is to be done.
     pub fn finish(&mut self, now: Now) -> Vec<Effect> {
-        self.schedule(now);
         self.plan_looks(now);
+        self.schedule(now);
         self.flush(now);
         std::mem::take(&mut self.effects)
     }
