Bound a round of deciding, and refuse new jobs before accepted ones suffer

Cause: see the tests that failed. A round looked at all steps that had changed, and every 0.1 s at all that wait, and all hand-ins were taken. Change: `pressure.rs` reads shortage off the leader itself: how late its ticks are (three in a row, so that a suspended leader does not count), how long a turn of all waiting steps takes, and how many steps have changed that no round has looked at since. None of the three counts what waits for room. A round looks at 128 steps at first, half as many after a late tick, twice as many where a round was cut and the tick was in time. A cut round (`rounds.rs`) spends half on what changed or got room, in order, and half on the steps whose turn it is (`turn.rs`), places before it asks for advice, and keeps what it did not get to. New jobs are refused while changed steps would take over four rounds, ticks are 0.7 s late (again taken below 0.3 s) or a turn takes 2 s (1 s). A job that is known is never refused, and a leader that is not sure of its lead refuses none. States and cancels are answered as ever. One log line for each change of state. Tests: two more of order and turns under shortage; the plays also judge that no sound run is stopped.

--- a/lilacpass-lead/src/asks.rs
+++ b/lilacpass-lead/src/asks.rs
@@ -58,6 +58,9 @@
         if self.store_takes_nothing(now) {
             return self.refuse_for_store(token, key, now);
         }
+        if let Some(retry_after_ms) = self.refuses_new_jobs(now) {
+            return self.refuse_for_pressure(token, key, retry_after_ms);
+        }
         log::info!(
             job:% = key, queue = queue.name.as_str(), steps = plan.steps.len(),
             waiting = self.waiting.len();
@@ -87,6 +90,24 @@
         self.reply(token, Answer::Refused { reason, retry_after_ms });
     }
 
+    /// Whether the leader is too far behind to take new jobs, and if so, when their callers may come back.
+    ///
+    /// A leader that may have been replaced refuses none: its successor may have taken the job from an earlier
+    /// try of the caller, and a caller who is refused believes that the job never runs.
+    fn refuses_new_jobs(&mut self, now: Now) -> Option<u32> {
+        if !self.is_sure(now) {
+            return None;
+        }
+        self.pressure.refuses(self.news.unseen(), now)
+    }
+
+    /// Refuses a job that nothing was done of.
+    fn refuse_for_pressure(&mut self, token: Token, key: JobKey, retry_after_ms: u32) {
+        let reason = "the leader is behind";
+        log::info!(job:% = key, reason, behind_ms = self.pressure.behind_ms(); "job refused");
+        self.reply(token, Answer::Refused { reason, retry_after_ms });
+    }
+
     /// Whether the store has taken nothing for so long that new jobs are refused.
     fn store_takes_nothing(&self, now: Now) -> bool {
         let options = &self.options;
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -14,8 +14,11 @@
     news::News,
     options::{self, Options},
     outbox::Outbox,
-    place, rank,
+    place,
+    pressure::Pressure,
+    rank,
     reserve::Reservations,
+    turn::Turn,
     waiting::Waiting,
     worker::{Look, Phase, Worker},
 };
@@ -90,6 +93,8 @@
     /// Steps for which room was looked for by preemption in this round.
     pub(crate) tries_for_room: u32,
     pub(crate) work: Work,
+    pub(crate) turn: Turn,
+    pub(crate) pressure: Pressure,
     pub(crate) news: News,
     pub(crate) loss: LossMeter,
     /// Workers at which no look is under way: hardly any. Going through all workers at each event, and
@@ -138,6 +143,8 @@
             reservations: Reservations::default(),
             tries_for_room: 0,
             work: Work::default(),
+            turn: Turn::default(),
+            pressure: Pressure::new(now),
             news: News::default(),
             loss: LossMeter::default(),
             looks_due: BTreeSet::new(),
@@ -268,6 +275,7 @@
             self.loss.forget();
         }
         self.last_tick_ms = now.steady_ms;
+        self.note_pressure(now);
         while let Some(&(due_ms, key)) = self.due.first() {
             if due_ms > now.unix_ms {
                 break;
@@ -289,6 +297,22 @@
         }
     }
 
+    /// Judges whether the leader keeps up.
+    fn note_pressure(&mut self, now: Now) {
+        let Some(level) = self.pressure.tick(self.turn.lasts_ms(now), now) else { return };
+        log::info!(
+            leader = level.as_str(), behind_ms = self.pressure.behind_ms(),
+            tries_a_round = self.pressure.tries_a_round(), waiting = self.waiting.len(),
+            unseen = self.news.unseen();
+            "pressure changes"
+        );
+    }
+
+    /// Whether the leader keeps up, and how far it is behind.
+    pub fn pressure(&self) -> &Pressure {
+        &self.pressure
+    }
+
     /// Counts the workers of each service, and finds the least urgent work.
     fn review_pools(&mut self) {
         let open = self.jobs.values().filter(|entry| entry.job.outcome == Outcome::Open);
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -28,12 +28,15 @@
 pub mod outbox;
 pub mod place;
 pub mod preempt;
+pub mod pressure;
 pub mod progress;
 pub mod rank;
 pub mod recording;
 pub mod reserve;
+pub mod rounds;
 pub mod schedule;
 pub mod starts;
+pub mod turn;
 pub mod waiting;
 pub mod worker;
 
--- a/lilacpass-lead/src/news.rs
+++ b/lilacpass-lead/src/news.rs
@@ -43,6 +43,11 @@
         self.changed.insert(step);
     }
 
+    /// How many steps have changed that no round has looked at since.
+    pub fn unseen(&self) -> usize {
+        self.changed.len()
+    }
+
     /// Takes what the round at `now_ms` looks at.
     pub fn take(&mut self, now_ms: u64) -> Digest {
         let all = now_ms >= self.next_all_ms;
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -29,25 +29,34 @@
         for worker in self.reservations.expire(now.steady_ms) {
             self.news.free(&worker);
         }
-        let news = self.news.take(now.steady_ms);
+        let mut news = self.news.take(now.steady_ms);
         self.tries_for_room = 0;
+        if self.turn.is_under_way() {
+            return self.schedule_in_turns(news, now);
+        }
+        let end = self.work.tries + self.pressure.tries_a_round();
         for step in self.waiting.in_order() {
+            if self.work.tries >= end {
+                return self.cut_round(step, news, now);
+            }
             match self.scope(step, &news) {
                 Scope::Nothing => {}
                 Scope::All => self.place_step(step, None, now),
                 Scope::Freed => self.place_step(step, Some(&news.freed), now),
             }
+            news.changed.remove(&step);
             if self.lanes.any_idle() {
                 self.ask_advice(step, now);
             }
         }
         if news.all {
+            self.turn.not_needed();
             self.keep_room_ahead(now);
         }
     }
 
     /// Which workers may have come into question for a step since it was last looked at.
-    fn scope(&self, name: StepName, news: &Digest) -> Scope {
+    pub(crate) fn scope(&self, name: StepName, news: &Digest) -> Scope {
         if news.all || news.changed.contains(&name) {
             return Scope::All;
         }
@@ -68,7 +77,12 @@
     }
 
     /// Places tasks of a step, on any worker or only on some of them.
-    fn place_step(&mut self, name: StepName, among: Option<&BTreeSet<WorkerName>>, now: Now) {
+    pub(crate) fn place_step(
+        &mut self,
+        name: StepName,
+        among: Option<&BTreeSet<WorkerName>>,
+        now: Now,
+    ) {
         let Some(entry) = self.jobs.get(&name.job) else { return };
         let waiting: Vec<TaskName> =
             entry.job.task_names(name).filter(|task| entry.wants_run(*task)).collect();
@@ -290,7 +304,7 @@
 
 /// Which workers are to be looked at for a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Scope {
+pub(crate) enum Scope {
     Nothing,
     Freed,
     All,
--- /dev/null
+++ b/lilacpass-lead/src/turn.rs
@@ -0,0 +1,51 @@
+//! Whose turn it is where a round can't look at all waiting steps.
+//!
+//! Looked at in order alone, the last would never be reached while those before them change all the time.
+
+use lilacpass_jobs::StepName;
+
+use crate::{event::Now, rank::Rank, waiting::Waiting};
+
+/// A walk over all waiting steps in order, over several rounds.
+#[derive(Debug, Default)]
+pub struct Turn {
+    began_ms: Option<u64>,
+    /// The step that was reached.
+    upto: Option<Rank>,
+    last_took_ms: u64,
+}
+
+impl Turn {
+    /// Whether steps have not had their turn yet.
+    pub fn is_under_way(&self) -> bool {
+        self.began_ms.is_some()
+    }
+
+    /// Begins after a step; from the first where there is none.
+    pub fn begin(&mut self, after: Option<Rank>, now: Now) {
+        self.began_ms = Some(now.steady_ms);
+        self.upto = after;
+    }
+
+    /// The next steps, at most `most`. The walk is over where there are fewer.
+    pub fn next(&mut self, waiting: &Waiting, most: usize, now: Now) -> Vec<StepName> {
+        let ranks = waiting.after(self.upto, most);
+        if ranks.len() < most {
+            self.last_took_ms = self.lasts_ms(now);
+            self.began_ms = None;
+        }
+        self.upto = ranks.last().copied().or(self.upto);
+        ranks.into_iter().map(|rank| rank.step).collect()
+    }
+
+    /// All steps were looked at in one round.
+    pub fn not_needed(&mut self) {
+        self.last_took_ms = 0;
+    }
+
+    /// How long a walk takes: the last one, or the one under way where that has taken longer.
+    pub fn lasts_ms(&self, now: Now) -> u64 {
+        let so_far_ms = self.began_ms.map_or(0, |began_ms| now.steady_ms - began_ms);
+        self.last_took_ms.max(so_far_ms)
+    }
+}
--- a/lilacpass-lead/src/waiting.rs
+++ b/lilacpass-lead/src/waiting.rs
@@ -1,6 +1,9 @@
 //! The steps that wait for room: in which order they get it, and since when each waits.
 
-use std::collections::{BTreeSet, HashMap};
+use std::{
+    collections::{BTreeSet, HashMap},
+    ops::Bound,
+};
 
 use lilacpass_jobs::StepName;
 
@@ -53,6 +56,17 @@
         self.order.iter().map(|rank| rank.step).collect()
     }
 
+    /// The next places in the order after one, at most `most`; from the first where there is none.
+    pub fn after(&self, rank: Option<Rank>, most: usize) -> Vec<Rank> {
+        let from = rank.map_or(Bound::Unbounded, Bound::Excluded);
+        self.order.range((from, Bound::Unbounded)).take(most).copied().collect()
+    }
+
+    /// The place in the order before one.
+    pub fn before(&self, rank: Rank) -> Option<Rank> {
+        self.order.range(..rank).next_back().copied()
+    }
+
     /// Steps that have waited without being given a run since `since_ms` or longer, the longest first.
     pub fn since(&self, since_ms: u64) -> Vec<StepName> {
         let long = self.steps.iter().filter(|(_, place)| place.since_ms <= since_ms);
--- a/lilacpass-lead/tests/overload.rs
+++ b/lilacpass-lead/tests/overload.rs
@@ -36,8 +36,12 @@
     world
 }
 
-fn lapsed(world: &World) -> u64 {
-    world.workers.iter().map(|worker| worker.lapsed).sum()
+/// Nothing that ran on a sound worker was given up.
+fn judge_runs(world: &World) {
+    let lapsed: u64 = world.workers.iter().map(|worker| worker.lapsed).sum();
+    assert_eq!(lapsed, 0, "leases lapsed on sound workers");
+    let stopped: u64 = world.workers.iter().map(|worker| worker.stopped).sum();
+    assert_eq!(stopped, 0, "sound runs were stopped");
 }
 
 /// What came of a hand-in.
@@ -73,7 +77,7 @@
     world.run(DONE_WITHIN_MS);
     let answers: BTreeMap<u64, Answer> =
         world.answers.iter().map(|(token, answer)| (token.0, answer.clone())).collect();
-    assert_eq!(lapsed(&world), 0, "leases lapsed on sound workers");
+    judge_runs(&world);
     let mut done = 0;
     for hand_in in &sent {
         let key = hand_in.key;
@@ -133,7 +137,7 @@
     // In turn on all workers, with as much time again for what the leader does between.
     let waves = jobs.div_ceil(WORKERS as u64);
     world.run(2 * waves * LONG_TASK_MS + PATIENCE_MS);
-    assert_eq!(lapsed(&world), 0, "leases lapsed on sound workers");
+    judge_runs(&world);
     for key in 1..=jobs {
         let outcome = world.store.job(JobKey(key)).map(|job| job.outcome);
         assert_eq!(outcome, Some(Outcome::Completed), "job {key}");
@@ -155,6 +159,62 @@
     play_backlog(20);
 }
 
+/// All workers are full, and from now on one falls free each `pause_ms`; `backlog` tasks wait that take as much,
+/// `cpu_milli` of 8,000.
+fn full_cell(cpu_milli: u32, pause_ms: u64, backlog: u64) -> World {
+    /// By then the leader has found out how many steps it can look at in a round.
+    const FIRST_END_MS: u64 = 3_000;
+    let mut world = cell();
+    world.costs = None;
+    for number in 0..WORKERS as u64 {
+        let estimate_ms = FIRST_END_MS + number * pause_ms;
+        let first = step(1, cpu_milli, estimate_ms as u32);
+        world.submit(1 + number, plan(&[first]), queue("long", 1));
+    }
+    world.run(20);
+    for key in 100..100 + backlog {
+        world.submit(key, plan(&[step(1, cpu_milli, 10_000)]), queue("long", 1));
+    }
+    world.run(20);
+    world.costs = Some(COSTS);
+    world.run(FIRST_END_MS + 500);
+    world
+}
+
+/// A small task that can wait does so for ever, though there is room for it: each time a worker falls free the leader
+/// looks at all that is more urgent first, and does not get to it.
+#[test]
+fn each_step_gets_its_turn_while_others_are_looked_at_all_the_time() {
+    const STARTED_WITHIN_MS: u64 = 2_000;
+    let mut world = full_cell(7_500, 40, 140);
+    world.submit(1_000, plan(&[step(1, 500, 10_000)]), queue("late", 2));
+    world.run(STARTED_WITHIN_MS);
+    judge_runs(&world);
+    let mut running = world.workers.iter().flat_map(|worker| worker.runs.keys());
+    assert!(running.any(|task| task.step.job == JobKey(1_000)), "it has not started");
+}
+
+/// Urgent checks wait for seconds while workers fall free one after the other: each goes to the step whose turn it
+/// is just then, of a backlog that could wait. Room goes to the first in order.
+#[test]
+fn room_goes_to_urgent_work_before_a_backlog_whose_turn_it_is() {
+    const BACKLOG: u64 = 80;
+    const URGENT: u64 = 10;
+    /// A worker falls free each so many milliseconds.
+    const PAUSE_MS: u64 = 50;
+    /// What the leader may take beside.
+    const SLACK_MS: u64 = 1_000;
+    let mut world = full_cell(8_000, PAUSE_MS, BACKLOG);
+    for key in 1_000..1_000 + URGENT {
+        world.submit(key, plan(&[step(1, 8_000, 10_000)]), queue("urgent", 0));
+    }
+    world.run(URGENT * PAUSE_MS + SLACK_MS);
+    judge_runs(&world);
+    let running = world.workers.iter().flat_map(|worker| worker.runs.keys());
+    let urgent = running.filter(|task| task.step.job.0 >= 1_000).count() as u64;
+    assert_eq!(urgent, URGENT, "urgent jobs that have started");
+}
+
 /// Somebody who asks what became of a job, or wants it stopped, is told so in the middle of the rush.
 #[test]
 fn states_and_cancels_are_answered_in_a_rush() {
@@ -181,7 +241,7 @@
     let mut world = cell();
     let sent = hand_in(&mut world, CAN_DECIDE / 2);
     world.run(DONE_WITHIN_MS);
-    assert_eq!(lapsed(&world), 0, "leases lapsed on sound workers");
+    judge_runs(&world);
     for HandIn { key, token, .. } in sent {
         assert_eq!(world.answer(token), Some(&Answer::Done), "job {key}");
         let outcome = world.store.job(JobKey(key)).map(|job| job.outcome);
--- /dev/null
+++ b/lilacpass-lead/tests/pressure.rs
@@ -0,0 +1,147 @@
+//! When a leader counts as behind, whose turn it is then, and when it refuses new jobs.
+
+use lilacpass_jobs::{JobKey, StepName};
+use lilacpass_lead::{
+    Effect, Event, Leader, Now, Options,
+    event::{Answer, Ask, Token},
+    pressure::{Level, Pressure},
+    rank::Rank,
+    turn::Turn,
+    waiting::Waiting,
+};
+use lilacpass_schema::v1;
+
+/// Time between two ticks.
+const TICK_MS: u64 = 50;
+/// More hand-ins in one batch than a round may look at, several times over.
+const RUSH: u64 = 3_000;
+
+fn at(steady_ms: u64) -> Now {
+    Now { steady_ms, unix_ms: 1_800_000_000_000 + steady_ms }
+}
+
+/// Ticks `count` times, each `late_ms` late, and returns the time and the last change of the level.
+fn tick(pressure: &mut Pressure, from_ms: u64, late_ms: u64, count: u64) -> (u64, Option<Level>) {
+    let mut now_ms = from_ms;
+    let mut level = None;
+    for _ in 0..count {
+        now_ms += TICK_MS + late_ms;
+        level = pressure.tick(0, at(now_ms)).or(level);
+    }
+    (now_ms, level)
+}
+
+#[test]
+fn a_leader_that_was_suspended_does_not_count_as_behind() {
+    let mut pressure = Pressure::new(at(0));
+    let (now_ms, level) = tick(&mut pressure, 0, 7_000, 1);
+    assert_eq!(level, None);
+    let (_, level) = tick(&mut pressure, now_ms, 0, 20);
+    assert_eq!(level, None);
+    assert_eq!(pressure.refuses(0, at(now_ms)), None);
+}
+
+#[test]
+fn new_jobs_are_refused_from_a_long_delay_on_until_it_has_been_short_for_a_while() {
+    let mut pressure = Pressure::new(at(0));
+    let (now_ms, level) = tick(&mut pressure, 0, 200, 4);
+    assert_eq!(level, Some(Level::Behind));
+    assert_eq!(pressure.refuses(0, at(now_ms)), None, "it is a little behind");
+    let (now_ms, level) = tick(&mut pressure, now_ms, 2_000, 4);
+    assert_eq!(level, Some(Level::Refuses));
+    assert_eq!(pressure.refuses(0, at(now_ms)), Some(2_000), "by then it should have caught up");
+    let (now_ms, _) = tick(&mut pressure, now_ms, 500, 4);
+    assert!(pressure.refuses(0, at(now_ms)).is_some(), "it goes on refusing on the way down");
+    let (now_ms, _) = tick(&mut pressure, now_ms, 0, 1);
+    assert_eq!(pressure.refuses(0, at(now_ms)), None);
+    let (_, level) = tick(&mut pressure, now_ms, 0, 30);
+    assert_eq!(level, Some(Level::KeepsUp));
+}
+
+#[test]
+fn a_round_looks_at_less_the_longer_ticks_are_late_and_at_more_where_it_could() {
+    let mut pressure = Pressure::new(at(0));
+    let at_first = pressure.tries_a_round();
+    let (now_ms, _) = tick(&mut pressure, 0, 300, 20);
+    let fewest = pressure.tries_a_round();
+    assert!(fewest > 0 && fewest < at_first / 8, "{fewest} of {at_first}");
+    let (mut now_ms, _) = tick(&mut pressure, now_ms, 0, 5);
+    assert_eq!(pressure.tries_a_round(), fewest, "rounds have looked at all they had to");
+    for _ in 0..20 {
+        pressure.cut();
+        (now_ms, _) = tick(&mut pressure, now_ms, 0, 1);
+    }
+    assert!(pressure.tries_a_round() > at_first);
+}
+
+fn rank(number: u64) -> Rank {
+    let step = StepName { job: JobKey(number), occurrence: 0, step: 0 };
+    Rank { priority: 1, late_from_ms: 1_000 + number, step }
+}
+
+/// A permit waits for ever: more urgent steps come in all the time, and a round looks at a few.
+#[test]
+fn each_waiting_step_gets_its_turn_though_others_come_in_before_it() {
+    let mut waiting = Waiting::default();
+    for number in 1_000..1_100 {
+        waiting.add(rank(number).step, 0, || rank(number));
+    }
+    let mut turn = Turn::default();
+    turn.begin(None, at(0));
+    let mut seen = Vec::new();
+    for number in 0..30 {
+        waiting.add(rank(number).step, 0, || rank(number));
+        seen.extend(turn.next(&waiting, 8, at(number)));
+        if !turn.is_under_way() {
+            break;
+        }
+    }
+    assert!(!turn.is_under_way(), "the turn ends");
+    for number in 1_000..1_100 {
+        assert!(seen.contains(&rank(number).step), "step {number}");
+    }
+}
+
+fn submit(key: u64) -> Event {
+    let step = v1::WorkStep { count: 1, cpu_milli: 1_000, memory_mb: 10, ..Default::default() };
+    let plan = v1::WorkPlan { payload: "do".to_owned(), steps: vec![step], ..Default::default() };
+    let queue =
+        v1::QueuePolicy { name: "q".to_owned(), service: "pool".to_owned(), ..Default::default() };
+    Event::Asked { token: Token(key), ask: Ask::Submit { job: JobKey(key), plan, queue } }
+}
+
+/// Hands in a rush of jobs in one batch, and returns how many were refused.
+fn refused_in_a_rush(leader: &mut Leader, now: Now) -> Vec<u64> {
+    for key in 0..RUSH {
+        leader.handle(submit(key), now);
+    }
+    let refused = leader.finish(now).into_iter().filter_map(|effect| match effect {
+        Effect::Reply { token, answer: Answer::Refused { .. } } => Some(token.0),
+        _ => None,
+    });
+    refused.collect()
+}
+
+#[test]
+fn hand_ins_beyond_what_can_be_looked_at_soon_are_refused_at_once() {
+    let mut leader = Leader::new(Options::default(), Vec::new(), at(0));
+    let refused = refused_in_a_rush(&mut leader, at(10));
+    assert!(refused.len() > 1_000 && refused.len() < RUSH as usize, "{}", refused.len());
+    leader.handle(submit(0), at(20));
+    let answers = leader.finish(at(20));
+    let is_refused =
+        |effect: &Effect| matches!(effect, Effect::Reply { answer: Answer::Refused { .. }, .. });
+    assert!(
+        !answers.iter().any(is_refused),
+        "a job that was taken is not refused when it comes again"
+    );
+}
+
+/// A caller is told that its job never runs, and it runs: the leader had been replaced without knowing it, and its
+/// successor had taken the job.
+#[test]
+fn a_leader_that_may_have_been_replaced_refuses_nothing_for_want_of_time() {
+    let mut leader = Leader::new(Options::default(), Vec::new(), at(0));
+    let refused = refused_in_a_rush(&mut leader, at(2_000));
+    assert_eq!(refused, [0; 0]);
+}
--- a/lilacpass-lead/tests/world/cost.rs
+++ b/lilacpass-lead/tests/world/cost.rs
@@ -3,8 +3,12 @@
 //! The loop around it is that of an instance: it takes in all that has come, decides once, carries out what
 //! follows, and is late for all that comes meanwhile. Its next tick comes 50 ms after the last was taken in.
 
+use std::mem;
+
 use lilacpass_lead::{Effect, Event, event::Answer, leader::Work};
 
+use super::{Action, Member, TICK_MS, World};
+
 /// What operations take, in microseconds of made-up time.
 #[derive(Clone, Copy, Debug)]
 pub struct Costs {
@@ -53,3 +57,55 @@
         (after.tries - before.tries) * self.try_us
     }
 }
+
+impl World {
+    /// Has a member look into its inbox once it is free.
+    pub(super) fn wake(&mut self, member: usize) {
+        let turns = &mut self.members[member].turns;
+        if mem::replace(&mut turns.is_woken, true) {
+            return;
+        }
+        let free_ms = turns.busy_until_us.div_ceil(1_000);
+        self.plan(free_ms.saturating_sub(self.now_ms), Action::Round { member });
+    }
+
+    /// A member takes in all that has come, and decides; both take time.
+    pub(super) fn round(&mut self, member: usize) {
+        let Some(costs) = self.costs else { return };
+        let now = self.now();
+        let Member { leader, turns, .. } = &mut self.members[member];
+        turns.is_woken = false;
+        let before = leader.work();
+        let mut cost_us = 0;
+        let mut ticks = false;
+        for event in mem::take(&mut turns.inbox) {
+            cost_us += costs.of_event(&event);
+            ticks |= event == Event::Tick;
+            leader.handle(event, now);
+        }
+        let effects = leader.finish(now);
+        cost_us += costs.of_work(before, leader.work());
+        cost_us += effects.iter().map(|effect| costs.of_effect(effect)).sum::<u64>();
+        turns.busy_until_us = turns.busy_until_us.max(self.now_ms * 1_000) + cost_us;
+        let cost_ms = cost_us / 1_000;
+        let has_more = leader.has_more();
+        if ticks {
+            self.plan(TICK_MS, Action::Tick { member });
+        }
+        for effect in effects {
+            self.send(member, effect, cost_ms);
+        }
+        if has_more {
+            self.wake(member);
+        }
+    }
+
+    /// A look that waited is answered with what there is now.
+    pub(super) fn look_ends(&mut self, member: usize, at: usize, effect: &Effect, sent_ms: u64) {
+        let Effect::Look { worker, forget_upto, extra, .. } = effect else { return };
+        let epoch = self.members[member].epoch;
+        let result = self.workers[at].look(epoch, None, *forget_upto);
+        let event = Event::Looked { worker: worker.clone(), sent_ms, extra: *extra, result };
+        self.plan(1, Action::Tell { member, event });
+    }
+}
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -12,7 +12,6 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
-    mem,
 };
 
 use lilacpass_core::{Resources, Verdict};
@@ -313,43 +312,6 @@
         }
     }
 
-    /// Has a member look into its inbox once it is free.
-    fn wake(&mut self, member: usize) {
-        let turns = &mut self.members[member].turns;
-        if mem::replace(&mut turns.is_woken, true) {
-            return;
-        }
-        let free_ms = turns.busy_until_us.div_ceil(1_000);
-        self.plan(free_ms.saturating_sub(self.now_ms), Action::Round { member });
-    }
-
-    /// A member takes in all that has come, and decides; both take time.
-    fn round(&mut self, member: usize) {
-        let Some(costs) = self.costs else { return };
-        let now = self.now();
-        let Member { leader, turns, .. } = &mut self.members[member];
-        turns.is_woken = false;
-        let before = leader.work();
-        let mut cost_us = 0;
-        let mut ticks = false;
-        for event in mem::take(&mut turns.inbox) {
-            cost_us += costs.of_event(&event);
-            ticks |= event == Event::Tick;
-            leader.handle(event, now);
-        }
-        let effects = leader.finish(now);
-        cost_us += costs.of_work(before, leader.work());
-        cost_us += effects.iter().map(|effect| costs.of_effect(effect)).sum::<u64>();
-        turns.busy_until_us = turns.busy_until_us.max(self.now_ms * 1_000) + cost_us;
-        let cost_ms = cost_us / 1_000;
-        if ticks {
-            self.plan(TICK_MS, Action::Tick { member });
-        }
-        for effect in effects {
-            self.send(member, effect, cost_ms);
-        }
-    }
-
     /// An effect leaves its leader.
     fn send(&mut self, member: usize, effect: Effect, after_ms: u64) {
         let delay_ms = 1 + self.random.below(4) + after_ms;
@@ -494,15 +456,6 @@
         self.answer_order(member, event, answered);
     }
 
-    /// A look that waited is answered with what there is now.
-    fn look_ends(&mut self, member: usize, at: usize, effect: &Effect, sent_ms: u64) {
-        let Effect::Look { worker, forget_upto, extra, .. } = effect else { return };
-        let epoch = self.members[member].epoch;
-        let result = self.workers[at].look(epoch, None, *forget_upto);
-        let event = Event::Looked { worker: worker.clone(), sent_ms, extra: *extra, result };
-        self.plan(1, Action::Tell { member, event });
-    }
-
     fn answer_order(&mut self, member: usize, event: Option<Event>, answered: bool) {
         if let Some(event) = event.filter(|_| answered) {
             let delay_ms = 1 + self.random.below(4);
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -54,6 +54,8 @@
     clock_ms: u64,
     /// Runs whose lease ran out.
     pub lapsed: u64,
+    /// Runs that were told to stop.
+    pub stopped: u64,
 }
 
 impl Worker {
@@ -79,6 +81,7 @@
             over: BTreeMap::new(),
             clock_ms: CLOCK_AHEAD_MS,
             lapsed: 0,
+            stopped: 0,
         }
     }
 
@@ -227,6 +230,7 @@
             Some(running) if running.run <= run => {
                 running.ends_ms = running.ends_ms.min(now_ms + STOP_MS);
                 running.how = How::Stopped;
+                self.stopped += 1;
             }
             Some(_) => {}
             None => {
