Take in what happened before what callers ask, a bounded number of requests a round

Cause: the loop of the leader took in its whole inbox in the order of arrival, and left the thread to other work of the instance only when the inbox was empty. A leader that is behind let calls, answers and the renewals of its lead wait. Change: `intake.rs` keeps requests in their own order behind what happened, 256 a round. Between rounds that are not the last the loop yields, so that calls to workers and the store go on. A tick that is due comes first. Two metrics: `lilacpass_leader_behind_seconds`, `lilacpass_leader_pressure`. Ruled out: states and cancels before hand-ins. A cancel that overtakes the hand-in of its job would be told that there is no such job, and the job would run.

--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -13,12 +13,14 @@
 };
 use tokio::{
     sync::{mpsc, oneshot, watch},
-    time,
+    task, time,
 };
 
 use crate::{
     append::{self, Failure},
-    clock, handover, metrics,
+    clock, handover,
+    intake::Intake,
+    metrics,
     node::{LeaderView, Node},
     orders, peers, registry_watch,
     takeover::{self, Won},
@@ -110,21 +112,22 @@
     let address = node.peer_address();
     node.leader.send_replace(LeaderView { epoch: won.epoch, address: Some(address) });
     node.metrics.took_over();
-    tokio::task::spawn_local(registry_watch::run(node.clone(), messages.clone()));
-    tokio::task::spawn_local(handover::run(node.clone(), won.epoch, messages.clone()));
-    tokio::task::spawn_local(renew(node.clone(), won.epoch, won.sequence, messages.clone()));
+    task::spawn_local(registry_watch::run(node.clone(), messages.clone()));
+    task::spawn_local(handover::run(node.clone(), won.epoch, messages.clone()));
+    task::spawn_local(renew(node.clone(), won.epoch, won.sequence, messages.clone()));
     let driver = Driver {
         node: node.clone(),
         epoch: won.epoch,
         leader,
         messages,
+        intake: Intake::default(),
         callers: HashMap::new(),
         next_token: 0,
         next_sequence: won.sequence + 1,
         lanes_at_ms: 0,
         deposed: false,
     };
-    tokio::task::spawn_local(driver.run(inbox, end));
+    task::spawn_local(driver.run(inbox, end));
 }
 
 fn options(node: &Node) -> Options {
@@ -173,6 +176,7 @@
     epoch: u64,
     leader: Leader,
     messages: mpsc::UnboundedSender<Message>,
+    intake: Intake<Message>,
     callers: HashMap<Token, oneshot::Sender<Answer>>,
     next_token: u64,
     next_sequence: u64,
@@ -185,15 +189,23 @@
         let mut ticks = time::interval(TICK);
         ticks.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
         while !self.deposed {
+            let has_more = !self.intake.is_empty() || self.leader.has_more();
             tokio::select! {
+                // A tick that is due comes first: it shows how late the leader is, and lets leases lapse.
+                biased;
+                _ = ticks.tick() => self.tick(),
                 message = inbox.recv() => {
                     let Some(message) = message else { break };
-                    self.take_in(message);
-                    while let Ok(message) = inbox.try_recv() {
-                        self.take_in(message);
-                    }
+                    self.put(message);
                 }
-                _ = ticks.tick() => self.tick(),
+                // Calls, answers and renewals of the lead go on between two rounds.
+                () = task::yield_now(), if has_more => {}
+            }
+            while let Ok(message) = inbox.try_recv() {
+                self.put(message);
+            }
+            for message in self.intake.next_round() {
+                self.take_in(message);
             }
             self.carry_out();
         }
@@ -203,6 +215,16 @@
         end.send_replace(true);
     }
 
+    fn put(&mut self, message: Message) {
+        match message {
+            Message::Ask(..) | Message::Inspect(..) => self.intake.put_ask(message),
+            Message::Event(_)
+            | Message::NotAppended { .. }
+            | Message::Deposed
+            | Message::Resign => self.intake.put_event(message),
+        }
+    }
+
     fn take_in(&mut self, message: Message) {
         let now = clock::now();
         match message {
@@ -225,7 +247,7 @@
             Message::Resign => {
                 let node = self.node.clone();
                 let messages = self.messages.clone();
-                tokio::task::spawn_local(handover::resign(node, self.epoch, messages));
+                task::spawn_local(handover::resign(node, self.epoch, messages));
             }
         }
     }
@@ -248,6 +270,9 @@
             self.leader.handle(Event::Lanes(lanes), now);
         }
         self.leader.handle(Event::Tick, now);
+        let pressure = self.leader.pressure();
+        let behind = Duration::from_millis(pressure.behind_ms());
+        self.node.metrics.pressure(pressure.level(), behind);
     }
 
     /// Instances that can call for advice: this one, and those that greet it.
@@ -363,7 +388,7 @@
         let node = self.node.clone();
         let epoch = self.epoch;
         let messages = self.messages.clone();
-        tokio::task::spawn_local(async move {
+        task::spawn_local(async move {
             let partition = takeover::jobs_partition();
             let mut message = Message::Event(Event::Appended);
             for (sequence, call) in (first_sequence..).zip(&calls) {
@@ -388,7 +413,7 @@
 
     fn spawn(&self, work: impl Future<Output = Event> + 'static) {
         let messages = self.messages.clone();
-        tokio::task::spawn_local(async move {
+        task::spawn_local(async move {
             let event = work.await;
             // The loop has ended where nobody listens.
             let _ended = messages.send(Message::Event(event));
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod election;
 pub mod entry;
 pub mod handover;
+pub mod intake;
 pub mod leading;
 pub mod logging;
 pub mod metrics;
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
+use lilacpass_lead::pressure::Level;
 use lilacpass_platform::server::Reply;
 use opentelemetry::{
     KeyValue,
@@ -36,6 +37,8 @@
     advice: Counter<u64>,
     takeovers: Counter<u64>,
     leads: Gauge<u64>,
+    behind_seconds: Gauge<f64>,
+    pressure: Gauge<u64>,
     dropped_lines: Gauge<u64>,
 }
 
@@ -74,6 +77,8 @@
             advice: meter.u64_counter("lilacpass_advice_calls").build(),
             takeovers: meter.u64_counter("lilacpass_takeovers").build(),
             leads: meter.u64_gauge("lilacpass_leads").build(),
+            behind_seconds: meter.f64_gauge("lilacpass_leader_behind_seconds").build(),
+            pressure: meter.u64_gauge("lilacpass_leader_pressure").build(),
             dropped_lines: meter.u64_gauge("lilacpass_dropped_log_lines").build(),
             registry,
             _provider: provider,
@@ -111,9 +116,21 @@
         self.leads.record(1, &[]);
     }
 
+    /// How far this instance is behind as the leader, and what it does about that.
+    pub fn pressure(&self, level: Level, behind: Duration) {
+        let level = match level {
+            Level::KeepsUp => 0,
+            Level::Behind => 1,
+            Level::Refuses => 2,
+        };
+        self.pressure.record(level, &[]);
+        self.behind_seconds.record(behind.as_secs_f64(), &[]);
+    }
+
     /// This instance leads no more.
     pub fn leads_no_more(&self) {
         self.leads.record(0, &[]);
+        self.pressure(Level::KeepsUp, Duration::ZERO);
     }
 
     /// All figures as text.
