--- a/lilacpass-lead/src/ahead.rs
+++ b/lilacpass-lead/src/ahead.rs
@@ -8,7 +8,10 @@
 use lilacpass_jobs::{StepName, WorkerName};
 use lilacpass_schema::v1;
 
-use crate::{event::Now, leader::Leader, place, rank::Rank, reserve::Share, worker::Worker};
+use crate::{
+    event::Now, leader::Leader, options::Mechanism, place, rank::Rank, reserve::Share,
+    worker::Worker,
+};
 
 /// How long a step waits in vain until room is kept ahead for it. Most wait for less in a pool that is
 /// merely busy, and room that is kept stands idle until all of it is there.
@@ -35,6 +38,9 @@
     /// By waiting time and not by order: in an overload the first in order change all the time, and the last
     /// would never have a turn.
     pub(crate) fn keep_room_ahead(&mut self, now: Now) {
+        if !self.options.uses(Mechanism::RoomAhead) {
+            return;
+        }
         for name in self.waiting.since(now.steady_ms.saturating_sub(WAITED_MS)) {
             self.keep_ahead(name, now);
         }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -14,8 +14,11 @@
     news::News,
     options::{self, Mechanism, Options},
     outbox::Outbox,
-    place, rank,
+    place,
+    pressure::Pressure,
+    rank,
     reserve::Reservations,
+    turn::Turn,
     waiting::Waiting,
     worker::{Look, Phase, Worker},
 };
@@ -66,6 +69,13 @@
     }
 }
 
+/// What deciding has taken since the leader began. What takes its time is looking at steps.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Steps that were looked at for room, or for workers to ask about.
+    pub tries: u64,
+}
+
 /// The leader of a cell.
 #[derive(Debug)]
 pub struct Leader {
@@ -79,6 +89,9 @@
     pub(crate) reservations: Reservations,
     /// Steps for which room was looked for by preemption in this round.
     pub(crate) tries_for_room: u32,
+    pub(crate) work: Work,
+    pub(crate) turn: Turn,
+    pub(crate) pressure: Pressure,
     pub(crate) news: News,
     pub(crate) loss: LossMeter,
     /// Workers at which no look is under way: hardly any. Going through all workers at each event, and
@@ -126,6 +139,9 @@
             waiting: Waiting::default(),
             reservations: Reservations::default(),
             tries_for_room: 0,
+            work: Work::default(),
+            turn: Turn::default(),
+            pressure: Pressure::new(now),
             news: News::default(),
             loss: LossMeter::default(),
             looks_due: BTreeSet::new(),
@@ -201,12 +217,17 @@
 
     /// Decides what follows from all events so far, and returns what is to be done.
     pub fn finish(&mut self, now: Now) -> Vec<Effect> {
-        self.schedule(now);
         self.plan_looks(now);
+        self.schedule(now);
         self.flush(now);
         std::mem::take(&mut self.effects)
     }
 
+    /// What deciding has taken so far.
+    pub fn work(&self) -> Work {
+        self.work
+    }
+
     /// Whether the store confirmed so lately that we lead that no other can have taken over.
     pub fn is_sure(&self, now: Now) -> bool {
         /// Below the shortest time in which another takes over from a leader that still runs.
@@ -251,6 +272,7 @@
             self.loss.forget();
         }
         self.last_tick_ms = now.steady_ms;
+        self.note_pressure(now);
         while let Some(&(due_ms, key)) = self.due.first() {
             if due_ms > now.unix_ms {
                 break;
@@ -274,6 +296,22 @@
         }
     }
 
+    /// Judges whether the leader keeps up.
+    fn note_pressure(&mut self, now: Now) {
+        let Some(level) = self.pressure.tick(self.turn.lasts_ms(now), now) else { return };
+        log::info!(
+            leader = level.as_str(), behind_ms = self.pressure.behind_ms(),
+            tries_a_round = self.pressure.tries_a_round(), waiting = self.waiting.len(),
+            unseen = self.news.unseen();
+            "pressure changes"
+        );
+    }
+
+    /// Whether the leader keeps up, and how far it is behind.
+    pub fn pressure(&self) -> &Pressure {
+        &self.pressure
+    }
+
     /// Counts the workers of each service, and finds the least urgent work.
     fn review_pools(&mut self) {
         let open = self.jobs.values().filter(|entry| entry.job.outcome == Outcome::Open);
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -7,10 +7,14 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub(crate) mod answers;
+pub(crate) mod cost;
 pub(crate) mod store;
 pub(crate) mod worker;
 
-use std::{cmp::Reverse, collections::BinaryHeap};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+};
 
 use lilacpass_core::{Resources, Verdict};
 use lilacpass_jobs::{Job, JobKey, StepName, TaskName, WorkerName, record};
@@ -21,6 +25,7 @@
 use lilacpass_schema::v1;
 
 use answers::Asked;
+use cost::{Costs, Loop};
 use store::Store;
 use worker::Worker;
 
@@ -60,6 +65,7 @@
     pub alive: bool,
     pub paused_until_ms: u64,
     next_sequence: u64,
+    turns: Loop,
 }
 
 #[derive(Debug)]
@@ -72,6 +78,10 @@
     Tick { member: usize },
     /// A member sends its renewal.
     Renew { member: usize },
+    /// A member whose operations take time is free again.
+    Round { member: usize },
+    /// A look that waited for an end is answered.
+    LookEnds { member: usize, at: usize, effect: Effect, sent_ms: u64 },
 }
 
 struct Timed {
@@ -115,6 +125,10 @@
     /// Share of orders, in percent, that get no answer and may be carried out late.
     pub lose_percent: u64,
     pub options: Options,
+    /// When each request was answered.
+    pub answered_ms: BTreeMap<u64, u64>,
+    /// What the operations of a leader take; none where they take no time.
+    pub costs: Option<Costs>,
     actions: BinaryHeap<Reverse<Timed>>,
     order: u64,
     next_token: u64,
@@ -136,6 +150,8 @@
             calls_for_advice: Vec::new(),
             lose_percent: 0,
             options: Options::default(),
+            answered_ms: BTreeMap::new(),
+            costs: None,
             actions: BinaryHeap::new(),
             order: 0,
             next_token: 0,
@@ -164,6 +180,7 @@
             alive: true,
             paused_until_ms: 0,
             next_sequence: 1,
+            turns: Loop::default(),
         });
         let member = self.members.len() - 1;
         self.plan(0, Action::Tick { member });
@@ -252,7 +269,9 @@
             Action::Tell { member, event } => self.tell(member, event),
             Action::Tick { member } => {
                 if self.members[member].alive {
-                    self.plan(TICK_MS, Action::Tick { member });
+                    if self.costs.is_none() {
+                        self.plan(TICK_MS, Action::Tick { member });
+                    }
                     self.tell(member, Event::Tick);
                     self.tell(member, Event::WorkersRead);
                 }
@@ -269,6 +288,10 @@
                 }
             }
             Action::Arrive { member, effect, answered } => self.arrive(member, effect, answered),
+            Action::Round { member } => self.round(member),
+            Action::LookEnds { member, at, effect, sent_ms } => {
+                self.look_ends(member, at, &effect, sent_ms);
+            }
         }
     }
 
@@ -284,17 +307,21 @@
             let after_ms = self.members[member].paused_until_ms - self.now_ms;
             return self.plan(after_ms, Action::Tell { member, event });
         }
+        if self.costs.is_some() {
+            self.members[member].turns.inbox.push(event);
+            return self.wake(member);
+        }
         let now = self.now();
         let leader = &mut self.members[member].leader;
         leader.handle(event, now);
         for effect in leader.finish(now) {
-            self.send(member, effect);
+            self.send(member, effect, 0);
         }
     }
 
     /// An effect leaves its leader.
-    fn send(&mut self, member: usize, effect: Effect) {
-        let delay_ms = 1 + self.random.below(4);
+    fn send(&mut self, member: usize, effect: Effect, after_ms: u64) {
+        let delay_ms = 1 + self.random.below(4) + after_ms;
         let is_order =
             matches!(effect, Effect::Start { .. } | Effect::Stop { .. } | Effect::Look { .. });
         if is_order && self.random.percent(self.lose_percent) {
@@ -341,6 +368,7 @@
                 if member + 1 == self.members.len() {
                     self.asked.judge(token, &answer, &self.store);
                 }
+                self.answered_ms.insert(token.0, self.now_ms);
                 self.answers.push((token, answer));
             }
             Effect::Append(records) => self.append(member, &records),
@@ -406,6 +434,12 @@
         let event = match effect {
             Effect::Look { worker, lease_until_ms, forget_upto, wait_ms, extra, .. } => {
                 let result = self.workers[at].look(epoch, *lease_until_ms, *forget_upto);
+                if self.costs.is_some() && result.is_ok() {
+                    let wait_ms = self.workers[at].next_end_ms(*wait_ms, now_ms);
+                    let effect = effect.clone();
+                    let ends = Action::LookEnds { member, at, effect, sent_ms: now_ms };
+                    return self.plan(wait_ms, ends);
+                }
                 // A waiting look is answered when something ends; here, after part of the wait.
                 let wait_ms = (*wait_ms).min(100);
                 let event = Event::Looked {
