A benchmark of a round of deciding, and plays that compare decisions

Cause: the leader's processor is the limit at 1,100 workers, and there was no measure of a round of deciding by itself.

--- /dev/null
+++ b/lilacpass-lead/benches/round.rs
@@ -0,0 +1,66 @@
+//! The time of one round of deciding, by the number of workers and of waiting steps, in a cell without room.
+//!
+//! After the means of each size follow the median and the 99th percentile of single decisions.
+
+mod cell;
+
+use std::time::Duration;
+
+use cell::{Case, Cell};
+use criterion::{Criterion, criterion_group, criterion_main};
+
+/// Sizes of cells, in workers.
+const WORKERS: [usize; 4] = [48, 350, 1_100, 2_300];
+/// Steps that wait.
+const WAITING: [usize; 4] = [10, 100, 1_000, 10_000];
+const CASES: [Case; 5] =
+    [Case::FullRound, Case::Review, Case::FreedWorker, Case::QuietLook, Case::NewJob];
+/// The cases that single decisions are made of.
+const DECISIONS: [Case; 3] = [Case::FreedWorker, Case::QuietLook, Case::NewJob];
+/// Single decisions of which percentiles are told.
+const SINGLE: usize = 300;
+/// Time for all single decisions of a cell, after which fewer have to do.
+const SINGLE_TIME: Duration = Duration::from_secs(3);
+
+fn rounds(c: &mut Criterion) {
+    for workers in WORKERS {
+        for waiting in WAITING {
+            let mut cell = None;
+            for case in CASES {
+                c.bench_function(&format!("{case:?}/{workers}/{waiting}"), |b| {
+                    let cell = cell.get_or_insert_with(|| Cell::new(workers, waiting));
+                    b.iter_custom(|count| (0..count).map(|_| cell.measure(case)).sum());
+                });
+            }
+            if let Some(cell) = &mut cell {
+                tell_percentiles(cell, workers, waiting);
+            }
+        }
+    }
+}
+
+fn tell_percentiles(cell: &mut Cell, workers: usize, waiting: usize) {
+    let mut times = Vec::new();
+    let mut all = Duration::ZERO;
+    for case in DECISIONS.into_iter().cycle().take(SINGLE) {
+        let took = cell.measure(case);
+        times.push(took);
+        all += took;
+        if all > SINGLE_TIME {
+            break;
+        }
+    }
+    times.sort_unstable();
+    let (median, p99) = (times[times.len() / 2], times[times.len() * 99 / 100]);
+    println!("single/{workers}/{waiting}: median {median:?}, p99 {p99:?} of {}", times.len());
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default()
+        .sample_size(10)
+        .warm_up_time(Duration::from_millis(50))
+        .measurement_time(Duration::from_millis(200));
+    targets = rounds
+}
+criterion_main!(benches);
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -8,7 +8,11 @@
 pub(crate) mod store;
 pub(crate) mod worker;
 
-use std::{cmp::Reverse, collections::BinaryHeap};
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    hash::{DefaultHasher, Hash, Hasher},
+};
 
 use lilacpass_core::{Resources, Verdict};
 use lilacpass_jobs::{Job, JobKey, StepName, TaskName, WorkerName, record};
@@ -110,6 +114,8 @@
     /// Share of orders, in percent, that get no answer and may be carried out late.
     pub lose_percent: u64,
     pub options: Options,
+    /// Of all that leaders asked for, and when.
+    effects: DefaultHasher,
     actions: BinaryHeap<Reverse<Timed>>,
     order: u64,
     next_token: u64,
@@ -130,6 +136,7 @@
             calls_for_advice: Vec::new(),
             lose_percent: 0,
             options: Options::default(),
+            effects: DefaultHasher::new(),
             actions: BinaryHeap::new(),
             order: 0,
             next_token: 0,
@@ -281,10 +288,16 @@
         let leader = &mut self.members[member].leader;
         leader.handle(event, now);
         for effect in leader.finish(now) {
+            (self.now_ms, member, format!("{effect:?}")).hash(&mut self.effects);
             self.send(member, effect);
         }
     }
 
+    /// The same for plays in which all leaders asked for the same at the same times.
+    pub fn digest(&self) -> u64 {
+        self.effects.finish()
+    }
+
     /// An effect leaves its leader.
     fn send(&mut self, member: usize, effect: Effect) {
         let delay_ms = 1 + self.random.below(4);
