Count lanes when one changes, not when a step asks

Cause: each waiting step went through all lanes after each event, to see whether one is idle and how many slow calls its queue has under way. A cell of 1,100 workers has some 140 lanes.

--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -133,6 +133,7 @@
 #[derive(Debug, Default)]
 pub struct Lanes {
     lanes: BTreeMap<Lane, LaneState>,
+    load: Load,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -145,6 +146,17 @@
     },
 }
 
+/// What is counted over all lanes whenever one changes. Each waiting step asks for it after each event, and a
+/// cell has a hundred lanes.
+#[derive(Debug, Default)]
+struct Load {
+    any_idle: bool,
+    /// A lane is idle that slow calls may take.
+    any_idle_for_slow: bool,
+    /// Slow calls under way, by queue.
+    slow_calls: HashMap<String, usize>,
+}
+
 impl Lanes {
     /// Takes in which instances there are now.
     pub fn set(&mut self, lanes: Vec<Lane>) {
@@ -156,6 +168,7 @@
                 (lane, state)
             })
             .collect();
+        self.count();
     }
 
     /// Takes an idle lane for a call about a step of a queue that takes about `expected_ms`.
@@ -164,40 +177,65 @@
             return None;
         }
         let is_slow = expected_ms > SLOW_CALL_MS;
-        let kept_for_quick = self.lanes.len() / QUICK_LANE_IN;
-        let skipped = if is_slow { kept_for_quick } else { 0 };
+        let skipped = if is_slow { self.kept_for_quick() } else { 0 };
         let idle =
             self.lanes.iter_mut().skip(skipped).find(|(_, state)| **state == LaneState::Idle);
         let (lane, state) = idle?;
+        let lane = lane.clone();
         *state = LaneState::Busy { queue: queue.to_owned(), is_slow };
-        Some(lane.clone())
+        self.count();
+        Some(lane)
     }
 
     /// Whether a queue may make one more call that takes so long, if a lane is idle.
     pub fn may_call(&self, queue: &str, expected_ms: u64) -> bool {
-        expected_ms <= SLOW_CALL_MS || self.slow_calls_of(queue) < self.most_slow_calls()
-    }
-
-    fn slow_calls_of(&self, asking: &str) -> usize {
-        let is_such = |state: &&LaneState| matches!(state, LaneState::Busy { queue, is_slow: true } if queue == asking);
-        self.lanes.values().filter(is_such).count()
+        let slow_calls = self.load.slow_calls.get(queue).copied().unwrap_or(0);
+        expected_ms <= SLOW_CALL_MS || slow_calls < self.most_slow_calls()
     }
 
     /// How many slow calls about steps of one queue may be under way.
     fn most_slow_calls(&self) -> usize {
-        let open_to_slow = self.lanes.len() - self.lanes.len() / QUICK_LANE_IN;
+        let open_to_slow = self.lanes.len() - self.kept_for_quick();
         (open_to_slow * QUEUE_LANES_PERCENT / 100).max(1)
     }
 
+    fn kept_for_quick(&self) -> usize {
+        self.lanes.len() / QUICK_LANE_IN
+    }
+
     /// Gives a lane back.
     pub fn give_back(&mut self, lane: &Lane) {
         if let Some(state) = self.lanes.get_mut(lane) {
             *state = LaneState::Idle;
         }
+        self.count();
     }
 
     /// Whether any lane is idle.
     pub fn any_idle(&self) -> bool {
-        self.lanes.values().any(|state| *state == LaneState::Idle)
+        self.load.any_idle
+    }
+
+    /// Whether a lane is idle for a call that takes so long.
+    pub fn any_idle_for(&self, expected_ms: u64) -> bool {
+        if expected_ms > SLOW_CALL_MS { self.load.any_idle_for_slow } else { self.load.any_idle }
+    }
+
+    fn count(&mut self) {
+        let is_idle = |state: &LaneState| *state == LaneState::Idle;
+        let kept = self.kept_for_quick();
+        self.load.any_idle = self.lanes.values().any(is_idle);
+        self.load.any_idle_for_slow = self.lanes.values().skip(kept).any(is_idle);
+        self.load.slow_calls.clear();
+        for state in self.lanes.values() {
+            if let LaneState::Busy { queue, is_slow: true } = state {
+                match self.load.slow_calls.get_mut(queue) {
+                    Some(calls) => *calls += 1,
+                    None => {
+                        self.load.slow_calls.insert(queue.clone(), 1);
+                    }
+                }
+            }
+        }
     }
 }
