Go through the steps that may be placed or ask, not through all that wait

Cause: after each event the leader went through all waiting steps in order, worked out for each whether freed workers are open to it, and tried to ask for advice, though most had asked or had to pause.

Now a round goes through the steps that changed, those that freed workers are open to (kept by worker as advice comes in), and those that may ask (`askers.rs`, by queue, so that a queue that may make no call costs nothing). Each 0.1 s it goes through all as before. Advice of ended jobs is dropped by the names of their steps, not by going through all advice, and advice that came after the end goes with the job; it stayed for ever.

--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -70,6 +70,11 @@
         self.verdicts.get(worker).copied()
     }
 
+    /// The workers that are known to be allowed.
+    pub fn allowed(&self) -> impl Iterator<Item = &WorkerName> {
+        self.verdicts.iter().filter(|(_, is_allowed)| **is_allowed).map(|(worker, _)| worker)
+    }
+
     /// Takes in the answer to a call; none where it failed.
     pub fn answered(
         &mut self,
--- a/lilacpass-lead/src/asking.rs
+++ b/lilacpass-lead/src/asking.rs
@@ -82,7 +82,7 @@
         let candidates = self.candidates(name, &plan, waiting, now);
         if candidates.is_empty() {
             self.advice.entry(name).or_default().nobody_to_ask(now.steady_ms);
-            return;
+            return self.review_asker(name, now);
         }
         let share = self.good_shares.get(&entry.job.queue.name).copied();
         let wanted = ((waiting as f64 * ASK_MARGIN) as u64).max(FEWEST_WANTED);
@@ -98,6 +98,7 @@
         let expected_ms = (policy.base_ms + policy.per_worker_ms * workers.len() as f64) as u64;
         let Some(lane) = self.lanes.take(&entry.job.queue.name, expected_ms) else { return };
         self.advice.entry(name).or_default().asking = true;
+        self.askers.remove(name);
         log::info!(
             step:% = name, waiting, workers = workers.len(), candidates = candidates.len(),
             expected_ms, lane = lane.0.as_str();
@@ -106,6 +107,24 @@
         self.effects.push(Effect::Advise { lane, step: name, workers, expected_ms });
     }
 
+    /// Notes whether and when a step may ask.
+    pub(crate) fn review_asker(&mut self, step: StepName, now: Now) {
+        let policy = self.jobs.get(&step.job).and_then(|entry| {
+            let policy = entry.job.queue.advice?;
+            Some((entry.job.queue.name.as_str(), policy.base_ms as u64))
+        });
+        let (Some((queue, base_ms)), Some(rank)) = (policy, self.waiting.rank_of(step)) else {
+            return self.askers.remove(step);
+        };
+        match self.advice.get(&step) {
+            Some(advice) if advice.asking => self.askers.remove(step),
+            Some(advice) if now.steady_ms < advice.ask_from_ms => {
+                self.askers.pause(step, advice.ask_from_ms);
+            }
+            Some(_) | None => self.askers.open(rank, queue, base_ms),
+        }
+    }
+
     /// Up to `most` more workers that have no room now and of which it is not known whether the step may
     /// run there.
     ///
@@ -233,12 +252,16 @@
         let known = self.advice.entry(step).or_default();
         known.answered(asked, answer, margin_ms, now.steady_ms);
         let is_bad = |worker: &WorkerName| known.verdict(worker) == Some(false);
+        for worker in asked.iter().filter(|worker| known.verdict(worker) == Some(true)) {
+            self.allowed_steps.entry(worker.clone()).or_default().insert(step);
+        }
         if self.reservations.workers_of(step).iter().any(is_bad) {
             for worker in self.reservations.release(step) {
                 self.news.free(&worker);
             }
         }
         self.news.change(step);
+        self.review_asker(step, now);
     }
 }
 
--- a/lilacpass-lead/src/ends.rs
+++ b/lilacpass-lead/src/ends.rs
@@ -1,6 +1,6 @@
 //! What follows when a run or a job ends.
 
-use lilacpass_jobs::{End, How, JobKey, TaskName, WorkerName, job::Change};
+use lilacpass_jobs::{End, How, JobKey, StepName, TaskName, WorkerName, job::Change};
 
 use crate::{event::Now, leader::Leader, outbox::After, worker::RunKey};
 
@@ -67,12 +67,26 @@
 
     /// Forgets what was prepared for the steps of a job.
     pub(crate) fn forget_steps(&mut self, key: JobKey) {
-        self.advice.retain(|step, _| step.job != key);
+        let steps = self.jobs.get(&key).map(|entry| entry.job.step_names());
+        for step in steps.into_iter().flatten() {
+            self.forget_advice(step);
+        }
         for worker in self.reservations.release_job(key) {
             self.news.free(&worker);
         }
     }
 
+    fn forget_advice(&mut self, step: StepName) {
+        let Some(advice) = self.advice.remove(&step) else { return };
+        for worker in advice.allowed() {
+            let Some(steps) = self.allowed_steps.get_mut(worker) else { continue };
+            steps.remove(&step);
+            if steps.is_empty() {
+                self.allowed_steps.remove(worker);
+            }
+        }
+    }
+
     pub(crate) fn stop_job(&mut self, key: JobKey, now: Now) {
         let live = self.jobs.get(&key).map(|entry| entry.job.live_runs()).unwrap_or_default();
         for (task, run) in live {
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     advice::{Lanes, StepAdvice},
+    askers::Askers,
     event::{Effect, Event, Now, Registration},
     loss::LossMeter,
     news::News,
@@ -16,7 +17,7 @@
     outbox::Outbox,
     place, rank,
     reserve::Reservations,
-    waiting::Waiting,
+    waiting::{Sort, Waiting},
     worker::{Look, Phase, Worker},
 };
 
@@ -79,6 +80,9 @@
     pub(crate) advice: HashMap<StepName, StepAdvice>,
     pub(crate) lanes: Lanes,
     pub(crate) waiting: Waiting,
+    pub(crate) askers: Askers,
+    /// The steps that are allowed on each worker, as far as advice has told.
+    pub(crate) allowed_steps: HashMap<WorkerName, BTreeSet<StepName>>,
     pub(crate) reservations: Reservations,
     /// Steps for which room was looked for by preemption in this round.
     pub(crate) tries_for_room: u32,
@@ -127,6 +131,8 @@
             advice: HashMap::new(),
             lanes: Lanes::default(),
             waiting: Waiting::default(),
+            askers: Askers::default(),
+            allowed_steps: HashMap::new(),
             reservations: Reservations::default(),
             tries_for_room: 0,
             news: News::default(),
@@ -305,11 +311,17 @@
                 }
             });
             if waits && job.step_may_start(name, now.unix_ms) {
-                self.waiting.add(name, now.steady_ms, || rank::of_step(job, name));
+                let sort = Sort::of(job.step_plan(name.step), job.queue.advice.is_some());
+                if self.waiting.add(name, sort, now.steady_ms, || rank::of_step(job, name)) {
+                    // It asks from the next round on.
+                    self.askers.pause(name, now.steady_ms);
+                }
                 self.news.change(name);
                 continue;
             }
-            self.waiting.remove(name);
+            if self.waiting.remove(name) {
+                self.askers.remove(name);
+            }
             let due_ms = job.due_ms(name.occurrence);
             if waits && job.outcome == Outcome::Open && due_ms > now.unix_ms {
                 next_due_ms = Some(next_due_ms.map_or(due_ms, |ms: u64| ms.min(due_ms)));
@@ -340,6 +352,8 @@
             .map(|entry| entry.job.key)
             .collect();
         for key in old {
+            // Advice that was answered after the end.
+            self.forget_steps(key);
             self.jobs.remove(&key);
             self.outbox.waiting.drops.insert(key);
         }
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod advice;
 pub mod ahead;
+pub mod askers;
 pub mod asking;
 pub mod asks;
 pub mod ends;
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -31,40 +31,54 @@
         }
         let news = self.news.take(now.steady_ms);
         self.tries_for_room = 0;
-        for step in self.waiting.in_order() {
-            match self.scope(step, &news) {
-                Scope::Nothing => {}
-                Scope::All => self.place_step(step, None, now),
-                Scope::Freed => self.place_step(step, Some(&news.freed), now),
+        for step in self.askers.wake(now.steady_ms) {
+            self.review_asker(step, now);
+        }
+        let mut due = self.due(&news);
+        let mut last = None;
+        while let Some(rank) = self.next_step(&due, last) {
+            match due.remove(&rank) {
+                Some(Scope::All) => self.place_step(rank.step, None, now),
+                Some(Scope::Freed) => self.place_step(rank.step, Some(&news.freed), now),
+                None => {}
             }
             if self.lanes.any_idle() {
-                self.ask_advice(step, now);
+                self.ask_advice(rank.step, now);
             }
+            last = Some(rank);
         }
         if news.all {
             self.keep_room_ahead(now);
         }
     }
 
-    /// Which workers may have come into question for a step since it was last looked at.
-    fn scope(&self, name: StepName, news: &Digest) -> Scope {
-        if news.all || news.changed.contains(&name) {
-            return Scope::All;
-        }
-        if news.freed.is_empty() {
-            return Scope::Nothing;
+    /// The steps for which workers may have come into question since they were last looked at.
+    fn due(&self, news: &Digest) -> BTreeMap<Rank, Scope> {
+        if news.all {
+            return self.waiting.in_order().map(|rank| (rank, Scope::All)).collect();
         }
-        let Some(entry) = self.jobs.get(&name.job) else { return Scope::Nothing };
-        let plan = entry.job.step_plan(name.step);
-        if plan.gang || plan.one_rack || plan.target_ms > 0 {
-            return Scope::All;
+        let mut due = BTreeMap::new();
+        if !news.freed.is_empty() {
+            due.extend(self.waiting.plain().map(|rank| (rank, Scope::Freed)));
+            let allowed = news.freed.iter().filter_map(|worker| self.allowed_steps.get(worker));
+            let advised = allowed.flatten().filter_map(|step| self.waiting.rank_of_advised(*step));
+            due.extend(advised.map(|rank| (rank, Scope::Freed)));
+            due.extend(self.waiting.whole().map(|rank| (rank, Scope::All)));
         }
-        if entry.job.queue.advice.is_none() {
-            return Scope::Freed;
+        let changed = news.changed.iter().filter_map(|step| self.waiting.rank_of(*step));
+        due.extend(changed.map(|rank| (rank, Scope::All)));
+        due
+    }
+
+    /// The step after `last` that is due or may ask for advice.
+    fn next_step(&self, due: &BTreeMap<Rank, Scope>, last: Option<Rank>) -> Option<Rank> {
+        let first = due.first_key_value().map(|(rank, _)| *rank);
+        if !self.lanes.any_idle() {
+            return first;
         }
-        let advice = self.advice.get(&name);
-        let is_allowed = |worker| advice.is_some_and(|a| a.verdict(worker) == Some(true));
-        if news.freed.iter().any(is_allowed) { Scope::Freed } else { Scope::Nothing }
+        let may_call = |queue: &str, base_ms| self.lanes.may_call(queue, base_ms);
+        let asking = self.askers.next_after(last, may_call);
+        first.into_iter().chain(asking).min()
     }
 
     /// Places tasks of a step, on any worker or only on some of them.
@@ -290,7 +304,6 @@
 /// Which workers are to be looked at for a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Scope {
-    Nothing,
     Freed,
     All,
 }
--- a/lilacpass-lead/src/waiting.rs
+++ b/lilacpass-lead/src/waiting.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeSet, HashMap};
 
 use lilacpass_jobs::StepName;
+use lilacpass_schema::v1;
 
 use crate::rank::Rank;
 
@@ -11,31 +12,74 @@
 pub struct Waiting {
     order: BTreeSet<Rank>,
     steps: HashMap<StepName, Place>,
+    /// Those of the sorts [`Sort::Plain`] and [`Sort::Whole`].
+    plain: BTreeSet<Rank>,
+    whole: BTreeSet<Rank>,
 }
 
 /// A waiting step.
 #[derive(Clone, Copy, Debug)]
 struct Place {
     rank: Rank,
+    sort: Sort,
     since_ms: u64,
 }
 
-impl Waiting {
-    /// Adds a step that is not waiting yet. `rank` is worked out only then: a job may have thousands of tasks,
-    /// and each end brings its steps here.
-    pub fn add(&mut self, step: StepName, now_ms: u64, rank: impl FnOnce() -> Rank) {
-        let place =
-            self.steps.entry(step).or_insert_with(|| Place { rank: rank(), since_ms: now_ms });
-        self.order.insert(place.rank);
+/// What room that falls free means for a waiting step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sort {
+    /// It may be used as it is.
+    Plain,
+    /// It may be used if the step is allowed to run there.
+    Advised,
+    /// It may complete what the step needs on several workers.
+    Whole,
+}
+
+impl Sort {
+    /// The sort of a step; `is_advised` where its queue needs advice.
+    pub fn of(plan: &v1::WorkStep, is_advised: bool) -> Self {
+        if plan.gang || plan.one_rack || plan.target_ms > 0 {
+            Self::Whole
+        } else if is_advised {
+            Self::Advised
+        } else {
+            Self::Plain
+        }
     }
+}
 
-    /// A step does not wait any more.
-    pub fn remove(&mut self, step: StepName) {
-        if let Some(place) = self.steps.remove(&step) {
-            self.order.remove(&place.rank);
+impl Waiting {
+    /// Adds a step, unless it waits already. `rank` is worked out only then: a job may have thousands of tasks,
+    /// and each end brings its steps here. Returns whether the step is new.
+    pub fn add(
+        &mut self,
+        step: StepName,
+        sort: Sort,
+        now_ms: u64,
+        rank: impl FnOnce() -> Rank,
+    ) -> bool {
+        if self.steps.contains_key(&step) {
+            return false;
+        }
+        let rank = rank();
+        self.steps.insert(step, Place { rank, sort, since_ms: now_ms });
+        self.order.insert(rank);
+        match sort {
+            Sort::Plain => self.plain.insert(rank),
+            Sort::Whole => self.whole.insert(rank),
+            Sort::Advised => true,
         }
     }
 
+    /// A step does not wait any more. Returns whether it did.
+    pub fn remove(&mut self, step: StepName) -> bool {
+        let Some(place) = self.steps.remove(&step) else { return false };
+        self.plain.remove(&place.rank);
+        self.whole.remove(&place.rank);
+        self.order.remove(&place.rank)
+    }
+
     /// A task of a step was given a run: if others still wait, they wait from now on.
     pub fn note_start(&mut self, step: StepName, now_ms: u64) {
         if let Some(place) = self.steps.get_mut(&step) {
@@ -48,9 +92,25 @@
         self.steps.get(&step).map(|place| place.rank)
     }
 
+    /// The place of a step in the order, if it is [`Sort::Advised`].
+    pub fn rank_of_advised(&self, step: StepName) -> Option<Rank> {
+        let place = self.steps.get(&step)?;
+        (place.sort == Sort::Advised).then_some(place.rank)
+    }
+
     /// All steps, in the order in which they get room.
-    pub fn in_order(&self) -> Vec<StepName> {
-        self.order.iter().map(|rank| rank.step).collect()
+    pub fn in_order(&self) -> impl Iterator<Item = Rank> {
+        self.order.iter().copied()
+    }
+
+    /// Steps of the sort [`Sort::Plain`], in order.
+    pub fn plain(&self) -> impl Iterator<Item = Rank> {
+        self.plain.iter().copied()
+    }
+
+    /// Steps of the sort [`Sort::Whole`], in order.
+    pub fn whole(&self) -> impl Iterator<Item = Rank> {
+        self.whole.iter().copied()
     }
 
     /// Steps that have waited without being given a run since `since_ms` or longer, the longest first.
