Find the workers with room by their free processors

Cause: each step that looked for room, for workers to ask about or for a home went through all workers, also in a cell in which hardly one has room.

Workers that are over are dropped once a tick, after all lapsed ones were handled, not once for each of those.

--- a/lilacpass-lead/src/asking.rs
+++ b/lilacpass-lead/src/asking.rs
@@ -187,7 +187,12 @@
         let advice = self.advice.get(&name);
         let rank = self.waiting.rank_of(name).unwrap_or_else(|| rank::of_step(&entry.job, name));
         let mut rated: Vec<Rated<'_>> = Vec::new();
-        for worker in self.workers.values() {
+        let workers = if preempting {
+            self.workers.values().collect()
+        } else {
+            self.workers_with_cpu(&entry.job.queue.service, &need)
+        };
+        for worker in workers {
             // What is cheap to tell comes first: in a full cell each waiting step goes through all workers.
             let most_room = if preempting { worker.entry.capacity } else { worker.room() };
             let could_start = need.fits(&most_room)
--- a/lilacpass-lead/src/ends.rs
+++ b/lilacpass-lead/src/ends.rs
@@ -10,6 +10,7 @@
         let (task, run) = key;
         if let Some(worker) = self.workers.get_mut(worker_name) {
             worker.take(key);
+            self.rooms.note(worker);
             self.news.free(worker_name);
         }
         let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -10,7 +10,7 @@
     leader::Leader,
     options,
     outbox::After,
-    worker::{Look, Phase, RunKey},
+    worker::{Look, Phase, RunKey, Worker},
 };
 
 /// Most ends that a worker lists at a time. A list of that length may leave ends out.
@@ -190,6 +190,7 @@
                     // started late. It counts against the worker's room until it is gone.
                     log::warn!(task:% = row.task, run = row.run, worker:% = name; "stray run");
                     worker.give(key, need, Phase::Running { since_ms: now.steady_ms });
+                    self.rooms.note(worker);
                     self.stop_run(name, key, now);
                 }
             }
@@ -244,7 +245,12 @@
     pub(crate) fn life_over(&mut self, name: &WorkerName, now: Now) {
         log::info!(worker:% = name; "worker is gone");
         self.end_all(name, now);
+        self.forget_worker(name);
+    }
+
+    fn forget_worker(&mut self, name: &WorkerName) {
         self.workers.remove(name);
+        self.rooms.remove(name);
     }
 
     fn end_all(&mut self, name: &WorkerName, now: Now) {
@@ -265,6 +271,9 @@
             .filter(|worker| !worker.runs.is_empty() || !worker.listed)
             .map(|worker| worker.entry.name.clone())
             .collect();
+        if lapsed.is_empty() {
+            return;
+        }
         for name in lapsed {
             let Some(worker) = self.workers.get_mut(&name) else { continue };
             if !worker.runs.is_empty() {
@@ -272,8 +281,11 @@
             }
             worker.commanded = false;
             self.end_all(&name, now);
-            self.workers.retain(|_, worker| worker.listed || !worker.runs.is_empty());
         }
+        let is_over = |worker: &&Worker| !worker.listed && worker.runs.is_empty();
+        let over = self.workers.values().filter(is_over);
+        let over: Vec<WorkerName> = over.map(|worker| worker.entry.name.clone()).collect();
+        over.iter().for_each(|name| self.forget_worker(name));
     }
 
     /// Takes workers for gone that a former leader gave work to, that are not registered, and that we
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -17,6 +17,7 @@
     outbox::Outbox,
     place, rank,
     reserve::Reservations,
+    rooms::Rooms,
     waiting::{Sort, Waiting},
     worker::{Look, Phase, Worker},
 };
@@ -76,6 +77,7 @@
     pub(crate) options: Options,
     pub(crate) jobs: HashMap<JobKey, Entry>,
     pub(crate) workers: BTreeMap<WorkerName, Worker>,
+    pub(crate) rooms: Rooms,
     pub(crate) outbox: Outbox,
     pub(crate) advice: HashMap<StepName, StepAdvice>,
     pub(crate) lanes: Lanes,
@@ -127,6 +129,7 @@
             options,
             jobs: HashMap::new(),
             workers: BTreeMap::new(),
+            rooms: Rooms::default(),
             outbox: Outbox::default(),
             advice: HashMap::new(),
             lanes: Lanes::default(),
@@ -169,6 +172,7 @@
                 .or_insert_with(|| Worker::unlisted(&run, until_ms));
             self.looks_due.insert(run.worker.clone());
             worker.give((task, run.number), need, Phase::Uncertain { since_ms: now.steady_ms });
+            self.rooms.note(worker);
         }
         self.jobs.insert(key, Entry::new(job, true));
         self.reindex(key, now);
@@ -247,6 +251,7 @@
             self.looks_due.insert(entry.name.clone());
         }
         worker.entry = entry;
+        self.rooms.note(worker);
     }
 
     fn on_unlisted(&mut self, name: &WorkerName) {
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod rank;
 pub mod recording;
 pub mod reserve;
+pub mod rooms;
 pub mod schedule;
 pub mod starts;
 pub mod waiting;
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -129,7 +129,7 @@
     /// Chooses the data centre in which the tasks of a job are to run, if that is still open. Tasks that
     /// last are spread instead: each that is lost counts by itself.
     pub(crate) fn choose_home(&mut self, name: StepName, plan: &v1::WorkStep, now: Now) {
-        let Some(entry) = self.jobs.get_mut(&name.job) else { return };
+        let Some(entry) = self.jobs.get(&name.job) else { return };
         if entry.home.is_some() || plan.lasting {
             return;
         }
@@ -137,7 +137,11 @@
         let could_run = |worker: &&Worker| {
             worker.takes_starts(now.steady_ms) && place::is_eligible(worker, service, plan)
         };
-        entry.home = place::home(self.workers.values().filter(could_run), plan);
+        let roomy = self.workers_with_cpu(service, &place::need(plan));
+        let home = place::home(roomy.into_iter().filter(could_run), plan);
+        if let Some(entry) = self.jobs.get_mut(&name.job) {
+            entry.home = home;
+        }
     }
 
     /// Whether a run of a task may be on a worker already: a copy there would gain nothing.
@@ -162,7 +166,13 @@
         let is_host = |worker: &&Worker| {
             need.fits(&self.room_for(&rank, worker)) && self.could_start(worker, name, plan, now)
         };
-        self.allowed(name, among, now)
+        let open_to_all = among.is_none() && entry.job.queue.advice.is_none();
+        let workers = if open_to_all {
+            self.workers_with_cpu(&entry.job.queue.service, &need)
+        } else {
+            self.allowed(name, among, now)
+        };
+        workers
             .into_iter()
             .filter(is_host)
             .map(|worker| Host {
@@ -294,6 +304,7 @@
         self.waiting.note_start(task.step, now.steady_ms);
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.give((task, run), need, Phase::Recording);
+            self.rooms.note(worker);
         }
         log::info!(task:% = task, run, worker:% = name, need:% = need; "task placed");
         self.outbox.waiting.states.insert(task.step.job);
