Look for workers to ask about in the order in which they suit, until they are enough

Cause: for each call for advice all workers with room were rated and put in order, 1,100 of them in a cell with some room, though a call names three to ten. `rooms.rs` now keeps the workers of each data centre of a service in the order of their scores, as well as by free processors; a search takes those known to be allowed, then the others in that order, until the call has what it names and one more. Where less than one in eight has room, or the data of the step is on a rack, all are rated as before. The search moved to `candidates.rs`.

Above that, workers that suit equally well were picked in the order that a partial sort left them in; now it is by name.

Dropped: no search for a slow call while only lanes for quick calls are idle.

--- a/lilacpass-lead/src/asking.rs
+++ b/lilacpass-lead/src/asking.rs
@@ -1,20 +1,21 @@
 //! Asking for advice about a step, and taking the answer in.
 
-use std::{cmp::Reverse, collections::HashSet};
+use std::collections::HashSet;
 
 use lilacpass_jobs::{StepName, WorkerName};
 use lilacpass_schema::v1;
 
 use crate::{
-    advice::{self, Candidate},
+    advice,
+    candidates::Wanted,
     event::{Advice, Effect, Lane, Now},
     leader::Leader,
-    place, rank,
+    place,
     worker::Worker,
 };
 
 /// Most workers that one call for advice may name.
-const MOST_ASKED: usize = 100;
+pub(crate) const MOST_ASKED: usize = 100;
 /// Share of workers that are allowed, before a queue has shown its own.
 const GOOD_SHARE_AT_FIRST: f64 = 0.5;
 /// Weight of a new answer in the learned share.
@@ -29,13 +30,6 @@
 const EXTRA_SHARE: f64 = 0.5;
 /// Fewest tasks that the workers asked about should hold.
 const FEWEST_WANTED: u64 = 4;
-/// Most workers that are put in order for one call, of thousands that may come into question. A call names
-/// fewer.
-const MOST_RATED: usize = 2 * MOST_ASKED;
-
-/// A worker that could be asked about: whether it is known to be allowed, how well it suits, its name,
-/// and how many of the waiting tasks fit there.
-type Rated<'a> = (bool, place::Score, &'a WorkerName, u64);
 
 impl Leader {
     /// Asks about the steps that wait for this one, of which a task is done, where that takes little time.
@@ -79,15 +73,18 @@
         }
         self.choose_home(name, &plan, now);
         let Some(entry) = self.jobs.get(&name.job) else { return };
-        let candidates = self.candidates(name, &plan, waiting, now);
+        let share = self.good_shares.get(&entry.job.queue.name).copied();
+        let wanted = Wanted {
+            waiting,
+            tasks: ((waiting as f64 * ASK_MARGIN) as u64).max(FEWEST_WANTED),
+            good_share: share.unwrap_or(GOOD_SHARE_AT_FIRST),
+        };
+        let candidates = self.candidates(name, &plan, &wanted, now);
         if candidates.is_empty() {
             self.advice.entry(name).or_default().nobody_to_ask(now.steady_ms);
             return self.review_asker(name, now);
         }
-        let share = self.good_shares.get(&entry.job.queue.name).copied();
-        let wanted = ((waiting as f64 * ASK_MARGIN) as u64).max(FEWEST_WANTED);
-        let share = share.unwrap_or(GOOD_SHARE_AT_FIRST);
-        let mut workers = advice::choose(&candidates, wanted, share, MOST_ASKED);
+        let mut workers = advice::choose(&candidates, wanted.tasks, wanted.good_share, MOST_ASKED);
         if workers.is_empty() {
             return;
         }
@@ -155,86 +152,6 @@
         unknown.map(|worker| worker.entry.name.clone()).collect()
     }
 
-    /// Workers that could run tasks of a step if they were allowed to, best first: those with room, or if
-    /// that is too little, those that could be given room.
-    fn candidates(
-        &self,
-        name: StepName,
-        plan: &v1::WorkStep,
-        waiting: u64,
-        now: Now,
-    ) -> Vec<Candidate> {
-        let roomy = self.candidates_with(name, plan, waiting, false, now);
-        let fits: u64 = roomy.iter().map(|candidate| candidate.fits).sum();
-        if fits >= waiting || !self.may_preempt_any(name) || plan.lasting {
-            return roomy;
-        }
-        self.candidates_with(name, plan, waiting, true, now)
-    }
-
-    /// The same; with `preempting` room counts that less urgent work could make.
-    fn candidates_with(
-        &self,
-        name: StepName,
-        plan: &v1::WorkStep,
-        waiting: u64,
-        preempting: bool,
-        now: Now,
-    ) -> Vec<Candidate> {
-        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
-        let home = entry.home_of(plan);
-        let need = place::need(plan);
-        let advice = self.advice.get(&name);
-        let rank = self.waiting.rank_of(name).unwrap_or_else(|| rank::of_step(&entry.job, name));
-        let mut rated: Vec<Rated<'_>> = Vec::new();
-        let workers = if preempting {
-            self.workers.values().collect()
-        } else {
-            self.workers_with_cpu(&entry.job.queue.service, &need)
-        };
-        for worker in workers {
-            // What is cheap to tell comes first: in a full cell each waiting step goes through all workers.
-            let most_room = if preempting { worker.entry.capacity } else { worker.room() };
-            let could_start = need.fits(&most_room)
-                && worker.takes_starts(now.steady_ms)
-                && place::is_eligible(worker, &entry.job.queue.service, plan);
-            if !could_start {
-                continue;
-            }
-            let worker_name = &worker.entry.name;
-            let verdict = advice.and_then(|a| a.verdict(worker_name));
-            let holds_ticket =
-                advice.is_some_and(|a| a.ticket(worker_name, now.steady_ms).is_some());
-            if verdict == Some(false) || holds_ticket {
-                continue;
-            }
-            let room = if preempting {
-                self.possible_room(&rank, worker)
-            } else {
-                self.room_for(&rank, worker)
-            };
-            let most = waiting.min(self.may_take(worker, name, plan));
-            let fits = place::fits(&room, &need, most);
-            if fits == 0 {
-                continue;
-            }
-            let known_good = verdict == Some(true);
-            rated.push((known_good, place::Score::new(worker, plan, home), worker_name, fits));
-        }
-        let by_preference = |&(known_good, score, ..): &Rated<'_>| Reverse((known_good, score));
-        if rated.len() > MOST_RATED {
-            rated.select_nth_unstable_by_key(MOST_RATED, by_preference);
-            rated.truncate(MOST_RATED);
-        }
-        rated.sort_by_key(by_preference);
-        let candidate = |(known_good, _, worker, fits): Rated<'_>| Candidate {
-            worker: worker.clone(),
-            known_good,
-            fits,
-        };
-        rated.into_iter().map(candidate).collect()
-    }
-
     pub(crate) fn on_advised(
         &mut self,
         lane: &Lane,
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod askers;
 pub mod asking;
 pub mod asks;
+pub mod candidates;
 pub mod ends;
 pub mod event;
 pub mod health;
