Look runs of a worker up once for each line of a look

Cause: each line of the answer to a look looked its worker up once and its run three times, worked out what the run takes though only a stray one needs that, and went into a set; each job that was handed in gathered all workers of its service, though the first is mostly large enough.

Decisions are the same: tests/same_decisions.rs prints the same twelve digests.

--- a/lilacpass-lead/src/asks.rs
+++ b/lilacpass-lead/src/asks.rs
@@ -8,6 +8,7 @@
     leader::{Entry, Leader},
     outbox::After,
     place,
+    worker::Worker,
 };
 
 /// Shortest and longest time after which a caller is asked to come back.
@@ -124,17 +125,12 @@
     /// Why no worker of the queue's service could ever run a step. Says nothing while no worker is
     /// known.
     fn impossible(&self, plan: &v1::WorkPlan, queue: &v1::QueuePolicy) -> Option<String> {
-        let workers: Vec<_> = self
-            .workers
-            .values()
-            .filter(|w| w.listed && w.entry.service == queue.service)
-            .collect();
-        if workers.is_empty() {
-            return None;
-        }
+        let is_there = |w: &&Worker| w.listed && w.entry.service == queue.service;
+        let workers = self.workers.values().filter(is_there);
+        workers.clone().next()?;
         let number = plan.steps.iter().position(|step| {
             let need = place::need(step);
-            !workers.iter().any(|worker| need.fits(&worker.entry.capacity))
+            !workers.clone().any(|worker| need.fits(&worker.entry.capacity))
         })?;
         Some(format!("step {number}: no worker is large enough for its tasks"))
     }
--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -99,8 +99,9 @@
             worker.draining = true;
         }
         let whole = answer.ends.len() < ENDS_PAGE;
-        let listed: BTreeSet<RunKey> =
+        let mut listed: Vec<RunKey> =
             answer.running.iter().map(|row| (row.task, row.run)).collect();
+        listed.sort_unstable();
         self.note_ends(name, answer.ends, now);
         self.note_running(name, &answer.running, now);
         if whole {
@@ -174,35 +175,38 @@
     fn note_running(&mut self, name: &WorkerName, rows: &[RunningRow], now: Now) {
         for row in rows {
             let key = (row.task, row.run);
-            let need = self.need_of(row.task);
             if let Some(entry) = self.jobs.get_mut(&row.task.step.job) {
                 entry.job.note_checkpoint(row.task, &row.checkpoint);
             }
             let Some(worker) = self.workers.get_mut(name) else { return };
-            worker.note_progress(key, row.percent, now.steady_ms);
-            match worker.runs.get(&key).map(|given| given.phase) {
-                Some(Phase::Ordered | Phase::Uncertain { .. }) => {
-                    worker.set_phase(key, Phase::Running { since_ms: now.steady_ms });
-                }
-                Some(Phase::Running { .. } | Phase::Stopping { .. } | Phase::Recording) => {}
-                None => {
-                    // Nobody asked for it any more: its end was noted for another reason, or it was
-                    // started late. It counts against the worker's room until it is gone.
-                    log::warn!(task:% = row.task, run = row.run, worker:% = name; "stray run");
-                    worker.give(key, need, Phase::Running { since_ms: now.steady_ms });
-                    self.rooms.note(worker);
-                    self.stop_run(name, key, now);
-                }
+            let Some(given) = worker.runs.get_mut(&key) else {
+                self.stop_stray(name, key, now);
+                continue;
+            };
+            given.note_progress(row.percent, now.steady_ms);
+            if matches!(given.phase, Phase::Ordered | Phase::Uncertain { .. }) {
+                given.phase = Phase::Running { since_ms: now.steady_ms };
             }
         }
     }
 
+    /// Stops a run that nobody asked for any more: its end was noted for another reason, or it was started late.
+    /// It counts against the worker's room until it is gone.
+    fn stop_stray(&mut self, name: &WorkerName, key: RunKey, now: Now) {
+        let need = self.need_of(key.0);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        log::warn!(task:% = key.0, run = key.1, worker:% = name; "stray run");
+        worker.give(key, need, Phase::Running { since_ms: now.steady_ms });
+        self.rooms.note(worker);
+        self.stop_run(name, key, now);
+    }
+
     /// Settles runs that a look does not list. Only a look that was sent after the last news of a
     /// run says anything, since answers may overtake each other.
     fn note_absent(
         &mut self,
         name: &WorkerName,
-        listed: &BTreeSet<RunKey>,
+        listed: &[RunKey],
         sent_ms: u64,
         first: bool,
         now: Now,
@@ -211,7 +215,7 @@
         let absent: Vec<(RunKey, Phase)> = worker
             .runs
             .iter()
-            .filter(|(key, _)| !listed.contains(key))
+            .filter(|(key, _)| listed.binary_search(key).is_err())
             .map(|(key, given)| (*key, given.phase))
             .collect();
         for (key, phase) in absent {
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -47,6 +47,13 @@
     pub progress: Option<Progress>,
 }
 
+impl Given {
+    /// Notes the share of its work that is done.
+    pub fn note_progress(&mut self, percent: u32, now_ms: u64) {
+        self.progress.get_or_insert(Progress::new(percent, now_ms)).note(percent, now_ms);
+    }
+}
+
 /// The state of the call that looks at a worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Look {
@@ -181,13 +188,6 @@
         }
     }
 
-    /// Notes the share of the work of a run that is done.
-    pub fn note_progress(&mut self, key: RunKey, percent: u32, now_ms: u64) {
-        if let Some(given) = self.runs.get_mut(&key) {
-            given.progress.get_or_insert(Progress::new(percent, now_ms)).note(percent, now_ms);
-        }
-    }
-
     /// Makes the next look due now, unless one is under way or the worker does not answer.
     pub fn look_at_once(&mut self, now_ms: u64) {
         if self.failed_looks == 0 && self.look != Look::UnderWay {
