Update the step that changed, not all steps of its job

Cause: each start and each end went through all tasks of all steps and occurrences of the job to see which steps wait. A repeated job has hundreds of tasks, so starting a step of them took a time that grew with the square.

Now only the step and those of the same occurrence that may wait for it are worked out (`reindex.rs`); the other waiting steps of the job are looked at in the next round as before. An occurrence whose time comes between two ticks is noticed at the next tick, 50 ms later at most; before, a start or end of its job could bring it forward.

--- a/lilacpass-lead/src/ends.rs
+++ b/lilacpass-lead/src/ends.rs
@@ -37,7 +37,7 @@
         if end.how != How::Done {
             self.stop_gang_run(task, run, now);
         }
-        self.reindex(task.step.job, now);
+        self.reindex_step(task.step, now);
     }
 
     /// Stops the other members of a gang whose run has lost one. They would wait for it in vain,
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -15,10 +15,10 @@
     news::News,
     options::{self, Options},
     outbox::Outbox,
-    place, rank,
+    place,
     reserve::Reservations,
     rooms::Rooms,
-    waiting::{Sort, Waiting},
+    waiting::Waiting,
     worker::{Look, Phase, Worker},
 };
 
@@ -98,7 +98,7 @@
     /// Registered workers of each service, as of the last review.
     pub(crate) pool_sizes: HashMap<String, usize>,
     /// Occurrences whose time has not come, by time of day.
-    due: BTreeSet<(u64, JobKey)>,
+    pub(crate) due: BTreeSet<(u64, JobKey)>,
     /// Share of workers that are allowed, learned per queue.
     pub(crate) good_shares: HashMap<String, f64>,
     pub(crate) effects: Vec<Effect>,
@@ -301,42 +301,6 @@
         }
     }
 
-    /// Updates which steps of a job wait for room.
-    pub(crate) fn reindex(&mut self, key: JobKey, now: Now) {
-        let Some(entry) = self.jobs.get(&key) else { return };
-        let job = &entry.job;
-        let mut next_due_ms = None;
-        for name in job.step_names() {
-            let gang = job.step_plan(name.step).gang;
-            let waits = job.step(name).is_some_and(|step| {
-                if gang {
-                    step.all_wait()
-                } else {
-                    job.task_names(name).any(|task| entry.wants_run(task))
-                }
-            });
-            if waits && job.step_may_start(name, now.unix_ms) {
-                let sort = Sort::of(job.step_plan(name.step), job.queue.advice.is_some());
-                if self.waiting.add(name, sort, now.steady_ms, || rank::of_step(job, name)) {
-                    // It asks from the next round on.
-                    self.askers.pause(name, now.steady_ms);
-                }
-                self.news.change(name);
-                continue;
-            }
-            if self.waiting.remove(name) {
-                self.askers.remove(name);
-            }
-            let due_ms = job.due_ms(name.occurrence);
-            if waits && job.outcome == Outcome::Open && due_ms > now.unix_ms {
-                next_due_ms = Some(next_due_ms.map_or(due_ms, |ms: u64| ms.min(due_ms)));
-            }
-        }
-        if let Some(due_ms) = next_due_ms {
-            self.due.insert((due_ms, key));
-        }
-    }
-
     /// What a run of a task takes; nothing where the task is not known.
     pub(crate) fn need_of(&self, task: TaskName) -> Resources {
         let Some(entry) = self.jobs.get(&task.step.job) else { return Resources::ZERO };
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod progress;
 pub mod rank;
 pub mod recording;
+pub mod reindex;
 pub mod reserve;
 pub mod rooms;
 pub mod schedule;
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -279,7 +279,7 @@
         let Some(run) = entry.job.begin_run(task, worker.clone(), data_centre) else { return };
         entry.begun = true;
         self.record_start(task, run, worker, now);
-        self.reindex(task.step.job, now);
+        self.reindex_step(task.step, now);
     }
 
     fn give_gang(&mut self, name: StepName, workers: &[WorkerName], now: Now) {
@@ -294,7 +294,7 @@
         for (index, worker) in workers.iter().enumerate() {
             self.record_start(name.task(index as u32), run, worker.clone(), now);
         }
-        self.reindex(name.job, now);
+        self.reindex_step(name, now);
     }
 
     /// Records a start; its order follows once that is stored.
