Bound the search in the order in which workers suit, and leave out those without memory

Suspected: a step that finds nobody to ask goes through all workers that have processors free, each time looking each up by name, several times as dear as going through all in their order.

Now room counts by all resources before a worker is looked up, and after 32 workers all are rated as before.

--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -22,6 +22,10 @@
 /// Where fewer than one worker in so many has room, those are all put in order.
 const MANY_IN: usize = 8;
 
+/// Workers that are tried in the order in which they suit before all are rated. That is several times as dear for
+/// each worker, and steps that have asked about all that have room search in vain, again and again.
+const MOST_TRIED: usize = 32;
+
 /// What a call for advice should find.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Wanted {
@@ -101,7 +105,7 @@
 
     fn with_room(&self, search: &Search<'_>, wanted: &Wanted, now: Now) -> Vec<Rated<'_>> {
         let service = &search.entry.job.queue.service;
-        let few = self.rooms.with_cpu(service, &search.need, self.workers.len() / MANY_IN);
+        let few = self.rooms.with_room(service, &search.need, self.workers.len() / MANY_IN);
         if let Some(few) = few {
             let few = few.into_iter().filter_map(|name| self.workers.get(name));
             return best(self.rate_all(search, few, now));
@@ -110,25 +114,31 @@
             return best(self.rate_all(search, self.workers.values(), now));
         }
         self.best_of_many(search, wanted, now)
+            .unwrap_or_else(|| best(self.rate_all(search, self.workers.values(), now)))
     }
 
     /// The best workers, until they are enough: those that are known to be allowed, then the others in the order
-    /// in which they suit.
-    fn best_of_many(&self, search: &Search<'_>, wanted: &Wanted, now: Now) -> Vec<Rated<'_>> {
+    /// in which they suit. None where that takes many tries.
+    fn best_of_many(
+        &self,
+        search: &Search<'_>,
+        wanted: &Wanted,
+        now: Now,
+    ) -> Option<Vec<Rated<'_>>> {
         let allowed = search.advice.into_iter().flat_map(StepAdvice::allowed);
         let mut allowed: Vec<&Worker> = allowed.filter_map(|name| self.workers.get(name)).collect();
         allowed.sort_unstable_by_key(|worker| &worker.entry.name);
         let mut rated = best(self.rate_all(search, allowed.into_iter(), now));
         let home = search.entry.home_of(search.plan);
-        let names = self.rooms.preferred(&search.entry.job.queue.service, home);
+        let names = self.rooms.preferred(&search.entry.job.queue.service, home, search.need);
         let mut others = names
+            .take(MOST_TRIED)
             .filter(|name| search.verdict(name).is_none())
             .filter_map(|name| self.rate(search, self.workers.get(name)?, now));
         while rated.len() < MOST_RATED && !wanted.has_enough(&rated) {
-            let Some(next) = others.next() else { break };
-            rated.push(next);
+            rated.push(others.next()?);
         }
-        rated
+        Some(rated)
     }
 
     fn rate_all<'a>(
--- a/lilacpass-lead/src/rooms.rs
+++ b/lilacpass-lead/src/rooms.rs
@@ -6,7 +6,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, BTreeSet, HashMap, btree_set},
+    collections::{BTreeMap, HashMap, btree_map},
 };
 
 use lilacpass_core::Resources;
@@ -28,16 +28,16 @@
 #[derive(Debug)]
 struct Pool {
     service: String,
-    /// Free processors in thousandths, and the worker.
-    by_cpu: BTreeSet<(u64, WorkerName)>,
-    /// By data centre, the workers in the order in which they suit.
-    by_score: BTreeMap<String, BTreeSet<Preferred>>,
+    /// By free processors in thousandths, and by name, what is free.
+    by_cpu: BTreeMap<(u64, WorkerName), Resources>,
+    /// By data centre, the workers in the order in which they suit, with what is free.
+    by_score: BTreeMap<String, BTreeMap<Preferred, Resources>>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Place {
     pool: usize,
-    cpu_milli: u64,
+    room: Resources,
     data_centre: String,
     preferred: Preferred,
 }
@@ -57,7 +57,7 @@
         let room = worker.room();
         let place = Place {
             pool: self.pool(&worker.entry.service),
-            cpu_milli: room.cpu.0,
+            room,
             data_centre: worker.entry.data_centre.clone(),
             preferred: Preferred {
                 used_accelerators: Reverse(worker.used.accelerators.0),
@@ -70,9 +70,9 @@
         }
         self.remove(name);
         let pool = &mut self.pools[place.pool];
-        pool.by_cpu.insert((place.cpu_milli, name.clone()));
+        pool.by_cpu.insert((room.cpu.0, name.clone()), room);
         let centre = pool.by_score.entry(place.data_centre.clone()).or_default();
-        centre.insert(place.preferred.clone());
+        centre.insert(place.preferred.clone(), room);
         self.places.insert(name.clone(), place);
     }
 
@@ -80,18 +80,19 @@
     pub fn remove(&mut self, worker: &WorkerName) {
         let Some(place) = self.places.remove(worker) else { return };
         let pool = &mut self.pools[place.pool];
-        pool.by_cpu.remove(&(place.cpu_milli, worker.clone()));
+        pool.by_cpu.remove(&(place.room.cpu.0, worker.clone()));
         if let Some(centre) = pool.by_score.get_mut(&place.data_centre) {
             centre.remove(&place.preferred);
         }
     }
 
-    /// The workers of a pool in the order in which they suit a step: those of its home first, then by what is in
+    /// The workers of a pool with room for `need`, in the order in which they suit a step: those of its home first, then by what is in
     /// use and free there, then by name.
     pub fn preferred(
         &self,
         service: &str,
         home: Option<&str>,
+        need: Resources,
     ) -> impl Iterator<Item = &WorkerName> {
         let pool = self.pools.iter().find(|pool| pool.service == service);
         let at_home = pool.and_then(|pool| pool.by_score.get(home?));
@@ -101,17 +102,18 @@
         let merged = std::iter::from_fn(move || {
             let first = others.iter_mut().min_by_key(|rest| {
                 // Those that are used up come last.
-                let next = btree_set::Iter::clone(rest).next();
+                let next = btree_map::Iter::clone(rest).next().map(|(preferred, _)| preferred);
                 (next.is_none(), next)
             });
             first.and_then(Iterator::next)
         });
-        at_home.into_iter().flatten().chain(merged).map(|preferred| &preferred.worker)
+        let in_order = at_home.into_iter().flatten().chain(merged);
+        in_order.filter(move |(_, room)| need.fits(room)).map(|(preferred, _)| &preferred.worker)
     }
 
-    /// The workers of a pool with at least as many free processors as `need`, in order of their names; none
-    /// where they are more than `most`.
-    pub fn with_cpu(
+    /// The workers of a pool with room for `need`, in order of their names; none where they are more than
+    /// `most`.
+    pub fn with_room(
         &self,
         service: &str,
         need: &Resources,
@@ -119,8 +121,10 @@
     ) -> Option<Vec<&WorkerName>> {
         let pool = self.pools.iter().find(|pool| pool.service == service);
         let most_first = pool.into_iter().flat_map(|pool| pool.by_cpu.iter().rev());
-        let roomy = most_first.take_while(|(cpu_milli, _)| *cpu_milli >= need.cpu.0);
-        let mut names: Vec<&WorkerName> = roomy.take(most + 1).map(|(_, name)| name).collect();
+        let roomy = most_first
+            .take_while(|((cpu_milli, _), _)| *cpu_milli >= need.cpu.0)
+            .filter(|(_, room)| need.fits(room));
+        let mut names: Vec<&WorkerName> = roomy.take(most + 1).map(|((_, name), _)| name).collect();
         if names.len() > most {
             return None;
         }
@@ -132,17 +136,16 @@
         if let Some(at) = self.pools.iter().position(|pool| pool.service == service) {
             return at;
         }
-        let (by_cpu, by_score) = (BTreeSet::new(), BTreeMap::new());
+        let (by_cpu, by_score) = (BTreeMap::new(), BTreeMap::new());
         self.pools.push(Pool { service: service.to_owned(), by_cpu, by_score });
         self.pools.len() - 1
     }
 }
 
 impl Leader {
-    /// Workers in order of their names, among them all of a service with at least as many free processors as
-    /// `need`.
-    pub(crate) fn workers_with_cpu(&self, service: &str, need: &Resources) -> Vec<&Worker> {
-        match self.rooms.with_cpu(service, need, self.workers.len() / FEW_IN) {
+    /// Workers in order of their names, among them all of a service with room for `need`.
+    pub(crate) fn workers_with_room(&self, service: &str, need: &Resources) -> Vec<&Worker> {
+        match self.rooms.with_room(service, need, self.workers.len() / FEW_IN) {
             Some(few) => few.into_iter().filter_map(|name| self.workers.get(name)).collect(),
             None => self.workers.values().collect(),
         }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -137,7 +137,7 @@
         let could_run = |worker: &&Worker| {
             worker.takes_starts(now.steady_ms) && place::is_eligible(worker, service, plan)
         };
-        let roomy = self.workers_with_cpu(service, &place::need(plan));
+        let roomy = self.workers_with_room(service, &place::need(plan));
         let home = place::home(roomy.into_iter().filter(could_run), plan);
         if let Some(entry) = self.jobs.get_mut(&name.job) {
             entry.home = home;
@@ -168,7 +168,7 @@
         };
         let open_to_all = among.is_none() && entry.job.queue.advice.is_none();
         let workers = if open_to_all {
-            self.workers_with_cpu(&entry.job.queue.service, &need)
+            self.workers_with_room(&entry.job.queue.service, &need)
         } else {
             self.allowed(name, among, now)
         };
