Search in the order in which workers suit also where less urgent work may be stopped

Cause: a step that finds too little room and may have less urgent work stopped worked out, for each of all workers, what could be stopped there, though a call names a few.

Decisions are the same: tests/same_decisions.rs prints the same twelve digests.

--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -100,7 +100,7 @@
             return to_candidates(&roomy);
         }
         search.preempting = true;
-        to_candidates(&best(self.rate_all(&search, self.workers.values(), now)))
+        to_candidates(&self.among_many(&search, wanted, now))
     }
 
     fn with_room(&self, search: &Search<'_>, wanted: &Wanted, now: Now) -> Vec<Rated<'_>> {
@@ -110,11 +110,14 @@
             let few = few.into_iter().filter_map(|name| self.workers.get(name));
             return best(self.rate_all(search, few, now));
         }
-        if !search.plan.affinity_rack.is_empty() {
-            return best(self.rate_all(search, self.workers.values(), now));
-        }
-        self.best_of_many(search, wanted, now)
-            .unwrap_or_else(|| best(self.rate_all(search, self.workers.values(), now)))
+        self.among_many(search, wanted, now)
+    }
+
+    fn among_many(&self, search: &Search<'_>, wanted: &Wanted, now: Now) -> Vec<Rated<'_>> {
+        // The order in which workers suit knows nothing of racks.
+        let by_rack = !search.plan.affinity_rack.is_empty();
+        let quick = if by_rack { None } else { self.best_of_many(search, wanted, now) };
+        quick.unwrap_or_else(|| best(self.rate_all(search, self.workers.values(), now)))
     }
 
     /// The best workers, until they are enough: those that are known to be allowed, then the others in the order
@@ -130,7 +133,8 @@
         allowed.sort_unstable_by_key(|worker| &worker.entry.name);
         let mut rated = best(self.rate_all(search, allowed.into_iter(), now));
         let home = search.entry.home_of(search.plan);
-        let names = self.rooms.preferred(&search.entry.job.queue.service, home, search.need);
+        let need = if search.preempting { Resources::ZERO } else { search.need };
+        let names = self.rooms.preferred(&search.entry.job.queue.service, home, need);
         let mut others = names
             .take(MOST_TRIED)
             .filter(|name| search.verdict(name).is_none())
