--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     advice::{Lanes, StepAdvice},
+    askers::Askers,
     event::{Effect, Event, Now, Registration},
     loss::LossMeter,
     news::News,
@@ -16,8 +17,8 @@
     outbox::Outbox,
     place,
     pressure::Pressure,
-    rank,
     reserve::Reservations,
+    rooms::Rooms,
     turn::Turn,
     waiting::Waiting,
     worker::{Look, Phase, Worker},
@@ -82,10 +83,14 @@
     pub(crate) options: Options,
     pub(crate) jobs: HashMap<JobKey, Entry>,
     pub(crate) workers: BTreeMap<WorkerName, Worker>,
+    pub(crate) rooms: Rooms,
     pub(crate) outbox: Outbox,
     pub(crate) advice: HashMap<StepName, StepAdvice>,
     pub(crate) lanes: Lanes,
     pub(crate) waiting: Waiting,
+    pub(crate) askers: Askers,
+    /// The steps that are allowed on each worker, as far as advice has told.
+    pub(crate) allowed_steps: HashMap<WorkerName, BTreeSet<StepName>>,
     pub(crate) reservations: Reservations,
     /// Steps for which room was looked for by preemption in this round.
     pub(crate) tries_for_room: u32,
@@ -102,7 +107,7 @@
     /// Registered workers of each service, as of the last review.
     pub(crate) pool_sizes: HashMap<String, usize>,
     /// Occurrences whose time has not come, by time of day.
-    due: BTreeSet<(u64, JobKey)>,
+    pub(crate) due: BTreeSet<(u64, JobKey)>,
     /// Share of workers that are allowed, learned per queue.
     pub(crate) good_shares: HashMap<String, f64>,
     pub(crate) effects: Vec<Effect>,
@@ -133,10 +138,13 @@
             options,
             jobs: HashMap::new(),
             workers: BTreeMap::new(),
+            rooms: Rooms::default(),
             outbox: Outbox::default(),
             advice: HashMap::new(),
             lanes: Lanes::default(),
             waiting: Waiting::default(),
+            askers: Askers::default(),
+            allowed_steps: HashMap::new(),
             reservations: Reservations::default(),
             tries_for_room: 0,
             work: Work::default(),
@@ -176,6 +184,7 @@
                 .or_insert_with(|| Worker::unlisted(&run, until_ms));
             self.looks_due.insert(run.worker.clone());
             worker.give((task, run.number), need, Phase::Uncertain { since_ms: now.steady_ms });
+            self.rooms.note(worker);
         }
         self.jobs.insert(key, Entry::new(job, true));
         self.reindex(key, now);
@@ -259,6 +268,7 @@
             self.looks_due.insert(entry.name.clone());
         }
         worker.entry = entry;
+        self.rooms.note(worker);
     }
 
     fn on_unlisted(&mut self, name: &WorkerName) {
@@ -327,36 +337,6 @@
         }
     }
 
-    /// Updates which steps of a job wait for room.
-    pub(crate) fn reindex(&mut self, key: JobKey, now: Now) {
-        let Some(entry) = self.jobs.get(&key) else { return };
-        let job = &entry.job;
-        let mut next_due_ms = None;
-        for name in job.step_names() {
-            let gang = job.step_plan(name.step).gang;
-            let waits = job.step(name).is_some_and(|step| {
-                if gang {
-                    step.all_wait()
-                } else {
-                    job.task_names(name).any(|task| entry.wants_run(task))
-                }
-            });
-            if waits && job.step_may_start(name, now.unix_ms) {
-                self.waiting.add(name, now.steady_ms, || rank::of_step(job, name));
-                self.news.change(name);
-                continue;
-            }
-            self.waiting.remove(name);
-            let due_ms = job.due_ms(name.occurrence);
-            if waits && job.outcome == Outcome::Open && due_ms > now.unix_ms {
-                next_due_ms = Some(next_due_ms.map_or(due_ms, |ms: u64| ms.min(due_ms)));
-            }
-        }
-        if let Some(due_ms) = next_due_ms {
-            self.due.insert((due_ms, key));
-        }
-    }
-
     /// What a run of a task takes; nothing where the task is not known.
     pub(crate) fn need_of(&self, task: TaskName) -> Resources {
         let Some(entry) = self.jobs.get(&task.step.job) else { return Resources::ZERO };
@@ -377,6 +357,8 @@
             .map(|entry| entry.job.key)
             .collect();
         for key in old {
+            // Advice that was answered after the end.
+            self.forget_steps(key);
             self.jobs.remove(&key);
             self.outbox.waiting.drops.insert(key);
         }
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -14,8 +14,10 @@
 
 pub mod advice;
 pub mod ahead;
+pub mod askers;
 pub mod asking;
 pub mod asks;
+pub mod candidates;
 pub mod ends;
 pub mod event;
 pub mod health;
@@ -32,7 +34,9 @@
 pub mod progress;
 pub mod rank;
 pub mod recording;
+pub mod reindex;
 pub mod reserve;
+pub mod rooms;
 pub mod rounds;
 pub mod schedule;
 pub mod starts;
--- a/lilacpass-lead/src/rounds.rs
+++ b/lilacpass-lead/src/rounds.rs
@@ -2,7 +2,7 @@
 
 use lilacpass_jobs::StepName;
 
-use crate::{event::Now, leader::Leader, news::Digest, schedule::Scope};
+use crate::{event::Now, leader::Leader, news::Digest, rank::Rank, schedule::Scope};
 
 /// Part of a round for the steps that are first in order; the other is for those whose turn it is.
 const FIRST_IN: u64 = 2;
@@ -16,10 +16,9 @@
     }
 
     /// A round has looked at all it may before this step: the others get their turns in the next ones.
-    pub(crate) fn cut_round(&mut self, before: StepName, news: Digest, now: Now) {
+    pub(crate) fn cut_round(&mut self, before: Rank, news: Digest, now: Now) {
         self.pressure.cut();
-        let after = self.waiting.rank_of(before).and_then(|rank| self.waiting.before(rank));
-        self.turn.begin(after, now);
+        self.turn.begin(self.waiting.before(before), now);
         self.keep_unseen(news);
     }
 
@@ -51,17 +50,16 @@
     fn place_first(&mut self, news: &mut Digest, most: u64, now: Now) -> Vec<StepName> {
         let end = self.work.tries + most;
         let mut looked_at = Vec::new();
-        for step in self.waiting.in_order() {
+        for (rank, scope) in self.due(news) {
             if self.work.tries >= end {
                 break;
             }
-            match self.scope(step, news) {
-                Scope::Nothing => continue,
-                Scope::All => self.place_step(step, None, now),
-                Scope::Freed => self.place_step(step, Some(&news.freed), now),
+            match scope {
+                Scope::All => self.place_step(rank.step, None, now),
+                Scope::Freed => self.place_step(rank.step, Some(&news.freed), now),
             }
-            news.changed.remove(&step);
-            looked_at.push(step);
+            news.changed.remove(&rank.step);
+            looked_at.push(rank.step);
         }
         looked_at
     }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -33,23 +33,29 @@
         }
         let mut news = self.news.take(now.steady_ms);
         self.tries_for_room = 0;
+        for step in self.askers.wake(now.steady_ms) {
+            self.review_asker(step, now);
+        }
         if self.turn.is_under_way() {
             return self.schedule_in_turns(news, now);
         }
         let end = self.work.tries + self.pressure.tries_a_round();
-        for step in self.waiting.in_order() {
+        let mut due = self.due(&news);
+        let mut last = None;
+        while let Some(rank) = self.next_step(&due, last) {
             if self.work.tries >= end {
-                return self.cut_round(step, news, now);
+                return self.cut_round(rank, news, now);
             }
-            match self.scope(step, &news) {
-                Scope::Nothing => {}
-                Scope::All => self.place_step(step, None, now),
-                Scope::Freed => self.place_step(step, Some(&news.freed), now),
+            match due.remove(&rank) {
+                Some(Scope::All) => self.place_step(rank.step, None, now),
+                Some(Scope::Freed) => self.place_step(rank.step, Some(&news.freed), now),
+                None => {}
             }
-            news.changed.remove(&step);
+            news.changed.remove(&rank.step);
             if self.lanes.any_idle() {
-                self.ask_advice(step, now);
+                self.ask_advice(rank.step, now);
             }
+            last = Some(rank);
         }
         if news.all {
             self.turn.not_needed();
@@ -57,25 +63,33 @@
         }
     }
 
-    /// Which workers may have come into question for a step since it was last looked at.
-    pub(crate) fn scope(&self, name: StepName, news: &Digest) -> Scope {
-        if news.all || news.changed.contains(&name) {
-            return Scope::All;
-        }
-        if news.freed.is_empty() {
-            return Scope::Nothing;
+    /// The steps for which workers may have come into question since they were last looked at.
+    pub(crate) fn due(&self, news: &Digest) -> BTreeMap<Rank, Scope> {
+        if news.all {
+            return self.waiting.in_order().map(|rank| (rank, Scope::All)).collect();
         }
-        let Some(entry) = self.jobs.get(&name.job) else { return Scope::Nothing };
-        let plan = entry.job.step_plan(name.step);
-        if plan.gang || plan.one_rack || plan.target_ms > 0 {
-            return Scope::All;
+        let mut due = BTreeMap::new();
+        if !news.freed.is_empty() {
+            due.extend(self.waiting.plain().map(|rank| (rank, Scope::Freed)));
+            let allowed = news.freed.iter().filter_map(|worker| self.allowed_steps.get(worker));
+            let advised = allowed.flatten().filter_map(|step| self.waiting.rank_of_advised(*step));
+            due.extend(advised.map(|rank| (rank, Scope::Freed)));
+            due.extend(self.waiting.whole().map(|rank| (rank, Scope::All)));
         }
-        if entry.job.queue.advice.is_none() {
-            return Scope::Freed;
+        let changed = news.changed.iter().filter_map(|step| self.waiting.rank_of(*step));
+        due.extend(changed.map(|rank| (rank, Scope::All)));
+        due
+    }
+
+    /// The step after `last` that is due or may ask for advice.
+    fn next_step(&self, due: &BTreeMap<Rank, Scope>, last: Option<Rank>) -> Option<Rank> {
+        let first = due.first_key_value().map(|(rank, _)| *rank);
+        if !self.lanes.any_idle() {
+            return first;
         }
-        let advice = self.advice.get(&name);
-        let is_allowed = |worker| advice.is_some_and(|a| a.verdict(worker) == Some(true));
-        if news.freed.iter().any(is_allowed) { Scope::Freed } else { Scope::Nothing }
+        let may_call = |queue: &str, base_ms| self.lanes.may_call(queue, base_ms);
+        let asking = self.askers.next_after(last, may_call);
+        first.into_iter().chain(asking).min()
     }
 
     /// Places tasks of a step, on any worker or only on some of them.
@@ -135,7 +149,7 @@
     /// Chooses the data centre in which the tasks of a job are to run, if that is still open. Tasks that
     /// last are spread instead: each that is lost counts by itself.
     pub(crate) fn choose_home(&mut self, name: StepName, plan: &v1::WorkStep, now: Now) {
-        let Some(entry) = self.jobs.get_mut(&name.job) else { return };
+        let Some(entry) = self.jobs.get(&name.job) else { return };
         if entry.home.is_some() || plan.lasting || !self.options.uses(Mechanism::Home) {
             return;
         }
@@ -143,7 +157,11 @@
         let could_run = |worker: &&Worker| {
             worker.takes_starts(now.steady_ms) && place::is_eligible(worker, service, plan)
         };
-        entry.home = place::home(self.workers.values().filter(could_run), plan);
+        let roomy = self.workers_with_room(service, &place::need(plan));
+        let home = place::home(roomy.into_iter().filter(could_run), plan);
+        if let Some(entry) = self.jobs.get_mut(&name.job) {
+            entry.home = home;
+        }
     }
 
     /// Whether a run of a task may be on a worker already: a copy there would gain nothing.
@@ -168,7 +186,13 @@
         let is_host = |worker: &&Worker| {
             need.fits(&self.room_for(&rank, worker)) && self.could_start(worker, name, plan, now)
         };
-        self.allowed(name, among, now)
+        let open_to_all = among.is_none() && entry.job.queue.advice.is_none();
+        let workers = if open_to_all {
+            self.workers_with_room(&entry.job.queue.service, &need)
+        } else {
+            self.allowed(name, among, now)
+        };
+        workers
             .into_iter()
             .filter(is_host)
             .map(|worker| Host {
@@ -274,7 +298,7 @@
         let data_centre = data_centre_of(&self.workers, &worker);
         let Some(run) = entry.job.begin_run(task, worker.clone(), data_centre) else { return };
         self.record_start(task, run, worker, now);
-        self.reindex(task.step.job, now);
+        self.reindex_step(task.step, now);
     }
 
     fn give_gang(&mut self, name: StepName, workers: &[WorkerName], now: Now) {
@@ -288,7 +312,7 @@
         for (index, worker) in workers.iter().enumerate() {
             self.record_start(name.task(index as u32), run, worker.clone(), now);
         }
-        self.reindex(name.job, now);
+        self.reindex_step(name, now);
     }
 
     /// Records a start; its order follows once that is stored.
@@ -298,6 +322,7 @@
         self.waiting.note_start(task.step, now.steady_ms);
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.give((task, run), need, Phase::Recording);
+            self.rooms.note(worker);
         }
         log::info!(task:% = task, run, worker:% = name, need:% = need; "task placed");
         self.outbox.waiting.states.insert(task.step.job);
@@ -308,7 +333,6 @@
 /// Which workers are to be looked at for a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Scope {
-    Nothing,
     Freed,
     All,
 }
--- a/lilacpass-lead/tests/pressure.rs
+++ b/lilacpass-lead/tests/pressure.rs
@@ -7,7 +7,7 @@
     pressure::{Level, Pressure},
     rank::Rank,
     turn::Turn,
-    waiting::Waiting,
+    waiting::{Sort, Waiting},
 };
 use lilacpass_schema::v1;
 
@@ -84,13 +84,13 @@
 fn each_waiting_step_gets_its_turn_though_others_come_in_before_it() {
     let mut waiting = Waiting::default();
     for number in 1_000..1_100 {
-        waiting.add(rank(number).step, 0, || rank(number));
+        waiting.add(rank(number).step, Sort::Plain, 0, || rank(number));
     }
     let mut turn = Turn::default();
     turn.begin(None, at(0));
     let mut seen = Vec::new();
     for number in 0..30 {
-        waiting.add(rank(number).step, 0, || rank(number));
+        waiting.add(rank(number).step, Sort::Plain, 0, || rank(number));
         seen.extend(turn.next(&waiting, 8, at(number)));
         if !turn.is_under_way() {
             break;
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -14,6 +14,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
+    hash::{DefaultHasher, Hash, Hasher},
 };
 
 use lilacpass_core::{Resources, Verdict};
@@ -129,6 +130,8 @@
     pub answered_ms: BTreeMap<u64, u64>,
     /// What the operations of a leader take; none where they take no time.
     pub costs: Option<Costs>,
+    /// Of all that leaders asked for, and when.
+    effects: DefaultHasher,
     actions: BinaryHeap<Reverse<Timed>>,
     order: u64,
     next_token: u64,
@@ -152,6 +155,7 @@
             options: Options::default(),
             answered_ms: BTreeMap::new(),
             costs: None,
+            effects: DefaultHasher::new(),
             actions: BinaryHeap::new(),
             order: 0,
             next_token: 0,
@@ -315,10 +319,16 @@
         let leader = &mut self.members[member].leader;
         leader.handle(event, now);
         for effect in leader.finish(now) {
+            (self.now_ms, member, format!("{effect:?}")).hash(&mut self.effects);
             self.send(member, effect, 0);
         }
     }
 
+    /// The same for plays in which all leaders asked for the same at the same times.
+    pub fn digest(&self) -> u64 {
+        self.effects.finish()
+    }
+
     /// An effect leaves its leader.
     fn send(&mut self, member: usize, effect: Effect, after_ms: u64) {
         let delay_ms = 1 + self.random.below(4) + after_ms;
