Log what a refused request asked for

A line of a refused request named the path alone, which is the same for a hand-in, a question for the state and a cancelling. Which of nine refusals of a cancelled job were its cancelling could not be told. The method is written beside the path.

--- a/lilacpass-node/src/entry.rs
+++ b/lilacpass-node/src/entry.rs
@@ -123,10 +123,10 @@
     let answer = ask_leader(node, ask, timeout).await;
     match &answer {
         Answer::Refused { reason, .. } => {
-            log::info!(path = received.path.as_str(), reason; "request refused");
+            log::info!(method:% = received.method, path = received.path.as_str(), reason; "request refused");
         }
         Answer::Uncertain => {
-            log::info!(path = received.path.as_str(); "request uncertain");
+            log::info!(method:% = received.method, path = received.path.as_str(); "request uncertain");
         }
         _ => {}
     }
