Leave the store time to bring a desired state before another instance is asked for it

Above 1 MB on 10 Mbit/s, 200 KB on 2 Mbit/s, the same came twice over one link. Change: the wait grows with what a state as large as the one here needs on the link. Figures: 772 KB over 2 Mbit/s are waited for 7.0 s in place of 0.8 (computed; 3.1 s are needed on an idle link).

--- a/lilacpass-node/src/desired_relay.rs
+++ b/lilacpass-node/src/desired_relay.rs
@@ -15,9 +15,12 @@
 
 use crate::{clock, metrics, node::Node, peers};
 
-/// How long an instance may know of a newer version before it asks another instance. The store hands a change
-/// to all that follow it at once, and 10 Mbit/s carry 1,000 KB in this time; the platform allows 2 s.
-const PATIENCE_MS: u64 = 800;
+/// How long an instance may know of a newer version before it asks another instance, beside the time that the
+/// version needs on its link. The store hands a change to all that follow it at once; the platform allows 2 s.
+const PATIENCE: Duration = Duration::from_millis(800);
+/// How many times as long as a state needs on the link its arrival from the store is waited for. Others use the link
+/// too.
+const LINK_TIMES: u32 = 2;
 /// Time between looks whether that has passed.
 const INTERVAL: Duration = Duration::from_millis(200);
 /// How long an instance may take to begin its answer, and may pause within it.
@@ -83,7 +86,9 @@
             continue;
         };
         let since_ms = *behind_since_ms.get_or_insert(now_ms);
-        if now_ms < since_ms + PATIENCE_MS {
+        let bytes = node.published().map_or(0, |published| published.bytes.len());
+        let patience = patience(size::Bytes(bytes as u64), node.settings.link);
+        if now_ms < since_ms + patience.as_millis() as u64 {
             continue;
         }
         let pause = fetch(&node, &elsewhere).await;
@@ -91,6 +96,14 @@
     }
 }
 
+/// How long the store is left to bring a newer version, where the one here has so many bytes.
+///
+/// Asked for while it is arriving, the state comes twice over the same link and takes twice as long: 772 KB need 3.1 s
+/// over 2 Mbit/s.
+pub fn patience(bytes: size::Bytes, link: BytesPerSecond) -> Duration {
+    PATIENCE + link.time_for(bytes) * LINK_TIMES
+}
+
 /// Asks an instance for its desired state, and takes it in. Returns how long to wait before the next call.
 async fn fetch(node: &Node, elsewhere: &Elsewhere) -> Duration {
     let address = pick(node, elsewhere);
--- a/lilacpass-node/tests/relay.rs
+++ b/lilacpass-node/tests/relay.rs
@@ -33,6 +33,16 @@
     assert_eq!(pacing.take(STATE, THIN, 2_280), None);
 }
 
+/// A state was on its way from the store over a thin link, and the same was asked of another instance: both filled the
+/// link, and took twice as long.
+#[test]
+fn others_are_not_asked_while_the_store_may_still_be_sending() {
+    let thinnest = BytesPerSecond(250_000);
+    assert!(desired_relay::patience(STATE, thinnest) > thinnest.time_for(STATE));
+    let fast = BytesPerSecond(125_000_000);
+    assert!(desired_relay::patience(STATE, fast).as_millis() < 1_000);
+}
+
 #[test]
 fn a_link_of_which_nothing_is_known_is_not_spared() {
     let pacing = Pacing::default();
