--- a/lilacpass-jobs/src/plan.rs
+++ b/lilacpass-jobs/src/plan.rs
@@ -14,6 +14,10 @@
 /// Most occurrences of a job; bounds memory together with [`MAX_TASKS`].
 pub const MAX_REPEATS: u32 = 1_000;
 
+/// Latest time at which an occurrence may be due, in milliseconds since 1970: the end of the year 9999. Sums of
+/// times stay far below the largest number.
+pub const MAX_DUE_MS: u64 = 253_402_300_799_999;
+
 /// Refuses a plan that no cell could carry out, with a reason that names the step.
 pub fn check(plan: &v1::WorkPlan) -> Result<()> {
     if plan.payload.len() > MAX_PAYLOAD_BYTES {
@@ -34,6 +38,7 @@
             plan.repeat_count
         ));
     }
+    check_times(plan)?;
     for (number, step) in plan.steps.iter().enumerate() {
         check_step(number, step)?;
     }
@@ -45,6 +50,18 @@
     Ok(())
 }
 
+fn check_times(plan: &v1::WorkPlan) -> Result<()> {
+    let intervals = u64::from(plan.repeat_count.saturating_sub(1));
+    let last_ms = plan.first_run_ms.saturating_add(intervals.saturating_mul(plan.interval_ms));
+    if last_ms > MAX_DUE_MS || plan.interval_ms > MAX_DUE_MS {
+        return refuse(format!(
+            "firstRunMs {} and intervalMs {}: the last occurrence is due after the year 9999",
+            plan.first_run_ms, plan.interval_ms
+        ));
+    }
+    Ok(())
+}
+
 fn check_step(number: usize, step: &v1::WorkStep) -> Result<()> {
     if step.count == 0 {
         return refuse(format!("step {number} has no tasks"));
