--- a/lilacpass-jobs/src/plan.rs
+++ b/lilacpass-jobs/src/plan.rs
@@ -14,6 +14,9 @@
 /// Most occurrences of a job; bounds memory together with [`MAX_TASKS`].
 pub const MAX_REPEATS: u32 = 1_000;
 
+/// Most bytes of the labels, racks and images of all steps. Keeps the record of a plan well within one record of
+/// the store, 262,144 bytes, so that no job makes an append that the store never takes.
+pub const MAX_LABEL_BYTES: usize = 65_536;
 /// Latest time at which an occurrence may be due, in milliseconds since 1970: the end of the year 9999. Sums of
 /// times stay far below the largest number.
 pub const MAX_DUE_MS: u64 = 253_402_300_799_999;
@@ -38,6 +41,7 @@
             plan.repeat_count
         ));
     }
+    check_labels(plan)?;
     check_times(plan)?;
     for (number, step) in plan.steps.iter().enumerate() {
         check_step(number, step)?;
@@ -50,6 +54,20 @@
     Ok(())
 }
 
+fn check_labels(plan: &v1::WorkPlan) -> Result<()> {
+    let of_step = |step: &v1::WorkStep| {
+        step.required_label.len() + step.affinity_rack.len() + step.image.len()
+    };
+    let bytes: usize = plan.steps.iter().map(of_step).sum();
+    if bytes > MAX_LABEL_BYTES {
+        return refuse(format!(
+            "requiredLabel, affinity and image of all steps have {bytes} bytes; at most {MAX_LABEL_BYTES} \
+             are allowed"
+        ));
+    }
+    Ok(())
+}
+
 fn check_times(plan: &v1::WorkPlan) -> Result<()> {
     let intervals = u64::from(plan.repeat_count.saturating_sub(1));
     let last_ms = plan.first_run_ms.saturating_add(intervals.saturating_mul(plan.interval_ms));
