--- a/lilacpass-jobs/src/plan.rs
+++ b/lilacpass-jobs/src/plan.rs
@@ -25,19 +25,22 @@
 pub fn check(plan: &v1::WorkPlan) -> Result<()> {
     if plan.payload.len() > MAX_PAYLOAD_BYTES {
         return refuse(format!(
-            "the spec has {} bytes; at most {MAX_PAYLOAD_BYTES} are allowed",
+            "spec: {} bytes; at most {MAX_PAYLOAD_BYTES} are allowed",
             plan.payload.len()
         ));
     }
     if plan.steps.is_empty() {
-        return refuse("the job has no steps".to_owned());
+        return refuse("steps: the job has none".to_owned());
     }
     if plan.steps.len() > MAX_STEPS {
-        return refuse(format!("{} steps; at most {MAX_STEPS} are allowed", plan.steps.len()));
+        return refuse(format!(
+            "steps: {} steps; at most {MAX_STEPS} are allowed",
+            plan.steps.len()
+        ));
     }
     if plan.repeat_count > MAX_REPEATS {
         return refuse(format!(
-            "{} occurrences; at most {MAX_REPEATS} are allowed",
+            "repeatCount: {} occurrences; at most {MAX_REPEATS} are allowed",
             plan.repeat_count
         ));
     }
@@ -49,7 +52,7 @@
     let tasks: u64 = plan.steps.iter().map(|step| u64::from(step.count)).sum();
     let all = tasks * u64::from(plan.repeat_count.max(1));
     if all > MAX_TASKS {
-        return refuse(format!("{all} tasks; at most {MAX_TASKS} are allowed"));
+        return refuse(format!("count of all steps: {all} tasks; at most {MAX_TASKS} are allowed"));
     }
     Ok(())
 }
@@ -82,16 +85,14 @@
 
 fn check_step(number: usize, step: &v1::WorkStep) -> Result<()> {
     if step.count == 0 {
-        return refuse(format!("step {number} has no tasks"));
+        return refuse(format!("steps[{number}].count: the step has no tasks"));
     }
     let forward = step.after.iter().find(|&&earlier| earlier as usize >= number);
     if let Some(&later) = forward {
-        return refuse(format!(
-            "step {number} waits for step {later}, which is not an earlier one"
-        ));
+        return refuse(format!("steps[{number}].after: step {later} is not an earlier one"));
     }
     if step.gang && step.speculative {
-        return refuse(format!("step {number} is a gang and can't have copies"));
+        return refuse(format!("steps[{number}].speculative: a gang can't have copies"));
     }
     Ok(())
 }
