--- a/lilacpass-jobs/src/record.rs
+++ b/lilacpass-jobs/src/record.rs
@@ -100,9 +100,8 @@
 pub fn decode(key: JobKey, plan: &[u8], state: Option<&[u8]>) -> Result<Job> {
     let wrong = |err: prost::DecodeError| Error::Record(format!("{key}: {err}"));
     let plan = v1::PlanRecord::decode(plan).map_err(wrong)?;
-    if let Some(plan) = &plan.plan {
-        crate::plan::check(plan)?;
-    }
+    let asked = plan.plan.as_ref().ok_or_else(|| Error::Record(format!("{key}: no plan")))?;
+    crate::plan::check(asked)?;
     let mut job = Job::new(key, plan);
     let Some(state) = state else { return Ok(job) };
     let state = v1::StateRecord::decode(state).map_err(wrong)?;
