--- a/lilacpass-jobs/tests/records.rs
+++ b/lilacpass-jobs/tests/records.rs
@@ -131,3 +131,36 @@
         assert_eq!(name.to_string().parse::<TaskName>(), Ok(name));
     });
 }
+
+/// A run of a worker is taken for another's: a name that is written otherwise, `+1` or `01` for `1`, is read as the
+/// same task.
+#[test]
+fn what_is_read_as_a_name_is_written_as_it_was() {
+    const PIECES: [&str; 12] = [
+        "5c0e7a21d94b36f8",
+        ".",
+        ".0",
+        ".1",
+        ".+1",
+        ".01",
+        ".-1",
+        ".4294967296",
+        "a",
+        "é",
+        " ",
+        "",
+    ];
+    lilacpass_fuzz::check::<Vec<u8>>(20 * SEEDS, 1 << 4, |pieces| {
+        let rest = pieces.iter().map(|&piece| PIECES[usize::from(piece) % PIECES.len()]);
+        let text: String = rest.collect();
+        for text in [format!("{}{text}", PIECES[0]), text] {
+            if let Ok(name) = text.parse::<TaskName>() {
+                assert_eq!(name.to_string(), text);
+            }
+            if let Ok(key) = text.parse::<JobKey>() {
+                assert_eq!(key.to_string(), text);
+            }
+            let _key = record::parse_key(&text);
+        }
+    });
+}
