--- a/lilacpass-jobs/src/ids.rs
+++ b/lilacpass-jobs/src/ids.rs
@@ -77,9 +77,9 @@
         let mut parts = s.split('.');
         let mut next = || parts.next().ok_or_else(wrong);
         let job = next()?.parse()?;
-        let occurrence = next()?.parse().map_err(|_| wrong())?;
-        let step = next()?.parse().map_err(|_| wrong())?;
-        let index = next()?.parse().map_err(|_| wrong())?;
+        let occurrence = number(next()?).ok_or_else(wrong)?;
+        let step = number(next()?).ok_or_else(wrong)?;
+        let index = number(next()?).ok_or_else(wrong)?;
         if parts.next().is_some() {
             return Err(wrong());
         }
@@ -87,6 +87,13 @@
     }
 }
 
+/// A number as names hold it: digits alone, without zeros ahead.
+fn number(text: &str) -> Option<u32> {
+    let digits = text.bytes().all(|b| b.is_ascii_digit());
+    let canonical = digits && (text == "0" || !text.starts_with('0'));
+    text.parse().ok().filter(|_| canonical)
+}
+
 /// One life of a worker. Cheap to clone.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WorkerName(Arc<str>);
