Send an instance damaged messages of peers

A process on the stand-in answers 400 damaged requests and questions and a job of four billion tasks, refuses the latter, and leads on. Greetings are left out: any that decodes is believed, by design.

--- /dev/null
+++ b/lilacpass-node/tests/peer_messages.rs
@@ -0,0 +1,137 @@
+//! Messages of other instances that are damaged, or come from a version that checks less.
+
+mod cluster;
+
+use std::{sync::Mutex, time::Duration};
+
+use bytes::Bytes;
+use cluster::Cluster;
+use http::{Method, StatusCode};
+use lilacpass_platform::client::{Call, Client};
+use lilacpass_schema::v1;
+use prost::Message;
+use tokio::time;
+
+const FIRST_PORT: u16 = 22_900;
+/// Damaged messages that are sent.
+const SEEDS: u64 = 400;
+/// How often the leader is asked for before it counts as missing, and the pause between.
+const LOOKS: u32 = 300;
+const PAUSE: Duration = Duration::from_millis(100);
+/// Longest wait for an answer. The leader takes milliseconds; the rest is for a busy machine.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A change to a message: what, where, which byte.
+type Damage = (u8, u16, u8);
+
+/// What instances hand on to the leader, with its path.
+fn sound() -> Vec<(&'static str, Vec<u8>)> {
+    let queue = v1::QueuePolicy { name: "quick".to_owned(), attempts: 3, ..Default::default() };
+    let step = v1::WorkStep { count: 2, cpu_milli: 100, memory_mb: 10, ..Default::default() };
+    let later = v1::WorkStep { after: vec![0], ..step.clone() };
+    let plan =
+        v1::WorkPlan { payload: "do".to_owned(), steps: vec![step, later], ..Default::default() };
+    let work = |op: v1::WorkOp| {
+        let mut work = v1::PeerWork { job: 7, ..Default::default() };
+        work.set_op(op);
+        work.queue = Some(queue.clone());
+        work.plan = Some(plan.clone());
+        ("/peer/work", work.encode_to_vec())
+    };
+    let advise = v1::PeerAdvise {
+        step: "5c0e7a21d94b36f8.0.1".to_owned(),
+        workers: vec!["i-1".to_owned()],
+        timeout_ms: 50,
+    };
+    vec![
+        work(v1::WorkOp::WorkSubmit),
+        work(v1::WorkOp::WorkState),
+        work(v1::WorkOp::WorkCancel),
+        work(v1::WorkOp::WorkPending),
+        ("/peer/advise", advise.encode_to_vec()),
+    ]
+}
+
+fn damaged(sound: &[u8], damages: &[Damage]) -> Vec<u8> {
+    let mut bytes = sound.to_vec();
+    for &(what, place, byte) in damages {
+        let at = usize::from(place) % (bytes.len() + 1);
+        match what % 4 {
+            0 if what < 64 => bytes.truncate(at),
+            1 => bytes.insert(at, byte),
+            2 if at < bytes.len() => drop(bytes.remove(at)),
+            _ if at < bytes.len() => bytes[at] = byte,
+            _ => {}
+        }
+    }
+    bytes
+}
+
+/// Messages from fixed seeds.
+fn messages() -> Vec<(&'static str, Vec<u8>)> {
+    let sound = sound();
+    let made = Mutex::new(Vec::new());
+    lilacpass_fuzz::check::<(u8, Vec<Damage>)>(SEEDS, 1 << 6, |(which, damages)| {
+        let (path, bytes) = &sound[usize::from(*which) % sound.len()];
+        made.lock().expect("messages").push((*path, damaged(bytes, damages)));
+    });
+    made.into_inner().expect("messages")
+}
+
+/// A job of four billion tasks, and one that names an earlier step a hundred thousand times.
+fn beyond_all_bounds() -> Vec<(&'static str, Vec<u8>)> {
+    let submit = |job: u64, steps: Vec<v1::WorkStep>| {
+        let plan = v1::WorkPlan { steps, ..Default::default() };
+        let queue = Some(v1::QueuePolicy::default());
+        (
+            "/peer/work",
+            v1::PeerWork { job, queue, plan: Some(plan), ..Default::default() }.encode_to_vec(),
+        )
+    };
+    let many = v1::WorkStep { count: u32::MAX, ..Default::default() };
+    let one = v1::WorkStep { count: 1, ..Default::default() };
+    let often = v1::WorkStep { after: vec![0; 100_000], ..one.clone() };
+    vec![submit(11, vec![many]), submit(12, vec![one, often])]
+}
+
+fn call<'a>(address: &'a str, path: &'a str, message: Vec<u8>) -> Call<'a> {
+    let body = Bytes::from(message);
+    Call { address, method: Method::POST, path, headers: &[], body, timeout: TIMEOUT }
+}
+
+async fn wait_for_leader(cluster: &Cluster) {
+    let addresses = cluster.peer_addresses();
+    for _ in 0..LOOKS {
+        if cluster.callers.leader(&addresses).await.is_some() {
+            return;
+        }
+        time::sleep(PAUSE).await;
+    }
+    panic!("nobody leads");
+}
+
+/// The cell stops, or its leader is restarted again and again: another instance sends what this one can't read, or what
+/// its own version would have refused.
+#[test]
+fn messages_that_are_damaged_are_answered_and_do_no_harm() {
+    cluster::play(FIRST_PORT, &[0.5], async |mut cluster| {
+        cluster.instances[0].start().expect("started");
+        wait_for_leader(&cluster).await;
+        let client = Client::default();
+        let address = cluster.instances[0].peer_address.clone();
+        for (path, message) in messages().into_iter().chain(beyond_all_bounds()) {
+            let answer = client.call(&call(&address, path, message.clone())).await;
+            let status = answer.map(|answer| answer.status);
+            assert!(
+                matches!(status, Ok(StatusCode::OK | StatusCode::BAD_REQUEST)),
+                "{status:?} to {path} {message:?}"
+            );
+        }
+        let (path, message) = beyond_all_bounds().remove(0);
+        let body = client.call(&call(&address, path, message)).await.expect("an answer").body;
+        let reply = v1::PeerWorkReply::decode(body).expect("a reply");
+        assert_eq!(reply.outcome(), v1::WorkOutcome::WorkInvalid, "{}", reply.detail);
+        assert!(!cluster.instances[0].has_ended().expect("asked"), "the instance has ended");
+        wait_for_leader(&cluster).await;
+    });
+}
