Test that fails: saved progress makes a state larger than a record

By reading: nothing bounds what tasks save, and an append that the store does not take is sent again for ever.

--- a/lilacpass-jobs/tests/records.rs
+++ b/lilacpass-jobs/tests/records.rs
@@ -8,6 +8,8 @@
 
 /// Jobs in a plain run.
 const SEEDS: u64 = 1_000;
+/// Most bytes of one record of the store, as the platform tells.
+const RECORD_BYTES: usize = 262_144;
 const KEY: JobKey = JobKey(0x5c0e_7a21_d94b_36f8);
 
 /// What happens to a task of a job: which, what, how much.
@@ -93,6 +95,27 @@
     );
 }
 
+/// Nothing is stored any more: the tasks of a job save so much of their progress that the record of its state is larger
+/// than the store takes, and the append that holds it is sent again and again.
+#[test]
+fn a_state_with_much_saved_progress_fits_a_record() {
+    let step = v1::WorkStep { count: 40, checkpointing: true, ..Default::default() };
+    let plan = v1::WorkPlan { steps: vec![step], ..Default::default() };
+    let mut job = Job::new(KEY, v1::PlanRecord { plan: Some(plan), ..Default::default() });
+    let names: Vec<TaskName> = job.step_names().flat_map(|step| job.task_names(step)).collect();
+    for name in &names {
+        job.begin_run(*name, WorkerName::from("i-1"), Arc::from("a"));
+        let bytes = if name.index < 10 { 16 } else { 10_000 };
+        job.note_checkpoint(*name, &"c".repeat(bytes));
+    }
+    let (plan, state) = (record::encode_plan(&job), record::encode_state(&job));
+    assert!(state.len() <= RECORD_BYTES, "{} bytes", state.len());
+    let read = record::decode(KEY, &plan, Some(&state)).expect("a job");
+    assert_eq!(read.live_runs(), job.live_runs());
+    // What is short is kept; a task whose progress is not starts anew under the next leader.
+    assert_eq!(read.checkpoint(names[0]), job.checkpoint(names[0]));
+}
+
 /// A job is shown as waiting for ever and can't be carried out: its record names no plan.
 #[test]
 fn a_record_without_a_plan_is_refused() {
