--- a/lilacpass-jobs/src/error.rs
+++ b/lilacpass-jobs/src/error.rs
@@ -2,6 +2,8 @@
 
 use quick_error::quick_error;
 
+use crate::plan::Field;
+
 /// Result with the error type of this crate.
 pub type Result<T> = std::result::Result<T, Error>;
 
@@ -14,8 +16,8 @@
             display("{text:?} is not a valid {what}")
         }
         /// The plan of a job asks for something that can't be done.
-        Plan(reason: String) {
-            display("{reason}")
+        Plan(field: Field, reason: String) {
+            display("{field}: {reason}")
         }
         /// A record does not decode, or contradicts its plan.
         Record(reason: String) {
--- a/lilacpass-jobs/src/plan.rs
+++ b/lilacpass-jobs/src/plan.rs
@@ -1,5 +1,7 @@
 //! Checks of a plan that a caller hands in.
 
+use std::fmt;
+
 use lilacpass_schema::v1;
 
 use crate::error::{Error, Result};
@@ -9,58 +11,124 @@
 /// Most steps of a job. Far above what callers use; bounds memory for hostile input.
 pub const MAX_STEPS: usize = 100;
 /// Most tasks of a job over all steps. Keeps the record of a job's state within one record of the
-/// store: about 40 bytes a task.
+/// store: 48 to 63 bytes for a task that runs, the longer the names of workers and data centres.
 pub const MAX_TASKS: u64 = 4_000;
 /// Most occurrences of a job; bounds memory together with [`MAX_TASKS`].
 pub const MAX_REPEATS: u32 = 1_000;
 
-/// Refuses a plan that no cell could carry out, with a reason that names the step.
+/// Most bytes of the labels, racks and images of all steps. Keeps the record of a plan well within one record of
+/// the store, 262,144 bytes, so that no job makes an append that the store never takes.
+pub const MAX_LABEL_BYTES: usize = 65_536;
+/// Latest time at which an occurrence may be due, in milliseconds since 1970: the end of the year 9999. Sums of
+/// times stay far below the largest number.
+pub const MAX_DUE_MS: u64 = 253_402_300_799_999;
+
+/// What of a plan is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Field {
+    /// The payload.
+    Payload,
+    /// The list of steps.
+    Steps,
+    /// How often the steps run.
+    RepeatCount,
+    /// When they run, and how often.
+    Times,
+    /// Labels, racks and images of all steps.
+    Labels,
+    /// The number of tasks of all steps and occurrences.
+    Tasks,
+    /// The number of tasks of a step.
+    Count(usize),
+    /// What a step waits for.
+    After(usize),
+    /// Whether a step may have copies.
+    Speculative(usize),
+}
+
+impl fmt::Display for Field {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Payload => f.write_str("payload"),
+            Self::Steps => f.write_str("steps"),
+            Self::RepeatCount => f.write_str("repeat_count"),
+            Self::Times => f.write_str("first_run_ms, interval_ms"),
+            Self::Labels => f.write_str("required_label, affinity_rack, image"),
+            Self::Tasks => f.write_str("count of all steps"),
+            Self::Count(step) => write!(f, "steps[{step}].count"),
+            Self::After(step) => write!(f, "steps[{step}].after"),
+            Self::Speculative(step) => write!(f, "steps[{step}].speculative"),
+        }
+    }
+}
+
+/// Refuses a plan that no cell could carry out, with the field that is wrong.
 pub fn check(plan: &v1::WorkPlan) -> Result<()> {
     if plan.payload.len() > MAX_PAYLOAD_BYTES {
-        return refuse(format!(
-            "the spec has {} bytes; at most {MAX_PAYLOAD_BYTES} are allowed",
-            plan.payload.len()
-        ));
+        let bytes = plan.payload.len();
+        let reason = format!("{bytes} bytes; at most {MAX_PAYLOAD_BYTES} are allowed");
+        return refuse(Field::Payload, reason);
     }
     if plan.steps.is_empty() {
-        return refuse("the job has no steps".to_owned());
+        return refuse(Field::Steps, "the job has none".to_owned());
     }
     if plan.steps.len() > MAX_STEPS {
-        return refuse(format!("{} steps; at most {MAX_STEPS} are allowed", plan.steps.len()));
+        let steps = plan.steps.len();
+        return refuse(Field::Steps, format!("{steps}; at most {MAX_STEPS} are allowed"));
     }
     if plan.repeat_count > MAX_REPEATS {
-        return refuse(format!(
-            "{} occurrences; at most {MAX_REPEATS} are allowed",
-            plan.repeat_count
-        ));
+        let reason = format!("{}; at most {MAX_REPEATS} are allowed", plan.repeat_count);
+        return refuse(Field::RepeatCount, reason);
     }
+    check_labels(plan)?;
+    check_times(plan)?;
     for (number, step) in plan.steps.iter().enumerate() {
         check_step(number, step)?;
     }
     let tasks: u64 = plan.steps.iter().map(|step| u64::from(step.count)).sum();
     let all = tasks * u64::from(plan.repeat_count.max(1));
     if all > MAX_TASKS {
-        return refuse(format!("{all} tasks; at most {MAX_TASKS} are allowed"));
+        return refuse(Field::Tasks, format!("{all} tasks; at most {MAX_TASKS} are allowed"));
+    }
+    Ok(())
+}
+
+fn check_labels(plan: &v1::WorkPlan) -> Result<()> {
+    let of_step = |step: &v1::WorkStep| {
+        step.required_label.len() + step.affinity_rack.len() + step.image.len()
+    };
+    let bytes: usize = plan.steps.iter().map(of_step).sum();
+    if bytes > MAX_LABEL_BYTES {
+        let reason = format!("{bytes} bytes in all steps; at most {MAX_LABEL_BYTES} are allowed");
+        return refuse(Field::Labels, reason);
+    }
+    Ok(())
+}
+
+fn check_times(plan: &v1::WorkPlan) -> Result<()> {
+    let intervals = u64::from(plan.repeat_count.saturating_sub(1));
+    let last_ms = plan.first_run_ms.saturating_add(intervals.saturating_mul(plan.interval_ms));
+    if last_ms > MAX_DUE_MS || plan.interval_ms > MAX_DUE_MS {
+        let reason = "the last occurrence is due after the year 9999".to_owned();
+        return refuse(Field::Times, reason);
     }
     Ok(())
 }
 
 fn check_step(number: usize, step: &v1::WorkStep) -> Result<()> {
     if step.count == 0 {
-        return refuse(format!("step {number} has no tasks"));
+        return refuse(Field::Count(number), "the step has no tasks".to_owned());
     }
     let forward = step.after.iter().find(|&&earlier| earlier as usize >= number);
     if let Some(&later) = forward {
-        return refuse(format!(
-            "step {number} waits for step {later}, which is not an earlier one"
-        ));
+        return refuse(Field::After(number), format!("step {later} is not an earlier one"));
     }
     if step.gang && step.speculative {
-        return refuse(format!("step {number} is a gang and can't have copies"));
+        return refuse(Field::Speculative(number), "a gang can't have copies".to_owned());
     }
     Ok(())
 }
 
-fn refuse(reason: String) -> Result<()> {
-    Err(Error::Plan(reason))
+fn refuse(field: Field, reason: String) -> Result<()> {
+    Err(Error::Plan(field, reason))
 }
