--- a/lilacpass-lead/tests/stories.rs
+++ b/lilacpass-lead/tests/stories.rs
@@ -164,3 +164,21 @@
     let all: BTreeSet<&str> = homes.values().map(|home| home[0]).collect();
     assert_eq!(all.len(), 3, "and jobs are spread over all data centres");
 }
+
+/// A check fails that nearly any worker would have done. Advice had allowed one or two workers so far, which spoil their
+/// work: they failed the check six times in half a second, while workers that nobody had asked about stood idle.
+#[test]
+fn attempts_are_not_burned_on_the_few_workers_that_are_known_to_be_allowed() {
+    const ATTEMPTS: u32 = 6;
+    let mut world = World::new(3, 20, Resources::new(8_000, 1_000, 0, 0));
+    let advice = v1::AdvicePolicy { base_ms: 20.0, per_worker_ms: 1.0, valid_ms: 2_500 };
+    let advised = v1::QueuePolicy { advice: Some(advice), attempts: ATTEMPTS, ..queue("quick", 0) };
+    // The workers that are asked about first; four of them are allowed.
+    let first = ["w-0", "w-1", "w-10", "w-11", "w-12", "w-13", "w-14", "w-15"];
+    for worker in &mut world.workers {
+        worker.spoils = first.contains(&worker.name.as_str());
+    }
+    world.submit(1, plan(&[step(1, 8_000, 5)]), advised);
+    world.run(3_000);
+    assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
+}
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -456,7 +456,7 @@
         self.asked.begun.insert(job.key);
         let plan = job.step_plan(task.step.step);
         let work_ms = u64::from(plan.estimate_ms).max(1);
-        let fails = self.random.percent(3);
+        let fails = self.random.percent(3) || self.workers[at].spoils;
         let need = lilacpass_lead::place::need(plan);
         let now_ms = self.now_ms;
         self.workers[at].begin(task, run, need, now_ms + work_ms, fails, plan.lasting);
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -35,6 +35,8 @@
     /// Nobody reaches it, and it runs on.
     pub cut: bool,
     pub draining: bool,
+    /// All that starts there fails.
+    pub spoils: bool,
     /// It is registered.
     pub listed: bool,
     pub data_centre: &'static str,
@@ -64,6 +66,7 @@
             alive: true,
             cut: false,
             draining: false,
+            spoils: false,
             listed: true,
             data_centre: "here",
             runs: BTreeMap::new(),
