Keep tasks off a worker for a moment on which one of their job has just failed

A worker that had failed the job was only rated below others, so it was taken again at once where no other was known to be allowed, and a step whose tasks all run asks about nobody. Change: for 0.7 s after a failure tasks of that job are not placed there, but for tasks that last, which are restarted at once however they end. Meanwhile the step waits and asks about others. Ruled out: asking about more workers at first (each costs advice time, and few fail); giving up known workers for good (a step may fit on one only).

--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -154,7 +154,7 @@
     /// A job came to grief on a worker: weighs whose doing it was.
     pub(crate) fn blame(&mut self, name: &WorkerName, job: JobKey, now: Now) {
         if let Some(entry) = self.jobs.get_mut(&job) {
-            entry.failed_on.insert(name.clone());
+            entry.failed_on.insert(name.clone(), now.steady_ms);
         }
         let quarantined =
             self.workers.values().filter(|w| w.health.is_quarantined(now.steady_ms)).count();
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -29,8 +29,9 @@
     pub stored: bool,
     /// The outcome that callers are shown: one that is stored.
     pub shown: Outcome,
-    /// Workers on which its tasks failed or stood still since one of them was done.
-    pub failed_on: BTreeSet<WorkerName>,
+    /// Workers on which its tasks failed or stood still since one of them was done, and when they last did, on the
+    /// steady clock.
+    pub failed_on: BTreeMap<WorkerName, u64>,
     /// Tasks of which a copy is to run, because the run that they have may be lost.
     pub copies: BTreeSet<TaskName>,
     /// How often each task was stopped for more urgent work.
@@ -46,7 +47,7 @@
             shown: job.outcome,
             stored,
             job,
-            failed_on: BTreeSet::new(),
+            failed_on: BTreeMap::new(),
             copies: BTreeSet::new(),
             preempted: BTreeMap::new(),
             home: None,
@@ -58,6 +59,16 @@
         self.home.as_deref().filter(|_| !step.lasting)
     }
 
+    /// Whether tasks of the job keep off a worker for a moment, since one has just failed there.
+    ///
+    /// Without this a task whose few allowed workers spoil their work goes through all its attempts there within half a
+    /// second, and its job fails, while workers that nobody has asked about stand idle.
+    pub fn keeps_off(&self, worker: &WorkerName, now_ms: u64) -> bool {
+        /// Longer than a call for advice about other workers takes.
+        const KEEP_OFF_MS: u64 = 700;
+        self.failed_on.get(worker).is_some_and(|failed_ms| now_ms < failed_ms + KEEP_OFF_MS)
+    }
+
     /// Whether a task may be given a run now: it has none, or is to have a copy.
     pub fn wants_run(&self, name: TaskName) -> bool {
         self.job.task(name).is_some_and(|task| {
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -159,7 +159,8 @@
             .map(|worker| Host {
                 name: worker.entry.name.clone(),
                 room: self.room_for(&rank, worker),
-                clean: worker.health.is_clean() && !entry.failed_on.contains(&worker.entry.name),
+                clean: worker.health.is_clean()
+                    && !entry.failed_on.contains_key(&worker.entry.name),
                 rack: worker.rack().to_owned(),
                 score: place::Score::new(worker, plan, home),
                 capacity: worker.entry.capacity,
@@ -199,6 +200,7 @@
         let Some(entry) = self.jobs.get(&name.job) else { return false };
         worker.takes_starts(now.steady_ms)
             && place::is_eligible(worker, &entry.job.queue.service, plan)
+            && (plan.lasting || !entry.keeps_off(&worker.entry.name, now.steady_ms))
             && !self.would_disturb(worker, plan)
     }
 
--- a/lilacpass-lead/src/starts.rs
+++ b/lilacpass-lead/src/starts.rs
@@ -277,7 +277,7 @@
         let (task, run) = key;
         if may_copy {
             let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
-            entry.failed_on.insert(name.clone());
+            entry.failed_on.insert(name.clone(), now.steady_ms);
             if entry.copies.insert(task) {
                 log::info!(task:% = task, run, worker:% = name, is_lost; "copy wanted");
                 self.reindex(task.step.job, now);
