Keep workers that can get no work out of the index by room

Cause: right after a change of the leader no worker has answered it, all seem to have room, and each of a thousand waiting steps rates all of them in vain, again after each pause of 25 ms.

Now the index holds only workers that are registered, have answered and do not drain, so such a search ends at once.

--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -76,6 +76,7 @@
             log::info!(worker:% = name, failed = worker.failed_looks; "worker answers again");
         }
         let first = !worker.commanded;
+        let was_open = worker.is_open();
         if first || worker.failed_looks > 0 || worker.suspected_until_ms > now.steady_ms {
             self.news.free(name);
         }
@@ -98,6 +99,9 @@
             log::info!(worker:% = name, remaining_ms = answer.remaining_ms; "worker drains");
             worker.draining = true;
         }
+        if worker.is_open() != was_open {
+            self.rooms.note(worker);
+        }
         let whole = answer.ends.len() < ENDS_PAGE;
         let mut listed: Vec<RunKey> =
             answer.running.iter().map(|row| (row.task, row.run)).collect();
@@ -284,6 +288,7 @@
                 log::info!(worker:% = name, runs = worker.runs.len(); "leases of a silent worker have lapsed");
             }
             worker.commanded = false;
+            self.rooms.note(worker);
             self.end_all(&name, now);
         }
         let is_over = |worker: &&Worker| !worker.listed && worker.runs.is_empty();
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -257,6 +257,7 @@
     fn on_unlisted(&mut self, name: &WorkerName) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.listed = false;
+            self.rooms.note(worker);
         }
     }
 
--- a/lilacpass-lead/src/rooms.rs
+++ b/lilacpass-lead/src/rooms.rs
@@ -51,9 +51,15 @@
 }
 
 impl Rooms {
-    /// Notes what a worker has free. To be called whenever that changes.
+    /// Notes what a worker has free, and whether it can get work at all. To be called whenever either changes.
+    ///
+    /// One that has not answered this leader can't. Right after a change of the leader none has, and hundreds of
+    /// steps look for room.
     pub fn note(&mut self, worker: &Worker) {
         let name = &worker.entry.name;
+        if !worker.is_open() {
+            return self.remove(name);
+        }
         let room = worker.room();
         let place = Place {
             pool: self.pool(&worker.entry.service),
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -200,11 +200,14 @@
         self.entry.capacity.minus(&self.used)
     }
 
+    /// Whether it is ours to give work to, unless something speaks against it now.
+    pub fn is_open(&self) -> bool {
+        self.listed && self.commanded && !self.draining
+    }
+
     /// Whether starts may be given to it now.
     pub fn takes_starts(&self, now_ms: u64) -> bool {
-        self.listed
-            && self.commanded
-            && !self.draining
+        self.is_open()
             && self.failed_looks == 0
             && now_ms >= self.avoid_until_ms.max(self.suspected_until_ms)
             && !self.health.is_quarantined(now_ms)
--- a/lilacpass-lead/tests/rooms.rs
+++ b/lilacpass-lead/tests/rooms.rs
@@ -25,7 +25,9 @@
         labels: Vec::new(),
         draining: false,
     };
-    Worker::new(entry, 0)
+    let mut worker = Worker::new(entry, 0);
+    (worker.listed, worker.commanded) = (true, true);
+    worker
 }
 
 fn run(number: u64) -> RunKey {
@@ -42,7 +44,9 @@
     service: &str,
     need: Resources,
 ) -> Vec<Worker> {
-    let fits = |worker: &&Worker| worker.entry.service == service && need.fits(&worker.room());
+    let fits = |worker: &&Worker| {
+        worker.is_open() && worker.entry.service == service && need.fits(&worker.room())
+    };
     workers.values().filter(fits).cloned().collect()
 }
 
@@ -60,6 +64,7 @@
             rooms.remove(&name);
         } else {
             let changed = workers.entry(name).or_insert_with(|| worker(number));
+            changed.draining = change % 13 == 12;
             let free = changed.room();
             if need(change).fits(&free) {
                 changed.give(run(change), need(change), Phase::Ordered);
