A test that fails: a step with room kept ahead never gets to ask for advice

Room is kept ahead for the step that has waited longest, each 1.5 s anew and there at once (wait_ms=0), and not one call for advice about it is made in 35 s: more urgent steps ask 50 times a second and all lanes are theirs, while most of the room is free. Ruled out: runs that were not given up (the job has none), a call without an answer (none was sent), lost log lines.

--- a/lilacpass-lead/tests/placement.rs
+++ b/lilacpass-lead/tests/placement.rs
@@ -78,6 +78,26 @@
     assert!(waited_ms.is_some_and(|ms| ms < 6_000), "started after {waited_ms:?} ms");
 }
 
+/// A permit was accepted and stood still for half a minute beside workers with room: more urgent checks asked for advice
+/// all the time, so that no lane was ever left for it. Room was kept for it again and again, but it had no ticket.
+#[test]
+fn a_step_that_others_always_ask_before_gets_its_turn() {
+    const MOST_MS: u64 = 8_000;
+    let mut world = World::new(3, 20, Resources::new(64_000, 100_000, 0, 0));
+    for key in 10..60 {
+        world.submit(key, plan(&[step(1, 100, 20)]), advised("check", 0, 40.0, 1.0));
+    }
+    let permit = advised("permit", 2, 100.0, 1.0);
+    world.submit(1, plan(&[step(2, 4_000, 60_000)]), permit);
+    let mut waited_ms = 0;
+    while running(&world, 1) == 0 && waited_ms < MOST_MS {
+        world.submit(100 + waited_ms, plan(&[step(1, 100, 20)]), advised("check", 0, 40.0, 1.0));
+        world.run(10);
+        waited_ms += 10;
+    }
+    assert!(waited_ms < MOST_MS, "not started after {waited_ms} ms");
+}
+
 /// A face match that needs all accelerators of a worker waits for as long as vehicle scans come in: each scan
 /// takes one accelerator, and they were spread over all workers, the emptiest first.
 #[test]
