Leave some lanes to steps for which room is kept ahead

Room ahead gives each step its turn for room, but a step that needs advice must ask first, and lanes went to the first in order alone. Change: steps for which room is kept ahead ask before the others, on a quarter of the lanes at most, one at least. Ruled out: order by waiting time for all calls (urgent work would ask late in each overload); longer tickets (not ours).

--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -216,6 +216,16 @@
         self.count();
     }
 
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.lanes.len()
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.lanes.is_empty()
+    }
+
     /// Whether any lane is idle.
     pub fn any_idle(&self) -> bool {
         self.load.any_idle
--- a/lilacpass-lead/src/ahead.rs
+++ b/lilacpass-lead/src/ahead.rs
@@ -19,6 +19,8 @@
 /// At most one step for so many workers of a pool has room kept ahead, so that most of the pool goes on
 /// with whatever fits.
 const WORKERS_A_STEP: usize = 12;
+/// One lane in so many, one at least, may be taken by calls about steps for which room is kept ahead.
+const LANES_IN: usize = 4;
 /// How long room is kept beyond the time at which it should be there.
 const SLACK_MS: u64 = 1_500;
 /// The longest time for which room is kept ahead, where nobody knows when it falls free.
@@ -46,6 +48,25 @@
         }
     }
 
+    /// Asks for advice about steps for which room is kept ahead, before the others ask in order.
+    ///
+    /// Load pattern: after an outage thousands of steps ask, and the more urgent take every lane that falls idle. The
+    /// room that is kept for a step then lapses unused again and again, for want of a ticket: accepted work stood
+    /// still for half a minute while most workers had room. Most lanes stay with those that are first in order.
+    pub(crate) fn ask_for_kept_room(&mut self, now: Now) {
+        if !self.lanes.any_idle() {
+            return;
+        }
+        let steps = self.reservations.steps_ahead();
+        let is_asking = |step: &StepName| self.advice.get(step).is_some_and(|advice| advice.asking);
+        let asking = steps.iter().filter(|step| is_asking(step)).count();
+        let may_ask = (self.lanes.len() / LANES_IN).max(1).saturating_sub(asking);
+        let steps: Vec<StepName> = steps.into_iter().filter(|step| !is_asking(step)).collect();
+        for step in steps.into_iter().take(may_ask) {
+            self.ask_advice(step, now);
+        }
+    }
+
     /// Keeps the next room that can hold a task of a step (all that wait, for a gang), if few others have
     /// room kept ahead.
     fn keep_ahead(&mut self, name: StepName, now: Now) {
--- a/lilacpass-lead/src/reserve.rs
+++ b/lilacpass-lead/src/reserve.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// The steps for which room is kept ahead, by name.
+    pub fn steps_ahead(&self) -> Vec<StepName> {
+        let ahead = self.by_step.iter().filter(|(_, booking)| booking.ahead_in.is_some());
+        let mut steps: Vec<StepName> = ahead.map(|(step, _)| *step).collect();
+        steps.sort_unstable();
+        steps
+    }
+
     /// Reserves room that has yet to fall free on workers of a pool, against all that is not more urgent.
     /// Otherwise steps of the same priority that come earlier in order would take it again and again.
     pub fn set_ahead(&mut self, rank: Rank, shares: Vec<Share>, until_ms: u64, service: &str) {
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -36,6 +36,7 @@
         for step in self.askers.wake(now.steady_ms) {
             self.review_asker(step, now);
         }
+        self.ask_for_kept_room(now);
         if self.turn.is_under_way() {
             return self.schedule_in_turns(news, now);
         }
