Tests: names of the platform stay with the stand-in; the lab's workers in a file of their own

Change: the stand-in gives settings and a large desired state; faults and registrations of the lab's workers are workers.rs. Every test asserts what it did.

--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -8,7 +8,6 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap},
-    hash::{DefaultHasher, Hash, Hasher},
     time::Instant,
 };
 
@@ -16,7 +15,7 @@
 use lilacpass_jobs::{How, JobKey, StepName, TaskName, WorkerName, record};
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
-    event::{Answer, Ask, CallError, Lane, Record, Registration, Token},
+    event::{Answer, Ask, CallError, Lane, Record, Token},
 };
 use lilacpass_schema::v1;
 use prost::Message;
@@ -27,8 +26,8 @@
     model_worker::{ModelWorker, Running, WaitingLook},
     outcome::{Outcome, Recorder},
     policy::Policy,
-    scenario::{FaultKind, Pool, Scenario},
-    services,
+    scenario::{FaultKind, Scenario},
+    services, workers,
 };
 
 /// Time between ticks of the leader.
@@ -130,7 +129,7 @@
 impl<'a> Cell<'a> {
     fn new(scenario: &'a Scenario, arrivals: &'a [Arrival], options: Options, seed: u64) -> Self {
         let workers: Vec<ModelWorker> =
-            scenario.pools.iter().flat_map(registrations).map(ModelWorker::new).collect();
+            scenario.pools.iter().flat_map(workers::registrations).map(ModelWorker::new).collect();
         let names = workers.iter().enumerate().map(|(at, worker)| (worker.name().clone(), at));
         let start = Now { steady_ms: 0, unix_ms: DAY_MS };
         let mut cell = Self {
@@ -426,10 +425,16 @@
         let work_ms = arrival.work_ms[task.step.step as usize][task.index as usize];
         // Without a checkpoint there is none to read.
         let saved_ms = checkpoint.parse().unwrap_or(0).min(work_ms);
-        let slowness = self.acting_on(at, FaultKind::SlowWorkers).unwrap_or(1.0);
-        let fails = self
-            .acting_on(at, FaultKind::FailingWorkers)
-            .is_some_and(|part| drawn(&(self.seed, task, run)) < part);
+        let conditions = workers::Conditions {
+            scenario: self.scenario,
+            seed: self.seed,
+            worker: at,
+            at_ms: self.play_ms(),
+        };
+        let slowness = conditions.strength(FaultKind::SlowWorkers).unwrap_or(1.0);
+        let fails = conditions
+            .strength(FaultKind::FailingWorkers)
+            .is_some_and(|part| workers::drawn(&(self.seed, task, run)) < part);
         let part = if fails { FAILS_AFTER } else { 1.0 };
         let left_ms = (work_ms - saved_ms) as f64 * slowness * part;
         Running {
@@ -444,17 +449,6 @@
         }
     }
 
-    /// How strong a fault of workers is on this one now; the same workers have it as long as it lasts.
-    fn acting_on(&self, at: usize, kind: FaultKind) -> Option<f64> {
-        let play_ms = self.play_ms();
-        let mut faults = self.scenario.faults.iter().enumerate();
-        faults.find_map(|(number, fault)| {
-            let is_hit = drawn(&(self.seed, number, at)) < fault.share;
-            let acts = fault.kind == kind && fault.acts_at(play_ms) && is_hit;
-            acts.then_some(fault.x)
-        })
-    }
-
     fn stop(&mut self, name: &WorkerName, task: TaskName, run: u32) {
         let Some(&at) = self.by_name.get(name) else { return };
         let lost_ms = self.workers[at].stop(task, run, self.now_ms);
@@ -465,32 +459,3 @@
         self.plan_next(at);
     }
 }
-
-/// A number from 0 to below 1 that is always the same for the same value.
-fn drawn(value: &impl Hash) -> f64 {
-    /// Steps between 0 and 1.
-    const STEPS: u64 = 10_000;
-    let mut hasher = DefaultHasher::new();
-    value.hash(&mut hasher);
-    (hasher.finish() % STEPS) as f64 / STEPS as f64
-}
-
-/// The workers of a pool as they register.
-fn registrations(pool: &Pool) -> Vec<Registration> {
-    let capacity = Resources::new(pool.cores * 1_000, pool.memory_mb, pool.accelerators, 0);
-    (0..pool.workers)
-        .map(|number| {
-            let rack = number / pool.rack_workers;
-            let data_centre = rack % pool.data_centres;
-            Registration {
-                name: WorkerName::from(format!("{}-{number:05}", pool.service).as_str()),
-                address: format!("{}:{number}", pool.service),
-                data_centre: format!("dc-{data_centre}"),
-                service: pool.service.clone(),
-                capacity,
-                labels: vec![pool.service.clone(), format!("rack-{rack}")],
-                draining: false,
-            }
-        })
-        .collect()
-}
--- a/lilacpass-lab/src/lib.rs
+++ b/lilacpass-lab/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod report;
 pub mod scenario;
 pub mod services;
+pub mod workers;
--- a/lilacpass-node/tests/desired_watch.rs
+++ b/lilacpass-node/tests/desired_watch.rs
@@ -10,9 +10,9 @@
 use lilacpass_platform::{
     desired::{self, Limits},
     server::{self, Received, Reply},
-    settings, store,
+    store,
 };
-use lilacpass_platform_standin::load;
+use lilacpass_platform_standin::{instances, load};
 use serde_json::json;
 use tokio::{
     runtime, task,
@@ -35,12 +35,13 @@
         return Reply::status(StatusCode::SERVICE_UNAVAILABLE);
     }
     let last = if up < down { 1 } else { VERSIONS };
-    if received.path == "/v1/log-newest" {
+    let from = received.query.split('&').find_map(|part| part.strip_prefix("from="));
+    let Some(from) = from else {
+        // The newest of each key are asked for without a place.
         time::sleep(TRANSFER.min(down / 2)).await;
         return newest(last);
-    }
-    let from = received.query.split('&').find_map(|part| part.strip_prefix("from="));
-    let from: u64 = from.and_then(|from| from.parse().ok()).expect("a place");
+    };
+    let from: u64 = from.parse().expect("a place");
     if from >= last {
         time::sleep(down).await;
         return read(Bytes::new(), last);
@@ -67,13 +68,7 @@
 }
 
 fn node(store: &str) -> Rc<Node> {
-    let settings = json!({
-        "nodeName": "front-a-1", "ip": "127.0.0.1", "zone": "a",
-        "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"}, "internalPorts": [3, 6],
-        "platform": {"address": store, "parts": 16},
-        "bounds": {"graceS": 6, "holdMaxMs": 9000, "stopMs": 400, "status_s": 120}
-    });
-    Rc::new(Node::new(settings::parse(&settings.to_string()).expect("settings")))
+    Rc::new(Node::new(instances::settings(store, 0.0)))
 }
 
 /// Callers of one instance are told for seconds that a queue does not exist which was added long ago. The store had
--- a/lilacpass-node/tests/relay.rs
+++ b/lilacpass-node/tests/relay.rs
@@ -11,11 +11,10 @@
 use lilacpass_platform::{
     desired::Limits,
     server::{self, Reply},
-    settings,
 };
+use lilacpass_platform_standin::instances;
 use lilacpass_schema::v1;
 use prost::Message;
-use serde_json::json;
 use tokio::{runtime, task, time};
 
 const STATE: Bytes = Bytes(800_000);
@@ -51,13 +50,7 @@
 }
 
 fn node() -> Rc<Node> {
-    let settings = json!({
-        "nodeName": "front-a-1", "ip": "127.0.0.1", "zone": "a",
-        "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"}, "internalPorts": [3, 6],
-        "platform": {"address": "127.0.0.1:3", "parts": 16},
-        "bounds": {"graceS": 6, "holdMaxMs": 9000, "stopMs": 400, "status_s": 120}
-    });
-    Rc::new(Node::new(settings::parse(&settings.to_string()).expect("settings")))
+    Rc::new(Node::new(instances::settings("127.0.0.1:3", 0.0)))
 }
 
 /// Opens an instance that hands out a desired state which nobody can read, and counts how often. Returns its address.
--- a/lilacpass-node/tests/thin_links.rs
+++ b/lilacpass-node/tests/thin_links.rs
@@ -14,7 +14,7 @@
 };
 use lilacpass_schema::v1;
 use prost::Message;
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::time;
 
 const FIRST_PORT: u16 = 23_000;
@@ -27,17 +27,9 @@
 const LOOKS: u32 = 100;
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// A desired state with many queues that nobody uses, beside those of the stand-in.
+/// A desired state with many queues that nobody uses.
 fn large_desired_state(version: u64) -> Value {
-    let mut state = load::desired_state(version);
-    let routes = state["routes"].as_array_mut().expect("routes");
-    let template = routes[0].clone();
-    for number in 0..MANY_QUEUES {
-        let mut route = template.clone();
-        route["name"] = json!(format!("unused-{number}"));
-        route["pathPrefix"] = json!(format!("/unused-{number}/"));
-        routes.push(route);
-    }
+    let state = load::large_desired_state(version, MANY_QUEUES);
     assert!(state.to_string().len() >= LEAST_BYTES, "{} bytes", state.to_string().len());
     state
 }
--- a/lilacpass-node/tests/thin_store.rs
+++ b/lilacpass-node/tests/thin_store.rs
@@ -8,9 +8,9 @@
 use lilacpass_platform::{
     desired::Limits,
     server::{self, Reply},
-    settings,
     store::Writer,
 };
+use lilacpass_platform_standin::instances;
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -28,15 +28,7 @@
 
 /// An instance that finds the store at an address.
 fn node(store: &str) -> Rc<Node> {
-    let settings = json!({
-        "nodeName": "front-a-1", "ip": "127.0.0.1", "zone": "a",
-        "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"},
-        "internalPorts": [3, 6],
-        "platform": {"address": store, "parts": 16},
-        "limits": {"cpuShare": 0.12, "cores": 1, "linkMbps": LINK_MBPS},
-        "bounds": {"graceS": 6, "holdMaxMs": 9000, "stopMs": 400, "status_s": 120}
-    });
-    Rc::new(Node::new(settings::parse(&settings.to_string()).expect("settings")))
+    Rc::new(Node::new(instances::settings(store, LINK_MBPS)))
 }
 
 fn play<T>(test: impl Future<Output = T>) -> T {
