--- a/lilacpass-node/tests/cluster/mod.rs
+++ b/lilacpass-node/tests/cluster/mod.rs
@@ -8,7 +8,7 @@
 
 use lilacpass_core::Resources;
 use lilacpass_platform_standin::{
-    cell::Cell,
+    cell::{Cell, Shape},
     instances::{Instance, Spec},
     load::{self, Callers},
 };
@@ -49,7 +49,7 @@
     fn new(first_port: u16, members: &[Member], folder: &Path) -> Self {
         let program = Path::new(env!("CARGO_BIN_EXE_lilacpass-node"));
         let resources = Resources::new(16_000, 65_536, 0, 0);
-        let cell = Cell::serve(first_port, WORKERS, resources).expect("a cell");
+        let cell = Cell::serve(first_port, Shape::small(WORKERS, resources)).expect("a cell");
         cell.publish("config", &load::desired_state(1));
         let link_port = first_port + 2 + WORKERS as u16;
         let links: Vec<Rc<Link>> = (link_port..)
