--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -243,6 +243,12 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// The data centre of a worker that answered the last look; none for one that did not, or is not known.
+    pub fn answering_worker(&self, name: &WorkerName) -> Option<&str> {
+        let worker = self.workers.get(name).filter(|worker| worker.failed_looks == 0)?;
+        Some(&worker.entry.data_centre)
+    }
+
     /// What deciding has taken so far.
     pub fn work(&self) -> Work {
         self.work
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -2,9 +2,9 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
-use lilacpass_jobs::JobKey;
+use lilacpass_jobs::{JobKey, WorkerName};
 use lilacpass_lead::{
-    Effect, Event, Leader, Options,
+    Effect, Event, Leader, Now, Options,
     event::{Answer, Ask, Lane, Record, Token},
 };
 use lilacpass_platform::{
@@ -23,6 +23,8 @@
     metrics,
     node::{LeaderView, Node},
     orders, peers, registry_watch,
+    relay_choice::{Candidate, Means},
+    relays::Relays,
     takeover::{self, Won},
 };
 
@@ -111,6 +113,7 @@
     *node.lead.borrow_mut() = Some(LeadHandle { messages: messages.clone(), ended });
     let address = node.peer_address();
     node.leader.send_replace(LeaderView { epoch: won.epoch, address: Some(address) });
+    *node.relays.borrow_mut() = Relays::new(won.epoch, now.steady_ms);
     node.metrics.took_over();
     task::spawn_local(registry_watch::run(node.clone(), messages.clone()));
     task::spawn_local(handover::run(node.clone(), won.epoch, messages.clone()));
@@ -210,6 +213,7 @@
             self.carry_out();
         }
         self.node.lead.borrow_mut().take();
+        *self.node.relays.borrow_mut() = Relays::default();
         self.node.metrics.leads_no_more();
         log::info!(epoch = self.epoch; "leads no more");
         end.send_replace(true);
@@ -255,12 +259,19 @@
     fn inspect(&self, inspect: Inspect) -> serde_json::Value {
         let now = clock::now();
         let value = match inspect {
-            Inspect::Status => serde_json::to_value(self.leader.status(now)),
+            Inspect::Status => self.status(now),
             Inspect::Job(key) => serde_json::to_value(self.leader.explain(key, now)),
         };
         value.unwrap_or_else(|err| serde_json::json!({ "error": err.to_string() }))
     }
 
+    /// The state of the cell, with the instances that relay orders.
+    fn status(&self, now: Now) -> serde_json::Result<serde_json::Value> {
+        let mut status = serde_json::to_value(self.leader.status(now))?;
+        status["relays"] = self.node.relays.borrow().status();
+        Ok(status)
+    }
+
     fn tick(&mut self) {
         let now = clock::now();
         if now.steady_ms >= self.lanes_at_ms {
@@ -268,6 +279,7 @@
             self.node.members.borrow_mut().forget_gone(now.steady_ms);
             let lanes = self.lanes(now.steady_ms);
             self.leader.handle(Event::Lanes(lanes), now);
+            self.review_relays(now.steady_ms);
         }
         self.leader.handle(Event::Tick, now);
         let pressure = self.leader.pressure();
@@ -275,6 +287,27 @@
         self.node.metrics.pressure(pressure.level(), behind);
     }
 
+    fn review_relays(&self, now_ms: u64) {
+        let settings = &self.node.settings;
+        let means = Means { cpu_millis: settings.cpu_millis, link: settings.link.0 };
+        let members = self.node.members.borrow();
+        let candidates = members.present(now_ms).map(|(address, peer)| Candidate {
+            address,
+            data_centre: &peer.data_centre,
+            cpu_millis: peer.cpu_millis,
+        });
+        self.node.relays.borrow_mut().review(means, candidates.collect(), now_ms);
+    }
+
+    /// By which relay an order to a worker goes. Workers that have just not answered are called from here: it may be
+    /// the relay that does not reach them.
+    fn relay_for(&self, worker: &WorkerName, payload_bytes: usize) -> orders::Via {
+        let mut relays = self.node.relays.borrow_mut();
+        relays.count(payload_bytes);
+        let data_centre = self.leader.answering_worker(worker)?;
+        relays.home(worker, data_centre)
+    }
+
     /// Instances that can call for advice: this one, and those that greet it.
     fn lanes(&self, now_ms: u64) -> Vec<Lane> {
         let members = self.node.members.borrow();
@@ -307,13 +340,14 @@
                 extra,
             } => {
                 let look = Look { lease_until_ms, forget_upto, wait_ms, answer_ms };
+                let via = if extra { None } else { self.relay_for(&worker, 0) };
                 let node = self.node.clone();
                 let epoch = self.epoch;
                 self.spawn(async move {
                     let sent_ms = clock::now().steady_ms;
                     let target = Target { name: &worker, address: &address, epoch };
                     let sent = time::Instant::now();
-                    let result = node.workers.look(target, look).await;
+                    let result = orders::look(&node, via, target, look).await;
                     node.metrics.order("look", metrics::outcome(&result), sent.elapsed());
                     Event::Looked { worker, sent_ms, extra, result }
                 });
@@ -328,6 +362,7 @@
                 checkpoint,
                 ticket,
             } => {
+                let via = self.relay_for(&worker, payload.len());
                 let node = self.node.clone();
                 let epoch = self.epoch;
                 self.spawn(async move {
@@ -341,20 +376,19 @@
                         ticket: ticket.as_deref(),
                     };
                     let sent = time::Instant::now();
-                    let result =
-                        orders::start(&node.workers, &node.order_budget, target, start).await;
+                    let result = orders::start(&node, via, target, start).await;
                     node.metrics.order("start", metrics::outcome(&result), sent.elapsed());
                     Event::Started { worker, task, run, result }
                 });
             }
             Effect::Stop { worker, address, task, run } => {
+                let via = self.relay_for(&worker, 0);
                 let node = self.node.clone();
                 let epoch = self.epoch;
                 self.spawn(async move {
                     let target = Target { name: &worker, address: &address, epoch };
                     let sent = time::Instant::now();
-                    let result =
-                        orders::stop(&node.workers, &node.order_budget, target, task, run).await;
+                    let result = orders::stop(&node, via, target, task, run).await;
                     node.metrics.order("stop", metrics::outcome(&result), sent.elapsed());
                     Event::Stopped { worker, task, run, result }
                 });
--- a/lilacpass-node/src/members.rs
+++ b/lilacpass-node/src/members.rs
@@ -15,6 +15,8 @@
     pub store_reachable: bool,
     /// Processor that it may use, in thousandths of a core.
     pub cpu_millis: u32,
+    /// Its data centre.
+    pub data_centre: String,
 }
 
 impl Peer {
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -27,7 +27,9 @@
     leading::LeadHandle,
     members::{KnownMembers, Members},
     metrics::{self, Metrics},
+    order_relay::Outcomes,
     peers,
+    relays::Relays,
 };
 
 /// Who leads, as far as this instance knows.
@@ -100,7 +102,11 @@
     pub most_cpu_millis: Cell<u32>,
     /// The instances that the leader has told of.
     pub known_members: RefCell<KnownMembers>,
-    /// Requests of callers that are being served.
+    /// The instances that relay our orders, while this one leads.
+    pub relays: RefCell<Relays>,
+    /// What came of the leader's orders that this instance relays.
+    pub outcomes: RefCell<Outcomes>,
+    /// Requests of callers that are being served, and orders that are relayed.
     pub open_requests: Cell<u64>,
     /// Counters.
     pub metrics: Metrics,
@@ -140,6 +146,8 @@
             members: RefCell::default(),
             most_cpu_millis: Cell::new(0),
             known_members: RefCell::default(),
+            relays: RefCell::default(),
+            outcomes: RefCell::default(),
             open_requests: Cell::new(0),
             metrics: Metrics::default(),
         }
--- /dev/null
+++ b/lilacpass-node/src/order_relay.rs
@@ -0,0 +1,123 @@
+//! Carries out orders of the leader at workers, and tells it what came of them.
+//!
+//! Each order is carried out as the leader would: under its epoch, which workers check, and once. An instance that
+//! wakes from a pause with old orders is as a network that delivers late, which workers and leader are ready for.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use lilacpass_jobs::WorkerName;
+use lilacpass_platform::workers::{Start, Target};
+use lilacpass_schema::v1;
+use tokio::{task, time};
+
+use crate::{node::Node, peers, relay_messages};
+
+/// How long outcomes are gathered, so that many share a message.
+const GATHER: Duration = Duration::from_millis(15);
+/// How long the leader may take to confirm outcomes. They are not sent again: the leader looks itself.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Where outcomes go: the leader's address and its epoch.
+type Destination = (String, u64);
+
+/// Outcomes on their way to leaders. A destination is there while its outcomes are being sent.
+#[derive(Debug, Default)]
+pub struct Outcomes {
+    waiting: HashMap<Destination, Vec<v1::RelayedOutcome>>,
+}
+
+/// Takes orders from the leader and begins to carry them out. Returns whether they are taken: those of a leader that was
+/// replaced are not.
+pub fn take(node: &Rc<Node>, message: v1::PeerOrders) -> bool {
+    if message.epoch < node.leader.borrow().epoch {
+        log::info!(epoch = message.epoch, leader = message.leader_address.as_str(); "orders of a former leader");
+        return false;
+    }
+    let destination = (message.leader_address, message.epoch);
+    let payloads = Rc::new(message.payloads);
+    for order in message.orders {
+        let (node, destination, payloads) = (node.clone(), destination.clone(), payloads.clone());
+        task::spawn_local(async move {
+            // A planned stop waits for it.
+            node.open_requests.set(node.open_requests.get() + 1);
+            let outcome = carry_out(&node, destination.1, &order, &payloads).await;
+            node.open_requests.set(node.open_requests.get() - 1);
+            if let Some(outcome) = outcome {
+                tell(&node, destination, outcome);
+            }
+        });
+    }
+    true
+}
+
+/// Carries out an order. None where it makes no sense, so that the leader hears nothing of it.
+async fn carry_out(
+    node: &Node,
+    epoch: u64,
+    order: &v1::RelayedOrder,
+    payloads: &[String],
+) -> Option<v1::RelayedOutcome> {
+    let worker = WorkerName::from(order.worker.as_str());
+    let target = Target { name: &worker, address: &order.address, epoch };
+    let number = order.number;
+    if let Some(look) = &order.look {
+        let result = node.workers.look(target, relay_messages::read_look(look)).await;
+        return Some(relay_messages::look_outcome(number, result));
+    }
+    if let Some(start) = &order.start {
+        let (Some((task, run)), Some(payload)) =
+            (relay_messages::read_run(start.run.as_ref()), payloads.get(start.payload as usize))
+        else {
+            return incomplete(number);
+        };
+        let start = Start {
+            task,
+            run,
+            payload,
+            lease_until_ms: start.lease_until_ms,
+            checkpoint: &start.checkpoint,
+            ticket: start.ticket.as_deref(),
+        };
+        return Some(relay_messages::outcome(number, node.workers.start(target, start).await));
+    }
+    let run = order.stop.as_ref().and_then(|stop| relay_messages::read_run(stop.run.as_ref()));
+    let Some((task, run)) = run else { return incomplete(number) };
+    Some(relay_messages::outcome(number, node.workers.stop(target, task, run).await))
+}
+
+fn incomplete(number: u64) -> Option<v1::RelayedOutcome> {
+    log::warn!(number; "order is incomplete");
+    None
+}
+
+/// Has the leader told of an outcome, together with those that come meanwhile.
+fn tell(node: &Rc<Node>, destination: Destination, outcome: v1::RelayedOutcome) {
+    let mut outcomes = node.outcomes.borrow_mut();
+    if let Some(waiting) = outcomes.waiting.get_mut(&destination) {
+        waiting.push(outcome);
+        return;
+    }
+    outcomes.waiting.insert(destination.clone(), vec![outcome]);
+    task::spawn_local(send(node.clone(), destination));
+}
+
+/// Sends outcomes until there are no more.
+async fn send(node: Rc<Node>, destination: Destination) {
+    loop {
+        time::sleep(GATHER).await;
+        let waiting = node.outcomes.borrow_mut().waiting.insert(destination.clone(), Vec::new());
+        let outcomes = waiting.unwrap_or_default();
+        if outcomes.is_empty() {
+            node.outcomes.borrow_mut().waiting.remove(&destination);
+            return;
+        }
+        let (address, epoch) = &destination;
+        let message = v1::PeerOutcomes { epoch: *epoch, outcomes };
+        if let Err(err) = peers::send_outcomes(&node, address, &message, CONFIRM_TIMEOUT).await {
+            log::info!(
+                leader = address.as_str(), epoch, outcomes = message.outcomes.len(), error:% = err;
+                "leader does not take outcomes"
+            );
+        }
+    }
+}
--- a/lilacpass-node/src/orders.rs
+++ b/lilacpass-node/src/orders.rs
@@ -4,49 +4,134 @@
 //! until it is given up, made void and given to another worker. Both copies name the same run, and a
 //! worker carries out the first to arrive; the other is answered as done already.
 
-use std::{pin::pin, time::Duration};
+use std::{pin::pin, rc::Rc, time::Duration};
 
 use lilacpass_core::Verdict;
 use lilacpass_jobs::TaskName;
-use lilacpass_lead::event::{CallError, Refusal};
-use lilacpass_platform::workers::{Start, Target, Workers};
+use lilacpass_lead::event::{CallError, LookAnswer, Refusal};
+use lilacpass_platform::workers::{self, Look, Start, Target};
+use lilacpass_schema::v1;
 use tokio::time;
 
-use crate::budget::RetryBudget;
+use crate::{
+    budget::RetryBudget,
+    node::Node,
+    relay_messages::{self, Order},
+    relays::{self, Relayed},
+};
+
+/// The relay by which an order goes; none where it is sent from here.
+pub type Via = Option<Rc<str>>;
 
 /// An order is sent again after so long. Sound workers answer within 5 ms, and a busy leader handles
 /// the answer some tens of milliseconds later.
 const LATE: Duration = Duration::from_millis(100);
 
+/// Looks at a worker.
+///
+/// A look of which the relay tells nothing is made again from here, without a wait: the relay is gone, and its
+/// workers are not. One that the relay says the worker did not answer has failed.
+pub async fn look(
+    node: &Rc<Node>,
+    via: Via,
+    target: Target<'_>,
+    look: Look,
+) -> Result<LookAnswer, CallError> {
+    let Some(relay) = via else {
+        let result = node.workers.look(target, look).await;
+        node.relays.borrow_mut().looked(target.name, result.is_ok());
+        return result;
+    };
+    let order = relay_messages::look(target.name.as_str(), target.address, look);
+    let patience = Duration::from_millis(look.wait_ms + look.answer_ms);
+    match relays::carry_out(node, &relay, order, patience).await {
+        Relayed::Outcome(Ok(Some(answer))) => Ok(answer),
+        // An answer to something else.
+        Relayed::Outcome(Ok(None)) => Err(CallError::Failed(Verdict::MayHaveRun)),
+        Relayed::Outcome(Err(err)) => {
+            if matches!(err, CallError::Failed(_)) {
+                node.relays.borrow_mut().doubt(target.name, &relay);
+            }
+            Err(err)
+        }
+        Relayed::Lost(_) => node.workers.look(target, Look { wait_ms: 0, ..look }).await,
+    }
+}
+
 /// Starts a run.
 pub async fn start(
-    workers: &Workers,
-    budget: &RetryBudget,
+    node: &Rc<Node>,
+    via: Via,
     target: Target<'_>,
     start: Start<'_>,
 ) -> Result<(), CallError> {
-    twice(budget, || workers.start(target, start)).await
+    let send = || node.workers.start(target, start);
+    let Some(relay) = via else { return twice(&node.order_budget, send).await };
+    let wire = v1::RelayedStart {
+        run: Some(relay_messages::write_run(start.task, start.run)),
+        payload: 0,
+        lease_until_ms: start.lease_until_ms,
+        checkpoint: start.checkpoint.to_owned(),
+        ticket: start.ticket.map(str::to_owned),
+    };
+    let payload = start.payload.to_owned();
+    let order = relay_messages::start(target.name.as_str(), target.address, wire, payload);
+    then_again(&node.order_budget, relayed(node, &relay, order, send), send).await
 }
 
 /// Stops a run, or prevents it from starting later.
 pub async fn stop(
-    workers: &Workers,
-    budget: &RetryBudget,
+    node: &Rc<Node>,
+    via: Via,
     target: Target<'_>,
     task: TaskName,
     run: u32,
 ) -> Result<(), CallError> {
-    twice(budget, || workers.stop(target, task, run)).await
+    let send = || node.workers.stop(target, task, run);
+    let Some(relay) = via else { return twice(&node.order_budget, send).await };
+    let order = relay_messages::stop(target.name.as_str(), target.address, task, run);
+    then_again(&node.order_budget, relayed(node, &relay, order, send), send).await
+}
+
+/// Has a relay carry an order out. One that surely was not is sent from here.
+async fn relayed<F>(
+    node: &Rc<Node>,
+    relay: &Rc<str>,
+    order: Order,
+    send: impl Fn() -> F,
+) -> Result<(), CallError>
+where
+    F: Future<Output = Result<(), CallError>>,
+{
+    match relays::carry_out(node, relay, order, workers::ORDER_TIMEOUT).await {
+        Relayed::Outcome(Ok(_)) => Ok(()),
+        Relayed::Outcome(Err(CallError::Failed(Verdict::NotRun)))
+        | Relayed::Lost(Verdict::NotRun) => send().await,
+        Relayed::Outcome(Err(err)) => Err(err),
+        Relayed::Lost(_) => Err(CallError::Failed(Verdict::MayHaveRun)),
+    }
 }
 
 /// Sends an order, and again if its answer is late and the budget allows it. Returns the first answer
 /// that settles both.
 pub async fn twice<F>(budget: &RetryBudget, send: impl Fn() -> F) -> Result<(), CallError>
+where
+    F: Future<Output = Result<(), CallError>>,
+{
+    then_again(budget, send(), &send).await
+}
+
+/// The same where the first copy goes another way.
+async fn then_again<F>(
+    budget: &RetryBudget,
+    first: impl Future<Output = Result<(), CallError>>,
+    send: impl Fn() -> F,
+) -> Result<(), CallError>
 where
     F: Future<Output = Result<(), CallError>>,
 {
     budget.earn();
-    let mut first = pin!(send());
+    let mut first = pin!(first);
     if let Ok(result) = time::timeout(LATE, &mut first).await {
         return result;
     }
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -19,13 +19,17 @@
 use prost::Message;
 use tokio::time;
 
-use crate::{clock, desired_relay, election, members::Peer, metrics, node::Node, operators};
+use crate::{
+    clock, desired_relay, election, members::Peer, metrics, node::Node, operators, order_relay,
+};
 
 const HELLO_PATH: &str = "/peer/hello";
 const WORK_PATH: &str = "/peer/work";
 const ADVISE_PATH: &str = "/peer/advise";
 const PROMOTE_PATH: &str = "/peer/promote";
 const CONFIG_PATH: &str = "/peer/config";
+const ORDERS_PATH: &str = "/peer/orders";
+const OUTCOMES_PATH: &str = "/peer/outcomes";
 /// Added to the time that a call for advice may take, for the way to the peer and back.
 const HOP_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -37,7 +41,7 @@
 /// Serves a peer.
 pub async fn serve(node: Rc<Node>, received: Received) -> Reply {
     let body = match received.path.as_str() {
-        HELLO_PATH => decode(&received.body).map(|hello| on_hello(&node, &hello).encode_to_vec()),
+        HELLO_PATH => decode(&received.body).map(|hello| on_hello(&node, hello).encode_to_vec()),
         WORK_PATH => match decode::<v1::PeerWork>(&received.body) {
             Ok(work) => Ok(on_work(&node, work).await.encode_to_vec()),
             Err(err) => Err(err),
@@ -55,12 +59,31 @@
         },
         CONFIG_PATH => decode(&received.body)
             .map(|question| desired_relay::serve(&node, &question).encode_to_vec()),
+        ORDERS_PATH => match decode(&received.body) {
+            Ok(orders) => return taken(order_relay::take(&node, orders)),
+            Err(err) => Err(err),
+        },
+        OUTCOMES_PATH => match decode(&received.body) {
+            Ok(outcomes) => return taken(on_outcomes(&node, outcomes)),
+            Err(err) => Err(err),
+        },
         path => return operators::serve(&node, path).await,
     };
     match body {
         Ok(body) => Reply::body(StatusCode::OK, Bytes::from(body)),
-        Err(err) => Reply::error(StatusCode::BAD_REQUEST, &err.to_string()),
+        Err(err) => {
+            log::info!(path = received.path.as_str(), error:% = err; "message of a peer is refused");
+            Reply::error(StatusCode::BAD_REQUEST, &err.to_string())
+        }
+    }
+}
+
+/// The answer to a message of a leader, or to one: it is refused where another leads.
+fn taken(is_taken: bool) -> Reply {
+    if is_taken {
+        return Reply::body(StatusCode::OK, Bytes::new());
     }
+    Reply::error(StatusCode::CONFLICT, "another leader is known")
 }
 
 fn decode<M: Message + Default>(bytes: &[u8]) -> Result<M> {
@@ -78,6 +101,55 @@
     read(&node.client.call(&call).await?)
 }
 
+/// Sends a message that is answered with nothing but whether it was taken.
+async fn send(
+    node: &Node,
+    address: &str,
+    path: &str,
+    message: &impl Message,
+    timeout: Duration,
+) -> Result<()> {
+    let response = node.client.call(&build(address, path, message, timeout)).await?;
+    match response.status {
+        StatusCode::OK => Ok(()),
+        // A receiver that does not take a message does nothing of it.
+        status => Err(Error::Busy(status.as_u16())),
+    }
+}
+
+/// Has an instance carry out orders. Confirmed before they are.
+pub async fn send_orders(
+    node: &Node,
+    address: &str,
+    orders: &v1::PeerOrders,
+    timeout: Duration,
+) -> Result<()> {
+    send(node, address, ORDERS_PATH, orders, timeout).await
+}
+
+/// Tells the leader what came of orders.
+pub async fn send_outcomes(
+    node: &Node,
+    address: &str,
+    outcomes: &v1::PeerOutcomes,
+    timeout: Duration,
+) -> Result<()> {
+    send(node, address, OUTCOMES_PATH, outcomes, timeout).await
+}
+
+/// Takes in what came of orders. Returns whether they were this leader's.
+fn on_outcomes(node: &Node, message: v1::PeerOutcomes) -> bool {
+    let mut relays = node.relays.borrow_mut();
+    if !node.leads() || message.epoch != relays.epoch() {
+        return false;
+    }
+    let unknown = relays.settle(message.outcomes);
+    if unknown > 0 {
+        log::debug!(unknown; "outcomes that nobody waits for");
+    }
+    true
+}
+
 fn build<'a>(
     address: &'a str,
     path: &'a str,
@@ -125,13 +197,14 @@
     Ok(reply)
 }
 
-fn on_hello(node: &Node, hello: &v1::PeerHello) -> v1::PeerHelloReply {
+fn on_hello(node: &Node, hello: v1::PeerHello) -> v1::PeerHelloReply {
     let now_ms = clock::now().steady_ms;
     let peer = Peer {
         heard_ms: now_ms,
         leaving: hello.leaving,
         store_reachable: hello.store_reachable,
         cpu_millis: hello.cpu_millis,
+        data_centre: hello.data_centre,
     };
     node.members.borrow_mut().greeted(&hello.address, peer);
     node.note_desired_elsewhere(hello.config_version, &hello.address);
--- /dev/null
+++ b/lilacpass-node/src/relay_messages.rs
@@ -0,0 +1,170 @@
+//! Orders and their outcomes as they travel between the leader and an instance that relays them.
+
+use lilacpass_core::Verdict;
+use lilacpass_jobs::{End, JobKey, StepName, TaskName};
+use lilacpass_lead::event::{CallError, EndRow, LookAnswer, Refusal, RunningRow};
+use lilacpass_platform::workers::Look;
+use lilacpass_schema::v1;
+
+/// An order without its number, and what it does where it is a start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Order {
+    /// The order; the place of its payload is set when it is sent.
+    pub message: v1::RelayedOrder,
+    /// What a start does; empty for others.
+    pub payload: String,
+}
+
+/// A look at a worker.
+pub fn look(worker: &str, address: &str, look: Look) -> Order {
+    let look = v1::RelayedLook {
+        lease_until_ms: look.lease_until_ms,
+        forget_upto: look.forget_upto,
+        wait_ms: look.wait_ms as u32,
+        answer_ms: look.answer_ms as u32,
+    };
+    let message = v1::RelayedOrder { look: Some(look), ..to(worker, address) };
+    Order { message, payload: String::new() }
+}
+
+/// A start. `payload` is what it does.
+pub fn start(worker: &str, address: &str, start: v1::RelayedStart, payload: String) -> Order {
+    let message = v1::RelayedOrder { start: Some(start), ..to(worker, address) };
+    Order { message, payload }
+}
+
+/// A stop.
+pub fn stop(worker: &str, address: &str, task: TaskName, run: u32) -> Order {
+    let stop = v1::RelayedStop { run: Some(write_run(task, run)) };
+    let message = v1::RelayedOrder { stop: Some(stop), ..to(worker, address) };
+    Order { message, payload: String::new() }
+}
+
+fn to(worker: &str, address: &str) -> v1::RelayedOrder {
+    let (worker, address) = (worker.to_owned(), address.to_owned());
+    v1::RelayedOrder { worker, address, ..Default::default() }
+}
+
+/// A run as it travels.
+pub fn write_run(task: TaskName, run: u32) -> v1::RelayedRun {
+    let TaskName { step: StepName { job, occurrence, step }, index } = task;
+    v1::RelayedRun { job: job.0, occurrence, step, index, run }
+}
+
+/// Reads a run; none where it is missing.
+pub fn read_run(run: Option<&v1::RelayedRun>) -> Option<(TaskName, u32)> {
+    let v1::RelayedRun { job, occurrence, step, index, run } = *run?;
+    Some((StepName { job: JobKey(job), occurrence, step }.task(index), run))
+}
+
+/// Reads a look.
+pub fn read_look(look: &v1::RelayedLook) -> Look {
+    Look {
+        lease_until_ms: look.lease_until_ms,
+        forget_upto: look.forget_upto,
+        wait_ms: u64::from(look.wait_ms),
+        answer_ms: u64::from(look.answer_ms),
+    }
+}
+
+/// What came of an order.
+pub fn outcome(number: u64, result: Result<(), CallError>) -> v1::RelayedOutcome {
+    let outcome = match result {
+        Ok(()) => v1::OrderOutcome::OrderDone,
+        Err(CallError::Failed(Verdict::NotRun)) => v1::OrderOutcome::OrderNotRun,
+        Err(CallError::Failed(Verdict::MayHaveRun | Verdict::Ran)) => {
+            v1::OrderOutcome::OrderUncertain
+        }
+        Err(CallError::OtherLife) => v1::OrderOutcome::OrderOtherLife,
+        Err(CallError::Refused(refusal)) => match refusal {
+            Refusal::Fence => v1::OrderOutcome::OrderRefusedFence,
+            Refusal::Old => v1::OrderOutcome::OrderRefusedOld,
+            Refusal::Late => v1::OrderOutcome::OrderRefusedLate,
+            Refusal::Room => v1::OrderOutcome::OrderRefusedRoom,
+            Refusal::Ticket => v1::OrderOutcome::OrderRefusedTicket,
+            Refusal::Unhealthy => v1::OrderOutcome::OrderRefusedUnhealthy,
+            Refusal::Malformed => v1::OrderOutcome::OrderRefusedMalformed,
+        },
+    };
+    let mut message = v1::RelayedOutcome { number, ..Default::default() };
+    message.set_outcome(outcome);
+    message
+}
+
+/// What came of a look.
+pub fn look_outcome(number: u64, result: Result<LookAnswer, CallError>) -> v1::RelayedOutcome {
+    match result {
+        Ok(answer) => {
+            let answer = Some(write_answer(answer));
+            v1::RelayedOutcome { answer, ..outcome(number, Ok(())) }
+        }
+        Err(err) => outcome(number, Err(err)),
+    }
+}
+
+/// Reads what came of an order; of a look that was answered, the answer.
+///
+/// An outcome that makes no sense counts as none: the order may have been carried out.
+pub fn read_outcome(message: v1::RelayedOutcome) -> Result<Option<LookAnswer>, CallError> {
+    let refused = |refusal| Err(CallError::Refused(refusal));
+    match message.outcome() {
+        v1::OrderOutcome::OrderUncertain => Err(CallError::Failed(Verdict::MayHaveRun)),
+        v1::OrderOutcome::OrderNotRun => Err(CallError::Failed(Verdict::NotRun)),
+        v1::OrderOutcome::OrderOtherLife => Err(CallError::OtherLife),
+        v1::OrderOutcome::OrderRefusedFence => refused(Refusal::Fence),
+        v1::OrderOutcome::OrderRefusedOld => refused(Refusal::Old),
+        v1::OrderOutcome::OrderRefusedLate => refused(Refusal::Late),
+        v1::OrderOutcome::OrderRefusedRoom => refused(Refusal::Room),
+        v1::OrderOutcome::OrderRefusedTicket => refused(Refusal::Ticket),
+        v1::OrderOutcome::OrderRefusedUnhealthy => refused(Refusal::Unhealthy),
+        v1::OrderOutcome::OrderRefusedMalformed => refused(Refusal::Malformed),
+        v1::OrderOutcome::OrderDone => match message.answer {
+            None => Ok(None),
+            Some(answer) => {
+                read_answer(answer).map(Some).ok_or(CallError::Failed(Verdict::MayHaveRun))
+            }
+        },
+    }
+}
+
+fn write_answer(answer: LookAnswer) -> v1::RelayedAnswer {
+    let running = |row: RunningRow| v1::RelayedRunning {
+        run: Some(write_run(row.task, row.run)),
+        checkpoint: row.checkpoint,
+        percent: row.percent,
+        gauge: row.gauge,
+    };
+    let end = |row: EndRow| v1::RelayedEnd {
+        number: row.number,
+        run: Some(write_run(row.task, row.end.run)),
+        how: row.end.how.as_str().to_owned(),
+        checkpoint: row.end.checkpoint,
+    };
+    v1::RelayedAnswer {
+        clock_ms: answer.clock_ms,
+        running: answer.running.into_iter().map(running).collect(),
+        ends: answer.ends.into_iter().map(end).collect(),
+        remaining_ms: answer.remaining_ms,
+    }
+}
+
+/// Reads the answer to a look. None where a row does not name its run: a run that is left out counts as gone, and its
+/// task would run twice.
+fn read_answer(answer: v1::RelayedAnswer) -> Option<LookAnswer> {
+    let running = |row: v1::RelayedRunning| {
+        let (task, run) = read_run(row.run.as_ref())?;
+        let v1::RelayedRunning { checkpoint, percent, gauge, .. } = row;
+        Some(RunningRow { task, run, checkpoint, percent, gauge })
+    };
+    let end = |row: v1::RelayedEnd| {
+        let (task, run) = read_run(row.run.as_ref())?;
+        let how = row.how.parse().ok()?;
+        Some(EndRow { number: row.number, task, end: End { run, how, checkpoint: row.checkpoint } })
+    };
+    Some(LookAnswer {
+        clock_ms: answer.clock_ms,
+        running: answer.running.into_iter().map(running).collect::<Option<_>>()?,
+        ends: answer.ends.into_iter().map(end).collect::<Option<_>>()?,
+        remaining_ms: answer.remaining_ms,
+    })
+}
--- /dev/null
+++ b/lilacpass-node/src/relays.rs
@@ -0,0 +1,369 @@
+//! The instances that relay the leader's orders, as the leader sees them: which worker's orders go by which, and what
+//! is under way.
+//!
+//! Nothing rests on a relay. An order by way of one is an order that travels longer: it carries the leader's epoch, its
+//! lease ends at a time on the worker's clock, and one that is not answered counts as given, as any other.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use lilacpass_core::{Verdict, rendezvous};
+use lilacpass_jobs::WorkerName;
+use lilacpass_lead::event::{CallError, LookAnswer};
+use lilacpass_schema::v1;
+use serde_json::{Value, json};
+use tokio::{sync::oneshot, time};
+
+use crate::{
+    node::Node,
+    peers,
+    relay_choice::{self, Candidate, Load, Means},
+    relay_messages::{self, Order},
+};
+
+/// Time between two messages to a relay. What is decided meanwhile shares the next.
+const GAP: Duration = Duration::from_millis(15);
+/// How long a relay may take to confirm a message, which it does before it acts on it.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
+/// Added to the time that an order takes at its worker: both ways between leader and relay, and the gathering of
+/// messages at both.
+pub const HOP: Duration = Duration::from_millis(200);
+/// How long an instance relays nothing after it failed.
+const REST_MS: u64 = 3_000;
+/// Most orders in a message.
+const MOST_ORDERS: usize = 500;
+/// Bytes that a call takes beside its body: the heads of request and answer, and those of the packets.
+const HEAD_BYTES: usize = 400;
+/// Weight of the last review in the load: half a second counts.
+const LOAD_WEIGHT: f64 = 0.4;
+/// So many workers that a relay calls silent, and that answer the leader, show that the relay itself is cut off...
+const FEWEST_WRONG: u32 = 4;
+/// ... if they are one in so many of the orders that it carried out.
+const WRONG_IN: u32 = 4;
+
+/// What came of an order by way of a relay.
+#[derive(Debug)]
+pub enum Relayed {
+    /// The relay carried it out; of a look that was answered, the answer.
+    Outcome(Result<Option<LookAnswer>, CallError>),
+    /// The relay told nothing of it.
+    Lost(Verdict),
+}
+
+#[derive(Debug, Default)]
+struct Relay {
+    queue: Vec<Order>,
+    is_sending: bool,
+    /// Orders under way, with who waits for them.
+    pending: HashMap<u64, oneshot::Sender<Relayed>>,
+    /// Orders that it carried out of late, and workers that it wrongly called silent.
+    done: u32,
+    wrong: u32,
+}
+
+/// The relays of one leadership.
+#[derive(Debug, Default)]
+pub struct Relays {
+    epoch: u64,
+    next_number: u64,
+    relays: BTreeMap<Rc<str>, Relay>,
+    /// By data centre.
+    addresses: HashMap<String, Vec<Rc<str>>>,
+    /// Whose orders go by which relay.
+    homes: HashMap<WorkerName, Rc<str>>,
+    /// Until when instances relay nothing.
+    resting: HashMap<String, u64>,
+    /// Workers that a relay called silent, until the leader has looked itself.
+    doubted: HashMap<WorkerName, Rc<str>>,
+    orders: u64,
+    bytes: u64,
+    load: Load,
+    reviewed_ms: u64,
+}
+
+impl Relays {
+    /// No relay, for a leader under an epoch.
+    pub fn new(epoch: u64, now_ms: u64) -> Self {
+        Self { epoch, reviewed_ms: now_ms, ..Self::default() }
+    }
+
+    /// Counts an order, whoever sends it.
+    pub fn count(&mut self, payload_bytes: usize) {
+        self.orders += 1;
+        self.bytes += (HEAD_BYTES + payload_bytes) as u64;
+    }
+
+    /// By which relay the orders to a worker go; none where the leader sends them itself.
+    pub fn home(&mut self, worker: &WorkerName, data_centre: &str) -> Option<Rc<str>> {
+        if self.relays.is_empty() {
+            return None;
+        }
+        if let Some(home) = self.homes.get(worker) {
+            return Some(home.clone());
+        }
+        let near = self.addresses.get(data_centre).filter(|near| !near.is_empty());
+        let weight = |address: &Rc<str>| rendezvous::weight(worker.as_str().as_bytes(), address);
+        let home = match near {
+            Some(near) => near.iter().max_by_key(|address| weight(address)),
+            None => self.relays.keys().max_by_key(|address| weight(address)),
+        };
+        let home = home?.clone();
+        self.homes.insert(worker.clone(), home.clone());
+        Some(home)
+    }
+
+    /// Chooses the relays anew by what was ordered since the last time.
+    pub fn review(&mut self, means: Means, candidates: Vec<Candidate<'_>>, now_ms: u64) {
+        self.note_load(now_ms);
+        self.rest_wrong(now_ms);
+        self.resting.retain(|_, until_ms| now_ms < *until_ms);
+        let mut candidates = candidates;
+        candidates.retain(|candidate| !self.resting.contains_key(candidate.address));
+        let data_centres: HashMap<&str, &str> =
+            candidates.iter().map(|c| (c.address, c.data_centre)).collect();
+        let in_use: Vec<String> = self.relays.keys().map(|address| address.to_string()).collect();
+        let mut chosen = relay_choice::choose(self.load, means, &in_use, candidates);
+        chosen.sort_unstable();
+        if chosen == in_use {
+            return;
+        }
+        log::info!(
+            relays = chosen.join(" "), orders_a_second = self.load.orders as u64,
+            bytes_a_second = self.load.bytes as u64;
+            "relays change"
+        );
+        let gone: Vec<Rc<str>> =
+            self.relays.keys().filter(|known| !chosen.contains(&&***known)).cloned().collect();
+        gone.iter().for_each(|address| self.remove(address));
+        self.addresses.clear();
+        for address in chosen {
+            let shared: Rc<str> = Rc::from(address);
+            self.relays.entry(shared.clone()).or_default();
+            let data_centre = data_centres.get(address).copied().unwrap_or_default();
+            self.addresses.entry(data_centre.to_owned()).or_default().push(shared);
+        }
+        let has_new = self.relays.len() > in_use.len() - gone.len();
+        if has_new {
+            // Most workers keep their relay: each goes by the one that weighs most for it.
+            self.homes.clear();
+        }
+    }
+
+    fn note_load(&mut self, now_ms: u64) {
+        let elapsed_s = now_ms.saturating_sub(self.reviewed_ms).max(1) as f64 / 1_000.0;
+        self.reviewed_ms = now_ms;
+        let orders = std::mem::take(&mut self.orders) as f64 / elapsed_s;
+        let bytes = std::mem::take(&mut self.bytes) as f64 / elapsed_s;
+        self.load.orders += (orders - self.load.orders) * LOAD_WEIGHT;
+        self.load.bytes += (bytes - self.load.bytes) * LOAD_WEIGHT;
+    }
+
+    /// Rests relays that call workers silent which answer the leader: these are cut off from them, and each of their
+    /// workers would seem to be gone.
+    fn rest_wrong(&mut self, now_ms: u64) {
+        for (address, relay) in &mut self.relays {
+            if relay.wrong >= FEWEST_WRONG && relay.wrong * WRONG_IN >= relay.done {
+                log::info!(relay = &**address, wrong = relay.wrong, done = relay.done; "relay does not reach its workers");
+                self.resting.insert(address.to_string(), now_ms + REST_MS);
+            }
+            relay.done -= relay.done / 4;
+            relay.wrong -= relay.wrong / 4;
+        }
+    }
+
+    /// Uses a relay no more. What was under way there is lost.
+    fn remove(&mut self, address: &str) {
+        self.addresses.values_mut().for_each(|near| near.retain(|known| **known != *address));
+        self.homes.retain(|_, home| **home != *address);
+        let Some(relay) = self.relays.remove(address) else { return };
+        for waiter in relay.pending.into_values() {
+            // Who does not wait any more needs no telling.
+            let _gone = waiter.send(Relayed::Lost(Verdict::MayHaveRun));
+        }
+    }
+
+    /// A relay does not answer.
+    fn fail(&mut self, address: &str, now_ms: u64) {
+        self.resting.insert(address.to_owned(), now_ms + REST_MS);
+        self.remove(address);
+    }
+
+    /// Puts an order into the queue of a relay. Returns its number, and where what comes of it is told; none where there
+    /// is no such relay any more.
+    fn put(
+        &mut self,
+        address: &str,
+        mut order: Order,
+    ) -> Option<(u64, oneshot::Receiver<Relayed>)> {
+        let relay = self.relays.get_mut(address)?;
+        let number = self.next_number;
+        self.next_number += 1;
+        order.message.number = number;
+        let (sender, receiver) = oneshot::channel();
+        relay.pending.insert(number, sender);
+        relay.queue.push(order);
+        Some((number, receiver))
+    }
+
+    /// Whether a task that sends the queue of a relay has to be started.
+    fn begin_sending(&mut self, address: &str) -> bool {
+        let Some(relay) = self.relays.get_mut(address) else { return false };
+        !std::mem::replace(&mut relay.is_sending, true)
+    }
+
+    /// Takes what is to be sent to a relay. None where there is nothing, after which sending has to be started anew.
+    fn take_queue(&mut self, address: &str) -> Option<Vec<Order>> {
+        let relay = self.relays.get_mut(address)?;
+        if relay.queue.is_empty() {
+            relay.is_sending = false;
+            return None;
+        }
+        let rest = relay.queue.split_off(relay.queue.len().min(MOST_ORDERS));
+        Some(std::mem::replace(&mut relay.queue, rest))
+    }
+
+    /// Nobody waits for an order any more.
+    fn give_up(&mut self, address: &str, number: u64) {
+        if let Some(relay) = self.relays.get_mut(address) {
+            relay.pending.remove(&number);
+        }
+    }
+
+    /// Takes in outcomes that a relay tells. Returns how many of them nobody waits for.
+    pub fn settle(&mut self, outcomes: Vec<v1::RelayedOutcome>) -> usize {
+        let mut unknown = 0;
+        for outcome in outcomes {
+            let number = outcome.number;
+            let relay = self.relays.values_mut().find(|relay| relay.pending.contains_key(&number));
+            let Some(relay) = relay else {
+                unknown += 1;
+                continue;
+            };
+            relay.done += 1;
+            if let Some(waiter) = relay.pending.remove(&number) {
+                let outcome = relay_messages::read_outcome(outcome);
+                // Who does not wait any more needs no telling.
+                let _gone = waiter.send(Relayed::Outcome(outcome));
+            }
+        }
+        unknown
+    }
+
+    /// The epoch under which orders go out.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// A relay has called a worker silent.
+    pub fn doubt(&mut self, worker: &WorkerName, relay: &Rc<str>) {
+        self.doubted.insert(worker.clone(), relay.clone());
+    }
+
+    /// The leader has looked at a worker itself.
+    pub fn looked(&mut self, worker: &WorkerName, is_answered: bool) {
+        if self.doubted.is_empty() {
+            return;
+        }
+        let Some(address) = self.doubted.remove(worker) else { return };
+        if let Some(relay) = self.relays.get_mut(&*address)
+            && is_answered
+        {
+            relay.wrong += 1;
+        }
+    }
+
+    /// What operators are told of each relay: how many workers' orders go by it, how many are under way, and how many
+    /// workers it has wrongly called silent of late.
+    pub fn status(&self) -> Value {
+        let workers =
+            |address: &Rc<str>| self.homes.values().filter(|home| *home == address).count();
+        let status = |(address, relay): (&Rc<str>, &Relay)| {
+            json!({
+                "address": &**address,
+                "workers": workers(address),
+                "pending": relay.pending.len(),
+                "wrong": relay.wrong,
+            })
+        };
+        self.relays.iter().map(status).collect()
+    }
+}
+
+/// Has a relay carry an order out. Waits for `patience` and the ways between.
+pub async fn carry_out(
+    node: &Rc<Node>,
+    address: &Rc<str>,
+    order: Order,
+    patience: Duration,
+) -> Relayed {
+    let put = node.relays.borrow_mut().put(address, order);
+    let Some((number, receiver)) = put else { return Relayed::Lost(Verdict::NotRun) };
+    if node.relays.borrow_mut().begin_sending(address) {
+        tokio::task::spawn_local(send_queue(node.clone(), address.clone()));
+    }
+    match time::timeout(patience + HOP, receiver).await {
+        Ok(Ok(relayed)) => relayed,
+        Ok(Err(_)) => Relayed::Lost(Verdict::MayHaveRun),
+        Err(_) => {
+            node.relays.borrow_mut().give_up(address, number);
+            Relayed::Lost(Verdict::MayHaveRun)
+        }
+    }
+}
+
+/// Sends what is queued for a relay until there is nothing more.
+async fn send_queue(node: Rc<Node>, address: Rc<str>) {
+    loop {
+        let epoch = node.relays.borrow().epoch();
+        let Some(orders) = node.relays.borrow_mut().take_queue(&address) else { return };
+        let numbers: Vec<u64> = orders.iter().map(|order| order.message.number).collect();
+        let message = write(&node, epoch, orders);
+        if let Err(err) = peers::send_orders(&node, &address, &message, CONFIRM_TIMEOUT).await {
+            log::info!(relay = &*address, orders = numbers.len(), error:% = err; "relay does not take orders");
+            let mut relays = node.relays.borrow_mut();
+            if relays.epoch() == epoch {
+                relays.tell_lost(&address, &numbers, err.verdict());
+                relays.fail(&address, crate::clock::now().steady_ms);
+            }
+            return;
+        }
+        time::sleep(GAP).await;
+    }
+}
+
+impl Relays {
+    /// Tells those who wait for orders of a message what its failure says of them.
+    fn tell_lost(&mut self, address: &str, numbers: &[u64], verdict: Verdict) {
+        let Some(relay) = self.relays.get_mut(address) else { return };
+        for waiter in numbers.iter().filter_map(|number| relay.pending.remove(number)) {
+            // Who does not wait any more needs no telling.
+            let _gone = waiter.send(Relayed::Lost(verdict));
+        }
+    }
+}
+
+/// A message with orders, in which each payload stands once.
+fn write(node: &Node, epoch: u64, orders: Vec<Order>) -> v1::PeerOrders {
+    let mut places: HashMap<String, u32> = HashMap::new();
+    let mut message =
+        v1::PeerOrders { epoch, leader_address: node.peer_address(), ..Default::default() };
+    for order in orders {
+        let mut relayed = order.message;
+        if let Some(start) = &mut relayed.start {
+            start.payload = match places.get(&order.payload) {
+                Some(place) => *place,
+                None => {
+                    let place = message.payloads.len() as u32;
+                    message.payloads.push(order.payload.clone());
+                    places.insert(order.payload, place);
+                    place
+                }
+            };
+        }
+        message.orders.push(relayed);
+    }
+    message
+}
--- a/lilacpass-node/tests/cluster/mod.rs
+++ b/lilacpass-node/tests/cluster/mod.rs
@@ -62,6 +62,7 @@
             .zip(&links)
             .map(|((number, member), link)| Spec {
                 number,
+                data_centre: number,
                 cpu_share: member.cpu_share,
                 store_address: link.address.clone(),
             })
--- a/lilacpass-node/tests/members.rs
+++ b/lilacpass-node/tests/members.rs
@@ -3,7 +3,13 @@
 use lilacpass_node::members::{KnownMembers, Members, Peer};
 
 fn peer(heard_ms: u64) -> Peer {
-    Peer { heard_ms, leaving: false, store_reachable: true, cpu_millis: 250 }
+    Peer {
+        heard_ms,
+        leaving: false,
+        store_reachable: true,
+        cpu_millis: 250,
+        data_centre: String::new(),
+    }
 }
 
 fn addresses(list: &[&str]) -> Vec<String> {
--- /dev/null
+++ b/lilacpass-node/tests/relay_choice.rs
@@ -0,0 +1,67 @@
+//! Which instances relay orders, by load.
+
+use lilacpass_node::relay_choice::{self, Candidate, Load, Means};
+
+/// Half a core, and 200 Mbit/s.
+const LARGE: Means = Means { cpu_millis: 500, link: 25_000_000 };
+/// An eighth of a core, and 2 Mbit/s.
+const THIN: Means = Means { cpu_millis: 120, link: 250_000 };
+
+fn candidate(
+    address: &'static str,
+    data_centre: &'static str,
+    cpu_millis: u32,
+) -> Candidate<'static> {
+    Candidate { address, data_centre, cpu_millis }
+}
+
+fn candidates() -> Vec<Candidate<'static>> {
+    vec![
+        candidate("a:1", "a", 120),
+        candidate("a:2", "a", 500),
+        candidate("b:1", "b", 500),
+        candidate("b:2", "b", 500),
+        candidate("c:1", "c", 120),
+    ]
+}
+
+fn choose(orders: f64, bytes: f64, means: Means, in_use: &[&str]) -> Vec<&'static str> {
+    let in_use: Vec<String> = in_use.iter().map(|&address| address.to_owned()).collect();
+    relay_choice::choose(Load { orders, bytes }, means, &in_use, candidates())
+}
+
+/// Each start of a small cell takes longer for nothing.
+#[test]
+fn a_leader_that_can_send_its_orders_uses_no_relay() {
+    assert!(choose(300.0, 120_000.0, LARGE, &[]).is_empty());
+}
+
+/// The leader of a thousand workers fills its processor with calls, and all that it decides waits behind them.
+#[test]
+fn a_leader_that_is_short_of_processor_uses_the_largest_of_each_data_centre() {
+    assert_eq!(choose(3_000.0, 1_500_000.0, LARGE, &[]), ["a:2", "b:1", "c:1"]);
+}
+
+/// A leader with a thin link fills it with the texts of jobs, one to each start.
+#[test]
+fn a_leader_with_a_full_link_uses_relays() {
+    assert!(!choose(200.0, 200_000.0, THIN, &[]).is_empty());
+    assert!(choose(200.0, 200_000.0, Means { link: 0, ..LARGE }, &[]).is_empty());
+}
+
+#[test]
+fn more_load_takes_more_relays() {
+    assert_eq!(choose(9_000.0, 4_000_000.0, LARGE, &[]).len(), 5);
+}
+
+/// Workers are dealt out anew again and again, and those of each relay wait for it.
+#[test]
+fn relays_stay_while_they_are_there() {
+    let chosen = choose(3_000.0, 1_500_000.0, LARGE, &["a:1", "b:2", "c:1"]);
+    assert_eq!(chosen, ["a:1", "b:2", "c:1"]);
+    let share = |orders| relay_choice::share(Load { orders, bytes: 0.0 }, LARGE);
+    let between = 1_300.0;
+    assert!((0.1..0.2).contains(&share(between)), "{}", share(between));
+    assert!(choose(between, 0.0, LARGE, &[]).is_empty());
+    assert!(!choose(between, 0.0, LARGE, &["a:2"]).is_empty());
+}
--- /dev/null
+++ b/lilacpass-node/tests/relay_messages.rs
@@ -0,0 +1,76 @@
+//! Orders and outcomes on their way between the leader and a relay.
+
+use lilacpass_core::Verdict;
+use lilacpass_jobs::{End, How, JobKey, StepName};
+use lilacpass_lead::event::{CallError, EndRow, LookAnswer, Refusal, RunningRow};
+use lilacpass_node::relay_messages;
+use lilacpass_schema::v1;
+use prost::Message;
+
+fn answer() -> LookAnswer {
+    let step = StepName { job: JobKey(u64::MAX), occurrence: 3, step: 1 };
+    let running = RunningRow {
+        task: step.task(7),
+        run: 2,
+        checkpoint: "saved".to_owned(),
+        percent: 40,
+        gauge: 9,
+    };
+    let end = End { run: 1, how: How::Broken, checkpoint: String::new() };
+    LookAnswer {
+        clock_ms: 900_000,
+        running: vec![running],
+        ends: vec![EndRow { number: 5, task: step.task(0), end }],
+        remaining_ms: Some(0),
+    }
+}
+
+fn travel(message: v1::RelayedOutcome) -> v1::RelayedOutcome {
+    v1::RelayedOutcome::decode(message.encode_to_vec().as_slice()).expect("an outcome")
+}
+
+#[test]
+fn outcomes_arrive_as_they_were() {
+    let looked = travel(relay_messages::look_outcome(4, Ok(answer())));
+    assert_eq!(looked.number, 4);
+    assert_eq!(relay_messages::read_outcome(looked), Ok(Some(answer())));
+    let refusals = [
+        Refusal::Fence,
+        Refusal::Old,
+        Refusal::Late,
+        Refusal::Room,
+        Refusal::Ticket,
+        Refusal::Unhealthy,
+        Refusal::Malformed,
+    ];
+    let errors = refusals.map(CallError::Refused).into_iter().chain([
+        CallError::OtherLife,
+        CallError::Failed(Verdict::NotRun),
+        CallError::Failed(Verdict::MayHaveRun),
+    ]);
+    for error in errors {
+        let sent = travel(relay_messages::outcome(1, Err(error.clone())));
+        assert_eq!(relay_messages::read_outcome(sent), Err(error));
+    }
+    let done = travel(relay_messages::outcome(1, Ok(())));
+    assert_eq!(relay_messages::read_outcome(done), Ok(None));
+}
+
+/// A task runs twice: a damaged answer left a run out, and the leader took it for gone.
+#[test]
+fn an_answer_with_a_row_that_names_no_run_is_none() {
+    let mut sent = relay_messages::look_outcome(4, Ok(answer()));
+    sent.answer.as_mut().expect("an answer").running[0].run = None;
+    let unanswered = Err(CallError::Failed(Verdict::MayHaveRun));
+    assert_eq!(relay_messages::read_outcome(sent), unanswered);
+    let mut sent = relay_messages::look_outcome(4, Ok(answer()));
+    sent.answer.as_mut().expect("an answer").ends[0].how = "finished".to_owned();
+    assert_eq!(relay_messages::read_outcome(sent), unanswered);
+}
+
+/// A version that knows more outcomes says one that this one does not know: the order may have been carried out.
+#[test]
+fn an_outcome_that_is_not_known_proves_nothing() {
+    let sent = v1::RelayedOutcome { number: 1, outcome: 99, answer: None };
+    assert_eq!(relay_messages::read_outcome(sent), Err(CallError::Failed(Verdict::MayHaveRun)));
+}
--- /dev/null
+++ b/lilacpass-node/tests/relays.rs
@@ -0,0 +1,215 @@
+//! Orders by way of other instances, with real processes on the stand-in for the platform.
+//!
+//! The instances are told that they have a thousandth of a core, so that the leader of even a small cell has its orders
+//! relayed.
+
+mod cluster;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cluster::Cluster;
+use http::{Method, StatusCode};
+use lilacpass_jobs::JobKey;
+use lilacpass_platform::client::{Call, Client};
+use lilacpass_platform_standin::load::{Handed, QUEUES};
+use lilacpass_schema::v1;
+use prost::Message;
+use rustix::process::Signal;
+use serde_json::Value;
+use tokio::time::{self, Instant};
+
+const FIRST_PORT: u16 = 24_500;
+const SHARES: [f64; 3] = [0.001; 3];
+/// How often something is looked for before it counts as missing, and the pause between.
+const LOOKS: u32 = 300;
+const PAUSE: Duration = Duration::from_millis(100);
+/// How long a job may take. Leases of up to twelve seconds are waited for.
+const PATIENCE: Duration = Duration::from_secs(40);
+
+async fn call(
+    address: &str,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Option<(StatusCode, Bytes)> {
+    let timeout = Duration::from_secs(4);
+    let body = Bytes::from(body);
+    let call = Call { address, method, path, headers: &[], body, timeout };
+    let response = Client::default().call(&call).await.ok()?;
+    Some((response.status, response.body))
+}
+
+/// The relays as the leader among `instances` tells operators; none where nobody leads.
+async fn relays(cluster: &Cluster) -> Option<(usize, Vec<String>)> {
+    for (leader, instance) in cluster.instances.iter().enumerate() {
+        let answer =
+            call(&instance.peer_address, Method::GET, "/operator/status", Vec::new()).await;
+        let Some((StatusCode::OK, body)) = answer else { continue };
+        let status: Value = serde_json::from_slice(&body).expect("a status");
+        let relays = status["relays"].as_array().expect("a list");
+        let address = |relay: &Value| relay["address"].as_str().unwrap_or_default().to_owned();
+        return Some((leader, relays.iter().map(address).collect()));
+    }
+    None
+}
+
+/// Waits until so many instances relay orders. Returns the leader and the relays, by number.
+async fn wait_for_relays(cluster: &Cluster, count: usize) -> (usize, Vec<usize>) {
+    let addresses = cluster.peer_addresses();
+    let mut seen = None;
+    for _ in 0..LOOKS {
+        seen = relays(cluster).await;
+        if let Some((leader, relays)) = &seen
+            && relays.len() == count
+        {
+            let number = |relay| addresses.iter().position(|address| address == relay);
+            return (*leader, relays.iter().filter_map(number).collect());
+        }
+        time::sleep(PAUSE).await;
+    }
+    panic!("the leader and its relays are {seen:?}");
+}
+
+fn job() -> v1::WorkPlan {
+    let step = v1::WorkStep {
+        count: 4,
+        cpu_milli: 1_000,
+        memory_mb: 10,
+        estimate_ms: 400,
+        ..Default::default()
+    };
+    let later = v1::WorkStep { after: vec![0], ..step.clone() };
+    v1::WorkPlan { payload: "job".to_owned(), steps: vec![step, later], ..Default::default() }
+}
+
+async fn hand_in(cluster: &Cluster, jobs: usize) -> Vec<JobKey> {
+    let mut keys = Vec::new();
+    for _ in 0..jobs {
+        let (key, handed) = cluster.callers.submit(QUEUES[1], job()).await;
+        assert_eq!(handed, Handed::Accepted);
+        keys.push(key);
+    }
+    keys
+}
+
+/// Waits until all jobs are done, and checks what the workers saw.
+async fn wait_until_done(cluster: &Cluster, jobs: &[JobKey]) {
+    let end = Instant::now() + PATIENCE;
+    for &job in jobs {
+        let state = cluster.callers.wait_for(QUEUES[1], job, &["completed", "failed"], end).await;
+        assert_eq!(state, "completed");
+    }
+    let judge = cluster.cell.judge.borrow();
+    assert!(judge.is_clean(), "{judge:?}");
+}
+
+fn start(cluster: &mut Cluster) {
+    cluster.instances.iter_mut().for_each(|instance| instance.start().expect("started"));
+}
+
+#[test]
+fn jobs_are_done_by_way_of_relays() {
+    cluster::play(FIRST_PORT, &SHARES, async |mut cluster| {
+        start(&mut cluster);
+        wait_for_relays(&cluster, 2).await;
+        let jobs = hand_in(&cluster, 5).await;
+        wait_until_done(&cluster, &jobs).await;
+    });
+}
+
+/// An instance that relays orders loses power with orders under way. Tasks whose starts it had taken wait for leases
+/// that were never given, or run twice, since the leader sends the starts again.
+#[test]
+fn the_loss_of_a_relay_loses_and_doubles_nothing() {
+    cluster::play(FIRST_PORT + 50, &SHARES, async |mut cluster| {
+        start(&mut cluster);
+        let (_, relays) = wait_for_relays(&cluster, 2).await;
+        let mut jobs = hand_in(&cluster, 4).await;
+        cluster.instances[relays[0]].kill().expect("killed");
+        jobs.extend(hand_in(&cluster, 4).await);
+        wait_until_done(&cluster, &jobs).await;
+    });
+}
+
+/// An instance that relays orders stands still for two seconds with orders that it had taken, and carries them out when
+/// it wakes. Meanwhile the leader has given them up and given the tasks to others.
+#[test]
+fn a_relay_that_wakes_with_old_orders_doubles_nothing() {
+    cluster::play(FIRST_PORT + 100, &SHARES, async |mut cluster| {
+        start(&mut cluster);
+        let (_, relays) = wait_for_relays(&cluster, 2).await;
+        let mut jobs = hand_in(&cluster, 4).await;
+        cluster.instances[relays[0]].signal(Signal::STOP).expect("stopped");
+        time::sleep(Duration::from_secs(2)).await;
+        cluster.instances[relays[0]].signal(Signal::CONT).expect("continued");
+        jobs.extend(hand_in(&cluster, 4).await);
+        wait_until_done(&cluster, &jobs).await;
+    });
+}
+
+/// The leader is lost while its relays have orders under way. What they carry out for it then must not run beside what
+/// its successor starts.
+#[test]
+fn relays_of_a_lost_leader_follow_its_successor() {
+    cluster::play(FIRST_PORT + 150, &SHARES, async |mut cluster| {
+        start(&mut cluster);
+        let (leader, _) = wait_for_relays(&cluster, 2).await;
+        let mut jobs = hand_in(&cluster, 4).await;
+        cluster.instances[leader].kill().expect("killed");
+        wait_for_relays(&cluster, 1).await;
+        jobs.extend(hand_in(&cluster, 4).await);
+        wait_until_done(&cluster, &jobs).await;
+    });
+}
+
+/// A planned stop of an instance that relays orders cuts off what it has under way.
+#[test]
+fn a_relay_that_stops_finishes_what_it_has_taken() {
+    cluster::play(FIRST_PORT + 200, &SHARES, async |mut cluster| {
+        start(&mut cluster);
+        let (_, relays) = wait_for_relays(&cluster, 2).await;
+        let mut jobs = hand_in(&cluster, 4).await;
+        cluster.instances[relays[0]].signal(Signal::TERM).expect("asked to stop");
+        wait_for_relays(&cluster, 1).await;
+        jobs.extend(hand_in(&cluster, 4).await);
+        wait_until_done(&cluster, &jobs).await;
+    });
+}
+
+/// Somebody sends orders and outcomes that are damaged, of no epoch, or that nobody asked for. They are refused or passed
+/// over, and jobs are done all the same.
+#[test]
+fn foreign_and_damaged_messages_of_relays_do_no_harm() {
+    cluster::play(FIRST_PORT + 250, &SHARES, async |mut cluster| {
+        start(&mut cluster);
+        let (leader, relays) = wait_for_relays(&cluster, 2).await;
+        let (leader, relay) = (
+            cluster.instances[leader].peer_address.clone(),
+            cluster.instances[relays[0]].peer_address.clone(),
+        );
+        let post = async |address: &str, path: &str, message: Vec<u8>| {
+            call(address, Method::POST, path, message).await.expect("an answer").0
+        };
+        let orders = v1::PeerOrders {
+            orders: vec![v1::RelayedOrder { number: 1, ..Default::default() }],
+            ..Default::default()
+        };
+        let refused = post(&relay, "/peer/orders", orders.encode_to_vec()).await;
+        assert_eq!(refused, StatusCode::CONFLICT, "orders of an epoch that is over");
+        let orders = v1::PeerOrders { epoch: u64::MAX, ..orders };
+        let taken = post(&relay, "/peer/orders", orders.encode_to_vec()).await;
+        assert_eq!(taken, StatusCode::OK, "an order without content is passed over");
+        let damaged = post(&relay, "/peer/orders", vec![0xff; 40]).await;
+        assert_eq!(damaged, StatusCode::BAD_REQUEST);
+        let outcomes = v1::PeerOutcomes {
+            outcomes: vec![v1::RelayedOutcome { number: 1, ..Default::default() }],
+            ..Default::default()
+        };
+        let refused = post(&leader, "/peer/outcomes", outcomes.encode_to_vec()).await;
+        assert_eq!(refused, StatusCode::CONFLICT, "outcomes of another epoch");
+        assert_eq!(post(&leader, "/peer/outcomes", vec![0xff; 40]).await, StatusCode::BAD_REQUEST);
+        let jobs = hand_in(&cluster, 3).await;
+        wait_until_done(&cluster, &jobs).await;
+    });
+}
