Write log lines together

Cause: at 1,100 workers a leader writes 3,400 lines a second. Each woke the thread that writes and was a call to the kernel of its own: a profile of lilacpass-busy has 5.7 % in that thread, beside the wake-ups in the other.

Change: lines are gathered for 20 ms. What is lost with a killed process are the lines of its last 20 ms.

--- a/lilacpass-node/src/logging.rs
+++ b/lilacpass-node/src/logging.rs
@@ -18,6 +18,9 @@
 
 /// Lines that may wait to be written. At 300 bytes each about 1 MB.
 const BUFFERED_LINES: usize = 4_096;
+/// How long lines are gathered before they are written. Written one by one, each wakes the thread and is a call to the
+/// kernel of its own: 3,000 lines a second of a leader took a tenth of its processor.
+const GATHER: Duration = Duration::from_millis(20);
 /// How long the end of the process waits for the last lines.
 const FLUSH_WAIT: Duration = Duration::from_millis(200);
 
@@ -75,18 +78,49 @@
 }
 
 fn write_lines(receiver: &mpsc::Receiver<Line>) {
-    let mut output = io::stdout();
+    let mut gathered = Gathered::default();
     while let Ok(line) = receiver.recv() {
+        let is_text = matches!(line, Line::Text(_));
+        gathered.take(line);
+        if is_text {
+            thread::sleep(GATHER);
+        }
+        while let Ok(line) = receiver.try_recv() {
+            gathered.take(line);
+        }
+        gathered.write();
+    }
+}
+
+/// Lines that are written together.
+#[derive(Default)]
+struct Gathered {
+    text: Vec<u8>,
+    lines: u64,
+}
+
+impl Gathered {
+    fn take(&mut self, line: Line) {
         match line {
             Line::Text(text) => {
-                if output.write_all(&text).is_err() {
-                    DROPPED.fetch_add(1, Ordering::Relaxed);
-                }
+                self.text.extend_from_slice(&text);
+                self.lines += 1;
             }
             Line::Flush(done) => {
-                let _closed = output.flush();
+                self.write();
+                // Who does not wait any more needs no telling.
                 let _gone = done.send(());
             }
         }
     }
+
+    fn write(&mut self) {
+        let mut output = io::stdout();
+        let written = output.write_all(&self.text).and_then(|()| output.flush());
+        if written.is_err() {
+            DROPPED.fetch_add(self.lines, Ordering::Relaxed);
+        }
+        self.text.clear();
+        self.lines = 0;
+    }
 }
