Compare names of workers by their first bytes

Cause: maps of a thousand workers by name compare texts: 5.9 % of the leader's samples are in memcmp.

Change: a name keeps its first eight bytes as a number, which orders as they do; the text decides only between names that begin alike.

--- a/lilacpass-jobs/src/ids.rs
+++ b/lilacpass-jobs/src/ids.rs
@@ -1,6 +1,6 @@
 //! Names of jobs, steps, tasks and workers, with the text form in which they travel.
 
-use std::{fmt, str::FromStr, sync::Arc};
+use std::{cmp::Ordering, fmt, str::FromStr, sync::Arc};
 
 use crate::error::Error;
 
@@ -94,25 +94,46 @@
     text.parse().ok().filter(|_| canonical)
 }
 
-/// One life of a worker. Cheap to clone.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct WorkerName(Arc<str>);
+/// One life of a worker. Cheap to clone and to compare.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct WorkerName {
+    /// The first bytes of the name, as a number that orders as they do. Maps of a thousand workers compare names
+    /// hundreds of thousands of times a second, and mostly need no more than this.
+    prefix: u64,
+    name: Arc<str>,
+}
 
 impl WorkerName {
     /// The name as text.
     pub fn as_str(&self) -> &str {
-        &self.0
+        &self.name
     }
 }
 
 impl From<&str> for WorkerName {
     fn from(s: &str) -> Self {
-        Self(Arc::from(s))
+        let mut prefix = [0; 8];
+        let length = s.len().min(prefix.len());
+        prefix[..length].copy_from_slice(&s.as_bytes()[..length]);
+        Self { prefix: u64::from_be_bytes(prefix), name: Arc::from(s) }
+    }
+}
+
+impl Ord for WorkerName {
+    /// As the names order.
+    fn cmp(&self, other: &Self) -> Ordering {
+        self.prefix.cmp(&other.prefix).then_with(|| self.name.cmp(&other.name))
+    }
+}
+
+impl PartialOrd for WorkerName {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
     }
 }
 
 impl fmt::Display for WorkerName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        f.write_str(&self.name)
     }
 }
