--- a/lilacpass-lead/src/place.rs
+++ b/lilacpass-lead/src/place.rs
@@ -1,7 +1,5 @@
 //! Which worker gets a task: pure functions over what is known of the workers.
 
-use std::collections::BTreeMap;
-
 use lilacpass_core::Resources;
 use lilacpass_schema::v1;
 
@@ -73,11 +71,16 @@
 pub fn home<'a>(workers: impl Iterator<Item = &'a Worker>, step: &v1::WorkStep) -> Option<String> {
     let need = need(step);
     let most = u64::from(step.count);
-    let mut rooms: BTreeMap<&str, u64> = BTreeMap::new();
+    // Data centres are few, and a list is searched faster than a map.
+    let mut rooms: Vec<(&str, u64)> = Vec::new();
     for worker in workers {
         let room = fits(&worker.room(), &need, most);
-        *rooms.entry(worker.entry.data_centre.as_str()).or_default() += room;
+        let data_centre = worker.entry.data_centre.as_str();
+        match rooms.iter_mut().find(|(known, _)| *known == data_centre) {
+            Some((_, rooms)) => *rooms += room,
+            None => rooms.push((data_centre, room)),
+        }
     }
-    let (data_centre, room) = rooms.into_iter().max_by_key(|(_, room)| *room)?;
+    let (data_centre, room) = rooms.into_iter().max_by_key(|(name, room)| (*room, *name))?;
     (room > 0).then(|| data_centre.to_owned())
 }
