Let relays finish what they have taken, and rest those whose answers never arrive

A relay that is asked to stop, or not needed any more, was dropped with what it had under way: the leader made 200 looks again. One that takes orders while nothing that it tells arrives (cut one way) was never rested: each look by way of it took 1.4 s, for good. A long message on a thin link was given up after 0.4 s, and its orders counted as given.

Change: relays that are used no more are heard to the end of their orders; orders of which nothing is told count against a relay as wrong ones do; each rest in a row is twice as long; messages have time for what the link takes, three times.

--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use lilacpass_core::Verdict;
+use lilacpass_core::{Verdict, size};
 use lilacpass_jobs::{JobKey, StepName, WorkerName};
 use lilacpass_lead::event::{Advice, Answer, Ask, JobState, TicketRow};
 use lilacpass_platform::{
@@ -30,6 +30,8 @@
 const CONFIG_PATH: &str = "/peer/config";
 const ORDERS_PATH: &str = "/peer/orders";
 const OUTCOMES_PATH: &str = "/peer/outcomes";
+/// How many times what a message takes on an idle link it may take: others share the link.
+const LINK_TIMES: u32 = 3;
 /// Added to the time that a call for advice may take, for the way to the peer and back.
 const HOP_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -109,7 +111,10 @@
     message: &impl Message,
     timeout: Duration,
 ) -> Result<()> {
-    let response = node.client.call(&build(address, path, message, timeout)).await?;
+    // A thin link takes its time for a long message, and one that is given up and sent again fills it for nothing.
+    let on_link = node.settings.link.time_for(size::Bytes(message.encoded_len() as u64));
+    let call = build(address, path, message, timeout + on_link * LINK_TIMES);
+    let response = node.client.call(&call).await?;
     match response.status {
         StatusCode::OK => Ok(()),
         // A receiver that does not take a message does nothing of it.
--- a/lilacpass-node/src/relays.rs
+++ b/lilacpass-node/src/relays.rs
@@ -18,6 +18,7 @@
 use tokio::{sync::oneshot, time};
 
 use crate::{
+    clock,
     node::Node,
     peers,
     relay_choice::{self, Candidate, Load, Means},
@@ -31,15 +32,20 @@
 /// Added to the time that an order takes at its worker: both ways between leader and relay, and the gathering of
 /// messages at both.
 pub const HOP: Duration = Duration::from_millis(200);
-/// How long an instance relays nothing after it failed.
+/// How long an instance relays nothing after it failed, and how often that is doubled where it goes on failing: one
+/// that takes orders and whose answers never arrive costs its workers over a second each time.
 const REST_MS: u64 = 3_000;
+const MOST_DOUBLINGS: u32 = 5;
+/// An instance that has carried out so many orders without being wrong has not failed before.
+const SOUND_ORDERS: u32 = 50;
 /// Most orders in a message.
 const MOST_ORDERS: usize = 500;
 /// Bytes that a call takes beside its body: the heads of request and answer, and those of the packets.
 const HEAD_BYTES: usize = 400;
 /// Weight of the last review in the load: half a second counts.
 const LOAD_WEIGHT: f64 = 0.4;
-/// So many workers that a relay calls silent, and that answer the leader, show that the relay itself is cut off...
+/// So many orders of which a relay tells nothing, or whose worker it calls silent though that answers the leader, show
+/// that the relay is cut off itself...
 const FEWEST_WRONG: u32 = 4;
 /// ... if they are one in so many of the orders that it carried out.
 const WRONG_IN: u32 = 4;
@@ -59,11 +65,27 @@
     is_sending: bool,
     /// Orders under way, with who waits for them.
     pending: HashMap<u64, oneshot::Sender<Relayed>>,
-    /// Orders that it carried out of late, and workers that it wrongly called silent.
+    /// Orders that it carried out of late, and those of which it told nothing or something wrong.
     done: u32,
     wrong: u32,
 }
 
+impl Relay {
+    /// Tells those who wait for these orders that the relay tells nothing of them.
+    fn tell_lost(&mut self, numbers: &[u64], verdict: Verdict) {
+        for waiter in numbers.iter().filter_map(|number| self.pending.remove(number)) {
+            // Who does not wait any more needs no telling.
+            let _gone = waiter.send(Relayed::Lost(verdict));
+        }
+    }
+
+    /// What is still queued is surely not carried out.
+    fn tell_unsent(&mut self) {
+        let unsent: Vec<u64> = self.queue.drain(..).map(|order| order.message.number).collect();
+        self.tell_lost(&unsent, Verdict::NotRun);
+    }
+}
+
 /// The relays of one leadership.
 #[derive(Debug, Default)]
 pub struct Relays {
@@ -74,8 +96,12 @@
     addresses: HashMap<String, Vec<Rc<str>>>,
     /// Whose orders go by which relay.
     homes: HashMap<WorkerName, Rc<str>>,
+    /// Relays that are used no more, and may still tell what came of their last orders.
+    retired: Vec<Relay>,
     /// Until when instances relay nothing.
     resting: HashMap<String, u64>,
+    /// How often instances have failed in a row.
+    failures: HashMap<String, u32>,
     /// Workers that a relay called silent, until the leader has looked itself.
     doubted: HashMap<WorkerName, Rc<str>>,
     orders: u64,
@@ -120,6 +146,7 @@
         self.note_load(now_ms);
         self.rest_wrong(now_ms);
         self.resting.retain(|_, until_ms| now_ms < *until_ms);
+        self.retired.retain(|relay| relay.pending.values().any(|waiter| !waiter.is_closed()));
         let mut candidates = candidates;
         candidates.retain(|candidate| !self.resting.contains_key(candidate.address));
         let data_centres: HashMap<&str, &str> =
@@ -137,7 +164,7 @@
         );
         let gone: Vec<Rc<str>> =
             self.relays.keys().filter(|known| !chosen.contains(&&***known)).cloned().collect();
-        gone.iter().for_each(|address| self.remove(address));
+        gone.iter().for_each(|address| self.retire(address));
         self.addresses.clear();
         for address in chosen {
             let shared: Rc<str> = Rc::from(address);
@@ -161,39 +188,57 @@
         self.load.bytes += (bytes - self.load.bytes) * LOAD_WEIGHT;
     }
 
-    /// Rests relays that call workers silent which answer the leader: these are cut off from them, and each of their
-    /// workers would seem to be gone.
+    /// Rests relays that are cut off from their workers, or whose answers do not arrive: each of their workers would seem
+    /// to be gone.
     fn rest_wrong(&mut self, now_ms: u64) {
+        let mut wrong = Vec::new();
         for (address, relay) in &mut self.relays {
             if relay.wrong >= FEWEST_WRONG && relay.wrong * WRONG_IN >= relay.done {
                 log::info!(relay = &**address, wrong = relay.wrong, done = relay.done; "relay does not reach its workers");
-                self.resting.insert(address.to_string(), now_ms + REST_MS);
+                wrong.push(address.clone());
+            } else if relay.wrong == 0 && relay.done >= SOUND_ORDERS {
+                self.failures.remove(&**address);
             }
             relay.done -= relay.done / 4;
             relay.wrong -= relay.wrong / 4;
         }
+        wrong.iter().for_each(|address| self.rest(address, now_ms));
     }
 
-    /// Uses a relay no more. What was under way there is lost.
-    fn remove(&mut self, address: &str) {
+    fn rest(&mut self, address: &str, now_ms: u64) {
+        let failures = self.failures.entry(address.to_owned()).or_default();
+        let rest_ms = REST_MS << (*failures).min(MOST_DOUBLINGS);
+        *failures += 1;
+        self.resting.insert(address.to_owned(), now_ms + rest_ms);
+    }
+
+    /// Uses a relay no more.
+    fn remove(&mut self, address: &str) -> Option<Relay> {
         self.addresses.values_mut().for_each(|near| near.retain(|known| **known != *address));
         self.homes.retain(|_, home| **home != *address);
-        let Some(relay) = self.relays.remove(address) else { return };
-        for waiter in relay.pending.into_values() {
-            // Who does not wait any more needs no telling.
-            let _gone = waiter.send(Relayed::Lost(Verdict::MayHaveRun));
-        }
+        self.relays.remove(address)
+    }
+
+    /// Uses a relay no more that is to stop, or is not needed. What it has taken it finishes.
+    fn retire(&mut self, address: &str) {
+        let Some(mut relay) = self.remove(address) else { return };
+        relay.tell_unsent();
+        self.retired.push(relay);
     }
 
-    /// A relay does not answer.
-    fn fail(&mut self, address: &str, now_ms: u64) {
-        self.resting.insert(address.to_owned(), now_ms + REST_MS);
-        self.remove(address);
+    /// A relay has not taken a message with these orders. What else it has taken is lost.
+    pub fn fail(&mut self, address: &str, numbers: &[u64], verdict: Verdict, now_ms: u64) {
+        self.rest(address, now_ms);
+        let Some(mut relay) = self.remove(address) else { return };
+        relay.tell_lost(numbers, verdict);
+        relay.tell_unsent();
+        let others: Vec<u64> = relay.pending.keys().copied().collect();
+        relay.tell_lost(&others, Verdict::MayHaveRun);
     }
 
     /// Puts an order into the queue of a relay. Returns its number, and where what comes of it is told; none where there
     /// is no such relay any more.
-    fn put(
+    pub fn put(
         &mut self,
         address: &str,
         mut order: Order,
@@ -215,7 +260,7 @@
     }
 
     /// Takes what is to be sent to a relay. None where there is nothing, after which sending has to be started anew.
-    fn take_queue(&mut self, address: &str) -> Option<Vec<Order>> {
+    pub fn take_queue(&mut self, address: &str) -> Option<Vec<Order>> {
         let relay = self.relays.get_mut(address)?;
         if relay.queue.is_empty() {
             relay.is_sending = false;
@@ -225,10 +270,11 @@
         Some(std::mem::replace(&mut relay.queue, rest))
     }
 
-    /// Nobody waits for an order any more.
-    fn give_up(&mut self, address: &str, number: u64) {
+    /// A relay has told nothing of an order, and nobody waits for it any more.
+    pub fn give_up(&mut self, address: &str, number: u64) {
         if let Some(relay) = self.relays.get_mut(address) {
             relay.pending.remove(&number);
+            relay.wrong += 1;
         }
     }
 
@@ -237,7 +283,8 @@
         let mut unknown = 0;
         for outcome in outcomes {
             let number = outcome.number;
-            let relay = self.relays.values_mut().find(|relay| relay.pending.contains_key(&number));
+            let mut relays = self.relays.values_mut().chain(&mut self.retired);
+            let relay = relays.find(|relay| relay.pending.contains_key(&number));
             let Some(relay) = relay else {
                 unknown += 1;
                 continue;
@@ -325,8 +372,7 @@
             log::info!(relay = &*address, orders = numbers.len(), error:% = err; "relay does not take orders");
             let mut relays = node.relays.borrow_mut();
             if relays.epoch() == epoch {
-                relays.tell_lost(&address, &numbers, err.verdict());
-                relays.fail(&address, crate::clock::now().steady_ms);
+                relays.fail(&address, &numbers, err.verdict(), clock::now().steady_ms);
             }
             return;
         }
@@ -334,17 +380,6 @@
     }
 }
 
-impl Relays {
-    /// Tells those who wait for orders of a message what its failure says of them.
-    fn tell_lost(&mut self, address: &str, numbers: &[u64], verdict: Verdict) {
-        let Some(relay) = self.relays.get_mut(address) else { return };
-        for waiter in numbers.iter().filter_map(|number| relay.pending.remove(number)) {
-            // Who does not wait any more needs no telling.
-            let _gone = waiter.send(Relayed::Lost(verdict));
-        }
-    }
-}
-
 /// A message with orders, in which each payload stands once.
 fn write(node: &Node, epoch: u64, orders: Vec<Order>) -> v1::PeerOrders {
     let mut places: HashMap<String, u32> = HashMap::new();
