--- a/lilacpass-node/src/orders.rs
+++ b/lilacpass-node/src/orders.rs
@@ -21,6 +21,9 @@
 };
 
 /// The relay by which an order goes; none where it is sent from here.
+///
+/// Calls from here stand in boxes of their own: they are large, and each order would else move room for
+/// two or three of them about, most of it never used.
 pub type Via = Option<Rc<str>>;
 
 /// An order is sent again after so long. Sound workers answer within 5 ms, and a busy leader handles
@@ -38,7 +41,7 @@
     look: Look,
 ) -> Result<LookAnswer, CallError> {
     let Some(relay) = via else {
-        let result = node.workers.look(target, look).await;
+        let result = Box::pin(node.workers.look(target, look)).await;
         node.relays.borrow_mut().looked(target.name, result.is_ok());
         return result;
     };
@@ -54,7 +57,7 @@
             }
             Err(err)
         }
-        Relayed::Lost(_) => node.workers.look(target, Look { wait_ms: 0, ..look }).await,
+        Relayed::Lost(_) => Box::pin(node.workers.look(target, Look { wait_ms: 0, ..look })).await,
     }
 }
 
@@ -65,7 +68,7 @@
     target: Target<'_>,
     start: Start<'_>,
 ) -> Result<(), CallError> {
-    let send = || node.workers.start(target, start);
+    let send = || Box::pin(node.workers.start(target, start));
     let Some(relay) = via else { return twice(&node.order_budget, send).await };
     let wire = v1::RelayedStart {
         run: Some(relay_messages::write_run(start.task, start.run)),
@@ -87,7 +90,7 @@
     task: TaskName,
     run: u32,
 ) -> Result<(), CallError> {
-    let send = || node.workers.stop(target, task, run);
+    let send = || Box::pin(node.workers.stop(target, task, run));
     let Some(relay) = via else { return twice(&node.order_budget, send).await };
     let order = relay_messages::stop(target.name.as_str(), target.address, task, run);
     then_again(&node.order_budget, relayed(node, &relay, order, send), send).await
