Split leading.rs and schedule.rs, and keep one until_settled

Comments of pressure.rs say what a limit is for and no longer what was measured.

No change of behaviour: the digests of same_decisions.rs are the same.

--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod event;
 pub mod health;
 pub mod holds;
+mod hosts;
 pub mod inspect;
 pub mod leader;
 pub mod loss;
--- a/lilacpass-lead/src/pressure.rs
+++ b/lilacpass-lead/src/pressure.rs
@@ -2,8 +2,7 @@
 //!
 //! Load pattern: more work is handed in, or more waits, than the leader's processor can decide. A round of
 //! deciding then looks at hundreds of steps, and all that comes meanwhile waits behind it: looks at workers,
-//! by which leases are extended, ends, and answers to callers. At 1,100 workers hundreds of accepted tasks
-//! were left standing beside free workers.
+//! by which leases are extended, ends, and answers to callers. Accepted tasks are left standing beside free workers.
 //!
 //! What shows shortage is read off the leader itself: how late its ticks are, how long a turn of all waiting
 //! steps takes (`turn.rs`), and how many steps have changed that it has not looked at since. The last two do not
@@ -13,8 +12,7 @@
 
 /// Time between two ticks of a leader that keeps up.
 const TICK_MS: u64 = 50;
-/// Mean delay of ticks that shows a leader without time to spare. With time to spare it is 1 ms; at 1,100 workers
-/// the mean was 25 to 40 ms from the moment on at which rounds followed each other without a pause.
+/// Mean delay of ticks that shows a leader without time to spare: rounds follow each other without a pause.
 const LATE_MS: u64 = 20;
 /// Mean delay below which a round may do more.
 const IN_TIME_MS: u64 = 5;
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
 };
 
@@ -12,9 +11,10 @@
 
 use crate::{
     event::Now,
+    hosts::{self, Chooser, Host},
     leader::Leader,
     news::Digest,
-    options::{Mechanism, Placement},
+    options::Mechanism,
     outbox::After,
     place,
     rank::Rank,
@@ -117,11 +117,11 @@
             entry.home = None;
         }
         if plan.one_rack {
-            keep_one_rack(&mut hosts, &plan, waiting.len());
+            hosts::keep_one_rack(&mut hosts, &plan, waiting.len());
         }
         let chooser =
             Chooser { placement: self.options.placement, step: name, now_ms: now.steady_ms };
-        let picks = pick(&mut hosts, &plan, waiting.len(), &chooser);
+        let picks = hosts::pick(&mut hosts, &plan, waiting.len(), &chooser);
         if plan.target_ms > 0 && picks.len() < waiting.len() {
             self.make_way(name, &plan, now);
         }
@@ -343,93 +343,3 @@
 fn data_centre_of(workers: &BTreeMap<WorkerName, Worker>, name: &WorkerName) -> Arc<str> {
     Arc::from(workers.get(name).map_or("", |worker| worker.entry.data_centre.as_str()))
 }
-
-/// A worker during one round of placing.
-#[derive(Debug)]
-struct Host {
-    name: WorkerName,
-    room: Resources,
-    capacity: Resources,
-    /// Nothing speaks against it, for this job.
-    clean: bool,
-    rack: String,
-    score: place::Score,
-    may_take: u64,
-}
-
-impl Host {
-    /// Takes a task of the round.
-    fn take(&mut self, need: &Resources) {
-        self.room = self.room.minus(need);
-        self.score.used_accelerators += need.accelerators.0;
-        self.score.free_share = place::free_share(&self.room, &self.capacity);
-        self.may_take -= 1;
-    }
-}
-
-/// Chooses among hosts as a comparison asks for.
-struct Chooser {
-    placement: Placement,
-    step: StepName,
-    now_ms: u64,
-}
-
-impl Chooser {
-    /// The host for the next task of the round, of which `picked` have one.
-    fn choose<'a>(&self, mut able: Vec<&'a mut Host>, picked: usize) -> Option<&'a mut Host> {
-        let draw = |number: u64| {
-            let mut hasher = DefaultHasher::new();
-            (self.step, self.now_ms, picked, number).hash(&mut hasher);
-            hasher.finish() as usize % able.len().max(1)
-        };
-        let free = |at: usize| able.get(at).map(|host| host.score.free_share);
-        let at = match self.placement {
-            Placement::Suited | Placement::FirstFit => 0,
-            Placement::LeastLoaded => (0..able.len()).max_by_key(|&at| free(at))?,
-            Placement::Random => draw(0),
-            Placement::TwoChoices => [draw(0), draw(1)].into_iter().max_by_key(|&at| free(at))?,
-        };
-        (at < able.len()).then(|| able.swap_remove(at))
-    }
-}
-
-/// Keeps the hosts of one rack, if that has room for all `count` tasks: on several racks they would
-/// take longer. Where no rack has room for all, spread tasks are better than waiting ones.
-fn keep_one_rack(hosts: &mut Vec<Host>, plan: &v1::WorkStep, count: usize) {
-    let need = place::need(plan);
-    let mut rooms: BTreeMap<String, u64> = BTreeMap::new();
-    for host in hosts.iter() {
-        let most = host.may_take.min(count as u64);
-        *rooms.entry(host.rack.clone()).or_default() += place::fits(&host.room, &need, most);
-    }
-    let best = rooms.into_iter().max_by_key(|(_, room)| *room);
-    if let Some((rack, room)) = best
-        && room >= count as u64
-    {
-        hosts.retain(|host| host.rack == rack);
-    }
-}
-
-/// Picks workers for up to `count` tasks, the best by their score first or as the chooser says.
-fn pick(
-    hosts: &mut [Host],
-    plan: &v1::WorkStep,
-    count: usize,
-    chooser: &Chooser,
-) -> Vec<WorkerName> {
-    let need = place::need(plan);
-    let mut picks = Vec::new();
-    while picks.len() < count {
-        let able = |host: &&mut Host| host.may_take > 0 && need.fits(&host.room);
-        let best = if chooser.placement == Placement::Suited {
-            hosts.iter_mut().filter(able).max_by_key(|host| (host.clean, host.score))
-        } else {
-            let able: Vec<&mut Host> = hosts.iter_mut().filter(able).collect();
-            chooser.choose(able, picks.len())
-        };
-        let Some(host) = best else { break };
-        host.take(&need);
-        picks.push(host.name.clone());
-    }
-    picks
-}
--- a/lilacpass-node/src/append.rs
+++ b/lilacpass-node/src/append.rs
@@ -96,28 +96,24 @@
         }
         result
     };
-    let patience = first_patience(node.append_time.get()) + on_link * LINK_TIMES;
-    until_settled_after(send, patience).await
+    until_settled(send, node.append_time.get(), on_link).await
 }
 
-/// Sends an append until the store has said what became of it. `usual` is how long the store takes.
+/// Sends an append until the store has said what became of it. `usual` is how long the store takes, `on_link` what the
+/// append takes on the way to it beyond that.
 ///
 /// An append without an answer may be carried out later, so it is sent again under the same number,
 /// beside those under way; the store carries it out once and gives each the same answer.
-pub async fn until_settled<F>(send: impl Fn() -> F, usual: Duration) -> Result<(), Failure>
-where
-    F: Future<Output = CallResult<Append>>,
-{
-    until_settled_after(send, first_patience(usual)).await
-}
-
-/// The same; the second copy is sent after `patience`.
-async fn until_settled_after<F>(send: impl Fn() -> F, patience: Duration) -> Result<(), Failure>
+pub async fn until_settled<F>(
+    send: impl Fn() -> F,
+    usual: Duration,
+    on_link: Duration,
+) -> Result<(), Failure>
 where
     F: Future<Output = CallResult<Append>>,
 {
     let mut under_way = FuturesUnordered::new();
-    let mut patience = patience;
+    let mut patience = first_patience(usual) + on_link * LINK_TIMES;
     let mut pause = FIRST_PAUSE;
     let mut may_be_done = false;
     let mut tries = 0;
--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -17,7 +17,7 @@
 use rand::{RngExt, seq::IteratorRandom};
 use tokio::time::{self, Instant};
 
-use crate::{clock, leading, metrics, node::Node, peers, takeover};
+use crate::{clock, lead_handle, leading, metrics, node::Node, peers, takeover};
 
 /// Time between greetings to the leader.
 const HELLO_INTERVAL: Duration = Duration::from_millis(200);
@@ -76,7 +76,7 @@
     let mut cut_off = 0;
     loop {
         if node.leads() {
-            leading::ended(&node).await;
+            lead_handle::ended(&node).await;
             continue;
         }
         let view = node.leader.borrow().clone();
--- a/lilacpass-node/src/handover.rs
+++ b/lilacpass-node/src/handover.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 use tokio::{sync::mpsc, time};
 
-use crate::{clock, leading::Message, members::Peer, node::Node, peers};
+use crate::{clock, lead_handle::Message, members::Peer, node::Node, peers};
 
 /// How long the store must have refused all calls before the lead is handed over. Single refusals
 /// pass sooner.
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -2,10 +2,10 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
-use lilacpass_jobs::{JobKey, WorkerName};
+use lilacpass_jobs::WorkerName;
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
-    event::{Answer, Ask, Lane, Record, Token},
+    event::{Answer, Lane, Record, Token},
 };
 use lilacpass_platform::{
     store::{self, Writer},
@@ -20,6 +20,7 @@
     append::{self, Failure},
     clock, handover,
     intake::Intake,
+    lead_handle::{Inspect, LeadHandle, Message},
     metrics,
     node::{LeaderView, Node},
     orders, peers, registry_watch,
@@ -38,71 +39,6 @@
 /// Added to the time that a call for advice should take, before it is given up.
 const ADVICE_SLACK: Duration = Duration::from_millis(900);
 
-/// What is told to the loop of the leader.
-#[derive(Debug)]
-pub enum Message {
-    /// Something happened.
-    Event(Event),
-    /// A caller asks.
-    Ask(Ask, oneshot::Sender<Answer>),
-    /// The store has surely done nothing of the append under way.
-    NotAppended {
-        /// Number of the next append.
-        next_sequence: u64,
-    },
-    /// An operator asks.
-    Inspect(Inspect, oneshot::Sender<serde_json::Value>),
-    /// Another leads.
-    Deposed,
-    /// Hand the lead over, and lead on until that is done.
-    Resign,
-}
-
-/// What an operator asks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Inspect {
-    /// The state of the cell.
-    Status,
-    /// Why a job is where it is.
-    Job(JobKey),
-}
-
-/// The way to the leader within its own instance.
-#[derive(Clone)]
-pub struct LeadHandle {
-    messages: mpsc::UnboundedSender<Message>,
-    ended: watch::Receiver<bool>,
-}
-
-impl LeadHandle {
-    /// Asks the leader. None where it ended before it answered: it may have done what was asked.
-    pub async fn ask(&self, ask: Ask) -> Option<Answer> {
-        let (sender, receiver) = oneshot::channel();
-        self.messages.send(Message::Ask(ask, sender)).ok()?;
-        receiver.await.ok()
-    }
-
-    /// Tells an operator. None where the leader ended before it answered.
-    pub async fn inspect(&self, inspect: Inspect) -> Option<serde_json::Value> {
-        let (sender, receiver) = oneshot::channel();
-        self.messages.send(Message::Inspect(inspect, sender)).ok()?;
-        receiver.await.ok()
-    }
-
-    /// Has the leader hand over.
-    pub fn resign(&self) {
-        // A leader that has ended needs no telling.
-        let _ended = self.messages.send(Message::Resign);
-    }
-}
-
-/// Waits until this instance does not lead any more.
-pub async fn ended(node: &Node) {
-    let Some(mut lead) = node.lead.borrow().clone() else { return };
-    // The sender is dropped when the loop ends, which is what is waited for.
-    let _dropped = lead.ended.wait_for(|ended| *ended).await;
-}
-
 /// Begins to lead.
 pub fn start(node: &Rc<Node>, won: Won) {
     let (messages, inbox) = mpsc::unbounded_channel();
@@ -110,7 +46,7 @@
     let options = options(node);
     let now = clock::now();
     let leader = Leader::new(options, won.jobs, now);
-    *node.lead.borrow_mut() = Some(LeadHandle { messages: messages.clone(), ended });
+    *node.lead.borrow_mut() = Some(LeadHandle::new(messages.clone(), ended));
     let address = node.peer_address();
     node.leader.send_replace(LeaderView { epoch: won.epoch, address: Some(address) });
     *node.relays.borrow_mut() = Relays::new(won.epoch, now.steady_ms);
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod entry;
 pub mod handover;
 pub mod intake;
+pub mod lead_handle;
 pub mod leading;
 pub mod logging;
 pub mod members;
--- a/lilacpass-node/src/logging.rs
+++ b/lilacpass-node/src/logging.rs
@@ -18,8 +18,8 @@
 
 /// Lines that may wait to be written. At 300 bytes each about 1 MB.
 const BUFFERED_LINES: usize = 4_096;
-/// How long lines are gathered before they are written. Written one by one, each wakes the thread and is a call to the
-/// kernel of its own: 3,000 lines a second of a leader took a tenth of its processor.
+/// How long lines are gathered before they are written. Written one by one, each would wake the thread and be a call to
+/// the kernel of its own, and a busy leader writes thousands in a second.
 const GATHER: Duration = Duration::from_millis(20);
 /// How long the end of the process waits for the last lines.
 const FLUSH_WAIT: Duration = Duration::from_millis(200);
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -24,7 +24,7 @@
     clock,
     desired_relay::{Elsewhere, Pacing},
     entry,
-    leading::LeadHandle,
+    lead_handle::LeadHandle,
     members::{KnownMembers, Members},
     metrics::{self, Metrics},
     order_relay::Outcomes,
--- a/lilacpass-node/src/operators.rs
+++ b/lilacpass-node/src/operators.rs
@@ -7,7 +7,7 @@
 use lilacpass_platform::server::Reply;
 use serde_json::{Value, json};
 
-use crate::{clock, leading::Inspect, node::Node};
+use crate::{clock, lead_handle::Inspect, node::Node};
 
 /// Path of the state of an instance.
 pub const INSTANCE_PATH: &str = "/operator/instance";
--- a/lilacpass-node/src/registry_watch.rs
+++ b/lilacpass-node/src/registry_watch.rs
@@ -13,15 +13,14 @@
     time::{self, Instant},
 };
 
-use crate::{leading::Message, metrics, node::Node, registered::Registered};
+use crate::{lead_handle::Message, metrics, node::Node, registered::Registered};
 
 /// Time between looks. A worker that drains must get no starts 2 s after it says so.
 const INTERVAL: Duration = Duration::from_millis(500);
 /// How long the store may take. Its slowest answers take 0.6 s.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Time between looks at all entries, which find those that were removed without a record. A look at all takes 400
-/// bytes a worker; at each look, 116 workers filled a third of a link of 2 Mbit/s, and its instance broke promises as
-/// the leader.
+/// Time between looks at all entries, which find those that were removed without a record. A look at all takes some
+/// hundred bytes a worker: made each time, they keep orders and renewals waiting on a thin link.
 const ALL_INTERVAL: Duration = Duration::from_secs(10);
 
 /// What a look brought.
--- a/lilacpass-node/src/relays.rs
+++ b/lilacpass-node/src/relays.rs
@@ -151,7 +151,7 @@
         candidates.retain(|candidate| !self.resting.contains_key(candidate.address));
         let data_centres: HashMap<&str, &str> =
             candidates.iter().map(|c| (c.address, c.data_centre)).collect();
-        let in_use: Vec<String> = self.relays.keys().map(|address| address.to_string()).collect();
+        let in_use: Vec<String> = self.relays.keys().map(ToString::to_string).collect();
         let mut chosen = relay_choice::choose(self.load, means, &in_use, candidates);
         chosen.sort_unstable();
         if chosen == in_use {
