--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peers;
 pub mod registered;
 pub mod registry_watch;
+pub mod relay_calls;
 pub mod relay_choice;
 pub mod relay_messages;
 pub mod relays;
--- a/lilacpass-node/src/orders.rs
+++ b/lilacpass-node/src/orders.rs
@@ -16,8 +16,9 @@
 use crate::{
     budget::RetryBudget,
     node::Node,
+    relay_calls,
     relay_messages::{self, Order},
-    relays::{self, Relayed},
+    relays::Relayed,
 };
 
 /// The relay by which an order goes; none where it is sent from here.
@@ -47,7 +48,7 @@
     };
     let order = relay_messages::look(target.name.as_str(), target.address, look);
     let patience = Duration::from_millis(look.wait_ms + look.answer_ms);
-    match relays::carry_out(node, &relay, order, patience).await {
+    match relay_calls::carry_out(node, &relay, order, patience).await {
         Relayed::Outcome(Ok(Some(answer))) => Ok(answer),
         // An answer to something else.
         Relayed::Outcome(Ok(None)) => Err(CallError::Failed(Verdict::MayHaveRun)),
@@ -106,7 +107,7 @@
 where
     F: Future<Output = Result<(), CallError>>,
 {
-    match relays::carry_out(node, relay, order, workers::ORDER_TIMEOUT).await {
+    match relay_calls::carry_out(node, relay, order, workers::ORDER_TIMEOUT).await {
         Relayed::Outcome(Ok(_)) => Ok(()),
         Relayed::Outcome(Err(CallError::Failed(Verdict::NotRun)))
         | Relayed::Lost(Verdict::NotRun) => send().await,
--- /dev/null
+++ b/lilacpass-node/src/relay_calls.rs
@@ -0,0 +1,81 @@
+//! Sends orders to the instances that relay them, many to a message, and waits for what comes of each.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use lilacpass_core::Verdict;
+use lilacpass_schema::v1;
+use tokio::time;
+
+use crate::{clock, node::Node, peers, relay_messages::Order, relays::Relayed};
+
+/// Time between two messages to a relay. What is decided meanwhile shares the next.
+const GAP: Duration = Duration::from_millis(15);
+/// How long a relay may take to confirm a message, which it does before it acts on it.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
+/// Added to the time that an order takes at its worker: both ways between leader and relay, and the gathering of
+/// messages at both.
+const HOP: Duration = Duration::from_millis(200);
+
+/// Has a relay carry an order out. Waits for `patience` and the ways between.
+pub async fn carry_out(
+    node: &Rc<Node>,
+    address: &Rc<str>,
+    order: Order,
+    patience: Duration,
+) -> Relayed {
+    let put = node.relays.borrow_mut().put(address, order);
+    let Some((number, receiver)) = put else { return Relayed::Lost(Verdict::NotRun) };
+    if node.relays.borrow_mut().begin_sending(address) {
+        tokio::task::spawn_local(send_queue(node.clone(), address.clone()));
+    }
+    match time::timeout(patience + HOP, receiver).await {
+        Ok(Ok(relayed)) => relayed,
+        Ok(Err(_)) => Relayed::Lost(Verdict::MayHaveRun),
+        Err(_) => {
+            node.relays.borrow_mut().give_up(address, number);
+            Relayed::Lost(Verdict::MayHaveRun)
+        }
+    }
+}
+
+/// Sends what is queued for a relay until there is nothing more.
+async fn send_queue(node: Rc<Node>, address: Rc<str>) {
+    loop {
+        let epoch = node.relays.borrow().epoch();
+        let Some(orders) = node.relays.borrow_mut().take_queue(&address) else { return };
+        let numbers: Vec<u64> = orders.iter().map(|order| order.message.number).collect();
+        let message = write(&node, epoch, orders);
+        if let Err(err) = peers::send_orders(&node, &address, &message, CONFIRM_TIMEOUT).await {
+            log::info!(relay = &*address, orders = numbers.len(), error:% = err; "relay does not take orders");
+            let mut relays = node.relays.borrow_mut();
+            if relays.epoch() == epoch {
+                relays.fail(&address, &numbers, err.verdict(), clock::now().steady_ms);
+            }
+            return;
+        }
+        time::sleep(GAP).await;
+    }
+}
+
+/// A message with orders, in which each payload stands once.
+fn write(node: &Node, epoch: u64, orders: Vec<Order>) -> v1::PeerOrders {
+    let mut places: HashMap<String, u32> = HashMap::new();
+    let mut message =
+        v1::PeerOrders { epoch, leader_address: node.peer_address(), ..Default::default() };
+    for order in orders {
+        let mut relayed = order.message;
+        if let Some(start) = &mut relayed.start {
+            start.payload = match places.get(&order.payload) {
+                Some(place) => *place,
+                None => {
+                    let place = message.payloads.len() as u32;
+                    message.payloads.push(order.payload.clone());
+                    places.insert(order.payload, place);
+                    place
+                }
+            };
+        }
+        message.orders.push(relayed);
+    }
+    message
+}
