A test that fails: a relay refuses a message with many long starts

Peers take 262,144 bytes at most, as callers may send, and a message to a relay holds up to 500 orders, each start with up to 4,000 bytes of text: 413. The relay then counts as failed and rests for 3 s, and the leader sends all itself, just after an outage, when hundreds of starts go out at once.

--- a/lilacpass-node/tests/relays.rs
+++ b/lilacpass-node/tests/relays.rs
@@ -177,6 +177,38 @@
     });
 }
 
+/// After an outage of the store hundreds of starts go out at once, each with a long text. The relay refuses the message as too
+/// long and is used no more for seconds, and the leader sends all by itself just when it has most to do.
+#[test]
+fn a_message_with_many_long_starts_is_taken() {
+    const STARTS: u64 = 500;
+    const LONGEST_PAYLOAD: usize = 4_000;
+    cluster::play(FIRST_PORT + 300, &SHARES[..1], async |mut cluster| {
+        start(&mut cluster);
+        wait_for_relays(&cluster, 0).await;
+        let order = |number: u64| v1::RelayedOrder {
+            number,
+            // Nobody listens there.
+            address: "127.0.0.1:1".to_owned(),
+            start: Some(v1::RelayedStart {
+                run: Some(v1::RelayedRun { job: number, run: 1, ..Default::default() }),
+                payload: number as u32,
+                ..Default::default()
+            }),
+            ..Default::default()
+        };
+        let orders = v1::PeerOrders {
+            epoch: u64::MAX,
+            leader_address: "127.0.0.1:1".to_owned(),
+            payloads: (0..STARTS).map(|_| "x".repeat(LONGEST_PAYLOAD)).collect(),
+            orders: (0..STARTS).map(order).collect(),
+        };
+        let address = &cluster.instances[0].peer_address;
+        let answer = call(address, Method::POST, "/peer/orders", orders.encode_to_vec()).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(StatusCode::OK));
+    });
+}
+
 /// Somebody sends orders and outcomes that are damaged, of no epoch, or that nobody asked for. They are refused or passed
 /// over, and jobs are done all the same.
 #[test]
