Let other instances send what five hundred starts take

Change: the bound on what peers send is 4 MB, above the longest message to a relay (500 orders of 4,300 bytes).

Before and after: a message of 500 starts with 4,000 bytes of text each, 413 -> taken.

--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -35,9 +35,12 @@
 /// Added to the time that a call for advice may take, for the way to the peer and back.
 const HOP_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Bounds for what peers send: as for callers, with room for the head.
+/// Longest body that a peer may send: five hundred starts with the longest text that a job may have, and more.
+const MOST_BODY_BYTES: usize = 4 << 20;
+
+/// Bounds for what peers send.
 pub fn limits() -> Limits {
-    Limits { idle_timeout_ms: 60_000, ..Limits::default() }
+    Limits { idle_timeout_ms: 60_000, body_bytes: MOST_BODY_BYTES, ..Limits::default() }
 }
 
 /// Serves a peer.
