Derive what the relays need, and keep orders under way in one place

Which relay a worker goes by was kept beside the rule that gives it, and had to be cleared and pruned wherever relays change; names of workers that were gone stayed in it. Orders under way stood in each relay, and again in a list of those that are used no more.

Change: a worker's relay follows from the relays there are; the data centre of each stands with it; orders under way are one map by number, with the relay of each. The choice returns candidates, so that their data centres are not looked up again. A leader without relays looks up no worker for each order.

--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -203,8 +203,11 @@
 
     /// The state of the cell, with the instances that relay orders.
     fn status(&self, now: Now) -> serde_json::Result<serde_json::Value> {
-        let mut status = serde_json::to_value(self.leader.status(now))?;
-        status["relays"] = self.node.relays.borrow().status();
+        let status = self.leader.status(now);
+        let workers = status.workers.iter().map(|w| (w.name.as_str(), w.data_centre.as_str()));
+        let relays = self.node.relays.borrow().status(workers);
+        let mut status = serde_json::to_value(&status)?;
+        status["relays"] = relays;
         Ok(status)
     }
 
@@ -240,6 +243,9 @@
     fn relay_for(&self, worker: &WorkerName, payload_bytes: usize) -> orders::Via {
         let mut relays = self.node.relays.borrow_mut();
         relays.count(payload_bytes);
+        if relays.is_empty() {
+            return None;
+        }
         let data_centre = self.leader.answering_worker(worker)?;
         relays.home(worker, data_centre)
     }
--- a/lilacpass-node/src/relay_calls.rs
+++ b/lilacpass-node/src/relay_calls.rs
@@ -32,7 +32,7 @@
         Ok(Ok(relayed)) => relayed,
         Ok(Err(_)) => Relayed::Lost(Verdict::MayHaveRun),
         Err(_) => {
-            node.relays.borrow_mut().give_up(address, number);
+            node.relays.borrow_mut().give_up(number);
             Relayed::Lost(Verdict::MayHaveRun)
         }
     }
@@ -65,15 +65,11 @@
     for order in orders {
         let mut relayed = order.message;
         if let Some(start) = &mut relayed.start {
-            start.payload = match places.get(&order.payload) {
-                Some(place) => *place,
-                None => {
-                    let place = message.payloads.len() as u32;
-                    message.payloads.push(order.payload.clone());
-                    places.insert(order.payload, place);
-                    place
-                }
-            };
+            let next = message.payloads.len() as u32;
+            start.payload = *places.entry(order.payload).or_insert_with_key(|payload| {
+                message.payloads.push(payload.clone());
+                next
+            });
         }
         message.orders.push(relayed);
     }
--- a/lilacpass-node/src/relay_choice.rs
+++ b/lilacpass-node/src/relay_choice.rs
@@ -6,7 +6,7 @@
 //! many orders share one message. Each message takes a few hundredths of a second longer, so a leader that has
 //! processor and link to spare sends its orders itself.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 /// Processor that an order takes whoever sends it, in microseconds.
 const ORDER_CPU_US: f64 = 60.0;
@@ -67,16 +67,13 @@
     means: Means,
     in_use: &[String],
     mut candidates: Vec<Candidate<'a>>,
-) -> Vec<&'a str> {
+) -> Vec<Candidate<'a>> {
     let from = if in_use.is_empty() { RELAYED_FROM } else { RELAYED_TO };
     if share(load, means) < from {
         return Vec::new();
     }
     let is_used = |candidate: &Candidate<'_>| in_use.iter().any(|used| used == candidate.address);
-    candidates.sort_by(|a, b| {
-        let rank = |c: &Candidate<'a>| (!is_used(c), std::cmp::Reverse(c.cpu_millis), c.address);
-        rank(a).cmp(&rank(b))
-    });
+    candidates.sort_by_key(|c| (!is_used(c), Reverse(c.cpu_millis), c.address));
     // The first of each data centre come before the second of any.
     let mut before: BTreeMap<&str, usize> = BTreeMap::new();
     let mut rounds: Vec<(usize, Candidate<'a>)> = Vec::new();
@@ -95,7 +92,7 @@
             break;
         }
         have_millis += f64::from(candidate.cpu_millis);
-        chosen.push(candidate.address);
+        chosen.push(candidate);
     }
     chosen
 }
--- a/lilacpass-node/src/relays.rs
+++ b/lilacpass-node/src/relays.rs
@@ -48,30 +48,28 @@
     Lost(Verdict),
 }
 
-#[derive(Debug, Default)]
+/// An instance that relays orders.
+#[derive(Debug)]
 struct Relay {
+    data_centre: String,
     queue: Vec<Order>,
     is_sending: bool,
-    /// Orders under way, with who waits for them.
-    pending: HashMap<u64, oneshot::Sender<Relayed>>,
     /// Orders that it carried out of late, and those of which it told nothing or something wrong.
     done: u32,
     wrong: u32,
 }
 
-impl Relay {
-    /// Tells those who wait for these orders that the relay tells nothing of them.
-    fn tell_lost(&mut self, numbers: &[u64], verdict: Verdict) {
-        for waiter in numbers.iter().filter_map(|number| self.pending.remove(number)) {
-            // Who does not wait any more needs no telling.
-            let _gone = waiter.send(Relayed::Lost(verdict));
-        }
-    }
+/// An order under way.
+#[derive(Debug)]
+struct Pending {
+    relay: Rc<str>,
+    waiter: oneshot::Sender<Relayed>,
+}
 
-    /// What is still queued is surely not carried out.
-    fn tell_unsent(&mut self) {
-        let unsent: Vec<u64> = self.queue.drain(..).map(|order| order.message.number).collect();
-        self.tell_lost(&unsent, Verdict::NotRun);
+impl Pending {
+    fn tell(self, relayed: Relayed) {
+        // Who does not wait any more needs no telling.
+        let _gone = self.waiter.send(relayed);
     }
 }
 
@@ -81,12 +79,8 @@
     epoch: u64,
     next_number: u64,
     relays: BTreeMap<Rc<str>, Relay>,
-    /// By data centre.
-    addresses: HashMap<String, Vec<Rc<str>>>,
-    /// Whose orders go by which relay.
-    homes: HashMap<WorkerName, Rc<str>>,
-    /// Relays that are used no more, and may still tell what came of their last orders.
-    retired: Vec<Relay>,
+    /// By number, also those of relays that are used no more and may still tell what came of them.
+    pending: HashMap<u64, Pending>,
     /// Until when instances relay nothing.
     resting: HashMap<String, u64>,
     /// How often instances have failed in a row.
@@ -111,60 +105,49 @@
         self.bytes += (HEAD_BYTES + payload_bytes) as u64;
     }
 
-    /// By which relay the orders to a worker go; none where the leader sends them itself.
-    pub fn home(&mut self, worker: &WorkerName, data_centre: &str) -> Option<Rc<str>> {
-        if self.relays.is_empty() {
-            return None;
-        }
-        if let Some(home) = self.homes.get(worker) {
-            return Some(home.clone());
-        }
-        let near = self.addresses.get(data_centre).filter(|near| !near.is_empty());
-        let weight = |address: &Rc<str>| rendezvous::weight(worker.as_str().as_bytes(), address);
-        let home = match near {
-            Some(near) => near.iter().max_by_key(|address| weight(address)),
-            None => self.relays.keys().max_by_key(|address| weight(address)),
-        };
-        let home = home?.clone();
-        self.homes.insert(worker.clone(), home.clone());
-        Some(home)
+    /// Whether the leader sends all orders itself.
+    pub fn is_empty(&self) -> bool {
+        self.relays.is_empty()
+    }
+
+    /// By which relay the orders to a worker go: one of its data centre, else any; none where the leader sends them itself.
+    /// Each worker goes by the one that weighs most for it, so that only the workers of a relay that goes change theirs.
+    pub fn home(&self, worker: &WorkerName, data_centre: &str) -> Option<Rc<str>> {
+        let weight = |address: &&Rc<str>| rendezvous::weight(worker.as_str().as_bytes(), address);
+        let near = self.relays.iter().filter(|(_, relay)| relay.data_centre == data_centre);
+        let near = near.map(|(address, _)| address).max_by_key(weight);
+        near.or_else(|| self.relays.keys().max_by_key(weight)).cloned()
     }
 
     /// Chooses the relays anew by what was ordered since the last time.
-    pub fn review(&mut self, means: Means, candidates: Vec<Candidate<'_>>, now_ms: u64) {
+    pub fn review(&mut self, means: Means, mut candidates: Vec<Candidate<'_>>, now_ms: u64) {
         self.note_load(now_ms);
         self.rest_wrong(now_ms);
         self.resting.retain(|_, until_ms| now_ms < *until_ms);
-        self.retired.retain(|relay| relay.pending.values().any(|waiter| !waiter.is_closed()));
-        let mut candidates = candidates;
         candidates.retain(|candidate| !self.resting.contains_key(candidate.address));
-        let data_centres: HashMap<&str, &str> =
-            candidates.iter().map(|c| (c.address, c.data_centre)).collect();
         let in_use: Vec<String> = self.relays.keys().map(ToString::to_string).collect();
         let mut chosen = relay_choice::choose(self.load, means, &in_use, candidates);
-        chosen.sort_unstable();
-        if chosen == in_use {
+        chosen.sort_unstable_by_key(|candidate| candidate.address);
+        let addresses: Vec<&str> = chosen.iter().map(|candidate| candidate.address).collect();
+        if addresses == in_use {
             return;
         }
         log::info!(
-            relays = chosen.join(" "), orders_a_second = self.load.orders as u64,
+            relays = addresses.join(" "), orders_a_second = self.load.orders as u64,
             bytes_a_second = self.load.bytes as u64;
             "relays change"
         );
-        let gone: Vec<Rc<str>> =
-            self.relays.keys().filter(|known| !chosen.contains(&&***known)).cloned().collect();
-        gone.iter().for_each(|address| self.retire(address));
-        self.addresses.clear();
-        for address in chosen {
-            let shared: Rc<str> = Rc::from(address);
-            self.relays.entry(shared.clone()).or_default();
-            let data_centre = data_centres.get(address).copied().unwrap_or_default();
-            self.addresses.entry(data_centre.to_owned()).or_default().push(shared);
+        for address in in_use.iter().filter(|address| !addresses.contains(&address.as_str())) {
+            self.retire(address);
         }
-        let has_new = self.relays.len() > in_use.len() - gone.len();
-        if has_new {
-            // Most workers keep their relay: each goes by the one that weighs most for it.
-            self.homes.clear();
+        for candidate in chosen {
+            self.relays.entry(Rc::from(candidate.address)).or_insert_with(|| Relay {
+                data_centre: candidate.data_centre.to_owned(),
+                queue: Vec::new(),
+                is_sending: false,
+                done: 0,
+                wrong: 0,
+            });
         }
     }
 
@@ -201,44 +184,45 @@
         self.resting.insert(address.to_owned(), now_ms + rest_ms);
     }
 
-    /// Uses a relay no more.
-    fn remove(&mut self, address: &str) -> Option<Relay> {
-        self.addresses.values_mut().for_each(|near| near.retain(|known| **known != *address));
-        self.homes.retain(|_, home| **home != *address);
-        self.relays.remove(address)
-    }
-
     /// Uses a relay no more that is to stop, or is not needed. What it has taken it finishes.
     fn retire(&mut self, address: &str) {
-        let Some(mut relay) = self.remove(address) else { return };
-        relay.tell_unsent();
-        self.retired.push(relay);
+        let Some(relay) = self.relays.remove(address) else { return };
+        let unsent: Vec<u64> = relay.queue.iter().map(|order| order.message.number).collect();
+        self.tell_lost(&unsent, Verdict::NotRun);
     }
 
     /// A relay has not taken a message with these orders. What else it has taken is lost.
     pub fn fail(&mut self, address: &str, numbers: &[u64], verdict: Verdict, now_ms: u64) {
         self.rest(address, now_ms);
-        let Some(mut relay) = self.remove(address) else { return };
-        relay.tell_lost(numbers, verdict);
-        relay.tell_unsent();
-        let others: Vec<u64> = relay.pending.keys().copied().collect();
-        relay.tell_lost(&others, Verdict::MayHaveRun);
+        self.tell_lost(numbers, verdict);
+        self.retire(address);
+        let is_its = |pending: &Pending| *pending.relay == *address;
+        let others = self.pending.iter().filter(|(_, pending)| is_its(pending));
+        let others: Vec<u64> = others.map(|(number, _)| *number).collect();
+        self.tell_lost(&others, Verdict::MayHaveRun);
+    }
+
+    /// Tells those who wait for these orders that the relay tells nothing of them.
+    fn tell_lost(&mut self, numbers: &[u64], verdict: Verdict) {
+        for pending in numbers.iter().filter_map(|number| self.pending.remove(number)) {
+            pending.tell(Relayed::Lost(verdict));
+        }
     }
 
     /// Puts an order into the queue of a relay. Returns its number, and where what comes of it is told; none where there
     /// is no such relay any more.
     pub fn put(
         &mut self,
-        address: &str,
+        address: &Rc<str>,
         mut order: Order,
     ) -> Option<(u64, oneshot::Receiver<Relayed>)> {
         let relay = self.relays.get_mut(address)?;
         let number = self.next_number;
         self.next_number += 1;
         order.message.number = number;
-        let (sender, receiver) = oneshot::channel();
-        relay.pending.insert(number, sender);
         relay.queue.push(order);
+        let (waiter, receiver) = oneshot::channel();
+        self.pending.insert(number, Pending { relay: address.clone(), waiter });
         Some((number, receiver))
     }
 
@@ -260,9 +244,9 @@
     }
 
     /// A relay has told nothing of an order, and nobody waits for it any more.
-    pub fn give_up(&mut self, address: &str, number: u64) {
-        if let Some(relay) = self.relays.get_mut(address) {
-            relay.pending.remove(&number);
+    pub fn give_up(&mut self, number: u64) {
+        let Some(pending) = self.pending.remove(&number) else { return };
+        if let Some(relay) = self.relays.get_mut(&pending.relay) {
             relay.wrong += 1;
         }
     }
@@ -271,19 +255,14 @@
     pub fn settle(&mut self, outcomes: Vec<v1::RelayedOutcome>) -> usize {
         let mut unknown = 0;
         for outcome in outcomes {
-            let number = outcome.number;
-            let mut relays = self.relays.values_mut().chain(&mut self.retired);
-            let relay = relays.find(|relay| relay.pending.contains_key(&number));
-            let Some(relay) = relay else {
+            let Some(pending) = self.pending.remove(&outcome.number) else {
                 unknown += 1;
                 continue;
             };
-            relay.done += 1;
-            if let Some(waiter) = relay.pending.remove(&number) {
-                let outcome = relay_messages::read_outcome(outcome);
-                // Who does not wait any more needs no telling.
-                let _gone = waiter.send(Relayed::Outcome(outcome));
+            if let Some(relay) = self.relays.get_mut(&pending.relay) {
+                relay.done += 1;
             }
+            pending.tell(Relayed::Outcome(relay_messages::read_outcome(outcome)));
         }
         unknown
     }
@@ -311,16 +290,21 @@
         }
     }
 
-    /// What operators are told of each relay: how many workers' orders go by it, how many are under way, and how many
-    /// workers it has wrongly called silent of late.
-    pub fn status(&self) -> Value {
-        let workers =
-            |address: &Rc<str>| self.homes.values().filter(|home| *home == address).count();
+    /// What operators are told of each relay: how many of `workers`, with their data centres, go by it, how many orders are
+    /// under way, and how many were lost or wrong of late.
+    pub fn status<'a>(&self, workers: impl Iterator<Item = (&'a str, &'a str)>) -> Value {
+        let mut shares: HashMap<Rc<str>, u64> = HashMap::new();
+        for (worker, data_centre) in workers {
+            let home = self.home(&WorkerName::from(worker), data_centre);
+            home.into_iter().for_each(|home| *shares.entry(home).or_default() += 1);
+        }
+        let pending =
+            |address: &Rc<str>| self.pending.values().filter(|p| p.relay == *address).count();
         let status = |(address, relay): (&Rc<str>, &Relay)| {
             json!({
                 "address": &**address,
-                "workers": workers(address),
-                "pending": relay.pending.len(),
+                "workers": shares.get(address).copied().unwrap_or_default(),
+                "pending": pending(address),
                 "wrong": relay.wrong,
             })
         };
--- a/lilacpass-node/tests/relay_choice.rs
+++ b/lilacpass-node/tests/relay_choice.rs
@@ -27,7 +27,8 @@
 
 fn choose(orders: f64, bytes: f64, means: Means, in_use: &[&str]) -> Vec<&'static str> {
     let in_use: Vec<String> = in_use.iter().map(|&address| address.to_owned()).collect();
-    relay_choice::choose(Load { orders, bytes }, means, &in_use, candidates())
+    let chosen = relay_choice::choose(Load { orders, bytes }, means, &in_use, candidates());
+    chosen.into_iter().map(|candidate| candidate.address).collect()
 }
 
 /// Each start of a small cell takes longer for nothing.
--- a/lilacpass-node/tests/relay_state.rs
+++ b/lilacpass-node/tests/relay_state.rs
@@ -1,5 +1,7 @@
 //! What the leader makes of its relays, under made-up time.
 
+use std::rc::Rc;
+
 use lilacpass_core::Verdict;
 use lilacpass_jobs::WorkerName;
 use lilacpass_node::{
@@ -50,7 +52,7 @@
 
     fn look(&mut self, address: &str) -> (u64, oneshot::Receiver<Relayed>) {
         let order = relay_messages::look("w", "10.0.0.1:80", LOOK);
-        self.relays.put(address, order).expect("a relay")
+        self.relays.put(&Rc::from(address), order).expect("a relay")
     }
 }
 
@@ -111,7 +113,7 @@
     for _ in 0..2 {
         for _ in 0..4 {
             let (number, _) = play.look("a:1");
-            play.relays.give_up("a:1", number);
+            play.relays.give_up(number);
         }
         play.review(both());
         let began_ms = play.now_ms;
