Count relayed orders by the guard that callers' requests have

Found in reading the change once more: orders that are relayed counted up and down by hand what OpenRequest in entry.rs counts, which holds also where the work is dropped.

Change: the guard serves both.

--- a/lilacpass-node/src/entry.rs
+++ b/lilacpass-node/src/entry.rs
@@ -81,12 +81,13 @@
     Reply { close: reply.close || is_refused || node.is_leaving(), ..reply }
 }
 
-/// Counts a request as open while it lives. A caller that leaves drops the work on its request, and
-/// a planned stop would wait for a count that never falls.
-struct OpenRequest<'a>(&'a Node);
+/// Counts a request, or an order that is relayed, as open while it lives. A caller that leaves drops the work on its
+/// request, and a planned stop would wait for a count that never falls.
+pub struct OpenRequest<'a>(&'a Node);
 
 impl<'a> OpenRequest<'a> {
-    fn new(node: &'a Node) -> Self {
+    /// Counts one more.
+    pub fn new(node: &'a Node) -> Self {
         node.open_requests.set(node.open_requests.get() + 1);
         Self(node)
     }
--- a/lilacpass-node/src/order_relay.rs
+++ b/lilacpass-node/src/order_relay.rs
@@ -10,7 +10,7 @@
 use lilacpass_schema::v1;
 use tokio::{task, time};
 
-use crate::{node::Node, peers, relay_messages};
+use crate::{entry::OpenRequest, node::Node, peers, relay_messages};
 
 /// How long outcomes are gathered, so that many share a message.
 const GATHER: Duration = Duration::from_millis(15);
@@ -39,9 +39,9 @@
         let (node, destination, payloads) = (node.clone(), destination.clone(), payloads.clone());
         task::spawn_local(async move {
             // A planned stop waits for it.
-            node.open_requests.set(node.open_requests.get() + 1);
+            let open = OpenRequest::new(&node);
             let outcome = carry_out(&node, destination.1, &order, &payloads).await;
-            node.open_requests.set(node.open_requests.get() - 1);
+            drop(open);
             if let Some(outcome) = outcome {
                 tell(&node, destination, outcome);
             }
