Give starts and stops by one way

Found in reading the change once more: start and stop each chose between relay and direct call, by the same lines; the message of a start was put together in orders.rs, those of looks and stops in relay_messages.rs.

Change: give() does both; relay_messages.rs makes all three.

--- a/lilacpass-node/src/orders.rs
+++ b/lilacpass-node/src/orders.rs
@@ -10,7 +10,6 @@
 use lilacpass_jobs::TaskName;
 use lilacpass_lead::event::{CallError, LookAnswer, Refusal};
 use lilacpass_platform::workers::{self, Look, Start, Target};
-use lilacpass_schema::v1;
 use tokio::time;
 
 use crate::{
@@ -69,18 +68,8 @@
     target: Target<'_>,
     start: Start<'_>,
 ) -> Result<(), CallError> {
-    let send = || Box::pin(node.workers.start(target, start));
-    let Some(relay) = via else { return twice(&node.order_budget, send).await };
-    let wire = v1::RelayedStart {
-        run: Some(relay_messages::write_run(start.task, start.run)),
-        payload: 0,
-        lease_until_ms: start.lease_until_ms,
-        checkpoint: start.checkpoint.to_owned(),
-        ticket: start.ticket.map(str::to_owned),
-    };
-    let payload = start.payload.to_owned();
-    let order = relay_messages::start(target.name.as_str(), target.address, wire, payload);
-    then_again(&node.order_budget, relayed(node, &relay, order, send), send).await
+    let order = || relay_messages::start(target.name.as_str(), target.address, start);
+    give(node, via, order, || Box::pin(node.workers.start(target, start))).await
 }
 
 /// Stops a run, or prevents it from starting later.
@@ -91,10 +80,23 @@
     task: TaskName,
     run: u32,
 ) -> Result<(), CallError> {
-    let send = || Box::pin(node.workers.stop(target, task, run));
+    let order = || relay_messages::stop(target.name.as_str(), target.address, task, run);
+    give(node, via, order, || Box::pin(node.workers.stop(target, task, run))).await
+}
+
+/// Gives an order, by way of the relay if there is one, and from here if its answer is late.
+async fn give<F>(
+    node: &Rc<Node>,
+    via: Via,
+    order: impl FnOnce() -> Order,
+    send: impl Fn() -> F,
+) -> Result<(), CallError>
+where
+    F: Future<Output = Result<(), CallError>>,
+{
     let Some(relay) = via else { return twice(&node.order_budget, send).await };
-    let order = relay_messages::stop(target.name.as_str(), target.address, task, run);
-    then_again(&node.order_budget, relayed(node, &relay, order, send), send).await
+    let first = relayed(node, &relay, order(), &send);
+    then_again(&node.order_budget, first, &send).await
 }
 
 /// Has a relay carry an order out. One that surely was not is sent from here.
--- a/lilacpass-node/src/relay_messages.rs
+++ b/lilacpass-node/src/relay_messages.rs
@@ -3,7 +3,7 @@
 use lilacpass_core::Verdict;
 use lilacpass_jobs::{End, JobKey, StepName, TaskName};
 use lilacpass_lead::event::{CallError, EndRow, LookAnswer, Refusal, RunningRow};
-use lilacpass_platform::workers::Look;
+use lilacpass_platform::workers::{Look, Start};
 use lilacpass_schema::v1;
 
 /// An order without its number, and what it does where it is a start.
@@ -27,8 +27,16 @@
     Order { message, payload: String::new() }
 }
 
-/// A start. `payload` is what it does.
-pub fn start(worker: &str, address: &str, start: v1::RelayedStart, payload: String) -> Order {
+/// A start.
+pub fn start(worker: &str, address: &str, start: Start<'_>) -> Order {
+    let payload = start.payload.to_owned();
+    let start = v1::RelayedStart {
+        run: Some(write_run(start.task, start.run)),
+        payload: 0,
+        lease_until_ms: start.lease_until_ms,
+        checkpoint: start.checkpoint.to_owned(),
+        ticket: start.ticket.map(str::to_owned),
+    };
     let message = v1::RelayedOrder { start: Some(start), ..to(worker, address) };
     Order { message, payload }
 }
@@ -46,7 +54,7 @@
 }
 
 /// A run as it travels.
-pub fn write_run(task: TaskName, run: u32) -> v1::RelayedRun {
+fn write_run(task: TaskName, run: u32) -> v1::RelayedRun {
     let TaskName { step: StepName { job, occurrence, step }, index } = task;
     v1::RelayedRun { job: job.0, occurrence, step, index, run }
 }
