Copy nothing for entries and greetings that say nothing new

Found in reading the change once more.

Change: an entry is compared where it is kept, and take_in says what is new; versions that are not newer are passed over.

--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -229,8 +229,12 @@
         *self.desired.borrow_mut() = Some(Rc::new(Published { desired, bytes }));
     }
 
-    /// Notes which version another instance has.
+    /// Notes which version another instance has. One that is not newer is never asked for, and greetings bring it several
+    /// times a second from each instance.
     pub fn note_desired_elsewhere(&self, version: u64, address: &str) {
+        if version <= self.desired_version() {
+            return;
+        }
         let mut elsewhere = self.desired_elsewhere.borrow_mut();
         // The last that was heard to have it is the likeliest to live.
         if elsewhere.as_ref().is_none_or(|known| known.version <= version) {
--- a/lilacpass-node/src/registered.rs
+++ b/lilacpass-node/src/registered.rs
@@ -35,9 +35,8 @@
         }
         let mut events = Vec::new();
         for placed in records {
-            let name = self.take_in(&placed, &mut events);
-            let listed = self.seen.get(&name).and_then(|seen| seen.worker.clone());
-            events.extend(listed.map(Event::WorkerListed));
+            let news = self.take_in(&placed);
+            events.extend(news.or_else(|| self.listed(&placed)));
         }
         self.drop_missing(&mut events);
         events
@@ -52,46 +51,49 @@
         for placed in records {
             if placed.record.value.is_empty() {
                 self.removed(&placed);
-                continue;
-            }
-            let name = WorkerName::from(placed.record.key.as_str());
-            let before = self.seen.get(&name).and_then(|seen| seen.worker.clone());
-            let name = self.take_in(&placed, &mut events);
-            let now = self.seen.get(&name).and_then(|seen| seen.worker.clone());
-            if now != before {
-                events.extend(now.map(Event::WorkerListed));
+            } else {
+                events.extend(self.take_in(&placed));
             }
         }
         events
     }
 
+    /// The worker that an entry names, as it was last seen.
+    fn listed(&self, placed: &Placed) -> Option<Event> {
+        let name = WorkerName::from(placed.record.key.as_str());
+        self.seen.get(&name)?.worker.clone().map(Event::WorkerListed)
+    }
+
     /// Whether a worker was missing from the last look. Only a look at all entries tells whether it still is.
     pub fn any_missing(&self) -> bool {
         self.seen.values().any(|seen| seen.missing > 0)
     }
 
-    /// Notes an entry. Adds an event where it can't be used any more.
-    fn take_in(&mut self, placed: &Placed, events: &mut Vec<Event>) -> WorkerName {
+    /// Notes an entry. Returns what it says that is new.
+    fn take_in(&mut self, placed: &Placed) -> Option<Event> {
         let key = placed.record.key.as_str();
         let name = WorkerName::from(key);
         let is_new = !self.seen.contains_key(&name);
         let seen = self.seen.entry(name.clone()).or_default();
         seen.missing = 0;
         if !is_new && placed.offset <= seen.offset {
-            return name;
+            return None;
         }
         seen.offset = placed.offset;
         match registry::decode(key, &placed.record.value) {
-            Ok(worker) => seen.worker = Some(worker),
+            Ok(worker) if seen.worker.as_ref() == Some(&worker) => None,
+            Ok(worker) => {
+                seen.worker = Some(worker.clone());
+                Some(Event::WorkerListed(worker))
+            }
             // Entries are written again and again; one line tells of all until the entry can be read.
             Err(err) if is_new || seen.worker.is_some() => {
                 seen.worker = None;
                 log::warn!(worker = key, error:% = err; "registration is passed over");
-                events.push(Event::WorkerUnlisted(name.clone()));
+                Some(Event::WorkerUnlisted(name))
             }
-            Err(_) => {}
+            Err(_) => None,
         }
-        name
     }
 
     /// Notes that an entry was removed.
