One queue of events under made-up time

Found in reading the change once more: the queue of timed actions stood in the lab and in the tests of the leader, line by line the same, and in the benchmark flow in other words.

--- a/lilacpass-core/src/lib.rs
+++ b/lilacpass-core/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod class;
 pub mod error;
+pub mod event_queue;
 pub mod ids;
 pub mod rendezvous;
 pub mod resources;
--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -6,12 +6,11 @@
 //! tasks slow, and the processor of the leader: deciding takes no made-up time, and is measured beside.
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap, HashMap},
+    collections::{BTreeMap, HashMap},
     time::Instant,
 };
 
-use lilacpass_core::Resources;
+use lilacpass_core::{Resources, event_queue::EventQueue};
 use lilacpass_jobs::{How, JobKey, StepName, TaskName, WorkerName, record};
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
@@ -63,32 +62,6 @@
     Sample,
 }
 
-struct Timed {
-    at_ms: u64,
-    order: u64,
-    action: Action,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at_ms, self.order) == (other.at_ms, other.order)
-    }
-}
-
-impl Eq for Timed {}
-
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at_ms, self.order).cmp(&(other.at_ms, other.order))
-    }
-}
-
 /// A play of a policy.
 struct Cell<'a> {
     scenario: &'a Scenario,
@@ -103,8 +76,7 @@
     recorder: Recorder,
     /// Tasks that are done, by step.
     done: HashMap<StepName, u32>,
-    actions: BinaryHeap<Reverse<Timed>>,
-    order: u64,
+    actions: EventQueue<Action>,
     /// When the append under way is done; the next waits for it.
     store_free_ms: u64,
     /// Until when each lane is busy with a call.
@@ -141,8 +113,7 @@
             callers: vec![Caller::default(); arrivals.len()],
             recorder: Recorder::new(scenario.classes.len()),
             done: HashMap::new(),
-            actions: BinaryHeap::new(),
-            order: 0,
+            actions: EventQueue::default(),
             store_free_ms: 0,
             lanes_free_ms: HashMap::new(),
             scenario,
@@ -169,19 +140,14 @@
     }
 
     fn plan(&mut self, at_ms: u64, action: Action) {
-        self.order += 1;
-        self.actions.push(Reverse(Timed { at_ms, order: self.order, action }));
+        self.actions.plan(at_ms, action);
     }
 
     fn run(&mut self, end_ms: u64) {
-        while let Some(Reverse(timed)) = self.actions.pop() {
-            if timed.at_ms > end_ms {
-                return;
-            }
-            self.now_ms = timed.at_ms;
-            self.act(timed.action);
-            let next_ms = self.actions.peek().map(|Reverse(next)| next.at_ms);
-            if next_ms != Some(self.now_ms) {
+        while let Some((at_ms, action)) = self.actions.pop_until(end_ms) {
+            self.now_ms = at_ms;
+            self.act(action);
+            if self.actions.next_ms() != Some(self.now_ms) {
                 self.decide();
             }
         }
--- a/lilacpass-lead/benches/flow.rs
+++ b/lilacpass-lead/benches/flow.rs
@@ -10,7 +10,7 @@
 };
 
 use criterion::{Criterion, criterion_group, criterion_main};
-use lilacpass_core::Resources;
+use lilacpass_core::{Resources, event_queue::EventQueue};
 use lilacpass_jobs::{End, How, JobKey, StepName, TaskName, WorkerName};
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
@@ -67,8 +67,8 @@
     leader: Leader,
     hosts: Vec<Host>,
     now_ms: u64,
-    todo: BTreeMap<(u64, u64), Todo>,
-    planned: u64,
+    todo: EventQueue<Todo>,
+    looks: u64,
     jobs: u64,
     plans: BTreeMap<JobKey, u32>,
     took: Duration,
@@ -83,8 +83,8 @@
             leader: Leader::new(Options::default(), Vec::new(), now),
             hosts: Vec::new(),
             now_ms,
-            todo: BTreeMap::new(),
-            planned: 0,
+            todo: EventQueue::default(),
+            looks: 0,
             jobs: 0,
             plans: BTreeMap::new(),
             took: Duration::ZERO,
@@ -118,16 +118,14 @@
     }
 
     fn plan(&mut self, after_ms: u64, todo: Todo) {
-        self.planned += 1;
-        self.todo.insert((self.now_ms + after_ms, self.planned), todo);
+        self.todo.plan(self.now_ms + after_ms, todo);
     }
 
     /// Lets time pass. Returns the time that the leader took.
     fn run(&mut self, for_ms: u64) -> Duration {
         let end_ms = self.now_ms + for_ms;
         self.took = Duration::ZERO;
-        while let Some(first) = self.todo.first_entry().filter(|first| first.key().0 <= end_ms) {
-            let ((at_ms, _), todo) = first.remove_entry();
+        while let Some((at_ms, todo)) = self.todo.pop_until(end_ms) {
             self.now_ms = at_ms;
             self.act(todo);
         }
@@ -177,7 +175,8 @@
             Effect::Append(_) => self.plan(APPEND_MS, Todo::Tell(Event::Appended)),
             Effect::Look { worker, forget_upto, wait_ms, .. } => {
                 let at = self.host(&worker);
-                let look = self.planned;
+                self.looks += 1;
+                let look = self.looks;
                 let host = &mut self.hosts[at];
                 host.look = Some((look, self.now_ms));
                 host.ends.retain(|row| row.number > forget_upto);
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -12,12 +12,11 @@
 pub(crate) mod worker;
 
 use std::{
-    cmp::Reverse,
-    collections::{BTreeMap, BinaryHeap},
+    collections::BTreeMap,
     hash::{DefaultHasher, Hash, Hasher},
 };
 
-use lilacpass_core::{Resources, Verdict};
+use lilacpass_core::{Resources, Verdict, event_queue::EventQueue};
 use lilacpass_jobs::{Job, JobKey, StepName, TaskName, WorkerName, record};
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
@@ -85,32 +84,6 @@
     LookEnds { member: usize, at: usize, effect: Effect, sent_ms: u64 },
 }
 
-struct Timed {
-    at_ms: u64,
-    order: u64,
-    action: Action,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Self) -> bool {
-        (self.at_ms, self.order) == (other.at_ms, other.order)
-    }
-}
-
-impl Eq for Timed {}
-
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Timed {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at_ms, self.order).cmp(&(other.at_ms, other.order))
-    }
-}
-
 /// The cell.
 pub struct World {
     pub now_ms: u64,
@@ -132,8 +105,7 @@
     pub costs: Option<Costs>,
     /// Of all that leaders asked for, and when.
     effects: DefaultHasher,
-    actions: BinaryHeap<Reverse<Timed>>,
-    order: u64,
+    actions: EventQueue<Action>,
     next_token: u64,
 }
 
@@ -156,8 +128,7 @@
             answered_ms: BTreeMap::new(),
             costs: None,
             effects: DefaultHasher::new(),
-            actions: BinaryHeap::new(),
-            order: 0,
+            actions: EventQueue::default(),
             next_token: 0,
         };
         world.take_over();
@@ -243,13 +214,9 @@
     /// Lets time pass.
     pub fn run(&mut self, for_ms: u64) {
         let end_ms = self.now_ms + for_ms;
-        while let Some(Reverse(next)) = self.actions.peek() {
-            if next.at_ms > end_ms {
-                break;
-            }
-            let Some(Reverse(timed)) = self.actions.pop() else { break };
-            self.advance(timed.at_ms);
-            self.act(timed.action);
+        while let Some((at_ms, action)) = self.actions.pop_until(end_ms) {
+            self.advance(at_ms);
+            self.act(action);
         }
         self.advance(end_ms);
     }
@@ -262,9 +229,7 @@
     }
 
     fn plan(&mut self, after_ms: u64, action: Action) {
-        self.order += 1;
-        let timed = Timed { at_ms: self.now_ms + after_ms, order: self.order, action };
-        self.actions.push(Reverse(timed));
+        self.actions.plan(self.now_ms + after_ms, action);
     }
 
     fn act(&mut self, action: Action) {
