--- a/lilacpass-node/tests/cluster/mod.rs
+++ b/lilacpass-node/tests/cluster/mod.rs
@@ -4,7 +4,7 @@
 
 pub mod link;
 
-use std::{env, fs, path::Path, rc::Rc};
+use std::{env, fs, path::Path, rc::Rc, time::Duration};
 
 use lilacpass_core::Resources;
 use lilacpass_platform_standin::{
@@ -12,12 +12,15 @@
     instances::{Instance, Spec},
     load::{self, Callers},
 };
-use tokio::{runtime, task::LocalSet};
+use tokio::{runtime, task::LocalSet, time};
 
 use link::Link;
 
 /// Workers of the cell.
 const WORKERS: usize = 2;
+/// How often a leader is asked for before it counts as missing, and the pause between.
+const LOOKS: u32 = 300;
+const PAUSE: Duration = Duration::from_millis(100);
 
 /// A cell and instances that are not started yet.
 pub struct Cluster {
@@ -73,6 +76,20 @@
         Self { cell, instances, links, callers }
     }
 
+    /// Waits until one of these instances leads, and returns its number.
+    pub async fn wait_for_leader(&self, among: &[usize]) -> usize {
+        let addresses = self.peer_addresses();
+        let mut seen = None;
+        for _ in 0..LOOKS {
+            seen = self.callers.leader(&addresses).await;
+            if let Some(leader) = seen.filter(|leader| among.contains(leader)) {
+                return leader;
+            }
+            time::sleep(PAUSE).await;
+        }
+        panic!("the leader is {seen:?}, none of {among:?}");
+    }
+
     /// Where operators and other instances reach the instances.
     pub fn peer_addresses(&self) -> Vec<String> {
         self.instances.iter().map(|instance| instance.peer_address.clone()).collect()
--- a/lilacpass-node/tests/peer_messages.rs
+++ b/lilacpass-node/tests/peer_messages.rs
@@ -5,19 +5,14 @@
 use std::{sync::Mutex, time::Duration};
 
 use bytes::Bytes;
-use cluster::Cluster;
 use http::{Method, StatusCode};
 use lilacpass_platform::client::{Call, Client};
 use lilacpass_schema::v1;
 use prost::Message;
-use tokio::time;
 
 const FIRST_PORT: u16 = 22_900;
 /// Damaged messages that are sent.
 const SEEDS: u64 = 400;
-/// How often the leader is asked for before it counts as missing, and the pause between.
-const LOOKS: u32 = 300;
-const PAUSE: Duration = Duration::from_millis(100);
 /// Longest wait for an answer. The leader takes milliseconds; the rest is for a busy machine.
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -99,24 +94,13 @@
     Call { address, method: Method::POST, path, headers: &[], body, timeout: TIMEOUT }
 }
 
-async fn wait_for_leader(cluster: &Cluster) {
-    let addresses = cluster.peer_addresses();
-    for _ in 0..LOOKS {
-        if cluster.callers.leader(&addresses).await.is_some() {
-            return;
-        }
-        time::sleep(PAUSE).await;
-    }
-    panic!("nobody leads");
-}
-
 /// The cell stops, or its leader is restarted again and again: another instance sends what this one can't read, or what
 /// its own version would have refused.
 #[test]
 fn messages_that_are_damaged_are_answered_and_do_no_harm() {
     cluster::play(FIRST_PORT, &[0.5], async |mut cluster| {
         cluster.instances[0].start().expect("started");
-        wait_for_leader(&cluster).await;
+        cluster.wait_for_leader(&[0]).await;
         let client = Client::default();
         let address = cluster.instances[0].peer_address.clone();
         for (path, message) in messages().into_iter().chain(beyond_all_bounds()) {
@@ -132,6 +116,6 @@
         let reply = v1::PeerWorkReply::decode(body).expect("a reply");
         assert_eq!(reply.outcome(), v1::WorkOutcome::WorkInvalid, "{}", reply.detail);
         assert!(!cluster.instances[0].has_ended().expect("asked"), "the instance has ended");
-        wait_for_leader(&cluster).await;
+        cluster.wait_for_leader(&[0]).await;
     });
 }
