Print names of workers as before

Cause: since names keep their first bytes as a number, their debug form showed it.

Change: the debug form is what it was.

--- a/lilacpass-jobs/src/ids.rs
+++ b/lilacpass-jobs/src/ids.rs
@@ -95,7 +95,7 @@
 }
 
 /// One life of a worker. Cheap to clone and to compare.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, PartialEq, Eq, Hash)]
 pub struct WorkerName {
     /// The first bytes of the name, as a number that orders as they do. Maps of a thousand workers compare names
     /// hundreds of thousands of times a second, and mostly need no more than this.
@@ -132,6 +132,12 @@
     }
 }
 
+impl fmt::Debug for WorkerName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("WorkerName").field(&self.name).finish()
+    }
+}
+
 impl fmt::Display for WorkerName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.name)
