Comments say what a guard prevents, not what was measured

Figures of incidents and profiles stood in comments of the askers, appends, the desired state and the client.

--- a/lilacpass-lead/src/askers.rs
+++ b/lilacpass-lead/src/askers.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: hundreds of steps wait for room in a cell with a hundred lanes, of which some are idle at any
 //! time. Most of the steps have asked, or their queue holds all the lanes that it may; going through all of them
-//! after each event took a third of the leader's processor at 1,100 workers.
+//! after each event leaves a leader of hundreds of workers little time for anything else.
 
 use std::{
     collections::{BTreeSet, HashMap},
--- a/lilacpass-node/src/append.rs
+++ b/lilacpass-node/src/append.rs
@@ -52,8 +52,8 @@
 
 /// Stores records as one append of a writer. Returns once the store has said what became of them.
 ///
-/// Time on the link counts for nothing: where copies were sent and given up after the same time whatever their
-/// length, those of 300 KB filled 2 Mbit/s, none was whole after 3 s, and none was ever stored.
+/// Time on the link counts for nothing: if copies were sent again and given up after the same time whatever their
+/// length, long ones would fill a thin link, and none would ever be whole.
 pub async fn store(
     node: &Rc<Node>,
     partition: &Partition,
--- a/lilacpass-node/src/desired_relay.rs
+++ b/lilacpass-node/src/desired_relay.rs
@@ -1,8 +1,7 @@
 //! The desired state from one instance to another, for those that the store does not answer.
 //!
 //! Greetings tell the version alone. The desired state itself may be larger than a link carries in the time of
-//! a greeting: when it came with each answer, instances with 10 Mbit/s took a leader for silent that sent
-//! them 12 MB a second.
+//! a greeting: if it came with each answer, instances with thin links would take a sound leader for silent.
 
 use std::{cell::Cell, cmp, rc::Rc, time::Duration};
 
@@ -98,8 +97,7 @@
 
 /// How long the store is left to bring a newer version, where the one here has so many bytes.
 ///
-/// Asked for while it is arriving, the state comes twice over the same link and takes twice as long: 772 KB need 3.1 s
-/// over 2 Mbit/s.
+/// Asked for while it is arriving, the state comes twice over the same link and takes twice as long.
 pub fn patience(bytes: size::Bytes, link: BytesPerSecond) -> Duration {
     PATIENCE + link.time_for(bytes) * LINK_TIMES
 }
--- a/lilacpass-node/src/desired_watch.rs
+++ b/lilacpass-node/src/desired_watch.rs
@@ -74,9 +74,9 @@
 
 /// Takes in changes from a place on. Returns where to read on; none to begin anew.
 ///
-/// Each desired state is whole, so of several that wait the last alone counts. Read in order, an
-/// instance had 4 of 12 that came in an outage 2.5 s after its end, where 10 Mbit/s carry one in 0.62 s; and those
-/// that come faster than a link carries them would never be caught up with.
+/// Each desired state is whole, so of several that wait the last alone counts. Read in order, those that came in an
+/// outage keep an instance with a thin link behind for long after its end, and those that come faster than a link
+/// carries them would never be caught up with.
 async fn read(node: &Node, partition: &Partition, from: u64) -> Result<Option<u64>> {
     match node.store.read(partition, from, WAIT, TIMEOUT).await? {
         Read::Records { records, end } => {
