--- /dev/null
+++ b/lilacpass-lead/tests/world/crashes.rs
@@ -0,0 +1,71 @@
+//! Tasks that crash the workers that start them, and how often such a task may be started.
+
+use std::collections::BTreeMap;
+
+use lilacpass_jobs::{TaskName, WorkerName};
+
+use super::{Action, World};
+
+/// How long a worker that crashed is away.
+const AWAY_MS: u64 = 3_500;
+/// Workers that crash under a task before its starts are counted.
+const CRASHES: u32 = 3;
+/// Starts after these that are too many.
+const TOO_MANY_STARTS: u32 = 3;
+
+/// What crashes workers, and what came of it.
+#[derive(Default)]
+pub struct Crashes {
+    /// Tasks that crash each worker that starts them, and how long after the start.
+    pub crashing: BTreeMap<TaskName, u64>,
+    /// Workers that crashed under each of them.
+    pub under: BTreeMap<TaskName, u32>,
+    /// Starts of each since too many workers had crashed under it.
+    starts_since: BTreeMap<TaskName, u32>,
+}
+
+impl Crashes {
+    /// Judges a start.
+    fn judge(&mut self, task: TaskName) {
+        if self.under.get(&task).is_none_or(|&crashes| crashes < CRASHES) {
+            return;
+        }
+        let starts = self.starts_since.entry(task).or_default();
+        *starts += 1;
+        assert!(
+            *starts < TOO_MANY_STARTS,
+            "{task} was started {starts} times more after {CRASHES} workers had crashed under it"
+        );
+    }
+
+    /// Workers that crashed under tasks that crash them.
+    pub fn total(&self) -> u32 {
+        self.under.values().sum()
+    }
+}
+
+impl World {
+    /// A task is started: if it is one that crashes its worker, that will.
+    pub(super) fn may_crash(&mut self, at: usize, task: TaskName) {
+        let Some(&after_ms) = self.crashes.crashing.get(&task) else { return };
+        self.crashes.judge(task);
+        let worker = self.workers[at].name.clone();
+        self.plan(after_ms, Action::Crash { worker, task });
+    }
+
+    /// A task crashes its worker, if it still runs there.
+    pub(super) fn crash_under(&mut self, worker: &WorkerName, task: TaskName) {
+        let runs =
+            |w: &super::worker::Worker| w.alive && w.name == *worker && w.runs.contains_key(&task);
+        let Some(at) = self.workers.iter().position(runs) else { return };
+        *self.crashes.under.entry(task).or_default() += 1;
+        self.crash_worker(at);
+    }
+
+    /// A worker crashes, and is back at its address as another after a while.
+    pub fn crash_worker(&mut self, at: usize) {
+        self.workers[at].alive = false;
+        self.workers[at].runs.clear();
+        self.plan(AWAY_MS, Action::Return { at });
+    }
+}
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -1,13 +1,15 @@
 //! A small cell under made-up time: leaders, a store and workers, with faults switched on by calls.
 //!
 //! Each start of a run is judged as it happens: no worker above its capacity, no task in two places,
-//! none after it was done and that was noted, none before the steps that it waits for. Each answer about jobs
+//! none after it was done and that was noted, none before the steps that it waits for, none too often
+//! after it has crashed workers. Each answer about jobs
 //! that wait or run is judged by what workers have begun.
 
 #![allow(dead_code, unreachable_pub)]
 
 pub(crate) mod answers;
 pub(crate) mod cost;
+pub(crate) mod crashes;
 pub(crate) mod store;
 pub(crate) mod worker;
 
@@ -26,6 +28,7 @@
 
 use answers::Asked;
 use cost::{Costs, Loop};
+use crashes::Crashes;
 use store::Store;
 use worker::Worker;
 
@@ -82,6 +85,10 @@
     Round { member: usize },
     /// A look that waited for an end is answered.
     LookEnds { member: usize, at: usize, effect: Effect, sent_ms: u64 },
+    /// A task crashes the worker that started it.
+    Crash { worker: WorkerName, task: TaskName },
+    /// A worker that crashed is back as another.
+    Return { at: usize },
 }
 
 /// The cell.
@@ -94,6 +101,8 @@
     pub answers: Vec<(Token, Answer)>,
     /// What was asked, and what workers have begun.
     pub asked: Asked,
+    /// Tasks that crash their workers.
+    pub crashes: Crashes,
     /// Calls for advice: the step, and how many workers were named.
     pub calls_for_advice: Vec<(StepName, usize)>,
     /// Share of orders, in percent, that get no answer and may be carried out late.
@@ -122,6 +131,7 @@
             members: Vec::new(),
             answers: Vec::new(),
             asked: Asked::default(),
+            crashes: Crashes::default(),
             calls_for_advice: Vec::new(),
             lose_percent: 0,
             options: Options::default(),
@@ -261,6 +271,8 @@
             Action::LookEnds { member, at, effect, sent_ms } => {
                 self.look_ends(member, at, &effect, sent_ms);
             }
+            Action::Crash { worker, task } => self.crash_under(&worker, task),
+            Action::Return { at } => self.replace_worker(at),
         }
     }
 
@@ -469,6 +481,7 @@
         let need = lilacpass_lead::place::need(plan);
         let now_ms = self.now_ms;
         self.workers[at].begin(task, run, need, now_ms + work_ms, fails, plan.lasting);
+        self.may_crash(at, task);
         Ok(())
     }
 
