Tell workers that crashed from those that left and from leases that ran out

What ran on a lost worker ended as lapsed, whatever had become of it, and the line about the worker did not say what ran there. Ends are now crashed, or lapsed; the line names the runs and how long the worker had been silent; lilacpass_workers_lost counts the workers by how they were lost. Nothing is decided by it yet.

--- a/lilacpass-jobs/src/end.rs
+++ b/lilacpass-jobs/src/end.rs
@@ -13,8 +13,10 @@
     Failed,
     /// It was told to stop.
     Stopped,
-    /// Its lease ran out, or its worker is gone.
+    /// Its lease ran out, or its worker left.
     Lapsed,
+    /// Its worker crashed.
+    Crashed,
     /// Another member of its gang ended.
     Broken,
     /// It waited for the other members of its gang in vain.
@@ -24,7 +26,8 @@
 }
 
 impl How {
-    const ALL: [Self; 7] = [
+    /// Those with a name that is read; that a worker crashed is no worker's word.
+    const READ: [Self; 7] = [
         Self::Done,
         Self::Failed,
         Self::Stopped,
@@ -41,6 +44,7 @@
             Self::Failed => "failed",
             Self::Stopped => "stopped",
             Self::Lapsed => "lapsed",
+            Self::Crashed => "crashed",
             Self::Broken => "broken",
             Self::Alone => "alone",
             Self::Void => "void",
@@ -58,7 +62,7 @@
     type Err = Error;
 
     fn from_str(s: &str) -> Result<Self, Error> {
-        Self::ALL.into_iter().find(|how| how.as_str() == s).ok_or_else(|| Error::name("end", s))
+        Self::READ.into_iter().find(|how| how.as_str() == s).ok_or_else(|| Error::name("end", s))
     }
 }
 
--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -263,7 +263,9 @@
         match end.how {
             How::Done => self.task_done(name, unix_ms),
             How::Failed => self.task_failed(name, end.run, unix_ms),
-            How::Stopped | How::Lapsed | How::Broken | How::Alone | How::Void => Change::Waiting,
+            How::Stopped | How::Lapsed | How::Crashed | How::Broken | How::Alone | How::Void => {
+                Change::Waiting
+            }
         }
     }
 
--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -10,6 +10,7 @@
     leader::Leader,
     options::{self, Mechanism},
     outbox::After,
+    tally::Loss,
     worker::{Look, Phase, RunKey, Worker},
 };
 
@@ -53,6 +54,7 @@
             Err(err) => {
                 worker.failed_looks += 1;
                 if worker.failed_looks == 1 {
+                    worker.silent_since_ms = Some(now.steady_ms);
                     log::info!(worker:% = name, error:? = err; "worker does not answer");
                 }
                 if !extra {
@@ -94,6 +96,7 @@
         }
         worker.commanded = true;
         worker.failed_looks = 0;
+        worker.silent_since_ms = None;
         worker.read_clock(answer.clock_ms, now.steady_ms);
         if answer.remaining_ms.is_some() && !worker.draining {
             log::info!(worker:% = name, remaining_ms = answer.remaining_ms; "worker drains");
@@ -152,7 +155,7 @@
                 }
             }
             How::Failed => self.blame(name, job, now),
-            How::Stopped | How::Lapsed | How::Broken | How::Alone | How::Void => {}
+            How::Stopped | How::Lapsed | How::Crashed | How::Broken | How::Alone | How::Void => {}
         }
     }
 
@@ -254,8 +257,16 @@
 
     /// The life of a worker is over: nothing runs there any more.
     pub(crate) fn life_over(&mut self, name: &WorkerName, now: Now) {
-        log::info!(worker:% = name; "worker is gone");
-        self.end_all(name, now);
+        let Some(worker) = self.workers.get(name) else { return };
+        let (loss, how) =
+            if worker.draining { (Loss::Left, How::Lapsed) } else { (Loss::Crashed, How::Crashed) };
+        log::info!(
+            worker:% = name, how = loss.as_str(), runs = worker.runs.len(),
+            silent_ms = worker.silent_ms(now.steady_ms);
+            "worker is gone"
+        );
+        self.tally.lost(loss);
+        self.end_all(name, how, now);
         self.forget_worker(name);
     }
 
@@ -264,11 +275,11 @@
         self.rooms.remove(name);
     }
 
-    fn end_all(&mut self, name: &WorkerName, now: Now) {
+    fn end_all(&mut self, name: &WorkerName, how: How, now: Now) {
         let Some(worker) = self.workers.get(name) else { return };
         let runs: Vec<RunKey> = worker.runs.keys().copied().collect();
         for key in runs {
-            let end = End { run: key.1, how: How::Lapsed, checkpoint: String::new() };
+            let end = End { run: key.1, how, checkpoint: String::new() };
             self.end_run(name, key, &end, now);
         }
     }
@@ -288,11 +299,16 @@
         for name in lapsed {
             let Some(worker) = self.workers.get_mut(&name) else { continue };
             if !worker.runs.is_empty() {
-                log::info!(worker:% = name, runs = worker.runs.len(); "leases of a silent worker have lapsed");
+                log::info!(
+                    worker:% = name, runs = worker.runs.len(),
+                    silent_ms = worker.silent_ms(now.steady_ms);
+                    "leases of a silent worker have lapsed"
+                );
+                self.tally.lost(Loss::Lapsed);
             }
             worker.commanded = false;
             self.rooms.note(worker);
-            self.end_all(&name, now);
+            self.end_all(&name, How::Lapsed, now);
         }
         let is_over = |worker: &&Worker| !worker.listed && worker.runs.is_empty();
         let over = self.workers.values().filter(is_over);
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -1,6 +1,9 @@
 //! The state of the leader and the way of an event through it.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    mem,
+};
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::{Job, JobKey, Outcome, StepName, TaskName, WorkerName};
@@ -19,6 +22,7 @@
     pressure::Pressure,
     reserve::Reservations,
     rooms::Rooms,
+    tally::Tally,
     turn::Turn,
     waiting::Waiting,
     worker::{Look, Phase, Worker},
@@ -110,6 +114,7 @@
     pub(crate) pressure: Pressure,
     pub(crate) news: News,
     pub(crate) loss: LossMeter,
+    pub(crate) tally: Tally,
     /// Workers at which no look is under way: hardly any. Going through all workers at each event, and
     /// putting all in order for each call for advice, took 17 of 60 % of a core at 3,000 of them.
     pub(crate) looks_due: BTreeSet<WorkerName>,
@@ -163,6 +168,7 @@
             pressure: Pressure::new(now),
             news: News::default(),
             loss: LossMeter::default(),
+            tally: Tally::default(),
             looks_due: BTreeSet::new(),
             least_urgent: 0,
             pool_sizes: HashMap::new(),
@@ -240,7 +246,7 @@
         self.plan_looks(now);
         self.schedule(now);
         self.flush(now);
-        std::mem::take(&mut self.effects)
+        mem::take(&mut self.effects)
     }
 
     /// The data centre of a worker that answered the last look; none for one that did not, or is not known.
@@ -249,6 +255,11 @@
         Some(&worker.entry.data_centre)
     }
 
+    /// What has happened since this was last called.
+    pub fn take_tally(&mut self) -> Tally {
+        mem::take(&mut self.tally)
+    }
+
     /// What deciding has taken so far.
     pub fn work(&self) -> Work {
         self.work
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod rounds;
 pub mod schedule;
 pub mod starts;
+pub mod tally;
 pub mod turn;
 pub mod waiting;
 pub mod worker;
--- /dev/null
+++ b/lilacpass-lead/src/tally.rs
@@ -0,0 +1,44 @@
+//! What has happened since it was last read, for metrics.
+
+/// How a worker was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Loss {
+    /// Its life ended, and it had not said that it leaves.
+    Crashed,
+    /// It drained and left.
+    Left,
+    /// It was silent until the leases there had run out; it may live.
+    Lapsed,
+}
+
+impl Loss {
+    /// All ways.
+    pub const ALL: [Self; 3] = [Self::Crashed, Self::Left, Self::Lapsed];
+
+    /// The name in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Crashed => "crashed",
+            Self::Left => "left",
+            Self::Lapsed => "lapsed",
+        }
+    }
+}
+
+/// Counts since they were last read.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    lost: [u64; Loss::ALL.len()],
+}
+
+impl Tally {
+    /// A worker was lost.
+    pub fn lost(&mut self, how: Loss) {
+        self.lost[how as usize] += 1;
+    }
+
+    /// Workers lost in a way.
+    pub fn workers_lost(&self, how: Loss) -> u64 {
+        self.lost[how as usize]
+    }
+}
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -95,6 +95,8 @@
     pub extra_look: bool,
     /// Looks that failed since the last answer.
     pub failed_looks: u32,
+    /// When the first of these failed, on the steady clock.
+    pub silent_since_ms: Option<u64>,
     /// Nothing is started there before this time.
     pub avoid_until_ms: u64,
     /// The same because others near it are silent; ends early once it answers a look.
@@ -125,6 +127,7 @@
             look: Look::Due { at_ms: 0 },
             extra_look: false,
             failed_looks: 0,
+            silent_since_ms: None,
             avoid_until_ms: 0,
             suspected_until_ms: 0,
             health: health::Record::default(),
@@ -195,6 +198,11 @@
         }
     }
 
+    /// How long it has not answered, in ms.
+    pub fn silent_ms(&self, now_ms: u64) -> u64 {
+        self.silent_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+    }
+
     /// What is free.
     pub fn room(&self) -> Resources {
         self.entry.capacity.minus(&self.used)
--- a/lilacpass-node/src/leading.rs
+++ b/lilacpass-node/src/leading.rs
@@ -224,6 +224,8 @@
         let pressure = self.leader.pressure();
         let behind = Duration::from_millis(pressure.behind_ms());
         self.node.metrics.pressure(pressure.level(), behind);
+        let tally = self.leader.take_tally();
+        self.node.metrics.happened(&tally);
     }
 
     fn review_relays(&self, now_ms: u64) {
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -4,7 +4,10 @@
 
 use bytes::Bytes;
 use http::StatusCode;
-use lilacpass_lead::pressure::Level;
+use lilacpass_lead::{
+    pressure::Level,
+    tally::{Loss, Tally},
+};
 use lilacpass_platform::server::Reply;
 use opentelemetry::{
     KeyValue,
@@ -39,6 +42,7 @@
     desired_reads: Counter<u64>,
     desired_version: Gauge<u64>,
     workers_reads: Counter<u64>,
+    workers_lost: Counter<u64>,
     takeovers: Counter<u64>,
     leads: Gauge<u64>,
     behind_seconds: Gauge<f64>,
@@ -83,6 +87,7 @@
             desired_reads: meter.u64_counter("lilacpass_desired_reads").build(),
             desired_version: meter.u64_gauge("lilacpass_desired_version").build(),
             workers_reads: meter.u64_counter("lilacpass_workers_reads").build(),
+            workers_lost: meter.u64_counter("lilacpass_workers_lost").build(),
             takeovers: meter.u64_counter("lilacpass_takeovers").build(),
             leads: meter.u64_gauge("lilacpass_leads").build(),
             behind_seconds: meter.f64_gauge("lilacpass_leader_behind_seconds").build(),
@@ -157,6 +162,14 @@
         self.behind_seconds.record(behind.as_secs_f64(), &[]);
     }
 
+    /// What has happened in the cell since this was last told.
+    pub fn happened(&self, tally: &Tally) {
+        for loss in Loss::ALL {
+            let how = KeyValue::new("how", loss.as_str());
+            self.workers_lost.add(tally.workers_lost(loss), &[how]);
+        }
+    }
+
     /// This instance leads no more.
     pub fn leads_no_more(&self) {
         self.leads.record(0, &[]);
