Give a task a copy only beside a run that may be lost

Cause: the mark that a task wants a copy was never taken back. Once a worker had been silent under a task, each later run of it got a twin within milliseconds, on a sound cell.

Ruled out: twins made by the silence of the worker, which is noticed 28 ms after the second start.

The mark goes when a run is given, and is set only while there is one run.

--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -300,6 +300,7 @@
         let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
         let data_centre = data_centre_of(&self.workers, &worker);
         let Some(run) = entry.job.begin_run(task, worker.clone(), data_centre) else { return };
+        entry.copies.remove(&task);
         self.record_start(task, run, worker, now);
         self.reindex_step(task.step, now);
     }
--- a/lilacpass-lead/src/starts.rs
+++ b/lilacpass-lead/src/starts.rs
@@ -278,7 +278,8 @@
         if may_copy {
             let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
             entry.failed_on.insert(name.clone(), now.steady_ms);
-            if entry.copies.insert(task) {
+            let runs = entry.job.task(task).map_or(0, |task| task.runs.len());
+            if runs == 1 && entry.copies.insert(task) {
                 log::info!(task:% = task, run, worker:% = name, is_lost; "copy wanted");
                 self.reindex(task.step.job, now);
             }
