--- a/lilacpass-jobs/src/end.rs
+++ b/lilacpass-jobs/src/end.rs
@@ -4,6 +4,31 @@
 
 use crate::error::Error;
 
+/// What speaks for a task having crashed its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Suspicion {
+    /// Nothing: the worker was lost to something that hit others too.
+    Cleared,
+    /// It was there, and the worker had lived on after its start.
+    Present,
+    /// The worker is not known to have lived on after its start.
+    Suspect,
+    /// The same, and of no other task there.
+    Only,
+}
+
+impl Suspicion {
+    /// The name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Cleared => "cleared",
+            Self::Present => "present",
+            Self::Suspect => "suspect",
+            Self::Only => "only",
+        }
+    }
+}
+
 /// How a run ended, as its worker tells.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum How {
@@ -16,7 +41,7 @@
     /// Its lease ran out, or its worker left.
     Lapsed,
     /// Its worker crashed.
-    Crashed,
+    Crashed(Suspicion),
     /// Another member of its gang ended.
     Broken,
     /// It waited for the other members of its gang in vain.
@@ -44,7 +69,7 @@
             Self::Failed => "failed",
             Self::Stopped => "stopped",
             Self::Lapsed => "lapsed",
-            Self::Crashed => "crashed",
+            Self::Crashed(_) => "crashed",
             Self::Broken => "broken",
             Self::Alone => "alone",
             Self::Void => "void",
--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -5,7 +5,8 @@
 use lilacpass_schema::v1;
 
 use crate::{
-    end::{End, How},
+    end::{End, How, Suspicion},
+    failure::{Cause, Failure},
     ids::{JobKey, StepName, TaskName, WorkerName},
     task::{Run, Task},
 };
@@ -18,7 +19,7 @@
     Open,
     /// All tasks are done.
     Completed,
-    /// A task or a gang has failed too often.
+    /// A task or a gang has failed too often, or crashed its workers.
     Failed,
     /// Its caller has cancelled it.
     Cancelled,
@@ -68,6 +69,8 @@
     pub accepted_ms: u64,
     /// What has become of it.
     pub outcome: Outcome,
+    /// Why it failed, if it did.
+    pub failure: Option<Failure>,
     /// Time of day at which the outcome was known, in milliseconds since 1970; 0 while open.
     pub ended_ms: u64,
     /// A worker is known to have begun a task. Runs that were only given out don't count: their orders
@@ -106,6 +109,7 @@
             queue: record.queue.unwrap_or_default(),
             accepted_ms: record.accepted_ms,
             outcome: Outcome::Open,
+            failure: None,
             ended_ms: 0,
             begun: false,
             occurrences,
@@ -263,9 +267,8 @@
         match end.how {
             How::Done => self.task_done(name, unix_ms),
             How::Failed => self.task_failed(name, end.run, unix_ms),
-            How::Stopped | How::Lapsed | How::Crashed | How::Broken | How::Alone | How::Void => {
-                Change::Waiting
-            }
+            How::Crashed(suspicion) => self.note_crash(name, end.run, suspicion, unix_ms),
+            How::Stopped | How::Lapsed | How::Broken | How::Alone | How::Void => Change::Waiting,
         }
     }
 
@@ -297,7 +300,7 @@
         if plan.lasting {
             return Change::Waiting;
         }
-        let counted = if plan.gang { name.step.task(0) } else { name };
+        let counted = self.counted_task(name);
         let attempts = self.queue.attempts.max(1);
         let Some(task) = self.task_mut(counted) else { return Change::None };
         // Of a gang each member reports the failure of the same run.
@@ -306,11 +309,74 @@
         }
         task.failed_run = run;
         task.failed += 1;
-        let spent = task.failed >= attempts;
-        if spent && self.outcome == Outcome::Open {
-            return self.close(Outcome::Failed, unix_ms);
+        let count = task.failed;
+        if count < attempts {
+            return Change::Waiting;
+        }
+        self.give_up(Failure { task: name, cause: Cause::Attempts, count }, unix_ms)
+    }
+
+    /// Notes that a worker has crashed under a run, which is not on it any more.
+    pub fn note_crash(
+        &mut self,
+        name: TaskName,
+        run: u32,
+        suspicion: Suspicion,
+        unix_ms: u64,
+    ) -> Change {
+        let counted = self.counted_task(name);
+        let gang = self.step_plan(name.step.step).gang;
+        let Some(task) = self.task_mut(counted) else { return Change::None };
+        // Of a gang several members may have lost their workers.
+        if task.done || gang && run == task.crashed_run {
+            return Change::Waiting;
+        }
+        task.crashed_run = run;
+        let is_spent = task.note_crash(suspicion);
+        let count = task.crashes;
+        if !is_spent {
+            return Change::Waiting;
+        }
+        self.give_up(Failure { task: name, cause: Cause::Crashes, count }, unix_ms)
+    }
+
+    /// The task by which runs are counted: the members of a gang fail together.
+    fn counted_task(&self, name: TaskName) -> TaskName {
+        if self.step_plan(name.step.step).gang { name.step.task(0) } else { name }
+    }
+
+    /// Whether a task may crash its next worker.
+    pub fn is_suspected(&self, name: TaskName) -> bool {
+        self.task(self.counted_task(name)).is_some_and(Task::is_suspected)
+    }
+
+    /// A run has worked for so long that the crashes before can't have been its task's doing. Returns
+    /// whether that is news.
+    pub fn acquit(&mut self, name: TaskName) -> bool {
+        let counted = self.counted_task(name);
+        let Some(task) = self.task_mut(counted) else { return false };
+        let is_news = task.crashes > 0;
+        (task.crashes, task.suspected) = (0, 0);
+        is_news
+    }
+
+    /// A worker that was counted as crashed under a task had only been there, and lives. Returns whether that changes
+    /// anything.
+    pub fn retract_crash(&mut self, name: TaskName) -> bool {
+        let counted = self.counted_task(name);
+        let Some(task) = self.task_mut(counted).filter(|task| task.crashes > 0) else {
+            return false;
+        };
+        task.crashes -= 1;
+        true
+    }
+
+    fn give_up(&mut self, failure: Failure, unix_ms: u64) -> Change {
+        if self.outcome != Outcome::Open {
+            return Change::Waiting;
         }
-        Change::Waiting
+        self.failure = Some(failure);
+        self.close(Outcome::Failed, unix_ms)
     }
 
     /// Notes that the caller wants the job cancelled. Returns whether that changed anything.
--- a/lilacpass-jobs/src/lib.rs
+++ b/lilacpass-jobs/src/lib.rs
@@ -6,14 +6,16 @@
 
 pub mod end;
 pub mod error;
+pub mod failure;
 pub mod ids;
 pub mod job;
 pub mod plan;
 pub mod record;
 pub mod task;
 
-pub use end::{End, How};
+pub use end::{End, How, Suspicion};
 pub use error::{Error, Result};
+pub use failure::Failure;
 pub use ids::{JobKey, StepName, TaskName, WorkerName};
 pub use job::{Job, Outcome};
 pub use task::{Run, Task};
--- a/lilacpass-jobs/src/record.rs
+++ b/lilacpass-jobs/src/record.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     error::{Error, Result},
+    failure::{Cause, Failure},
     ids::{JobKey, StepName, TaskName, WorkerName},
     job::{Job, Outcome},
     task::{Run, Task},
@@ -73,8 +74,9 @@
         Outcome::Failed => 2,
         Outcome::Cancelled => 3,
     };
-    let mut record =
-        v1::StateRecord { outcome, tasks, ended_ms: job.ended_ms, not_begun: !job.begun };
+    let failure = job.failure.as_ref().map(failure_record);
+    let (ended_ms, not_begun) = (job.ended_ms, !job.begun);
+    let mut record = v1::StateRecord { outcome, tasks, ended_ms, not_begun, failure };
     let bytes = record.encode_to_vec();
     if bytes.len() <= MAX_STATE_BYTES {
         return bytes;
@@ -96,6 +98,24 @@
     }
 }
 
+fn failure_record(failure: &Failure) -> v1::FailureRecord {
+    let cause = match failure.cause {
+        Cause::Attempts => v1::FailureCause::FailureAttempts,
+        Cause::Crashes => v1::FailureCause::FailureCrashes,
+    };
+    let TaskName { step: StepName { occurrence, step, .. }, index } = failure.task;
+    v1::FailureRecord { cause: cause.into(), occurrence, step, index, count: failure.count }
+}
+
+fn read_failure(key: JobKey, record: &v1::FailureRecord) -> Failure {
+    let cause = match record.cause() {
+        v1::FailureCause::FailureAttempts => Cause::Attempts,
+        v1::FailureCause::FailureCrashes => Cause::Crashes,
+    };
+    let step = StepName { job: key, occurrence: record.occurrence, step: record.step };
+    Failure { task: step.task(record.index), cause, count: record.count }
+}
+
 fn task_record(name: TaskName, task: &Task) -> v1::TaskRecord {
     v1::TaskRecord {
         occurrence: name.step.occurrence,
@@ -105,6 +125,9 @@
         last_run: task.last_run,
         failed: task.failed,
         failed_run: task.failed_run,
+        crashes: task.crashes,
+        suspected: task.suspected,
+        crashed_run: task.crashed_run,
         checkpoint: task.checkpoint.clone(),
         runs: task
             .runs
@@ -135,6 +158,7 @@
         other => return Err(Error::Record(format!("{key}: outcome {other}"))),
     };
     job.ended_ms = state.ended_ms;
+    job.failure = state.failure.as_ref().map(|failure| read_failure(key, failure));
     for record in state.tasks {
         let step = StepName { job: key, occurrence: record.occurrence, step: record.step };
         let name = step.task(record.index);
@@ -154,6 +178,9 @@
         last_run: record.last_run,
         failed: record.failed,
         failed_run: record.failed_run,
+        crashes: record.crashes,
+        suspected: record.suspected,
+        crashed_run: record.crashed_run,
         checkpoint: record.checkpoint,
         runs: record
             .runs
--- a/lilacpass-jobs/src/task.rs
+++ b/lilacpass-jobs/src/task.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::ids::WorkerName;
+use crate::{end::Suspicion, ids::WorkerName};
 
 /// A run that was given to a worker and is not known to have ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,6 +27,12 @@
     /// Number of the last run that was counted as failed, so that an end that is told twice, or by
     /// several members of a gang, counts once.
     pub failed_run: u32,
+    /// Workers that crashed while they had a run of it, but for those lost to something that hit others too.
+    pub crashes: u32,
+    /// Those of them whose crash it may have caused.
+    pub suspected: u32,
+    /// Number of the last run under which a worker crashed; of a gang several workers may be lost at a time.
+    pub crashed_run: u32,
     /// Saved progress; empty where there is none.
     pub checkpoint: String,
     /// Runs that may be on workers; more than one only where copies are allowed.
@@ -44,6 +50,30 @@
         self.runs.iter().find(|run| run.number == number)
     }
 
+    /// Whether it may crash its next worker, and is to be tried where that does least harm and shows most.
+    pub fn is_suspected(&self) -> bool {
+        /// Of workers that had lived on after its start, so many must crash.
+        const MOST_PRESENT: u32 = 1;
+        self.suspected > 0 || self.crashes > MOST_PRESENT
+    }
+
+    /// Counts the crash of a worker under a run. Returns whether the task is to be given up.
+    ///
+    /// Twice to blame is enough where no other task can have done it. One that crashes its workers later
+    /// than that shows, or always beside others, is given up all the same before many workers are lost.
+    pub fn note_crash(&mut self, suspicion: Suspicion) -> bool {
+        const MOST_BLAMED: u32 = 2;
+        const MOST_CRASHES: u32 = 4;
+        match suspicion {
+            Suspicion::Cleared => return false,
+            Suspicion::Present => {}
+            Suspicion::Suspect | Suspicion::Only => self.suspected += 1,
+        }
+        self.crashes += 1;
+        let is_blamed = suspicion == Suspicion::Only && self.suspected >= MOST_BLAMED;
+        is_blamed || self.crashes >= MOST_CRASHES
+    }
+
     /// Whether nothing has happened to it yet.
     pub fn is_untouched(&self) -> bool {
         *self == Self::default()
--- /dev/null
+++ b/lilacpass-lead/src/crashes.rs
@@ -0,0 +1,313 @@
+//! What the crash of a worker says about the tasks that ran there, and how a suspected task is tried again.
+//!
+//! Load pattern: a task crashes each worker that starts it. Started again and again it takes one worker after the
+//! other out of the cell, with all that runs beside it; its neighbours see as many crashes as it does, if it
+//! is started often enough.
+//!
+//! A task speaks for itself by its worker answering for a while after its start. One that has not done so
+//! when the worker crashes is a suspect. It is tried again on a worker where little runs, and to which nothing
+//! else is sent before it has spoken: so the next crash has one suspect. Workers lost to a rack, a cut or a
+//! rolling restart fall silent together, and some of them had no suspect: then nobody is.
+
+use std::{cmp::Reverse, collections::BTreeSet};
+
+use lilacpass_jobs::{End, How, StepName, Suspicion, TaskName, WorkerName, job::Change};
+use lilacpass_schema::v1;
+
+use crate::{
+    event::Now,
+    hosts::Host,
+    leader::{Entry, Leader},
+    place,
+    silences::Silence,
+    tally::Loss,
+    worker::{Given, Phase, RunKey, Worker},
+};
+
+/// Other workers that fall silent together with one, with no suspect there, after which nothing that ran
+/// on it is to blame.
+const FEWEST_UNCAUSED: usize = 2;
+/// Others that fall silent together with a worker, whatever ran there, so that none of them has a plain cause.
+const FEWEST_TOGETHER: usize = 3;
+/// Others of its rack that make the rack the suspect, if they are half of it.
+const FEWEST_OF_RACK: usize = 2;
+/// A worker that was not heard of for so long when it was found silent may have crashed at any time in it.
+const MOST_UNHEARD_MS: u64 = 2_000;
+/// A run that has worked for so long clears its task of earlier crashes.
+const ACQUITTED_AFTER_MS: u64 = 60_000;
+/// How long a silent worker whose leases have run out is asked whether it has crashed, if nobody lists it.
+const ASKED_FOR_MS: u64 = 30_000;
+
+impl Leader {
+    /// The life of a worker is known to be over: nothing runs there any more.
+    pub(crate) fn life_over(&mut self, name: &WorkerName, now: Now) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let loss = if worker.draining { Loss::Left } else { Loss::Crashed };
+        log::info!(
+            worker:% = name, how = loss.as_str(), runs = worker.runs.len(),
+            silent_ms = worker.silent_ms(now.steady_ms);
+            "worker is gone"
+        );
+        self.tally.lost(loss);
+        if loss == Loss::Left {
+            self.end_all(name, now);
+        } else {
+            self.end_all_crashed(name, now);
+        }
+        self.forget_worker(name);
+    }
+
+    fn end_all_crashed(&mut self, name: &WorkerName, now: Now) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let suspicions = self.suspicions(worker, now);
+        let lapsed = worker.lapsed.clone();
+        if worker.silent_since_ms.is_none() {
+            self.note_silence(name, now);
+        }
+        for (key, suspicion) in suspicions {
+            let end = End { run: key.1, how: How::Crashed(suspicion), checkpoint: String::new() };
+            self.note_suspicion(name, key, suspicion);
+            self.end_run(name, key, &end, now);
+        }
+        for (key, suspicion) in lapsed {
+            self.note_suspicion(name, key, suspicion);
+            self.crashed_after_lapse(key, suspicion, now);
+        }
+    }
+
+    /// A worker on which a run was given up when its leases had run out turns out to have crashed.
+    fn crashed_after_lapse(&mut self, (task, run): RunKey, suspicion: Suspicion, now: Now) {
+        let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
+        let change = entry.job.note_crash(task, run, suspicion, now.unix_ms);
+        self.outbox.waiting.states.insert(task.step.job);
+        if change == Change::JobEnded {
+            self.job_ended(task.step.job, now);
+        }
+    }
+
+    fn note_suspicion(&mut self, name: &WorkerName, (task, run): RunKey, suspicion: Suspicion) {
+        if suspicion == Suspicion::Cleared {
+            return;
+        }
+        log::info!(
+            task:% = task, run, worker:% = name, suspicion = suspicion.as_str();
+            "worker crashed under task"
+        );
+        let address = self.workers.get(name).map(|worker| worker.entry.address.clone());
+        let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
+        entry.crashed_at.extend(address);
+    }
+
+    /// A worker has fallen silent.
+    pub(crate) fn note_silence(&mut self, name: &WorkerName, now: Now) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.silent_since_ms = Some(now.steady_ms);
+        self.silences.begin(Silence {
+            worker: name.clone(),
+            rack: worker.rack().to_owned(),
+            since_ms: now.steady_ms,
+            is_uncaused: !worker.runs.values().any(|given| worker.is_suspect(given)),
+        });
+    }
+
+    /// What the loss of a worker says about each run there.
+    fn suspicions(&self, worker: &Worker, now: Now) -> Vec<(RunKey, Suspicion)> {
+        let loss = self.circumstances(worker, now);
+        let is_suspect = |given: &Given| worker.is_suspect(given);
+        let suspects: BTreeSet<StepOrTask> = worker
+            .runs
+            .iter()
+            .filter(|(_, given)| is_suspect(given))
+            .map(|((task, _), _)| self.starts_with(*task))
+            .collect();
+        let suspicion = |given: &Given| match (loss, is_suspect(given)) {
+            _ if given.phase == Phase::Recording => Suspicion::Cleared,
+            (Circumstances::Explained, _) | (Circumstances::Shared, false) => Suspicion::Cleared,
+            (Circumstances::Alone, false) => Suspicion::Present,
+            (Circumstances::Alone, true) if suspects.len() == 1 => Suspicion::Only,
+            (Circumstances::Alone | Circumstances::Shared, true) => Suspicion::Suspect,
+        };
+        worker.runs.iter().map(|(key, given)| (*key, suspicion(given))).collect()
+    }
+
+    /// What else was lost together with a worker.
+    fn circumstances(&self, worker: &Worker, now: Now) -> Circumstances {
+        let since_ms = worker.silent_since_ms.unwrap_or(now.steady_ms);
+        let unheard_ms = since_ms.saturating_sub(worker.heard_ms);
+        let together: Vec<&Silence> =
+            self.silences.together_with(&worker.entry.name, since_ms).collect();
+        let uncaused = together.iter().filter(|other| other.is_uncaused).count();
+        let stood_still =
+            self.stood_still_ms.is_some_and(|ms| since_ms.abs_diff(ms) < MOST_UNHEARD_MS);
+        if stood_still || uncaused >= FEWEST_UNCAUSED || unheard_ms > MOST_UNHEARD_MS {
+            return Circumstances::Explained;
+        }
+        if together.len() >= FEWEST_TOGETHER || self.is_rack_lost(worker, &together) {
+            return Circumstances::Shared;
+        }
+        Circumstances::Alone
+    }
+
+    fn is_rack_lost(&self, worker: &Worker, together: &[&Silence]) -> bool {
+        let rack = worker.rack();
+        let silent = together.iter().filter(|other| !rack.is_empty() && other.rack == rack).count();
+        let of_rack = self.workers.values().filter(|other| other.rack() == rack).count();
+        silent >= FEWEST_OF_RACK && 2 * silent >= of_rack
+    }
+
+    /// What starts together with a task: its gang, or itself alone.
+    fn starts_with(&self, task: TaskName) -> StepOrTask {
+        let entry = self.jobs.get(&task.step.job);
+        let is_gang = entry.is_some_and(|entry| entry.job.step_plan(task.step.step).gang);
+        (task.step, if is_gang { None } else { Some(task.index) })
+    }
+
+    /// A worker of a former leader is taken for gone: nobody lists it, and it does not answer. What ran there is known
+    /// to have been there at a crash, until the worker turns out to live. Several at a time are a common cause.
+    pub(crate) fn gone_unseen(&mut self, name: &WorkerName, missing: usize, now: Now) {
+        log::info!(worker:% = name, missing; "worker is taken for gone");
+        self.tally.lost(Loss::Lapsed);
+        let Some(worker) = self.workers.get(name) else { return };
+        let suspicion =
+            if missing > FEWEST_TOGETHER { Suspicion::Cleared } else { Suspicion::Present };
+        let keys: Vec<RunKey> = worker.runs.keys().copied().collect();
+        for &key in &keys {
+            let end = End { run: key.1, how: How::Crashed(suspicion), checkpoint: String::new() };
+            self.note_suspicion(name, key, suspicion);
+            self.end_run(name, key, &end, now);
+        }
+        if suspicion != Suspicion::Cleared && !keys.is_empty() {
+            let tasks = keys.iter().map(|(task, _)| *task).collect();
+            self.taken_for_gone.insert(name.clone(), tasks);
+        }
+        self.forget_worker(name);
+    }
+
+    /// A worker is registered: if it was taken for gone, it had been cut off and nothing crashed it.
+    pub(crate) fn lives_after_all(&mut self, name: &WorkerName) {
+        for task in self.taken_for_gone.remove(name).unwrap_or_default() {
+            let Some(entry) = self.jobs.get_mut(&task.step.job) else { continue };
+            if entry.job.retract_crash(task) {
+                self.outbox.waiting.beside.insert(task.step.job);
+            }
+        }
+    }
+
+    /// A silent worker's leases have run out. What ran there starts elsewhere; whether the worker crashed or
+    /// was cut off is known once it answers, or another life of it does.
+    pub(crate) fn lapse_worker(&mut self, name: &WorkerName, now: Now) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let lapsed = if worker.failed_looks > 0 && !worker.draining {
+            self.suspicions(worker, now)
+        } else {
+            Vec::new()
+        };
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.commanded = false;
+        worker.lapsed.extend(lapsed);
+        self.rooms.note(worker);
+        self.end_all(name, now);
+    }
+
+    /// Whether a worker that is not registered any more may still tell that it has crashed.
+    pub(crate) fn is_asked(worker: &Worker, now: Now) -> bool {
+        !worker.lapsed.is_empty()
+            && !worker.entry.address.is_empty()
+            && now.steady_ms < worker.lapsed_by_ms + ASKED_FOR_MS
+    }
+
+    /// Whether a task is to be tried where its worker's crash would do least harm and show most: workers have
+    /// crashed under it, or are silent since its start.
+    pub(crate) fn is_on_trial(&self, entry: &Entry, name: TaskName) -> bool {
+        let runs = entry.job.task(name).map(|task| task.runs.as_slice()).unwrap_or_default();
+        let is_lost_at_start = |run: &lilacpass_jobs::Run| {
+            let worker = self.workers.get(&run.worker).filter(|worker| worker.failed_looks > 0);
+            worker.is_some_and(|worker| {
+                let given = worker.runs.get(&(name, run.number));
+                given.is_some_and(|given| worker.is_suspect(given))
+            })
+        };
+        entry.job.is_suspected(name) || runs.iter().any(is_lost_at_start)
+    }
+
+    /// Picks workers for tasks that may crash them, one each: where fewest others have yet to show that they
+    /// are harmless, and least runs.
+    pub(crate) fn pick_for_trials(
+        &self,
+        entry: &Entry,
+        hosts: &[Host],
+        plan: &v1::WorkStep,
+        count: usize,
+    ) -> Vec<WorkerName> {
+        let need = place::need(plan);
+        let mut able: Vec<_> = hosts
+            .iter()
+            .filter(|host| host.may_take > 0 && need.fits(&host.room))
+            .filter_map(|host| Some((host, self.workers.get(&host.name)?)))
+            .map(|(host, worker)| {
+                let unclear = worker.runs.values().filter(|given| worker.is_unclear(given)).count();
+                let crashed = entry.crashed_at.contains(&worker.entry.address);
+                ((crashed, unclear, worker.runs.len(), Reverse(host.score)), &host.name)
+            })
+            .collect();
+        able.sort_unstable();
+        able.into_iter().take(count).map(|(_, name)| name.clone()).collect()
+    }
+
+    /// A task that may crash its worker is given to one: nothing else is, before the task has shown itself
+    /// harmless.
+    pub(crate) fn begin_trial(&mut self, name: &WorkerName, key: RunKey) {
+        log::info!(task:% = key.0, run = key.1, worker:% = name; "task is tried by itself");
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.trial = Some(key);
+        }
+    }
+
+    /// A worker has answered: ends its trial if that shows the task to be harmless.
+    pub(crate) fn review_trial(&mut self, name: &WorkerName) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let Some(key) = worker.trial else { return };
+        let is_clear = worker.runs.get(&key).is_none_or(|given| !worker.is_unclear(given));
+        if is_clear {
+            worker.trial = None;
+            self.news.free(name);
+        }
+    }
+
+    /// A run is at work: clears its task of earlier crashes once it has been for long.
+    pub(crate) fn review_acquittal(&mut self, key: RunKey, started_ms: Option<u64>, now: Now) {
+        if started_ms.is_none_or(|ms| now.steady_ms < ms + ACQUITTED_AFTER_MS) {
+            return;
+        }
+        let Some(entry) = self.jobs.get_mut(&key.0.step.job) else { return };
+        if entry.job.acquit(key.0) {
+            self.outbox.waiting.beside.insert(key.0.step.job);
+        }
+    }
+
+    /// A job has failed: tells why.
+    pub(crate) fn note_failure(&mut self, entry_key: lilacpass_jobs::JobKey) {
+        let failure = self.jobs.get(&entry_key).and_then(|entry| entry.job.failure);
+        let Some(failure) = failure else { return };
+        self.tally.failed(failure.cause);
+        log::warn!(
+            job:% = entry_key, cause = failure.cause.as_str(), task:% = failure.task,
+            count = failure.count;
+            "job failed"
+        );
+    }
+}
+
+/// What else was lost together with a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Circumstances {
+    /// Nothing that tells of another cause.
+    Alone,
+    /// Several others, which may have their own causes or a common one.
+    Shared,
+    /// Others without a cause of their own; or nobody knows when it was.
+    Explained,
+}
+
+/// A gang by its step, or a task by its step and index.
+type StepOrTask = (StepName, Option<u32>);
--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -54,7 +54,6 @@
             Err(err) => {
                 worker.failed_looks += 1;
                 if worker.failed_looks == 1 {
-                    worker.silent_since_ms = Some(now.steady_ms);
                     log::info!(worker:% = name, error:? = err; "worker does not answer");
                 }
                 if !extra {
@@ -63,6 +62,7 @@
                     worker.look = Look::Due { at_ms: now.steady_ms + retry_ms * pauses };
                 }
                 if worker.failed_looks == 1 {
+                    self.note_silence(name, now);
                     self.suspect_data_centre(name, now);
                 }
             }
@@ -76,6 +76,7 @@
         }
         if worker.failed_looks > 0 {
             log::info!(worker:% = name, failed = worker.failed_looks; "worker answers again");
+            self.silences.end(name);
         }
         let first = !worker.commanded;
         let was_open = worker.is_open();
@@ -97,6 +98,8 @@
         worker.commanded = true;
         worker.failed_looks = 0;
         worker.silent_since_ms = None;
+        // It was cut off, and has not crashed.
+        worker.lapsed.clear();
         worker.read_clock(answer.clock_ms, now.steady_ms);
         if answer.remaining_ms.is_some() && !worker.draining {
             log::info!(worker:% = name, remaining_ms = answer.remaining_ms; "worker drains");
@@ -111,6 +114,7 @@
         listed.sort_unstable();
         self.note_ends(name, answer.ends, now);
         self.note_running(name, &answer.running, now);
+        self.review_trial(name);
         if whole {
             self.note_absent(name, &listed, sent_ms, first, now);
         }
@@ -155,7 +159,8 @@
                 }
             }
             How::Failed => self.blame(name, job, now),
-            How::Stopped | How::Lapsed | How::Crashed | How::Broken | How::Alone | How::Void => {}
+            How::Stopped | How::Lapsed | How::Crashed(_) | How::Broken | How::Alone | How::Void => {
+            }
         }
     }
 
@@ -195,8 +200,10 @@
             };
             given.note_progress(row.percent, now.steady_ms);
             if matches!(given.phase, Phase::Ordered | Phase::Uncertain { .. }) {
-                given.phase = Phase::Running { since_ms: now.steady_ms };
+                given.set_phase(Phase::Running { since_ms: now.steady_ms });
             }
+            let started_ms = given.started_ms;
+            self.review_acquittal(key, started_ms, now);
         }
     }
 
@@ -255,31 +262,16 @@
         self.end_run(name, key, &end, now);
     }
 
-    /// The life of a worker is over: nothing runs there any more.
-    pub(crate) fn life_over(&mut self, name: &WorkerName, now: Now) {
-        let Some(worker) = self.workers.get(name) else { return };
-        let (loss, how) =
-            if worker.draining { (Loss::Left, How::Lapsed) } else { (Loss::Crashed, How::Crashed) };
-        log::info!(
-            worker:% = name, how = loss.as_str(), runs = worker.runs.len(),
-            silent_ms = worker.silent_ms(now.steady_ms);
-            "worker is gone"
-        );
-        self.tally.lost(loss);
-        self.end_all(name, how, now);
-        self.forget_worker(name);
-    }
-
-    fn forget_worker(&mut self, name: &WorkerName) {
+    pub(crate) fn forget_worker(&mut self, name: &WorkerName) {
         self.workers.remove(name);
         self.rooms.remove(name);
     }
 
-    fn end_all(&mut self, name: &WorkerName, how: How, now: Now) {
+    pub(crate) fn end_all(&mut self, name: &WorkerName, now: Now) {
         let Some(worker) = self.workers.get(name) else { return };
         let runs: Vec<RunKey> = worker.runs.keys().copied().collect();
         for key in runs {
-            let end = End { run: key.1, how, checkpoint: String::new() };
+            let end = End { run: key.1, how: How::Lapsed, checkpoint: String::new() };
             self.end_run(name, key, &end, now);
         }
     }
@@ -297,7 +289,7 @@
             return;
         }
         for name in lapsed {
-            let Some(worker) = self.workers.get_mut(&name) else { continue };
+            let Some(worker) = self.workers.get(&name) else { continue };
             if !worker.runs.is_empty() {
                 log::info!(
                     worker:% = name, runs = worker.runs.len(),
@@ -306,11 +298,11 @@
                 );
                 self.tally.lost(Loss::Lapsed);
             }
-            worker.commanded = false;
-            self.rooms.note(worker);
-            self.end_all(&name, How::Lapsed, now);
+            self.lapse_worker(&name, now);
         }
-        let is_over = |worker: &&Worker| !worker.listed && worker.runs.is_empty();
+        let is_over = |worker: &&Worker| {
+            !worker.listed && worker.runs.is_empty() && !Self::is_asked(worker, now)
+        };
         let over = self.workers.values().filter(is_over);
         let over: Vec<WorkerName> = over.map(|worker| worker.entry.name.clone()).collect();
         over.iter().for_each(|name| self.forget_worker(name));
@@ -330,6 +322,7 @@
         for (name, worker) in &mut self.workers {
             let is_missing = !worker.listed
                 && !worker.commanded
+                && worker.lapsed.is_empty()
                 && answering.contains(&worker.entry.data_centre);
             if !is_missing {
                 worker.missing_since_ms = None;
@@ -340,7 +333,7 @@
                 missing.push(name.clone());
             }
         }
-        missing.iter().for_each(|name| self.life_over(name, now));
+        missing.iter().for_each(|name| self.gone_unseen(name, missing.len(), now));
     }
 
     /// Data centres of which a worker has just answered.
--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -21,6 +21,8 @@
     pub not_begun_jobs: BTreeMap<String, u64>,
     /// Steps that wait for room or advice.
     pub waiting_steps: u64,
+    /// Tasks that are tried by themselves, since workers have crashed under them.
+    pub tasks_on_trial: u64,
     /// Runs on workers, by what is known of them.
     pub runs: BTreeMap<&'static str, u64>,
     /// The workers.
@@ -57,6 +59,8 @@
     pub queue: String,
     /// What has become of it.
     pub outcome: &'static str,
+    /// Why it failed; empty where it did not.
+    pub failure: String,
     /// A worker is known to have begun a task.
     pub begun: bool,
     /// Time since its acceptance, in ms.
@@ -76,6 +80,8 @@
     pub waiting: u64,
     /// Runs that may be on workers: task, run, worker, what is known.
     pub runs: Vec<String>,
+    /// Tasks under which workers have crashed: task, how many workers, how many of these it may have crashed.
+    pub crashes: Vec<String>,
     /// What the tasks that wait, wait for.
     pub waits_for: String,
 }
@@ -97,6 +103,7 @@
             }
         }
         for worker in self.workers.values() {
+            status.tasks_on_trial += u64::from(worker.trial.is_some());
             for given in worker.runs.values() {
                 *status.runs.entry(phase_name(given.phase)).or_default() += 1;
             }
@@ -120,6 +127,7 @@
             job: key.to_string(),
             queue: job.queue.name.clone(),
             outcome: job.outcome.as_str(),
+            failure: job.failure.map(|failure| failure.to_string()).unwrap_or_default(),
             begun: job.begun,
             age_ms: now.unix_ms.saturating_sub(job.accepted_ms),
             steps: job.step_names().map(|step| self.explain_step(entry, step, now)).collect(),
@@ -132,12 +140,20 @@
             done: 0,
             waiting: 0,
             runs: Vec::new(),
+            crashes: Vec::new(),
             waits_for: String::new(),
         };
         for task_name in entry.job.task_names(name) {
             let Some(task) = entry.job.task(task_name) else { continue };
             explanation.done += u64::from(task.done);
             explanation.waiting += u64::from(task.is_waiting());
+            if task.crashes > 0 {
+                let row = format!(
+                    "{task_name}: {} workers crashed under it, {} of them perhaps by its doing",
+                    task.crashes, task.suspected
+                );
+                explanation.crashes.push(row);
+            }
             for run in &task.runs {
                 let given = self
                     .workers
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -22,6 +22,7 @@
     pressure::Pressure,
     reserve::Reservations,
     rooms::Rooms,
+    silences::Silences,
     tally::Tally,
     turn::Turn,
     waiting::Waiting,
@@ -44,6 +45,8 @@
     pub copies: BTreeSet<TaskName>,
     /// How often each task was stopped for more urgent work.
     pub preempted: BTreeMap<TaskName, u32>,
+    /// Addresses of workers that crashed under its tasks.
+    pub crashed_at: BTreeSet<String>,
     /// The data centre in which its tasks are to run, once one was chosen.
     pub home: Option<String>,
 }
@@ -58,6 +61,7 @@
             failed_on: BTreeMap::new(),
             copies: BTreeSet::new(),
             preempted: BTreeMap::new(),
+            crashed_at: BTreeSet::new(),
             home: None,
         }
     }
@@ -80,7 +84,8 @@
     /// Whether a task may be given a run now: it has none, or is to have a copy.
     pub fn wants_run(&self, name: TaskName) -> bool {
         self.job.task(name).is_some_and(|task| {
-            task.is_waiting() || !task.done && task.runs.len() == 1 && self.copies.contains(&name)
+            let may_have_copy = || self.copies.contains(&name) && !self.job.is_suspected(name);
+            task.is_waiting() || !task.done && task.runs.len() == 1 && may_have_copy()
         })
     }
 }
@@ -114,6 +119,9 @@
     pub(crate) pressure: Pressure,
     pub(crate) news: News,
     pub(crate) loss: LossMeter,
+    pub(crate) silences: Silences,
+    /// Workers that were taken for gone unseen, with the tasks under which they were counted as crashed.
+    pub(crate) taken_for_gone: HashMap<WorkerName, Vec<TaskName>>,
     pub(crate) tally: Tally,
     /// Workers at which no look is under way: hardly any. Going through all workers at each event, and
     /// putting all in order for each call for advice, took 17 of 60 % of a core at 3,000 of them.
@@ -135,10 +143,14 @@
     next_cleanup_ms: u64,
     next_review_ms: u64,
     last_tick_ms: u64,
+    /// When it last went on after it had stood still, on the steady clock.
+    pub(crate) stood_still_ms: Option<u64>,
 }
 
 /// Time between two ticks that shows a leader to be late itself. Ticks come each 0.05 s.
 const LATE_TICK_MS: u64 = 150;
+/// The same that shows it to have stood still, so that it can't tell when anything happened meanwhile.
+const STOOD_STILL_MS: u64 = 1_000;
 /// How often all runs are looked through for lost ones. It costs time for each run; progress is
 /// reported hardly more often.
 const REVIEW_INTERVAL_MS: u64 = 200;
@@ -168,6 +180,8 @@
             pressure: Pressure::new(now),
             news: News::default(),
             loss: LossMeter::default(),
+            silences: Silences::default(),
+            taken_for_gone: HashMap::new(),
             tally: Tally::default(),
             looks_due: BTreeSet::new(),
             least_urgent: 0,
@@ -181,6 +195,7 @@
             next_cleanup_ms: now.steady_ms + CLEANUP_INTERVAL_MS,
             next_review_ms: now.steady_ms,
             last_tick_ms: now.steady_ms,
+            stood_still_ms: None,
         };
         for job in jobs {
             leader.inherit(job, now);
@@ -284,6 +299,7 @@
     }
 
     fn on_listed(&mut self, entry: Registration) {
+        self.lives_after_all(&entry.name);
         let until_ms = self.inherited_until_ms;
         let worker = self
             .workers
@@ -310,6 +326,9 @@
         if now.steady_ms > self.last_tick_ms + LATE_TICK_MS {
             self.loss.forget();
         }
+        if now.steady_ms > self.last_tick_ms + STOOD_STILL_MS {
+            self.stood_still_ms = Some(now.steady_ms);
+        }
         self.last_tick_ms = now.steady_ms;
         self.note_pressure(now);
         while let Some(&(due_ms, key)) = self.due.first() {
@@ -392,5 +411,8 @@
             self.jobs.remove(&key);
             self.outbox.waiting.drops.insert(key);
         }
+        let jobs = &self.jobs;
+        self.taken_for_gone
+            .retain(|_, tasks| tasks.iter().any(|task| jobs.contains_key(&task.step.job)));
     }
 }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -101,7 +101,7 @@
         now: Now,
     ) {
         let Some(entry) = self.jobs.get(&name.job) else { return };
-        let waiting: Vec<TaskName> =
+        let mut waiting: Vec<TaskName> =
             entry.job.task_names(name).filter(|task| entry.wants_run(*task)).collect();
         if waiting.is_empty() {
             return;
@@ -121,13 +121,14 @@
         }
         let chooser =
             Chooser { placement: self.options.placement, step: name, now_ms: now.steady_ms };
-        let picks = hosts::pick(&mut hosts, &plan, waiting.len(), &chooser);
-        if plan.target_ms > 0 && picks.len() < waiting.len() {
+        let wanted = waiting.len();
+        let picks = self.pick_hosts(&mut waiting, &mut hosts, &plan, &chooser);
+        if plan.target_ms > 0 && picks.len() < wanted {
             self.make_way(name, &plan, now);
         }
-        let missing = (waiting.len() - picks.len()) as u64;
+        let missing = (wanted - picks.len()) as u64;
         if missing > 0 && among.is_none() {
-            let wanted = if plan.gang { waiting.len() as u64 } else { missing };
+            let wanted = if plan.gang { wanted as u64 } else { missing };
             let may_preempt = !plan.lasting && self.options.uses(Mechanism::Preemption);
             if may_preempt && self.tries_for_room < MOST_TRIES_FOR_ROOM {
                 self.tries_for_room += 1;
@@ -147,6 +148,33 @@
         }
     }
 
+    /// Picks workers for waiting tasks of a step, the first for the first. Brings those that may crash their workers
+    /// behind all others.
+    fn pick_hosts(
+        &self,
+        waiting: &mut Vec<TaskName>,
+        hosts: &mut Vec<Host>,
+        plan: &v1::WorkStep,
+        chooser: &Chooser,
+    ) -> Vec<WorkerName> {
+        let entry = self.jobs.get(&chooser.step.job);
+        let is_on_trial =
+            |task: &TaskName| entry.is_some_and(|entry| self.is_on_trial(entry, *task));
+        let (suspects, others): (Vec<_>, Vec<_>) = waiting.iter().copied().partition(is_on_trial);
+        if plan.gang || suspects.is_empty() {
+            return hosts::pick(hosts, plan, waiting.len(), chooser);
+        }
+        let mut picks = hosts::pick(hosts, plan, others.len(), chooser);
+        waiting.clear();
+        waiting.extend(others.into_iter().take(picks.len()));
+        waiting.extend(&suspects);
+        hosts.retain(|host| !picks.contains(&host.name));
+        if let Some(entry) = entry {
+            picks.extend(self.pick_for_trials(entry, hosts, plan, suspects.len()));
+        }
+        picks
+    }
+
     /// Chooses the data centre in which the tasks of a job are to run, if that is still open. Tasks that
     /// last are spread instead: each that is lost counts by itself.
     pub(crate) fn choose_home(&mut self, name: StepName, plan: &v1::WorkStep, now: Now) {
@@ -297,11 +325,16 @@
     }
 
     fn give(&mut self, task: TaskName, worker: WorkerName, now: Now) {
+        let entry = self.jobs.get(&task.step.job);
+        let is_on_trial = entry.is_some_and(|entry| self.is_on_trial(entry, task));
         let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
         let data_centre = data_centre_of(&self.workers, &worker);
         let Some(run) = entry.job.begin_run(task, worker.clone(), data_centre) else { return };
         entry.copies.remove(&task);
-        self.record_start(task, run, worker, now);
+        self.record_start(task, run, worker.clone(), now);
+        if is_on_trial {
+            self.begin_trial(&worker, (task, run));
+        }
         self.reindex_step(task.step, now);
     }
 
@@ -311,10 +344,15 @@
             .iter()
             .map(|worker| (worker.clone(), data_centre_of(&self.workers, worker)))
             .collect();
+        let is_on_trial = entry.job.is_suspected(name.task(0));
         let Some(run) = entry.job.begin_gang(name, &hosts) else { return };
         self.reservations.release(name);
         for (index, worker) in workers.iter().enumerate() {
-            self.record_start(name.task(index as u32), run, worker.clone(), now);
+            let task = name.task(index as u32);
+            self.record_start(task, run, worker.clone(), now);
+            if is_on_trial {
+                self.begin_trial(worker, (task, run));
+            }
         }
         self.reindex_step(name, now);
     }
--- a/lilacpass-lead/src/starts.rs
+++ b/lilacpass-lead/src/starts.rs
@@ -76,6 +76,7 @@
                 if given.phase == Phase::Ordered {
                     worker.set_phase(key, Phase::Running { since_ms: now.steady_ms });
                 }
+                self.review_trial(name);
             }
             Err(CallError::OtherLife) => self.life_over(name, now),
             Err(CallError::Failed(Verdict::NotRun)) => {
--- a/lilacpass-lead/src/tally.rs
+++ b/lilacpass-lead/src/tally.rs
@@ -1,5 +1,7 @@
 //! What has happened since it was last read, for metrics.
 
+use lilacpass_jobs::failure::Cause;
+
 /// How a worker was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Loss {
@@ -29,6 +31,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
     lost: [u64; Loss::ALL.len()],
+    failed: [u64; Cause::ALL.len()],
 }
 
 impl Tally {
@@ -37,6 +40,16 @@
         self.lost[how as usize] += 1;
     }
 
+    /// A job has failed.
+    pub fn failed(&mut self, cause: Cause) {
+        self.failed[cause as usize] += 1;
+    }
+
+    /// Jobs that failed for a cause.
+    pub fn jobs_failed(&self, cause: Cause) -> u64 {
+        self.failed[cause as usize]
+    }
+
     /// Workers lost in a way.
     pub fn workers_lost(&self, how: Loss) -> u64 {
         self.lost[how as usize]
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::{Run, TaskName};
+use lilacpass_jobs::{Run, Suspicion, TaskName};
 
 use crate::{event::Registration, health, options, progress::Progress};
 
@@ -45,9 +45,29 @@
     pub need: Resources,
     /// What was seen of its work.
     pub progress: Option<Progress>,
+    /// When the worker's word first showed that it had started, on the steady clock.
+    pub started_ms: Option<u64>,
+    /// A former leader gave it out.
+    pub is_inherited: bool,
 }
 
 impl Given {
+    fn new(need: Resources, phase: Phase) -> Self {
+        let is_inherited = matches!(phase, Phase::Uncertain { .. });
+        let mut given =
+            Self { phase: Phase::Recording, need, progress: None, started_ms: None, is_inherited };
+        given.set_phase(phase);
+        given
+    }
+
+    /// Sets what is known of it.
+    pub fn set_phase(&mut self, phase: Phase) {
+        if let Phase::Running { since_ms } = phase {
+            self.started_ms.get_or_insert(since_ms);
+        }
+        self.phase = phase;
+    }
+
     /// Notes the share of its work that is done.
     pub fn note_progress(&mut self, percent: u32, now_ms: u64) {
         self.progress.get_or_insert(Progress::new(percent, now_ms)).note(percent, now_ms);
@@ -108,8 +128,15 @@
     pub missing_since_ms: Option<u64>,
     /// When it last answered anything, on the steady clock.
     pub heard_ms: u64,
+    /// A run that may crash it: until that has shown itself harmless nothing else is started there.
+    pub trial: Option<RunKey>,
+    /// Runs that were given up when its leases had run out in silence, and what its crash would say of them.
+    pub lapsed: Vec<(RunKey, Suspicion)>,
 }
 
+/// A run whose worker has answered for so long after its start has not crashed it by starting.
+const HARMLESS_AFTER_MS: u64 = 300;
+
 impl Worker {
     /// A worker of which nothing is known yet, whose leases run out by `lapsed_by_ms`.
     pub fn new(entry: Registration, lapsed_by_ms: u64) -> Self {
@@ -133,6 +160,8 @@
             health: health::Record::default(),
             missing_since_ms: None,
             heard_ms: 0,
+            trial: None,
+            lapsed: Vec::new(),
         }
     }
 
@@ -172,7 +201,7 @@
 
     /// Gives it a run.
     pub fn give(&mut self, key: RunKey, need: Resources, phase: Phase) {
-        if self.runs.insert(key, Given { phase, need, progress: None }).is_none() {
+        if self.runs.insert(key, Given::new(need, phase)).is_none() {
             self.used = self.used.plus(&need);
         }
     }
@@ -181,13 +210,16 @@
     pub fn take(&mut self, key: RunKey) -> Option<Given> {
         let given = self.runs.remove(&key)?;
         self.used = self.used.minus(&given.need);
+        if self.trial == Some(key) {
+            self.trial = None;
+        }
         Some(given)
     }
 
     /// Sets what is known of a run.
     pub fn set_phase(&mut self, key: RunKey, phase: Phase) {
         if let Some(given) = self.runs.get_mut(&key) {
-            given.phase = phase;
+            given.set_phase(phase);
         }
     }
 
@@ -203,6 +235,17 @@
         self.silent_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
     }
 
+    /// Whether the worker is not known to have lived on after the start of a run.
+    pub fn is_unclear(&self, given: &Given) -> bool {
+        given.started_ms.is_none_or(|ms| self.heard_ms < ms + HARMLESS_AFTER_MS)
+    }
+
+    /// Whether a run may be why the worker has fallen silent. What a former leader gave out may have run
+    /// for long.
+    pub fn is_suspect(&self, given: &Given) -> bool {
+        given.phase != Phase::Recording && !given.is_inherited && self.is_unclear(given)
+    }
+
     /// What is free.
     pub fn room(&self) -> Resources {
         self.entry.capacity.minus(&self.used)
@@ -217,6 +260,7 @@
     pub fn takes_starts(&self, now_ms: u64) -> bool {
         self.is_open()
             && self.failed_looks == 0
+            && self.trial.is_none()
             && now_ms >= self.avoid_until_ms.max(self.suspected_until_ms)
             && !self.health.is_quarantined(now_ms)
     }
@@ -238,6 +282,9 @@
         if self.health.is_quarantined(now_ms) {
             return "spoils its work";
         }
+        if self.trial.is_some() {
+            return "tries a task that may crash it";
+        }
         if now_ms < self.avoid_until_ms {
             return "has just refused or not answered";
         }
--- a/lilacpass-lead/tests/crashes.rs
+++ b/lilacpass-lead/tests/crashes.rs
@@ -2,12 +2,15 @@
 
 mod world;
 
+use std::ops::Range;
+
 use lilacpass_core::Resources;
 use lilacpass_jobs::{JobKey, Outcome, StepName, TaskName};
 use lilacpass_schema::v1;
 use world::{World, plan, queue, step};
 
 const CRASHING_JOB: u64 = 1;
+const QUICK_JOBS: Range<u64> = 2..62;
 /// How soon after its start a task crashes its worker.
 const CRASHES_AFTER_MS: u64 = 10;
 
@@ -25,13 +28,16 @@
     world.store.job(JobKey(key)).map(|job| job.outcome)
 }
 
-/// Twelve workers in two racks, one job of which a task crashes its workers, and quick jobs each half second.
-fn play_beside_quick_work(speculative: bool) -> World {
-    let mut world = World::new(11, 12, Resources::new(8_000, 1_000, 0, 0));
-    world.crashes.crashing.insert(task(CRASHING_JOB, 0), CRASHES_AFTER_MS);
-    let wide = v1::WorkStep { speculative, ..step(4, 1_000, 1_000) };
-    world.submit(CRASHING_JOB, plan(&[wide]), queue("quick", 0));
-    for key in 2..62 {
+fn twelve_workers(seed: u64) -> World {
+    World::new(seed, 12, Resources::new(8_000, 1_000, 0, 0))
+}
+
+/// Twelve workers, one job of which a task crashes its workers, and quick jobs each half second.
+fn play_beside_quick_work(crashing: v1::WorkStep, after_ms: u64) -> World {
+    let mut world = twelve_workers(11);
+    world.crashes.crashing.insert(task(CRASHING_JOB, 0), after_ms);
+    world.submit(CRASHING_JOB, plan(&[crashing]), queue("quick", 0));
+    for key in QUICK_JOBS {
         world.submit(key, plan(&[step(3, 1_000, 800)]), queue("quick", 0));
         world.run(500);
     }
@@ -39,12 +45,165 @@
     world
 }
 
+fn assert_quick_work_is_done(world: &World) {
+    for key in QUICK_JOBS {
+        assert_eq!(outcome(world, key), Some(Outcome::Completed), "quick job {key}");
+    }
+}
+
+/// The job that crashes its workers is given up, and says why.
+fn assert_given_up(world: &mut World) {
+    assert_eq!(outcome(world, CRASHING_JOB), Some(Outcome::Failed));
+    let now = world.now();
+    let why = world.current().leader.explain(JobKey(CRASHING_JOB), now).expect("it is known");
+    assert!(why.failure.contains("workers crashed under task"), "{}", why.failure);
+}
+
 /// Guards against a task that goes on crashing one worker after the other, with all that runs there.
 #[test]
 fn a_task_that_crashes_its_workers_is_given_up() {
     for speculative in [false, true] {
-        let world = play_beside_quick_work(speculative);
-        assert_eq!(outcome(&world, CRASHING_JOB), Some(Outcome::Failed));
+        let crashing = v1::WorkStep { speculative, ..step(4, 1_000, 1_000) };
+        let mut world = play_beside_quick_work(crashing, CRASHES_AFTER_MS);
+        assert_given_up(&mut world);
+        assert_quick_work_is_done(&world);
+        assert!(world.crashes.total() <= 3, "{} workers were lost", world.crashes.total());
+    }
+}
+
+/// Guards against a task that is given a new chance for ever because its workers live on for a while.
+#[test]
+fn a_task_that_crashes_its_workers_late_is_given_up() {
+    for after_ms in [400, 1_500, 4_000] {
+        let mut world = play_beside_quick_work(step(1, 1_000, 20_000), after_ms);
+        assert_given_up(&mut world);
+        assert_quick_work_is_done(&world);
+    }
+}
+
+/// Guards against a gang, of which each run begins on several workers, escaping the count.
+#[test]
+fn a_gang_that_crashes_a_worker_is_given_up() {
+    let gang = v1::WorkStep { gang: true, ..step(3, 2_000, 10_000) };
+    let mut world = play_beside_quick_work(gang, CRASHES_AFTER_MS);
+    assert_given_up(&mut world);
+    assert_quick_work_is_done(&world);
+}
+
+/// Guards against a task that has its chances again under each new leader.
+#[test]
+fn crashes_are_known_to_the_next_leader() {
+    let mut world = twelve_workers(7);
+    world.crashes.crashing.insert(task(CRASHING_JOB, 0), CRASHES_AFTER_MS);
+    world.submit(CRASHING_JOB, plan(&[step(1, 1_000, 1_000)]), queue("quick", 0));
+    for _ in 0..12 {
+        world.run(4_500);
+        world.current().alive = false;
+        world.take_over();
+    }
+    world.run(8_000);
+    assert_given_up(&mut world);
+    world.current().alive = false;
+    world.take_over();
+    world.run(1_000);
+    assert_given_up(&mut world);
+}
+
+/// Guards against healthy work that is given up because its workers were lost together, again and again.
+#[test]
+fn work_on_racks_that_are_lost_is_not_given_up() {
+    let mut world = twelve_workers(3);
+    world.submit(1, plan(&[step(24, 1_000, 5_000)]), queue("long", 1));
+    let lasting = v1::WorkStep { lasting: true, ..step(12, 1_000, 500) };
+    world.submit(2, plan(&[lasting]), queue("watch", 1));
+    for round in 0..8 {
+        for at in 0..world.workers.len() {
+            let is_in_rack = world.workers[at].address_number() % 2 == round % 2;
+            if world.workers[at].alive && is_in_rack {
+                world.crash_worker(at);
+            }
+        }
+        world.run(5_000 + 37 * round as u64);
+    }
+    world.run(20_000);
+    assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
+    assert_eq!(outcome(&world, 2), Some(Outcome::Open));
+}
+
+/// Guards against healthy work that is given up because its worker is cut off, each time for longer than its lease.
+#[test]
+fn work_on_workers_that_are_cut_off_is_not_given_up() {
+    let mut world = twelve_workers(5);
+    world.submit(1, plan(&[step(1, 1_000, 15_000)]), queue("long", 1));
+    for _ in 0..6 {
+        world.run(1_000);
+        let hosts = hosts_of(&world, task(1, 0));
+        for &at in &hosts {
+            world.workers[at].cut = true;
+            world.unlist(at);
+        }
+        world.run(9_000);
+        hosts.iter().for_each(|&at| world.workers[at].cut = false);
+    }
+    world.run(20_000);
+    assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
+}
+
+/// Guards against healthy work that is given up for the crashes of a machine that is broken.
+#[test]
+fn work_is_tried_away_from_a_machine_that_crashes_by_itself() {
+    let mut world = twelve_workers(9);
+    for key in 1..40 {
+        world.submit(key, plan(&[step(3, 1_000, 1_500)]), queue("quick", 0));
+        world.run(350);
+        let broken = (0..world.workers.len())
+            .find(|&at| world.workers[at].alive && world.workers[at].address_number() == 4);
+        if let Some(at) = broken.filter(|&at| !world.workers[at].runs.is_empty()) {
+            world.crash_worker(at);
+        }
+    }
+    world.run(20_000);
+    for key in 1..40 {
+        assert_eq!(outcome(&world, key), Some(Outcome::Completed), "job {key}");
+    }
+}
+
+/// Guards against healthy work that is given up since its leader stood still while workers crashed.
+#[test]
+fn work_on_workers_that_crash_while_the_leader_stands_still_is_not_given_up() {
+    let mut world = twelve_workers(13);
+    world.submit(1, plan(&[step(8, 1_000, 4_000)]), queue("long", 1));
+    for round in 0..6 {
+        world.run(150);
+        let until_ms = world.now_ms + 2_500;
+        world.current().paused_until_ms = until_ms;
+        let hosts = hosts_of(&world, task(1, 0));
+        hosts.iter().for_each(|&at| world.crash_worker(at));
+        world.run(4_000 + 100 * round);
+    }
+    world.run(20_000);
+    assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
+}
+
+/// Guards against healthy neighbours of many crashing tasks that are given up with them.
+#[test]
+fn neighbours_of_crashing_tasks_are_not_given_up() {
+    for seed in 1..20 {
+        let mut world = twelve_workers(seed);
+        let crashing: Vec<u64> = (1..60).filter(|key| key % 10 == 0).collect();
+        for &key in &crashing {
+            world.crashes.crashing.insert(task(key, (key / 10 % 3) as u32), CRASHES_AFTER_MS);
+        }
+        for key in 1..60 {
+            world.submit(key, plan(&[step(3, 1_000, 800)]), queue("quick", 0));
+            world.run(400);
+        }
+        world.run(25_000);
+        for key in 1..60 {
+            let expected =
+                if crashing.contains(&key) { Outcome::Failed } else { Outcome::Completed };
+            assert_eq!(outcome(&world, key), Some(expected), "job {key}, seed {seed}");
+        }
     }
 }
 
@@ -62,7 +221,9 @@
         world.run(2_000);
         let copies = hosts_of(&world, task(1, 0));
         assert_eq!(copies.len(), 2, "a copy runs beside the one that may be lost");
-        copies.iter().for_each(|&at| world.crash_worker(at));
-        world.run(6_000);
+        copies.iter().for_each(|&at| world.workers[at].cut = true);
+        world.run(8_000);
+        copies.iter().for_each(|&at| world.workers[at].cut = false);
+        world.run(1_000);
     }
 }
--- a/lilacpass-lead/tests/fuzz.rs
+++ b/lilacpass-lead/tests/fuzz.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::JobKey;
+use lilacpass_jobs::{JobKey, StepName};
 use lilacpass_lead::event::Ask;
 use lilacpass_schema::v1;
 use world::{World, plan, queue, step};
@@ -29,6 +29,11 @@
         match what % 12 {
             0..=3 => {
                 let key = jobs.len() as u64 + 1;
+                if much % 16 == 15 {
+                    let step = StepName { job: JobKey(key), occurrence: 0, step: 0 };
+                    let after_ms = u64::from(who) * 10;
+                    world.crashes.crashing.insert(step.task(0), after_ms);
+                }
                 let sort = if who % 2 == 0 { queue("quick", 0) } else { advised() };
                 jobs.push((key, world.submit(key, some_plan(who, much), sort)));
             }
@@ -54,6 +59,7 @@
             8 => world.workers[worker].cut = !world.workers[worker].cut,
             9 if world.workers[worker].alive => world.replace_worker(worker),
             10 => world.lose_percent = u64::from(much) % 40,
+            11 if world.workers[worker].alive => world.crash_worker(worker),
             _ => {}
         }
         ask_of_jobs(&mut world, jobs.len() as u64);
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -182,6 +182,12 @@
         }
     }
 
+    /// The store drops the registration of a worker that it has not heard of.
+    pub fn unlist(&mut self, at: usize) {
+        let member = self.members.len() - 1;
+        self.tell(member, Event::WorkerUnlisted(self.workers[at].name.clone()));
+    }
+
     /// Sets how many instances can call for advice.
     pub fn set_lanes(&mut self, count: usize) {
         let member = self.members.len() - 1;
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Number of the worker that was first at its address.
+    pub fn address_number(&self) -> usize {
+        let number = self.address.trim_start_matches("10.0.0.").trim_end_matches(":80");
+        number.parse().expect("an address of this cell")
+    }
+
     pub fn used(&self) -> Resources {
         self.runs.values().fold(Resources::ZERO, |sum, run| sum.plus(&run.need))
     }
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
+use lilacpass_jobs::failure::Cause;
 use lilacpass_lead::{
     pressure::Level,
     tally::{Loss, Tally},
@@ -43,6 +44,7 @@
     desired_version: Gauge<u64>,
     workers_reads: Counter<u64>,
     workers_lost: Counter<u64>,
+    jobs_failed: Counter<u64>,
     takeovers: Counter<u64>,
     leads: Gauge<u64>,
     behind_seconds: Gauge<f64>,
@@ -88,6 +90,7 @@
             desired_version: meter.u64_gauge("lilacpass_desired_version").build(),
             workers_reads: meter.u64_counter("lilacpass_workers_reads").build(),
             workers_lost: meter.u64_counter("lilacpass_workers_lost").build(),
+            jobs_failed: meter.u64_counter("lilacpass_jobs_failed").build(),
             takeovers: meter.u64_counter("lilacpass_takeovers").build(),
             leads: meter.u64_gauge("lilacpass_leads").build(),
             behind_seconds: meter.f64_gauge("lilacpass_leader_behind_seconds").build(),
@@ -168,6 +171,10 @@
             let how = KeyValue::new("how", loss.as_str());
             self.workers_lost.add(tally.workers_lost(loss), &[how]);
         }
+        for cause in Cause::ALL {
+            let kind = KeyValue::new("cause", cause.as_str());
+            self.jobs_failed.add(tally.jobs_failed(cause), &[kind]);
+        }
     }
 
     /// This instance leads no more.
