Tell crashes under crashing tasks apart while leaders change

Cause: workers that a new leader had never heard, or on which only runs of its predecessor were known, passed for workers lost without a cause of their own; two of them cleared every task that was lost at the same time. Two workers that crashed under two tasks so cleared both.

Change: only a worker that had answered this leader, and outlived all that ran there, counts as lost without a cause. Crashes of which nobody knows when they were count as seen, unless the leader stood still and several workers were lost. A task that is suspected stays on trial under the next leader; where one task there was suspected before, its neighbours are cleared.

--- a/lilacpass-lead/src/crashes.rs
+++ b/lilacpass-lead/src/crashes.rs
@@ -106,28 +106,49 @@
             worker: name.clone(),
             rack: worker.rack().to_owned(),
             since_ms: now.steady_ms,
-            is_uncaused: !worker.runs.values().any(|given| worker.is_suspect(given)),
+            is_uncaused: worker.was_heard()
+                && !worker.runs.values().any(|given| worker.is_unclear(given)),
         });
     }
 
     /// What the loss of a worker says about each run there.
     fn suspicions(&self, worker: &Worker, now: Now) -> Vec<(RunKey, Suspicion)> {
         let loss = self.circumstances(worker, now);
-        let is_suspect = |given: &Given| worker.is_suspect(given);
-        let suspects: BTreeSet<StepOrTask> = worker
-            .runs
-            .iter()
-            .filter(|(_, given)| is_suspect(given))
-            .map(|((task, _), _)| self.starts_with(*task))
-            .collect();
-        let suspicion = |given: &Given| match (loss, is_suspect(given)) {
-            _ if given.phase == Phase::Recording => Suspicion::Cleared,
-            (Circumstances::Explained, _) | (Circumstances::Shared, false) => Suspicion::Cleared,
-            (Circumstances::Alone, false) => Suspicion::Present,
-            (Circumstances::Alone, true) if suspects.len() == 1 => Suspicion::Only,
-            (Circumstances::Alone | Circumstances::Shared, true) => Suspicion::Suspect,
+        let suspects = self.suspects(worker);
+        let suspicion = |key: &RunKey, given: &Given| {
+            let is_suspect =
+                worker.is_suspect(given) && suspects.contains(&self.starts_with(key.0));
+            let is_only = is_suspect && suspects.len() == 1;
+            match loss {
+                _ if given.phase == Phase::Recording => Suspicion::Cleared,
+                Circumstances::Explained => Suspicion::Cleared,
+                Circumstances::Alone if is_only => Suspicion::Only,
+                Circumstances::Alone | Circumstances::Shared if is_suspect => Suspicion::Suspect,
+                Circumstances::Shared => Suspicion::Cleared,
+                _ if self.has_known_suspect(&suspects) && !is_suspect => Suspicion::Cleared,
+                Circumstances::Alone | Circumstances::Unseen => Suspicion::Present,
+            }
         };
-        worker.runs.iter().map(|(key, given)| (*key, suspicion(given))).collect()
+        worker.runs.iter().map(|(key, given)| (*key, suspicion(key, given))).collect()
+    }
+
+    /// What may have crashed a worker: of all that it did not outlive, that which was suspected before.
+    fn suspects(&self, worker: &Worker) -> BTreeSet<StepOrTask> {
+        let suspects = worker.runs.iter().filter(|(_, given)| worker.is_suspect(given));
+        let suspects: BTreeSet<StepOrTask> =
+            suspects.map(|((task, _), _)| self.starts_with(*task)).collect();
+        let known: BTreeSet<StepOrTask> =
+            suspects.iter().copied().filter(|suspect| self.was_suspected(suspect)).collect();
+        if known.is_empty() { suspects } else { known }
+    }
+
+    fn has_known_suspect(&self, suspects: &BTreeSet<StepOrTask>) -> bool {
+        suspects.iter().any(|suspect| self.was_suspected(suspect))
+    }
+
+    fn was_suspected(&self, (step, index): &StepOrTask) -> bool {
+        let entry = self.jobs.get(&step.job);
+        entry.is_some_and(|entry| entry.job.is_suspected(step.task(index.unwrap_or(0))))
     }
 
     /// What else was lost together with a worker.
@@ -139,13 +160,16 @@
         let uncaused = together.iter().filter(|other| other.is_uncaused).count();
         let stood_still =
             self.stood_still_ms.is_some_and(|ms| since_ms.abs_diff(ms) < MOST_UNHEARD_MS);
-        if stood_still || uncaused >= FEWEST_UNCAUSED || unheard_ms > MOST_UNHEARD_MS {
-            return Circumstances::Explained;
-        }
-        if together.len() >= FEWEST_TOGETHER || self.is_rack_lost(worker, &together) {
-            return Circumstances::Shared;
+        let is_shared = together.len() >= FEWEST_TOGETHER || self.is_rack_lost(worker, &together);
+        if uncaused >= FEWEST_UNCAUSED || stood_still && is_shared {
+            Circumstances::Explained
+        } else if stood_still || unheard_ms > MOST_UNHEARD_MS {
+            Circumstances::Unseen
+        } else if is_shared {
+            Circumstances::Shared
+        } else {
+            Circumstances::Alone
         }
-        Circumstances::Alone
     }
 
     fn is_rack_lost(&self, worker: &Worker, together: &[&Silence]) -> bool {
@@ -303,9 +327,11 @@
 enum Circumstances {
     /// Nothing that tells of another cause.
     Alone,
+    /// The same, but nobody knows when it was.
+    Unseen,
     /// Several others, which may have their own causes or a common one.
     Shared,
-    /// Others without a cause of their own; or nobody knows when it was.
+    /// Others without a cause of their own, or several while the leader stood still.
     Explained,
 }
 
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -216,6 +216,9 @@
                 .or_insert_with(|| Worker::unlisted(&run, until_ms));
             self.looks_due.insert(run.worker.clone());
             worker.give((task, run.number), need, Phase::Uncertain { since_ms: now.steady_ms });
+            if job.is_suspected(task) {
+                worker.go_on_with_trial((task, run.number));
+            }
             self.rooms.note(worker);
         }
         self.jobs.insert(key, Entry::new(job, true));
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -47,7 +47,7 @@
     pub progress: Option<Progress>,
     /// When the worker's word first showed that it had started, on the steady clock.
     pub started_ms: Option<u64>,
-    /// A former leader gave it out.
+    /// A former leader gave it out, and nothing speaks against its task.
     pub is_inherited: bool,
 }
 
@@ -206,6 +206,14 @@
         }
     }
 
+    /// A run that a former leader gave out may crash it.
+    pub fn go_on_with_trial(&mut self, key: RunKey) {
+        if let Some(given) = self.runs.get_mut(&key) {
+            given.is_inherited = false;
+            self.trial = Some(key);
+        }
+    }
+
     /// Takes a run that has ended off it, if it is there.
     pub fn take(&mut self, key: RunKey) -> Option<Given> {
         let given = self.runs.remove(&key)?;
@@ -235,6 +243,11 @@
         self.silent_since_ms.map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
     }
 
+    /// Whether it has ever answered this leader.
+    pub fn was_heard(&self) -> bool {
+        self.heard_ms > 0
+    }
+
     /// Whether the worker is not known to have lived on after the start of a run.
     pub fn is_unclear(&self, given: &Given) -> bool {
         given.started_ms.is_none_or(|ms| self.heard_ms < ms + HARMLESS_AFTER_MS)
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -39,6 +39,8 @@
     pub spoils: bool,
     /// It is registered.
     pub listed: bool,
+    /// Until when it is registered though it has crashed.
+    pub stale_until_ms: u64,
     pub data_centre: &'static str,
     pub runs: BTreeMap<TaskName, Running>,
     /// Tasks that were done here.
@@ -72,6 +74,7 @@
             draining: false,
             spoils: false,
             listed: true,
+            stale_until_ms: 0,
             data_centre: "here",
             runs: BTreeMap::new(),
             done: BTreeSet::new(),
