Send no start to a worker that has shrunk since it was placed

Cause: a start is placed by the room that its worker has, recorded, and ordered once that is stored. Where the store takes long, the worker may say meanwhile that it has less, and the order went out all the same; where workers start whatever they are told to, that brings them over their capacity (LIMIT).

The order is not sent while what was given to the worker does not fit it; the task waits again. The fuzz now shrinks and grows workers too, and the small cell judges each start by the room that counts, a heartbeat and 3 s after it has shrunk.

--- a/lilacpass-lead/src/starts.rs
+++ b/lilacpass-lead/src/starts.rs
@@ -34,8 +34,9 @@
         let may_extend = self.may_extend(now);
         let Some(worker) = self.workers.get_mut(name) else { return };
         let startable = may_extend && worker.commanded && !worker.draining;
-        if !startable || needs_ticket && ticket.is_none() {
-            log::info!(task:% = task, run, worker:% = name, startable; "order not sent");
+        let has_room = worker.used.fits(&worker.entry.capacity);
+        if !startable || !has_room || needs_ticket && ticket.is_none() {
+            log::info!(task:% = task, run, worker:% = name, startable, has_room; "order not sent");
             return self.void_run(name, key, now);
         }
         let Some(lease_until_ms) = worker.extend_lease(lease_ms, now.steady_ms) else {
--- /dev/null
+++ b/lilacpass-lead/tests/capacity.rs
@@ -0,0 +1,79 @@
+//! Workers whose room shrinks and grows while work is on its way to them. The small cell judges each start.
+
+mod world;
+
+use lilacpass_core::Resources;
+use lilacpass_jobs::{JobKey, Outcome};
+use lilacpass_schema::v1;
+use world::{World, plan, queue, step};
+
+const WHOLE: Resources = cores(8);
+
+const fn cores(count: u64) -> Resources {
+    use lilacpass_core::size::{Accelerators, Mebibytes, Millicores, Slots};
+    Resources {
+        cpu: Millicores(count * 1_000),
+        memory: Mebibytes(1_000),
+        accelerators: Accelerators(0),
+        slots: Slots(0),
+    }
+}
+
+fn outcome(world: &World, key: u64) -> Option<Outcome> {
+    world.store.job(JobKey(key)).map(|job| job.outcome)
+}
+
+/// Guards against a start that was placed while its worker had room, waited for the store, and arrived when it had none.
+#[test]
+fn a_start_that_waited_for_the_store_does_not_go_to_a_worker_that_has_shrunk() {
+    let mut world = World::new(3, 1, WHOLE);
+    world.submit(1, plan(&[step(1, 1_000, 2_000), step(4, 2_000, 2_000)]), queue("quick", 0));
+    world.run(1_500);
+    world.store.down = true;
+    world.run(1_000);
+    world.set_capacity(0, cores(3));
+    world.run(5_000);
+    world.store.down = false;
+    world.run(30_000);
+    assert_eq!(outcome(&world, 1), Some(Outcome::Completed), "one after the other");
+}
+
+/// Guards against work that is placed by the room that a worker used to have, or never again.
+#[test]
+fn starts_follow_the_room_of_workers_that_shrink_and_grow() {
+    for seed in 1..20 {
+        let mut world = World::new(seed, 6, WHOLE);
+        let lasting = v1::WorkStep { lasting: true, ..step(4, 1_000, 500) };
+        world.submit(1, plan(&[lasting]), queue("watch", 1));
+        for key in 2..60 {
+            world.submit(key, plan(&[step(4, 1_500, 1_500)]), queue("quick", 0));
+            world.run(300);
+            if key % 3 == 0 {
+                let at = world.random.below(6) as usize;
+                let room = cores(world.random.below(9));
+                world.set_capacity(at, room);
+            }
+        }
+        (0..6).for_each(|at| world.set_capacity(at, WHOLE));
+        world.run(20_000);
+        for key in 2..60 {
+            assert_eq!(outcome(&world, key), Some(Outcome::Completed), "job {key}, seed {seed}");
+        }
+    }
+}
+
+/// Guards against a leader that learns of a smaller room only from its predecessor's books.
+#[test]
+fn a_new_leader_goes_by_the_room_that_workers_say_they_have() {
+    let mut world = World::new(5, 2, WHOLE);
+    world.submit(1, plan(&[step(6, 2_000, 4_000)]), queue("long", 1));
+    world.run(1_000);
+    (0..2).for_each(|at| world.set_capacity(at, cores(2)));
+    world.current().alive = false;
+    world.run(600);
+    world.take_over();
+    world.submit(2, plan(&[step(6, 2_000, 1_000)]), queue("quick", 0));
+    world.run(30_000);
+    assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
+    assert_eq!(outcome(&world, 2), Some(Outcome::Completed));
+}
--- a/lilacpass-lead/tests/fuzz.rs
+++ b/lilacpass-lead/tests/fuzz.rs
@@ -2,7 +2,10 @@
 
 mod world;
 
-use lilacpass_core::Resources;
+use lilacpass_core::{
+    Resources,
+    size::{Accelerators, Mebibytes, Millicores, Slots},
+};
 use lilacpass_jobs::{JobKey, StepName};
 use lilacpass_lead::event::Ask;
 use lilacpass_schema::v1;
@@ -14,6 +17,13 @@
 /// that is cut off lapse after 12 s, and a few tasks fail and run again.
 const SETTLE_MS: u64 = 60_000;
 
+const CAPACITY: Resources = Resources {
+    cpu: Millicores(8_000),
+    memory: Mebibytes(1_000),
+    accelerators: Accelerators(0),
+    slots: Slots(0),
+};
+
 /// One step of a play: what happens, to whom, and how much.
 type Op = (u8, u8, u8);
 
@@ -22,7 +32,7 @@
         seed.wrapping_mul(31)
             .wrapping_add(u64::from(op.0) << 16 | u64::from(op.1) << 8 | u64::from(op.2))
     });
-    let mut world = World::new(seed, 4, Resources::new(8_000, 1_000, 0, 0));
+    let mut world = World::new(seed, 4, CAPACITY);
     let mut jobs = Vec::new();
     for &(what, who, much) in ops {
         let worker = usize::from(who) % world.workers.len();
@@ -59,6 +69,10 @@
             8 => world.workers[worker].cut = !world.workers[worker].cut,
             9 if world.workers[worker].alive => world.replace_worker(worker),
             10 => world.lose_percent = u64::from(much) % 40,
+            11 if much % 4 == 0 => {
+                let room = Resources::new(u64::from(who) * 31, 1_000, 0, 0);
+                world.set_capacity(worker, room);
+            }
             11 if world.workers[worker].alive => world.crash_worker(worker),
             _ => {}
         }
@@ -69,6 +83,7 @@
     world.lose_percent = 0;
     world.store.down = false;
     world.workers.iter_mut().for_each(|worker| worker.cut = false);
+    (0..world.workers.len()).for_each(|at| world.set_capacity(at, CAPACITY));
     world.current().paused_until_ms = 0;
     world.run(SETTLE_MS);
     for job in world.store.jobs() {
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -40,6 +40,8 @@
 const LATEST_MS: u64 = 12_000;
 /// The shortest time of a call for advice.
 const LEAST_ADVICE_MS: u64 = 40;
+/// Time between two registrations of a worker.
+const HEARTBEAT_MS: u64 = 1_500;
 /// Time between ticks of a leader.
 const TICK_MS: u64 = 50;
 
@@ -184,6 +186,16 @@
         }
     }
 
+    /// A worker has another room from now on, and says so with its next heartbeat.
+    pub fn set_capacity(&mut self, at: usize, capacity: Resources) {
+        let now_ms = self.now_ms;
+        let worker = &mut self.workers[at];
+        worker.set_capacity(capacity, now_ms);
+        let entry = worker.registration();
+        let member = self.members.len() - 1;
+        self.plan(HEARTBEAT_MS, Action::Tell { member, event: Event::WorkerListed(entry) });
+    }
+
     /// The store drops the registration of a worker that it has not heard of.
     pub fn unlist(&mut self, at: usize) {
         let member = self.members.len() - 1;
@@ -512,7 +524,7 @@
         let need = lilacpass_lead::place::need(plan);
         let used = self.workers[at].used().plus(&need);
         assert!(
-            used.fits(&self.workers[at].capacity),
+            used.fits(&self.workers[at].limit(self.now_ms)),
             "{task} brings {} over its capacity: {used}",
             self.workers[at].name
         );
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -8,6 +8,8 @@
 
 /// How long a stop takes.
 const STOP_MS: u64 = 100;
+/// A room that has shrunk counts after so long: what all may need to hear of it, and a heartbeat.
+const SHRINKS_AFTER_MS: u64 = 4_500;
 /// Its clock at the start of the made-up time, so that no test takes one clock for the other.
 const CLOCK_AHEAD_MS: u64 = 500_000;
 
@@ -30,7 +32,10 @@
     pub number: usize,
     pub name: WorkerName,
     pub address: String,
+    /// What it says that it has.
     pub capacity: Resources,
+    /// What it had before it shrank, which counts until this time.
+    had: Vec<(u64, Resources)>,
     pub alive: bool,
     /// Nobody reaches it, and it runs on.
     pub cut: bool,
@@ -69,6 +74,7 @@
             name: WorkerName::from(format!("w-{number}").as_str()),
             address: format!("10.0.0.{number}:80"),
             capacity,
+            had: Vec::new(),
             alive: true,
             cut: false,
             draining: false,
@@ -109,6 +115,18 @@
         number.parse().expect("an address of this cell")
     }
 
+    /// Has another room from now on.
+    pub fn set_capacity(&mut self, capacity: Resources, now_ms: u64) {
+        self.had.push((now_ms + SHRINKS_AFTER_MS, self.capacity));
+        self.capacity = capacity;
+    }
+
+    /// What runs there may take: a room that has shrunk counts after a while.
+    pub fn limit(&self, now_ms: u64) -> Resources {
+        let had = self.had.iter().filter(|(until_ms, _)| now_ms < *until_ms);
+        had.fold(self.capacity, |limit, (_, capacity)| limit.max(capacity))
+    }
+
     pub fn used(&self) -> Resources {
         self.runs.values().fold(Resources::ZERO, |sum, run| sum.plus(&run.need))
     }
