Take jobs that fit workers once these grow again

Cause: a job was refused for good if no worker had room for a task of it at that moment by what it said; workers that had shrunk for some seconds counted with what was left. The test is told on the code before that no worker is large enough.

A job is now measured by the most that each worker has said it has in its life. A new leader knows only what they say to it, so that a job may still be refused for good in the seconds after a take-over if all large workers have shrunk just then.

--- a/lilacpass-lead/src/asks.rs
+++ b/lilacpass-lead/src/asks.rs
@@ -144,14 +144,14 @@
     }
 
     /// Why no worker of the queue's service could ever run a step. Says nothing while no worker is
-    /// known.
+    /// known. One that has less room just now may have more again.
     fn impossible(&self, plan: &v1::WorkPlan, queue: &v1::QueuePolicy) -> Option<String> {
         let is_there = |w: &&Worker| w.listed && w.entry.service == queue.service;
         let workers = self.workers.values().filter(is_there);
         workers.clone().next()?;
         let number = plan.steps.iter().position(|step| {
             let need = place::need(step);
-            !workers.clone().any(|worker| need.fits(&worker.entry.capacity))
+            !workers.clone().any(|worker| need.fits(&worker.most_capacity))
         })?;
         Some(format!("step {number}: no worker is large enough for its tasks"))
     }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -314,6 +314,7 @@
         if worker.look != Look::UnderWay {
             self.looks_due.insert(entry.name.clone());
         }
+        worker.most_capacity = worker.most_capacity.max(&entry.capacity);
         worker.entry = entry;
         self.rooms.note(worker);
     }
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -91,6 +91,8 @@
 pub struct Worker {
     /// What it registered. Empty but for the name where only records tell of it.
     pub entry: Registration,
+    /// The most of each resource that it has said it has.
+    pub most_capacity: Resources,
     /// Whether it is registered now.
     pub listed: bool,
     /// It has answered a look under our epoch, and no bound on its leases has passed since.
@@ -142,6 +144,7 @@
     pub fn new(entry: Registration, lapsed_by_ms: u64) -> Self {
         Self {
             draining: entry.draining,
+            most_capacity: entry.capacity,
             entry,
             listed: false,
             commanded: false,
--- a/lilacpass-lead/tests/capacity.rs
+++ b/lilacpass-lead/tests/capacity.rs
@@ -4,10 +4,12 @@
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::{JobKey, Outcome};
+use lilacpass_lead::event::Answer;
 use lilacpass_schema::v1;
 use world::{World, plan, queue, step};
 
 const WHOLE: Resources = cores(8);
+const NOTHING: Resources = cores(0);
 
 const fn cores(count: u64) -> Resources {
     use lilacpass_core::size::{Accelerators, Mebibytes, Millicores, Slots};
@@ -38,6 +40,20 @@
     assert_eq!(outcome(&world, 1), Some(Outcome::Completed), "one after the other");
 }
 
+/// Guards against a job that is refused for good because its workers have less room just now.
+#[test]
+fn a_job_that_fits_workers_once_they_grow_again_is_taken() {
+    let mut world = World::new(3, 2, WHOLE);
+    (0..2).for_each(|at| world.set_capacity(at, NOTHING));
+    world.run(3_000);
+    let token = world.submit(1, plan(&[step(2, 2_000, 500)]), queue("quick", 0));
+    world.run(3_000);
+    assert_eq!(world.answer(token), Some(&Answer::Done), "it is accepted");
+    (0..2).for_each(|at| world.set_capacity(at, WHOLE));
+    world.run(8_000);
+    assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
+}
+
 /// Guards against work that is placed by the room that a worker used to have, or never again.
 #[test]
 fn starts_follow_the_room_of_workers_that_shrink_and_grow() {
