Bound the crashes of a task whatever explains them

Cause: tasks that crash their workers some seconds after their start leave them without a suspect; three of them at a time explained each other, and nothing was counted.

Change: every crash known of counts, and the fifth gives the task up; of those without another explanation the third. Callers allow two starts after the third crash, so a healthy task can't be spared a fifth. 20 s of work, in place of 60, clear a task. A trial goes where fewest tasks run that have been struck before.

In the small cell a dead worker is not registered again when its capacity is set.

--- a/lilacpass-jobs/src/end.rs
+++ b/lilacpass-jobs/src/end.rs
@@ -7,7 +7,7 @@
 /// What speaks for a task having crashed its worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Suspicion {
-    /// Nothing: the worker was lost to something that hit others too.
+    /// Little: the worker was lost to something that hit others too, or to another task.
     Cleared,
     /// It was there, and the worker had lived on after its start.
     Present,
--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -354,21 +354,14 @@
     /// whether that is news.
     pub fn acquit(&mut self, name: TaskName) -> bool {
         let counted = self.counted_task(name);
-        let Some(task) = self.task_mut(counted) else { return false };
-        let is_news = task.crashes > 0;
-        (task.crashes, task.suspected) = (0, 0);
-        is_news
+        self.task_mut(counted).is_some_and(Task::acquit)
     }
 
     /// A worker that was counted as crashed under a task had only been there, and lives. Returns whether that changes
     /// anything.
     pub fn retract_crash(&mut self, name: TaskName) -> bool {
         let counted = self.counted_task(name);
-        let Some(task) = self.task_mut(counted).filter(|task| task.crashes > 0) else {
-            return false;
-        };
-        task.crashes -= 1;
-        true
+        self.task_mut(counted).is_some_and(Task::retract_crash)
     }
 
     fn give_up(&mut self, failure: Failure, unix_ms: u64) -> Change {
--- a/lilacpass-jobs/src/task.rs
+++ b/lilacpass-jobs/src/task.rs
@@ -27,9 +27,11 @@
     /// Number of the last run that was counted as failed, so that an end that is told twice, or by
     /// several members of a gang, counts once.
     pub failed_run: u32,
-    /// Workers that crashed while they had a run of it, but for those lost to something that hit others too.
+    /// Workers that crashed while they had a run of it.
     pub crashes: u32,
-    /// Those of them whose crash it may have caused.
+    /// Those of them for whose crash there is no other explanation.
+    pub unexplained: u32,
+    /// Those of these that are not known to have outlived its start.
     pub suspected: u32,
     /// Number of the last run under which a worker crashed; of a gang several workers may be lost at a time.
     pub crashed_run: u32,
@@ -52,26 +54,39 @@
 
     /// Whether it may crash its next worker, and is to be tried where that does least harm and shows most.
     pub fn is_suspected(&self) -> bool {
-        /// Of workers that had lived on after its start, so many must crash.
-        const MOST_PRESENT: u32 = 1;
-        self.suspected > 0 || self.crashes > MOST_PRESENT
+        /// One may be chance.
+        const MOST_BY_CHANCE: u32 = 1;
+        self.suspected > 0 || self.unexplained > MOST_BY_CHANCE
     }
 
     /// Counts the crash of a worker under a run. Returns whether the task is to be given up.
     ///
-    /// Twice to blame is enough where no other task can have done it. One that crashes its workers later
-    /// than that shows, or always beside others, is given up all the same before many workers are lost.
+    /// Twice is enough where no other task can have done it. One that crashes its workers later than that shows,
+    /// or beside others that do, is given up all the same: callers allow two starts after the third crash.
     pub fn note_crash(&mut self, suspicion: Suspicion) -> bool {
         const MOST_BLAMED: u32 = 2;
-        const MOST_CRASHES: u32 = 4;
-        match suspicion {
-            Suspicion::Cleared => return false,
-            Suspicion::Present => {}
-            Suspicion::Suspect | Suspicion::Only => self.suspected += 1,
-        }
+        const MOST_UNEXPLAINED: u32 = 3;
+        const MOST_CRASHES: u32 = 5;
         self.crashes += 1;
+        self.unexplained += u32::from(suspicion >= Suspicion::Present);
+        self.suspected += u32::from(suspicion >= Suspicion::Suspect);
         let is_blamed = suspicion == Suspicion::Only && self.suspected >= MOST_BLAMED;
-        is_blamed || self.crashes >= MOST_CRASHES
+        is_blamed || self.unexplained >= MOST_UNEXPLAINED || self.crashes >= MOST_CRASHES
+    }
+
+    /// Takes back the crash of a worker that lives after all. Returns whether that changes anything.
+    pub fn retract_crash(&mut self) -> bool {
+        let is_counted = self.crashes > 0;
+        self.crashes = self.crashes.saturating_sub(1);
+        self.unexplained = self.unexplained.saturating_sub(1);
+        is_counted
+    }
+
+    /// Forgets crashes that can't have been its doing. Returns whether that changes anything.
+    pub fn acquit(&mut self) -> bool {
+        let is_counted = self.crashes > 0;
+        (self.crashes, self.unexplained, self.suspected) = (0, 0, 0);
+        is_counted
     }
 
     /// Whether nothing has happened to it yet.
--- a/lilacpass-lead/src/crashes.rs
+++ b/lilacpass-lead/src/crashes.rs
@@ -34,7 +34,7 @@
 /// A worker that was not heard of for so long when it was found silent may have crashed at any time in it.
 const MOST_UNHEARD_MS: u64 = 2_000;
 /// A run that has worked for so long clears its task of earlier crashes.
-const ACQUITTED_AFTER_MS: u64 = 60_000;
+const ACQUITTED_AFTER_MS: u64 = 20_000;
 /// How long a silent worker whose leases have run out is asked whether it has crashed, if nobody lists it.
 const ASKED_FOR_MS: u64 = 30_000;
 
@@ -65,16 +65,22 @@
             self.note_silence(name, now);
         }
         for (key, suspicion) in suspicions {
-            let end = End { run: key.1, how: How::Crashed(suspicion), checkpoint: String::new() };
-            self.note_suspicion(name, key, suspicion);
-            self.end_run(name, key, &end, now);
+            self.end_crashed(name, key, suspicion, now);
         }
+        // What was not ordered yet.
+        self.end_all(name, now);
         for (key, suspicion) in lapsed {
             self.note_suspicion(name, key, suspicion);
             self.crashed_after_lapse(key, suspicion, now);
         }
     }
 
+    fn end_crashed(&mut self, name: &WorkerName, key: RunKey, suspicion: Suspicion, now: Now) {
+        let end = End { run: key.1, how: How::Crashed(suspicion), checkpoint: String::new() };
+        self.note_suspicion(name, key, suspicion);
+        self.end_run(name, key, &end, now);
+    }
+
     /// A worker on which a run was given up when its leases had run out turns out to have crashed.
     fn crashed_after_lapse(&mut self, (task, run): RunKey, suspicion: Suspicion, now: Now) {
         let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
@@ -111,7 +117,7 @@
         });
     }
 
-    /// What the loss of a worker says about each run there.
+    /// What the loss of a worker says about each run that it was ordered to start.
     fn suspicions(&self, worker: &Worker, now: Now) -> Vec<(RunKey, Suspicion)> {
         let loss = self.circumstances(worker, now);
         let suspects = self.suspects(worker);
@@ -120,7 +126,6 @@
                 worker.is_suspect(given) && suspects.contains(&self.starts_with(key.0));
             let is_only = is_suspect && suspects.len() == 1;
             match loss {
-                _ if given.phase == Phase::Recording => Suspicion::Cleared,
                 Circumstances::Explained => Suspicion::Cleared,
                 Circumstances::Alone if is_only => Suspicion::Only,
                 Circumstances::Alone | Circumstances::Shared if is_suspect => Suspicion::Suspect,
@@ -129,7 +134,8 @@
                 Circumstances::Alone | Circumstances::Unseen => Suspicion::Present,
             }
         };
-        worker.runs.iter().map(|(key, given)| (*key, suspicion(key, given))).collect()
+        let ordered = worker.runs.iter().filter(|(_, given)| given.phase != Phase::Recording);
+        ordered.map(|(key, given)| (*key, suspicion(key, given))).collect()
     }
 
     /// What may have crashed a worker: of all that it did not outlive, that which was suspected before.
@@ -191,16 +197,16 @@
     pub(crate) fn gone_unseen(&mut self, name: &WorkerName, missing: usize, now: Now) {
         log::info!(worker:% = name, missing; "worker is taken for gone");
         self.tally.lost(Loss::Lapsed);
-        let Some(worker) = self.workers.get(name) else { return };
-        let suspicion =
-            if missing > FEWEST_TOGETHER { Suspicion::Cleared } else { Suspicion::Present };
-        let keys: Vec<RunKey> = worker.runs.keys().copied().collect();
+        if missing > FEWEST_TOGETHER {
+            self.end_all(name, now);
+            return self.forget_worker(name);
+        }
+        let keys: Vec<RunKey> =
+            self.workers.get(name).map(|w| w.runs.keys().copied().collect()).unwrap_or_default();
         for &key in &keys {
-            let end = End { run: key.1, how: How::Crashed(suspicion), checkpoint: String::new() };
-            self.note_suspicion(name, key, suspicion);
-            self.end_run(name, key, &end, now);
+            self.end_crashed(name, key, Suspicion::Present, now);
         }
-        if suspicion != Suspicion::Cleared && !keys.is_empty() {
+        if !keys.is_empty() {
             let tasks = keys.iter().map(|(task, _)| *task).collect();
             self.taken_for_gone.insert(name.clone(), tasks);
         }
@@ -255,7 +261,7 @@
     }
 
     /// Picks workers for tasks that may crash them, one each: where fewest others have yet to show that they
-    /// are harmless, and least runs.
+    /// are harmless, and where a crash does least harm.
     pub(crate) fn pick_for_trials(
         &self,
         entry: &Entry,
@@ -271,13 +277,21 @@
             .map(|(host, worker)| {
                 let unclear = worker.runs.values().filter(|given| worker.is_unclear(given)).count();
                 let crashed = entry.crashed_at.contains(&worker.entry.address);
-                ((crashed, unclear, worker.runs.len(), Reverse(host.score)), &host.name)
+                let struck = worker.runs.keys().filter(|(task, _)| self.was_struck(*task)).count();
+                let rating = (crashed, unclear, struck, worker.runs.len(), Reverse(host.score));
+                (rating, &host.name)
             })
             .collect();
         able.sort_unstable();
         able.into_iter().take(count).map(|(_, name)| name.clone()).collect()
     }
 
+    /// Whether a worker has crashed under a task.
+    fn was_struck(&self, task: TaskName) -> bool {
+        let entry = self.jobs.get(&task.step.job);
+        entry.and_then(|entry| entry.job.task(task)).is_some_and(|task| task.crashes > 0)
+    }
+
     /// A task that may crash its worker is given to one: nothing else is, before the task has shown itself
     /// harmless.
     pub(crate) fn begin_trial(&mut self, name: &WorkerName, key: RunKey) {
--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -149,8 +149,8 @@
             explanation.waiting += u64::from(task.is_waiting());
             if task.crashes > 0 {
                 let row = format!(
-                    "{task_name}: {} workers crashed under it, {} of them perhaps by its doing",
-                    task.crashes, task.suspected
+                    "{task_name}: {} workers crashed under it, {} of them without another explanation",
+                    task.crashes, task.unexplained
                 );
                 explanation.crashes.push(row);
             }
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -191,6 +191,9 @@
         let now_ms = self.now_ms;
         let worker = &mut self.workers[at];
         worker.set_capacity(capacity, now_ms);
+        if !worker.alive {
+            return;
+        }
         let entry = worker.registration();
         let member = self.members.len() - 1;
         self.plan(HEARTBEAT_MS, Action::Tell { member, event: Event::WorkerListed(entry) });
