Count on no room that work leaves on a worker that has shrunk below it

Cause: what a worker would have free after some of its work has ended was reckoned from what is free now, which is nothing where it has shrunk below what runs there.

What would be free is its capacity less what would still run there, for preemption and for room kept ahead.

--- a/lilacpass-lead/src/ahead.rs
+++ b/lilacpass-lead/src/ahead.rs
@@ -148,13 +148,13 @@
             })
             .collect();
         ends.sort_by_key(|(left_ms, _)| *left_ms);
-        let mut room = worker.room();
+        let mut freed = Resources::ZERO;
         let mut wait_ms = 0;
         let mut ends = ends.into_iter();
-        while !need.fits(&room.minus(&kept)) {
-            let (left_ms, freed) = ends.next()?;
+        while !need.fits(&worker.room_after(&freed).minus(&kept)) {
+            let (left_ms, need) = ends.next()?;
             wait_ms = left_ms;
-            room = room.plus(&freed);
+            freed = freed.plus(&need);
         }
         Some(wait_ms)
     }
--- a/lilacpass-lead/src/preempt.rs
+++ b/lilacpass-lead/src/preempt.rs
@@ -43,8 +43,8 @@
     /// The room that a step with this rank would find on a worker if work that can wait were stopped.
     pub(crate) fn possible_room(&self, rank: &Rank, worker: &Worker) -> Resources {
         let victims = self.victims(worker, rank.priority);
-        let freed = victims.iter().fold(worker.room(), |sum, (_, need)| sum.plus(need));
-        freed.minus(&self.reservations.kept_from(rank, &worker.entry.name))
+        let freed = victims.iter().fold(Resources::ZERO, |sum, (_, need)| sum.plus(need));
+        worker.room_after(&freed).minus(&self.reservations.kept_from(rank, &worker.entry.name))
     }
 
     /// Stops work of less urgent queues where tasks of a step may start, if that gives room to tasks of it
@@ -102,9 +102,11 @@
         let offer = |worker: &&Worker| {
             let most = waiting.min(self.may_take(worker, name, plan));
             let kept = self.reservations.kept_from(rank, &worker.entry.name);
-            let fits = |room: &Resources| place::fits(&room.minus(&kept), &need, most);
+            let fits = |freed: &Resources| {
+                place::fits(&worker.room_after(freed).minus(&kept), &need, most)
+            };
             let victims = self.victims(worker, rank.priority);
-            let (tasks, stops) = cheapest(worker.room(), most, victims, fits);
+            let (tasks, stops) = cheapest(most, victims, fits);
             (tasks > 0).then(|| Offer { worker: worker.entry.name.clone(), tasks, stops })
         };
         self.allowed(name, None, now)
@@ -151,14 +153,13 @@
 }
 
 /// How many tasks, at most `most`, a worker can hold, and the fewest victims that have to stop for them.
-/// `fits` tells how many tasks some room holds.
+/// `fits` tells how many tasks it holds once runs that take so much have ended.
 fn cheapest(
-    room: Resources,
     most: u64,
     victims: Vec<Victim>,
     fits: impl Fn(&Resources) -> u64,
 ) -> (u64, Vec<Victim>) {
-    let mut freed = room;
+    let mut freed = Resources::ZERO;
     let mut tasks = fits(&freed);
     let mut stops: Vec<Victim> = Vec::new();
     for victim in victims {
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -267,6 +267,11 @@
         self.entry.capacity.minus(&self.used)
     }
 
+    /// What would be free once runs that take so much have ended: nothing yet, where it has shrunk below what runs there.
+    pub fn room_after(&self, freed: &Resources) -> Resources {
+        self.entry.capacity.minus(&self.used.minus(freed))
+    }
+
     /// Whether it is ours to give work to, unless something speaks against it now.
     pub fn is_open(&self) -> bool {
         self.listed && self.commanded && !self.draining
--- a/lilacpass-lead/tests/capacity.rs
+++ b/lilacpass-lead/tests/capacity.rs
@@ -54,6 +54,23 @@
     assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
 }
 
+/// Guards against work that is stopped for more urgent work on a worker that has no room for that even so.
+#[test]
+fn nothing_is_stopped_on_a_worker_that_has_shrunk_too_far() {
+    let mut world = World::new(3, 1, WHOLE);
+    let slow = v1::WorkStep { checkpointing: true, ..step(4, 2_000, 8_000) };
+    world.submit(1, plan(&[slow]), queue("long", 2));
+    world.run(1_500);
+    world.set_capacity(0, cores(1));
+    world.run(3_000);
+    world.submit(2, plan(&[step(1, 2_000, 500)]), queue("quick", 0));
+    world.run(2_000);
+    assert_eq!(world.workers[0].stopped, 0, "two cores would not come free");
+    world.set_capacity(0, WHOLE);
+    world.run(30_000);
+    assert_eq!(outcome(&world, 2), Some(Outcome::Completed));
+}
+
 /// Guards against work that is placed by the room that a worker used to have, or never again.
 #[test]
 fn starts_follow_the_room_of_workers_that_shrink_and_grow() {
