Keep healthy work whose workers are lost in waves under changing leaders

Cause: a new leader has not heard of the workers that are dead when it takes over, and so never took them for lost together. Five or more such are now a common cause.

--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -359,9 +359,9 @@
 
     /// A worker that was counted as crashed under a task had only been there, and lives. Returns whether that changes
     /// anything.
-    pub fn retract_crash(&mut self, name: TaskName) -> bool {
+    pub fn retract_crash(&mut self, name: TaskName, suspicion: Suspicion) -> bool {
         let counted = self.counted_task(name);
-        self.task_mut(counted).is_some_and(Task::retract_crash)
+        self.task_mut(counted).is_some_and(|task| task.retract_crash(suspicion))
     }
 
     fn give_up(&mut self, failure: Failure, unix_ms: u64) -> Change {
--- a/lilacpass-jobs/src/task.rs
+++ b/lilacpass-jobs/src/task.rs
@@ -54,9 +54,10 @@
 
     /// Whether it may crash its next worker, and is to be tried where that does least harm and shows most.
     pub fn is_suspected(&self) -> bool {
-        /// One may be chance.
-        const MOST_BY_CHANCE: u32 = 1;
-        self.suspected > 0 || self.unexplained > MOST_BY_CHANCE
+        /// One without an explanation may be chance, or two that were explained.
+        const MOST_UNEXPLAINED: u32 = 1;
+        const MOST_CRASHES: u32 = 2;
+        self.suspected > 0 || self.unexplained > MOST_UNEXPLAINED || self.crashes > MOST_CRASHES
     }
 
     /// Counts the crash of a worker under a run. Returns whether the task is to be given up.
@@ -75,10 +76,11 @@
     }
 
     /// Takes back the crash of a worker that lives after all. Returns whether that changes anything.
-    pub fn retract_crash(&mut self) -> bool {
+    pub fn retract_crash(&mut self, suspicion: Suspicion) -> bool {
         let is_counted = self.crashes > 0;
         self.crashes = self.crashes.saturating_sub(1);
-        self.unexplained = self.unexplained.saturating_sub(1);
+        let was_unexplained = u32::from(suspicion >= Suspicion::Present);
+        self.unexplained = self.unexplained.saturating_sub(was_unexplained);
         is_counted
     }
 
--- a/lilacpass-lead/src/crashes.rs
+++ b/lilacpass-lead/src/crashes.rs
@@ -15,7 +15,7 @@
 use lilacpass_schema::v1;
 
 use crate::{
-    event::Now,
+    event::{Now, Registration},
     hosts::Host,
     leader::{Entry, Leader},
     place,
@@ -29,6 +29,8 @@
 const FEWEST_UNCAUSED: usize = 2;
 /// Others that fall silent together with a worker, whatever ran there, so that none of them has a plain cause.
 const FEWEST_TOGETHER: usize = 3;
+/// The same that a new leader finds silent, so many that crashing tasks are a worse explanation.
+const FEWEST_UNSEEN: usize = 4;
 /// Others of its rack that make the rack the suspect, if they are half of it.
 const FEWEST_OF_RACK: usize = 2;
 /// A worker that was not heard of for so long when it was found silent may have crashed at any time in it.
@@ -121,16 +123,18 @@
     fn suspicions(&self, worker: &Worker, now: Now) -> Vec<(RunKey, Suspicion)> {
         let loss = self.circumstances(worker, now);
         let suspects = self.suspects(worker);
+        let is_known = suspects.iter().any(|suspect| self.was_suspected(suspect));
         let suspicion = |key: &RunKey, given: &Given| {
             let is_suspect =
                 worker.is_suspect(given) && suspects.contains(&self.starts_with(key.0));
             let is_only = is_suspect && suspects.len() == 1;
             match loss {
+                Circumstances::Explained if is_suspect && is_known => Suspicion::Present,
                 Circumstances::Explained => Suspicion::Cleared,
                 Circumstances::Alone if is_only => Suspicion::Only,
                 Circumstances::Alone | Circumstances::Shared if is_suspect => Suspicion::Suspect,
                 Circumstances::Shared => Suspicion::Cleared,
-                _ if self.has_known_suspect(&suspects) && !is_suspect => Suspicion::Cleared,
+                _ if is_known && !is_suspect => Suspicion::Cleared,
                 Circumstances::Alone | Circumstances::Unseen => Suspicion::Present,
             }
         };
@@ -148,10 +152,6 @@
         if known.is_empty() { suspects } else { known }
     }
 
-    fn has_known_suspect(&self, suspects: &BTreeSet<StepOrTask>) -> bool {
-        suspects.iter().any(|suspect| self.was_suspected(suspect))
-    }
-
     fn was_suspected(&self, (step, index): &StepOrTask) -> bool {
         let entry = self.jobs.get(&step.job);
         entry.is_some_and(|entry| entry.job.is_suspected(step.task(index.unwrap_or(0))))
@@ -167,9 +167,11 @@
         let stood_still =
             self.stood_still_ms.is_some_and(|ms| since_ms.abs_diff(ms) < MOST_UNHEARD_MS);
         let is_shared = together.len() >= FEWEST_TOGETHER || self.is_rack_lost(worker, &together);
-        if uncaused >= FEWEST_UNCAUSED || stood_still && is_shared {
+        let is_unseen = stood_still || unheard_ms > MOST_UNHEARD_MS;
+        let many = if stood_still { FEWEST_TOGETHER } else { FEWEST_UNSEEN };
+        if uncaused >= FEWEST_UNCAUSED || is_unseen && together.len() >= many {
             Circumstances::Explained
-        } else if stood_still || unheard_ms > MOST_UNHEARD_MS {
+        } else if is_unseen {
             Circumstances::Unseen
         } else if is_shared {
             Circumstances::Shared
@@ -197,17 +199,15 @@
     pub(crate) fn gone_unseen(&mut self, name: &WorkerName, missing: usize, now: Now) {
         log::info!(worker:% = name, missing; "worker is taken for gone");
         self.tally.lost(Loss::Lapsed);
-        if missing > FEWEST_TOGETHER {
-            self.end_all(name, now);
-            return self.forget_worker(name);
-        }
+        let suspicion =
+            if missing > FEWEST_UNSEEN { Suspicion::Cleared } else { Suspicion::Present };
         let keys: Vec<RunKey> =
             self.workers.get(name).map(|w| w.runs.keys().copied().collect()).unwrap_or_default();
         for &key in &keys {
-            self.end_crashed(name, key, Suspicion::Present, now);
+            self.end_crashed(name, key, suspicion, now);
         }
         if !keys.is_empty() {
-            let tasks = keys.iter().map(|(task, _)| *task).collect();
+            let tasks = keys.iter().map(|(task, _)| (*task, suspicion)).collect();
             self.taken_for_gone.insert(name.clone(), tasks);
         }
         self.forget_worker(name);
@@ -215,26 +215,42 @@
 
     /// A worker is registered: if it was taken for gone, it had been cut off and nothing crashed it.
     pub(crate) fn lives_after_all(&mut self, name: &WorkerName) {
-        for task in self.taken_for_gone.remove(name).unwrap_or_default() {
+        for (task, suspicion) in self.taken_for_gone.remove(name).unwrap_or_default() {
             let Some(entry) = self.jobs.get_mut(&task.step.job) else { continue };
-            if entry.job.retract_crash(task) {
+            if entry.job.retract_crash(task, suspicion) {
                 self.outbox.waiting.beside.insert(task.step.job);
             }
         }
     }
 
+    /// A worker registers that was not known. One that is silent at the same address has most likely crashed; only once
+    /// its leases have run out does anything follow from it.
+    pub(crate) fn note_address(&mut self, entry: &Registration) {
+        if self.workers.contains_key(&entry.name) {
+            return;
+        }
+        let before = self.by_address.insert(entry.address.clone(), entry.name.clone());
+        let before = before.and_then(|name| self.workers.get_mut(&name));
+        if let Some(worker) = before.filter(|worker| worker.failed_looks > 0) {
+            worker.is_replaced = true;
+        }
+    }
+
     /// A silent worker's leases have run out. What ran there starts elsewhere; whether the worker crashed or
     /// was cut off is known once it answers, or another life of it does.
     pub(crate) fn lapse_worker(&mut self, name: &WorkerName, now: Now) {
         let Some(worker) = self.workers.get(name) else { return };
-        let lapsed = if worker.failed_looks > 0 && !worker.draining {
-            self.suspicions(worker, now)
-        } else {
-            Vec::new()
-        };
+        let may_have_crashed = worker.failed_looks > 0 && !worker.draining;
+        if may_have_crashed && worker.is_replaced {
+            self.end_all_crashed(name, now);
+        } else if may_have_crashed {
+            let lapsed = self.suspicions(worker, now);
+            if let Some(worker) = self.workers.get_mut(name) {
+                worker.lapsed.extend(lapsed);
+            }
+        }
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.commanded = false;
-        worker.lapsed.extend(lapsed);
         self.rooms.note(worker);
         self.end_all(name, now);
     }
@@ -345,7 +361,7 @@
     Unseen,
     /// Several others, which may have their own causes or a common one.
     Shared,
-    /// Others without a cause of their own, or several while the leader stood still.
+    /// Others without a cause of their own, or many of which nobody knows when it was.
     Explained,
 }
 
--- a/lilacpass-lead/src/holds.rs
+++ b/lilacpass-lead/src/holds.rs
@@ -98,6 +98,7 @@
         worker.commanded = true;
         worker.failed_looks = 0;
         worker.silent_since_ms = None;
+        worker.is_replaced = false;
         // It was cut off, and has not crashed.
         worker.lapsed.clear();
         worker.read_clock(answer.clock_ms, now.steady_ms);
@@ -263,7 +264,11 @@
     }
 
     pub(crate) fn forget_worker(&mut self, name: &WorkerName) {
-        self.workers.remove(name);
+        if let Some(worker) = self.workers.remove(name)
+            && self.by_address.get(&worker.entry.address) == Some(name)
+        {
+            self.by_address.remove(&worker.entry.address);
+        }
         self.rooms.remove(name);
     }
 
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -6,7 +6,7 @@
 };
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::{Job, JobKey, Outcome, StepName, TaskName, WorkerName};
+use lilacpass_jobs::{Job, JobKey, Outcome, StepName, Suspicion, TaskName, WorkerName};
 
 use lilacpass_schema::v1;
 
@@ -84,7 +84,8 @@
     /// Whether a task may be given a run now: it has none, or is to have a copy.
     pub fn wants_run(&self, name: TaskName) -> bool {
         self.job.task(name).is_some_and(|task| {
-            let may_have_copy = || self.copies.contains(&name) && !self.job.is_suspected(name);
+            // Of a task that crashes its workers a copy takes one more.
+            let may_have_copy = || self.copies.contains(&name) && task.crashes == 0;
             task.is_waiting() || !task.done && task.runs.len() == 1 && may_have_copy()
         })
     }
@@ -120,8 +121,10 @@
     pub(crate) news: News,
     pub(crate) loss: LossMeter,
     pub(crate) silences: Silences,
+    /// The worker that was last to register anew at each address.
+    pub(crate) by_address: HashMap<String, WorkerName>,
     /// Workers that were taken for gone unseen, with the tasks under which they were counted as crashed.
-    pub(crate) taken_for_gone: HashMap<WorkerName, Vec<TaskName>>,
+    pub(crate) taken_for_gone: HashMap<WorkerName, Vec<(TaskName, Suspicion)>>,
     pub(crate) tally: Tally,
     /// Workers at which no look is under way: hardly any. Going through all workers at each event, and
     /// putting all in order for each call for advice, took 17 of 60 % of a core at 3,000 of them.
@@ -181,6 +184,7 @@
             news: News::default(),
             loss: LossMeter::default(),
             silences: Silences::default(),
+            by_address: HashMap::new(),
             taken_for_gone: HashMap::new(),
             tally: Tally::default(),
             looks_due: BTreeSet::new(),
@@ -303,6 +307,7 @@
 
     fn on_listed(&mut self, entry: Registration) {
         self.lives_after_all(&entry.name);
+        self.note_address(&entry);
         let until_ms = self.inherited_until_ms;
         let worker = self
             .workers
@@ -417,6 +422,6 @@
         }
         let jobs = &self.jobs;
         self.taken_for_gone
-            .retain(|_, tasks| tasks.iter().any(|task| jobs.contains_key(&task.step.job)));
+            .retain(|_, tasks| tasks.iter().any(|(task, _)| jobs.contains_key(&task.step.job)));
     }
 }
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -132,6 +132,8 @@
     pub heard_ms: u64,
     /// A run that may crash it: until that has shown itself harmless nothing else is started there.
     pub trial: Option<RunKey>,
+    /// Another worker has registered at its address since it fell silent.
+    pub is_replaced: bool,
     /// Runs that were given up when its leases had run out in silence, and what its crash would say of them.
     pub lapsed: Vec<(RunKey, Suspicion)>,
 }
@@ -164,6 +166,7 @@
             missing_since_ms: None,
             heard_ms: 0,
             trial: None,
+            is_replaced: false,
             lapsed: Vec::new(),
         }
     }
