--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -328,12 +328,11 @@
         let gang = self.step_plan(name.step.step).gang;
         let Some(task) = self.task_mut(counted) else { return Change::None };
         // Of a gang several members may have lost their workers.
-        if task.done || gang && run == task.crashed_run {
+        if task.done || gang && run == task.crashes.last_run {
             return Change::Waiting;
         }
-        task.crashed_run = run;
-        let is_spent = task.note_crash(suspicion);
-        let count = task.crashes;
+        let is_spent = task.crashes.count(run, suspicion);
+        let count = task.crashes.known;
         if !is_spent {
             return Change::Waiting;
         }
@@ -347,21 +346,21 @@
 
     /// Whether a task may crash its next worker.
     pub fn is_suspected(&self, name: TaskName) -> bool {
-        self.task(self.counted_task(name)).is_some_and(Task::is_suspected)
+        self.task(self.counted_task(name)).is_some_and(|task| task.crashes.make_suspect())
     }
 
     /// A run has worked for so long that the crashes before can't have been its task's doing. Returns
     /// whether that is news.
     pub fn acquit(&mut self, name: TaskName) -> bool {
         let counted = self.counted_task(name);
-        self.task_mut(counted).is_some_and(Task::acquit)
+        self.task_mut(counted).is_some_and(|task| task.crashes.forget())
     }
 
     /// A worker that was counted as crashed under a task had only been there, and lives. Returns whether that changes
     /// anything.
     pub fn retract_crash(&mut self, name: TaskName, suspicion: Suspicion) -> bool {
         let counted = self.counted_task(name);
-        self.task_mut(counted).is_some_and(|task| task.retract_crash(suspicion))
+        self.task_mut(counted).is_some_and(|task| task.crashes.retract(suspicion))
     }
 
     fn give_up(&mut self, failure: Failure, unix_ms: u64) -> Change {
--- a/lilacpass-jobs/src/lib.rs
+++ b/lilacpass-jobs/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`Job`] and asks it which tasks may start; what must survive the owner is read and written as
 //! records by [`record`].
 
+pub mod crashes;
 pub mod end;
 pub mod error;
 pub mod failure;
@@ -13,6 +14,7 @@
 pub mod record;
 pub mod task;
 
+pub use crashes::Crashes;
 pub use end::{End, How, Suspicion};
 pub use error::{Error, Result};
 pub use failure::Failure;
--- a/lilacpass-jobs/src/record.rs
+++ b/lilacpass-jobs/src/record.rs
@@ -6,6 +6,7 @@
 use prost::Message;
 
 use crate::{
+    crashes::Crashes,
     error::{Error, Result},
     failure::{Cause, Failure},
     ids::{JobKey, StepName, TaskName, WorkerName},
@@ -98,6 +99,16 @@
     }
 }
 
+fn crashes_record(crashes: &Crashes) -> v1::CrashesRecord {
+    let Crashes { known, unexplained, suspected, blamed, last_run } = *crashes;
+    v1::CrashesRecord { known, unexplained, suspected, blamed, last_run }
+}
+
+fn read_crashes(record: &v1::CrashesRecord) -> Crashes {
+    let v1::CrashesRecord { known, unexplained, suspected, blamed, last_run } = *record;
+    Crashes { known, unexplained, suspected, blamed, last_run }
+}
+
 fn failure_record(failure: &Failure) -> v1::FailureRecord {
     let cause = match failure.cause {
         Cause::Attempts => v1::FailureCause::FailureAttempts,
@@ -125,10 +136,7 @@
         last_run: task.last_run,
         failed: task.failed,
         failed_run: task.failed_run,
-        crashes: task.crashes,
-        unexplained: task.unexplained,
-        suspected: task.suspected,
-        crashed_run: task.crashed_run,
+        crashes: (task.crashes != Crashes::default()).then(|| crashes_record(&task.crashes)),
         checkpoint: task.checkpoint.clone(),
         runs: task
             .runs
@@ -179,10 +187,7 @@
         last_run: record.last_run,
         failed: record.failed,
         failed_run: record.failed_run,
-        crashes: record.crashes,
-        unexplained: record.unexplained,
-        suspected: record.suspected,
-        crashed_run: record.crashed_run,
+        crashes: record.crashes.as_ref().map(read_crashes).unwrap_or_default(),
         checkpoint: record.checkpoint,
         runs: record
             .runs
--- a/lilacpass-lead/src/crashes.rs
+++ b/lilacpass-lead/src/crashes.rs
@@ -305,7 +305,7 @@
     /// Whether a worker has crashed under a task.
     fn was_struck(&self, task: TaskName) -> bool {
         let entry = self.jobs.get(&task.step.job);
-        entry.and_then(|entry| entry.job.task(task)).is_some_and(|task| task.crashes > 0)
+        entry.and_then(|entry| entry.job.task(task)).is_some_and(|task| task.crashes.known > 0)
     }
 
     /// A task that may crash its worker is given to one: nothing else is, before the task has shown itself
--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -147,10 +147,10 @@
             let Some(task) = entry.job.task(task_name) else { continue };
             explanation.done += u64::from(task.done);
             explanation.waiting += u64::from(task.is_waiting());
-            if task.crashes > 0 {
+            if task.crashes.known > 0 {
                 let row = format!(
                     "{task_name}: {} workers crashed under it, {} of them without another explanation",
-                    task.crashes, task.unexplained
+                    task.crashes.known, task.crashes.unexplained
                 );
                 explanation.crashes.push(row);
             }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -85,7 +85,7 @@
     pub fn wants_run(&self, name: TaskName) -> bool {
         self.job.task(name).is_some_and(|task| {
             // Of a task that crashes its workers a copy takes one more.
-            let may_have_copy = || self.copies.contains(&name) && task.crashes == 0;
+            let may_have_copy = || self.copies.contains(&name) && task.crashes.known == 0;
             task.is_waiting() || !task.done && task.runs.len() == 1 && may_have_copy()
         })
     }
