Count a crash once, however late it is known

Cause: a worker that was dark for longer than its lease, and whose address had a new life, was gone through again at each tick, and what had been noted of its runs was counted each time.

What was noted is taken, and a run is counted once.

--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -325,10 +325,9 @@
         unix_ms: u64,
     ) -> Change {
         let counted = self.counted_task(name);
-        let gang = self.step_plan(name.step.step).gang;
         let Some(task) = self.task_mut(counted) else { return Change::None };
         // Of a gang several members may have lost their workers.
-        if task.done || gang && run == task.crashes.last_run {
+        if task.done || run == task.crashes.last_run {
             return Change::Waiting;
         }
         let is_spent = task.crashes.count(run, suspicion);
--- a/lilacpass-lead/src/crashes.rs
+++ b/lilacpass-lead/src/crashes.rs
@@ -9,7 +9,7 @@
 //! else is sent before it has spoken: so the next crash has one suspect. Workers lost to a rack, a cut or a
 //! rolling restart fall silent together, and some of them had no suspect: then nobody is.
 
-use std::{cmp::Reverse, collections::BTreeSet};
+use std::{cmp::Reverse, collections::BTreeSet, mem};
 
 use lilacpass_jobs::{End, How, StepName, Suspicion, TaskName, WorkerName, job::Change};
 use lilacpass_schema::v1;
@@ -62,8 +62,9 @@
     fn end_all_crashed(&mut self, name: &WorkerName, now: Now) {
         let Some(worker) = self.workers.get(name) else { return };
         let suspicions = self.suspicions(worker, now);
-        let lapsed = worker.lapsed.clone();
-        if worker.silent_since_ms.is_none() {
+        let is_silent = worker.silent_since_ms.is_some();
+        let lapsed = self.workers.get_mut(name).map(|worker| mem::take(&mut worker.lapsed));
+        if !is_silent {
             self.note_silence(name, now);
         }
         for (key, suspicion) in suspicions {
@@ -71,7 +72,7 @@
         }
         // What was not ordered yet.
         self.end_all(name, now);
-        for (key, suspicion) in lapsed {
+        for (key, suspicion) in lapsed.unwrap_or_default() {
             self.note_suspicion(name, key, suspicion);
             self.crashed_after_lapse(key, suspicion, now);
         }
--- a/lilacpass-lead/tests/crashes.rs
+++ b/lilacpass-lead/tests/crashes.rs
@@ -201,6 +201,28 @@
     }
 }
 
+/// Guards against healthy work that is given up for one crash that is counted at each tick, once the worker is back
+/// after its leases have run out.
+#[test]
+fn a_crash_is_counted_once_however_late_it_is_known() {
+    for away_ms in [3_500, 5_000, 6_500, 9_000] {
+        let mut world = twelve_workers(21);
+        world.crashes.away_ms = Some(away_ms);
+        world.submit(1, plan(&[step(1, 1_000, 12_000)]), queue("long", 1));
+        world.run(1_000);
+        let host = hosts_of(&world, task(1, 0))[0];
+        world.crash_worker(host);
+        world.run(4_500);
+        world.unlist(host);
+        world.run(6_500);
+        let job = world.store.job(JobKey(1)).expect("it is stored");
+        let known = job.tasks().map(|task| task.crashes.known).max();
+        assert_eq!((job.outcome, known), (Outcome::Open, Some(1)), "away for {away_ms} ms");
+        world.run(15_000);
+        assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
+    }
+}
+
 /// Guards against healthy work that is given up since its leader stood still while workers crashed.
 #[test]
 fn work_on_workers_that_crash_while_the_leader_stands_still_is_not_given_up() {
--- a/lilacpass-lead/tests/world/crashes.rs
+++ b/lilacpass-lead/tests/world/crashes.rs
@@ -22,6 +22,8 @@
 pub struct Crashes {
     /// Tasks that crash each worker that starts them, and how long after the start.
     pub crashing: BTreeMap<TaskName, u64>,
+    /// How long workers that crash are away, if not as long as usual.
+    pub away_ms: Option<u64>,
     /// Workers that crashed under each of them.
     pub under: BTreeMap<TaskName, u32>,
     /// Starts of each by members in touch, since too many workers had crashed under it.
@@ -84,6 +86,7 @@
         self.workers[at].alive = false;
         self.workers[at].stale_until_ms = self.now_ms + STALE_MS;
         self.workers[at].runs.clear();
-        self.plan(AWAY_MS, Action::Return { at });
+        let away_ms = self.crashes.away_ms.unwrap_or(AWAY_MS);
+        self.plan(away_ms, Action::Return { at });
     }
 }
