--- a/lilacpass-jobs/tests/jobs.rs
+++ b/lilacpass-jobs/tests/jobs.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use lilacpass_jobs::{
-    End, How, Job, JobKey, Outcome, StepName, TaskName, WorkerName, job::Change, record,
+    End, How, Job, JobKey, Outcome, StepName, Suspicion, TaskName, WorkerName, failure::Cause,
+    job::Change, record,
 };
 use lilacpass_schema::v1;
 use prost::Message;
@@ -179,3 +180,50 @@
         assert!(wrong.parse::<TaskName>().is_err(), "{wrong:?}");
     }
 }
+
+fn crash(job: &mut Job, suspicion: Suspicion) -> Change {
+    let task = name(0).task(0);
+    let run = begin(job, task);
+    job.end_run(task, &host(), &end(run, How::Crashed(suspicion)), 9)
+}
+
+fn restored(job: &Job) -> Job {
+    let (plan, state) = (record::encode_plan(job), record::encode_state(job));
+    record::decode(job.key, &plan, Some(&state)).expect("a record that decodes")
+}
+
+/// Guards against crashes that are forgotten, and a reason that is lost, when another leader reads the job.
+#[test]
+fn crashes_and_the_reason_of_a_failure_are_recorded() {
+    let mut job = job(vec![step(1, vec![])]);
+    assert_eq!(crash(&mut job, Suspicion::Only), Change::Waiting);
+    let mut job = restored(&job);
+    assert!(job.is_suspected(name(0).task(0)));
+    assert_eq!(crash(&mut job, Suspicion::Only), Change::JobEnded);
+    let job = restored(&job);
+    assert_eq!(job.outcome, Outcome::Failed);
+    let failure = job.failure.expect("a reason");
+    assert_eq!((failure.cause, failure.count), (Cause::Crashes, 2));
+    assert_eq!(failure.to_string(), format!("2 workers crashed under task {}", name(0).task(0)));
+}
+
+/// Guards against a bound that callers see broken: two starts are allowed after the third crash.
+#[test]
+fn no_task_is_started_a_third_time_after_the_third_crash() {
+    for suspicion in [Suspicion::Cleared, Suspicion::Present, Suspicion::Suspect, Suspicion::Only] {
+        let mut job = job(vec![step(1, vec![])]);
+        let crashes = (1..).find(|_| crash(&mut job, suspicion) == Change::JobEnded);
+        assert!(crashes.is_some_and(|crashes| crashes <= 5), "{suspicion:?}: {crashes:?}");
+    }
+}
+
+/// Guards against healthy work that is given up for one coincidence.
+#[test]
+fn a_crash_with_another_explanation_or_one_alone_gives_nothing_up() {
+    let mut job = job(vec![step(1, vec![])]);
+    assert_eq!(crash(&mut job, Suspicion::Suspect), Change::Waiting);
+    assert_eq!(crash(&mut job, Suspicion::Only), Change::Waiting);
+    assert_eq!(crash(&mut job, Suspicion::Cleared), Change::Waiting);
+    assert!(job.acquit(name(0).task(0)), "a run that works for long clears it");
+    assert_eq!(crash(&mut job, Suspicion::Only), Change::Waiting);
+}
--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -10,7 +10,7 @@
     time::Instant,
 };
 
-use lilacpass_core::{Resources, event_queue::EventQueue};
+use lilacpass_core::{Resources, Verdict, event_queue::EventQueue};
 use lilacpass_jobs::{How, JobKey, StepName, TaskName, WorkerName, record};
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
@@ -38,7 +38,7 @@
 /// Time before the first job, in which the leader meets its workers.
 const START_MS: u64 = 1_000;
 /// One way between the leader and a worker.
-const HOP_MS: u64 = 1;
+pub(crate) const HOP_MS: u64 = 1;
 /// An append that is refused is answered after so long.
 const REFUSED_MS: u64 = 2;
 /// Interval of the samples of use and of waiting tasks.
@@ -47,7 +47,7 @@
 const FAILS_AFTER: f64 = 0.5;
 
 #[derive(Debug)]
-enum Action {
+pub(crate) enum Action {
     /// An event reaches the leader.
     Tell(Event),
     /// An effect reaches its receiver.
@@ -60,20 +60,31 @@
     Renew,
     Registry,
     Sample,
+    /// A worker crashes, if it is still this one.
+    Crash {
+        at: usize,
+        worker: WorkerName,
+    },
+    /// A worker that crashed is back.
+    Return(usize),
 }
 
 /// A play of a policy.
-struct Cell<'a> {
-    scenario: &'a Scenario,
-    arrivals: &'a [Arrival],
+pub(crate) struct Cell<'a> {
+    pub(crate) scenario: &'a Scenario,
+    pub(crate) arrivals: &'a [Arrival],
     by_key: HashMap<JobKey, usize>,
-    seed: u64,
-    leader: Leader,
-    now_ms: u64,
-    workers: Vec<ModelWorker>,
-    by_name: BTreeMap<WorkerName, usize>,
+    pub(crate) seed: u64,
+    pub(crate) leader: Leader,
+    pub(crate) now_ms: u64,
+    pub(crate) workers: Vec<ModelWorker>,
+    pub(crate) by_name: BTreeMap<WorkerName, usize>,
+    /// Lives of workers that began after a crash.
+    pub(crate) lives: u64,
+    /// Starts of each task that crashes its workers.
+    pub(crate) starts_of_crashing: BTreeMap<TaskName, u32>,
     callers: Vec<Caller>,
-    recorder: Recorder,
+    pub(crate) recorder: Recorder,
     /// Tasks that are done, by step.
     done: HashMap<StepName, u32>,
     actions: EventQueue<Action>,
@@ -94,6 +105,8 @@
     let mut cell = Cell::new(scenario, arrivals, options, seed);
     let end_ms = START_MS + ((scenario.length_s + scenario.rest_s) * 1_000.0) as u64;
     cell.run(end_ms);
+    cell.recorder.most_crashing_starts =
+        cell.starts_of_crashing.values().copied().max().unwrap_or(0);
     let Cell { recorder, callers, .. } = cell;
     recorder.finish(policy.to_string(), seed, scenario, arrivals, &callers)
 }
@@ -109,6 +122,8 @@
             by_key: arrivals.iter().enumerate().map(|(job, a)| (a.key, job)).collect(),
             leader: Leader::new(options, Vec::new(), start),
             now_ms: 0,
+            lives: 0,
+            starts_of_crashing: BTreeMap::new(),
             workers,
             callers: vec![Caller::default(); arrivals.len()],
             recorder: Recorder::new(scenario.classes.len()),
@@ -131,15 +146,15 @@
     }
 
     /// Milliseconds from the first job.
-    fn play_ms(&self) -> u64 {
+    pub(crate) fn play_ms(&self) -> u64 {
         self.now_ms.saturating_sub(START_MS)
     }
 
-    fn now(&self) -> Now {
+    pub(crate) fn now(&self) -> Now {
         Now { steady_ms: self.now_ms, unix_ms: DAY_MS + self.now_ms }
     }
 
-    fn plan(&mut self, at_ms: u64, action: Action) {
+    pub(crate) fn plan(&mut self, at_ms: u64, action: Action) {
         self.actions.plan(at_ms, action);
     }
 
@@ -181,6 +196,8 @@
             Action::Renew => self.renew(),
             Action::Registry => self.read_registry(),
             Action::Sample => self.sample(),
+            Action::Crash { at, worker } => self.crash(at, &worker),
+            Action::Return(at) => self.comes_back(at),
         }
     }
 
@@ -202,6 +219,7 @@
             let lanes = (0..self.scenario.advice.lanes).map(|n| Lane(format!("lane-{n:03}")));
             self.leader.handle(Event::Lanes(lanes.collect()), now);
         }
+        self.set_capacities();
         self.leader.handle(Event::WorkersRead, now);
         self.plan(self.now_ms + REGISTRY_MS, Action::Registry);
     }
@@ -305,9 +323,14 @@
         wait_ms: u64,
         extra: bool,
     ) {
-        let Some(&at) = self.by_name.get(name) else { return };
+        let Some(&at) = self.by_name.get(name) else {
+            return self.look_at_former_life(name, extra);
+        };
         let now_ms = self.now_ms;
         let worker = &mut self.workers[at];
+        if worker.is_away {
+            return self.unanswered_look(name, now_ms, extra);
+        }
         worker.look(lease_until_ms, forget_upto);
         if wait_ms == 0 || worker.lists_ends() {
             return self.answer_look(at, now_ms, extra);
@@ -375,12 +398,19 @@
     ) -> Result<(), CallError> {
         let Some(&at) = self.by_name.get(name) else { return Err(CallError::OtherLife) };
         let Some(&job) = self.by_key.get(&task.step.job) else { return Ok(()) };
+        if self.workers[at].is_away {
+            return Err(CallError::Failed(Verdict::MayHaveRun));
+        }
         let running = self.begin(at, job, task, run, checkpoint);
+        self.judge_room(at, &running.need);
         let result = self.workers[at].start(task, running, lease_until_ms);
         if result.is_ok() && run == 1 {
             let class = self.arrivals[job].class;
             self.recorder.started(task.step, class, self.now_ms);
         }
+        if result.is_ok() {
+            self.may_crash(at, job, task);
+        }
         self.plan_next(at);
         result
     }
--- a/lilacpass-lab/src/lib.rs
+++ b/lilacpass-lab/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod report;
 pub mod scenario;
 pub mod services;
+mod worker_faults;
 pub mod workers;
--- a/lilacpass-lab/src/model_worker.rs
+++ b/lilacpass-lab/src/model_worker.rs
@@ -62,6 +62,14 @@
 pub struct ModelWorker {
     /// What it registers.
     pub entry: Registration,
+    /// What it has when nothing shrinks it.
+    pub whole: Resources,
+    /// It has crashed and is not back.
+    pub is_away: bool,
+    /// When its room last changed.
+    pub resized_ms: u64,
+    /// Its name in its first life.
+    first_name: String,
     /// What it runs.
     pub runs: BTreeMap<TaskName, Running>,
     /// A look that waits here.
@@ -76,6 +84,10 @@
     /// An idle worker.
     pub fn new(entry: Registration) -> Self {
         Self {
+            whole: entry.capacity,
+            is_away: false,
+            resized_ms: 0,
+            first_name: entry.name.to_string(),
             entry,
             runs: BTreeMap::new(),
             waiting_look: None,
@@ -86,6 +98,23 @@
         }
     }
 
+    /// It crashes. Returns the look that waits there and gets no answer.
+    pub fn crash(&mut self) -> Option<WaitingLook> {
+        self.is_away = true;
+        self.runs.clear();
+        self.ends.clear();
+        self.waiting_look.take()
+    }
+
+    /// It is back, as another: nothing runs there, and it knows of nothing.
+    pub fn comes_back(&mut self, life: u64) {
+        let name = format!("{}-life-{life}", self.first_name);
+        let entry = Registration { name: WorkerName::from(name.as_str()), ..self.entry.clone() };
+        let (whole, resized_ms) = (self.whole, self.resized_ms);
+        let first_name = self.first_name.clone();
+        *self = Self { whole, resized_ms, first_name, ..Self::new(entry) };
+    }
+
     /// Its name.
     pub fn name(&self) -> &WorkerName {
         &self.entry.name
--- a/lilacpass-lab/src/outcome.rs
+++ b/lilacpass-lab/src/outcome.rs
@@ -54,6 +54,12 @@
     pub waiting_by_s: Vec<u64>,
     /// Work that was stopped and not saved, in core-seconds.
     pub thrown_away_core_s: f64,
+    /// Starts on workers that had no room for them.
+    pub over_capacity: u32,
+    /// Workers that crashed under tasks.
+    pub crashed_workers: u32,
+    /// Most starts of a task that crashes its workers.
+    pub most_crashing_starts: u32,
     /// Times of one round of deciding on the machine of the lab.
     pub decisions: Decisions,
 }
@@ -78,6 +84,12 @@
     ready_ms: HashMap<StepName, u64>,
     /// Work that was stopped and not saved, in thousandths of a core times milliseconds.
     pub thrown_away_milli_ms: u64,
+    /// Starts on workers that had no room for them.
+    pub over_capacity: u32,
+    /// Workers that crashed under tasks.
+    pub crashed_workers: u32,
+    /// Most starts of a task that crashes its workers.
+    pub most_crashing_starts: u32,
     /// Share of the processors in use, a second each.
     pub use_by_s: Vec<f64>,
     /// Tasks that wait, a second each.
@@ -95,6 +107,9 @@
             rounds_us: histogram(),
             ready_ms: HashMap::new(),
             thrown_away_milli_ms: 0,
+            over_capacity: 0,
+            crashed_workers: 0,
+            most_crashing_starts: 0,
             use_by_s: Vec::new(),
             waiting_by_s: Vec::new(),
         }
@@ -160,6 +175,9 @@
             use_by_s: self.use_by_s,
             lost_by_s,
             waiting_by_s: self.waiting_by_s,
+            over_capacity: self.over_capacity,
+            crashed_workers: self.crashed_workers,
+            most_crashing_starts: self.most_crashing_starts,
             thrown_away_core_s: self.thrown_away_milli_ms as f64 / 1e6,
             decisions: Decisions {
                 rounds: self.rounds_us.len(),
--- a/lilacpass-lab/src/scenario.rs
+++ b/lilacpass-lab/src/scenario.rs
@@ -220,6 +220,10 @@
     FailingWorkers,
     /// The advice service does not answer.
     AdviceSilent,
+    /// The first task of `share` of the jobs that come crashes each worker that starts it.
+    CrashingTasks,
+    /// `share` of the workers have part `x` of their room.
+    ShrinkingWorkers,
 }
 
 impl Fault {
@@ -303,13 +307,24 @@
 fn check_fault(number: usize, fault: &Fault) -> Result<()> {
     let field = |name: &str| format!("fault[{number}].{name}");
     positive(&field("for_s"), fault.for_s)?;
-    if !matches!(fault.kind, FaultKind::StoreDown | FaultKind::AdviceSilent) {
+    let takes_x = !matches!(
+        fault.kind,
+        FaultKind::StoreDown | FaultKind::AdviceSilent | FaultKind::CrashingTasks
+    );
+    if takes_x {
         positive(&field("x"), fault.x)?;
     }
-    if fault.kind == FaultKind::FailingWorkers {
+    if matches!(fault.kind, FaultKind::FailingWorkers | FaultKind::ShrinkingWorkers) {
         check_share(&field("x"), fault.x)?;
     }
-    if matches!(fault.kind, FaultKind::SlowWorkers | FaultKind::FailingWorkers) {
+    let takes_share = matches!(
+        fault.kind,
+        FaultKind::SlowWorkers
+            | FaultKind::FailingWorkers
+            | FaultKind::CrashingTasks
+            | FaultKind::ShrinkingWorkers
+    );
+    if takes_share {
         positive(&field("share"), fault.share)?;
     }
     check_share(&field("share"), fault.share)
--- a/lilacpass-lab/tests/lab.rs
+++ b/lilacpass-lab/tests/lab.rs
@@ -139,3 +139,22 @@
     }
     assert!(count >= 6, "{count} scenarios");
 }
+
+/// Guards against a lab in which crashing tasks and shrinking workers leave no trace, and a leader that lets either
+/// wear out the cell.
+#[test]
+fn crashing_tasks_are_given_up_and_shrinking_workers_are_not_overfilled() {
+    let fault = "kind = \"failing-workers\"\nat_s = 3.0\nfor_s = 3.0\nshare = 0.3\nx = 0.5";
+    let faults = "kind = \"crashing-tasks\"\nat_s = 1.0\nfor_s = 3.0\nshare = 0.1\n\n[[fault]]\n\
+                  kind = \"shrinking-workers\"\nat_s = 3.0\nfor_s = 3.0\nshare = 0.5\nx = 0.5";
+    assert!(SMALL.contains(fault));
+    let scenario = scenario::parse(&SMALL.replace(fault, faults)).expect("a good scenario");
+    for seed in 1..10 {
+        let outcome = cli::play(&scenario, Policy::Today, seed);
+        assert!(outcome.most_crashing_starts <= 5, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.over_capacity, 0, "seed {seed}");
+    }
+    let crashed: u32 =
+        (1..10).map(|seed| cli::play(&scenario, Policy::Today, seed).crashed_workers).sum();
+    assert!(crashed > 0, "some workers crash");
+}
--- a/lilacpass-node/tests/registry_watch.rs
+++ b/lilacpass-node/tests/registry_watch.rs
@@ -58,6 +58,24 @@
     assert!(matches!(&events[..], [Event::WorkerListed(entry)] if entry.draining), "{events:?}");
 }
 
+/// Guards against a leader that goes on filling a worker that has said that it has less room.
+#[test]
+fn a_worker_that_says_it_has_another_room_is_told_to_the_leader() {
+    let says = |cpu: u32| {
+        GOOD.replace('}', &format!(r#", "capacity": {{"cpu": {cpu}, "memMb": 100, "gpu": 0}}}}"#))
+    };
+    let mut registered = Registered::default();
+    registered.all(vec![placed("w-1", 1, &says(8_000))]);
+    for (offset, cpu) in [(2, 2_000), (3, 8_000), (4, 0)] {
+        let events = registered.changed(vec![placed("w-1", offset, &says(cpu))]);
+        let room = Resources::new(u64::from(cpu), 100, 0, 0);
+        assert!(
+            matches!(&events[..], [Event::WorkerListed(entry)] if entry.capacity == room),
+            "{events:?}"
+        );
+    }
+}
+
 /// A worker that has left goes on being counted, or one whose entry was away for a moment is given up.
 #[test]
 fn a_removed_worker_is_gone_once_a_look_at_all_confirms_it() {
