--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -160,10 +160,10 @@
         let entry = self.jobs.get(&chooser.step.job);
         let is_on_trial =
             |task: &TaskName| entry.is_some_and(|entry| self.is_on_trial(entry, *task));
-        let (suspects, others): (Vec<_>, Vec<_>) = waiting.iter().copied().partition(is_on_trial);
-        if plan.gang || suspects.is_empty() {
+        if plan.gang || !waiting.iter().any(is_on_trial) {
             return hosts::pick(hosts, plan, waiting.len(), chooser);
         }
+        let (suspects, others): (Vec<_>, Vec<_>) = waiting.iter().copied().partition(is_on_trial);
         let mut picks = hosts::pick(hosts, plan, others.len(), chooser);
         waiting.clear();
         waiting.extend(others.into_iter().take(picks.len()));
