--- a/lilacpass-lead/tests/crashes.rs
+++ b/lilacpass-lead/tests/crashes.rs
@@ -45,6 +45,15 @@
     world
 }
 
+/// Crashes all workers at once whose addresses have such a number.
+fn crash_all(world: &mut World, is_hit: impl Fn(usize) -> bool) {
+    for at in 0..world.workers.len() {
+        if world.workers[at].alive && is_hit(world.workers[at].address_number()) {
+            world.crash_worker(at);
+        }
+    }
+}
+
 fn assert_quick_work_is_done(world: &World) {
     for key in QUICK_JOBS {
         assert_eq!(outcome(world, key), Some(Outcome::Completed), "quick job {key}");
@@ -146,12 +155,7 @@
     let lasting = v1::WorkStep { lasting: true, ..step(12, 1_000, 500) };
     world.submit(2, plan(&[lasting]), queue("watch", 1));
     for round in 0..4 {
-        for at in 0..world.workers.len() {
-            let is_in_rack = world.workers[at].address_number() % 2 == round % 2;
-            if world.workers[at].alive && is_in_rack {
-                world.crash_worker(at);
-            }
-        }
+        crash_all(&mut world, |number| number % 2 == round % 2);
         world.run(5_000 + 37 * round as u64);
     }
     for key in [1, 2] {
@@ -232,11 +236,7 @@
         world.run(150);
         let until_ms = world.now_ms + 2_500;
         world.current().paused_until_ms = until_ms;
-        for at in 0..world.workers.len() {
-            if world.workers[at].alive && world.workers[at].address_number() % 3 == round % 3 {
-                world.crash_worker(at);
-            }
-        }
+        crash_all(&mut world, |number| number % 3 == round % 3);
         world.run(4_000 + 100 * round as u64);
     }
     world.run(20_000);
