--- a/lilacpass-lead/tests/crashes.rs
+++ b/lilacpass-lead/tests/crashes.rs
@@ -118,6 +118,15 @@
     assert_quick_work_is_done(&world);
 }
 
+/// Guards against watchers, which are restarted however they end, being restarted for ever on one worker after the other.
+#[test]
+fn a_watcher_that_crashes_its_workers_is_given_up() {
+    let lasting = v1::WorkStep { lasting: true, ..step(3, 1_000, 500) };
+    let mut world = play_beside_quick_work(lasting, CRASHES_AFTER_MS);
+    assert_given_up(&mut world);
+    assert_quick_work_is_done(&world);
+}
+
 /// Guards against a task that has its chances again under each new leader.
 #[test]
 fn crashes_are_known_to_the_next_leader() {
