--- a/lilacpass-lead/tests/crashes.rs
+++ b/lilacpass-lead/tests/crashes.rs
@@ -93,8 +93,7 @@
         let jobs = QUICK_JOBS.map(|key| world.store.job(JobKey(key)).expect("it is stored"));
         let mut took_ms: Vec<u64> = jobs.map(|job| job.ended_ms - job.accepted_ms).collect();
         took_ms.sort_unstable();
-        // In the small cell a run in thirty fails by itself, so that a job in ten is done one run later.
-        assert!(took_ms[took_ms.len() * 8 / 10] <= UNDISTURBED_MS, "{took_ms:?}");
+        assert!(took_ms[took_ms.len() * 9 / 10] <= UNDISTURBED_MS, "{took_ms:?}");
         assert!(took_ms[took_ms.len() - 1] <= STRUCK_MS, "{took_ms:?}");
     }
 }
