Judge quick work beside a crashing task without the runs that fail by themselves

The small cell lets 3 % of all runs fail, at their end, and a quick job of two runs of 0.8 s can't be done in 1.5 s. So nothing was held up: the check counted the draws of another fault, which differ between the plays with and without the crashing task.

Ruled out: trials that keep workers from quick work (no job waited for one), neighbours lost with the second and third worker (there were none).

In their place a stricter one comes in addition: every job under which no worker crashed is done within 1.5 s, not nine in ten of them.

--- a/lilacpass-lead/tests/crashes.rs
+++ b/lilacpass-lead/tests/crashes.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use std::ops::Range;
+use std::{collections::BTreeSet, ops::Range};
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::{JobKey, Outcome, StepName, TaskName};
@@ -54,6 +54,18 @@
     }
 }
 
+/// How long a job took, but for runs that failed by themselves.
+fn took_ms(world: &World, key: JobKey) -> u64 {
+    /// Such a run of a quick job to its end, and the record of that.
+    const FAILED_RUN_MS: u64 = 1_000;
+    let job = world.store.job(key).expect("it is stored");
+    let failed = world.workers.iter().flat_map(|worker| &worker.failed);
+    let failed: Vec<TaskName> = failed.filter(|task| task.step.job == key).copied().collect();
+    let runs_of = |task: &TaskName| failed.iter().filter(|other| *other == task).count() as u64;
+    let most_runs = failed.iter().map(runs_of).max().unwrap_or(0);
+    (job.ended_ms - job.accepted_ms).saturating_sub(most_runs * FAILED_RUN_MS)
+}
+
 fn assert_quick_work_is_done(world: &World) {
     for key in QUICK_JOBS {
         assert_eq!(outcome(world, key), Some(Outcome::Completed), "quick job {key}");
@@ -90,11 +102,19 @@
     for speculative in [false, true] {
         let crashing = v1::WorkStep { speculative, ..step(4, 1_000, 1_000) };
         let world = play_beside_quick_work(crashing, CRASHES_AFTER_MS);
-        let jobs = QUICK_JOBS.map(|key| world.store.job(JobKey(key)).expect("it is stored"));
-        let mut took_ms: Vec<u64> = jobs.map(|job| job.ended_ms - job.accepted_ms).collect();
+        let mut took_ms = QUICK_JOBS.map(|key| took_ms(&world, JobKey(key))).collect::<Vec<u64>>();
         took_ms.sort_unstable();
         assert!(took_ms[took_ms.len() * 9 / 10] <= UNDISTURBED_MS, "{took_ms:?}");
         assert!(took_ms[took_ms.len() - 1] <= STRUCK_MS, "{took_ms:?}");
+        let struck = world.crashes.struck.iter().map(|task| task.step.job);
+        let struck: BTreeSet<JobKey> = struck.collect();
+        for job in QUICK_JOBS.map(JobKey).filter(|job| !struck.contains(job)) {
+            let took_ms = self::took_ms(&world, job);
+            assert!(
+                took_ms <= UNDISTURBED_MS,
+                "{job} took {took_ms} ms, and no worker crashed under it"
+            );
+        }
     }
 }
 
--- a/lilacpass-lead/tests/world/crashes.rs
+++ b/lilacpass-lead/tests/world/crashes.rs
@@ -1,6 +1,6 @@
 //! Tasks that crash the workers that start them, and how often such a task may be started.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use lilacpass_jobs::{TaskName, WorkerName};
 
@@ -26,6 +26,8 @@
     pub away_ms: Option<u64>,
     /// Workers that crashed under each of them.
     pub under: BTreeMap<TaskName, u32>,
+    /// Tasks that ran on a worker when it crashed.
+    pub struck: BTreeSet<TaskName>,
     /// Starts of each by members in touch, since too many workers had crashed under it.
     starts_since: BTreeMap<TaskName, u32>,
     /// When something last was amiss that takes members out of touch.
@@ -85,7 +87,8 @@
     pub fn crash_worker(&mut self, at: usize) {
         self.workers[at].alive = false;
         self.workers[at].stale_until_ms = self.now_ms + STALE_MS;
-        self.workers[at].runs.clear();
+        let lost = std::mem::take(&mut self.workers[at].runs);
+        self.crashes.struck.extend(lost.into_keys());
         let away_ms = self.crashes.away_ms.unwrap_or(AWAY_MS);
         self.plan(away_ms, Action::Return { at });
     }
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -50,7 +50,9 @@
     pub runs: BTreeMap<TaskName, Running>,
     /// Tasks that were done here.
     pub done: BTreeSet<TaskName>,
-    /// Those of them whose end was noted.
+    /// Tasks of which a run failed here, once for each.
+    pub failed: Vec<TaskName>,
+    /// Those of the done whose end was noted.
     pub noted_done: BTreeSet<TaskName>,
     epoch: u64,
     lease_until_ms: u64,
@@ -84,6 +86,7 @@
             data_centre: "here",
             runs: BTreeMap::new(),
             done: BTreeSet::new(),
+            failed: Vec::new(),
             noted_done: BTreeSet::new(),
             epoch: 0,
             lease_until_ms: 0,
@@ -160,6 +163,9 @@
         if how == How::Done {
             self.done.insert(task);
         }
+        if how == How::Failed {
+            self.failed.push(task);
+        }
         self.over.insert(task, run.run);
         let end = End { run: run.run, how, checkpoint: String::new() };
         self.ends.push(EndRow { number: self.next_end, task, end });
