--- a/lilacpass-node/tests/main_job.rs
+++ b/lilacpass-node/tests/main_job.rs
@@ -2,7 +2,10 @@
 
 use std::path::PathBuf;
 
-use lilacpass_platform_standin::trial::{self, Options};
+use lilacpass_platform_standin::{
+    soak,
+    trial::{self, Options},
+};
 use tokio::{runtime, task::LocalSet};
 
 fn run(faults: bool, first_port: u16, seconds: u64) -> bool {
@@ -23,3 +26,12 @@
 fn accepted_jobs_are_done_once_whatever_fails() {
     assert!(run(true, 22_500, 6));
 }
+
+/// Disturbances of each kind come at random, in series and overlapping.
+#[test]
+fn promises_hold_under_disturbances_of_a_seed() {
+    let program = PathBuf::from(env!("CARGO_BIN_EXE_lilacpass-node"));
+    let options = soak::Options { program, first_port: 22_600, seed: 1, seconds: 20 };
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    assert!(LocalSet::new().block_on(&runtime, soak::run(&options)).expect("a run"));
+}
