--- a/lilacpass-lead/tests/crashes.rs
+++ b/lilacpass-lead/tests/crashes.rs
@@ -72,6 +72,17 @@
     }
 }
 
+/// Lets time pass until something holds, which takes less than half a minute.
+fn run_until(world: &mut World, holds: impl Fn(&World) -> bool) {
+    for _ in 0..3_000 {
+        if holds(world) {
+            return;
+        }
+        world.run(10);
+    }
+    panic!("it does not hold after half a minute");
+}
+
 /// The job that crashes its workers is given up, and says why.
 fn assert_given_up(world: &mut World) {
     assert_eq!(outcome(world, CRASHING_JOB), Some(Outcome::Failed));
@@ -312,6 +323,49 @@
     }
 }
 
+/// Guards against a healthy task that is given up for one crash by chance after those of a neighbour that was given up.
+#[test]
+fn crashes_of_a_task_that_was_given_up_do_not_count_against_its_neighbours() {
+    const NEIGHBOUR: u64 = 2;
+    let mut world = World::new(3, 1, Resources::new(8_000, 1_000, 0, 0));
+    world.crashes.crashing.insert(task(CRASHING_JOB, 0), 100);
+    world.submit(CRASHING_JOB, plan(&[step(1, 1_000, 1_000)]), queue("quick", 0));
+    world.submit(NEIGHBOUR, plan(&[step(1, 1_000, 3_000)]), queue("quick", 0));
+    run_until(&mut world, |world| !hosts_of(world, task(NEIGHBOUR, 0)).is_empty());
+    // Nobody sees when the first worker crashes, and so not that it did soon after a start.
+    world.current().alive = false;
+    world.run(600);
+    world.take_over();
+    run_until(&mut world, |world| outcome(world, CRASHING_JOB) == Some(Outcome::Failed));
+    run_until(&mut world, |world| !hosts_of(world, task(NEIGHBOUR, 0)).is_empty());
+    world.run(20);
+    let host = hosts_of(&world, task(NEIGHBOUR, 0))[0];
+    world.crash_worker(host);
+    world.run(20_000);
+    assert_eq!(outcome(&world, NEIGHBOUR), Some(Outcome::Completed));
+}
+
+/// Guards against a task that has long been at work and is given up for crashes beside tasks that had just started.
+#[test]
+fn work_that_has_outlived_its_start_is_not_given_up_for_crashes_beside_new_work() {
+    const LASTING_JOB: u64 = 1;
+    let mut world = World::new(5, 1, Resources::new(8_000, 1_000, 0, 0));
+    let lasting = v1::WorkStep { lasting: true, ..step(1, 1_000, 500) };
+    world.submit(LASTING_JOB, plan(&[lasting]), queue("watch", 1));
+    for key in 2..6 {
+        run_until(&mut world, |world| !hosts_of(world, task(LASTING_JOB, 0)).is_empty());
+        world.run(2_000);
+        world.submit(key, plan(&[step(1, 1_000, 800)]), queue("quick", 0));
+        run_until(&mut world, |world| !hosts_of(world, task(key, 0)).is_empty());
+        world.run(20);
+        let host = hosts_of(&world, task(key, 0))[0];
+        world.crash_worker(host);
+    }
+    world.run(10_000);
+    assert_eq!(outcome(&world, LASTING_JOB), Some(Outcome::Open));
+    assert!((2..6).all(|key| outcome(&world, key) == Some(Outcome::Completed)));
+}
+
 /// Guards against twins: once a task had been given a copy, each later run of it got one at once.
 #[test]
 fn a_copy_is_given_only_beside_a_run_that_may_be_lost() {
