Count a crash only against what had just started, where something had

Cause: each crash without another explanation counted against all that ran there, also against tasks whose worker had lived on after their start, and three such are enough.

Ruled out: the time after which work clears a task (20 s): a shorter one lets a task that crashes its workers late escape the bound of callers. A higher count for all: the same.

Change: where a suspect was on the worker, those that had outlived their start are not counted, but for the bound of five crashes of any kind, by which callers' limit is kept. Where there was none they count as before, so a task that crashes its workers late is still given up: a_task_that_crashes_its_workers_late_is_given_up (0.4, 1.5 and 4 s) holds.

--- a/lilacpass-lead/src/suspicion.rs
+++ b/lilacpass-lead/src/suspicion.rs
@@ -4,7 +4,7 @@
 //! it is started often enough.
 //!
 //! A task speaks for itself by its worker answering for a while after its start. One that has not done so
-//! when the worker crashes is a suspect. Workers lost to a rack, a cut or a rolling restart fall silent
+//! when the worker crashes is a suspect, and one that has is not counted beside it. Workers lost to a rack, a cut or a rolling restart fall silent
 //! together, and some of them had no suspect: then nobody is.
 
 use std::collections::BTreeSet;
@@ -46,6 +46,7 @@
                 Circumstances::Alone if is_only => Suspicion::Only,
                 Circumstances::Alone | Circumstances::Shared if is_suspect => Suspicion::Suspect,
                 Circumstances::Shared => Suspicion::Cleared,
+                Circumstances::Alone if !suspects.is_empty() => Suspicion::Cleared,
                 _ if is_known && !is_suspect => Suspicion::Cleared,
                 Circumstances::Alone | Circumstances::Unseen => Suspicion::Present,
             }
