Count a crash whose worker's leases ran out before its silence was known

Cause: a crash that nobody counted. The leader stood still just after the worker had crashed. When it went on, the tick came before the failed look: the leases had run out, so what ran there started elsewhere, and since no look had failed yet the worker did not count as one that may have crashed. When its next life answered, nothing ran there any more. The rule of three unexplained crashes had hidden it: callers' bound leaves room for one such.

Ruled out: a lower bound in Crashes (four crashes beside others): hides it again, and gives a healthy lasting task up.

Change: whatever the looks said, a worker whose leases have run out and that has not said it leaves may have crashed; if it answers, that is forgotten, as before.

Test: a_crash_just_before_the_leader_stands_still_is_counted, red before (0 of 1 after 6 s of standing still), green after.

--- a/lilacpass-lead/src/crashes.rs
+++ b/lilacpass-lead/src/crashes.rs
@@ -145,7 +145,7 @@
     /// was cut off is known once it answers, or another life of it does.
     pub(crate) fn lapse_worker(&mut self, name: &WorkerName, now: Now) {
         let Some(worker) = self.workers.get(name) else { return };
-        let may_have_crashed = worker.failed_looks > 0 && !worker.draining;
+        let may_have_crashed = !worker.draining;
         if may_have_crashed && worker.is_replaced {
             self.end_all_crashed(name, now);
         } else if may_have_crashed {
--- a/lilacpass-lead/tests/crashes.rs
+++ b/lilacpass-lead/tests/crashes.rs
@@ -285,6 +285,26 @@
     }
 }
 
+/// Guards against a crash that nobody counts since the leases of the worker ran out while the leader stood still.
+#[test]
+fn a_crash_just_before_the_leader_stands_still_is_counted() {
+    for stands_ms in [2_000, 6_000, 9_000] {
+        let mut world = twelve_workers(17);
+        world.crashes.crashing.insert(task(CRASHING_JOB, 0), 400);
+        world.submit(CRASHING_JOB, plan(&[step(1, 1_000, 30_000)]), queue("quick", 0));
+        run_until(&mut world, |world| world.crashes.total() == 1);
+        world.crashes.crashing.clear();
+        // The look that was under way is answered, and the next one is not yet known to have failed.
+        world.run(300);
+        let until_ms = world.now_ms + stands_ms;
+        world.current().paused_until_ms = until_ms;
+        world.run(stands_ms + 8_000);
+        let job = world.store.job(JobKey(CRASHING_JOB)).expect("it is stored");
+        let known = job.tasks().map(|task| task.crashes.known).max();
+        assert_eq!(known, Some(1), "the leader stood still for {stands_ms} ms");
+    }
+}
+
 /// Guards against healthy work that is given up since its leader stood still while workers crashed.
 #[test]
 fn work_on_workers_that_crash_while_the_leader_stands_still_is_not_given_up() {
