A task that is given up for its crashes explains them for its neighbours

Cause: a crash counted for good against all that ran there, whatever became known later.

Ruled out: waiting with the verdict while neighbours are on trial (a task that crashes its workers is then started more often than callers allow), and a longer trial (the chance crash came 10 ms after its start).

Change: crashes without a better explanation are kept one by one, with their worker and what speaks for the task, in its record, so that they outlive a change of leader. When a task is given up, those at the same workers no longer count against others, unless nothing but these can have caused them; at the same crash, what speaks most comes first. All known crashes still count for the bound of five.

--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -184,6 +184,10 @@
         self.occurrences.iter().flatten().flat_map(|step| &step.tasks)
     }
 
+    fn tasks_mut(&mut self) -> impl Iterator<Item = &mut Task> {
+        self.occurrences.iter_mut().flatten().flat_map(|step| &mut step.tasks)
+    }
+
     /// Names of all runs that may be on workers.
     pub fn live_runs(&self) -> Vec<(TaskName, Run)> {
         let mut live = Vec::new();
@@ -267,7 +271,7 @@
         match end.how {
             How::Done => self.task_done(name, unix_ms),
             How::Failed => self.task_failed(name, end.run, unix_ms),
-            How::Crashed(suspicion) => self.note_crash(name, end.run, suspicion, unix_ms),
+            How::Crashed(suspicion) => self.note_crash(name, end.run, worker, suspicion, unix_ms),
             How::Stopped | How::Lapsed | How::Broken | How::Alone | How::Void => Change::Waiting,
         }
     }
@@ -321,6 +325,7 @@
         &mut self,
         name: TaskName,
         run: u32,
+        worker: &WorkerName,
         suspicion: Suspicion,
         unix_ms: u64,
     ) -> Change {
@@ -330,7 +335,7 @@
         if task.done || run == task.crashes.last_run {
             return Change::Waiting;
         }
-        let is_spent = task.crashes.count(run, suspicion);
+        let is_spent = task.crashes.count(run, worker, suspicion);
         let count = task.crashes.known;
         if !is_spent {
             return Change::Waiting;
@@ -357,9 +362,33 @@
 
     /// A worker that was counted as crashed under a task had only been there, and lives. Returns whether that changes
     /// anything.
-    pub fn retract_crash(&mut self, name: TaskName, suspicion: Suspicion) -> bool {
+    pub fn retract_crash(&mut self, name: TaskName, worker: &WorkerName) -> bool {
         let counted = self.counted_task(name);
-        self.task_mut(counted).is_some_and(|task| task.crashes.retract(suspicion))
+        self.task_mut(counted).is_some_and(|task| task.crashes.retract(worker))
+    }
+
+    /// Workers that crashed under a task without a better explanation.
+    pub fn crashed_workers(&self, name: TaskName) -> Vec<WorkerName> {
+        let crashes =
+            self.task(self.counted_task(name)).map(|task| task.crashes.unexplained.iter());
+        crashes.into_iter().flatten().map(|crash| crash.worker.clone()).collect()
+    }
+
+    /// Whether a worker has crashed under any of its tasks.
+    pub fn is_struck(&self) -> bool {
+        self.tasks().any(|task| task.crashes.known > 0)
+    }
+
+    /// Workers are found to have been crashed by another job's task. Returns whether that explains a crash under one of
+    /// these.
+    pub fn explain_crashes(&mut self, workers: &[WorkerName]) -> bool {
+        let mut is_news = false;
+        for task in self.tasks_mut() {
+            for worker in workers {
+                is_news |= task.crashes.explain(worker);
+            }
+        }
+        is_news
     }
 
     fn give_up(&mut self, failure: Failure, unix_ms: u64) -> Change {
--- a/lilacpass-jobs/src/record.rs
+++ b/lilacpass-jobs/src/record.rs
@@ -6,7 +6,8 @@
 use prost::Message;
 
 use crate::{
-    crashes::Crashes,
+    crashes::{Crash, Crashes},
+    end::Suspicion,
     error::{Error, Result},
     failure::{Cause, Failure},
     ids::{JobKey, StepName, TaskName, WorkerName},
@@ -83,6 +84,9 @@
         return bytes;
     }
     drop_long_checkpoints(&mut record);
+    if record.encoded_len() > MAX_STATE_BYTES {
+        drop_crashed_workers(&mut record);
+    }
     record.encode_to_vec()
 }
 
@@ -99,14 +103,38 @@
     }
 }
 
+/// Leaves out which workers crashed; that they did stays.
+fn drop_crashed_workers(record: &mut v1::StateRecord) {
+    let crashes = record.tasks.iter_mut().filter_map(|task| task.crashes.as_mut());
+    crashes.flat_map(|crashes| &mut crashes.unexplained).for_each(|crash| crash.worker.clear());
+}
+
 fn crashes_record(crashes: &Crashes) -> v1::CrashesRecord {
-    let Crashes { known, unexplained, suspected, blamed, last_run } = *crashes;
-    v1::CrashesRecord { known, unexplained, suspected, blamed, last_run }
+    let unexplained = crashes.unexplained.iter().map(crash_record).collect();
+    v1::CrashesRecord { known: crashes.known, unexplained, last_run: crashes.last_run }
+}
+
+fn crash_record(crash: &Crash) -> v1::CrashRecord {
+    let suspicion = match crash.suspicion {
+        Suspicion::Cleared | Suspicion::Present => v1::CrashSuspicion::Present,
+        Suspicion::Suspect => v1::CrashSuspicion::Suspect,
+        Suspicion::Only => v1::CrashSuspicion::Only,
+    };
+    v1::CrashRecord { worker: crash.worker.as_str().to_owned(), suspicion: suspicion.into() }
 }
 
 fn read_crashes(record: &v1::CrashesRecord) -> Crashes {
-    let v1::CrashesRecord { known, unexplained, suspected, blamed, last_run } = *record;
-    Crashes { known, unexplained, suspected, blamed, last_run }
+    let unexplained = record.unexplained.iter().map(read_crash).collect();
+    Crashes { known: record.known, unexplained, last_run: record.last_run }
+}
+
+fn read_crash(record: &v1::CrashRecord) -> Crash {
+    let suspicion = match record.suspicion() {
+        v1::CrashSuspicion::Present => Suspicion::Present,
+        v1::CrashSuspicion::Suspect => Suspicion::Suspect,
+        v1::CrashSuspicion::Only => Suspicion::Only,
+    };
+    Crash { worker: WorkerName::from(record.worker.as_str()), suspicion }
 }
 
 fn failure_record(failure: &Failure) -> v1::FailureRecord {
--- a/lilacpass-jobs/tests/records.rs
+++ b/lilacpass-jobs/tests/records.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use lilacpass_jobs::{Job, JobKey, Outcome, TaskName, WorkerName, plan, record};
+use lilacpass_jobs::{
+    End, How, Job, JobKey, Outcome, Suspicion, TaskName, WorkerName, plan, record,
+};
 use lilacpass_schema::v1;
 use prost::Message;
 
@@ -57,7 +59,7 @@
             let how = ["done", "failed", "stopped", "lapsed"][usize::from(much % 4)];
             if let Some(run) = run {
                 let how = how.parse().expect("a way to end");
-                let end = lilacpass_jobs::End { run: run.number, how, checkpoint: String::new() };
+                let end = End { run: run.number, how, checkpoint: String::new() };
                 let _change = job.end_run(name, &run.worker, &end, 11);
             }
         }
@@ -116,6 +118,29 @@
     assert_eq!(read.checkpoint(names[0]), job.checkpoint(names[0]));
 }
 
+/// Guards against a record that the store refuses for ever because workers have crashed under each of many tasks.
+#[test]
+fn a_state_with_many_crashes_fits_a_record() {
+    let step = v1::WorkStep { count: 4_000, ..Default::default() };
+    let plan = v1::WorkPlan { steps: vec![step], ..Default::default() };
+    let mut job = Job::new(KEY, v1::PlanRecord { plan: Some(plan), ..Default::default() });
+    let names: Vec<TaskName> = job.step_names().flat_map(|step| job.task_names(step)).collect();
+    let worker = WorkerName::from("i-0123456789");
+    for name in &names {
+        for _ in 0..2 {
+            let run = job.begin_run(*name, worker.clone(), Arc::from("hal-a")).expect("a run");
+            let how = How::Crashed(Suspicion::Suspect);
+            job.end_run(*name, &worker, &End { run, how, checkpoint: String::new() }, 9);
+        }
+        job.begin_run(*name, worker.clone(), Arc::from("hal-a"));
+    }
+    let (plan, state) = (record::encode_plan(&job), record::encode_state(&job));
+    assert!(state.len() <= RECORD_BYTES, "{} bytes", state.len());
+    let read = record::decode(KEY, &plan, Some(&state)).expect("a job");
+    assert!(names.iter().all(|name| read.is_suspected(*name)));
+    assert_eq!(read.live_runs(), job.live_runs());
+}
+
 /// A job is shown as waiting for ever and can't be carried out: its record names no plan.
 #[test]
 fn a_record_without_a_plan_is_refused() {
--- a/lilacpass-lead/src/crashes.rs
+++ b/lilacpass-lead/src/crashes.rs
@@ -3,9 +3,11 @@
 //! A worker that fell silent and answers again has not crashed, whatever that cost. So crashes are counted when
 //! another life of the worker answers, or when nobody lists it any more.
 
-use std::mem;
+use std::{cmp::Reverse, mem};
 
-use lilacpass_jobs::{End, How, JobKey, Suspicion, WorkerName, job::Change};
+use lilacpass_jobs::{
+    End, How, JobKey, Outcome, Suspicion, TaskName, WorkerName, failure::Cause, job::Change,
+};
 
 use crate::{
     event::{Now, Registration},
@@ -40,20 +42,24 @@
 
     fn end_all_crashed(&mut self, name: &WorkerName, now: Now) {
         let Some(worker) = self.workers.get(name) else { return };
-        let suspicions = self.suspicions(worker, now);
+        let mut suspicions = self.suspicions(worker, now);
         let is_silent = worker.silent_since_ms.is_some();
         let lapsed = self.workers.get_mut(name).map(|worker| mem::take(&mut worker.lapsed));
         if !is_silent {
             self.note_silence(name, now);
         }
+        suspicions.sort_by_key(|(key, suspicion)| Reverse((*suspicion, self.crashes_of(key.0))));
+        let mut is_explained = false;
         for (key, suspicion) in suspicions {
+            let suspicion = if is_explained { Suspicion::Cleared } else { suspicion };
             self.end_crashed(name, key, suspicion, now);
+            is_explained |= self.is_given_up(key.0);
         }
         // What was not ordered yet.
         self.end_all(name, now);
         for (key, suspicion) in lapsed.unwrap_or_default() {
             self.note_suspicion(name, key, suspicion);
-            self.crashed_after_lapse(key, suspicion, now);
+            self.crashed_after_lapse(name, key, suspicion, now);
         }
     }
 
@@ -64,9 +70,15 @@
     }
 
     /// A worker on which a run was given up when its leases had run out turns out to have crashed.
-    fn crashed_after_lapse(&mut self, (task, run): RunKey, suspicion: Suspicion, now: Now) {
+    fn crashed_after_lapse(
+        &mut self,
+        name: &WorkerName,
+        (task, run): RunKey,
+        suspicion: Suspicion,
+        now: Now,
+    ) {
         let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
-        let change = entry.job.note_crash(task, run, suspicion, now.unix_ms);
+        let change = entry.job.note_crash(task, run, name, suspicion, now.unix_ms);
         self.outbox.waiting.states.insert(task.step.job);
         if change == Change::JobEnded {
             self.job_ended(task.step.job, now);
@@ -84,6 +96,36 @@
         let address = self.workers.get(name).map(|worker| worker.entry.address.clone());
         let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
         entry.crashed_at.extend(address);
+        if entry.job.outcome == Outcome::Open {
+            self.struck.insert(task.step.job);
+        }
+    }
+
+    /// Crashes under a task without a better explanation.
+    fn crashes_of(&self, task: TaskName) -> usize {
+        self.jobs.get(&task.step.job).map_or(0, |entry| entry.job.crashed_workers(task).len())
+    }
+
+    /// Whether a task was given up for the workers that crashed under it.
+    fn is_given_up(&self, task: TaskName) -> bool {
+        let failure = self.jobs.get(&task.step.job).and_then(|entry| entry.job.failure);
+        failure.is_some_and(|failure| failure.cause == Cause::Crashes && failure.task == task)
+    }
+
+    /// A task was given up for the workers that crashed under it: what else ran on these need not have
+    /// crashed them.
+    fn explain_crashes(&mut self, by: TaskName) {
+        let job = self.jobs.get(&by.step.job).map(|entry| &entry.job);
+        let workers = job.map(|job| job.crashed_workers(by)).unwrap_or_default();
+        for &key in &self.struck {
+            let Some(entry) = self.jobs.get_mut(&key).filter(|_| key != by.step.job) else {
+                continue;
+            };
+            if entry.job.explain_crashes(&workers) {
+                log::info!(job:% = key, by:% = by; "crashes are explained by another task");
+                self.outbox.waiting.beside.insert(key);
+            }
+        }
     }
 
     /// A worker has fallen silent.
@@ -112,7 +154,7 @@
             self.end_crashed(name, key, suspicion, now);
         }
         if !keys.is_empty() {
-            let tasks = keys.iter().map(|(task, _)| (*task, suspicion)).collect();
+            let tasks = keys.iter().map(|(task, _)| *task).collect();
             self.taken_for_gone.insert(name.clone(), tasks);
         }
         self.forget_worker(name);
@@ -120,9 +162,9 @@
 
     /// A worker is registered: if it was taken for gone, it had been cut off and nothing crashed it.
     pub(crate) fn lives_after_all(&mut self, name: &WorkerName) {
-        for (task, suspicion) in self.taken_for_gone.remove(name).unwrap_or_default() {
+        for task in self.taken_for_gone.remove(name).unwrap_or_default() {
             let Some(entry) = self.jobs.get_mut(&task.step.job) else { continue };
-            if entry.job.retract_crash(task, suspicion) {
+            if entry.job.retract_crash(task, name) {
                 self.outbox.waiting.beside.insert(task.step.job);
             }
         }
@@ -177,5 +219,8 @@
             count = failure.count;
             "job failed"
         );
+        if failure.cause == Cause::Crashes {
+            self.explain_crashes(failure.task);
+        }
     }
 }
--- a/lilacpass-lead/src/ends.rs
+++ b/lilacpass-lead/src/ends.rs
@@ -61,6 +61,7 @@
 
     /// A job has come to its outcome: shows it once it is stored, and stops what still runs.
     pub(crate) fn job_ended(&mut self, key: JobKey, now: Now) {
+        self.struck.remove(&key);
         self.note_failure(key);
         self.outbox.waiting.states.insert(key);
         self.outbox.then(After::Show(key));
--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -150,7 +150,8 @@
             if task.crashes.known > 0 {
                 let row = format!(
                     "{task_name}: {} workers crashed under it, {} of them without another explanation",
-                    task.crashes.known, task.crashes.unexplained
+                    task.crashes.known,
+                    task.crashes.unexplained.len()
                 );
                 explanation.crashes.push(row);
             }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -6,7 +6,7 @@
 };
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::{Job, JobKey, Outcome, StepName, Suspicion, TaskName, WorkerName};
+use lilacpass_jobs::{Job, JobKey, Outcome, StepName, TaskName, WorkerName};
 
 use lilacpass_schema::v1;
 
@@ -124,7 +124,9 @@
     /// The worker that was last to register anew at each address.
     pub(crate) by_address: HashMap<String, WorkerName>,
     /// Workers that were taken for gone unseen, with the tasks under which they were counted as crashed.
-    pub(crate) taken_for_gone: HashMap<WorkerName, Vec<(TaskName, Suspicion)>>,
+    pub(crate) taken_for_gone: HashMap<WorkerName, Vec<TaskName>>,
+    /// Open jobs under which workers have crashed.
+    pub(crate) struck: BTreeSet<JobKey>,
     pub(crate) tally: Tally,
     /// Workers at which no look is under way: hardly any. Going through all workers at each event, and
     /// putting all in order for each call for advice, took 17 of 60 % of a core at 3,000 of them.
@@ -186,6 +188,7 @@
             silences: Silences::default(),
             by_address: HashMap::new(),
             taken_for_gone: HashMap::new(),
+            struck: BTreeSet::new(),
             tally: Tally::default(),
             looks_due: BTreeSet::new(),
             least_urgent: 0,
@@ -225,6 +228,9 @@
             }
             self.rooms.note(worker);
         }
+        if job.outcome == Outcome::Open && job.is_struck() {
+            self.struck.insert(key);
+        }
         self.jobs.insert(key, Entry::new(job, true));
         self.reindex(key, now);
         let ended = self.jobs.get(&key).is_some_and(|entry| entry.job.outcome != Outcome::Open);
@@ -422,6 +428,6 @@
         }
         let jobs = &self.jobs;
         self.taken_for_gone
-            .retain(|_, tasks| tasks.iter().any(|(task, _)| jobs.contains_key(&task.step.job)));
+            .retain(|_, tasks| tasks.iter().any(|task| jobs.contains_key(&task.step.job)));
     }
 }
