Count runs of lapsed leases by the same order at a crash, and explain none by a worker without a name

Read again: a task that is given up for a crash that is known only after its leases had run out did not explain that crash for those counted after it; and a record that had no room for the workers' names, read by the next leader, let one such task explain the crashes of all others. One list for both kinds of runs, sorted by what speaks most; workers without a name explain nothing (a_state_with_many_crashes_fits_a_record asserts it).

--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -367,11 +367,12 @@
         self.task_mut(counted).is_some_and(|task| task.crashes.retract(worker))
     }
 
-    /// Workers that crashed under a task without a better explanation.
+    /// Workers that crashed under a task without a better explanation, as far as their names are recorded.
     pub fn crashed_workers(&self, name: TaskName) -> Vec<WorkerName> {
-        let crashes =
-            self.task(self.counted_task(name)).map(|task| task.crashes.unexplained.iter());
-        crashes.into_iter().flatten().map(|crash| crash.worker.clone()).collect()
+        let task = self.task(self.counted_task(name));
+        let crashes = task.into_iter().flat_map(|task| &task.crashes.unexplained);
+        let workers = crashes.map(|crash| &crash.worker);
+        workers.filter(|worker| !worker.as_str().is_empty()).cloned().collect()
     }
 
     /// Whether a worker has crashed under any of its tasks.
--- a/lilacpass-jobs/tests/records.rs
+++ b/lilacpass-jobs/tests/records.rs
@@ -138,6 +138,7 @@
     assert!(state.len() <= RECORD_BYTES, "{} bytes", state.len());
     let read = record::decode(KEY, &plan, Some(&state)).expect("a job");
     assert!(names.iter().all(|name| read.is_suspected(*name)));
+    assert!(names.iter().all(|name| read.crashed_workers(*name).is_empty()), "no name for all");
     assert_eq!(read.live_runs(), job.live_runs());
 }
 
--- a/lilacpass-lead/src/crashes.rs
+++ b/lilacpass-lead/src/crashes.rs
@@ -43,24 +43,30 @@
     fn end_all_crashed(&mut self, name: &WorkerName, now: Now) {
         let Some(worker) = self.workers.get(name) else { return };
         let mut suspicions = self.suspicions(worker, now);
-        let is_silent = worker.silent_since_ms.is_some();
-        let lapsed = self.workers.get_mut(name).map(|worker| mem::take(&mut worker.lapsed));
-        if !is_silent {
+        if worker.silent_since_ms.is_none() {
             self.note_silence(name, now);
         }
+        let lapsed = self.workers.get_mut(name).map(|worker| mem::take(&mut worker.lapsed));
+        suspicions.extend(lapsed.into_iter().flatten());
         suspicions.sort_by_key(|(key, suspicion)| Reverse((*suspicion, self.crashes_of(key.0))));
         let mut is_explained = false;
         for (key, suspicion) in suspicions {
             let suspicion = if is_explained { Suspicion::Cleared } else { suspicion };
-            self.end_crashed(name, key, suspicion, now);
+            self.count_crash(name, key, suspicion, now);
             is_explained |= self.is_given_up(key.0);
         }
         // What was not ordered yet.
         self.end_all(name, now);
-        for (key, suspicion) in lapsed.unwrap_or_default() {
-            self.note_suspicion(name, key, suspicion);
-            self.crashed_after_lapse(name, key, suspicion, now);
+    }
+
+    /// Counts the crash of a worker under a run, which may have been given up when its leases had run out.
+    fn count_crash(&mut self, name: &WorkerName, key: RunKey, suspicion: Suspicion, now: Now) {
+        let is_there = self.workers.get(name).is_some_and(|worker| worker.runs.contains_key(&key));
+        if is_there {
+            return self.end_crashed(name, key, suspicion, now);
         }
+        self.note_suspicion(name, key, suspicion);
+        self.crashed_after_lapse(name, key, suspicion, now);
     }
 
     fn end_crashed(&mut self, name: &WorkerName, key: RunKey, suspicion: Suspicion, now: Now) {
