Blame a task for a crash by itself only if its worker had told of its start

Both times its start got no answer: the first was sent while the data centre was cut off, and the worker, where it never ran, crashed by chance later; the second was sent 0.4 s after the worker had crashed, before the leader knew.

Cause: an order without an answer made its task the only suspect of a crash that came before it arrived.

Ruled out: judging by the time at which the look under way was due (it may wait for 0.8 s, the crash was 0.4 s before the order); counting the silences of workers that answered again as a common cause (a network that loses looks would then hide tasks that crash their workers).

Change: such a task is one suspect among others at most: three such crashes give it up, not two. Test: starts_that_come_after_a_crash_are_not_blamed_for_it, red before, green after.

--- a/lilacpass-jobs/src/end.rs
+++ b/lilacpass-jobs/src/end.rs
@@ -13,7 +13,7 @@
     Present,
     /// The worker is not known to have lived on after its start.
     Suspect,
-    /// The same, and of no other task there.
+    /// The same of no other task there, and the worker had told of its start.
     Only,
 }
 
--- a/lilacpass-lead/src/suspicion.rs
+++ b/lilacpass-lead/src/suspicion.rs
@@ -39,7 +39,8 @@
         let suspicion = |key: &RunKey, given: &Given| {
             let is_suspect =
                 worker.is_suspect(given) && suspects.contains(&self.starts_with(key.0));
-            let is_only = is_suspect && suspects.len() == 1;
+            let has_started = given.started_ms.is_some();
+            let is_only = is_suspect && suspects.len() == 1 && has_started;
             match loss {
                 Circumstances::Explained if is_suspect && is_known => Suspicion::Present,
                 Circumstances::Explained => Suspicion::Cleared,
--- a/lilacpass-lead/tests/crashes.rs
+++ b/lilacpass-lead/tests/crashes.rs
@@ -386,6 +386,27 @@
     assert!((2..6).all(|key| outcome(&world, key) == Some(Outcome::Completed)));
 }
 
+/// Guards against a healthy task that is given up since two workers had crashed before its start reached them.
+#[test]
+fn starts_that_come_after_a_crash_are_not_blamed_for_it() {
+    let mut world = World::new(3, 1, Resources::new(8_000, 1_000, 0, 0));
+    world.submit(1, plan(&[step(1, 1_000, 1_000)]), queue("quick", 0));
+    for run in 1..=2 {
+        let is_recorded = |world: &World| {
+            let job = world.store.job(JobKey(1));
+            job.is_some_and(|job| job.tasks().any(|task| task.last_run == run))
+        };
+        while !is_recorded(&world) {
+            world.run(1);
+        }
+        let host = world.workers.iter().position(|worker| worker.alive).expect("a worker");
+        assert!(world.workers[host].runs.is_empty(), "run {run} has not started");
+        world.crash_worker(host);
+    }
+    world.run(20_000);
+    assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
+}
+
 /// Guards against twins: once a task had been given a copy, each later run of it got one at once.
 #[test]
 fn a_copy_is_given_only_beside_a_run_that_may_be_lost() {
