--- a/lilacpass-lead/src/crashes.rs
+++ b/lilacpass-lead/src/crashes.rs
@@ -189,8 +189,8 @@
         }
     }
 
-    /// A silent worker's leases have run out. What ran there starts elsewhere; whether the worker crashed or
-    /// was cut off is known once it answers, or another life of it does.
+    /// The leases at a worker have run out, perhaps before its silence was noticed. What ran there starts
+    /// elsewhere; whether the worker crashed or was cut off is known once it answers, or another life of it does.
     pub(crate) fn lapse_worker(&mut self, name: &WorkerName, now: Now) {
         let Some(worker) = self.workers.get(name) else { return };
         let may_have_crashed = !worker.draining;
--- a/lilacpass-lead/src/suspicion.rs
+++ b/lilacpass-lead/src/suspicion.rs
@@ -4,8 +4,8 @@
 //! it is started often enough.
 //!
 //! A task speaks for itself by its worker answering for a while after its start. One that has not done so
-//! when the worker crashes is a suspect, and one that has is not counted beside it. Workers lost to a rack, a cut or a rolling restart fall silent
-//! together, and some of them had no suspect: then nobody is.
+//! when the worker crashes is a suspect, and one that has is not counted beside it. Workers lost to a rack, a
+//! cut or a rolling restart fall silent together, and some of them had no suspect: then nobody is.
 
 use std::collections::BTreeSet;
 
