--- a/lilacpass-lead/tests/world/crashes.rs
+++ b/lilacpass-lead/tests/world/crashes.rs
@@ -6,7 +6,7 @@
 
 use super::{Action, World};
 
-/// Time until a crashed worker is back under a new name.
+/// Time until a crashed worker is back.
 const AWAY_MS: u64 = 3_500;
 /// Time for which the registration of a crashed worker remains.
 const STALE_REGISTRATION_MS: u64 = 4_500;
@@ -25,6 +25,8 @@
     pub crashing: BTreeMap<TaskName, u64>,
     /// How long crashed workers are away; `AWAY_MS` if `None`.
     pub away_ms: Option<u64>,
+    /// Whether crashed workers are back under a new name, rather than the one that they had.
+    pub renames_workers: bool,
     /// Number of workers that each crashing task has crashed.
     pub crash_counts: BTreeMap<TaskName, u32>,
     /// Tasks that ran on a worker when it crashed.
@@ -85,7 +87,7 @@
         self.crash_worker(worker_index);
     }
 
-    /// Crashes a worker. After a while it is back at its address under a new name.
+    /// Crashes a worker. After a while it is back at its address.
     pub fn crash_worker(&mut self, worker_index: usize) {
         self.workers[worker_index].alive = false;
         self.workers[worker_index].stale_until_ms = self.now_ms + STALE_REGISTRATION_MS;
@@ -94,4 +96,13 @@
         let away_ms = self.crashes.away_ms.unwrap_or(AWAY_MS);
         self.schedule(away_ms, Action::ReturnWorker { worker_index });
     }
+
+    /// Starts a crashed worker again.
+    pub(super) fn return_worker(&mut self, worker_index: usize) {
+        if self.crashes.renames_workers {
+            self.replace_worker(worker_index);
+        } else {
+            self.restart_worker(worker_index);
+        }
+    }
 }
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -91,7 +91,7 @@
     AnswerPoll { instance: usize, worker_index: usize, effect: Effect, sent_ms: u64 },
     /// A task crashes the worker on which it was started.
     Crash { worker: WorkerName, task: TaskName },
-    /// A crashed worker is back under a new name.
+    /// A crashed worker is back.
     ReturnWorker { worker_index: usize },
 }
 
@@ -135,7 +135,7 @@
             instances: Vec::new(),
             responses: Vec::new(),
             requests: Requests::default(),
-            crashes: Crashes::default(),
+            crashes: Crashes { renames_workers: true, ..Crashes::default() },
             advice_calls: Vec::new(),
             lost_order_percent: 0,
             options: Options::default(),
@@ -220,12 +220,19 @@
     /// Registers a new worker at the address of one that has crashed.
     pub fn replace_worker(&mut self, index: usize) {
         // Its number has the same parity as the old one's, so that some worker stays allowed for each step.
-        let count = self.workers.len();
-        let old = &mut self.workers[index];
-        let number = 2 * count + old.number % 2;
-        old.alive = false;
-        let mut new = Worker::new(number, old.capacity);
-        new.address = old.address.clone();
+        let number = 2 * self.workers.len() + self.workers[index].number % 2;
+        self.start_worker_at(index, number);
+    }
+
+    /// Starts a worker again under the name that it had. It knows nothing of before.
+    pub fn restart_worker(&mut self, index: usize) {
+        self.workers[index].stale_until_ms = 0;
+        self.start_worker_at(index, self.workers[index].number);
+    }
+
+    fn start_worker_at(&mut self, index: usize, number: usize) {
+        self.workers[index].alive = false;
+        let new = Worker::start_at_address_of(&self.workers[index], number, self.now_ms);
         self.workers.push(new);
         let instance = self.instances.len() - 1;
         self.send_registrations(instance);
@@ -303,7 +310,7 @@
                 self.answer_waiting_poll(instance, worker_index, &effect, sent_ms);
             }
             Action::Crash { worker, task } => self.crash_under(&worker, task),
-            Action::ReturnWorker { worker_index } => self.replace_worker(worker_index),
+            Action::ReturnWorker { worker_index } => self.return_worker(worker_index),
         }
     }
 
@@ -530,11 +537,11 @@
                 self.workers[worker_index].name,
                 worker.name
             );
-            assert!(
-                !worker.stored_done.contains(&task),
-                "{task} starts again after its successful end was stored"
-            );
         }
+        assert!(
+            !self.workers.iter().any(|worker| worker.stored_done.contains(&task)),
+            "{task} starts again after its successful end was stored"
+        );
         let need = lilacpass_lead::place::need(plan);
         let used = self.workers[worker_index].used().plus(&need);
         assert!(
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -13,8 +13,12 @@
 /// Time for which an earlier capacity still counts after a reduction: the time that all may need to learn of it, and
 /// one heartbeat.
 const CAPACITY_CHANGE_MS: u64 = 4_500;
-/// Offset of the worker's clock, so that tests fail if the leader's clock and the worker's are mixed up.
-const CLOCK_OFFSET_MS: u64 = 500_000;
+/// Reading of the clock of each worker when it starts, so that tests fail if the leader's clock and the worker's are
+/// mixed up. Workers that exist from the beginning have run for long.
+const FIRST_CLOCK_MS: u64 = 1_000;
+const AGE_AT_BEGINNING_MS: u64 = 500_000;
+/// A longer lease is shortened to this.
+const MAX_LEASE_MS: u64 = 10_000;
 
 /// A run that has not ended.
 pub struct ActiveRun {
@@ -69,6 +73,8 @@
     last_end_at_expiry: u64,
     /// Number of the last run of each task that ended or was stopped here.
     last_ended_run: BTreeMap<TaskName, u32>,
+    /// The worker's clock minus the simulated time, and the reading of the clock.
+    clock_offset_ms: i64,
     clock_ms: u64,
     /// Number of runs that ended because their lease had expired.
     pub expired_run_count: u64,
@@ -101,12 +107,24 @@
             next_end: 1,
             last_end_at_expiry: 0,
             last_ended_run: BTreeMap::new(),
-            clock_ms: CLOCK_OFFSET_MS,
+            clock_offset_ms: AGE_AT_BEGINNING_MS as i64,
+            clock_ms: AGE_AT_BEGINNING_MS,
             expired_run_count: 0,
             stopped: 0,
         }
     }
 
+    /// A worker that starts at `now_ms` at the address of another one. Its clock starts anew.
+    pub fn start_at_address_of(former: &Self, number: usize, now_ms: u64) -> Self {
+        Self {
+            address: former.address.clone(),
+            data_centre: former.data_centre,
+            clock_offset_ms: FIRST_CLOCK_MS as i64 - now_ms as i64,
+            clock_ms: FIRST_CLOCK_MS,
+            ..Self::new(number, former.capacity)
+        }
+    }
+
     pub fn registration(&self) -> Registration {
         Registration {
             name: self.name.clone(),
@@ -153,17 +171,22 @@
             let reason = self.runs[&task].reason;
             self.end(task, reason);
         }
-        if now_ms + CLOCK_OFFSET_MS > self.lease_until_ms {
+        self.clock_ms = (now_ms as i64 + self.clock_offset_ms) as u64;
+        if self.clock_ms > self.lease_until_ms {
             let expired: Vec<TaskName> = self.runs.keys().copied().collect();
             self.expired_run_count += expired.len() as u64;
             expired.into_iter().for_each(|task| self.end(task, EndReason::Expired));
             self.last_end_at_expiry = self.next_end - 1;
         }
-        self.set_clock(now_ms);
     }
 
-    fn set_clock(&mut self, now_ms: u64) {
-        self.clock_ms = now_ms + CLOCK_OFFSET_MS;
+    /// The simulated time at which the clock was last set.
+    fn now_ms(&self) -> u64 {
+        (self.clock_ms as i64 - self.clock_offset_ms) as u64
+    }
+
+    fn extend_lease(&mut self, until_ms: u64) {
+        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(self.clock_ms + MAX_LEASE_MS));
     }
 
     /// Ends a run, and lists its end.
@@ -199,7 +222,7 @@
     ) -> Result<PollResponse, CallError> {
         self.check_epoch(epoch)?;
         if let Some(until_ms) = lease_until_ms {
-            self.lease_until_ms = self.lease_until_ms.max(until_ms);
+            self.extend_lease(until_ms);
         }
         for reported in self.ends.iter().filter(|reported| reported.number <= forget_up_to) {
             if reported.end.reason == EndReason::Done && reported.number > self.last_end_at_expiry {
@@ -211,7 +234,7 @@
             task: *task,
             run: run.run,
             checkpoint: String::new(),
-            percent: run.percent(self.clock_ms - CLOCK_OFFSET_MS),
+            percent: run.percent(self.now_ms()),
             gauge: 0,
         });
         Ok(PollResponse {
@@ -246,7 +269,7 @@
         if lease_until_ms <= self.clock_ms {
             return Err(CallError::Refused(Refusal::Late));
         }
-        self.lease_until_ms = self.lease_until_ms.max(lease_until_ms);
+        self.extend_lease(lease_until_ms);
         Ok(())
     }
 
@@ -262,7 +285,7 @@
     ) {
         let ends_ms = if lasting { u64::MAX } else { ends_ms };
         let reason = if fails { EndReason::Failed } else { EndReason::Done };
-        let began_ms = self.clock_ms - CLOCK_OFFSET_MS;
+        let began_ms = self.now_ms();
         self.runs.insert(task, ActiveRun { run, need, began_ms, ends_ms, reason });
     }
 
