--- a/lilacpass-lead/tests/worker_restarts.rs
+++ b/lilacpass-lead/tests/worker_restarts.rs
@@ -15,7 +15,7 @@
     let mut world = World::new(seed, 1, Resources::new(8_000, 1_000, 0, 0));
     world.crashes.renames_workers = false;
     world.submit(1, plan(&[step(tasks, 500, 200)]), queue("quick", 0));
-    world.run(3_000);
+    world.run(8_000);
     assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
     world
 }
@@ -34,3 +34,16 @@
         assert_eq!(outcome(&world, 2), Some(Outcome::Completed), "seed {seed}");
     }
 }
+
+/// Failure: a task was placed again and again on a restarted worker that looked empty, and its job was not completed,
+/// until the numbers of the ends had passed those of before the restart.
+#[test]
+fn a_job_on_a_restarted_worker_is_completed_without_delay() {
+    let mut world = used_worker(3, 100);
+    world.crashes.away_ms = Some(300);
+    world.crash_worker(0);
+    world.run(1_000);
+    world.submit(2, plan(&[step(1, 500, 700), step(1, 500, 700)]), queue("quick", 0));
+    world.run(3_000);
+    assert_eq!(outcome(&world, 2), Some(Outcome::Completed));
+}
