--- a/lilacpass-jobs/src/ids.rs
+++ b/lilacpass-jobs/src/ids.rs
@@ -94,35 +94,65 @@
     text.parse().ok().filter(|_| is_canonical)
 }
 
-/// The name of one incarnation of a worker. Cheap to clone and to compare.
+/// The name of one incarnation of a worker: the id under which the worker registers, and the time of its start, which
+/// tells apart the incarnations that have the same id. Cheap to clone and to compare.
+///
+/// State that ends with the incarnation of a worker is kept under this name, so that nothing of it is taken for that of
+/// a later incarnation: its runs, the numbers of its ends, its clock, its leases and its tickets.
 #[derive(Clone, PartialEq, Eq, Hash)]
 pub struct WorkerName {
-    /// The first 8 bytes of the name as a big-endian number, which sorts like the bytes. Maps of a thousand workers
+    /// The first 8 bytes of the id as a big-endian number, which sorts like the bytes. Maps of a thousand workers
     /// compare names hundreds of thousands of times a second, and this prefix usually decides.
     prefix: u64,
-    name: Arc<str>,
+    id: Arc<str>,
+    started_ms: Option<u64>,
 }
 
 impl WorkerName {
-    /// Returns the name as text.
-    pub fn as_str(&self) -> &str {
-        &self.name
+    /// Names the incarnation of the worker `id` that began at `started_ms`, in milliseconds since 1970; `None` if that
+    /// is unknown.
+    pub fn new(id: &str, started_ms: Option<u64>) -> Self {
+        let mut prefix = [0; 8];
+        let length = id.len().min(prefix.len());
+        prefix[..length].copy_from_slice(&id.as_bytes()[..length]);
+        Self { prefix: u64::from_be_bytes(prefix), id: Arc::from(id), started_ms }
+    }
+
+    /// Returns the id under which the worker registers. All its incarnations have the same one.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Returns when this incarnation began, in milliseconds since 1970; `None` if that is unknown.
+    pub fn started_ms(&self) -> Option<u64> {
+        self.started_ms
+    }
+
+    /// Returns the name of the incarnation of the same worker that began at `started_ms`.
+    pub fn with_start(&self, started_ms: Option<u64>) -> Self {
+        Self { started_ms, ..self.clone() }
+    }
+
+    /// Returns whether two names are of incarnations of the same worker.
+    pub fn has_same_id(&self, other: &Self) -> bool {
+        self.prefix == other.prefix && self.id == other.id
     }
 }
 
 impl From<&str> for WorkerName {
-    fn from(s: &str) -> Self {
-        let mut prefix = [0; 8];
-        let length = s.len().min(prefix.len());
-        prefix[..length].copy_from_slice(&s.as_bytes()[..length]);
-        Self { prefix: u64::from_be_bytes(prefix), name: Arc::from(s) }
+    /// Names the worker `id` if the time of its start is unknown.
+    fn from(id: &str) -> Self {
+        Self::new(id, None)
     }
 }
 
 impl Ord for WorkerName {
-    /// Compares the names as text.
+    /// Compares the ids as text, then the times of the starts.
     fn cmp(&self, other: &Self) -> Ordering {
-        self.prefix.cmp(&other.prefix).then_with(|| self.name.cmp(&other.name))
+        self.prefix
+            .cmp(&other.prefix)
+            .then_with(|| self.id.cmp(&other.id))
+            .then_with(|| self.started_ms.cmp(&other.started_ms))
     }
 }
 
@@ -134,12 +164,15 @@
 
 impl fmt::Debug for WorkerName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_tuple("WorkerName").field(&self.name).finish()
+        f.debug_tuple("WorkerName").field(&self.to_string()).finish()
     }
 }
 
 impl fmt::Display for WorkerName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.name)
+        match self.started_ms {
+            Some(started_ms) => write!(f, "{}@{started_ms}", self.id),
+            None => f.write_str(&self.id),
+        }
     }
 }
--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -251,6 +251,20 @@
         }
     }
 
+    /// Assigns a run to another incarnation of its worker, in which its start order turned out to have been carried
+    /// out. Returns whether the run is known.
+    pub fn reassign_run(
+        &mut self,
+        name: TaskName,
+        number: u32,
+        from: &WorkerName,
+        to: &WorkerName,
+    ) -> bool {
+        let runs = self.task_mut(name).map(|task| task.runs.as_mut_slice()).unwrap_or_default();
+        let run = runs.iter_mut().find(|run| run.number == number && run.worker == *from);
+        run.map(|run| run.worker = to.clone()).is_some()
+    }
+
     /// Handles the end of a run on a worker. `unix_ms` is the current time, in milliseconds since 1970.
     pub fn end_run(
         &mut self,
@@ -380,7 +394,7 @@
         let task = self.task(self.counting_task(name));
         let crashes = task.into_iter().flat_map(|task| &task.crashes.unexplained);
         let workers = crashes.map(|crash| &crash.worker);
-        workers.filter(|worker| !worker.as_str().is_empty()).cloned().collect()
+        workers.filter(|worker| !worker.id().is_empty()).cloned().collect()
     }
 
     /// Returns whether a worker crashed while it ran a task of this job.
--- a/lilacpass-jobs/src/record.rs
+++ b/lilacpass-jobs/src/record.rs
@@ -108,7 +108,10 @@
 /// Clears the names of crashed workers, but keeps the crashes themselves.
 fn drop_crashed_workers(record: &mut v1::StateRecord) {
     let crashes = record.tasks.iter_mut().filter_map(|task| task.crashes.as_mut());
-    crashes.flat_map(|crashes| &mut crashes.unexplained).for_each(|crash| crash.worker.clear());
+    crashes.flat_map(|crashes| &mut crashes.unexplained).for_each(|crash| {
+        crash.worker.clear();
+        crash.worker_started_ms = None;
+    });
 }
 
 fn encode_crashes(crashes: &Crashes) -> v1::CrashesRecord {
@@ -122,7 +125,11 @@
         Suspicion::Suspect => v1::CrashSuspicion::Suspect,
         Suspicion::Only => v1::CrashSuspicion::Only,
     };
-    v1::CrashRecord { worker: crash.worker.as_str().to_owned(), suspicion: suspicion.into() }
+    v1::CrashRecord {
+        worker: crash.worker.id().to_owned(),
+        suspicion: suspicion.into(),
+        worker_started_ms: crash.worker.started_ms(),
+    }
 }
 
 fn decode_crashes(record: &v1::CrashesRecord) -> Crashes {
@@ -136,7 +143,7 @@
         v1::CrashSuspicion::Suspect => Suspicion::Suspect,
         v1::CrashSuspicion::Only => Suspicion::Only,
     };
-    Crash { worker: WorkerName::from(record.worker.as_str()), suspicion }
+    Crash { worker: WorkerName::new(&record.worker, record.worker_started_ms), suspicion }
 }
 
 fn encode_failure(failure: &Failure) -> v1::FailureRecord {
@@ -173,8 +180,9 @@
             .iter()
             .map(|run| v1::RunRecord {
                 run: run.number,
-                worker: run.worker.as_str().to_owned(),
+                worker: run.worker.id().to_owned(),
                 data_centre: run.data_centre.to_string(),
+                worker_started_ms: run.worker.started_ms(),
             })
             .collect(),
     }
@@ -225,7 +233,7 @@
             .iter()
             .map(|run| Run {
                 number: run.run,
-                worker: WorkerName::from(run.worker.as_str()),
+                worker: WorkerName::new(&run.worker, run.worker_started_ms),
                 data_centre: Arc::from(run.data_centre.as_str()),
             })
             .collect(),
--- a/lilacpass-jobs/tests/records.rs
+++ b/lilacpass-jobs/tests/records.rs
@@ -50,7 +50,9 @@
 }
 
 fn apply(job: &mut Job, name: TaskName, kind: u8, parameter: u8) {
-    let worker = WorkerName::from(format!("i-{parameter}").as_str());
+    // Some records are of platforms that do not say when a worker has started.
+    let started_ms = (!parameter.is_multiple_of(3)).then_some(1_800_000_000_000 + u64::from(kind));
+    let worker = WorkerName::new(&format!("i-{parameter}"), started_ms);
     match kind % 8 {
         0..=2 => drop(job.assign_run(name, worker, Arc::from("a"))),
         3 => job.update_checkpoint(name, &format!("c{parameter}")),
--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -82,10 +82,8 @@
     pub(crate) leader: Leader,
     pub(crate) now_ms: u64,
     pub(crate) workers: Vec<ModelWorker>,
-    /// Indices into `workers` by the names of their current incarnations.
-    pub(crate) worker_indices: BTreeMap<WorkerName, usize>,
-    /// Number of worker incarnations that started after a crash.
-    pub(crate) incarnations: u64,
+    /// Indices into `workers` by id.
+    worker_indices: BTreeMap<String, usize>,
     /// Number of starts of each task that crashes its workers.
     pub(crate) crashing_task_starts: BTreeMap<TaskName, u32>,
     callers: Vec<Caller>,
@@ -120,8 +118,10 @@
     fn new(scenario: &'a Scenario, arrivals: &'a [Arrival], options: Options, seed: u64) -> Self {
         let workers: Vec<ModelWorker> =
             scenario.pools.iter().flat_map(workers::registrations).map(ModelWorker::new).collect();
-        let names =
-            workers.iter().enumerate().map(|(index, worker)| (worker.name().clone(), index));
+        let names = workers
+            .iter()
+            .enumerate()
+            .map(|(index, worker)| (worker.name().id().to_owned(), index));
         let start = Now { steady_ms: 0, unix_ms: START_UNIX_MS };
         let mut simulation = Self {
             worker_indices: names.collect(),
@@ -132,7 +132,6 @@
                 .collect(),
             leader: Leader::new(options, Vec::new(), start),
             now_ms: 0,
-            incarnations: 0,
             crashing_task_starts: BTreeMap::new(),
             workers,
             callers: vec![Caller::default(); arrivals.len()],
@@ -335,9 +334,7 @@
         wait_ms: u64,
         extra: bool,
     ) {
-        let Some(&index) = self.worker_indices.get(name) else {
-            return self.answer_for_former_incarnation(name, extra);
-        };
+        let Some(&index) = self.worker_indices.get(name.id()) else { return };
         let now_ms = self.now_ms;
         let worker = &mut self.workers[index];
         if worker.is_down {
@@ -345,22 +342,18 @@
         }
         worker.poll(lease_until_ms, forget_up_to);
         if wait_ms == 0 || worker.has_ends() {
-            return self.answer_poll(index, now_ms, extra);
+            return self.answer_poll(name.clone(), index, now_ms, extra);
         }
         let until_ms = now_ms + wait_ms;
-        worker.waiting_poll = Some(WaitingPoll { sent_ms: now_ms, until_ms });
+        let polled = name.clone();
+        worker.waiting_poll = Some(WaitingPoll { polled, sent_ms: now_ms, until_ms });
         self.schedule(until_ms, Action::AdvanceWorker(index));
         self.schedule_next(index);
     }
 
-    fn answer_poll(&mut self, index: usize, sent_ms: u64, extra: bool) {
-        let worker = &self.workers[index];
-        let event = Event::Polled {
-            worker: worker.name().clone(),
-            sent_ms,
-            extra,
-            result: Ok(worker.poll_response(self.now_ms)),
-        };
+    fn answer_poll(&mut self, polled: WorkerName, index: usize, sent_ms: u64, extra: bool) {
+        let result = Ok(self.workers[index].poll_response(self.now_ms));
+        let event = Event::Polled { worker: polled, sent_ms, extra, result };
         self.schedule(self.now_ms + ONE_WAY_DELAY_MS, Action::Deliver(event));
     }
 
@@ -381,10 +374,10 @@
         if !ends.is_empty() {
             self.schedule_next(index);
         }
-        let waiting = self.workers[index].waiting_poll;
-        if let Some(poll) = waiting.filter(|poll| !ends.is_empty() || poll.until_ms <= now_ms) {
-            self.workers[index].waiting_poll = None;
-            self.answer_poll(index, poll.sent_ms, false);
+        let waiting = &mut self.workers[index].waiting_poll;
+        let is_over = |poll: &mut WaitingPoll| !ends.is_empty() || poll.until_ms <= now_ms;
+        if let Some(poll) = waiting.take_if(is_over) {
+            self.answer_poll(poll.polled, index, poll.sent_ms, false);
         }
     }
 
@@ -408,7 +401,9 @@
         lease_until_ms: u64,
         checkpoint: &str,
     ) -> Result<(), CallError> {
-        let Some(&index) = self.worker_indices.get(name) else { return Err(CallError::OtherLife) };
+        let Some(&index) = self.worker_indices.get(name.id()) else {
+            return Err(CallError::OtherLife);
+        };
         let Some(&job) = self.job_indices.get(&task.step.job) else { return Ok(()) };
         if self.workers[index].is_down {
             return Err(CallError::Failed(Verdict::MayHaveRun));
@@ -465,7 +460,7 @@
     }
 
     fn stop(&mut self, name: &WorkerName, task: TaskName, run: u32) {
-        let Some(&index) = self.worker_indices.get(name) else { return };
+        let Some(&index) = self.worker_indices.get(name.id()) else { return };
         let lost_ms = self.workers[index].stop(task, run, self.now_ms);
         if let Some(&job) = self.job_indices.get(&task.step.job) {
             let cpu_milli = self.scenario.classes[self.arrivals[job].class].cpu_milli;
--- a/lilacpass-lab/src/model_worker.rs
+++ b/lilacpass-lab/src/model_worker.rs
@@ -51,8 +51,10 @@
 }
 
 /// A poll that waits on the worker for the end of a run.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct WaitingPoll {
+    /// The incarnation of the worker that the poll is meant for.
+    pub polled: WorkerName,
     /// Time at which the leader sent the poll, in simulated milliseconds.
     pub sent_ms: u64,
     /// Time at which the poll is answered even if no run has ended.
@@ -70,8 +72,6 @@
     pub is_down: bool,
     /// Time at which the capacity last changed, in simulated milliseconds.
     pub capacity_changed_ms: u64,
-    /// Name of the first incarnation of the worker.
-    first_name: String,
     /// The current runs by task.
     pub runs: BTreeMap<TaskName, ModelRun>,
     /// The poll that waits on the worker, if any.
@@ -93,7 +93,6 @@
             full_capacity: registration.capacity,
             is_down: false,
             capacity_changed_ms: 0,
-            first_name: registration.name.to_string(),
             registration,
             runs: BTreeMap::new(),
             waiting_poll: None,
@@ -112,14 +111,13 @@
         self.waiting_poll.take()
     }
 
-    /// Restarts the worker as the incarnation number `life`, without any runs or ends.
-    pub fn restart(&mut self, life: u64) {
-        let name = format!("{}-life-{life}", self.first_name);
-        let registration =
-            Registration { name: WorkerName::from(name.as_str()), ..self.registration.clone() };
+    /// Starts the worker again under its id, without any runs or ends. `unix_ms` is the current time, in milliseconds
+    /// since 1970.
+    pub fn restart(&mut self, unix_ms: u64) {
+        let name = self.registration.name.with_start(Some(unix_ms));
+        let registration = Registration { name, ..self.registration.clone() };
         let (full_capacity, capacity_changed_ms) = (self.full_capacity, self.capacity_changed_ms);
-        let first_name = self.first_name.clone();
-        *self = Self { full_capacity, capacity_changed_ms, first_name, ..Self::new(registration) };
+        *self = Self { full_capacity, capacity_changed_ms, ..Self::new(registration) };
     }
 
     /// Returns the name of the current incarnation.
@@ -186,6 +184,7 @@
             gauge: 0,
         };
         PollResponse {
+            worker_started_ms: self.name().started_ms(),
             clock_ms: now_ms,
             running: self.runs.iter().map(reported).collect(),
             ends: self.ends.clone(),
--- a/lilacpass-lab/src/services.rs
+++ b/lilacpass-lab/src/services.rs
@@ -39,7 +39,7 @@
     let duration_ms = advice.base_ms + advice.per_worker_ms * workers.len() as f64;
     let is_allowed = |worker: &&WorkerName| {
         let mut hasher = DefaultHasher::new();
-        (step, worker.as_str()).hash(&mut hasher);
+        (step, worker.id()).hash(&mut hasher);
         hasher.finish() % 100 < advice.allowed_percent
     };
     let ticket =
--- a/lilacpass-lab/src/worker_faults.rs
+++ b/lilacpass-lab/src/worker_faults.rs
@@ -5,7 +5,7 @@
 use lilacpass_lead::{Event, event::CallError};
 
 use crate::{
-    cell::{Action, ONE_WAY_DELAY_MS, Simulation},
+    cell::{Action, Simulation},
     scenario::FaultKind,
     workers::{self, WorkerConditions},
 };
@@ -53,28 +53,24 @@
         }
     }
 
-    /// Crashes a worker, if this incarnation is still running.
+    /// Crashes a worker, if this incarnation of it is still running.
     pub(crate) fn crash(&mut self, index: usize, worker: &WorkerName) {
         if self.workers[index].is_down || self.workers[index].name() != worker {
             return;
         }
         self.recorder.crashed_workers += 1;
         if let Some(poll) = self.workers[index].crash() {
-            self.fail_poll(worker, poll.sent_ms, false);
+            self.fail_poll(&poll.polled, poll.sent_ms, false);
         }
         self.schedule(self.now_ms + DOWNTIME_MS, Action::Restart(index));
     }
 
-    /// Restarts a crashed worker as a new incarnation.
+    /// Starts a crashed worker again, under its id.
     pub(crate) fn restart(&mut self, index: usize) {
-        self.incarnations += 1;
-        let former = self.workers[index].name().clone();
-        self.worker_indices.remove(&former);
-        self.workers[index].restart(self.incarnations);
-        self.worker_indices.insert(self.workers[index].name().clone(), index);
+        let now = self.now();
+        self.workers[index].restart(now.unix_ms);
         let registration = self.workers[index].registration.clone();
-        self.leader.handle(Event::WorkerUnregistered(former), self.now());
-        self.leader.handle(Event::WorkerRegistered(registration), self.now());
+        self.leader.handle(Event::WorkerRegistered(registration), now);
     }
 
     /// Lets the poll of a crashed worker time out.
@@ -84,14 +80,6 @@
         self.schedule(self.now_ms + ORDER_TIMEOUT_MS, Action::Deliver(event));
     }
 
-    /// Answers the poll of a former incarnation of a worker: the current incarnation refuses it.
-    pub(crate) fn answer_for_former_incarnation(&mut self, worker: &WorkerName, extra: bool) {
-        let sent_ms = self.now_ms;
-        let result = Err(CallError::OtherLife);
-        let event = Event::Polled { worker: worker.clone(), sent_ms, extra, result };
-        self.schedule(self.now_ms + ONE_WAY_DELAY_MS, Action::Deliver(event));
-    }
-
     /// Applies the faults to the capacities of the workers, and registers the workers whose capacity changed.
     pub(crate) fn set_capacities(&mut self) {
         let (seed, at_ms, now) = (self.seed, self.scenario_ms(), self.now());
--- a/lilacpass-lab/src/workers.rs
+++ b/lilacpass-lab/src/workers.rs
@@ -51,7 +51,7 @@
             let rack = number / pool.rack_workers;
             let data_centre = rack % pool.data_centres;
             Registration {
-                name: WorkerName::from(format!("{}-{number:05}", pool.service).as_str()),
+                name: WorkerName::new(&format!("{}-{number:05}", pool.service), Some(0)),
                 address: format!("{}:{number}", pool.service),
                 data_centre: format!("dc-{data_centre}"),
                 service: pool.service.clone(),
--- a/lilacpass-lead/benches/flow.rs
+++ b/lilacpass-lead/benches/flow.rs
@@ -241,8 +241,8 @@
             gauge: 0,
         };
         let running = host.running.iter().map(reported_run).collect();
-        let response =
-            PollResponse { clock_ms, running, ends: host.ends.clone(), remaining_ms: None };
+        let ends = host.ends.clone();
+        let response = PollResponse { clock_ms, running, ends, ..PollResponse::default() };
         let worker = host.name.clone();
         let event = Event::Polled { worker, sent_ms, extra: false, result: Ok(response) };
         self.schedule(RESPONSE_MS, Action::Deliver(event));
@@ -270,7 +270,7 @@
 /// Returns a response of the advice service that allows two in three workers, which differ from job to job.
 fn advice_received(lane: Lane, step: StepName, queried: Vec<WorkerName>) -> Event {
     let is_allowed = |worker: &&WorkerName| {
-        let last_byte = worker.as_str().bytes().last().map_or(0, u64::from);
+        let last_byte = worker.id().bytes().last().map_or(0, u64::from);
         !(last_byte + step.job.0).is_multiple_of(3)
     };
     let ticket =
--- a/lilacpass-lead/src/event.rs
+++ b/lilacpass-lead/src/event.rs
@@ -84,7 +84,7 @@
 /// A worker's entry in the registry.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Registration {
-    /// Name of the worker; each incarnation has its own.
+    /// Name of the incarnation of the worker that wrote the entry.
     pub name: WorkerName,
     /// Network address as `IP:port`.
     pub address: String,
@@ -105,7 +105,7 @@
 pub enum CallError {
     /// There was no response or a malformed one. The verdict says whether the call may have been carried out.
     Failed(Verdict),
-    /// Another incarnation of the worker responded, so the one that was called has ended.
+    /// A worker with another id responded at the address, so the one that was called has ended.
     OtherLife,
     /// The worker refused the call and did nothing.
     Refused(Refusal),
@@ -159,6 +159,9 @@
 /// A worker's response to a poll.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct PollResponse {
+    /// When the incarnation of the worker that responded began, in milliseconds since 1970; `None` if it did not say
+    /// so.
+    pub worker_started_ms: Option<u64>,
     /// Reading of the worker's monotonic clock in ms.
     pub clock_ms: u64,
     /// All runs on the worker.
@@ -285,6 +288,8 @@
         worker: WorkerName,
         /// Address of the worker as `IP:port`.
         address: String,
+        /// Added to the epoch to obtain the fence of the order; see [`crate::incarnations`].
+        fence_step: u64,
         /// New expiry of the leases in ms on the worker's clock; `None` if that clock is not known yet.
         lease_until_ms: Option<u64>,
         /// The worker may forget ends up to and including this sequence number.
@@ -302,6 +307,8 @@
         worker: WorkerName,
         /// Address of the worker as `IP:port`.
         address: String,
+        /// Added to the epoch to obtain the fence of the order; see [`crate::incarnations`].
+        fence_step: u64,
         /// Task to run.
         task: TaskName,
         /// Number of the run within its task.
@@ -321,6 +328,8 @@
         worker: WorkerName,
         /// Address of the worker as `IP:port`.
         address: String,
+        /// Added to the epoch to obtain the fence of the order; see [`crate::incarnations`].
+        fence_step: u64,
         /// Task of the run.
         task: TaskName,
         /// Number of the run within its task.
--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -37,8 +37,10 @@
 /// The state of a worker.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct WorkerStatus {
-    /// Name of the worker.
+    /// Id of the worker.
     pub name: String,
+    /// When this incarnation of the worker began, in milliseconds since 1970; `None` if that is unknown.
+    pub started_ms: Option<u64>,
     /// Data centre that the worker runs in.
     pub data_centre: String,
     /// Number of runs assigned to the worker.
@@ -110,7 +112,8 @@
                 *status.runs.entry(phase_name(assigned.phase)).or_default() += 1;
             }
             status.workers.push(WorkerStatus {
-                name: worker.registration.name.to_string(),
+                name: worker.registration.name.id().to_owned(),
+                started_ms: worker.registration.name.started_ms(),
                 data_centre: worker.registration.data_centre.clone(),
                 runs: worker.runs.len() as u64,
                 used_cpu_milli: worker.used.cpu.0,
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -16,6 +16,7 @@
     capacity_index::CapacityIndex,
     counters::Counters,
     event::{Effect, Event, Now, Registration},
+    incarnations::Incarnations,
     options::{self, Mechanism, Options},
     outages::RecentOutages,
     outbox::Outbox,
@@ -126,6 +127,8 @@
     pub(crate) outages: RecentOutages,
     /// The worker that registered most recently at each address.
     pub(crate) latest_by_address: HashMap<String, WorkerName>,
+    /// The incarnations of workers that started again under their ids.
+    pub(crate) incarnations: Incarnations,
     /// Workers that were presumed gone without a response, with the tasks for which they were counted as crashed.
     pub(crate) presumed_gone: HashMap<WorkerName, Vec<TaskName>>,
     /// Open jobs whose tasks ran on workers that crashed.
@@ -200,6 +203,7 @@
             response_loss: ResponseLossMeter::default(),
             outages: RecentOutages::default(),
             latest_by_address: HashMap::new(),
+            incarnations: Incarnations::default(),
             presumed_gone: HashMap::new(),
             crash_affected_jobs: BTreeSet::new(),
             counters: Counters::default(),
@@ -276,7 +280,9 @@
             Event::AdviceReceived { lane, step, queried, advice } => {
                 self.on_advice_received(&lane, step, &queried, advice, now);
             }
-            Event::WorkerRegistered(registration) => self.on_worker_registered(registration),
+            Event::WorkerRegistered(registration) => {
+                self.on_worker_registered(registration, now);
+            }
             Event::WorkerUnregistered(name) => self.on_worker_unregistered(&name),
             Event::RegistrationsRead => self.give_up_missing_workers(now),
             Event::Lanes(lanes) => self.lanes.set(lanes),
@@ -327,23 +333,29 @@
         self.outbox.stuck_ms(now.steady_ms)
     }
 
-    fn on_worker_registered(&mut self, registration: Registration) {
+    fn on_worker_registered(&mut self, registration: Registration, now: Now) {
+        if self.incarnations.has_ended(&registration.name) {
+            return;
+        }
         self.retract_presumed_crashes(&registration.name);
         self.track_address(&registration);
+        let name = registration.name.clone();
         let leases_expire_by_ms = self.inherited_leases_expire_by_ms;
-        let worker = self
-            .workers
-            .entry(registration.name.clone())
-            .or_insert_with(|| Worker::new(registration.clone(), leases_expire_by_ms));
+        let incarnations = &mut self.incarnations;
+        let worker = self.workers.entry(name.clone()).or_insert_with(|| {
+            let worker = Worker::new(registration.clone(), leases_expire_by_ms);
+            worker.with_fence_step(incarnations.next_fence_step(name.id()))
+        });
         worker.registered = true;
         worker.draining |= registration.draining;
-        self.pending_changes.mark_worker_freed(&registration.name);
+        self.pending_changes.mark_worker_freed(&name);
         if worker.poll != PollState::InFlight {
-            self.unpolled_workers.insert(registration.name.clone());
+            self.unpolled_workers.insert(name.clone());
         }
         worker.max_capacity = worker.max_capacity.max(&registration.capacity);
         worker.registration = registration;
         self.capacity_index.update(worker);
+        self.replace_former_incarnations(&name, now);
     }
 
     fn on_worker_unregistered(&mut self, name: &WorkerName) {
@@ -382,6 +394,7 @@
         if now.steady_ms >= self.next_cleanup_ms {
             self.next_cleanup_ms = now.steady_ms + CLEANUP_INTERVAL_MS;
             self.forget_old_jobs(now);
+            self.forget_old_incarnations(now);
         }
     }
 
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod event;
 pub mod health;
 mod hosts;
+pub mod incarnations;
 pub mod inspect;
 pub mod leader;
 mod lost_workers;
--- a/lilacpass-lead/src/lost_workers.rs
+++ b/lilacpass-lead/src/lost_workers.rs
@@ -1,7 +1,8 @@
 //! Workers that are lost because they crashed, left or stopped responding, and what follows for their runs.
 //!
 //! A worker that stops responding and then responds again has not crashed, even if its leases expired meanwhile. So a
-//! crash is counted only when another incarnation of the worker responds, or when the worker is no longer registered.
+//! crash is counted only when its next incarnation responds, or another worker at its address, or when the worker is no
+//! longer registered.
 
 use std::{cmp::Reverse, mem};
 
@@ -23,6 +24,14 @@
 const CRASH_EVIDENCE_WAIT_MS: u64 = 30_000;
 
 impl Leader {
+    /// Processes the end of a worker of which another one has the address now. What follows an incarnation under the
+    /// same id is settled by that incarnation instead: it may have carried out orders that were meant for this one.
+    pub(crate) fn end_replaced_worker(&mut self, name: &WorkerName, now: Now) {
+        if self.workers.get(name).is_some_and(|worker| worker.successor.is_none()) {
+            self.end_incarnation(name, now);
+        }
+    }
+
     /// Processes the end of a worker's incarnation: nothing runs there any more.
     pub(crate) fn end_incarnation(&mut self, name: &WorkerName, now: Now) {
         let Some(worker) = self.workers.get(name) else { return };
@@ -38,7 +47,7 @@
         } else {
             self.end_all_as_crashed(name, now);
         }
-        self.forget_worker(name);
+        self.forget_worker(name, now);
     }
 
     /// Ends all runs on a crashed worker, and counts its crash for their tasks.
@@ -179,7 +188,7 @@
             let tasks = keys.iter().map(|(task, _)| *task).collect();
             self.presumed_gone.insert(name.clone(), tasks);
         }
-        self.forget_worker(name);
+        self.forget_worker(name, now);
     }
 
     /// Retracts the crashes counted for a worker that was presumed gone and is registered again: it was unreachable.
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -13,6 +13,8 @@
     /// left or is cut off and keeps working. Its tasks can start elsewhere only after its leases have expired, so these
     /// are short, but long enough for a take-over.
     pub draining_lease_ms: u64,
+    /// The longest lease that a worker grants; it shortens longer ones.
+    pub longest_lease_ms: u64,
     /// Time for which a leader keeps extending leases after the store last confirmed that it leads. The store may be
     /// down for this long before accepted work is stopped.
     pub unconfirmed_lease_ms: u64,
@@ -167,6 +169,7 @@
         Self {
             lease_ms: 5_000,
             draining_lease_ms: 2_000,
+            longest_lease_ms: 10_000,
             unconfirmed_lease_ms: 7_000,
             poll_wait_ms: 800,
             poll_wait_lossy_ms: 300,
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -46,10 +46,10 @@
             return self.end_never_started(name, key, now);
         };
         worker.set_phase(key, Phase::Ordered);
-        let address = worker.registration.address.clone();
         self.effects.push(Effect::Start {
             worker: name.clone(),
-            address,
+            address: worker.registration.address.clone(),
+            fence_step: worker.fence_step,
             task,
             run,
             payload,
@@ -83,7 +83,7 @@
                 }
                 self.review_trial(name);
             }
-            Err(CallError::OtherLife) => self.end_incarnation(name, now),
+            Err(CallError::OtherLife) => self.end_replaced_worker(name, now),
             Err(CallError::Failed(Verdict::NotRun)) => {
                 worker.pause_starts(now.steady_ms, avoid_ms);
                 log::info!(task:% = task, run, worker:% = name; "start did not reach the worker");
@@ -101,6 +101,7 @@
             Err(CallError::Refused(refusal)) => {
                 log::info!(task:% = task, run, worker:% = name, refusal:? = refusal; "start refused");
                 match refusal {
+                    Refusal::Fence if worker.successor.is_some() => {}
                     Refusal::Fence => self.effects.push(Effect::Deposed),
                     Refusal::Ticket => {
                         if let Some(advice) = self.advice.get_mut(&task.step) {
@@ -182,12 +183,17 @@
     /// Sends a stop order, unless the worker can't be reached at all.
     fn send_stop(&mut self, name: &WorkerName, key: RunKey) {
         let Some(worker) = self.workers.get(name) else { return };
-        if worker.registration.address.is_empty() {
+        if !worker.can_be_called() {
             return;
         }
-        let address = worker.registration.address.clone();
         let (task, run) = key;
-        self.effects.push(Effect::Stop { worker: name.clone(), address, task, run });
+        self.effects.push(Effect::Stop {
+            worker: name.clone(),
+            address: worker.registration.address.clone(),
+            fence_step: worker.fence_step,
+            task,
+            run,
+        });
     }
 
     /// Processes the result of a stop order.
@@ -200,17 +206,19 @@
         now: Now,
     ) {
         let key = (task, run);
+        let Some(worker) = self.workers.get_mut(name) else { return };
         match result {
             Ok(()) => {
-                let Some(worker) = self.workers.get_mut(name) else { return };
                 let phase = worker.runs.get(&key).map(|assigned| assigned.phase);
                 if let Some(Phase::Stopping { sent_ms, .. }) = phase {
                     let confirmed_ms = Some(now.steady_ms);
                     worker.set_phase(key, Phase::Stopping { sent_ms, confirmed_ms });
                 }
             }
-            Err(CallError::OtherLife) => self.end_incarnation(name, now),
-            Err(CallError::Refused(Refusal::Fence)) => self.effects.push(Effect::Deposed),
+            Err(CallError::OtherLife) => self.end_replaced_worker(name, now),
+            Err(CallError::Refused(Refusal::Fence)) if worker.successor.is_none() => {
+                self.effects.push(Effect::Deposed);
+            }
             Err(err) => {
                 log::debug!(task:% = task, run, worker:% = name, error:? = err; "stop failed");
             }
--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -3,12 +3,13 @@
 
 use std::collections::BTreeSet;
 
+use lilacpass_core::Verdict;
 use lilacpass_jobs::{EndReason, JobKey, RunEnd, WorkerName};
 
 use crate::{
     counters::WorkerLoss,
     event::{CallError, Effect, Now, PollResponse, Refusal, ReportedEnd, ReportedRun},
-    health,
+    health, incarnations,
     leader::Leader,
     options::{self, Mechanism},
     outbox::OnStored,
@@ -42,6 +43,15 @@
         } else {
             self.unpolled_workers.insert(name.clone());
         }
+        let result = match result {
+            Ok(response) => match incarnations::incarnation_of_response(name, &response) {
+                Some(incarnation) if incarnation == *name => Ok(response),
+                Some(incarnation) => return self.begin_next_incarnation(name, incarnation, now),
+                // The incarnation that responded is unknown, so the response proves nothing.
+                None => Err(CallError::Failed(Verdict::MayHaveRun)),
+            },
+            Err(err) => Err(err),
+        };
         match result {
             Ok(response) => {
                 if !extra {
@@ -52,8 +62,10 @@
                     self.delay_poll_until_ends_stored(name, now);
                 }
             }
-            Err(CallError::OtherLife) => self.end_incarnation(name, now),
-            Err(CallError::Refused(Refusal::Fence)) => self.effects.push(Effect::Deposed),
+            Err(CallError::OtherLife) => self.end_replaced_worker(name, now),
+            Err(CallError::Refused(Refusal::Fence)) if worker.successor.is_none() => {
+                self.effects.push(Effect::Deposed);
+            }
             Err(err) => {
                 worker.failed_polls += 1;
                 if worker.failed_polls == 1 {
@@ -126,6 +138,9 @@
         let mut listed_runs: Vec<RunKey> =
             response.running.iter().map(|reported| (reported.task, reported.run)).collect();
         listed_runs.sort_unstable();
+        if is_first_response {
+            self.settle_former_incarnations(name, &response, now);
+        }
         self.handle_ends(name, response.ends, now);
         self.handle_running(name, &response.running, now);
         self.review_trial(name);
@@ -298,7 +313,8 @@
     }
 
     /// Removes a worker and what is kept about it.
-    pub(crate) fn forget_worker(&mut self, name: &WorkerName) {
+    pub(crate) fn forget_worker(&mut self, name: &WorkerName, now: Now) {
+        self.incarnations.record_removal(name, now);
         if let Some(worker) = self.workers.remove(name)
             && self.latest_by_address.get(&worker.registration.address) == Some(name)
         {
@@ -349,7 +365,7 @@
         };
         let gone = self.workers.values().filter(is_gone);
         let gone: Vec<WorkerName> = gone.map(|worker| worker.registration.name.clone()).collect();
-        gone.iter().for_each(|name| self.forget_worker(name));
+        gone.iter().for_each(|name| self.forget_worker(name, now));
     }
 
     /// Presumes that a worker of a former leader is gone if it is not registered and has not responded to this leader
@@ -364,6 +380,7 @@
         let mut missing = Vec::new();
         for (name, worker) in &mut self.workers {
             let is_missing = !worker.registered
+                && worker.successor.is_none()
                 && !worker.accepted_epoch
                 && worker.expired_runs.is_empty()
                 && responsive.contains(&worker.registration.data_centre);
@@ -406,7 +423,7 @@
                 continue;
             };
             let PollState::Due { at_ms } = worker.poll else { continue };
-            if worker.registration.address.is_empty() || now.steady_ms < at_ms {
+            if !worker.can_be_called() || now.steady_ms < at_ms {
                 continue;
             }
             let has_unstored_ends = worker.last_seen_end > worker.last_stored_end;
@@ -423,8 +440,9 @@
             self.effects.push(Effect::Poll {
                 worker: worker.registration.name.clone(),
                 address: worker.registration.address.clone(),
+                fence_step: worker.fence_step,
                 lease_until_ms,
-                forget_up_to: worker.last_stored_end,
+                forget_up_to: worker.forget_up_to(),
                 wait_ms,
                 answer_ms,
                 extra: false,
@@ -435,15 +453,16 @@
     /// Sends an extra poll beside the regular one, which may still wait on the worker, to settle a run without delay.
     pub(crate) fn send_extra_poll(&mut self, name: &WorkerName) {
         let Some(worker) = self.workers.get_mut(name) else { return };
-        if worker.extra_poll_in_flight || worker.registration.address.is_empty() {
+        if worker.extra_poll_in_flight || !worker.can_be_called() {
             return;
         }
         worker.extra_poll_in_flight = true;
         self.effects.push(Effect::Poll {
             worker: name.clone(),
             address: worker.registration.address.clone(),
+            fence_step: worker.fence_step,
             lease_until_ms: None,
-            forget_up_to: worker.last_stored_end,
+            forget_up_to: worker.forget_up_to(),
             wait_ms: 0,
             answer_ms: self.options.poll_answer_ms,
             extra: true,
--- a/lilacpass-lead/src/recording.rs
+++ b/lilacpass-lead/src/recording.rs
@@ -12,6 +12,7 @@
     /// Processes the success of the append in flight: carries out the actions that waited for it.
     pub(crate) fn on_appended(&mut self, now: Now) {
         self.leadership_confirmed_ms = self.leadership_confirmed_ms.max(self.append_sent_ms);
+        self.incarnations.record_stored();
         for action in self.outbox.append_stored() {
             match action {
                 OnStored::Accept(request_id, key) => self.confirm_submission(request_id, key),
@@ -71,6 +72,7 @@
             records.push(Record { key: record::state_key(*key), value: Vec::new() });
         }
         self.append_sent_ms = now.steady_ms;
+        self.incarnations.record_append(records.len() as u64);
         if records.is_empty() {
             // Only actions are pending, and the changes that they waited for are stored already.
             self.run_actions_without_append(now);
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::{Run, Suspicion, TaskName};
+use lilacpass_jobs::{Run, Suspicion, TaskName, WorkerName};
 
 use crate::{event::Registration, health, options, progress::Progress};
 
@@ -97,6 +97,11 @@
     pub max_capacity: Resources,
     /// Whether it is registered now.
     pub registered: bool,
+    /// The incarnation of the same worker that has followed this one. Nothing is sent to this one any more, and its
+    /// runs are settled once that incarnation has responded.
+    pub successor: Option<WorkerName>,
+    /// Added to the leader's epoch to obtain the fence of the orders to this incarnation.
+    pub fence_step: u64,
     /// Whether it has answered a poll under the leader's epoch, and its leases have not expired since. Such a worker
     /// refuses orders of former leaders.
     pub accepted_epoch: bool,
@@ -155,6 +160,8 @@
             max_capacity: registration.capacity,
             registration,
             registered: false,
+            successor: None,
+            fence_step: 0,
             accepted_epoch: false,
             clock: None,
             leases_expire_by_ms,
@@ -177,6 +184,11 @@
         }
     }
 
+    /// Sets the step of the fence of the orders to the worker.
+    pub fn with_fence_step(self, fence_step: u64) -> Self {
+        Self { fence_step, ..self }
+    }
+
     /// Creates a worker that is known only from a stored run. It has no address, so it can't be reached.
     pub fn from_run_record(run: &Run, leases_expire_by_ms: u64) -> Self {
         let registration = Registration {
@@ -196,6 +208,11 @@
         self.registration.labels.get(1).map(String::as_str).unwrap_or_default()
     }
 
+    /// Whether orders can be sent to this incarnation of the worker.
+    pub fn can_be_called(&self) -> bool {
+        !self.registration.address.is_empty() && self.successor.is_none()
+    }
+
     /// Records the worker's clock, read at `now_ms` on the leader's clock.
     pub fn record_clock(&mut self, clock_ms: u64, now_ms: u64) {
         self.clock = Some((clock_ms as i64 - now_ms as i64, now_ms));
@@ -243,6 +260,12 @@
         }
     }
 
+    /// The number of the last run end that the next poll lets the worker forget. While the worker does not respond, the
+    /// poll may reach its next incarnation, whose ends have the same numbers and are not stored.
+    pub fn forget_up_to(&self) -> u64 {
+        if self.failed_polls > 0 { 0 } else { self.last_stored_end }
+    }
+
     /// Makes the regular poll due now, unless one is in flight or the worker does not respond.
     pub fn poll_at_once(&mut self, now_ms: u64) {
         if self.failed_polls == 0 && self.poll != PollState::InFlight {
--- a/lilacpass-lead/tests/cell_regressions.rs
+++ b/lilacpass-lead/tests/cell_regressions.rs
@@ -180,7 +180,7 @@
     // The workers about which advice is requested first; four of them are allowed.
     let first = ["w-0", "w-1", "w-10", "w-11", "w-12", "w-13", "w-14", "w-15"];
     for worker in &mut world.workers {
-        worker.fails_all_runs = first.contains(&worker.name.as_str());
+        worker.fails_all_runs = first.contains(&worker.name.id());
     }
     world.submit(1, plan(&[step(1, 8_000, 5)]), advised);
     world.run(3_000);
--- a/lilacpass-lead/tests/fuzz.rs
+++ b/lilacpass-lead/tests/fuzz.rs
@@ -68,13 +68,17 @@
             }
             7 => world.store.down = !world.store.down,
             8 => world.workers[worker].unreachable = !world.workers[worker].unreachable,
-            9 if world.workers[worker].alive => world.replace_worker(worker),
+            9 if world.workers[worker].alive && amount % 3 == 0 => world.replace_worker(worker),
+            9 if world.workers[worker].alive => world.restart_worker(worker),
             10 => world.lost_order_percent = u64::from(amount) % 40,
             11 if amount % 4 == 0 => {
                 let capacity = Resources::new(u64::from(target) * 31, 1_000, 0, 0);
                 world.set_capacity(worker, capacity);
             }
-            11 if world.workers[worker].alive => world.crash_worker(worker),
+            11 if world.workers[worker].alive => {
+                world.crashes.renames_workers = target % 4 == 0;
+                world.crash_worker(worker);
+            }
             _ => {}
         }
         request_states(&mut world, jobs.len() as u64);
--- a/lilacpass-lead/tests/leader_regressions.rs
+++ b/lilacpass-lead/tests/leader_regressions.rs
@@ -2,17 +2,20 @@
 
 mod world;
 
-use lilacpass_core::{Resources, Verdict};
-use lilacpass_jobs::{EndReason, JobKey, TaskName, WorkerName};
+use lilacpass_core::Verdict;
+use lilacpass_jobs::{EndReason, JobKey, WorkerName};
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
     event::{
-        CallError, PollResponse, Record, Refusal, Registration, ReportedEnd, ReportedRun, Request,
-        RequestId, Response,
+        CallError, PollResponse, Record, Refusal, Registration, ReportedEnd, Request, RequestId,
+        Response,
     },
 };
 use lilacpass_schema::v1;
-use world::{plan, queue, step};
+use world::{
+    fixture::{LeaderFixture, registration, starts},
+    plan, queue, step,
+};
 
 /// Failure: a job whose tasks communicate with each other was slow. Its tasks were spread over two racks though one
 /// rack had the capacity for all.
@@ -31,110 +34,8 @@
     assert!(!hosts.contains(&WorkerName::from("w-0")), "all are on the rack that fits three tasks");
 }
 
-/// A leader with a few workers, whose calls are answered by the test.
-struct LeaderFixture {
-    leader: Leader,
-    now_ms: u64,
-}
-
 const WORKER: &str = "w-0";
 
-impl LeaderFixture {
-    fn new(workers: &[&str]) -> Self {
-        let mut fixture = Self {
-            leader: Leader::new(Options::default(), Vec::new(), Now::default()),
-            now_ms: 1_000,
-        };
-        for name in workers {
-            fixture.leader.handle(Event::WorkerRegistered(registration(name)), fixture.now());
-            fixture.poll_answered(name, &[], &[]);
-        }
-        fixture
-    }
-
-    fn now(&self) -> Now {
-        Now { steady_ms: self.now_ms, unix_ms: self.now_ms }
-    }
-
-    /// Delivers an event, and stores at once what the leader appends. Returns the effects.
-    fn handle(&mut self, event: Event) -> Vec<Effect> {
-        self.now_ms += 1;
-        let now = self.now();
-        self.leader.handle(event, now);
-        let mut effects = self.leader.finish(now);
-        // All records are stored at once.
-        if effects.iter().any(|effect| matches!(effect, Effect::Append(_))) {
-            self.leader.handle(Event::Appended, now);
-            effects.extend(self.leader.finish(now));
-        }
-        effects
-    }
-
-    /// Delivers the response of a worker to a poll.
-    fn poll_answered(
-        &mut self,
-        name: &str,
-        running: &[(TaskName, u32)],
-        ends: &[ReportedEnd],
-    ) -> Vec<Effect> {
-        let running = running
-            .iter()
-            .map(|(task, run)| ReportedRun {
-                task: *task,
-                run: *run,
-                checkpoint: String::new(),
-                percent: 10,
-                gauge: 0,
-            })
-            .collect();
-        let response = PollResponse {
-            clock_ms: self.now_ms,
-            running,
-            ends: ends.to_vec(),
-            remaining_ms: None,
-        };
-        let worker = WorkerName::from(name);
-        let sent_ms = self.now_ms;
-        self.handle(Event::Polled { worker, sent_ms, extra: false, result: Ok(response) })
-    }
-
-    /// Delivers the failure of a poll.
-    fn poll_failed(&mut self, name: &str) -> Vec<Effect> {
-        let worker = WorkerName::from(name);
-        let sent_ms = self.now_ms;
-        let result = Err(CallError::Failed(Verdict::MayHaveRun));
-        self.handle(Event::Polled { worker, sent_ms, extra: false, result })
-    }
-
-    fn submit(&mut self, key: u64, steps: &[v1::WorkStep]) -> Vec<Effect> {
-        let request =
-            Request::Submit { job: JobKey(key), plan: plan(steps), queue: queue("quick", 0) };
-        self.handle(Event::Request { request_id: RequestId(key), request })
-    }
-}
-
-fn registration(name: &str) -> Registration {
-    Registration {
-        name: WorkerName::from(name),
-        address: format!("{name}:80"),
-        data_centre: "here".to_owned(),
-        service: "pool".to_owned(),
-        capacity: Resources::new(8_000, 1_000, 0, 0),
-        labels: vec!["a".to_owned(), "r-1".to_owned()],
-        draining: false,
-    }
-}
-
-fn starts(effects: &[Effect]) -> Vec<(WorkerName, TaskName, u32)> {
-    effects
-        .iter()
-        .filter_map(|effect| match effect {
-            Effect::Start { worker, task, run, .. } => Some((worker.clone(), *task, *run)),
-            _ => None,
-        })
-        .collect()
-}
-
 /// Failure: a gang made no progress for seconds. The start of one member was refused, and the others waited for it
 /// until their worker ended them because their gang was incomplete.
 #[test]
@@ -166,15 +67,15 @@
     let result = Err(CallError::Failed(Verdict::MayHaveRun));
     let effects = fixture.handle(Event::Started { worker: worker.clone(), task, run, result });
     assert!(starts(&effects).is_empty(), "not moved while it may run");
-    let effects = fixture.poll_answered(worker.as_str(), &[], &[]);
+    let effects = fixture.poll_answered(worker.id(), &[], &[]);
     assert!(starts(&effects).is_empty(), "nor after a poll that may be older");
-    let effects = fixture.poll_answered(worker.as_str(), &[], &[]);
+    let effects = fixture.poll_answered(worker.id(), &[], &[]);
     let stops = effects.iter().filter(|effect| matches!(effect, Effect::Stop { .. })).count();
     assert_eq!(stops, 1, "it is stopped, so that it can't start later");
     let stopped = Event::Stopped { worker: worker.clone(), task, run, result: Ok(()) };
     fixture.handle(stopped);
     fixture.now_ms += 2_000;
-    let effects = fixture.poll_answered(worker.as_str(), &[], &[]);
+    let effects = fixture.poll_answered(worker.id(), &[], &[]);
     let next_starts = starts(&effects);
     assert_eq!(next_starts.len(), 1, "now it moves");
     assert_eq!(next_starts[0].2, 2, "with a new run number");
@@ -191,7 +92,7 @@
         let effects = fixture.submit(key, &[step(1, 100, 1_000)]);
         let (worker, task, run) = starts(&effects)[0].clone();
         fixture.handle(Event::Started { worker: worker.clone(), task, run, result: Ok(()) });
-        if worker.as_str() != WORKER && failed < 2 {
+        if worker.id() != WORKER && failed < 2 {
             // Runs on sound workers are not done yet, so the worker with the most free capacity is the faulty one.
             continue;
         }
@@ -199,11 +100,11 @@
         let end =
             lilacpass_jobs::RunEnd { run, reason: EndReason::Failed, checkpoint: String::new() };
         ends.push(ReportedEnd { number: ends.len() as u64 + 1, task, end });
-        fixture.poll_answered(worker.as_str(), &[], &ends);
+        fixture.poll_answered(worker.id(), &[], &ends);
     }
     let effects = fixture.submit(9, &[step(4, 100, 1_000)]);
     let on_faulty_worker =
-        starts(&effects).iter().filter(|(worker, ..)| worker.as_str() == WORKER).count();
+        starts(&effects).iter().filter(|(worker, ..)| worker.id() == WORKER).count();
     assert_eq!(
         on_faulty_worker, 0,
         "a worker with failures gets nothing while others have capacity"
@@ -220,7 +121,7 @@
     let mut ends = Vec::new();
     for (worker, task, run) in starts(&long_starts) {
         fixture.handle(Event::Started { worker: worker.clone(), task, run, result: Ok(()) });
-        if worker.as_str() == WORKER {
+        if worker.id() == WORKER {
             let end =
                 lilacpass_jobs::RunEnd { run, reason: EndReason::Done, checkpoint: String::new() };
             ends.push(ReportedEnd { number: 1, task, end });
@@ -230,7 +131,7 @@
     for key in 1..=2 {
         let effects = fixture.submit(key, &[step(1, 5_000, 1_000)]);
         let (worker, task, run) = starts(&effects)[0].clone();
-        assert_eq!(worker.as_str(), WORKER, "no other has free capacity");
+        assert_eq!(worker.id(), WORKER, "no other has free capacity");
         fixture.handle(Event::Started { worker, task, run, result: Ok(()) });
         let end =
             lilacpass_jobs::RunEnd { run, reason: EndReason::Failed, checkpoint: String::new() };
@@ -273,8 +174,7 @@
     let next_starts = starts(&effects);
     assert_eq!(next_starts.len(), 1, "it starts elsewhere");
     let end = lilacpass_jobs::RunEnd { run, reason: EndReason::Done, checkpoint: String::new() };
-    let effects =
-        fixture.poll_answered(worker.as_str(), &[], &[ReportedEnd { number: 1, task, end }]);
+    let effects = fixture.poll_answered(worker.id(), &[], &[ReportedEnd { number: 1, task, end }]);
     let stopped = effects.iter().any(|effect| matches!(effect, Effect::Stop { run: 2, .. }));
     assert!(stopped, "the second run is stopped");
     let effects = fixture
@@ -419,16 +319,16 @@
     let effects = fixture.submit(1, &[step(1, 5_000, 6_000)]);
     let (worker, task, run) = starts(&effects)[0].clone();
     fixture.handle(Event::Started { worker: worker.clone(), task, run, result: Ok(()) });
-    let other = if worker.as_str() == "w-0" { "w-1" } else { "w-0" };
-    let draining = Registration { draining: true, ..registration(worker.as_str()) };
+    let other = if worker.id() == "w-0" { "w-1" } else { "w-0" };
+    let draining = Registration { draining: true, ..registration(worker.id()) };
     fixture.handle(Event::WorkerRegistered(draining));
     fixture.now_ms += 5_000;
     fixture.poll_answered(other, &[], &[]);
-    fixture.poll_answered(worker.as_str(), &[(task, run)], &[]);
+    fixture.poll_answered(worker.id(), &[(task, run)], &[]);
     fixture.handle(Event::LeadershipConfirmed { sent_ms: fixture.now_ms });
-    fixture.poll_answered(worker.as_str(), &[(task, run)], &[]);
+    fixture.poll_answered(worker.id(), &[(task, run)], &[]);
     fixture.handle(Event::WorkerUnregistered(worker.clone()));
-    let effects = fixture.poll_failed(worker.as_str());
+    let effects = fixture.poll_failed(worker.id());
     assert!(starts(&effects).is_empty(), "it may run on");
     fixture.now_ms += 1_900;
     fixture.poll_answered(other, &[], &[]);
@@ -460,7 +360,7 @@
             clock_ms: now_ms,
             running: Vec::new(),
             ends,
-            remaining_ms: None,
+            ..PollResponse::default()
         }),
     };
     // From here on no append is confirmed.
--- a/lilacpass-lead/tests/same_decisions.rs
+++ b/lilacpass-lead/tests/same_decisions.rs
@@ -39,7 +39,8 @@
             2 => world.store.down = !world.store.down,
             3 if random.percent(20) => world.take_over(),
             4 => world.lost_order_percent = random.below(10),
-            5 if world.workers[worker].alive => world.replace_worker(worker),
+            5 if world.workers[worker].alive && random.percent(50) => world.replace_worker(worker),
+            5 if world.workers[worker].alive => world.restart_worker(worker),
             _ => {
                 let plan = random_plan(&mut random);
                 let queue = random_queue(&mut random);
--- /dev/null
+++ b/lilacpass-lead/tests/trial_fuzz.rs
@@ -0,0 +1,175 @@
+//! Stateful fuzzing of the leader: faults in any order, with each start checked by the simulated cell.
+
+mod world;
+
+use lilacpass_core::{
+    Resources,
+    size::{Accelerators, Mebibytes, Millicores, Slots},
+};
+use lilacpass_jobs::{JobKey, StepName};
+use lilacpass_lead::event::Request;
+use lilacpass_schema::v1;
+use world::{World, plan, queue, step};
+
+/// Number of fixed seeds in a plain test run.
+const FIXED_RUNS: u64 = 150;
+/// Time after the last fault within which all jobs must end. Leases of a former leader on a worker that is cut off
+/// expire after 12 s, and some tasks fail and run again.
+const SETTLE_MS: u64 = 60_000;
+
+const CAPACITY: Resources = Resources {
+    cpu: Millicores(8_000),
+    memory: Mebibytes(1_000),
+    accelerators: Accelerators(0),
+    slots: Slots(0),
+};
+
+/// An operation of a run: its kind, its target and its amount.
+type Op = (u8, u8, u8);
+
+/// Carries out operations in a simulated cell, then ends all faults and checks that all jobs end.
+fn run_ops(ops: &[Op]) {
+    let seed = ops.iter().fold(7, |seed: u64, op| {
+        seed.wrapping_mul(31)
+            .wrapping_add(u64::from(op.0) << 16 | u64::from(op.1) << 8 | u64::from(op.2))
+    });
+    let mut world = World::new(seed, 4, CAPACITY);
+    let mut jobs = Vec::new();
+    for &(kind, target, amount) in ops {
+        let worker = usize::from(target) % world.workers.len();
+        match kind % 12 {
+            0..=3 => {
+                let key = jobs.len() as u64 + 1;
+                if amount % 16 == 15 {
+                    let step = StepName { job: JobKey(key), occurrence: 0, step: 0 };
+                    let after_ms = u64::from(target) * 10;
+                    world.crashes.crashing.insert(step.task(0), after_ms);
+                }
+                let policy = if target % 2 == 0 { queue("quick", 0) } else { advised_queue() };
+                jobs.push((key, world.submit(key, random_plan(target, amount), policy)));
+            }
+            4 => {
+                if let Some((key, _)) = jobs.get(usize::from(target) % jobs.len().max(1)) {
+                    world.request(Request::Cancel(JobKey(*key)));
+                }
+            }
+            5 => {
+                let crashes = amount % 2 == 0;
+                let instance = world.current_instance();
+                instance.alive = !crashes;
+                world.take_over();
+            }
+            6 => {
+                let until_ms = world.now_ms + u64::from(amount) * 30;
+                world.current_instance().paused_until_ms = until_ms;
+                if target % 2 == 0 {
+                    world.take_over();
+                }
+            }
+            7 => world.store.down = !world.store.down,
+            8 => world.workers[worker].unreachable = !world.workers[worker].unreachable,
+            9 if world.workers[worker].alive && amount % 3 == 0 => world.replace_worker(worker),
+            9 if world.workers[worker].alive => world.restart_worker(worker),
+            10 => world.lost_order_percent = u64::from(amount) % 40,
+            11 if amount % 4 == 0 => {
+                let capacity = Resources::new(u64::from(target) * 31, 1_000, 0, 0);
+                world.set_capacity(worker, capacity);
+            }
+            11 if world.workers[worker].alive => {
+                world.crashes.renames_workers = target % 4 == 0;
+                world.crash_worker(worker);
+            }
+            _ => {}
+        }
+        request_states(&mut world, jobs.len() as u64);
+        world.run(u64::from(amount) * 10);
+    }
+    request_states(&mut world, jobs.len() as u64);
+    world.lost_order_percent = 0;
+    world.store.down = false;
+    world.workers.iter_mut().for_each(|worker| worker.unreachable = false);
+    (0..world.workers.len()).for_each(|at| world.set_capacity(at, CAPACITY));
+    world.current_instance().paused_until_ms = 0;
+    world.run(SETTLE_MS);
+    if std::env::var("TRIAL").is_ok() {
+        let now = world.now();
+        for w in world.current_instance().leader.status(now).workers {
+            println!("{w:?}");
+        }
+        for w in &world.workers {
+            println!(
+                "{} alive {} reg {} un {} drain {}",
+                w.name, w.alive, w.registered, w.unreachable, w.draining
+            );
+        }
+    }
+    for job in world.store.jobs() {
+        let now = world.now();
+        let explanation = world.current_instance().leader.explain(job.key, now);
+        assert_ne!(
+            job.outcome,
+            lilacpass_jobs::Outcome::Open,
+            "{} has not ended although nothing has been disturbed for a minute: {explanation:?}",
+            job.key
+        );
+    }
+}
+
+/// Sends requests whose responses the simulated cell checks.
+fn request_states(world: &mut World, jobs: u64) {
+    for queue in ["quick", "advised"] {
+        world.request(Request::Pending { queue: queue.to_owned() });
+    }
+    for key in 1..=jobs {
+        world.request(Request::State(JobKey(key)));
+    }
+}
+
+fn advised_queue() -> v1::QueuePolicy {
+    let advice = v1::AdvicePolicy { base_ms: 20.0, per_worker_ms: 1.0, valid_ms: 2_500 };
+    v1::QueuePolicy { advice: Some(advice), ..queue("advised", 1) }
+}
+
+fn random_plan(target: u8, amount: u8) -> v1::WorkPlan {
+    let parallel =
+        step(1 + u32::from(amount) % 5, 500 + u32::from(target) * 10, 300 + u32::from(amount) * 10);
+    // Tasks that save checkpoints may be preempted.
+    let parallel = v1::WorkStep { checkpointing: amount.is_multiple_of(2), ..parallel };
+    let gang = v1::WorkStep { gang: true, ..step(2, 2_000, 400) };
+    match target % 3 {
+        0 => plan(&[parallel]),
+        1 => plan(&[parallel.clone(), step(3, 1_000, 200), parallel]),
+        _ => plan(&[parallel, gang]),
+    }
+}
+
+#[test]
+fn faults_break_no_invariant_and_all_jobs_end() {
+    lilacpass_fuzz::check_lists::<Op>(FIXED_RUNS, 5..=60, run_ops);
+}
+const OPS: [Op; 18] = [
+    (193, 115, 53),
+    (57, 121, 46),
+    (81, 225, 244),
+    (72, 74, 26),
+    (41, 142, 160),
+    (111, 254, 65),
+    (172, 62, 215),
+    (84, 127, 255),
+    (254, 2, 200),
+    (120, 0, 254),
+    (183, 146, 34),
+    (213, 184, 218),
+    (150, 253, 102),
+    (6, 217, 219),
+    (13, 237, 10),
+    (183, 169, 66),
+    (107, 171, 51),
+    (63, 13, 77),
+];
+
+#[test]
+fn trial_seed() {
+    let ops: &[Op] = &OPS;
+    run_ops(ops);
+}
--- a/lilacpass-lead/tests/worker_restarts.rs
+++ b/lilacpass-lead/tests/worker_restarts.rs
@@ -1,4 +1,4 @@
-//! Tests with workers that start again under the name that they had: each life is a worker of its own.
+//! Tests with workers that start again under the name that they had: each incarnation is a worker of its own.
 
 mod world;
 
@@ -13,7 +13,6 @@
 /// A single worker that has run `tasks` tasks.
 fn used_worker(seed: u64, tasks: u32) -> World {
     let mut world = World::new(seed, 1, Resources::new(8_000, 1_000, 0, 0));
-    world.crashes.renames_workers = false;
     world.submit(1, plan(&[step(tasks, 500, 200)]), queue("quick", 0));
     world.run(8_000);
     assert_eq!(outcome(&world, 1), Some(Outcome::Completed));
--- a/lilacpass-lead/tests/world/cost.rs
+++ b/lilacpass-lead/tests/world/cost.rs
@@ -109,9 +109,9 @@
         effect: &Effect,
         sent_ms: u64,
     ) {
-        let Effect::Poll { worker, forget_up_to, extra, .. } = effect else { return };
-        let epoch = self.instances[instance].epoch;
-        let result = self.workers[worker_index].poll(epoch, None, *forget_up_to);
+        let Effect::Poll { worker, fence_step, forget_up_to, extra, .. } = effect else { return };
+        let fence = self.instances[instance].epoch + fence_step;
+        let result = self.workers[worker_index].poll(fence, None, *forget_up_to);
         let event = Event::Polled { worker: worker.clone(), sent_ms, extra: *extra, result };
         self.schedule(1, Action::Deliver { instance, event });
     }
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -9,6 +9,7 @@
 
 pub(crate) mod cost;
 pub(crate) mod crashes;
+pub(crate) mod fixture;
 pub(crate) mod requests;
 pub(crate) mod store;
 pub(crate) mod worker;
@@ -35,7 +36,7 @@
 use worker::Worker;
 
 /// Time at the start of a simulation, in ms since the Unix epoch.
-const START_UNIX_MS: u64 = 1_800_000_000_000;
+pub(crate) const START_UNIX_MS: u64 = 1_800_000_000_000;
 /// Time after which a call without a response fails.
 const CALL_TIMEOUT_MS: u64 = 600;
 /// Maximum delay of an order that gets no response but is carried out late.
@@ -79,6 +80,8 @@
 enum Action {
     /// An effect is carried out by its receiver.
     CarryOut { instance: usize, effect: Effect, is_answered: bool },
+    /// A worker carries out an order that it has held back, unless it has crashed since.
+    CarryOutHeld { instance: usize, effect: Effect, incarnation: WorkerName },
     /// A leader receives an event.
     Deliver { instance: usize, event: Event },
     /// A leader receives a tick.
@@ -145,7 +148,6 @@
             actions: EventQueue::default(),
             next_request_id: 0,
         };
-        world.crashes.renames_workers = true;
         world.take_over();
         world
     }
@@ -306,6 +308,11 @@
             Action::CarryOut { instance, effect, is_answered } => {
                 self.carry_out(instance, effect, is_answered);
             }
+            Action::CarryOutHeld { instance, effect, incarnation } => {
+                if self.workers.iter().any(|worker| worker.alive && worker.name == incarnation) {
+                    self.carry_out(instance, effect, false);
+                }
+            }
             Action::RunRound { instance } => self.run_round(instance),
             Action::AnswerPoll { instance, worker_index, effect, sent_ms } => {
                 self.answer_waiting_poll(instance, worker_index, &effect, sent_ms);
@@ -355,13 +362,33 @@
             self.schedule_failure(instance, &effect);
             if self.random.percent(70) {
                 let late_ms = self.random.below(MAX_ORDER_DELAY_MS);
-                self.schedule(late_ms, Action::CarryOut { instance, effect, is_answered: false });
+                let action = self.late_order(instance, effect, late_ms);
+                self.schedule(late_ms, action);
             }
             return;
         }
         self.schedule(delay_ms, Action::CarryOut { instance, effect, is_answered: true });
     }
 
+    /// How an order is carried out that is late by `late_ms`. The network delays it for less than the timeout of a
+    /// call, and it then reaches any incarnation of the worker. For longer it is held back by the worker, which holds
+    /// nothing once it has started again.
+    fn late_order(&self, instance: usize, effect: Effect, late_ms: u64) -> Action {
+        let (Effect::Start { address, .. }
+        | Effect::Stop { address, .. }
+        | Effect::Poll { address, .. }) = &effect
+        else {
+            return Action::CarryOut { instance, effect, is_answered: false };
+        };
+        let mut receivers = self.workers.iter().filter(|worker| worker.alive);
+        match receivers.find(|worker| worker.address == *address) {
+            Some(worker) if late_ms > CALL_TIMEOUT_MS => {
+                Action::CarryOutHeld { instance, effect, incarnation: worker.name.clone() }
+            }
+            _ => Action::CarryOut { instance, effect, is_answered: false },
+        }
+    }
+
     fn schedule_failure(&mut self, instance: usize, effect: &Effect) {
         let error = CallError::Failed(Verdict::MayHaveRun);
         if let Some(event) = self.result_event(effect, Err(error)) {
@@ -429,10 +456,12 @@
     }
 
     fn carry_out_order(&mut self, instance: usize, effect: &Effect, is_answered: bool) {
-        let (name, address) = match effect {
-            Effect::Start { worker, address, .. }
-            | Effect::Stop { worker, address, .. }
-            | Effect::Poll { worker, address, .. } => (worker.clone(), address.clone()),
+        let (name, address, fence_step) = match effect {
+            Effect::Start { worker, address, fence_step, .. }
+            | Effect::Stop { worker, address, fence_step, .. }
+            | Effect::Poll { worker, address, fence_step, .. } => {
+                (worker.clone(), address.clone(), *fence_step)
+            }
             _ => return,
         };
         let worker_index =
@@ -445,7 +474,7 @@
             }
             return;
         };
-        if self.workers[worker_index].name != name {
+        if !self.workers[worker_index].name.has_same_id(&name) {
             let event = match effect {
                 Effect::Poll { extra, .. } => Some(Event::Polled {
                     worker: name,
@@ -457,11 +486,11 @@
             };
             return self.send_order_result(instance, event, is_answered);
         }
-        let epoch = self.instances[instance].epoch;
+        let fence = self.instances[instance].epoch + fence_step;
         let now_ms = self.now_ms;
         let event = match effect {
             Effect::Poll { worker, lease_until_ms, forget_up_to, wait_ms, extra, .. } => {
-                let result = self.workers[worker_index].poll(epoch, *lease_until_ms, *forget_up_to);
+                let result = self.workers[worker_index].poll(fence, *lease_until_ms, *forget_up_to);
                 if self.costs.is_some() && result.is_ok() {
                     let wait_ms = self.workers[worker_index].next_end_ms(*wait_ms, now_ms);
                     let effect = effect.clone();
@@ -484,11 +513,11 @@
                 return;
             }
             Effect::Start { task, run, lease_until_ms, .. } => {
-                let result = self.start(worker_index, *task, *run, epoch, *lease_until_ms);
+                let result = self.start(worker_index, *task, *run, fence, *lease_until_ms);
                 self.result_event(effect, result)
             }
             Effect::Stop { task, run, .. } => {
-                let result = self.workers[worker_index].stop(*task, *run, epoch, now_ms);
+                let result = self.workers[worker_index].stop(*task, *run, fence, now_ms);
                 self.result_event(effect, result)
             }
             _ => None,
@@ -564,7 +593,7 @@
 /// Whether a worker may run steps that need advice: those with an even number may.
 fn is_allowed(worker: &WorkerName) -> bool {
     worker
-        .as_str()
+        .id()
         .bytes()
         .last()
         .is_some_and(|byte| byte.is_ascii_digit() && (byte - b'0').is_multiple_of(2))
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -8,6 +8,8 @@
     CallError, PollResponse, Refusal, Registration, ReportedEnd, ReportedRun,
 };
 
+use super::START_UNIX_MS;
+
 /// Time that a run takes to stop.
 const STOP_MS: u64 = 100;
 /// Time for which an earlier capacity still counts after a reduction: the time that all may need to learn of it, and
@@ -86,7 +88,10 @@
     pub fn new(number: usize, capacity: Resources) -> Self {
         Self {
             number,
-            name: WorkerName::from(format!("w-{number}").as_str()),
+            name: WorkerName::new(
+                &format!("w-{number}"),
+                Some(START_UNIX_MS - AGE_AT_BEGINNING_MS),
+            ),
             address: format!("10.0.0.{number}:80"),
             capacity,
             earlier_capacities: Vec::new(),
@@ -116,12 +121,14 @@
 
     /// A worker that starts at `now_ms` at the address of another one. Its clock starts anew.
     pub fn start_at_address_of(former: &Self, number: usize, now_ms: u64) -> Self {
+        let new = Self::new(number, former.capacity);
         Self {
+            name: new.name.with_start(Some(START_UNIX_MS + now_ms)),
             address: former.address.clone(),
             data_centre: former.data_centre,
             clock_offset_ms: FIRST_CLOCK_MS as i64 - now_ms as i64,
             clock_ms: FIRST_CLOCK_MS,
-            ..Self::new(number, former.capacity)
+            ..new
         }
     }
 
@@ -238,6 +245,7 @@
             gauge: 0,
         });
         Ok(PollResponse {
+            worker_started_ms: self.name.started_ms(),
             clock_ms: self.clock_ms,
             running: running.collect(),
             ends: self.ends.clone(),
--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -75,6 +75,7 @@
     let defaults = Options::default();
     Options {
         lease_ms: defaults.lease_ms.min(bounds.max_lease_ms),
+        longest_lease_ms: bounds.max_lease_ms,
         retention_ms: defaults.retention_ms.max(bounds.retention_ms),
         ..defaults
     }
@@ -261,7 +262,7 @@
             return None;
         }
         let data_centre = self.leader.responsive_worker_data_centre(worker)?;
-        relays.relay_for(worker, data_centre)
+        relays.relay_for(worker.id(), data_centre)
     }
 
     /// Instances that can make advice calls: this one, and those that send it heartbeats.
@@ -290,6 +291,7 @@
             Effect::Poll {
                 worker,
                 address,
+                fence_step,
                 lease_until_ms,
                 forget_up_to,
                 wait_ms,
@@ -304,10 +306,10 @@
                 };
                 let route = if extra { None } else { self.route_order(&worker, 0) };
                 let node = self.node.clone();
-                let epoch = self.epoch;
+                let fence = self.epoch + fence_step;
                 self.spawn(async move {
                     let sent_ms = clock::now().steady_ms;
-                    let target = Target { name: &worker, address: &address, epoch };
+                    let target = Target { name: &worker, address: &address, fence };
                     let sent = time::Instant::now();
                     let result = orders::poll(&node, route, target, poll).await;
                     node.metrics.order("look", metrics::outcome(&result), sent.elapsed());
@@ -317,6 +319,7 @@
             Effect::Start {
                 worker,
                 address,
+                fence_step,
                 task,
                 run,
                 payload,
@@ -326,9 +329,9 @@
             } => {
                 let route = self.route_order(&worker, payload.len());
                 let node = self.node.clone();
-                let epoch = self.epoch;
+                let fence = self.epoch + fence_step;
                 self.spawn(async move {
-                    let target = Target { name: &worker, address: &address, epoch };
+                    let target = Target { name: &worker, address: &address, fence };
                     let start = StartOrder {
                         task,
                         run,
@@ -343,12 +346,12 @@
                     Event::Started { worker, task, run, result }
                 });
             }
-            Effect::Stop { worker, address, task, run } => {
+            Effect::Stop { worker, address, fence_step, task, run } => {
                 let route = self.route_order(&worker, 0);
                 let node = self.node.clone();
-                let epoch = self.epoch;
+                let fence = self.epoch + fence_step;
                 self.spawn(async move {
-                    let target = Target { name: &worker, address: &address, epoch };
+                    let target = Target { name: &worker, address: &address, fence };
                     let sent = time::Instant::now();
                     let result = orders::stop(&node, route, target, task, run).await;
                     node.metrics.order("stop", metrics::outcome(&result), sent.elapsed());
--- a/lilacpass-node/src/orders.rs
+++ b/lilacpass-node/src/orders.rs
@@ -19,7 +19,7 @@
     budget::RetryBudget,
     node::Node,
     relay_client,
-    relay_messages::{self, Order},
+    relay_messages::{self, Order, Recipient},
     relays::RelayResult,
 };
 
@@ -45,7 +45,7 @@
         node.relays.borrow_mut().record_direct_poll(target.name, result.is_ok());
         return result;
     };
-    let order = relay_messages::poll(target.name.as_str(), target.address, poll);
+    let order = relay_messages::poll(recipient(node, target), poll);
     let execution_timeout = Duration::from_millis(poll.wait_ms + poll.response_timeout_ms);
     match relay_client::execute(node, &relay, order, execution_timeout).await {
         RelayResult::Outcome(Ok(Some(response))) => Ok(response),
@@ -70,7 +70,7 @@
     target: Target<'_>,
     start: StartOrder<'_>,
 ) -> Result<(), CallError> {
-    let order = || relay_messages::start(target.name.as_str(), target.address, start);
+    let order = || relay_messages::start(recipient(node, target), start);
     send_order(node, route, order, || Box::pin(node.workers.start(target, start))).await
 }
 
@@ -82,10 +82,16 @@
     task: TaskName,
     run: u32,
 ) -> Result<(), CallError> {
-    let order = || relay_messages::stop(target.name.as_str(), target.address, task, run);
+    let order = || relay_messages::stop(recipient(node, target), task, run);
     send_order(node, route, order, || Box::pin(node.workers.stop(target, task, run))).await
 }
 
+/// The worker of an order as relays are told of it.
+fn recipient<'a>(node: &Node, target: Target<'a>) -> Recipient<'a> {
+    let fence_step = target.fence.saturating_sub(node.relays.borrow().epoch());
+    Recipient { id: target.name.id(), address: target.address, fence_step }
+}
+
 /// Sends an order through the relay, if there is one, and directly if the response is late.
 async fn send_order<F>(
     node: &Rc<Node>,
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -405,7 +405,7 @@
 ) -> Option<Advice> {
     let message = v1::PeerAdvise {
         step: step.to_string(),
-        workers: workers.iter().map(|worker| worker.as_str().to_owned()).collect(),
+        workers: workers.iter().map(|worker| worker.id().to_owned()).collect(),
         timeout_ms: timeout.as_millis() as u32,
     };
     let timeout = timeout + HOP_TIMEOUT;
@@ -422,10 +422,11 @@
         worker: WorkerName::from(row.worker.as_str()),
         ticket: row.ticket,
     };
-    Some(Advice {
+    let advice = Advice {
         good: reply.good.into_iter().map(row).collect(),
         valid_ms: u64::from(reply.valid_ms.saturating_sub(reply.age_ms)),
-    })
+    };
+    Some(advice::attribute(advice, workers))
 }
 
 /// Requests advice directly from the advice service.
@@ -452,7 +453,7 @@
     let Some(advice) = advise(node, step, &workers, timeout).await else { return no_advice };
     log::debug!(step:% = step, took_ms = started.elapsed().as_millis() as u64; "advice call completed");
     let row = |row: WorkerTicket| v1::AdviceTicket {
-        worker: row.worker.as_str().to_owned(),
+        worker: row.worker.id().to_owned(),
         ticket: row.ticket,
     };
     v1::PeerAdviseReply {
--- a/lilacpass-node/src/registered_workers.rs
+++ b/lilacpass-node/src/registered_workers.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 
-use lilacpass_jobs::WorkerName;
 use lilacpass_lead::{Event, event::Registration};
 use lilacpass_platform::{registry, store::StoredRecord};
 
@@ -13,7 +12,8 @@
 /// The registered workers.
 #[derive(Debug, Default)]
 pub struct RegisteredWorkers {
-    seen: HashMap<WorkerName, SeenEntry>,
+    /// The entries by worker id, which all incarnations of a worker share.
+    seen: HashMap<String, SeenEntry>,
 }
 
 /// A worker's entry as last seen.
@@ -62,8 +62,7 @@
 
     /// An event that registers the worker as it was last seen.
     fn last_registration(&self, stored: &StoredRecord) -> Option<Event> {
-        let name = WorkerName::from(stored.record.key.as_str());
-        self.seen.get(&name)?.worker.clone().map(Event::WorkerRegistered)
+        self.seen.get(&stored.record.key)?.worker.clone().map(Event::WorkerRegistered)
     }
 
     /// Whether the last read lacked a worker. Only a full read shows whether it is still missing.
@@ -74,9 +73,8 @@
     /// Applies an entry. Returns an event if it has changed.
     fn apply_entry(&mut self, stored: &StoredRecord) -> Option<Event> {
         let key = stored.record.key.as_str();
-        let name = WorkerName::from(key);
-        let is_new = !self.seen.contains_key(&name);
-        let seen = self.seen.entry(name.clone()).or_default();
+        let is_new = !self.seen.contains_key(key);
+        let seen = self.seen.entry(key.to_owned()).or_default();
         seen.missed_reads = 0;
         if !is_new && stored.offset <= seen.offset {
             return None;
@@ -90,9 +88,9 @@
             }
             // Entries are written again and again, so this is logged only once until the entry can be decoded.
             Err(err) if is_new || seen.worker.is_some() => {
-                seen.worker = None;
                 log::warn!(worker = key, error:% = err; "ignoring a registration that cannot be decoded");
-                Some(Event::WorkerUnregistered(name))
+                let worker = seen.worker.take()?;
+                Some(Event::WorkerUnregistered(worker.name))
             }
             Err(_) => None,
         }
@@ -100,8 +98,7 @@
 
     /// Marks an entry as removed. The worker counts as gone once a full read confirms it.
     fn mark_removed(&mut self, stored: &StoredRecord) {
-        let name = WorkerName::from(stored.record.key.as_str());
-        let Some(seen) = self.seen.get_mut(&name) else { return };
+        let Some(seen) = self.seen.get_mut(&stored.record.key) else { return };
         if stored.offset > seen.offset {
             seen.offset = stored.offset;
             seen.missed_reads = 1;
@@ -110,11 +107,12 @@
 
     /// Removes the workers that count as gone, and adds an event for each.
     fn remove_missing(&mut self, events: &mut Vec<Event>) {
-        self.seen.retain(|name, seen| {
+        self.seen.retain(|id, seen| {
             let is_gone = seen.missed_reads >= MIN_MISSED_READS;
             if is_gone {
-                log::info!(worker:% = name; "worker is no longer registered");
-                events.push(Event::WorkerUnregistered(name.clone()));
+                log::info!(worker = id.as_str(); "worker is no longer registered");
+                let worker = seen.worker.take();
+                events.extend(worker.map(|worker| Event::WorkerUnregistered(worker.name)));
             }
             !is_gone
         });
--- a/lilacpass-node/src/relay_messages.rs
+++ b/lilacpass-node/src/relay_messages.rs
@@ -15,20 +15,43 @@
     pub payload: String,
 }
 
+/// The worker that an order is for.
+#[derive(Clone, Copy, Debug)]
+pub struct Recipient<'a> {
+    /// Id of the worker.
+    pub id: &'a str,
+    /// Address of the worker, as `ip:port`.
+    pub address: &'a str,
+    /// Added to the epoch to obtain the fence of the order.
+    pub fence_step: u64,
+}
+
+impl Recipient<'_> {
+    /// An order to the worker that has neither a number nor a content yet.
+    fn order(self) -> v1::RelayedOrder {
+        v1::RelayedOrder {
+            worker: self.id.to_owned(),
+            address: self.address.to_owned(),
+            fence_step: self.fence_step,
+            ..Default::default()
+        }
+    }
+}
+
 /// Encodes a poll of a worker.
-pub fn poll(worker: &str, address: &str, poll: PollOrder) -> Order {
+pub fn poll(recipient: Recipient<'_>, poll: PollOrder) -> Order {
     let relayed_poll = v1::RelayedLook {
         lease_until_ms: poll.lease_until_ms,
         forget_upto: poll.forget_up_to,
         wait_ms: poll.wait_ms as u32,
         answer_ms: poll.response_timeout_ms as u32,
     };
-    let message = v1::RelayedOrder { look: Some(relayed_poll), ..addressed_to(worker, address) };
+    let message = v1::RelayedOrder { look: Some(relayed_poll), ..recipient.order() };
     Order { message, payload: String::new() }
 }
 
 /// Encodes a start.
-pub fn start(worker: &str, address: &str, start: StartOrder<'_>) -> Order {
+pub fn start(recipient: Recipient<'_>, start: StartOrder<'_>) -> Order {
     let payload = start.payload.to_owned();
     let start = v1::RelayedStart {
         run: Some(write_run(start.task, start.run)),
@@ -37,22 +60,17 @@
         checkpoint: start.checkpoint.to_owned(),
         ticket: start.ticket.map(str::to_owned),
     };
-    let message = v1::RelayedOrder { start: Some(start), ..addressed_to(worker, address) };
+    let message = v1::RelayedOrder { start: Some(start), ..recipient.order() };
     Order { message, payload }
 }
 
 /// Encodes a stop.
-pub fn stop(worker: &str, address: &str, task: TaskName, run: u32) -> Order {
+pub fn stop(recipient: Recipient<'_>, task: TaskName, run: u32) -> Order {
     let stop = v1::RelayedStop { run: Some(write_run(task, run)) };
-    let message = v1::RelayedOrder { stop: Some(stop), ..addressed_to(worker, address) };
+    let message = v1::RelayedOrder { stop: Some(stop), ..recipient.order() };
     Order { message, payload: String::new() }
 }
 
-fn addressed_to(worker: &str, address: &str) -> v1::RelayedOrder {
-    let (worker, address) = (worker.to_owned(), address.to_owned());
-    v1::RelayedOrder { worker, address, ..Default::default() }
-}
-
 /// Encodes a run.
 fn write_run(task: TaskName, run: u32) -> v1::RelayedRun {
     let TaskName { step: StepName { job, occurrence, step }, index } = task;
@@ -149,6 +167,7 @@
         checkpoint: row.end.checkpoint,
     };
     v1::RelayedAnswer {
+        worker_started_ms: response.worker_started_ms,
         clock_ms: response.clock_ms,
         running: response.running.into_iter().map(running).collect(),
         ends: response.ends.into_iter().map(end).collect(),
@@ -174,6 +193,7 @@
         })
     };
     Some(PollResponse {
+        worker_started_ms: response.worker_started_ms,
         clock_ms: response.clock_ms,
         running: response.running.into_iter().map(running).collect::<Option<_>>()?,
         ends: response.ends.into_iter().map(end).collect::<Option<_>>()?,
--- a/lilacpass-node/src/relay_server.rs
+++ b/lilacpass-node/src/relay_server.rs
@@ -60,7 +60,8 @@
     payloads: &[String],
 ) -> Option<v1::RelayedOutcome> {
     let worker = WorkerName::from(order.worker.as_str());
-    let target = Target { name: &worker, address: &order.address, epoch };
+    let fence = epoch + order.fence_step;
+    let target = Target { name: &worker, address: &order.address, fence };
     let number = order.number;
     if let Some(poll) = &order.look {
         let result = node.workers.poll(target, relay_messages::read_poll(poll)).await;
--- a/lilacpass-node/src/relays.rs
+++ b/lilacpass-node/src/relays.rs
@@ -120,8 +120,8 @@
 
     /// The relay for orders to a worker: one of its data centre if there is one, else any; `None` if the leader sends
     /// orders directly. Rendezvous hashing assigns workers to relays, so that only the workers of a retired relay move.
-    pub fn relay_for(&self, worker: &WorkerName, data_centre: &str) -> Option<Rc<str>> {
-        let weight = |address: &&Rc<str>| rendezvous::weight(worker.as_str().as_bytes(), address);
+    pub fn relay_for(&self, worker_id: &str, data_centre: &str) -> Option<Rc<str>> {
+        let weight = |address: &&Rc<str>| rendezvous::weight(worker_id.as_bytes(), address);
         let local = self.relays.iter().filter(|(_, relay)| relay.data_centre == data_centre);
         let local = local.map(|(address, _)| address).max_by_key(weight);
         local.or_else(|| self.relays.keys().max_by_key(weight)).cloned()
@@ -310,12 +310,12 @@
         }
     }
 
-    /// The relays as shown to operators: for each, how many of `workers`, given with their data centres, are assigned
-    /// to it, how many orders are in progress, and how many were faulty lately.
+    /// The relays as shown to operators: for each, how many of `workers`, given by id with their data centres, are
+    /// assigned to it, how many orders are in progress, and how many were faulty lately.
     pub fn status<'a>(&self, workers: impl Iterator<Item = (&'a str, &'a str)>) -> Value {
         let mut worker_counts: HashMap<Rc<str>, u64> = HashMap::new();
         for (worker, data_centre) in workers {
-            let relay = self.relay_for(&WorkerName::from(worker), data_centre);
+            let relay = self.relay_for(worker, data_centre);
             relay.into_iter().for_each(|relay| *worker_counts.entry(relay).or_default() += 1);
         }
         let pending =
--- a/lilacpass-node/tests/registry_watch.rs
+++ b/lilacpass-node/tests/registry_watch.rs
@@ -52,6 +52,35 @@
     assert_eq!(events.iter().filter(|event| registers(event, "w-1")).count(), 1);
 }
 
+/// Guards against taking the next incarnation of a worker, which has the same id, for the former one.
+#[test]
+fn an_entry_of_the_next_incarnation_registers_that_incarnation() {
+    let entry = |started_ms: u64| {
+        READY_ENTRY.replace("{\"service\"", &format!("{{\"born\": {started_ms}, \"service\""))
+    };
+    let incarnation = |started_ms: u64| WorkerName::new("w-1", Some(started_ms));
+    let registered_incarnation = |events: &[Event]| match events {
+        [Event::WorkerRegistered(entry)] => Some(entry.name.clone()),
+        _ => None,
+    };
+    let mut registered = RegisteredWorkers::default();
+    let events = registered.apply_full_read(vec![stored("w-1", 1, &entry(1_000))]);
+    assert_eq!(registered_incarnation(&events), Some(incarnation(1_000)));
+    let events = registered.apply_changes(vec![stored("w-1", 2, &entry(5_000))]);
+    assert_eq!(registered_incarnation(&events), Some(incarnation(5_000)));
+    let events = registered.apply_full_read(vec![stored("w-1", 1, &entry(1_000))]);
+    assert_eq!(
+        registered_incarnation(&events),
+        Some(incarnation(5_000)),
+        "an older record is read late"
+    );
+    assert!(registered.apply_full_read(Vec::new()).is_empty());
+    assert_eq!(
+        registered.apply_full_read(Vec::new()),
+        [Event::WorkerUnregistered(incarnation(5_000))]
+    );
+}
+
 /// Guards against a leader that spends its time looking for work for workers that have only renewed their entry.
 #[test]
 fn an_unchanged_entry_causes_no_event() {
--- a/lilacpass-node/tests/relay_messages.rs
+++ b/lilacpass-node/tests/relay_messages.rs
@@ -3,7 +3,7 @@
 use lilacpass_core::Verdict;
 use lilacpass_jobs::{EndReason, JobKey, RunEnd, StepName};
 use lilacpass_lead::event::{CallError, PollResponse, Refusal, ReportedEnd, ReportedRun};
-use lilacpass_node::relay_messages;
+use lilacpass_node::relay_messages::{self, Recipient};
 use lilacpass_schema::v1;
 use prost::Message;
 
@@ -18,6 +18,7 @@
     };
     let end = RunEnd { run: 1, reason: EndReason::GangBroken, checkpoint: String::new() };
     PollResponse {
+        worker_started_ms: Some(1_800_000_000_123),
         clock_ms: 900_000,
         running: vec![running],
         ends: vec![ReportedEnd { number: 5, task: step.task(0), end }],
@@ -75,3 +76,14 @@
     let sent = v1::RelayedOutcome { number: 1, outcome: 99, answer: None };
     assert_eq!(relay_messages::read_outcome(sent), Err(CallError::Failed(Verdict::MayHaveRun)));
 }
+
+/// Guards against a relay that sends an order under the fence of a former incarnation of the worker, which the worker
+/// refuses.
+#[test]
+fn an_order_carries_the_fence_step_of_its_incarnation() {
+    let recipient = Recipient { id: "w-1", address: "10.0.0.1:80", fence_step: 3 };
+    let task = StepName { job: JobKey(1), occurrence: 0, step: 0 }.task(0);
+    let message = relay_messages::stop(recipient, task, 1).message;
+    let sent = v1::RelayedOrder::decode(message.encode_to_vec().as_slice()).expect("an order");
+    assert_eq!((sent.worker.as_str(), sent.fence_step), ("w-1", 3));
+}
--- a/lilacpass-node/tests/relay_state.rs
+++ b/lilacpass-node/tests/relay_state.rs
@@ -6,7 +6,7 @@
 use lilacpass_jobs::WorkerName;
 use lilacpass_node::{
     relay_choice::{Candidate, LeaderCapacity},
-    relay_messages,
+    relay_messages::{self, Recipient},
     relays::{RelayResult, Relays},
 };
 use lilacpass_platform::workers::PollOrder;
@@ -15,6 +15,7 @@
 const CAPACITY: LeaderCapacity = LeaderCapacity { cpu_millis: 500, link: 0 };
 const POLL: PollOrder =
     PollOrder { lease_until_ms: None, forget_up_to: 0, wait_ms: 800, response_timeout_ms: 400 };
+const RECIPIENT: Recipient<'_> = Recipient { id: "w", address: "10.0.0.1:80", fence_step: 0 };
 /// Interval between reviews, in milliseconds.
 const REVIEW_MS: u64 = 200;
 
@@ -47,12 +48,12 @@
     }
 
     fn relay_for(&mut self, worker: &str, data_centre: &str) -> Option<String> {
-        let relay = self.relays.relay_for(&WorkerName::from(worker), data_centre);
+        let relay = self.relays.relay_for(worker, data_centre);
         relay.map(|address| address.to_string())
     }
 
     fn enqueue_poll(&mut self, address: &str) -> (u64, oneshot::Receiver<RelayResult>) {
-        let order = relay_messages::poll("w", "10.0.0.1:80", POLL);
+        let order = relay_messages::poll(RECIPIENT, POLL);
         self.relays.enqueue(&Rc::from(address), order).expect("a relay")
     }
 }
@@ -145,7 +146,7 @@
     let mut sim = Simulation::new(both_candidates);
     for number in 0..4 {
         let worker = WorkerName::from(format!("w-{number}").as_str());
-        let relay = sim.relays.relay_for(&worker, "a").expect("a relay");
+        let relay = sim.relays.relay_for(worker.id(), "a").expect("a relay");
         sim.relays.suspect_worker(&worker, &relay);
         sim.relays.record_direct_poll(&worker, true);
     }
