Take-over: go on when the store has deleted its history meanwhile

A take-over was given up with "another instance took over first" although no other instance had, and the cell stayed without a leader until the next try.

Evidence: a_take_over_continues_when_the_store_has_deleted_its_history fails before ("assertion failed") and passes; a_take_over_ends_if_another_instance_was_faster, with and without deleted history, passes before and after.

--- a/lilacpass-node/src/takeover.rs
+++ b/lilacpass-node/src/takeover.rs
@@ -184,8 +184,9 @@
 struct JobRecords {
     plans: HashMap<JobKey, (u64, Vec<u8>)>,
     states: HashMap<JobKey, (u64, Vec<u8>)>,
-    /// Whether the tail is being read: the records that were written after the first page had been read.
-    reading_tail: bool,
+    /// Where the partition ended when the first page was read; `None` until then. Later records were written since the
+    /// read started.
+    end_at_start: Option<u64>,
     /// Whether another instance has taken over since the read started.
     other_leader_seen: bool,
 }
@@ -195,7 +196,8 @@
     fn insert(&mut self, stored: StoredRecord) {
         let StoredRecord { offset, record: read } = stored;
         if read.key == LEAD_KEY {
-            self.other_leader_seen |= self.reading_tail;
+            // The record of the former leader may be read again, if the store has deleted its history meanwhile.
+            self.other_leader_seen |= self.end_at_start.is_some_and(|end| offset >= end);
             return;
         }
         let (map, key) = match record::parse_key(&read.key) {
@@ -249,6 +251,7 @@
         };
         retries.record_success();
         end = end.or(Some(page.end));
+        job_records.end_at_start = job_records.end_at_start.or(end);
         after = page.records.last().map(|stored| stored.record.key.clone());
         page.records.into_iter().for_each(|stored| job_records.insert(stored));
         if !page.more || after.is_none() {
@@ -265,7 +268,6 @@
     from: u64,
     retries: &mut RetryWindow,
 ) -> Option<u64> {
-    job_records.reading_tail = true;
     let mut next = from;
     loop {
         match node.store.read(partition, next, Duration::ZERO, CALL_TIMEOUT).await {
