Take back for a returned worker only the crash that was counted for it

A gang that crashes its workers could be given more starts than the limits allow.

Cause: a gang that loses several workers in one run counts one crash, but for each of them that was presumed gone and registered again one was taken back, so an older crash was forgotten.

Change: a worker that is presumed gone is remembered with the tasks for which its loss was in fact counted.

--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -388,6 +388,11 @@
         self.task_mut(counting).is_some_and(|task| task.crashes.retract(worker))
     }
 
+    /// Returns the number of all crashes counted for a task, or for its gang.
+    pub fn known_crashes(&self, name: TaskName) -> u32 {
+        self.task(self.counting_task(name)).map_or(0, |task| task.crashes.known)
+    }
+
     /// Returns the workers whose crashes have no better explanation than this task, as far as their names are
     /// recorded.
     pub fn crashed_workers(&self, name: TaskName) -> Vec<WorkerName> {
--- a/lilacpass-lead/src/lost_workers.rs
+++ b/lilacpass-lead/src/lost_workers.rs
@@ -181,16 +181,26 @@
             .get(name)
             .map(|worker| worker.runs.keys().copied().collect())
             .unwrap_or_default();
-        for &key in &keys {
+        let mut counted_tasks = Vec::new();
+        for key in keys {
+            // A gang that has lost several workers in one run counts one crash.
+            let count_before = self.known_crashes(key.0);
             self.end_as_crashed(name, key, suspicion, now);
+            if self.known_crashes(key.0) > count_before {
+                counted_tasks.push(key.0);
+            }
         }
-        if !keys.is_empty() {
-            let tasks = keys.iter().map(|(task, _)| *task).collect();
-            self.presumed_gone.insert(name.clone(), tasks);
+        if !counted_tasks.is_empty() {
+            self.presumed_gone.insert(name.clone(), counted_tasks);
         }
         self.forget_worker(name, now);
     }
 
+    /// Number of all crashes that are counted for a task.
+    fn known_crashes(&self, task: TaskName) -> u32 {
+        self.jobs.get(&task.step.job).map_or(0, |entry| entry.job.known_crashes(task))
+    }
+
     /// Retracts the crashes counted for a worker that was presumed gone and is registered again: it was unreachable.
     pub(crate) fn retract_presumed_crashes(&mut self, name: &WorkerName) {
         for task in self.presumed_gone.remove(name).unwrap_or_default() {
--- a/lilacpass-lead/tests/crashing_tasks.rs
+++ b/lilacpass-lead/tests/crashing_tasks.rs
@@ -2,12 +2,19 @@
 
 mod world;
 
-use std::{collections::BTreeSet, ops::Range};
+use std::{collections::BTreeSet, ops::Range, sync::Arc};
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::{JobKey, Outcome, StepName, TaskName};
+use lilacpass_jobs::{
+    EndReason, Job, JobKey, Outcome, RunEnd, StepName, Suspicion, TaskName, WorkerName,
+};
+use lilacpass_lead::Event;
 use lilacpass_schema::v1;
-use world::{World, plan, queue, step};
+use world::{
+    World,
+    fixture::{LeaderFixture, registration},
+    plan, queue, step,
+};
 
 const CRASHING_JOB: u64 = 1;
 const QUICK_JOBS: Range<u64> = 2..62;
@@ -436,3 +443,44 @@
         world.run(1_000);
     }
 }
+
+/// Failure: a gang lost two workers to a cut, which counted as one crash, and one was taken back for each worker that
+/// returned. An older crash of the gang was forgotten.
+#[test]
+fn workers_of_a_gang_that_return_take_back_what_was_counted_for_them() {
+    let gang = StepName { job: JobKey(1), occurrence: 0, step: 0 };
+    let record = v1::PlanRecord {
+        plan: Some(plan(&[v1::WorkStep { gang: true, ..step(2, 1_000, 60_000) }])),
+        queue: Some(queue("quick", 0)),
+        accepted_ms: 1,
+    };
+    let mut job = Job::new(gang.job, record);
+    let assign = |job: &mut Job, workers: [&str; 2]| {
+        let workers = workers.map(|name| (WorkerName::from(name), Arc::from("here")));
+        job.assign_gang(gang, &workers).expect("a gang");
+    };
+    assign(&mut job, ["w-8", "w-9"]);
+    for (index, worker) in [(0, "w-8"), (1, "w-9")] {
+        let reason = EndReason::Crashed(Suspicion::Present);
+        let end = RunEnd { run: 1, reason, checkpoint: String::new() };
+        job.end_run(gang.task(index), &WorkerName::from(worker), &end, 1);
+    }
+    assign(&mut job, ["w-1", "w-2"]);
+    let mut fixture = LeaderFixture::with_jobs(vec![job]);
+    fixture.handle(Event::WorkerRegistered(registration("w-3")));
+    for _ in 0..80 {
+        fixture.now_ms += 50;
+        fixture.poll_answered("w-3", &[], &[]);
+        fixture.handle(Event::RegistrationsRead);
+    }
+    let crashes = |fixture: &mut LeaderFixture| {
+        let now = fixture.now();
+        let explanation = fixture.leader.explain(gang.job, now).expect("the job is known");
+        explanation.steps[0].crashes.join("; ")
+    };
+    assert!(crashes(&mut fixture).contains(": 2 workers"), "{}", crashes(&mut fixture));
+    for name in ["w-1", "w-2"] {
+        fixture.handle(Event::WorkerRegistered(registration(name)));
+    }
+    assert!(crashes(&mut fixture).contains(": 1 workers"), "{}", crashes(&mut fixture));
+}
