Do not report records as stored that cannot be encoded

Cause: a call whose records can't be encoded was left out with a log line, and the append was reported as stored: a client would have been told that its job is accepted, and a worker that it may forget an end.

Change: splitting fails as a whole, nothing is sent, and the instance ends its leadership; another one continues from what is stored.

Evidence: records_that_cannot_be_encoded_are_not_reported_as_stored; it asks for the error that split now returns, so it does not compile on the code before, which returned the other calls. The tests of append pass.

--- a/lilacpass-node/src/append.rs
+++ b/lilacpass-node/src/append.rs
@@ -191,27 +191,20 @@
 }
 
 /// Splits records into calls of at most `max_bytes`, in order. A record that is longer than that gets a call of its
-/// own.
-pub fn split(records: &[Record], max_bytes: usize) -> Vec<Bytes> {
+/// own. Fails if a record can't be encoded: none of the records may then count as stored.
+pub fn split(records: &[Record], max_bytes: usize) -> CallResult<Vec<Bytes>> {
     let mut calls = Vec::new();
     let mut first = 0;
     let mut bytes = 0;
     for (index, record) in records.iter().enumerate() {
         let length = store::encoded_len(record);
         if bytes + length > max_bytes && index > first {
-            push_call(&mut calls, &records[first..index]);
+            calls.push(store::encode_records(&records[first..index])?);
             first = index;
             bytes = 0;
         }
         bytes += length;
     }
-    push_call(&mut calls, &records[first..]);
-    calls
-}
-
-fn push_call(calls: &mut Vec<Bytes>, records: &[Record]) {
-    match store::encode_records(records) {
-        Ok(bytes) => calls.push(bytes),
-        Err(err) => log::error!(error:% = err; "dropping records that cannot be encoded"),
-    }
+    calls.push(store::encode_records(&records[first..])?);
+    Ok(calls)
 }
--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -379,7 +379,15 @@
 
     /// Stores records in the job log, and reports the result to the leader loop.
     fn append(&mut self, records: Vec<Record>) {
-        let calls = append::split(&records, self.node.settings.max_append_bytes);
+        let calls = match append::split(&records, self.node.settings.max_append_bytes) {
+            Ok(calls) => calls,
+            Err(err) => {
+                // Nothing of this state can be stored, so another instance continues from what is stored.
+                log::error!(epoch = self.epoch, error:% = err; "leadership ends: records cannot be encoded");
+                self.is_deposed = true;
+                return;
+            }
+        };
         let first_sequence = self.next_sequence;
         self.next_sequence += calls.len() as u64;
         let node = self.node.clone();
--- a/lilacpass-node/tests/append.rs
+++ b/lilacpass-node/tests/append.rs
@@ -21,7 +21,7 @@
 fn records_are_split_in_order_into_calls_within_the_size_limit() {
     let records: Vec<Record> = (0..40).map(|number| record(number, 50 + number)).collect();
     let max_bytes = 400;
-    let calls = append::split(&records, max_bytes);
+    let calls = append::split(&records, max_bytes).expect("short keys");
     assert!(calls.len() > 1);
     assert!(calls.iter().all(|call| !call.is_empty() && call.len() <= max_bytes));
     let expected = store::encode_records(&records).expect("encoded");
@@ -31,13 +31,24 @@
 #[test]
 fn few_records_make_one_call() {
     let records = [record(0, 10), record(1, 10)];
-    assert_eq!(append::split(&records, 10_000).len(), 1);
+    assert_eq!(append::split(&records, 10_000).expect("short keys").len(), 1);
+}
+
+/// Failure: a call with a record that could not be encoded was left out, and all records were reported as stored.
+#[test]
+fn records_that_cannot_be_encoded_are_not_reported_as_stored() {
+    let too_long = Record { key: "k".repeat(300), value: Vec::new() };
+    for max_bytes in [10, 10_000] {
+        let records = [record(0, 10), too_long.clone(), record(1, 10)];
+        let error = append::split(&records, max_bytes).expect_err("a key that is too long");
+        assert!(error.to_string().contains("key of 300 bytes"), "{error}");
+    }
 }
 
 #[test]
 fn a_record_larger_than_the_limit_gets_its_own_call() {
     let records = [record(0, 10), record(1, 900), record(2, 10)];
-    assert_eq!(append::split(&records, 400).len(), 3);
+    assert_eq!(append::split(&records, 400).expect("short keys").len(), 3);
 }
 
 /// Guards against refusing jobs for three more seconds after an outage of the store. The store had been unresponsive
