--- a/lilacpass-lead/tests/incarnations.rs
+++ b/lilacpass-lead/tests/incarnations.rs
@@ -74,13 +74,17 @@
         .collect()
 }
 
+fn has_stop(effects: &[Effect]) -> bool {
+    effects.iter().any(|effect| matches!(effect, Effect::Stop { .. }))
+}
+
 fn is_deposed(effects: &[Effect]) -> bool {
     effects.contains(&Effect::Deposed)
 }
 
 /// Failure: a new incarnation was taken for the old one, its ends were skipped, and done tasks were started again.
 #[test]
-fn a_incarnation_seen_first_in_a_response_is_polled_under_a_higher_fence_and_from_its_first_end() {
+fn an_incarnation_seen_first_in_a_response_is_polled_under_a_higher_fence_and_from_its_first_end() {
     let mut fixture = with_a_start();
     start_confirmed(&mut fixture);
     let effects = fixture.poll_answered(incarnation(1), &[], &[done(1, first_task(1), 1)]);
@@ -89,9 +93,21 @@
     assert_eq!(polls(&effects), [(incarnation(2), 1, 0)]);
 }
 
+/// Failure: a poll that was meant for the old incarnation let the new one forget an end that nobody had read.
+#[test]
+fn a_worker_that_does_not_respond_is_told_to_forget_nothing() {
+    let mut fixture = with_a_start();
+    start_confirmed(&mut fixture);
+    fixture.poll_answered(incarnation(1), &[], &[done(1, first_task(1), 1)]);
+    let effects = fixture.poll_failed(incarnation(1));
+    assert_eq!(polls(&effects), [(incarnation(1), 0, 0)]);
+    let effects = fixture.poll_answered(incarnation(1), &[], &[done(1, first_task(1), 1)]);
+    assert_eq!(polls(&effects), [(incarnation(1), 0, 1)], "it has responded");
+}
+
 /// Failure: the runs of the old incarnation were believed to go on in the new one.
 #[test]
-fn a_incarnation_seen_first_in_its_registration_ends_the_runs_of_the_one_before() {
+fn an_incarnation_seen_first_in_its_registration_ends_the_runs_of_the_one_before() {
     let mut fixture = with_a_start();
     start_confirmed(&mut fixture);
     fixture.poll_answered(incarnation(1), &[(first_task(1), 1)], &[]);
@@ -112,7 +128,7 @@
     answered_by(&mut fixture, &incarnation(1), 2);
     fixture.handle(Event::WorkerRegistered(registration(incarnation(2))));
     let effects = fixture.poll_answered(incarnation(2), &[(first_task(1), 1)], &[]);
-    assert!(starts(&effects).is_empty());
+    assert!(starts(&effects).is_empty() && !has_stop(&effects));
     // The response to the start arrives late.
     start_confirmed(&mut fixture);
     fixture.poll_answered(incarnation(2), &[], &[done(1, first_task(1), 1)]);
@@ -229,12 +245,12 @@
 fn a_response_that_does_not_name_its_incarnation_proves_nothing() {
     let mut fixture = with_a_start();
     start_confirmed(&mut fixture);
+    fixture.now_ms += 100;
     let (worker, sent_ms) = (incarnation(1), fixture.now_ms);
     let result = Ok(PollResponse::default());
     let effects = fixture.handle(Event::Polled { worker, sent_ms, extra: false, result });
     assert!(starts(&effects).is_empty());
-    let stops = effects.iter().any(|effect| matches!(effect, Effect::Stop { .. }));
-    assert!(!stops, "the run may go on although the response does not list it");
+    assert!(!has_stop(&effects), "the run may go on although the response does not list it");
 }
 
 /// Failure: the ticket of the old incarnation was used for the new one, and the worker refused it.
