--- a/lilacpass-lead/src/incarnations.rs
+++ b/lilacpass-lead/src/incarnations.rs
@@ -204,16 +204,12 @@
         response: &PollResponse,
         now: Now,
     ) {
-        let is_followed_by_next = |worker: &&Worker| {
-            worker.successor.as_ref().is_some_and(|incarnation| incarnation == next)
-        };
-        let incarnations = self.incarnations_of(next);
-        let former: Vec<WorkerName> = incarnations
-            .into_iter()
-            .filter(|incarnation| {
-                self.workers.get(incarnation).is_some_and(|worker| is_followed_by_next(&worker))
-            })
-            .collect();
+        let mut former = self.incarnations_of(next);
+        former.retain(|incarnation| {
+            let successor =
+                self.workers.get(incarnation).and_then(|worker| worker.successor.as_ref());
+            successor == Some(next)
+        });
         for incarnation in former {
             let running = response.running.iter().map(|reported| (reported.task, reported.run));
             let ended = response.ends.iter().map(|reported| (reported.task, reported.end.run));
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod crashes;
 pub(crate) mod fixture;
 pub(crate) mod requests;
+mod starts;
 pub(crate) mod store;
 pub(crate) mod worker;
 
@@ -20,7 +21,7 @@
 };
 
 use lilacpass_core::{Resources, Verdict, event_queue::EventQueue};
-use lilacpass_jobs::{Job, JobKey, StepName, TaskName, WorkerName, record};
+use lilacpass_jobs::{JobKey, StepName, TaskName, WorkerName, record};
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
     event::{
@@ -531,63 +532,6 @@
             self.schedule(delay_ms, Action::Deliver { instance, event });
         }
     }
-
-    fn start(
-        &mut self,
-        worker_index: usize,
-        task: TaskName,
-        run: u32,
-        epoch: u64,
-        lease_until_ms: u64,
-    ) -> Result<(), CallError> {
-        self.workers[worker_index].accepts(task, run, epoch, lease_until_ms)?;
-        if self.workers[worker_index].runs.contains_key(&task) {
-            return Ok(());
-        }
-        let job = self.store.job(task.step.job).expect("a task of a stored job");
-        self.check_start(worker_index, task, &job);
-        self.requests.started.insert(job.key);
-        let plan = job.step_plan(task.step.step);
-        let work_ms = u64::from(plan.estimate_ms).max(1);
-        let fails = self.random.percent(3) || self.workers[worker_index].fails_all_runs;
-        let need = lilacpass_lead::place::need(plan);
-        let now_ms = self.now_ms;
-        self.workers[worker_index].begin(task, run, need, now_ms + work_ms, fails, plan.lasting);
-        self.schedule_crash(worker_index, task);
-        Ok(())
-    }
-
-    /// Checks what must hold at each start.
-    fn check_start(&self, worker_index: usize, task: TaskName, job: &Job) {
-        let plan = job.step_plan(task.step.step);
-        for worker in self.workers.iter().filter(|worker| worker.alive) {
-            assert!(
-                plan.speculative || !worker.runs.contains_key(&task),
-                "{task} starts on {} while it runs on {}",
-                self.workers[worker_index].name,
-                worker.name
-            );
-        }
-        assert!(
-            !self.workers.iter().any(|worker| worker.stored_done.contains(&task)),
-            "{task} starts again after its successful end was stored"
-        );
-        let need = lilacpass_lead::place::need(plan);
-        let used = self.workers[worker_index].used().plus(&need);
-        assert!(
-            used.fits(&self.workers[worker_index].limit(self.now_ms)),
-            "{task} brings {} over its capacity: {used}",
-            self.workers[worker_index].name
-        );
-        for &earlier in &plan.after {
-            let step = StepName { step: earlier, ..task.step };
-            for index in 0..job.step_plan(earlier).count {
-                let earlier = step.task(index);
-                let done = self.workers.iter().any(|worker| worker.done.contains(&earlier));
-                assert!(done, "{task} starts before {earlier} is done");
-            }
-        }
-    }
 }
 
 /// Whether a worker may run steps that need advice: those with an even number may.
