A damaged step of a fence does not overflow in a relay

Found in the last reading: the relay added the step of an order to the epoch, and both come from a message. The test of foreign and damaged relay messages now sends the largest of both; it passed before too, since only the task of that order panicked (and without overflow checks the sum wrapped to a low fence, which workers refuse).

--- a/lilacpass-node/src/relay_server.rs
+++ b/lilacpass-node/src/relay_server.rs
@@ -60,7 +60,7 @@
     payloads: &[String],
 ) -> Option<v1::RelayedOutcome> {
     let worker = WorkerName::from(order.worker.as_str());
-    let fence = epoch + order.fence_step;
+    let fence = epoch.saturating_add(order.fence_step);
     let target = Target { name: &worker, address: &order.address, fence };
     let number = order.number;
     if let Some(poll) = &order.look {
--- a/lilacpass-node/tests/relays.rs
+++ b/lilacpass-node/tests/relays.rs
@@ -225,7 +225,11 @@
             call(address, Method::POST, path, message).await.expect("a response").0
         };
         let orders = v1::PeerOrders {
-            orders: vec![v1::RelayedOrder { number: 1, ..Default::default() }],
+            orders: vec![v1::RelayedOrder {
+                number: 1,
+                fence_step: u64::MAX,
+                ..Default::default()
+            }],
             ..Default::default()
         };
         let refused = post(&relay, "/peer/orders", orders.encode_to_vec()).await;
