--- a/lilacpass-lab/src/worker_faults.rs
+++ b/lilacpass-lab/src/worker_faults.rs
@@ -65,7 +65,7 @@
         self.schedule(self.now_ms + DOWNTIME_MS, Action::Restart(index));
     }
 
-    /// Starts a crashed worker again, under its id.
+    /// Starts a crashed worker again, under the same id.
     pub(crate) fn restart(&mut self, index: usize) {
         let now = self.now();
         self.workers[index].restart(now.unix_ms);
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -228,7 +228,7 @@
         self.start_worker_at(index, number);
     }
 
-    /// Starts a worker again under the name that it had. It knows nothing of before.
+    /// Starts a worker again under the same id. It knows nothing of before.
     pub fn restart_worker(&mut self, index: usize) {
         self.workers[index].stale_until_ms = 0;
         self.start_worker_at(index, self.workers[index].number);
