Leader: hash and compare names of workers by a number, share payloads

Cause: a flat part of the leader's time, paid for each task. Names of workers were hashed as text with a function made to withstand attackers, each start copied the payload of its job twice and hashed its 600 bytes to find it again, and each change of a worker's free capacity copied the name of its data centre.

Change: WorkerName keeps a hash of its id; the leader's maps use foldhash with a random seed; starts of a job share one payload; the capacity index knows data centres by number.

--- a/lilacpass-core/src/lib.rs
+++ b/lilacpass-core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod class;
 pub mod error;
 pub mod event_queue;
+pub mod hash_map;
 pub mod ids;
 pub mod rendezvous;
 pub mod resources;
--- a/lilacpass-jobs/src/ids.rs
+++ b/lilacpass-jobs/src/ids.rs
@@ -1,6 +1,14 @@
 //! Names of jobs, steps, tasks and workers, and their text form in messages and records.
 
-use std::{cmp::Ordering, fmt, str::FromStr, sync::Arc};
+use std::{
+    cmp::Ordering,
+    fmt,
+    hash::{BuildHasher, Hash, Hasher},
+    str::FromStr,
+    sync::Arc,
+};
+
+use foldhash::quality::FixedState;
 
 use crate::error::Error;
 
@@ -99,11 +107,15 @@
 ///
 /// State that ends with the incarnation of a worker is kept under this name, so that nothing of it is taken for that of
 /// a later incarnation: its runs, the numbers of its ends, its clock, its leases and its tickets.
-#[derive(Clone, PartialEq, Eq, Hash)]
+///
+/// Maps of a thousand workers compare and hash names hundreds of thousands of times a second, so what is needed for
+/// that is computed once.
+#[derive(Clone, Eq)]
 pub struct WorkerName {
-    /// The first 8 bytes of the id as a big-endian number, which sorts like the bytes. Maps of a thousand workers
-    /// compare names hundreds of thousands of times a second, and this prefix usually decides.
+    /// The first 8 bytes of the id as a big-endian number, which sorts like the bytes.
     prefix: u64,
+    /// Hash of the id.
+    id_hash: u64,
     id: Arc<str>,
     started_ms: Option<u64>,
 }
@@ -115,7 +127,8 @@
         let mut prefix = [0; 8];
         let length = id.len().min(prefix.len());
         prefix[..length].copy_from_slice(&id.as_bytes()[..length]);
-        Self { prefix: u64::from_be_bytes(prefix), id: Arc::from(id), started_ms }
+        let id_hash = FixedState::default().hash_one(id);
+        Self { prefix: u64::from_be_bytes(prefix), id_hash, id: Arc::from(id), started_ms }
     }
 
     /// Returns the id under which the worker registers. All its incarnations have the same one.
@@ -135,7 +148,7 @@
 
     /// Returns whether two names are of incarnations of the same worker.
     pub fn has_same_id(&self, other: &Self) -> bool {
-        self.prefix == other.prefix && self.id == other.id
+        self.id_hash == other.id_hash && (Arc::ptr_eq(&self.id, &other.id) || self.id == other.id)
     }
 }
 
@@ -146,12 +159,30 @@
     }
 }
 
+impl PartialEq for WorkerName {
+    fn eq(&self, other: &Self) -> bool {
+        self.started_ms == other.started_ms && self.has_same_id(other)
+    }
+}
+
+impl Hash for WorkerName {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        state.write_u64(self.id_hash ^ self.started_ms.unwrap_or_default());
+    }
+}
+
 impl Ord for WorkerName {
     /// Compares the ids as text, then the times of the starts.
     fn cmp(&self, other: &Self) -> Ordering {
+        let compare_ids = || {
+            if Arc::ptr_eq(&self.id, &other.id) {
+                return Ordering::Equal;
+            }
+            self.id.cmp(&other.id)
+        };
         self.prefix
             .cmp(&other.prefix)
-            .then_with(|| self.id.cmp(&other.id))
+            .then_with(compare_ids)
             .then_with(|| self.started_ms.cmp(&other.started_ms))
     }
 }
--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -4,8 +4,9 @@
 //! calls are the scarcest resource. They are spread over the instances ("lanes"), and slow calls never use the lanes
 //! that are reserved for quick ones.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
+use lilacpass_core::hash_map::HashMap;
 use lilacpass_jobs::WorkerName;
 
 use crate::event::{Advice, Lane};
--- a/lilacpass-lead/src/advice_queue.rs
+++ b/lilacpass-lead/src/advice_queue.rs
@@ -4,11 +4,9 @@
 //! time. Most of the steps have already requested advice, or their queue holds all the lanes it may use. Going through
 //! all steps after each event would take most of the time of a leader with hundreds of workers.
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    ops::Bound,
-};
+use std::{collections::BTreeSet, ops::Bound};
 
+use lilacpass_core::hash_map::HashMap;
 use lilacpass_jobs::StepName;
 
 use crate::rank::Rank;
--- a/lilacpass-lead/src/capacity_index.rs
+++ b/lilacpass-lead/src/capacity_index.rs
@@ -6,10 +6,10 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BTreeMap, HashMap, btree_map},
+    collections::{BTreeMap, btree_map},
 };
 
-use lilacpass_core::Resources;
+use lilacpass_core::{Resources, hash_map::HashMap};
 use lilacpass_jobs::WorkerName;
 
 use crate::{leader::Leader, place, worker::Worker};
@@ -31,8 +31,9 @@
     service: String,
     /// Free resources by free CPU in thousandths of a core and worker name.
     by_cpu: BTreeMap<(u64, WorkerName), Resources>,
-    /// For each data centre, the free resources of its workers in order of preference.
-    by_data_centre: BTreeMap<String, BTreeMap<PreferenceKey, Resources>>,
+    /// For each data centre, the free resources of its workers in order of preference. There are only a few, so data
+    /// centres are never removed.
+    data_centres: Vec<(String, BTreeMap<PreferenceKey, Resources>)>,
 }
 
 /// The position of a worker in the index.
@@ -40,7 +41,8 @@
 struct IndexEntry {
     pool: usize,
     free: Resources,
-    data_centre: String,
+    /// Index of the data centre in the pool.
+    data_centre: usize,
     key: PreferenceKey,
 }
 
@@ -65,10 +67,11 @@
             return self.remove(name);
         }
         let free = worker.free_capacity();
+        let pool = self.pool_index(&worker.registration.service);
         let entry = IndexEntry {
-            pool: self.pool_index(&worker.registration.service),
+            pool,
             free,
-            data_centre: worker.registration.data_centre.clone(),
+            data_centre: self.pools[pool].data_centre_index(&worker.registration.data_centre),
             key: PreferenceKey {
                 used_accelerators: Reverse(worker.used.accelerators.0),
                 free_share: Reverse(place::free_share(&free, &worker.registration.capacity)),
@@ -81,8 +84,7 @@
         self.remove(name);
         let pool = &mut self.pools[entry.pool];
         pool.by_cpu.insert((free.cpu.0, name.clone()), free);
-        let workers = pool.by_data_centre.entry(entry.data_centre.clone()).or_default();
-        workers.insert(entry.key.clone(), free);
+        pool.data_centres[entry.data_centre].1.insert(entry.key.clone(), free);
         self.entries.insert(name.clone(), entry);
     }
 
@@ -91,9 +93,7 @@
         let Some(entry) = self.entries.remove(worker) else { return };
         let pool = &mut self.pools[entry.pool];
         pool.by_cpu.remove(&(entry.free.cpu.0, worker.clone()));
-        if let Some(workers) = pool.by_data_centre.get_mut(&entry.data_centre) {
-            workers.remove(&entry.key);
-        }
+        pool.data_centres[entry.data_centre].1.remove(&entry.key);
     }
 
     /// Returns the workers of a service on which `need` fits, in order of preference: all workers in the home data
@@ -106,10 +106,11 @@
         need: Resources,
     ) -> impl Iterator<Item = &WorkerName> {
         let pool = self.pools.iter().find(|pool| pool.service == service);
-        let at_home = pool.and_then(|pool| pool.by_data_centre.get(home?));
-        let data_centres = pool.into_iter().flat_map(|pool| &pool.by_data_centre);
-        let others =
-            data_centres.filter(move |(data_centre, _)| Some(data_centre.as_str()) != home);
+        let data_centres = pool.map(|pool| pool.data_centres.as_slice()).unwrap_or_default();
+        let is_home = move |data_centre: &str| Some(data_centre) == home;
+        let at_home = data_centres.iter().find(|(data_centre, _)| is_home(data_centre));
+        let at_home = at_home.map(|(_, workers)| workers);
+        let others = data_centres.iter().filter(|(data_centre, _)| !is_home(data_centre));
         let mut others: Vec<_> = others.map(|(_, workers)| workers.iter()).collect();
         let merged = std::iter::from_fn(move || {
             let first = others.iter_mut().min_by_key(|rest| {
@@ -150,12 +151,23 @@
         if let Some(at) = self.pools.iter().position(|pool| pool.service == service) {
             return at;
         }
-        let (by_cpu, by_data_centre) = (BTreeMap::new(), BTreeMap::new());
-        self.pools.push(Pool { service: service.to_owned(), by_cpu, by_data_centre });
+        let (by_cpu, data_centres) = (BTreeMap::new(), Vec::new());
+        self.pools.push(Pool { service: service.to_owned(), by_cpu, data_centres });
         self.pools.len() - 1
     }
 }
 
+impl Pool {
+    /// Returns the index of a data centre, and adds the data centre if it is new.
+    fn data_centre_index(&mut self, data_centre: &str) -> usize {
+        if let Some(at) = self.data_centres.iter().position(|(known, _)| known == data_centre) {
+            return at;
+        }
+        self.data_centres.push((data_centre.to_owned(), BTreeMap::new()));
+        self.data_centres.len() - 1
+    }
+}
+
 impl Leader {
     /// Returns workers sorted by name, which include all workers of a service on which `need` fits. Others may be
     /// included too.
--- a/lilacpass-lead/src/event.rs
+++ b/lilacpass-lead/src/event.rs
@@ -1,5 +1,7 @@
 //! Input events and output effects of the leader's state machine.
 
+use std::sync::Arc;
+
 use lilacpass_core::{Resources, Verdict};
 use lilacpass_jobs::{JobKey, RunEnd, StepName, TaskName, WorkerName};
 use lilacpass_schema::v1;
@@ -313,8 +315,8 @@
         task: TaskName,
         /// Number of the run within its task.
         run: u32,
-        /// Payload of the job, passed to the task.
-        payload: String,
+        /// Payload of the job, passed to the task. All starts of a job share it.
+        payload: Arc<str>,
         /// Expiry of the lease in ms on the worker's clock.
         lease_until_ms: u64,
         /// Checkpoint to resume from; empty if there is none.
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -1,11 +1,12 @@
 //! The state of the leader, and the dispatch of events to its parts.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     mem,
+    sync::Arc,
 };
 
-use lilacpass_core::Resources;
+use lilacpass_core::{Resources, hash_map::HashMap};
 use lilacpass_jobs::{Job, JobKey, Outcome, StepName, TaskName, WorkerName};
 
 use lilacpass_schema::v1;
@@ -35,6 +36,8 @@
 pub struct JobEntry {
     /// The job and the state of its tasks.
     pub job: Job,
+    /// The payload of the job, shared by all starts of its tasks.
+    pub payload: Arc<str>,
     /// Whether the plan of the job is stored, so that its client may be told that it is accepted.
     pub is_plan_stored: bool,
     /// The outcome that clients see: the latest one that is stored.
@@ -56,6 +59,7 @@
     /// Creates the entry of a job.
     pub fn new(job: Job, is_plan_stored: bool) -> Self {
         Self {
+            payload: Arc::from(job.plan.payload.as_str()),
             visible_outcome: job.outcome,
             is_plan_stored,
             job,
@@ -185,15 +189,15 @@
             now.steady_ms + options.unconfirmed_lease_ms + longest_lease_ms;
         let mut leader = Self {
             options,
-            jobs: HashMap::new(),
+            jobs: HashMap::default(),
             workers: BTreeMap::new(),
             capacity_index: CapacityIndex::default(),
             outbox: Outbox::default(),
-            advice: HashMap::new(),
+            advice: HashMap::default(),
             lanes: Lanes::default(),
             waiting: WaitingSteps::default(),
             advice_queue: AdviceQueue::default(),
-            allowed_steps: HashMap::new(),
+            allowed_steps: HashMap::default(),
             reservations: Reservations::default(),
             preemption_searches: 0,
             work: SchedulingWork::default(),
@@ -202,16 +206,16 @@
             pending_changes: PendingChanges::default(),
             response_loss: ResponseLossMeter::default(),
             outages: RecentOutages::default(),
-            latest_by_address: HashMap::new(),
+            latest_by_address: HashMap::default(),
             incarnations: Incarnations::default(),
-            presumed_gone: HashMap::new(),
+            presumed_gone: HashMap::default(),
             crash_affected_jobs: BTreeSet::new(),
             counters: Counters::default(),
             unpolled_workers: BTreeSet::new(),
             least_urgent_priority: 0,
-            pool_sizes: HashMap::new(),
+            pool_sizes: HashMap::default(),
             upcoming_occurrences: BTreeSet::new(),
-            allowed_shares: HashMap::new(),
+            allowed_shares: HashMap::default(),
             effects: Vec::new(),
             leadership_confirmed_ms: now.steady_ms,
             append_sent_ms: now.steady_ms,
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -22,7 +22,7 @@
             return;
         }
         let Some(entry) = self.jobs.get(&task.step.job) else { return };
-        let payload = entry.job.plan.payload.clone();
+        let payload = entry.payload.clone();
         let checkpoint = entry.job.checkpoint(task).to_owned();
         let needs_ticket = entry.job.queue.advice.is_some();
         let ticket = self
--- a/lilacpass-lead/src/reservations.rs
+++ b/lilacpass-lead/src/reservations.rs
@@ -7,9 +7,9 @@
 //! that has waited for long, on capacity that is not free yet, and also excludes all other steps of the same priority.
 //! Neither kind of reservation delays a more urgent step.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
-use lilacpass_core::Resources;
+use lilacpass_core::{Resources, hash_map::HashMap};
 use lilacpass_jobs::{JobKey, StepName, WorkerName};
 
 use crate::rank::Rank;
--- a/lilacpass-lead/src/waiting.rs
+++ b/lilacpass-lead/src/waiting.rs
@@ -1,10 +1,8 @@
 //! The steps that wait for capacity, in scheduling order and by waiting time.
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    ops::Bound,
-};
+use std::{collections::BTreeSet, ops::Bound};
 
+use lilacpass_core::hash_map::HashMap;
 use lilacpass_jobs::StepName;
 use lilacpass_schema::v1;
 
--- a/lilacpass-node/src/relay_client.rs
+++ b/lilacpass-node/src/relay_client.rs
@@ -60,15 +60,16 @@
 
 /// Builds a message with orders that contains each payload once.
 fn build_message(node: &Node, epoch: u64, orders: Vec<Order>) -> v1::PeerOrders {
-    let mut payload_indices: HashMap<String, u32> = HashMap::new();
+    // All starts of a job share one payload, so its address identifies it.
+    let mut payload_indices: HashMap<*const u8, u32> = HashMap::new();
     let mut message =
         v1::PeerOrders { epoch, leader_address: node.peer_address(), ..Default::default() };
     for order in orders {
         let mut relayed = order.message;
-        if let Some(start) = &mut relayed.start {
+        if let (Some(start), Some(payload)) = (&mut relayed.start, order.payload) {
             let next_index = message.payloads.len() as u32;
-            start.payload = *payload_indices.entry(order.payload).or_insert_with_key(|payload| {
-                message.payloads.push(payload.clone());
+            start.payload = *payload_indices.entry(payload.as_ptr()).or_insert_with(|| {
+                message.payloads.push(payload.to_string());
                 next_index
             });
         }
--- a/lilacpass-node/src/relay_messages.rs
+++ b/lilacpass-node/src/relay_messages.rs
@@ -1,5 +1,7 @@
 //! Conversion of orders and their outcomes to and from the messages between the leader and its relays.
 
+use std::sync::Arc;
+
 use lilacpass_core::Verdict;
 use lilacpass_jobs::{JobKey, RunEnd, StepName, TaskName};
 use lilacpass_lead::event::{CallError, PollResponse, Refusal, ReportedEnd, ReportedRun};
@@ -11,8 +13,8 @@
 pub struct Order {
     /// The order; the index of its payload is set when it is sent.
     pub message: v1::RelayedOrder,
-    /// Payload of a start; empty for other orders.
-    pub payload: String,
+    /// Payload of a start; `None` for other orders.
+    pub payload: Option<Arc<str>>,
 }
 
 /// The worker that an order is for.
@@ -47,12 +49,12 @@
         answer_ms: poll.response_timeout_ms as u32,
     };
     let message = v1::RelayedOrder { look: Some(relayed_poll), ..recipient.order() };
-    Order { message, payload: String::new() }
+    Order { message, payload: None }
 }
 
 /// Encodes a start.
 pub fn start(recipient: Recipient<'_>, start: StartOrder<'_>) -> Order {
-    let payload = start.payload.to_owned();
+    let payload = Some(start.payload.clone());
     let start = v1::RelayedStart {
         run: Some(write_run(start.task, start.run)),
         payload: 0,
@@ -68,7 +70,7 @@
 pub fn stop(recipient: Recipient<'_>, task: TaskName, run: u32) -> Order {
     let stop = v1::RelayedStop { run: Some(write_run(task, run)) };
     let message = v1::RelayedOrder { stop: Some(stop), ..recipient.order() };
-    Order { message, payload: String::new() }
+    Order { message, payload: None }
 }
 
 /// Encodes a run.
--- a/lilacpass-node/src/relay_server.rs
+++ b/lilacpass-node/src/relay_server.rs
@@ -4,7 +4,7 @@
 //! that resumes after a pause and executes old orders has the same effect as a network that delivers late, which
 //! workers and leader can handle.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use lilacpass_jobs::WorkerName;
 use lilacpass_platform::workers::{StartOrder, Target};
@@ -36,7 +36,8 @@
         return false;
     }
     let destination = (message.leader_address, message.epoch);
-    let payloads = Rc::new(message.payloads);
+    let payloads: Vec<Arc<str>> = message.payloads.into_iter().map(Arc::from).collect();
+    let payloads = Rc::new(payloads);
     for order in message.orders {
         let (node, destination, payloads) = (node.clone(), destination.clone(), payloads.clone());
         task::spawn_local(async move {
@@ -57,7 +58,7 @@
     node: &Node,
     epoch: u64,
     order: &v1::RelayedOrder,
-    payloads: &[String],
+    payloads: &[Arc<str>],
 ) -> Option<v1::RelayedOutcome> {
     let worker = WorkerName::from(order.worker.as_str());
     let fence = epoch.saturating_add(order.fence_step);
