Scheduling rounds: leave out waiting steps that fit on no worker

Cause: in a full cell hundreds of steps wait. Whenever a task ended, the leader examined each step that may run on that worker, went through the hundred workers that the step holds tickets for, and looked each up by name; ten times a second it did so for all of them; and a step without tickets searched for workers to ask about forty times a second. None of that places a task, since nothing fits. So the fuller the cell, the more each start costs, and a leader that is short of processor for four seconds of a burst keeps a full cell and stays short.

Change: freed workers call up only steps of which a task fits into what is free; a full round and a request for advice skip steps that fit nowhere and may preempt nothing; a step goes through the fewer of its tickets and of the workers with room, from the capacity index.

--- a/lilacpass-lead/benches/flow.rs
+++ b/lilacpass-lead/benches/flow.rs
@@ -1,5 +1,6 @@
-//! Measures the time that the leader takes for a second of simulated time in a busy cell with some free capacity: jobs
-//! are submitted, their steps request advice, tasks start and end, and all workers are polled.
+//! Measures the time that the leader takes for a second of simulated time in a cell with some free capacity, and in a
+//! full one in which steps wait: jobs are submitted, their steps request advice, tasks start and end, and all workers
+//! are polled.
 //!
 //! The load per worker is that of a deployment with 1,100 workers, which gets 75 wide jobs per second. A third of them
 //! are long and not urgent.
@@ -23,8 +24,8 @@
 
 /// Numbers of workers of the measured cells.
 const WORKERS: [usize; 4] = [48, 350, 1_100, 2_300];
-/// Number of jobs submitted per second for each thousand workers.
-const JOBS_PER_SECOND: u64 = 68;
+/// Name of each load, and its number of jobs submitted per second for each thousand workers.
+const LOADS: [(&str, u64); 2] = [("second", 68), ("full-second", 90)];
 /// One job in this many is long.
 const JOBS_PER_LONG_JOB: u64 = 3;
 /// Number of workers for each instance that calls the advice service.
@@ -77,6 +78,8 @@
     actions: EventQueue<Action>,
     poll_count: u64,
     jobs: u64,
+    /// Number of jobs submitted per second.
+    jobs_per_second: u64,
     /// Run time of the tasks of each job in ms.
     run_times_ms: BTreeMap<JobKey, u32>,
     /// Time that the leader took since [`Flow::run`] was called.
@@ -86,7 +89,7 @@
 }
 
 impl Flow {
-    fn new(workers: usize) -> Self {
+    fn new(workers: usize, jobs_per_second_per_thousand: u64) -> Self {
         let now_ms = 1_000;
         let now = Now { steady_ms: now_ms, unix_ms: now_ms };
         let mut flow = Self {
@@ -96,6 +99,7 @@
             actions: EventQueue::default(),
             poll_count: 0,
             jobs: 0,
+            jobs_per_second: (workers as u64 * jobs_per_second_per_thousand / 1_000).max(1),
             run_times_ms: BTreeMap::new(),
             took: Duration::ZERO,
             rounds: Vec::new(),
@@ -111,7 +115,7 @@
     }
 
     fn add_worker(&mut self, number: usize) {
-        let name = WorkerName::from(format!("worker-{number:05}").as_str());
+        let name = WorkerName::from(format!("{number:05}-worker").as_str());
         let size = [2, 2, 1, 4][number % 4];
         let entry = Registration {
             name: name.clone(),
@@ -249,8 +253,7 @@
     }
 
     fn submit(&mut self) {
-        let per_second = (self.hosts.len() as u64 * JOBS_PER_SECOND / 1_000).max(1);
-        self.schedule(1_000 / per_second.min(1_000), Action::Submit);
+        self.schedule(1_000 / self.jobs_per_second.min(1_000), Action::Submit);
         self.jobs += 1;
         let number = self.jobs;
         let is_long = number.is_multiple_of(JOBS_PER_LONG_JOB);
@@ -312,12 +315,13 @@
     v1::WorkPlan { payload: "do".to_owned(), steps, ..Default::default() }
 }
 
-/// Measures a second of simulated time for each size of cell, and prints the percentiles of single events.
+/// Measures a second of simulated time for each load and size of cell, and prints the percentiles of single events.
 fn seconds(c: &mut Criterion) {
-    for workers in WORKERS {
+    let cells = LOADS.into_iter().flat_map(|load| WORKERS.map(|workers| (load, workers)));
+    for ((load, jobs_per_second), workers) in cells {
         let mut flow = None;
-        c.bench_function(&format!("second/{workers}"), |b| {
-            let flow = flow.get_or_insert_with(|| Flow::new(workers));
+        c.bench_function(&format!("{load}/{workers}"), |b| {
+            let flow = flow.get_or_insert_with(|| Flow::new(workers, jobs_per_second));
             b.iter_custom(|count| (0..count).map(|_| flow.run(1_000)).sum());
         });
         let Some(flow) = &mut flow else { continue };
@@ -326,7 +330,7 @@
         let (median, p99) = (rounds[rounds.len() / 2], rounds[rounds.len() * 99 / 100]);
         let waiting = flow.leader.status(Now::default()).waiting_steps;
         println!(
-            "single/{workers}: median {median:?}, p99 {p99:?} of {}, {waiting} steps wait",
+            "single event of {load}/{workers}: median {median:?}, p99 {p99:?} of {}, {waiting} steps wait",
             rounds.len()
         );
     }
--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -60,6 +60,11 @@
             .map(|(worker, _)| worker)
     }
 
+    /// Returns the number of workers for which there are tickets, including expired ones.
+    pub fn ticket_count(&self) -> usize {
+        self.tickets.len()
+    }
+
     /// Delays the next call because there were no candidates to name.
     pub fn delay_without_candidates(&mut self, now_ms: u64) {
         self.next_call_ms = now_ms + NO_CANDIDATES_PAUSE_MS;
--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -67,10 +67,16 @@
         if advice.is_some_and(|advice| advice.call_pending || now.steady_ms < advice.next_call_ms) {
             return;
         }
-        let plan = entry.job.step_plan(name.step).clone();
         if !self.lanes.may_call(&entry.job.queue.name, policy.base_ms as u64) {
             return;
         }
+        let plan = entry.job.step_plan(name.step);
+        let may_preempt = !plan.lasting && self.may_preempt_any(name);
+        let service = &entry.job.queue.service;
+        if !may_preempt && !self.capacity_index.fits_any(service, &place::need(plan)) {
+            return self.delay_advice(name, now);
+        }
+        let plan = plan.clone();
         let waiting =
             entry.job.task_names(name).filter(|task| entry.needs_run(*task)).count() as u64;
         if waiting == 0 {
@@ -87,8 +93,7 @@
         };
         let candidates = self.candidates(name, &plan, &demand, now);
         if candidates.is_empty() {
-            self.advice.entry(name).or_default().delay_without_candidates(now.steady_ms);
-            return self.update_advice_queue(name, now);
+            return self.delay_advice(name, now);
         }
         let mut workers = advice::choose(
             &candidates,
@@ -115,6 +120,12 @@
         self.effects.push(Effect::RequestAdvice { lane, step: name, workers, expected_ms });
     }
 
+    /// Delays the next request for advice for a step that no worker has capacity for.
+    fn delay_advice(&mut self, name: StepName, now: Now) {
+        self.advice.entry(name).or_default().delay_without_candidates(now.steady_ms);
+        self.update_advice_queue(name, now);
+    }
+
     /// Updates whether and when a step may request advice.
     pub(crate) fn update_advice_queue(&mut self, step: StepName, now: Now) {
         let policy = self.jobs.get(&step.job).and_then(|entry| {
--- a/lilacpass-lead/src/capacity_index.rs
+++ b/lilacpass-lead/src/capacity_index.rs
@@ -146,6 +146,11 @@
         Some(names)
     }
 
+    /// Returns whether `need` fits on any worker of a service.
+    pub fn fits_any(&self, service: &str, need: &Resources) -> bool {
+        self.fitting(service, need, 0).is_none()
+    }
+
     /// Returns the index of the pool of a service, and adds the pool if it is new.
     fn pool_index(&mut self, service: &str) -> usize {
         if let Some(at) = self.pools.iter().position(|pool| pool.service == service) {
--- a/lilacpass-lead/src/preempt.rs
+++ b/lilacpass-lead/src/preempt.rs
@@ -116,7 +116,7 @@
             let (tasks, stops) = minimal_victims(max_tasks, victims, fits);
             (tasks > 0).then(|| Offer { worker: worker.registration.name.clone(), tasks, stops })
         };
-        self.allowed_workers(name, None, now)
+        self.allowed_workers(name, now)
             .into_iter()
             .filter(|worker| self.could_start(worker, name, plan, now))
             .filter_map(|worker| offer(&worker))
--- a/lilacpass-lead/src/reindex.rs
+++ b/lilacpass-lead/src/reindex.rs
@@ -8,7 +8,7 @@
 use crate::{
     event::Now,
     leader::{JobEntry, Leader},
-    rank,
+    place, rank,
     waiting::StepKind,
 };
 
@@ -49,8 +49,10 @@
             }
             let is_waiting = has_waiting_tasks(entry, name);
             if is_waiting && job.step_may_start(name, now.unix_ms) {
-                let kind = StepKind::of(job.step_plan(name.step), job.queue.advice.is_some());
-                if self.waiting.add(name, kind, now.steady_ms, || rank::of_step(job, name)) {
+                let plan = job.step_plan(name.step);
+                let kind = StepKind::of(plan, job.queue.advice.is_some());
+                let rank = || rank::of_step(job, name);
+                if self.waiting.add(name, kind, place::need(plan), now.steady_ms, rank) {
                     // It may request advice from the next round on.
                     self.advice_queue.delay(name, now.steady_ms);
                 }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -72,10 +72,8 @@
         }
         let mut due = BTreeMap::new();
         if !round.freed.is_empty() {
-            due.extend(self.waiting.plain().map(|rank| (rank, WorkerScope::Freed)));
-            let allowed = round.freed.iter().filter_map(|worker| self.allowed_steps.get(worker));
-            let advised = allowed.flatten().filter_map(|step| self.waiting.rank_of_advised(*step));
-            due.extend(advised.map(|rank| (rank, WorkerScope::Freed)));
+            let fitting = self.steps_fitting(&round.freed).into_iter();
+            due.extend(fitting.map(|rank| (rank, WorkerScope::Freed)));
             due.extend(self.waiting.combined().map(|rank| (rank, WorkerScope::All)));
         }
         let changed = round.changed.iter().filter_map(|step| self.waiting.rank_of(*step));
@@ -83,6 +81,25 @@
         due
     }
 
+    /// Returns the waiting steps of which a task fits on one of `workers`, except those of the kind
+    /// [`StepKind::Combined`](crate::waiting::StepKind). The others stay out of the round: in a full cell, hundreds of
+    /// steps wait for each worker.
+    fn steps_fitting(&self, workers: &BTreeSet<WorkerName>) -> Vec<Rank> {
+        let known = workers.iter().filter_map(|name| self.workers.get_key_value(name));
+        let free: Vec<(&WorkerName, Resources)> =
+            known.map(|(name, worker)| (name, worker.free_capacity())).collect();
+        let fits_anywhere = |rank: &Rank| {
+            let need = self.waiting.need_of(rank.step);
+            need.is_some_and(|need| free.iter().any(|(_, free)| need.fits(free)))
+        };
+        let mut fitting: Vec<Rank> = self.waiting.plain().filter(fits_anywhere).collect();
+        for (worker, free) in &free {
+            let allowed = self.allowed_steps.get(*worker).into_iter().flatten();
+            fitting.extend(allowed.filter_map(|step| self.waiting.rank_of_advised(*step, free)));
+        }
+        fitting
+    }
+
     /// Returns the first step in scheduling order that is due, or that comes after `last` and may request advice.
     fn next_step(&self, due: &BTreeMap<Rank, WorkerScope>, last: Option<Rank>) -> Option<Rank> {
         let first = due.first_key_value().map(|(rank, _)| *rank);
@@ -101,6 +118,13 @@
         subset: Option<&BTreeSet<WorkerName>>,
         now: Now,
     ) {
+        let may_be_placed = match subset {
+            Some(subset) => self.fits_on_any(name, subset),
+            None => self.fits_anywhere(name) || self.may_make_room(name),
+        };
+        if !may_be_placed {
+            return;
+        }
         let Some(entry) = self.jobs.get(&name.job) else { return };
         let mut waiting: Vec<TaskName> =
             entry.job.task_names(name).filter(|task| entry.needs_run(*task)).collect();
@@ -149,6 +173,32 @@
         }
     }
 
+    /// Returns whether a task of a waiting step fits on one of `workers`. Steps that were placed earlier in the round may
+    /// have taken the capacity.
+    fn fits_on_any(&self, step: StepName, workers: &BTreeSet<WorkerName>) -> bool {
+        let Some(need) = self.waiting.need_of(step) else { return false };
+        let mut free = workers.iter().filter_map(|name| self.workers.get(name));
+        free.any(|worker| need.fits(&worker.free_capacity()))
+    }
+
+    /// Returns whether a task of a waiting step fits on any worker of its service.
+    fn fits_anywhere(&self, step: StepName) -> bool {
+        let Some(entry) = self.jobs.get(&step.job) else { return false };
+        let Some(need) = self.waiting.need_of(step) else { return false };
+        self.capacity_index.fits_any(&entry.job.queue.service, &need)
+    }
+
+    /// Returns whether runs may be stopped in this round to free capacity for a step that fits nowhere.
+    fn may_make_room(&self, step: StepName) -> bool {
+        let Some(entry) = self.jobs.get(&step.job) else { return false };
+        let plan = entry.job.step_plan(step.step);
+        let may_preempt = !plan.lasting
+            && self.preemption_searches < MAX_PREEMPTION_SEARCHES
+            && self.options.uses(Mechanism::Preemption)
+            && self.may_preempt_any(step);
+        plan.target_ms > 0 || may_preempt
+    }
+
     /// Picks workers for waiting tasks of a step; the first worker is for the first task, and so on. Reorders `waiting`
     /// so that tasks suspected of crashing their workers come last.
     fn pick_hosts(
@@ -223,11 +273,9 @@
             need.fits(&self.free_capacity_for(&rank, worker))
                 && self.could_start(worker, name, plan, now)
         };
-        let is_unrestricted = subset.is_none() && entry.job.queue.advice.is_none();
-        let workers = if is_unrestricted {
-            self.workers_fitting(&entry.job.queue.service, &need)
-        } else {
-            self.allowed_workers(name, subset, now)
+        let workers = match subset {
+            Some(subset) => self.allowed_among(name, subset, now),
+            None => self.allowed_and_fitting(name, &need, now),
         };
         workers
             .into_iter()
@@ -245,26 +293,51 @@
             .collect()
     }
 
-    /// Returns the workers that advice permits for a step, limited to those in `subset` if it is `Some`. A step whose
-    /// queue needs no advice may use all workers.
-    pub(crate) fn allowed_workers(
+    /// Returns the workers that advice permits for a step, sorted by name. A step whose queue needs no advice may use all
+    /// workers.
+    pub(crate) fn allowed_workers(&self, name: StepName, now: Now) -> Vec<&Worker> {
+        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
+        if entry.job.queue.advice.is_none() {
+            return self.workers.values().collect();
+        }
+        let Some(advice) = self.advice.get(&name) else { return Vec::new() };
+        let ticketed = advice.workers_with_tickets(now.steady_ms);
+        ticketed.filter_map(|name| self.workers.get(name)).collect()
+    }
+
+    /// Returns those of `workers` that advice permits for a step, sorted by name.
+    fn allowed_among(
         &self,
         name: StepName,
-        subset: Option<&BTreeSet<WorkerName>>,
+        workers: &BTreeSet<WorkerName>,
         now: Now,
     ) -> Vec<&Worker> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
-        if entry.job.queue.advice.is_some() {
-            let Some(advice) = self.advice.get(&name) else { return Vec::new() };
-            let ticketed = advice.workers_with_tickets(now.steady_ms);
-            let in_subset =
-                ticketed.filter(|name| subset.is_none_or(|subset| subset.contains(*name)));
-            in_subset.filter_map(|name| self.workers.get(name)).collect()
-        } else if let Some(subset) = subset {
-            subset.iter().filter_map(|name| self.workers.get(name)).collect()
-        } else {
-            self.workers.values().collect()
+        let advice = self.advice.get(&name);
+        let is_allowed = |worker: &&WorkerName| {
+            entry.job.queue.advice.is_none()
+                || advice.is_some_and(|advice| advice.ticket(worker, now.steady_ms).is_some())
+        };
+        let allowed = workers.iter().filter(is_allowed);
+        allowed.filter_map(|name| self.workers.get(name)).collect()
+    }
+
+    /// Returns workers that advice permits for a step, sorted by name, which include all of them on which `need` fits.
+    ///
+    /// The fewer of the workers with tickets and of those with enough free capacity are gone through. In a full cell
+    /// each waiting step holds tickets for a hundred workers, and hardly any worker has free capacity.
+    fn allowed_and_fitting(&self, name: StepName, need: &Resources, now: Now) -> Vec<&Worker> {
+        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
+        let service = &entry.job.queue.service;
+        if entry.job.queue.advice.is_none() {
+            return self.workers_fitting(service, need);
         }
+        let Some(advice) = self.advice.get(&name) else { return Vec::new() };
+        let Some(few) = self.capacity_index.fitting(service, need, advice.ticket_count()) else {
+            return self.allowed_workers(name, now);
+        };
+        let has_ticket = |worker: &&WorkerName| advice.ticket(worker, now.steady_ms).is_some();
+        few.into_iter().filter(has_ticket).filter_map(|name| self.workers.get(name)).collect()
     }
 
     /// Returns whether a worker would accept a start of the step now, given enough free capacity.
--- a/lilacpass-lead/src/waiting.rs
+++ b/lilacpass-lead/src/waiting.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, ops::Bound};
 
-use lilacpass_core::hash_map::HashMap;
+use lilacpass_core::{Resources, hash_map::HashMap};
 use lilacpass_jobs::StepName;
 use lilacpass_schema::v1;
 
@@ -24,6 +24,8 @@
 struct WaitingStep {
     rank: Rank,
     kind: StepKind,
+    /// Resources that a task of the step needs.
+    need: Resources,
     /// Time since when no task of the step has been assigned, in ms on the monotonic clock.
     since_ms: u64,
 }
@@ -60,6 +62,7 @@
         &mut self,
         step: StepName,
         kind: StepKind,
+        need: Resources,
         now_ms: u64,
         rank: impl FnOnce() -> Rank,
     ) -> bool {
@@ -67,7 +70,7 @@
             return false;
         }
         let rank = rank();
-        self.steps.insert(step, WaitingStep { rank, kind, since_ms: now_ms });
+        self.steps.insert(step, WaitingStep { rank, kind, need, since_ms: now_ms });
         self.order.insert(rank);
         match kind {
             StepKind::Plain => self.plain.insert(rank),
@@ -96,10 +99,15 @@
         self.steps.get(&step).map(|entry| entry.rank)
     }
 
-    /// Returns the rank of a step if it is of the kind [`StepKind::Advised`].
-    pub fn rank_of_advised(&self, step: StepName) -> Option<Rank> {
+    /// Returns the rank of a step if it is of the kind [`StepKind::Advised`] and one of its tasks fits into `free`.
+    pub fn rank_of_advised(&self, step: StepName, free: &Resources) -> Option<Rank> {
         let entry = self.steps.get(&step)?;
-        (entry.kind == StepKind::Advised).then_some(entry.rank)
+        (entry.kind == StepKind::Advised && entry.need.fits(free)).then_some(entry.rank)
+    }
+
+    /// Returns the resources that a task of a step needs.
+    pub fn need_of(&self, step: StepName) -> Option<Resources> {
+        self.steps.get(&step).map(|entry| entry.need)
     }
 
     /// Returns all steps in scheduling order.
--- a/lilacpass-lead/tests/pressure.rs
+++ b/lilacpass-lead/tests/pressure.rs
@@ -1,5 +1,6 @@
 //! Tests when a leader counts as behind, how it scans the waiting steps then, and when it refuses new jobs.
 
+use lilacpass_core::Resources;
 use lilacpass_jobs::{JobKey, StepName};
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
@@ -91,13 +92,13 @@
 fn a_scan_reaches_each_waiting_step_although_others_arrive_before_it() {
     let mut waiting = WaitingSteps::default();
     for number in 1_000..1_100 {
-        waiting.add(rank(number).step, StepKind::Plain, 0, || rank(number));
+        waiting.add(rank(number).step, StepKind::Plain, Resources::ZERO, 0, || rank(number));
     }
     let mut scan = Scan::default();
     scan.start(None, at(0));
     let mut examined = Vec::new();
     for number in 0..30 {
-        waiting.add(rank(number).step, StepKind::Plain, 0, || rank(number));
+        waiting.add(rank(number).step, StepKind::Plain, Resources::ZERO, 0, || rank(number));
         examined.extend(scan.next(&waiting, 8, at(number)));
         if !scan.is_active() {
             break;
