Node: allocate with mimalloc

Cause: after the rounds, allocation is the largest single part of the leader's time, some 15 % of the samples, and more where the kernel's part of it is dear: the allocator of the C library gives memory back and takes it again all the time, and each append, message and answer is a few short-lived blocks.

Ruled out before: DECISIONS.md has mimalloc as tried and not taken, 13 % less processor for 35 MB more memory. Then the processor of the leader did not cost the users' floors; now it does.

--- a/lilacpass-node/src/main.rs
+++ b/lilacpass-node/src/main.rs
@@ -2,6 +2,11 @@
 
 use std::process::ExitCode;
 
+use mimalloc::MiMalloc;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
 fn main() -> ExitCode {
     lilacpass_node::run()
 }
