--- a/lilacpass-lead/tests/full_cell.rs
+++ b/lilacpass-lead/tests/full_cell.rs
@@ -3,6 +3,7 @@
 mod world;
 
 use lilacpass_core::Resources;
+use lilacpass_jobs::JobKey;
 use lilacpass_schema::v1;
 use world::{World, plan, queue, step};
 
@@ -13,17 +14,32 @@
 const SHORT_JOBS: u64 = 200;
 const MEASURED_MS: u64 = 2_000;
 
-/// Creates a cell of workers with eight cores. Seven are taken for long by work that can't be preempted, and
-/// [`WAITING`] steps wait for four.
-fn full_cell(policy: impl Fn(&str, u32) -> v1::QueuePolicy) -> World {
+/// Creates an idle cell of workers with eight cores.
+fn idle_cell() -> World {
     let mut world = World::new(7, WORKERS, Resources::new(8_000, 100_000, 0, 0));
     world.set_lanes(40);
     world.run(500);
+    world
+}
+
+/// Submits work that takes seven cores of each worker for long and can't be preempted.
+fn fill(world: &mut World) {
     world.submit(1, plan(&[step(WORKERS as u32, 7_000, 600_000)]), queue("long", 0));
-    world.run(1_000);
+}
+
+/// Submits [`WAITING`] jobs whose tasks need four cores.
+fn submit_wide_jobs(world: &mut World, policy: &v1::QueuePolicy) {
     for key in 0..WAITING {
-        world.submit(1_000 + key, plan(&[step(2, 4_000, 500)]), policy("wide", 0));
+        world.submit(1_000 + key, plan(&[step(2, 4_000, 500)]), policy.clone());
     }
+}
+
+/// Creates a cell in which only one core of each worker is free and [`WAITING`] steps wait for four.
+fn full_cell() -> World {
+    let mut world = idle_cell();
+    fill(&mut world);
+    world.run(1_000);
+    submit_wide_jobs(&mut world, &queue("wide", 0));
     world.run(3_000);
     world
 }
@@ -37,9 +53,7 @@
     }
     let examined = world.current_instance().leader.work().steps_examined - before;
     let ended = (0..SHORT_JOBS)
-        .filter(|key| {
-            world.store.job(lilacpass_jobs::JobKey(5_000 + key)).is_some_and(|job| job.ended_ms > 0)
-        })
+        .filter(|key| world.store.job(JobKey(5_000 + key)).is_some_and(|job| job.ended_ms > 0))
         .count();
     (ended as u64, examined)
 }
@@ -48,20 +62,25 @@
 /// the cell, the longer each short task waited for the leader.
 #[test]
 fn steps_that_fit_nowhere_are_not_examined_when_tasks_end() {
-    let mut world = full_cell(queue);
+    let mut world = full_cell();
     let (ended, examined) = run_short_tasks(&mut world);
     assert!(ended > SHORT_JOBS / 2, "{ended} short tasks ended");
     assert!(examined < 4 * SHORT_JOBS, "{examined} steps examined for {ended} tasks");
 }
 
-/// The same for steps that hold tickets for the workers on which the tasks end.
+/// The same for steps that hold tickets for the workers on which the tasks end, and for steps that look for workers to
+/// request advice about.
 #[test]
 fn advised_steps_that_fit_nowhere_are_not_examined_when_tasks_end() {
-    let advice = v1::AdvicePolicy { base_ms: 10.0, per_worker_ms: 0.1, valid_ms: 60_000 };
-    let mut world = full_cell(|name, priority| v1::QueuePolicy {
-        advice: Some(advice),
-        ..queue(name, priority)
-    });
+    let mut world = idle_cell();
+    let advice = v1::AdvicePolicy { base_ms: 100.0, per_worker_ms: 0.1, valid_ms: 60_000 };
+    let policy = v1::QueuePolicy { advice: Some(advice), ..queue("wide", 0) };
+    submit_wide_jobs(&mut world, &policy);
+    // The first calls for advice are made while the cell is idle, and answered once it is full.
+    world.run(30);
+    fill(&mut world);
+    world.run(3_000);
+    assert!(world.advice_calls.len() >= 40, "{} calls for advice", world.advice_calls.len());
     let (ended, examined) = run_short_tasks(&mut world);
     assert!(ended > SHORT_JOBS / 2, "{ended} short tasks ended");
     assert!(examined < 4 * SHORT_JOBS, "{examined} steps examined for {ended} tasks");
