--- a/lilacpass-lead/tests/full_cell.rs
+++ b/lilacpass-lead/tests/full_cell.rs
@@ -3,9 +3,9 @@
 mod world;
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::JobKey;
+use lilacpass_jobs::{JobKey, Outcome};
 use lilacpass_schema::v1;
-use world::{World, plan, queue, step};
+use world::{START_UNIX_MS, World, cost::Costs, plan, queue, step};
 
 const WORKERS: usize = 20;
 /// Number of steps that wait. Each of their tasks needs more than a worker ever has free.
@@ -85,3 +85,34 @@
     assert!(ended > SHORT_JOBS / 2, "{ended} short tasks ended");
     assert!(examined < 4 * SHORT_JOBS, "{examined} steps examined for {ended} tasks");
 }
+
+/// Operations take this long for a leader that is short of processor time.
+const COSTS: Costs = Costs { event_us: 200, poll_us: 1_000, step_us: 2_000, request_us: 50 };
+/// Time in ms within which urgent work starts, as the users ask for.
+const URGENT_START_MS: u64 = 2_200;
+
+/// Guards against a cell that never recovers from the loss of all instances: the steps that waited before it keep the
+/// new leader busy, and hardly any request that comes afterwards is served.
+#[test]
+fn urgent_work_starts_in_time_once_all_instances_were_lost_in_a_full_cell() {
+    let mut world = full_cell();
+    world.current_instance().alive = false;
+    world.run(2_000);
+    world.take_over();
+    world.costs = Some(COSTS);
+    world.run(1_000);
+    let mut submitted_ms = Vec::new();
+    for key in 0..SHORT_JOBS {
+        submitted_ms.push(world.now_ms);
+        world.submit(5_000 + key, plan(&[step(1, 1_000, 100)]), queue("short", 0));
+        world.run(20);
+    }
+    world.run(3 * URGENT_START_MS);
+    let late = (0..SHORT_JOBS).zip(submitted_ms).filter(|(key, submitted_ms)| {
+        let job = world.store.job(JobKey(5_000 + key));
+        let ended_ms = job.filter(|job| job.outcome == Outcome::Completed).map(|job| job.ended_ms);
+        ended_ms.is_none_or(|ms| ms - START_UNIX_MS - submitted_ms > URGENT_START_MS + 100)
+    });
+    let late = late.count();
+    assert_eq!(late, 0, "of {SHORT_JOBS} jobs ended late");
+}
