Full cells: one check of preemption, of room and of tickets each

Change: may_preempt_for, fits_anywhere and allowed_among serve all of them; the tests share a function and name the run time of a short task. Assertions and bounds are the same.

--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -71,9 +71,7 @@
             return;
         }
         let plan = entry.job.step_plan(name.step);
-        let may_preempt = !plan.lasting && self.may_preempt_any(name);
-        let service = &entry.job.queue.service;
-        if !may_preempt && !self.capacity_index.fits_any(service, &place::need(plan)) {
+        if !self.may_preempt_for(name, plan) && !self.fits_anywhere(name) {
             return self.delay_advice(name, now);
         }
         let plan = plan.clone();
--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -102,7 +102,7 @@
         };
         let fitting = self.rate_fitting(&search, demand, now);
         let task_capacity: u64 = fitting.iter().map(|rated| rated.task_capacity).sum();
-        if task_capacity >= demand.waiting_tasks || !self.may_preempt_any(name) || plan.lasting {
+        if task_capacity >= demand.waiting_tasks || !self.may_preempt_for(name, plan) {
             return to_candidates(&fitting);
         }
         search.with_preemption = true;
--- a/lilacpass-lead/src/preempt.rs
+++ b/lilacpass-lead/src/preempt.rs
@@ -35,11 +35,17 @@
 
 impl Leader {
     /// Returns whether any open job was less urgent than this step when the leader last compared the open jobs.
-    pub(crate) fn may_preempt_any(&self, name: StepName) -> bool {
+    fn may_preempt_any(&self, name: StepName) -> bool {
         let entry = self.jobs.get(&name.job);
         entry.is_some_and(|entry| entry.job.queue.priority < self.least_urgent_priority)
     }
 
+    /// Returns whether runs may be stopped to free capacity for a step: its tasks end by themselves, and some open job
+    /// was less urgent.
+    pub(crate) fn may_preempt_for(&self, name: StepName, plan: &v1::WorkStep) -> bool {
+        !plan.lasting && self.may_preempt_any(name)
+    }
+
     /// Returns the capacity of a worker that would be free for a step with this rank if all less urgent work that may
     /// be preempted were stopped.
     pub(crate) fn capacity_with_preemption(&self, rank: &Rank, worker: &Worker) -> Resources {
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -88,11 +88,11 @@
         let known = workers.iter().filter_map(|name| self.workers.get_key_value(name));
         let free: Vec<(&WorkerName, Resources)> =
             known.map(|(name, worker)| (name, worker.free_capacity())).collect();
-        let fits_anywhere = |rank: &Rank| {
+        let fits_on_any = |rank: &Rank| {
             let need = self.waiting.need_of(rank.step);
             need.is_some_and(|need| free.iter().any(|(_, free)| need.fits(free)))
         };
-        let mut fitting: Vec<Rank> = self.waiting.plain().filter(fits_anywhere).collect();
+        let mut fitting: Vec<Rank> = self.waiting.plain().filter(fits_on_any).collect();
         for (worker, free) in &free {
             let allowed = self.allowed_steps.get(*worker).into_iter().flatten();
             fitting.extend(allowed.filter_map(|step| self.waiting.rank_of_advised(*step, free)));
@@ -181,10 +181,10 @@
         free.any(|worker| need.fits(&worker.free_capacity()))
     }
 
-    /// Returns whether a task of a waiting step fits on any worker of its service.
-    fn fits_anywhere(&self, step: StepName) -> bool {
+    /// Returns whether a task of a step fits on any worker of its service.
+    pub(crate) fn fits_anywhere(&self, step: StepName) -> bool {
         let Some(entry) = self.jobs.get(&step.job) else { return false };
-        let Some(need) = self.waiting.need_of(step) else { return false };
+        let need = place::need(entry.job.step_plan(step.step));
         self.capacity_index.fits_any(&entry.job.queue.service, &need)
     }
 
@@ -192,10 +192,9 @@
     fn may_make_room(&self, step: StepName) -> bool {
         let Some(entry) = self.jobs.get(&step.job) else { return false };
         let plan = entry.job.step_plan(step.step);
-        let may_preempt = !plan.lasting
-            && self.preemption_searches < MAX_PREEMPTION_SEARCHES
+        let may_preempt = self.preemption_searches < MAX_PREEMPTION_SEARCHES
             && self.options.uses(Mechanism::Preemption)
-            && self.may_preempt_any(step);
+            && self.may_preempt_for(step, plan);
         plan.target_ms > 0 || may_preempt
     }
 
@@ -305,11 +304,11 @@
         ticketed.filter_map(|name| self.workers.get(name)).collect()
     }
 
-    /// Returns those of `workers` that advice permits for a step, sorted by name.
-    fn allowed_among(
+    /// Returns those of `workers` that advice permits for a step, in the same order.
+    fn allowed_among<'a>(
         &self,
         name: StepName,
-        workers: &BTreeSet<WorkerName>,
+        workers: impl IntoIterator<Item = &'a WorkerName>,
         now: Now,
     ) -> Vec<&Worker> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
@@ -318,7 +317,7 @@
             entry.job.queue.advice.is_none()
                 || advice.is_some_and(|advice| advice.ticket(worker, now.steady_ms).is_some())
         };
-        let allowed = workers.iter().filter(is_allowed);
+        let allowed = workers.into_iter().filter(is_allowed);
         allowed.filter_map(|name| self.workers.get(name)).collect()
     }
 
@@ -333,11 +332,10 @@
             return self.workers_fitting(service, need);
         }
         let Some(advice) = self.advice.get(&name) else { return Vec::new() };
-        let Some(few) = self.capacity_index.fitting(service, need, advice.ticket_count()) else {
-            return self.allowed_workers(name, now);
-        };
-        let has_ticket = |worker: &&WorkerName| advice.ticket(worker, now.steady_ms).is_some();
-        few.into_iter().filter(has_ticket).filter_map(|name| self.workers.get(name)).collect()
+        match self.capacity_index.fitting(service, need, advice.ticket_count()) {
+            Some(few) => self.allowed_among(name, few, now),
+            None => self.allowed_workers(name, now),
+        }
     }
 
     /// Returns whether a worker would accept a start of the step now, given enough free capacity.
--- a/lilacpass-lead/tests/full_cell.rs
+++ b/lilacpass-lead/tests/full_cell.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::{JobKey, Outcome};
+use lilacpass_jobs::{Job, JobKey, Outcome};
 use lilacpass_schema::v1;
 use world::{START_UNIX_MS, World, cost::Costs, plan, queue, step};
 
@@ -12,6 +12,8 @@
 const WAITING: u64 = 300;
 /// Number of short tasks that run beside the long ones, one after the other on each worker.
 const SHORT_JOBS: u64 = 200;
+/// Run time of a short task in ms.
+const SHORT_MS: u64 = 100;
 const MEASURED_MS: u64 = 2_000;
 
 /// Creates an idle cell of workers with eight cores.
@@ -44,16 +46,25 @@
     world
 }
 
+fn submit_short_job(world: &mut World, key: u64) {
+    world.submit(5_000 + key, plan(&[step(1, 1_000, SHORT_MS as u32)]), queue("short", 0));
+}
+
+/// The short job submitted with `key`, as stored.
+fn short_job(world: &World, key: u64) -> Option<Job> {
+    world.store.job(JobKey(5_000 + key))
+}
+
 /// Runs short tasks of one core, and returns how many ended and how many steps the leader examined meanwhile.
 fn run_short_tasks(world: &mut World) -> (u64, u64) {
     let before = world.current_instance().leader.work().steps_examined;
     for key in 0..SHORT_JOBS {
-        world.submit(5_000 + key, plan(&[step(1, 1_000, 100)]), queue("short", 0));
+        submit_short_job(world, key);
         world.run(MEASURED_MS / SHORT_JOBS);
     }
     let examined = world.current_instance().leader.work().steps_examined - before;
     let ended = (0..SHORT_JOBS)
-        .filter(|key| world.store.job(JobKey(5_000 + key)).is_some_and(|job| job.ended_ms > 0))
+        .filter(|key| short_job(world, *key).is_some_and(|job| job.ended_ms > 0))
         .count();
     (ended as u64, examined)
 }
@@ -104,14 +115,14 @@
     let mut submitted_ms = Vec::new();
     for key in 0..SHORT_JOBS {
         submitted_ms.push(world.now_ms);
-        world.submit(5_000 + key, plan(&[step(1, 1_000, 100)]), queue("short", 0));
+        submit_short_job(&mut world, key);
         world.run(20);
     }
     world.run(3 * URGENT_START_MS);
     let late = (0..SHORT_JOBS).zip(submitted_ms).filter(|(key, submitted_ms)| {
-        let job = world.store.job(JobKey(5_000 + key));
+        let job = short_job(&world, *key);
         let ended_ms = job.filter(|job| job.outcome == Outcome::Completed).map(|job| job.ended_ms);
-        ended_ms.is_none_or(|ms| ms - START_UNIX_MS - submitted_ms > URGENT_START_MS + 100)
+        ended_ms.is_none_or(|ms| ms - START_UNIX_MS - submitted_ms > URGENT_START_MS + SHORT_MS)
     });
     let late = late.count();
     assert_eq!(late, 0, "of {SHORT_JOBS} jobs ended late");
