New leaders: no suspect is blamed for a crash that another inherited run may explain

Cause: a leader that has just taken over knows of no inherited run when it started. A task that was suspected before was the only suspect then, and the crash counted as its third without another explanation; its neighbour, the culprit, was cleared. Ruled out: clearing all suspects after a take-over; a suspect that ran alone has no other explanation and still fails (second test).

--- a/lilacpass-lead/src/crash_suspicion.rs
+++ b/lilacpass-lead/src/crash_suspicion.rs
@@ -52,7 +52,7 @@
                 Circumstances::Explained if is_suspect && was_any_suspected_before => {
                     Suspicion::Present
                 }
-                Circumstances::Explained => Suspicion::Cleared,
+                Circumstances::Explained | Circumstances::UnknownStarts => Suspicion::Cleared,
                 Circumstances::Alone if is_only => Suspicion::Only,
                 Circumstances::Alone | Circumstances::Shared if is_suspect => Suspicion::Suspect,
                 Circumstances::Shared => Suspicion::Cleared,
@@ -100,6 +100,8 @@
             || is_time_unknown && concurrent.len() >= min_concurrent
         {
             Circumstances::Explained
+        } else if is_time_unknown && self.has_unknown_starts(worker) {
+            Circumstances::UnknownStarts
         } else if is_time_unknown {
             Circumstances::UnknownTime
         } else if is_shared {
@@ -109,6 +111,14 @@
         }
     }
 
+    /// Whether a worker had several start units under a former leader and has never responded to this one, so that it
+    /// is unknown which of them had been running for long.
+    fn has_unknown_starts(&self, worker: &Worker) -> bool {
+        let units: BTreeSet<StartUnit> =
+            worker.runs.keys().map(|(task, _)| self.start_unit(*task)).collect();
+        !worker.has_responded() && units.len() > 1
+    }
+
     /// Whether at least half of a worker's rack, and at least [`MIN_RACK_OUTAGES`] other workers in it, were lost at
     /// the same time.
     fn is_rack_lost(&self, worker: &Worker, concurrent: &[&Outage]) -> bool {
@@ -133,6 +143,10 @@
     Alone,
     /// Nothing points to a cause other than one of the worker's tasks, but the time of the loss is unknown.
     UnknownTime,
+    /// Nothing points to a cause other than one of the worker's tasks, but this leader knows of none when it started.
+    /// Each of them may explain the crash for the others. Without this, a healthy task that had been on two crashed
+    /// workers failed its job at the third, beside the task that crashed it.
+    UnknownStarts,
     /// Several other workers were lost at the same time, and it is unclear whether there is a common cause.
     Shared,
     /// There is a common cause: several other workers that had no suspect were lost at the same time, or the time of
--- a/lilacpass-lead/tests/crashing_tasks.rs
+++ b/lilacpass-lead/tests/crashing_tasks.rs
@@ -484,3 +484,50 @@
     }
     assert!(crashes(&mut fixture).contains(": 1 workers"), "{}", crashes(&mut fixture));
 }
+
+/// A leader that takes over a worker with the run of a suspect, which may have other runs, and then hears that the
+/// worker has crashed. Returns whether the job of the suspect has failed.
+fn fails_by_a_crash_after_a_take_over(has_neighbour: bool) -> bool {
+    let worker = WorkerName::new("w-1", Some(1));
+    let inherited = |key: u64, crashed: &[&str]| {
+        let record = v1::PlanRecord {
+            plan: Some(plan(&[step(1, 1_000, 60_000)])),
+            queue: Some(queue("quick", 0)),
+            accepted_ms: 1,
+            ..Default::default()
+        };
+        let mut job = Job::new(JobKey(key), record);
+        for name in crashed {
+            let name = WorkerName::from(*name);
+            let run = job.assign_run(task(key, 0), name.clone(), Arc::from("here"));
+            let reason = EndReason::Crashed(Suspicion::Present);
+            let end = RunEnd { run: run.expect("a run"), reason, checkpoint: String::new() };
+            job.end_run(task(key, 0), &name, &end, 1);
+        }
+        job.assign_run(task(key, 0), worker.clone(), Arc::from("here")).expect("a run");
+        job
+    };
+    let mut jobs = vec![inherited(1, &["w-8", "w-9"])];
+    jobs.extend(has_neighbour.then(|| inherited(2, &[])));
+    let mut fixture = LeaderFixture::with_jobs(jobs);
+    fixture.now_ms += 4_000;
+    let next = worker.with_start(Some(2));
+    fixture.handle(Event::WorkerRegistered(registration(next.clone())));
+    fixture.poll_answered(next, &[], &[]);
+    let now = fixture.now();
+    let explanation = fixture.leader.explain(JobKey(1), now).expect("the job is known");
+    explanation.outcome == Outcome::Failed.as_str()
+}
+
+/// Failure: a healthy job had run on two workers that crashed, and was running beside a crashing task when the leader
+/// was lost. The new leader did not know how long the two had been running, and failed the healthy job.
+#[test]
+fn a_new_leader_does_not_blame_a_suspect_for_a_crash_that_another_run_may_explain() {
+    assert!(!fails_by_a_crash_after_a_take_over(true));
+}
+
+/// The same crash without any other run on the worker has no other explanation.
+#[test]
+fn a_new_leader_blames_the_only_run_of_a_crashed_worker() {
+    assert!(fails_by_a_crash_after_a_take_over(false));
+}
