--- a/lilacpass-core/src/lib.rs
+++ b/lilacpass-core/src/lib.rs
@@ -1,4 +1,5 @@
-//! Types that several crates of lilacpass share: ids, sizes, rates, times, priority classes, verdicts and errors.
+//! Types that several crates of lilacpass share: ids, sizes, rates, times, digests of keys, priority
+//! classes, verdicts and errors.
 //!
 //! Nothing in this crate performs I/O, reads a clock or starts a thread.
 
@@ -7,6 +8,7 @@
 pub mod event_queue;
 pub mod hash_map;
 pub mod ids;
+pub mod key_digest;
 pub mod rendezvous;
 pub mod resources;
 pub mod size;
@@ -15,6 +17,7 @@
 
 pub use class::Class;
 pub use error::{Error, Result};
+pub use key_digest::KeyDigest;
 pub use resources::Resources;
 pub use time::MonoTime;
 pub use verdict::Verdict;
--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -67,6 +67,10 @@
     pub queue: v1::QueuePolicy,
     /// Time of acceptance, in milliseconds since 1970.
     pub accepted_ms: u64,
+    /// The account that submitted the job, as of its acceptance; `None` if its queue is public.
+    pub account: Option<v1::AccountPolicy>,
+    /// Whether the account had used up its share when the job was accepted.
+    pub is_beyond_share: bool,
     /// Whether the job is open, and how it ended if it is not.
     pub outcome: Outcome,
     /// The reason of the failure; `None` unless the job failed.
@@ -108,6 +112,8 @@
             plan,
             queue: record.queue.unwrap_or_default(),
             accepted_ms: record.accepted_ms,
+            account: record.account,
+            is_beyond_share: record.beyond_share,
             outcome: Outcome::Open,
             failure: None,
             ended_ms: 0,
--- a/lilacpass-jobs/src/record.rs
+++ b/lilacpass-jobs/src/record.rs
@@ -56,6 +56,8 @@
         plan: Some(job.plan.clone()),
         queue: Some(job.queue.clone()),
         accepted_ms: job.accepted_ms,
+        account: job.account.clone(),
+        beyond_share: job.is_beyond_share,
     }
     .encode_to_vec()
 }
--- a/lilacpass-jobs/tests/jobs.rs
+++ b/lilacpass-jobs/tests/jobs.rs
@@ -12,7 +12,12 @@
 fn new_job(steps: Vec<v1::WorkStep>) -> Job {
     let queue = v1::QueuePolicy { attempts: 2, ..Default::default() };
     let plan = v1::WorkPlan { steps, ..Default::default() };
-    let record = v1::PlanRecord { plan: Some(plan), queue: Some(queue), accepted_ms: 5 };
+    let record = v1::PlanRecord {
+        plan: Some(plan),
+        queue: Some(queue),
+        accepted_ms: 5,
+        ..Default::default()
+    };
     Job::new(JobKey(0xab), record)
 }
 
--- a/lilacpass-jobs/tests/records.rs
+++ b/lilacpass-jobs/tests/records.rs
@@ -38,7 +38,12 @@
         interval_ms: 7,
     };
     let queue = v1::QueuePolicy { name: "q".to_owned(), attempts: 3, ..Default::default() };
-    let record = v1::PlanRecord { plan: Some(plan), queue: Some(queue), accepted_ms: 3 };
+    let record = v1::PlanRecord {
+        plan: Some(plan),
+        queue: Some(queue),
+        accepted_ms: 3,
+        ..Default::default()
+    };
     let mut job = Job::new(KEY, record);
     let names: Vec<TaskName> =
         job.step_names().flat_map(|step| job.task_names(step).collect::<Vec<_>>()).collect();
--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -251,6 +251,7 @@
             job: arrival.key,
             plan: arrival.work_plan(class),
             queue: arrivals::queue_policy(class, self.scenario),
+            account: None,
         };
         self.leader
             .handle(Event::Request { request_id: RequestId(job as u64), request }, self.now());
--- a/lilacpass-lead/benches/cell/mod.rs
+++ b/lilacpass-lead/benches/cell/mod.rs
@@ -9,7 +9,7 @@
     Effect, Event, Leader, Now, Options,
     event::{
         Advice, Lane, PollResponse, Registration, ReportedEnd, ReportedRun, Request, RequestId,
-        WorkerTicket,
+        Requester, WorkerTicket,
     },
 };
 use lilacpass_schema::v1;
@@ -136,7 +136,8 @@
     /// Creates the submission of a new job with one step of `count` tasks.
     fn submission(&mut self, count: u32, queue: v1::QueuePolicy) -> Event {
         self.jobs += 1;
-        let request = Request::Submit { job: JobKey(self.jobs), plan: plan(count), queue };
+        let request =
+            Request::Submit { job: JobKey(self.jobs), plan: plan(count), queue, account: None };
         Event::Request { request_id: RequestId(self.jobs), request }
     }
 
@@ -280,7 +281,7 @@
                 self.submit(TASKS_PER_STEP, self.next_queue());
             }
             Case::NewJob => {
-                let request = Request::Cancel(JobKey(self.jobs));
+                let request = Request::Cancel(JobKey(self.jobs), Requester::default());
                 self.leader
                     .handle(Event::Request { request_id: RequestId(0), request }, self.now());
             }
--- a/lilacpass-lead/benches/flow.rs
+++ b/lilacpass-lead/benches/flow.rs
@@ -265,7 +265,7 @@
         let width = (if is_long { 16 } else { 5 }) + (number * 7 % 17) as u32;
         let steps = 1 + number as usize % 2;
         let plan = plan(steps, width, 9_000 + (number * 37 % 11) as u32 * 1_000, estimate_ms);
-        let request = Request::Submit { job, plan, queue };
+        let request = Request::Submit { job, plan, queue, account: None };
         self.deliver(Event::Request { request_id: RequestId(number), request });
     }
 }
--- a/lilacpass-lead/src/advance_reservations.rs
+++ b/lilacpass-lead/src/advance_reservations.rs
@@ -78,7 +78,7 @@
     /// Reserves the capacity that becomes free next for one task of a step, or for all tasks of a gang, unless too many
     /// other steps in the pool have an advance reservation.
     fn make_advance_reservation(&mut self, name: StepName, now: Now) {
-        if self.reservations.has(name) {
+        if self.reservations.has(name) || self.is_held_back_by_cap(name) {
             return;
         }
         let Some(entry) = self.jobs.get(&name.job) else { return };
--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -71,12 +71,13 @@
             return;
         }
         let plan = entry.job.step_plan(name.step);
-        if !self.may_preempt_for(name, plan) && !self.fits_anywhere(name) {
+        let fits_nowhere = !self.may_preempt_for(name, plan) && !self.fits_anywhere(name);
+        if fits_nowhere || self.is_held_back_by_cap(name) {
             return self.delay_advice(name, now);
         }
         let plan = plan.clone();
-        let waiting =
-            entry.job.task_names(name).filter(|task| entry.needs_run(*task)).count() as u64;
+        let waiting = entry.job.task_names(name).filter(|task| entry.needs_run(*task)).count();
+        let waiting = self.count_within_cap(name, waiting) as u64;
         if waiting == 0 {
             return;
         }
--- a/lilacpass-lead/src/event.rs
+++ b/lilacpass-lead/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use lilacpass_core::{Resources, Verdict};
+use lilacpass_core::{Resources, Verdict, ids::AccountId};
 use lilacpass_jobs::{JobKey, RunEnd, StepName, TaskName, WorkerName};
 use lilacpass_schema::v1;
 
@@ -19,6 +19,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct RequestId(pub u64);
 
+/// Who asks for a job: an account, or anyone on a public queue. A job is shown and cancelled only if it belongs to them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Requester(pub Option<AccountId>);
+
 /// A request from a client.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Request {
@@ -30,11 +34,13 @@
         plan: v1::WorkPlan,
         /// Policy of the queue that the job is submitted to.
         queue: v1::QueuePolicy,
+        /// The account that the job belongs to; `None` if its queue is public.
+        account: Option<v1::AccountPolicy>,
     },
     /// Query the state of a job.
-    State(JobKey),
+    State(JobKey, Requester),
     /// Cancel a job.
-    Cancel(JobKey),
+    Cancel(JobKey, Requester),
     /// Count the jobs of a queue of which no task has started.
     Pending {
         /// Name of the queue.
@@ -64,6 +70,8 @@
     Invalid(String),
     /// A different job with this key already exists.
     Conflict,
+    /// The key of the client is no longer in force. The request was not carried out and never will be.
+    Unauthorized,
     /// The outcome is unknown: the request may have been carried out.
     Uncertain,
 }
@@ -267,6 +275,8 @@
     RegistrationsRead,
     /// The current list of instances that can call the advice service.
     Lanes(Vec<Lane>),
+    /// The client accounts of the desired state, as of now.
+    Accounts(Vec<v1::AccountPolicy>),
     /// The periodic timer has fired.
     Tick,
 }
--- a/lilacpass-lead/src/incarnations.rs
+++ b/lilacpass-lead/src/incarnations.rs
@@ -229,6 +229,8 @@
         worker.assign(key, assigned.need, Phase::Ordered);
         worker.trial = worker.trial.or(is_trial.then_some(key));
         self.capacity_index.update(worker);
+        self.accounts.release(former, key);
+        self.charge_run(next, key);
         if let Some(entry) = self.jobs.get_mut(&key.0.step.job)
             && entry.job.reassign_run(key.0, key.1, former, next)
         {
--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::{
+    accounts::AccountUsage,
     event::Now,
     leader::{JobEntry, Leader},
     place,
@@ -26,6 +27,8 @@
     pub tasks_on_trial: u64,
     /// Number of runs on workers by phase.
     pub runs: BTreeMap<&'static str, u64>,
+    /// The state of each client account.
+    pub accounts: Vec<AccountStatus>,
     /// The state of each worker.
     pub workers: Vec<WorkerStatus>,
     /// Time in ms for which the store has not stored the current append, including repetitions after refusals.
@@ -34,6 +37,34 @@
     pub confirmed_ago_ms: u64,
 }
 
+/// The state of a client account.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct AccountStatus {
+    /// Name of the account.
+    pub name: String,
+    /// Whether the desired state lists it. The jobs of an account that was removed still run.
+    pub is_listed: bool,
+    /// Its share: the number of jobs per second that are scheduled before those beyond a share.
+    pub weight: f64,
+    /// What it has running, counting all that may run: CPU in thousandths of a core, memory in MB, accelerators.
+    pub used: [u64; 3],
+    /// Its cap on each of these; 0 for none.
+    pub cap: [u64; 3],
+}
+
+impl From<AccountUsage<'_>> for AccountStatus {
+    fn from(usage: AccountUsage<'_>) -> Self {
+        let AccountUsage { policy, is_listed, used } = usage;
+        Self {
+            name: policy.name.clone(),
+            is_listed,
+            weight: policy.weight,
+            used: [used.cpu.0, used.memory.0, used.accelerators.0],
+            cap: [policy.max_cpu_milli, policy.max_memory_mb, policy.max_accelerators],
+        }
+    }
+}
+
 /// The state of a worker.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct WorkerStatus {
@@ -60,6 +91,10 @@
     pub job: String,
     /// Name of the job's queue.
     pub queue: String,
+    /// The account that the job belongs to; empty if its queue is public.
+    pub account: String,
+    /// Whether the account had used up its share when the job was accepted.
+    pub beyond_share: bool,
     /// Outcome of the job, or that it is still open.
     pub outcome: &'static str,
     /// Why the job failed; empty if it did not.
@@ -97,6 +132,7 @@
             waiting_steps: self.waiting.len() as u64,
             store_stuck_ms: self.store_stuck_ms(now),
             confirmed_ago_ms: now.steady_ms.saturating_sub(self.leadership_confirmed_ms),
+            accounts: self.accounts.usages().map(AccountStatus::from).collect(),
             ..Status::default()
         };
         for entry in self.jobs.values().filter(|entry| entry.job.outcome == Outcome::Open) {
@@ -131,6 +167,8 @@
         Some(Explanation {
             job: key.to_string(),
             queue: job.queue.name.clone(),
+            account: job.account.as_ref().map_or_else(String::new, |account| account.name.clone()),
+            beyond_share: job.is_beyond_share,
             outcome: job.outcome.as_str(),
             failure: job.failure.map(|failure| failure.to_string()).unwrap_or_default(),
             begun: job.has_started,
@@ -178,6 +216,13 @@
         explanation
     }
 
+    /// Describes the cap that holds a step back; `None` if none does.
+    fn cap_reason(&self, entry: &JobEntry, name: StepName) -> Option<String> {
+        let account = entry.account.filter(|_| self.is_held_back_by_cap(name))?;
+        let usage = self.accounts.usage(account);
+        Some(format!("held back by the cap of its account ({})", describe_usage(&usage)))
+    }
+
     /// Describes what the waiting tasks of a step wait for.
     fn waits_for(&self, entry: &JobEntry, name: StepName, now: Now) -> String {
         if entry.job.outcome != Outcome::Open {
@@ -186,6 +231,9 @@
         if !entry.job.step_may_start(name, now.unix_ms) {
             return "earlier steps, or its time".to_owned();
         }
+        if let Some(reason) = self.cap_reason(entry, name) {
+            return reason;
+        }
         let plan = entry.job.step_plan(name.step);
         let need = place::need(plan);
         let eligible: Vec<_> = self
@@ -197,7 +245,8 @@
         let fitting = usable.clone().filter(|worker| need.fits(&worker.free_capacity())).count();
         let advice = self.advice.get(&name);
         let counts = format!(
-            "{} workers of its service, {} take starts, {fitting} have room",
+            "{}{} workers of its service, {} take starts, {fitting} have room",
+            if entry.job.is_beyond_share { "beyond its share, " } else { "" },
             eligible.len(),
             usable.count(),
         );
@@ -212,6 +261,22 @@
     }
 }
 
+/// Describes the cap and the use of an account.
+fn describe_usage(usage: &AccountUsage<'_>) -> String {
+    let AccountUsage { policy, used, .. } = usage;
+    let of = |used: u64, max: u64| match max {
+        0 => format!("{used} without a limit"),
+        max => format!("{used} of {max}"),
+    };
+    format!(
+        "account {}: CPU {}, memory {}, accelerators {}",
+        policy.name,
+        of(used.cpu.0, policy.max_cpu_milli),
+        of(used.memory.0, policy.max_memory_mb),
+        of(used.accelerators.0, policy.max_accelerators),
+    )
+}
+
 /// Returns the name of a phase as shown to operators.
 fn phase_name(phase: Phase) -> &'static str {
     match phase {
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -12,6 +12,7 @@
 use lilacpass_schema::v1;
 
 use crate::{
+    accounts::{AccountNumber, Accounts},
     advice::{Lanes, StepAdvice},
     advice_queue::AdviceQueue,
     capacity_index::CapacityIndex,
@@ -38,6 +39,8 @@
     pub job: Job,
     /// The payload of the job, shared by all starts of its tasks.
     pub payload: Arc<str>,
+    /// The account that the job belongs to; `None` if its queue is public.
+    pub account: Option<AccountNumber>,
     /// Whether the plan of the job is stored, so that its client may be told that it is accepted.
     pub is_plan_stored: bool,
     /// The outcome that clients see: the latest one that is stored.
@@ -57,10 +60,11 @@
 
 impl JobEntry {
     /// Creates the entry of a job.
-    pub fn new(job: Job, is_plan_stored: bool) -> Self {
+    pub fn new(job: Job, account: Option<AccountNumber>, is_plan_stored: bool) -> Self {
         Self {
             payload: Arc::from(job.plan.payload.as_str()),
             visible_outcome: job.outcome,
+            account,
             is_plan_stored,
             job,
             failed_on: BTreeMap::new(),
@@ -113,6 +117,7 @@
     /// Registered workers, and unregistered ones whose runs or crash are not settled yet.
     pub(crate) workers: BTreeMap<WorkerName, Worker>,
     pub(crate) capacity_index: CapacityIndex,
+    pub(crate) accounts: Accounts,
     pub(crate) outbox: Outbox,
     pub(crate) advice: HashMap<StepName, StepAdvice>,
     pub(crate) lanes: Lanes,
@@ -192,6 +197,7 @@
             jobs: HashMap::default(),
             workers: BTreeMap::new(),
             capacity_index: CapacityIndex::default(),
+            accounts: Accounts::default(),
             outbox: Outbox::default(),
             advice: HashMap::default(),
             lanes: Lanes::default(),
@@ -225,23 +231,39 @@
             last_tick_ms: now.steady_ms,
             last_stall_ms: None,
         };
+        leader.count_inherited_jobs(&jobs, now);
         for job in jobs {
             leader.inherit(job, now);
         }
         leader
     }
 
+    /// Counts the stored jobs against the shares of their accounts, in the order of their acceptance.
+    fn count_inherited_jobs(&mut self, jobs: &[Job], now: Now) {
+        let mut jobs: Vec<&Job> = jobs.iter().filter(|job| !job.is_beyond_share).collect();
+        jobs.sort_by_key(|job| job.accepted_ms);
+        for job in jobs {
+            let Some(policy) = &job.account else { continue };
+            let account = self.accounts.number_of(policy);
+            let age_ms = now.unix_ms.saturating_sub(job.accepted_ms);
+            self.accounts.count_job(account, now.steady_ms.saturating_sub(age_ms));
+        }
+    }
+
     /// Takes over a stored job. A run that the former leader assigned may be in any state between its start order and
     /// its end until its worker responds.
     fn inherit(&mut self, job: Job, now: Now) {
         let key = job.key;
-        for (task, run) in job.live_runs() {
+        let account = job.account.as_ref().map(|policy| self.accounts.number_of(policy));
+        let live_runs = job.live_runs();
+        for (task, run) in &live_runs {
+            let (task, run) = (*task, run);
             let need = place::need(job.step_plan(task.step.step));
             let leases_expire_by_ms = self.inherited_leases_expire_by_ms;
             let worker = self
                 .workers
                 .entry(run.worker.clone())
-                .or_insert_with(|| Worker::from_run_record(&run, leases_expire_by_ms));
+                .or_insert_with(|| Worker::from_run_record(run, leases_expire_by_ms));
             self.unpolled_workers.insert(run.worker.clone());
             worker.assign((task, run.number), need, Phase::Uncertain { since_ms: now.steady_ms });
             if job.is_suspected(task) {
@@ -252,7 +274,8 @@
         if job.outcome == Outcome::Open && job.has_crashes() {
             self.crash_affected_jobs.insert(key);
         }
-        self.jobs.insert(key, JobEntry::new(job, true));
+        self.jobs.insert(key, JobEntry::new(job, account, true));
+        live_runs.iter().for_each(|(task, run)| self.charge_run(&run.worker, (*task, run.number)));
         self.reindex(key, now);
         let has_ended = self.jobs.get(&key).is_some_and(|entry| entry.job.outcome != Outcome::Open);
         if has_ended {
@@ -290,6 +313,7 @@
             Event::WorkerUnregistered(name) => self.on_worker_unregistered(&name),
             Event::RegistrationsRead => self.give_up_missing_workers(now),
             Event::Lanes(lanes) => self.lanes.set(lanes),
+            Event::Accounts(policies) => self.on_accounts(&policies),
             Event::Tick => self.on_tick(now),
         }
     }
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -11,6 +11,8 @@
 //! [`Leader::handle`] takes an [`event::Event`] and the current time. [`Leader::finish`] then makes the decisions that
 //! follow and returns the [`event::Effect`]s to carry out.
 
+mod account_caps;
+pub mod accounts;
 pub mod advance_reservations;
 pub mod advice;
 pub mod advice_queue;
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -32,12 +32,14 @@
             .map(str::to_owned);
         let lease_ms = self.options.lease_ms;
         let may_extend = self.may_extend_leases(now);
+        let is_over_cap = self.is_over_cap(task.step);
         let Some(worker) = self.workers.get_mut(name) else { return };
         let may_start = may_extend && worker.accepted_epoch && !worker.draining;
         let fits_capacity = worker.used.fits(&worker.registration.capacity);
-        if !may_start || !fits_capacity || needs_ticket && ticket.is_none() {
+        if !may_start || !fits_capacity || is_over_cap || needs_ticket && ticket.is_none() {
             log::info!(
-                task:% = task, run, worker:% = name, startable = may_start, has_room = fits_capacity;
+                task:% = task, run, worker:% = name, startable = may_start, has_room = fits_capacity,
+                is_over_cap;
                 "start not sent"
             );
             return self.end_never_started(name, key, now);
--- a/lilacpass-lead/src/pending_changes.rs
+++ b/lilacpass-lead/src/pending_changes.rs
@@ -43,6 +43,11 @@
         self.changed.insert(step);
     }
 
+    /// Makes the next round a full one.
+    pub fn request_full_round(&mut self) {
+        self.next_full_round_ms = 0;
+    }
+
     /// Returns the number of changed steps that no round has considered since.
     pub fn changed_step_count(&self) -> usize {
         self.changed.len()
--- a/lilacpass-lead/src/place.rs
+++ b/lilacpass-lead/src/place.rs
@@ -11,6 +11,13 @@
     Resources::new(cpu_milli, u64::from(step.memory_mb), u64::from(step.accelerators), 0)
 }
 
+/// Returns what a task of a step counts against the cap of its account. Unlike on a worker, the CPU of a filling task
+/// counts.
+pub fn charge(step: &v1::WorkStep) -> Resources {
+    let (cpu_milli, memory_mb) = (u64::from(step.cpu_milli), u64::from(step.memory_mb));
+    Resources::new(cpu_milli, memory_mb, u64::from(step.accelerators), 0)
+}
+
 /// Returns whether the registration of a worker allows it to run tasks of this step.
 pub fn is_eligible(worker: &Worker, service: &str, step: &v1::WorkStep) -> bool {
     let label = &step.required_label;
--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -261,6 +261,7 @@
         log::warn!(task:% = key.0, run = key.1, worker:% = name; "stopping an orphaned run");
         worker.assign(key, need, Phase::Running { since_ms: now.steady_ms });
         self.capacity_index.update(worker);
+        self.charge_run(name, key);
         self.stop_run(name, key, now);
     }
 
@@ -315,10 +316,12 @@
     /// Removes a worker and what is kept about it.
     pub(crate) fn forget_worker(&mut self, name: &WorkerName, now: Now) {
         self.incarnations.record_removal(name, now);
-        if let Some(worker) = self.workers.remove(name)
-            && self.latest_by_address.get(&worker.registration.address) == Some(name)
-        {
-            self.latest_by_address.remove(&worker.registration.address);
+        if let Some(worker) = self.workers.remove(name) {
+            worker.runs.keys().for_each(|key| self.accounts.release(name, *key));
+            let address = &worker.registration.address;
+            if self.latest_by_address.get(address) == Some(name) {
+                self.latest_by_address.remove(address);
+            }
         }
         self.capacity_index.remove(name);
     }
--- a/lilacpass-lead/src/rank.rs
+++ b/lilacpass-lead/src/rank.rs
@@ -5,6 +5,8 @@
 /// Position of a step in scheduling order. The smallest rank comes first; the fields are compared in order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rank {
+    /// Whether the account of the job had used up its share when the job was accepted. Such work uses what is left.
+    pub is_beyond_share: bool,
     /// Priority of the step's queue. A smaller number is more urgent.
     pub priority: u32,
     /// Time from which the job counts as late, in ms since the Unix epoch.
@@ -14,9 +16,9 @@
 }
 
 impl Rank {
-    /// Returns a rank before all steps of the same priority.
+    /// Returns a rank before all steps of the same priority, including those within the shares of their accounts.
     pub fn first_of_priority(self) -> Self {
-        Self { late_from_ms: 0, ..self }
+        Self { is_beyond_share: false, late_from_ms: 0, ..self }
     }
 }
 
@@ -26,7 +28,8 @@
     let start_ms = job.accepted_ms.max(job.due_ms(step.occurrence));
     let stretched_ms = job.queue.stretch.max(1.0) * critical_path_ms(job) as f64;
     let late_from_ms = start_ms + u64::from(job.queue.objective_ms) + stretched_ms as u64;
-    Rank { priority: job.queue.priority, late_from_ms, step }
+    let priority = job.queue.priority;
+    Rank { is_beyond_share: job.is_beyond_share, priority, late_from_ms, step }
 }
 
 /// Returns the estimated duration of the longest chain of dependent steps in ms.
--- a/lilacpass-lead/src/requests.rs
+++ b/lilacpass-lead/src/requests.rs
@@ -1,10 +1,11 @@
 //! Handles client requests.
 
+use lilacpass_core::ids::AccountId;
 use lilacpass_jobs::{Job, JobKey, Outcome, plan};
 use lilacpass_schema::v1;
 
 use crate::{
-    event::{Effect, JobState, Now, Request, RequestId, Response},
+    event::{Effect, JobState, Now, Request, RequestId, Requester, Response},
     leader::{JobEntry, Leader},
     outbox::OnStored,
     place,
@@ -22,28 +23,49 @@
     outage_ms.clamp(min_ms, max_ms) as u32
 }
 
+impl Requester {
+    /// Returns whether a job belongs to the requester.
+    fn owns(&self, job: &Job) -> bool {
+        let owner = job.account.as_ref().map(|policy| policy.name.as_str());
+        owner == self.0.as_ref().map(AccountId::as_str)
+    }
+}
+
+/// A job as a client submits it.
+struct Submission {
+    plan: v1::WorkPlan,
+    queue: v1::QueuePolicy,
+    /// The account of the client; `None` if the queue is public.
+    account: Option<v1::AccountPolicy>,
+}
+
+impl Submission {
+    /// Returns who the job is to belong to.
+    fn requester(&self) -> Requester {
+        Requester(self.account.as_ref().map(|policy| AccountId::new(&policy.name)))
+    }
+}
+
 impl Leader {
     /// Handles a client request.
     pub(crate) fn on_request(&mut self, request_id: RequestId, request: Request, now: Now) {
         match request {
-            Request::Submit { job, plan, queue } => self.submit(request_id, job, plan, queue, now),
-            Request::State(job) => self.respond_with_state(request_id, job, now),
-            Request::Cancel(job) => self.cancel(request_id, job, now),
+            Request::Submit { job, plan, queue, account } => {
+                self.submit(request_id, job, Submission { plan, queue, account }, now);
+            }
+            Request::State(job, requester) => {
+                self.respond_with_state(request_id, job, &requester, now);
+            }
+            Request::Cancel(job, requester) => self.cancel(request_id, job, &requester, now),
             Request::Pending { queue } => self.respond_with_pending(request_id, &queue, now),
         }
     }
 
     /// Accepts a new job, or refuses it. Submitting the same job again is not an error.
-    fn submit(
-        &mut self,
-        request_id: RequestId,
-        key: JobKey,
-        plan: v1::WorkPlan,
-        queue: v1::QueuePolicy,
-        now: Now,
-    ) {
+    fn submit(&mut self, request_id: RequestId, key: JobKey, submission: Submission, now: Now) {
         if let Some(entry) = self.jobs.get(&key) {
-            let is_same = entry.job.plan == plan;
+            let is_same =
+                entry.job.plan == submission.plan && submission.requester().owns(&entry.job);
             if !is_same {
                 return self.reply(request_id, Response::Conflict);
             }
@@ -52,10 +74,7 @@
             }
             return self.outbox.when_stored(OnStored::Accept(request_id, key));
         }
-        if let Err(err) = plan::check(&plan) {
-            return self.reply(request_id, Response::Invalid(err.to_string()));
-        }
-        if let Some(reason) = self.find_impossible_step(&plan, &queue) {
+        if let Some(reason) = self.find_invalid(&submission) {
             return self.reply(request_id, Response::Invalid(reason));
         }
         if self.is_store_stuck(now) {
@@ -64,15 +83,42 @@
         if let Some(retry_after_ms) = self.pressure_retry_ms(now) {
             return self.refuse_while_behind(request_id, key, retry_after_ms);
         }
+        self.accept(request_id, key, submission, now);
+    }
+
+    /// Returns why a job can't be carried out; `None` if it can.
+    fn find_invalid(&mut self, submission: &Submission) -> Option<String> {
+        let Submission { plan, queue, account } = submission;
+        if let Err(err) = plan::check(plan) {
+            return Some(err.to_string());
+        }
+        let beyond_cap =
+            account.as_ref().and_then(|policy| self.find_step_beyond_cap(plan, policy));
+        beyond_cap.or_else(|| self.find_impossible_step(plan, queue))
+    }
+
+    /// Adds a new job, whose client receives a response once it is stored.
+    fn accept(&mut self, request_id: RequestId, key: JobKey, submission: Submission, now: Now) {
+        let policy = submission.account;
+        let account = policy.as_ref().map(|policy| self.accounts.number_of(policy));
+        let is_within_share =
+            account.is_none_or(|account| self.accounts.count_job(account, now.steady_ms));
+        let record = v1::PlanRecord {
+            plan: Some(submission.plan),
+            queue: Some(submission.queue),
+            accepted_ms: now.unix_ms,
+            account: policy,
+            beyond_share: !is_within_share,
+        };
+        let job = Job::new(key, record);
+        let account_name = account.map_or("", |account| self.accounts.name(account).as_str());
         log::info!(
-            job:% = key, queue = queue.name.as_str(), steps = plan.steps.len(),
-            waiting = self.waiting.len();
+            job:% = key, queue = job.queue.name.as_str(), steps = job.plan.steps.len(),
+            waiting = self.waiting.len(), account = account_name,
+            beyond_share = job.is_beyond_share;
             "job accepted"
         );
-        let record =
-            v1::PlanRecord { plan: Some(plan), queue: Some(queue), accepted_ms: now.unix_ms };
-        let job = Job::new(key, record);
-        self.jobs.insert(key, JobEntry::new(job, false));
+        self.jobs.insert(key, JobEntry::new(job, account, false));
         self.outbox.pending.plans.insert(key);
         self.outbox.when_stored(OnStored::Accept(request_id, key));
         self.reindex(key, now);
@@ -161,8 +207,14 @@
     }
 
     /// Responds with the state of a job.
-    fn respond_with_state(&mut self, request_id: RequestId, key: JobKey, now: Now) {
-        let Some(entry) = self.jobs.get(&key) else {
+    fn respond_with_state(
+        &mut self,
+        request_id: RequestId,
+        key: JobKey,
+        requester: &Requester,
+        now: Now,
+    ) {
+        let Some(entry) = self.jobs.get(&key).filter(|entry| requester.owns(&entry.job)) else {
             return self.respond_unknown_job(request_id, now);
         };
         let state = match entry.visible_outcome {
@@ -192,8 +244,8 @@
     }
 
     /// Cancels a job, and responds once that is stored.
-    fn cancel(&mut self, request_id: RequestId, key: JobKey, now: Now) {
-        let Some(entry) = self.jobs.get_mut(&key) else {
+    fn cancel(&mut self, request_id: RequestId, key: JobKey, requester: &Requester, now: Now) {
+        let Some(entry) = self.jobs.get_mut(&key).filter(|entry| requester.owns(&entry.job)) else {
             return self.respond_unknown_job(request_id, now);
         };
         let changed = entry.job.cancel(now.unix_ms);
--- a/lilacpass-lead/src/run_ends.rs
+++ b/lilacpass-lead/src/run_ends.rs
@@ -16,6 +16,7 @@
         let (task, run) = key;
         if let Some(worker) = self.workers.get_mut(worker_name) {
             worker.remove_run(key);
+            self.accounts.release(worker_name, key);
             self.capacity_index.update(worker);
             self.pending_changes.mark_worker_freed(worker_name);
         }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -118,6 +118,9 @@
         subset: Option<&BTreeSet<WorkerName>>,
         now: Now,
     ) {
+        if self.is_held_back_by_cap(name) {
+            return;
+        }
         let may_be_placed = match subset {
             Some(subset) => self.fits_on_any(name, subset),
             None => self.fits_anywhere(name) || self.may_make_room(name),
@@ -128,6 +131,7 @@
         let Some(entry) = self.jobs.get(&name.job) else { return };
         let mut waiting: Vec<TaskName> =
             entry.job.task_names(name).filter(|task| entry.needs_run(*task)).collect();
+        waiting.truncate(self.count_within_cap(name, waiting.len()));
         if waiting.is_empty() {
             return;
         }
@@ -456,6 +460,7 @@
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.assign((task, run), need, Phase::Recording);
             self.capacity_index.update(worker);
+            self.charge_run(&name, (task, run));
         }
         log::info!(task:% = task, run, worker:% = name, need:% = need; "task placed");
         self.outbox.pending.states.insert(task.step.job);
--- a/lilacpass-lead/tests/advice_queue.rs
+++ b/lilacpass-lead/tests/advice_queue.rs
@@ -5,7 +5,7 @@
 
 fn rank(job: u64, late_from_ms: u64) -> Rank {
     let step = StepName { job: JobKey(job), occurrence: 0, step: 0 };
-    Rank { priority: 1, late_from_ms, step }
+    Rank { is_beyond_share: false, priority: 1, late_from_ms, step }
 }
 
 /// Returns, in order, the jobs of the queued steps that may request advice now. `may_call` receives the name of a job
--- a/lilacpass-lead/tests/crashing_tasks.rs
+++ b/lilacpass-lead/tests/crashing_tasks.rs
@@ -453,6 +453,7 @@
         plan: Some(plan(&[v1::WorkStep { gang: true, ..step(2, 1_000, 60_000) }])),
         queue: Some(queue("quick", 0)),
         accepted_ms: 1,
+        ..Default::default()
     };
     let mut job = Job::new(gang.job, record);
     let assign = |job: &mut Job, workers: [&str; 2]| {
--- a/lilacpass-lead/tests/fuzz.rs
+++ b/lilacpass-lead/tests/fuzz.rs
@@ -7,7 +7,7 @@
     size::{Accelerators, Mebibytes, Millicores, Slots},
 };
 use lilacpass_jobs::{JobKey, StepName};
-use lilacpass_lead::event::Request;
+use lilacpass_lead::event::{Request, Requester};
 use lilacpass_schema::v1;
 use world::{World, plan, queue, step};
 
@@ -50,7 +50,7 @@
             }
             4 => {
                 if let Some((key, _)) = jobs.get(usize::from(target) % jobs.len().max(1)) {
-                    world.request(Request::Cancel(JobKey(*key)));
+                    world.request(Request::Cancel(JobKey(*key), Requester::default()));
                 }
             }
             5 => {
@@ -109,7 +109,7 @@
         world.request(Request::Pending { queue: queue.to_owned() });
     }
     for key in 1..=jobs {
-        world.request(Request::State(JobKey(key)));
+        world.request(Request::State(JobKey(key), Requester::default()));
     }
 }
 
--- a/lilacpass-lead/tests/incarnations.rs
+++ b/lilacpass-lead/tests/incarnations.rs
@@ -6,7 +6,7 @@
 use lilacpass_lead::{
     Effect, Event,
     event::{
-        Advice, CallError, Lane, PollResponse, Refusal, ReportedEnd, Request, RequestId,
+        Advice, CallError, Lane, PollResponse, Refusal, ReportedEnd, Request, RequestId, Requester,
         WorkerTicket,
     },
     incarnations::Incarnations,
@@ -156,8 +156,10 @@
 #[test]
 fn a_run_that_was_stopped_in_the_former_incarnation_is_stopped_in_the_next_one() {
     let mut fixture = with_a_start();
-    fixture
-        .handle(Event::Request { request_id: RequestId(9), request: Request::Cancel(JobKey(1)) });
+    fixture.handle(Event::Request {
+        request_id: RequestId(9),
+        request: Request::Cancel(JobKey(1), Requester::default()),
+    });
     answered_by(&mut fixture, &incarnation(1), 2);
     let effects = fixture.poll_answered(incarnation(2), &[(first_task(1), 1)], &[]);
     let stops_it = |effect: &Effect| matches!(effect, Effect::Stop { worker, fence_step: 1, run: 1, .. } if *worker == incarnation(2));
@@ -260,7 +262,12 @@
     fixture.handle(Event::Lanes(vec![Lane("a".to_owned())]));
     let advice = v1::AdvicePolicy { base_ms: 20.0, per_worker_ms: 1.0, valid_ms: 2_500 };
     let queue = v1::QueuePolicy { advice: Some(advice), ..queue("advised", 0) };
-    let request = Request::Submit { job: JobKey(1), plan: plan(&[step(1, 5_000, 9_000)]), queue };
+    let request = Request::Submit {
+        job: JobKey(1),
+        plan: plan(&[step(1, 5_000, 9_000)]),
+        queue,
+        account: None,
+    };
     fixture.handle(Event::Request { request_id: RequestId(1), request });
     let received = |worker: WorkerName| Event::AdviceReceived {
         lane: Lane("a".to_owned()),
@@ -291,6 +298,7 @@
         plan: Some(plan(&[step(1, 5_000, 1_000)])),
         queue: Some(queue("quick", 0)),
         accepted_ms: 1,
+        ..Default::default()
     };
     let mut job = Job::new(JobKey(1), record);
     job.assign_run(first_task(1), worker, "here".into());
--- a/lilacpass-lead/tests/leader_regressions.rs
+++ b/lilacpass-lead/tests/leader_regressions.rs
@@ -8,7 +8,7 @@
     Effect, Event, Leader, Now, Options,
     event::{
         CallError, PollResponse, Record, Refusal, Registration, ReportedEnd, Request, RequestId,
-        Response,
+        Requester, Response,
     },
 };
 use lilacpass_schema::v1;
@@ -152,7 +152,7 @@
             }
             fixture.handle(Event::Request {
                 request_id: RequestId(50),
-                request: Request::Cancel(JobKey(1)),
+                request: Request::Cancel(JobKey(1), Requester::default()),
             });
             fixture.poll_answered(WORKER, &[], &ends);
         }
@@ -177,8 +177,10 @@
     let effects = fixture.poll_answered(worker.id(), &[], &[ReportedEnd { number: 1, task, end }]);
     let stopped = effects.iter().any(|effect| matches!(effect, Effect::Stop { run: 2, .. }));
     assert!(stopped, "the second run is stopped");
-    let effects = fixture
-        .handle(Event::Request { request_id: RequestId(9), request: Request::State(JobKey(1)) });
+    let effects = fixture.handle(Event::Request {
+        request_id: RequestId(9),
+        request: Request::State(JobKey(1), Requester::default()),
+    });
     let completed = Response::State(lilacpass_lead::event::JobState::Completed);
     assert!(replies(&effects).contains(&completed), "the first run counts");
 }
@@ -188,8 +190,12 @@
 fn a_job_is_stored_before_its_client_is_told() {
     let mut leader = Leader::new(Options::default(), Vec::new(), Now::default());
     let now = Now { steady_ms: 10, unix_ms: 10 };
-    let request =
-        Request::Submit { job: JobKey(1), plan: plan(&[step(1, 1, 1)]), queue: queue("q", 0) };
+    let request = Request::Submit {
+        job: JobKey(1),
+        plan: plan(&[step(1, 1, 1)]),
+        queue: queue("q", 0),
+        account: None,
+    };
     leader.handle(Event::Request { request_id: RequestId(1), request }, now);
     let effects = leader.finish(now);
     let is_reply = |effect: &Effect| matches!(effect, Effect::Reply { .. });
@@ -213,14 +219,18 @@
 fn a_leader_without_recent_confirmation_does_not_report_a_job_as_unknown() {
     let mut fixture = LeaderFixture::new(&[WORKER]);
     fixture.now_ms += 5_000;
-    let effects = fixture
-        .handle(Event::Request { request_id: RequestId(1), request: Request::State(JobKey(77)) });
+    let effects = fixture.handle(Event::Request {
+        request_id: RequestId(1),
+        request: Request::State(JobKey(77), Requester::default()),
+    });
     let unknown = |response: &Response| matches!(response, Response::UnknownJob);
     assert!(!replies(&effects).iter().any(unknown));
     let sent_ms = fixture.now_ms;
     fixture.handle(Event::LeadershipConfirmed { sent_ms });
-    let effects = fixture
-        .handle(Event::Request { request_id: RequestId(2), request: Request::State(JobKey(77)) });
+    let effects = fixture.handle(Event::Request {
+        request_id: RequestId(2),
+        request: Request::State(JobKey(77), Requester::default()),
+    });
     assert!(replies(&effects).iter().any(unknown));
 }
 
--- a/lilacpass-lead/tests/overload.rs
+++ b/lilacpass-lead/tests/overload.rs
@@ -6,7 +6,7 @@
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::{JobKey, Outcome};
-use lilacpass_lead::event::{Request, RequestId, Response};
+use lilacpass_lead::event::{Request, RequestId, Requester, Response};
 use world::{World, cost::Costs, plan, queue, step};
 
 /// With these costs, the leader spends about 10 ms on each job of these tests: it examines one step and processes two
@@ -234,8 +234,8 @@
     world.submit(100_000, plan(&[long]), queue("long", 1));
     world.run(1_000);
     submit_traffic(&mut world, SCHEDULABLE_JOBS_PER_SECOND * 20);
-    let state = world.request(Request::State(JobKey(100_000)));
-    let cancel = world.request(Request::Cancel(JobKey(100_000)));
+    let state = world.request(Request::State(JobKey(100_000), Requester::default()));
+    let cancel = world.request(Request::Cancel(JobKey(100_000), Requester::default()));
     let repeated = world.submit(100_000, plan(&[step(1, 1_000, 60_000)]), queue("long", 1));
     world.run(MAX_REFUSAL_MS);
     assert!(
--- a/lilacpass-lead/tests/pressure.rs
+++ b/lilacpass-lead/tests/pressure.rs
@@ -84,7 +84,7 @@
 
 fn rank(number: u64) -> Rank {
     let step = StepName { job: JobKey(number), occurrence: 0, step: 0 };
-    Rank { priority: 1, late_from_ms: 1_000 + number, step }
+    Rank { is_beyond_share: false, priority: 1, late_from_ms: 1_000 + number, step }
 }
 
 /// Failure: a step waited forever because more urgent steps arrived all the time and a round examines only a few.
@@ -117,7 +117,7 @@
         v1::QueuePolicy { name: "q".to_owned(), service: "pool".to_owned(), ..Default::default() };
     Event::Request {
         request_id: RequestId(key),
-        request: Request::Submit { job: JobKey(key), plan, queue },
+        request: Request::Submit { job: JobKey(key), plan, queue, account: None },
     }
 }
 
--- a/lilacpass-lead/tests/same_decisions.rs
+++ b/lilacpass-lead/tests/same_decisions.rs
@@ -5,7 +5,7 @@
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::JobKey;
-use lilacpass_lead::event::Request;
+use lilacpass_lead::event::{Request, Requester};
 use lilacpass_schema::v1;
 use world::{Random, World, plan, queue, step};
 
@@ -33,7 +33,7 @@
         let worker = random.below(WORKERS as u64) as usize;
         match random.below(60) {
             0 => {
-                world.request(Request::Cancel(JobKey(random.below(key) + 1)));
+                world.request(Request::Cancel(JobKey(random.below(key) + 1), Requester::default()));
             }
             1 => world.workers[worker].unreachable = !world.workers[worker].unreachable,
             2 => world.store.down = !world.store.down,
--- a/lilacpass-lead/tests/waiting_jobs.rs
+++ b/lilacpass-lead/tests/waiting_jobs.rs
@@ -5,7 +5,7 @@
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::JobKey;
-use lilacpass_lead::event::{JobState, Request, Response};
+use lilacpass_lead::event::{JobState, Request, Requester, Response};
 use world::{World, plan, queue, step};
 
 const QUEUE: &str = "checks";
@@ -30,7 +30,7 @@
 }
 
 fn state(world: &mut World, key: u64) -> Response {
-    request(world, Request::State(JobKey(key)))
+    request(world, Request::State(JobKey(key), Requester::default()))
 }
 
 fn set_unreachable(world: &mut World, unreachable: bool) {
--- a/lilacpass-lead/tests/world/fixture.rs
+++ b/lilacpass-lead/tests/world/fixture.rs
@@ -87,8 +87,12 @@
     }
 
     pub fn submit(&mut self, key: u64, steps: &[v1::WorkStep]) -> Vec<Effect> {
-        let request =
-            Request::Submit { job: JobKey(key), plan: plan(steps), queue: queue("quick", 0) };
+        let request = Request::Submit {
+            job: JobKey(key),
+            plan: plan(steps),
+            queue: queue("quick", 0),
+            account: None,
+        };
         self.handle(Event::Request { request_id: RequestId(key), request })
     }
 }
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -253,7 +253,7 @@
     }
 
     pub fn submit(&mut self, key: u64, plan: v1::WorkPlan, queue: v1::QueuePolicy) -> RequestId {
-        self.request(Request::Submit { job: JobKey(key), plan, queue })
+        self.request(Request::Submit { job: JobKey(key), plan, queue, account: None })
     }
 
     pub fn response(&self, request_id: RequestId) -> Option<&Response> {
--- a/lilacpass-lead/tests/world/requests.rs
+++ b/lilacpass-lead/tests/world/requests.rs
@@ -23,7 +23,7 @@
 impl Requests {
     /// Records a request that is sent to the leader.
     pub fn record(&mut self, request_id: RequestId, request: &Request) {
-        if let Request::Cancel(job) = request {
+        if let Request::Cancel(job, _) = request {
             self.cancelled.insert(*job);
         }
         if let Request::Pending { queue } = request {
@@ -40,7 +40,7 @@
             (Request::Submit { job, queue, .. }, Response::Done) => {
                 self.accepted.insert(*job, queue.name.clone());
             }
-            (Request::State(job), Response::State(JobState::Running)) => {
+            (Request::State(job, _), Response::State(JobState::Running)) => {
                 assert!(
                     self.started.contains(job),
                     "{job} is reported as running, but no worker has started it"
--- a/lilacpass-node/src/desired_relay.rs
+++ b/lilacpass-node/src/desired_relay.rs
@@ -5,14 +5,17 @@
 
 use std::{cell::Cell, cmp, rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use lilacpass_core::size::{self, BytesPerSecond};
-use lilacpass_platform::{desired, error::Result};
+use lilacpass_platform::{
+    desired,
+    error::{self, Result},
+};
 use lilacpass_schema::v1;
+use prost::Message;
 use rand::{RngExt, seq::IteratorRandom};
 use tokio::time;
 
-use crate::{clock, metrics, node::Node, peers};
+use crate::{clock, desired_message, metrics, node::Node, peers};
 
 /// How long an instance waits for the store to deliver a newer version before it requests it from another instance, in
 /// addition to the transfer time. The store pushes a change to all watchers at once; the platform allows 2 s for it to
@@ -28,6 +31,8 @@
 /// Pause after each call, unless the peer asks for a longer one. Jitter is applied to it, so that the instances of a
 /// data centre that is cut off do not send their requests at the same time.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
+/// Pause that an instance of an earlier version is asked for, in milliseconds. It learns of changes from the store.
+const EARLIER_VERSION_PAUSE_MS: u32 = 5_000;
 /// Share of the instance's own link that responses may use; the rest is left to heartbeats and client requests.
 const LINK_SHARE: f64 = 0.5;
 
@@ -65,17 +70,21 @@
 pub fn serve(node: &Node, request: &v1::PeerConfig) -> v1::PeerConfigReply {
     let newer = node.published().filter(|p| p.desired.version > request.known_version);
     let Some(published) = newer else { return v1::PeerConfigReply::default() };
+    if !request.reads_state {
+        return ask_to_retry(EARLIER_VERSION_PAUSE_MS);
+    }
     let now_ms = clock::now().steady_ms;
-    let bytes = size::Bytes(published.bytes.len() as u64);
+    let bytes = size::Bytes(published.message.len() as u64);
     match node.desired_pacing.reserve(bytes, node.settings.link, now_ms) {
-        Some(retry_after_ms) => v1::PeerConfigReply {
-            config: Vec::new(),
-            retry_after_ms: u32::try_from(retry_after_ms).unwrap_or(u32::MAX),
-        },
-        None => v1::PeerConfigReply { config: published.bytes.to_vec(), retry_after_ms: 0 },
+        Some(retry_after_ms) => ask_to_retry(u32::try_from(retry_after_ms).unwrap_or(u32::MAX)),
+        None => v1::PeerConfigReply { state: published.message.to_vec(), ..Default::default() },
     }
 }
 
+fn ask_to_retry(retry_after_ms: u32) -> v1::PeerConfigReply {
+    v1::PeerConfigReply { retry_after_ms, ..Default::default() }
+}
+
 /// Requests the desired state from other instances whenever a newer version has been known for longer than
 /// [`store_wait`].
 pub async fn run(node: Rc<Node>) {
@@ -88,7 +97,7 @@
             continue;
         };
         let since_ms = *behind_since_ms.get_or_insert(now_ms);
-        let bytes = node.published().map_or(0, |published| published.bytes.len());
+        let bytes = node.published().map_or(0, |published| published.message.len());
         let store_wait = store_wait(size::Bytes(bytes as u64), node.settings.link);
         if now_ms < since_ms + store_wait.as_millis() as u64 {
             continue;
@@ -123,18 +132,27 @@
 async fn request(node: &Node, address: &str, source: &DesiredSource) -> Result<Duration> {
     let known_version = node.desired_version();
     let reply = peers::fetch_desired(node, address, known_version, RESPONSE_TIMEOUT).await?;
-    if !reply.config.is_empty() {
-        let state = desired::decode(&reply.config).inspect_err(|_| {
+    if !reply.config.is_empty() || !reply.state.is_empty() {
+        let state = decode(&reply).inspect_err(|_| {
             // Requesting an unreadable version repeatedly would fill the links of both instances.
             if address == source.address {
                 node.unreadable_desired_version.set(source.version);
             }
         })?;
-        node.publish(state, Bytes::from(reply.config), "instance");
+        node.publish(state, "instance");
     }
     Ok(cmp::max(RETRY_PAUSE, Duration::from_millis(u64::from(reply.retry_after_ms))))
 }
 
+/// Decodes the desired state in a response.
+fn decode(reply: &v1::PeerConfigReply) -> Result<desired::Desired> {
+    if reply.state.is_empty() {
+        return desired::decode(&reply.config);
+    }
+    let state = v1::DesiredState::decode(reply.state.as_slice());
+    state.map(desired_message::decode).map_err(|err| error::decode("desired state", err))
+}
+
 /// The reported source or any other instance, with equal probability. All instances of a data centre that is cut off
 /// from the store send requests at the same time, and those that have the state by then share the load.
 fn choose_peer(node: &Node, source: &DesiredSource) -> String {
--- a/lilacpass-node/src/desired_watch.rs
+++ b/lilacpass-node/src/desired_watch.rs
@@ -2,7 +2,6 @@
 
 use std::{rc::Rc, time::Duration};
 
-use bytes::Bytes;
 use lilacpass_platform::{
     desired,
     error::Result,
@@ -67,9 +66,11 @@
 
 /// Adopts the newest desired state. Returns the position from which to continue.
 async fn read_newest(node: &Node, partition: &Partition) -> Result<u64> {
+    let sent_ms = clock::now().steady_ms;
     let page = node.store.newest(partition, None, RESPONSE_TIMEOUT).await?;
     node.record_store_response();
     page.records.iter().for_each(|stored| apply(node, stored));
+    node.record_desired_current(sent_ms);
     Ok(page.end)
 }
 
@@ -80,11 +81,15 @@
 /// written during an outage in order would keep an instance with a thin link behind for long afterwards, and if they
 /// are written faster than the link can carry them, it would never catch up.
 async fn read_changes(node: &Node, partition: &Partition, from: u64) -> Result<Option<u64>> {
+    let sent_ms = clock::now().steady_ms;
     match node.store.read(partition, from, POLL_WAIT, RESPONSE_TIMEOUT).await? {
         ReadOutcome::Records { records, end } => {
             node.record_store_response();
             records.iter().for_each(|stored| apply(node, stored));
             let next = records.last().map_or(from, |stored| stored.offset + 1);
+            if next >= end {
+                node.record_desired_current(sent_ms);
+            }
             Ok(Some(next).filter(|next| end.saturating_sub(*next) < SKIP_TO_NEWEST_LAG))
         }
         ReadOutcome::Gone => Ok(None),
@@ -97,7 +102,7 @@
         return;
     }
     match desired::decode(&stored.record.value) {
-        Ok(state) => node.publish(state, Bytes::from(stored.record.value.clone()), "store"),
+        Ok(state) => node.publish(state, "store"),
         Err(err) => {
             log::warn!(offset = stored.offset, error:% = err; "ignoring a desired state that cannot be decoded");
         }
--- a/lilacpass-node/src/frontend.rs
+++ b/lilacpass-node/src/frontend.rs
@@ -10,11 +10,13 @@
 };
 use lilacpass_platform::{
     callers::{self, Operation},
+    desired::Desired,
     server::{ReceivedRequest, Reply},
 };
 use tokio::time::{self, Instant};
 
 use crate::{
+    access::{self, Access},
     clock,
     node::Node,
     peers::{self, Forwarded},
@@ -109,15 +111,39 @@
         let reply = Reply::error(StatusCode::SERVICE_UNAVAILABLE, "no desired state is known yet");
         return Reply { retry_after_s, ..reply };
     };
-    let request = match callers::decode(&published.desired, received) {
-        Ok(request) => request,
-        Err(reply) => return reply,
-    };
+    match admit(node, &published.desired, received) {
+        Ok((access, request)) => execute(node, received, access, request).await,
+        Err(reply) => reply,
+    }
+}
+
+/// Finds the account of a request and decodes it. The error is the response to a request that can't be served.
+fn admit<'a>(
+    node: &Node,
+    desired: &'a Desired,
+    received: &ReceivedRequest,
+) -> Result<(Access, callers::Request<'a>), Reply> {
+    let queue = callers::find_queue(desired, received)?;
+    let access = access::authorize(node, desired, queue, received)?;
+    let request = callers::decode_for(queue, received)?;
+    Ok((access, request))
+}
+
+/// Has the leader execute a request.
+async fn execute(
+    node: &Node,
+    received: &ReceivedRequest,
+    access: Access,
+    request: callers::Request<'_>,
+) -> Reply {
     let queue = &request.queue.policy;
     let leader_request = match request.operation {
-        Operation::Submit(job, plan) => Request::Submit { job, plan, queue: queue.clone() },
-        Operation::State(job) => Request::State(job),
-        Operation::Cancel(job) => Request::Cancel(job),
+        Operation::Submit(job, plan) => {
+            let account = access.account.clone();
+            Request::Submit { job, plan, queue: queue.clone(), account }
+        }
+        Operation::State(job) => Request::State(job, access.requester()),
+        Operation::Cancel(job) => Request::Cancel(job, access.requester()),
         Operation::Pending => Request::Pending { queue: queue.name.clone() },
     };
     let timeout_ms = match request.queue.timeout_ms {
@@ -125,7 +151,7 @@
         timeout_ms => request.deadline_ms.min(timeout_ms),
     };
     let timeout = Duration::from_millis(timeout_ms).saturating_sub(RESPONSE_MARGIN);
-    let response = request_from_leader(node, leader_request, timeout).await;
+    let response = request_from_leader(node, leader_request, &access, timeout).await;
     match &response {
         Response::Refused { reason, .. } => {
             log::info!(method:% = received.method, path = received.path.as_str(), reason; "request refused");
@@ -140,7 +166,12 @@
 
 /// Sends a request to the leader, and to its successor if there is one, until there is a response or time is up. All
 /// client requests are idempotent, so they may be sent twice.
-async fn request_from_leader(node: &Node, request: Request, timeout: Duration) -> Response {
+async fn request_from_leader(
+    node: &Node,
+    request: Request,
+    access: &Access,
+    timeout: Duration,
+) -> Response {
     let start = Instant::now();
     let end = start + timeout;
     let refuse_at = start + MAX_LEADER_WAIT.min(timeout);
@@ -164,7 +195,7 @@
                 (None, Some(address))
                     if leader_unresponsive_ms(node) < MAX_FORWARD_UNRESPONSIVE_MS =>
                 {
-                    peers::forward(node, &address, &request, end - now).await
+                    peers::forward(node, &address, &request, access, end - now).await
                 }
                 (None, _) => Forwarded::NotLeading,
             }
@@ -199,7 +230,7 @@
 /// Turns a refusal into an uncertain outcome if an earlier attempt may have been executed.
 fn account_for_earlier_attempts(response: Response, may_have_run: bool) -> Response {
     match response {
-        Response::Refused { .. } if may_have_run => Response::Uncertain,
+        Response::Refused { .. } | Response::Unauthorized if may_have_run => Response::Uncertain,
         response => response,
     }
 }
--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -45,7 +45,8 @@
     let (end, ended) = watch::channel(false);
     let options = options(node);
     let now = clock::now();
-    let leader = Leader::new(options, leadership.jobs, now);
+    let mut leader = Leader::new(options, leadership.jobs, now);
+    let accounts_version = tell_accounts(node, &mut leader, 0, now);
     *node.leader_handle.borrow_mut() = Some(LeaderHandle::new(messages.clone(), ended));
     let address = node.peer_address();
     node.leader.send_replace(LeaderView { epoch: leadership.epoch, address: Some(address) });
@@ -58,6 +59,7 @@
         node: node.clone(),
         epoch: leadership.epoch,
         leader,
+        accounts_version,
         messages,
         queue: IntakeQueue::default(),
         responders: HashMap::new(),
@@ -113,11 +115,23 @@
     }
 }
 
+/// Tells the leader the accounts of the desired state if it is newer than `known_version`. Returns the version that the
+/// leader knows.
+fn tell_accounts(node: &Node, leader: &mut Leader, known_version: u64, now: Now) -> u64 {
+    let newer = node.published().filter(|published| published.desired.version > known_version);
+    let Some(published) = newer else { return known_version };
+    let policies = published.desired.accounts.as_ref().map(|accounts| accounts.policies().to_vec());
+    leader.handle(Event::Accounts(policies.unwrap_or_default()), now);
+    published.desired.version
+}
+
 /// Event loop around the leader's state machine.
 struct LeaderLoop {
     node: Rc<Node>,
     epoch: u64,
     leader: Leader,
+    /// Version of the desired state whose accounts the leader knows; 0 before the first.
+    accounts_version: u64,
     messages: mpsc::UnboundedSender<Message>,
     queue: IntakeQueue<Message>,
     /// Channels for the responses to clients whose requests are in progress.
@@ -232,6 +246,8 @@
             self.leader.handle(Event::Lanes(lanes), now);
             self.review_relays(now.steady_ms);
         }
+        self.accounts_version =
+            tell_accounts(&self.node, &mut self.leader, self.accounts_version, now);
         self.leader.handle(Event::Tick, now);
         let pressure = self.leader.pressure();
         let behind = Duration::from_millis(pressure.behind_ms());
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -4,9 +4,11 @@
 //! All work runs on a single thread, except that another one writes the log. Instances have a fraction of one CPU core,
 //! and passing work between threads would cost additional wake-ups.
 
+pub mod access;
 pub mod append;
 pub mod budget;
 pub mod clock;
+pub mod desired_message;
 pub mod desired_relay;
 pub mod desired_watch;
 pub mod election;
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -33,6 +33,7 @@
     // Keeps the exporter alive.
     _provider: SdkMeterProvider,
     requests: Counter<u64>,
+    keys_refused: Counter<u64>,
     request_seconds: Histogram<f64>,
     orders: Counter<u64>,
     order_seconds: Histogram<f64>,
@@ -79,6 +80,7 @@
         };
         Self {
             requests: meter.u64_counter("lilacpass_requests").build(),
+            keys_refused: meter.u64_counter("lilacpass_keys_refused").build(),
             request_seconds: seconds("lilacpass_request_seconds"),
             orders: meter.u64_counter("lilacpass_orders").build(),
             order_seconds: seconds("lilacpass_order_seconds"),
@@ -108,6 +110,11 @@
         self.request_seconds.record(took.as_secs_f64(), &[]);
     }
 
+    /// Records a request that was refused by its key. `is_judged` is false if the key may be in force.
+    pub fn key_refused(&self, is_judged: bool) {
+        self.keys_refused.add(1, &[KeyValue::new("judged", is_judged)]);
+    }
+
     /// Records an order to a worker that has completed or failed.
     pub fn order(&self, order: &'static str, outcome: &'static str, took: Duration) {
         let order = KeyValue::new("order", order);
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -17,11 +17,12 @@
     store::Store,
     workers::Workers,
 };
+use prost::Message;
 use tokio::sync::watch;
 
 use crate::{
     budget::RetryBudget,
-    clock,
+    clock, desired_message,
     desired_relay::{DesiredSource, Pacing},
     frontend,
     leader_handle::LeaderHandle,
@@ -46,8 +47,8 @@
 pub struct Published {
     /// The decoded desired state.
     pub desired: Desired,
-    /// Its encoding in the store, which is passed on to peers that cannot reach the store.
-    pub bytes: Bytes,
+    /// The encoded message in which it is passed on to peers that cannot reach the store.
+    pub message: Bytes,
 }
 
 /// State that is shared by all parts of an instance.
@@ -64,6 +65,8 @@
     pub order_budget: RetryBudget,
     /// The newest desired state that this instance has.
     pub desired: RefCell<Option<Rc<Published>>>,
+    /// When the desired state was last known to be the newest one, on the steady clock; 0 before that.
+    pub desired_current_ms: Cell<u64>,
     /// The newest version of the desired state that another instance has reported.
     pub desired_source: RefCell<Option<DesiredSource>>,
     /// Highest version that was fetched from another instance and could not be decoded here; 0 if there is none.
@@ -129,6 +132,7 @@
             client,
             settings,
             desired: RefCell::new(None),
+            desired_current_ms: Cell::new(0),
             desired_source: RefCell::new(None),
             unreadable_desired_version: Cell::new(0),
             desired_pacing: Pacing::default(),
@@ -218,16 +222,24 @@
     }
 
     /// Adopts a desired state, unless a version at least as new is known.
-    pub fn publish(&self, desired: Desired, bytes: Bytes, source: &str) {
+    pub fn publish(&self, desired: Desired, source: &str) {
         if desired.version <= self.desired_version() {
             return;
         }
         log::info!(
-            version = desired.version, queues = desired.queues.len(), bytes = bytes.len(), source;
+            version = desired.version, queues = desired.queues.len(),
+            accounts = desired.accounts.as_ref().map_or(0, |accounts| accounts.policies().len()),
+            source;
             "desired state adopted"
         );
         self.metrics.desired_version(desired.version);
-        *self.desired.borrow_mut() = Some(Rc::new(Published { desired, bytes }));
+        let message = Bytes::from(desired_message::encode(&desired).encode_to_vec());
+        *self.desired.borrow_mut() = Some(Rc::new(Published { desired, message }));
+    }
+
+    /// Records that the desired state was the newest one at `now_ms` on the steady clock.
+    pub fn record_desired_current(&self, now_ms: u64) {
+        self.desired_current_ms.set(self.desired_current_ms.get().max(now_ms));
     }
 
     /// Records that another instance has a version of the desired state. Versions that are not newer than this
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use lilacpass_core::{Verdict, size};
+use lilacpass_core::{KeyDigest, Verdict, size};
 use lilacpass_jobs::{JobKey, StepName, WorkerName};
 use lilacpass_lead::event::{Advice, JobState, Request, Response, WorkerTicket};
 use lilacpass_platform::{
@@ -20,7 +20,12 @@
 use tokio::time;
 
 use crate::{
-    clock, desired_relay, election, members::Peer, metrics, node::Node, operator_api, relay_server,
+    access::{self, Access},
+    clock, desired_relay, election,
+    members::Peer,
+    metrics,
+    node::Node,
+    operator_api, relay_server,
 };
 
 const HELLO_PATH: &str = "/peer/hello";
@@ -188,7 +193,7 @@
     known_version: u64,
     timeout: Duration,
 ) -> Result<v1::PeerConfigReply> {
-    let request = v1::PeerConfig { known_version };
+    let request = v1::PeerConfig { known_version, reads_state: true };
     let call = build_call(address, CONFIG_PATH, &request, timeout);
     read_response(&node.client.fetch(&call, timeout).await?)
 }
@@ -199,6 +204,7 @@
     address: &str,
     timeout: Duration,
 ) -> Result<v1::PeerHelloReply> {
+    let sent_ms = clock::now().steady_ms;
     let message = v1::PeerHello {
         instance: node.settings.instance.clone(),
         address: node.peer_address(),
@@ -211,6 +217,9 @@
     };
     let reply: v1::PeerHelloReply = post(node, address, HELLO_PATH, &message, timeout).await?;
     node.record_desired_source(reply.config_version, address);
+    if reply.leads && reply.store_reachable && reply.config_version == node.desired_version() {
+        node.record_desired_current(sent_ms);
+    }
     Ok(reply)
 }
 
@@ -275,9 +284,10 @@
     node: &Node,
     address: &str,
     request: &Request,
+    access: &Access,
     timeout: Duration,
 ) -> Forwarded {
-    let message = encode_request(request);
+    let message = encode_request(request, access);
     match post::<v1::PeerWorkReply>(node, address, WORK_PATH, &message, timeout).await {
         Ok(reply) => decode_response(request, reply),
         Err(err) => Forwarded::Failed(err.verdict()),
@@ -287,7 +297,12 @@
 /// Executes a request that a peer has forwarded to this instance as the leader.
 async fn handle_work(node: &Node, work: v1::PeerWork) -> v1::PeerWorkReply {
     let not_leading = || reply(v1::WorkOutcome::WorkNotLeading);
-    let Some(request) = decode_request(work) else {
+    let submitted_to = work.queue.as_ref().filter(|_| work.plan.is_some());
+    let queue_name = submitted_to.map(|queue| queue.name.as_str());
+    let Some(access) = access::review(node, decode_access(&work), queue_name) else {
+        return reply(v1::WorkOutcome::WorkUnauthorized);
+    };
+    let Some(request) = decode_request(work, access) else {
         let detail = "the request is incomplete".to_owned();
         return v1::PeerWorkReply { detail, ..reply(v1::WorkOutcome::WorkInvalid) };
     };
@@ -298,20 +313,34 @@
     }
 }
 
-fn encode_request(request: &Request) -> v1::PeerWork {
-    let mut work = v1::PeerWork::default();
+/// The access that a forwarded request had at its sender.
+fn decode_access(work: &v1::PeerWork) -> Access {
+    Access {
+        account: work.account.clone(),
+        key: KeyDigest::from_bytes(&work.key_digest),
+        desired_version: work.desired_version,
+    }
+}
+
+fn encode_request(request: &Request, access: &Access) -> v1::PeerWork {
+    let mut work = v1::PeerWork {
+        account: access.account.clone(),
+        key_digest: access.key.map(|key| key.as_bytes().to_vec()).unwrap_or_default(),
+        desired_version: access.desired_version,
+        ..Default::default()
+    };
     match request {
-        Request::Submit { job, plan, queue } => {
+        Request::Submit { job, plan, queue, .. } => {
             work.set_op(v1::WorkOp::WorkSubmit);
             work.job = job.0;
             work.plan = Some(plan.clone());
             work.queue = Some(queue.clone());
         }
-        Request::State(job) => {
+        Request::State(job, _) => {
             work.set_op(v1::WorkOp::WorkState);
             work.job = job.0;
         }
-        Request::Cancel(job) => {
+        Request::Cancel(job, _) => {
             work.set_op(v1::WorkOp::WorkCancel);
             work.job = job.0;
         }
@@ -323,12 +352,14 @@
     work
 }
 
-fn decode_request(work: v1::PeerWork) -> Option<Request> {
+fn decode_request(work: v1::PeerWork, access: Access) -> Option<Request> {
     let job = JobKey(work.job);
     Some(match work.op() {
-        v1::WorkOp::WorkSubmit => Request::Submit { job, plan: work.plan?, queue: work.queue? },
-        v1::WorkOp::WorkState => Request::State(job),
-        v1::WorkOp::WorkCancel => Request::Cancel(job),
+        v1::WorkOp::WorkSubmit => {
+            Request::Submit { job, plan: work.plan?, queue: work.queue?, account: access.account }
+        }
+        v1::WorkOp::WorkState => Request::State(job, access.requester()),
+        v1::WorkOp::WorkCancel => Request::Cancel(job, access.requester()),
         v1::WorkOp::WorkPending => Request::Pending { queue: work.queue?.name },
     })
 }
@@ -368,6 +399,7 @@
             v1::PeerWorkReply { detail: reason.clone(), ..reply(v1::WorkOutcome::WorkInvalid) }
         }
         Response::Conflict => reply(v1::WorkOutcome::WorkConflict),
+        Response::Unauthorized => reply(v1::WorkOutcome::WorkUnauthorized),
         Response::Uncertain => reply(v1::WorkOutcome::WorkUncertain),
     }
 }
@@ -376,8 +408,8 @@
     let response = match reply.outcome() {
         v1::WorkOutcome::WorkNotLeading => return Forwarded::NotLeading,
         v1::WorkOutcome::WorkOk => match request {
-            Request::Submit { .. } | Request::Cancel(_) => Response::Done,
-            Request::State(_) => match STATES.get(reply.pending as usize) {
+            Request::Submit { .. } | Request::Cancel(..) => Response::Done,
+            Request::State(..) => match STATES.get(reply.pending as usize) {
                 Some(&state) => Response::State(state),
                 None => return Forwarded::Failed(Verdict::MayHaveRun),
             },
@@ -390,6 +422,7 @@
         },
         v1::WorkOutcome::WorkInvalid => Response::Invalid(reply.detail),
         v1::WorkOutcome::WorkConflict => Response::Conflict,
+        v1::WorkOutcome::WorkUnauthorized => Response::Unauthorized,
         v1::WorkOutcome::WorkUncertain => return Forwarded::Failed(Verdict::MayHaveRun),
     };
     Forwarded::Completed(response)
--- a/lilacpass-node/tests/desired_relay.rs
+++ b/lilacpass-node/tests/desired_relay.rs
@@ -61,7 +61,7 @@
     let address = listener.local_addr().expect("an address").to_string();
     let handler = move |_request| {
         requests.set(requests.get() + 1);
-        let reply = v1::PeerConfigReply { config: b"unreadable".to_vec(), retry_after_ms: 0 };
+        let reply = v1::PeerConfigReply { state: b"unreadable".to_vec(), ..Default::default() };
         async move { Reply::body(StatusCode::OK, reply.encode_to_vec().into()) }
     };
     task::spawn_local(server::serve(listener, Limits::default, handler));
