Caps and shares of accounts: tests with an oracle of what workers run, and a fuzz

The oracle sums up what live workers run for an account and compares it with the highest cap that may apply, at each start. Found by it: an order that got no response was carried out after the cap had been lowered. Change: unanswered runs of an account beyond its cap are stopped (account_caps.rs).

--- a/lilacpass-lead/src/account_caps.rs
+++ b/lilacpass-lead/src/account_caps.rs
@@ -4,7 +4,12 @@
 use lilacpass_jobs::{StepName, TaskName, WorkerName};
 use lilacpass_schema::v1;
 
-use crate::{leader::Leader, place, worker::RunKey};
+use crate::{
+    event::Now,
+    leader::Leader,
+    place,
+    worker::{Phase, RunKey},
+};
 
 impl Leader {
     /// Adopts the accounts of a desired state.
@@ -55,6 +60,31 @@
         Some(format!("step {number}: the cap of its account is too small for {what}"))
     }
 
+    /// Stops the runs of accounts beyond their caps whose start orders got no response. Such an order may be carried out
+    /// seconds after the cap was lowered, unless a stop arrives before it.
+    pub(crate) fn stop_unanswered_beyond_caps(&mut self, now: Now) {
+        if !self.accounts.any_over_cap() {
+            return;
+        }
+        let mut unanswered = Vec::new();
+        // A worker that has not responded to this leader may run all that it inherited.
+        for (name, worker) in self.workers.iter().filter(|(_, worker)| worker.accepted_epoch) {
+            let uncertain = worker
+                .runs
+                .iter()
+                .filter(|(_, assigned)| matches!(assigned.phase, Phase::Uncertain { .. }));
+            unanswered.extend(uncertain.map(|(key, _)| (name.clone(), *key)));
+        }
+        unanswered.retain(|(_, (task, _))| self.is_over_cap(task.step));
+        for (worker, key) in unanswered {
+            log::info!(
+                task:% = key.0, run = key.1, worker:% = worker;
+                "unanswered run of an account beyond its cap is stopped"
+            );
+            self.stop_run(&worker, key, now);
+        }
+    }
+
     /// Returns whether the account of a job has more running than its cap, so that no order to start is sent.
     pub(crate) fn is_over_cap(&self, name: StepName) -> bool {
         let account = self.jobs.get(&name.job).and_then(|entry| entry.account);
--- a/lilacpass-lead/src/accounts.rs
+++ b/lilacpass-lead/src/accounts.rs
@@ -132,6 +132,11 @@
         !entry.used.fits(&cap(&entry.policy))
     }
 
+    /// Returns whether any account has more running than its cap.
+    pub fn any_over_cap(&self) -> bool {
+        self.entries.iter().any(|entry| !entry.used.fits(&cap(&entry.policy)))
+    }
+
     /// Returns whether the cap of an account allows `amount` while nothing else of it runs.
     pub fn could_fit(&self, account: AccountNumber, amount: &Resources) -> bool {
         amount.fits(&cap(&self.entries[account.0].policy))
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -411,6 +411,7 @@
         }
         self.expire_unresponsive_workers(now);
         self.retry_stops(now);
+        self.stop_unanswered_beyond_caps(now);
         if now.steady_ms >= self.next_review_ms {
             self.next_review_ms = now.steady_ms + RUN_REVIEW_INTERVAL_MS;
             if self.options.uses(Mechanism::Replacement) {
--- a/lilacpass-lead/tests/fuzz.rs
+++ b/lilacpass-lead/tests/fuzz.rs
@@ -9,7 +9,7 @@
 use lilacpass_jobs::{JobKey, StepName};
 use lilacpass_lead::event::{Request, Requester};
 use lilacpass_schema::v1;
-use world::{World, plan, queue, step};
+use world::{World, accounts::account, plan, queue, step};
 
 /// Number of fixed seeds in a plain test run.
 const FIXED_RUNS: u64 = 150;
@@ -27,14 +27,25 @@
 /// An operation of a run: its kind, its target and its amount.
 type Op = (u8, u8, u8);
 
+/// Caps on the CPU of the accounts, in thousandths of a core. The least one holds one task of some jobs.
+const CAPS: [u64; 3] = [3_200, 9_000, 0];
+
 /// Carries out operations in a simulated cell, then ends all faults and checks that all jobs end.
 fn run_ops(ops: &[Op]) {
+    run_cell(ops, false);
+}
+
+/// As [`run_ops`], with jobs of accounts whose caps change. Returns the number of starts checked against a cap.
+fn run_cell(ops: &[Op], has_accounts: bool) -> u64 {
     let seed = ops.iter().fold(7, |seed: u64, op| {
         seed.wrapping_mul(31)
             .wrapping_add(u64::from(op.0) << 16 | u64::from(op.1) << 8 | u64::from(op.2))
     });
     let mut world = World::new(seed, 4, CAPACITY);
     let mut jobs = Vec::new();
+    if has_accounts {
+        (0..CAPS.len()).for_each(|number| world.set_account(numbered_account(number, 0)));
+    }
     for &(kind, target, amount) in ops {
         let worker = usize::from(target) % world.workers.len();
         match kind % 12 {
@@ -46,7 +57,14 @@
                     world.crashes.crashing.insert(step.task(0), after_ms);
                 }
                 let policy = if target % 2 == 0 { queue("quick", 0) } else { advised_queue() };
-                jobs.push((key, world.submit(key, random_plan(target, amount), policy)));
+                let plan = random_plan(target, amount);
+                let name = format!("account-{}", amount % 3);
+                let request_id = if has_accounts {
+                    world.submit_for(&name, key, plan, policy)
+                } else {
+                    world.submit(key, plan, policy)
+                };
+                jobs.push((key, request_id));
             }
             4 => {
                 if let Some((key, _)) = jobs.get(usize::from(target) % jobs.len().max(1)) {
@@ -66,6 +84,10 @@
                     world.take_over();
                 }
             }
+            7 if has_accounts && amount % 2 == 0 => {
+                let number = usize::from(target) % CAPS.len();
+                world.set_account(numbered_account(number, usize::from(amount / 2)));
+            }
             7 => world.store.down = !world.store.down,
             8 => world.workers[worker].unreachable = !world.workers[worker].unreachable,
             9 if world.workers[worker].alive && amount % 3 == 0 => world.replace_worker(worker),
@@ -90,6 +112,11 @@
     world.workers.iter_mut().for_each(|worker| worker.unreachable = false);
     (0..world.workers.len()).for_each(|at| world.set_capacity(at, CAPACITY));
     world.current_instance().paused_until_ms = 0;
+    if has_accounts {
+        // A gang waits for as long as the cap of its account is too small for it.
+        let raised = |number: usize| account(&format!("account-{number}"), 1.0, CAPS[1]);
+        (0..CAPS.len()).for_each(|number| world.set_account(raised(number)));
+    }
     world.run(SETTLE_MS);
     for job in world.store.jobs() {
         let now = world.now();
@@ -101,6 +128,12 @@
             job.key
         );
     }
+    world.accounts.checks
+}
+
+/// An account; `change` turns over the caps.
+fn numbered_account(number: usize, change: usize) -> v1::AccountPolicy {
+    account(&format!("account-{number}"), number as f64, CAPS[(number + change) % CAPS.len()])
 }
 
 /// Sends requests whose responses the simulated cell checks.
@@ -135,3 +168,14 @@
 fn faults_break_no_invariant_and_all_jobs_end() {
     lilacpass_fuzz::check_lists::<Op>(FIXED_RUNS, 5..=60, run_ops);
 }
+
+/// Failure: an account has more running than its cap, because orders are carried out late, leaders change, workers are
+/// lost or the cap is lowered meanwhile.
+#[test]
+fn faults_bring_no_account_over_its_cap() {
+    let checks = std::sync::atomic::AtomicU64::new(0);
+    lilacpass_fuzz::check_lists::<Op>(FIXED_RUNS, 5..=60, |ops| {
+        checks.fetch_add(run_cell(ops, true), std::sync::atomic::Ordering::Relaxed);
+    });
+    assert!(checks.into_inner() > 1_000, "too few starts were checked against a cap");
+}
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -2,11 +2,12 @@
 //!
 //! Each start of a run is checked as it happens. No worker exceeds its capacity. No task runs on two workers unless it
 //! may have copies, starts again after its successful end was stored, starts before the steps that it waits for are
-//! done, or starts too often after it has crashed workers. Each response about waiting or running jobs is checked
+//! done, or starts too often after it has crashed workers. No client account has more running than its cap. Each response about waiting or running jobs is checked
 //! against the tasks that workers have started.
 
 #![allow(dead_code, unreachable_pub)]
 
+pub(crate) mod accounts;
 pub(crate) mod cost;
 pub(crate) mod crashes;
 pub(crate) mod fixture;
@@ -30,6 +31,7 @@
 };
 use lilacpass_schema::v1;
 
+use accounts::AccountOracle;
 use cost::{Costs, EventLoop};
 use crashes::Crashes;
 use requests::Requests;
@@ -111,6 +113,8 @@
     pub requests: Requests,
     /// Tasks that crash their workers, and the crashes so far.
     pub crashes: Crashes,
+    /// The client accounts.
+    pub accounts: AccountOracle,
     /// Requests for advice: the step, and the number of workers named.
     pub advice_calls: Vec<(StepName, usize)>,
     /// Percentage of orders that get no response and may be carried out late.
@@ -140,6 +144,7 @@
             responses: Vec::new(),
             requests: Requests::default(),
             crashes: Crashes::default(),
+            accounts: AccountOracle::default(),
             advice_calls: Vec::new(),
             lost_order_percent: 0,
             options: Options::default(),
@@ -178,6 +183,7 @@
         let instance = self.instances.len() - 1;
         self.schedule(0, Action::Tick { instance });
         self.schedule(1, Action::Renew { instance });
+        self.tell_accounts(0);
         self.send_registrations(instance);
         self.deliver(instance, Event::Lanes(vec![Lane("a".to_owned()), Lane("b".to_owned())]));
     }
@@ -278,6 +284,10 @@
         }
     }
 
+    fn schedule_event(&mut self, after_ms: u64, instance: usize, event: Event) {
+        self.schedule(after_ms, Action::Deliver { instance, event });
+    }
+
     fn schedule(&mut self, after_ms: u64, action: Action) {
         self.actions.schedule(self.now_ms + after_ms, action);
     }
@@ -333,6 +343,9 @@
         }
         if self.is_paused(instance) {
             let after_ms = self.instances[instance].paused_until_ms - self.now_ms;
+            if matches!(event, Event::Accounts(_)) {
+                self.accounts.told_ms = self.accounts.told_ms.max(self.now_ms + after_ms);
+            }
             return self.schedule(after_ms, Action::Deliver { instance, event });
         }
         if self.costs.is_some() {
@@ -514,7 +527,8 @@
                 return;
             }
             Effect::Start { task, run, lease_until_ms, .. } => {
-                let result = self.start(worker_index, *task, *run, fence, *lease_until_ms);
+                let result =
+                    self.start(worker_index, *task, *run, fence, *lease_until_ms, !is_answered);
                 self.result_event(effect, result)
             }
             Effect::Stop { task, run, .. } => {
--- a/lilacpass-lead/tests/world/starts.rs
+++ b/lilacpass-lead/tests/world/starts.rs
@@ -6,7 +6,7 @@
 use super::World;
 
 impl World {
-    /// Starts a run on a worker, if it accepts the order.
+    /// Starts a run on a worker, if it accepts the order. `is_late` says whether the order is carried out late.
     pub(super) fn start(
         &mut self,
         worker_index: usize,
@@ -14,6 +14,7 @@
         run: u32,
         epoch: u64,
         lease_until_ms: u64,
+        is_late: bool,
     ) -> Result<(), CallError> {
         self.workers[worker_index].accepts(task, run, epoch, lease_until_ms)?;
         if self.workers[worker_index].runs.contains_key(&task) {
@@ -28,6 +29,7 @@
         let need = lilacpass_lead::place::need(plan);
         let now_ms = self.now_ms;
         self.workers[worker_index].begin(task, run, need, now_ms + work_ms, fails, plan.lasting);
+        self.check_cap(task, job.account.as_ref(), is_late);
         self.schedule_crash(worker_index, task);
         Ok(())
     }
