--- a/lilacpass-lead/src/event.rs
+++ b/lilacpass-lead/src/event.rs
@@ -35,7 +35,7 @@
         /// Policy of the queue that the job is submitted to.
         queue: v1::QueuePolicy,
         /// The account that the job belongs to; `None` if its queue is public.
-        account: Option<v1::AccountPolicy>,
+        account: Option<Box<v1::AccountPolicy>>,
     },
     /// Query the state of a job.
     State(JobKey, Requester),
--- a/lilacpass-lead/src/requests.rs
+++ b/lilacpass-lead/src/requests.rs
@@ -51,7 +51,12 @@
     pub(crate) fn on_request(&mut self, request_id: RequestId, request: Request, now: Now) {
         match request {
             Request::Submit { job, plan, queue, account } => {
-                self.submit(request_id, job, Submission { plan, queue, account }, now);
+                self.submit(
+                    request_id,
+                    job,
+                    Submission { plan, queue, account: account.map(|account| *account) },
+                    now,
+                );
             }
             Request::State(job, requester) => {
                 self.respond_with_state(request_id, job, &requester, now);
--- a/lilacpass-lead/tests/account_caps.rs
+++ b/lilacpass-lead/tests/account_caps.rs
@@ -115,7 +115,7 @@
         job: JobKey(1),
         plan: plan(&[step(4, 1_000, 1_000)]),
         queue: queue("quick", 0),
-        account: Some(account(SMALL, 1.0, 5_000)),
+        account: Some(Box::new(account(SMALL, 1.0, 5_000))),
     };
     let now = fixture.now();
     fixture.leader.handle(Event::Request { request_id: RequestId(1), request }, now);
@@ -266,7 +266,7 @@
     name: &str,
     steps: &[v1::WorkStep],
 ) -> Vec<Effect> {
-    let account = Some(account(name, 1.0, SMALL_CAP_MILLI));
+    let account = Some(Box::new(account(name, 1.0, SMALL_CAP_MILLI)));
     let request =
         Request::Submit { job: JobKey(key), plan: plan(steps), queue: queue("quick", 0), account };
     fixture.handle(Event::Request { request_id: RequestId(key), request })
@@ -298,7 +298,7 @@
         job: JobKey(1),
         plan: plan(&[step(1, 1_000, 1_000)]),
         queue: queue("quick", 0),
-        account: Some(account("other", 1.0, 0)),
+        account: Some(Box::new(account("other", 1.0, 0))),
     };
     assert_eq!(respond(&mut fixture, same), Response::Conflict);
     let own = Request::State(JobKey(1), requester(SMALL));
--- a/lilacpass-lead/tests/world/accounts.rs
+++ b/lilacpass-lead/tests/world/accounts.rs
@@ -90,7 +90,12 @@
     ) -> RequestId {
         let policy = self.accounts.policies.get(account).cloned();
         let policy = policy.unwrap_or_else(|| self::account(account, 1.0, 0));
-        self.request(Request::Submit { job: JobKey(key), plan, queue, account: Some(policy) })
+        self.request(Request::Submit {
+            job: JobKey(key),
+            plan,
+            queue,
+            account: Some(Box::new(policy)),
+        })
     }
 
     /// What all live workers run for an account.
--- a/lilacpass-node/src/frontend.rs
+++ b/lilacpass-node/src/frontend.rs
@@ -139,7 +139,7 @@
     let queue = &request.queue.policy;
     let leader_request = match request.operation {
         Operation::Submit(job, plan) => {
-            let account = access.account.clone();
+            let account = access.account.clone().map(Box::new);
             Request::Submit { job, plan, queue: queue.clone(), account }
         }
         Operation::State(job) => Request::State(job, access.requester()),
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -356,7 +356,8 @@
     let job = JobKey(work.job);
     Some(match work.op() {
         v1::WorkOp::WorkSubmit => {
-            Request::Submit { job, plan: work.plan?, queue: work.queue?, account: access.account }
+            let account = access.account.map(Box::new);
+            Request::Submit { job, plan: work.plan?, queue: work.queue?, account }
         }
         v1::WorkOp::WorkState => Request::State(job, access.requester()),
         v1::WorkOp::WorkCancel => Request::Cancel(job, access.requester()),
