Advice: slow calls use the lanes that nobody else wants

Callers saw: a volledige-audit waited for half a minute and became late while a third of the cell was free. Cause: a third of the lanes was always kept for quick calls, which hold about three, and one queue held at most two thirds of the rest, also while no other queue wanted a lane. Change: as many lanes stay free for quick calls as these held lately and half as many again, a third at most; the limit of one queue holds while another one wants a slow call.

--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -1,8 +1,11 @@
 //! State of the advice per step, the choice of workers to name in a call, and the lanes on which calls are made.
 //!
 //! The advice service handles one call per instance at a time, and a call takes longer the more workers it names, so
-//! calls are the scarcest resource. They are spread over the instances ("lanes"), and slow calls never use the lanes
-//! that are reserved for quick ones.
+//! calls are the scarcest resource. They are spread over the instances ("lanes").
+//!
+//! Load pattern: a cell in which many large steps wait although a third of its capacity is free, because their calls are
+//! slow and lanes stand idle that are kept for others. So slow calls leave only as many lanes to quick ones as these
+//! have lately used, and one queue may hold all lanes for slow calls while no other one wants any.
 
 use std::collections::BTreeMap;
 
@@ -13,11 +16,17 @@
 
 /// Calls expected to take longer than this are slow. Calls take either about 40 ms or about 500 ms.
 const SLOW_CALL_MS: u64 = 120;
-/// One lane in this many is reserved for quick calls, which need about a third of the total call time.
+/// At most one lane in this many is reserved for quick calls, which need about a third of the total call time if many
+/// steps use them.
 const LANES_PER_QUICK_LANE: usize = 3;
-/// Maximum share of the lanes for slow calls that one queue may hold, in percent. Steps that find no free capacity
-/// request advice again as soon as their tickets have expired. Sixty such steps once held all lanes for seven seconds,
-/// and a step of another queue could not start although workers were free.
+/// Lanes that are reserved for quick calls, in percent of those that they held at the same time lately.
+const QUICK_LANES_PERCENT: usize = 150;
+/// How long the number of lanes that quick calls held counts, in ms: the present period of this length and the one
+/// before.
+const QUICK_PERIOD_MS: u64 = 4_000;
+/// Maximum share of the lanes for slow calls that one queue may hold while another one wants some, in percent. Steps
+/// that find no free capacity request advice again as soon as their tickets have expired. Sixty such steps once held all
+/// lanes for seven seconds, and a step of another queue could not start although workers were free.
 const MAX_QUEUE_SLOW_LANES_PERCENT: usize = 67;
 /// Pause in ms after a failed call for advice before the next call for the same step.
 const RETRY_MS: u64 = 200;
@@ -150,6 +159,44 @@
 pub struct Lanes {
     lanes: BTreeMap<Lane, LaneState>,
     load: Load,
+    quick_use: QuickUse,
+}
+
+/// The most lanes that quick calls have held at the same time lately.
+#[derive(Debug)]
+struct QuickUse {
+    /// The maximum in the present period and in the one before; `None` for a period that has not been observed.
+    maxima: [Option<usize>; 2],
+    /// End of the present period, in ms on the monotonic clock; `None` before the first.
+    period_ends_ms: Option<u64>,
+}
+
+impl Default for QuickUse {
+    fn default() -> Self {
+        Self { maxima: [Some(0), None], period_ends_ms: None }
+    }
+}
+
+impl QuickUse {
+    /// Begins a new period if the present one is over.
+    fn advance(&mut self, now_ms: u64) {
+        let ends_ms = *self.period_ends_ms.get_or_insert(now_ms + QUICK_PERIOD_MS);
+        if now_ms >= ends_ms {
+            self.maxima = [Some(0), self.maxima[0]];
+            self.period_ends_ms = Some(now_ms + QUICK_PERIOD_MS);
+        }
+    }
+
+    /// Records that quick calls hold `lanes` lanes.
+    fn record(&mut self, lanes: usize) {
+        self.maxima[0] = self.maxima[0].max(Some(lanes));
+    }
+
+    /// Returns how many lanes to reserve, at least one; `None` if too little has been observed.
+    fn lanes_to_reserve(&self) -> Option<usize> {
+        let most = self.maxima[0]?.max(self.maxima[1]?);
+        Some((most * QUICK_LANES_PERCENT).div_ceil(100).max(1))
+    }
 }
 
 /// Whether a lane has a call in progress.
@@ -176,7 +223,8 @@
 
 impl Lanes {
     /// Replaces the list of lanes. Lanes that remain keep their state.
-    pub fn set(&mut self, lanes: Vec<Lane>) {
+    pub fn set(&mut self, lanes: Vec<Lane>, now_ms: u64) {
+        self.quick_use.advance(now_ms);
         let old = std::mem::take(&mut self.lanes);
         self.lanes = lanes
             .into_iter()
@@ -189,9 +237,9 @@
     }
 
     /// Acquires an idle lane for a call for a step of `queue` that takes about `expected_ms`. Returns `None` if there
-    /// is none that it may use.
-    pub fn acquire(&mut self, queue: &str, expected_ms: u64) -> Option<Lane> {
-        if !self.may_call(queue, expected_ms) {
+    /// is none that it may use. `is_contended` says whether another queue wants a lane for a slow call.
+    pub fn acquire(&mut self, queue: &str, expected_ms: u64, is_contended: bool) -> Option<Lane> {
+        if !self.may_call(queue, expected_ms, is_contended) {
             return None;
         }
         let is_slow = expected_ms > SLOW_CALL_MS;
@@ -201,18 +249,20 @@
         let (lane, state) = idle?;
         let lane = lane.clone();
         *state = LaneState::Busy { queue: queue.to_owned(), is_slow };
+        let is_quick = |state: &&LaneState| matches!(state, LaneState::Busy { is_slow: false, .. });
+        self.quick_use.record(self.lanes.values().filter(is_quick).count());
         self.update_load();
         Some(lane)
     }
 
     /// Returns whether the limit on slow calls of a queue permits one more call that takes `expected_ms`. Does not
-    /// check whether a lane is idle.
-    pub fn may_call(&self, queue: &str, expected_ms: u64) -> bool {
+    /// check whether a lane is idle. `is_contended` says whether another queue wants a lane for a slow call.
+    pub fn may_call(&self, queue: &str, expected_ms: u64, is_contended: bool) -> bool {
         let slow_calls = self.load.slow_calls.get(queue).copied().unwrap_or(0);
-        expected_ms <= SLOW_CALL_MS || slow_calls < self.max_slow_calls()
+        expected_ms <= SLOW_CALL_MS || !is_contended || slow_calls < self.max_slow_calls()
     }
 
-    /// Returns how many slow calls for steps of one queue may be in progress.
+    /// Returns how many slow calls for steps of one queue may be in progress while another queue wants a lane.
     fn max_slow_calls(&self) -> usize {
         let open_to_slow = self.lanes.len() - self.reserved_for_quick();
         (open_to_slow * MAX_QUEUE_SLOW_LANES_PERCENT / 100).max(1)
@@ -220,7 +270,8 @@
 
     /// Returns the number of lanes that only quick calls may use.
     fn reserved_for_quick(&self) -> usize {
-        self.lanes.len() / LANES_PER_QUICK_LANE
+        let most = self.lanes.len() / LANES_PER_QUICK_LANE;
+        self.quick_use.lanes_to_reserve().map_or(most, |lanes| lanes.min(most))
     }
 
     /// Releases a lane after its call has ended.
@@ -231,6 +282,11 @@
         self.update_load();
     }
 
+    /// Returns whether calls with this minimum duration are slow.
+    pub fn is_slow(base_ms: u64) -> bool {
+        base_ms > SLOW_CALL_MS
+    }
+
     /// Returns the number of lanes.
     pub fn len(&self) -> usize {
         self.lanes.len()
--- a/lilacpass-lead/src/advice_queue.rs
+++ b/lilacpass-lead/src/advice_queue.rs
@@ -9,7 +9,7 @@
 use lilacpass_core::hash_map::HashMap;
 use lilacpass_jobs::StepName;
 
-use crate::rank::Rank;
+use crate::{advice::Lanes, rank::Rank};
 
 /// Waiting steps without a pending call for advice.
 #[derive(Debug, Default)]
@@ -79,6 +79,12 @@
         due
     }
 
+    /// Returns whether a step of a queue other than `queue` may request advice now, with a slow call.
+    pub fn has_slow_beside(&self, queue: &str) -> bool {
+        let wants_slow = |group: &Group| Lanes::is_slow(group.base_ms) && !group.ranks.is_empty();
+        self.groups.iter().any(|group| group.queue != queue && wants_slow(group))
+    }
+
     /// Returns the first step after `last` whose queue may make a call. `may_call` receives the name of the queue and
     /// the minimum duration of the call in ms.
     pub fn next_after(
--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -67,7 +67,7 @@
         if advice.is_some_and(|advice| advice.call_pending || now.steady_ms < advice.next_call_ms) {
             return;
         }
-        if !self.lanes.may_call(&entry.job.queue.name, policy.base_ms as u64) {
+        if !self.may_call_advice(&entry.job.queue.name, policy.base_ms as u64) {
             return;
         }
         let plan = entry.job.step_plan(name.step);
@@ -108,7 +108,9 @@
             workers.extend(self.unknown_workers(name, &plan, &workers, max_extra_workers(&policy)));
         }
         let expected_ms = (policy.base_ms + policy.per_worker_ms * workers.len() as f64) as u64;
-        let Some(lane) = self.lanes.acquire(&entry.job.queue.name, expected_ms) else { return };
+        let queue = &entry.job.queue.name;
+        let is_contended = self.advice_queue.has_slow_beside(queue);
+        let Some(lane) = self.lanes.acquire(queue, expected_ms, is_contended) else { return };
         self.advice.entry(name).or_default().call_pending = true;
         self.advice_queue.remove(name);
         log::info!(
@@ -119,6 +121,12 @@
         self.effects.push(Effect::RequestAdvice { lane, step: name, workers, expected_ms });
     }
 
+    /// Returns whether the limit on slow calls of a queue permits one more call that takes `expected_ms`.
+    pub(crate) fn may_call_advice(&self, queue: &str, expected_ms: u64) -> bool {
+        let is_contended = self.advice_queue.has_slow_beside(queue);
+        self.lanes.may_call(queue, expected_ms, is_contended)
+    }
+
     /// Delays the next request for advice for a step that no worker has capacity for.
     fn delay_advice(&mut self, name: StepName, now: Now) {
         self.advice.entry(name).or_default().delay_without_candidates(now.steady_ms);
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -312,7 +312,7 @@
             }
             Event::WorkerUnregistered(name) => self.on_worker_unregistered(&name),
             Event::RegistrationsRead => self.give_up_missing_workers(now),
-            Event::Lanes(lanes) => self.lanes.set(lanes),
+            Event::Lanes(lanes) => self.lanes.set(lanes, now.steady_ms),
             Event::Accounts(policies) => self.on_accounts(&policies),
             Event::Tick => self.on_tick(now),
         }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -106,7 +106,7 @@
         if !self.lanes.has_idle() {
             return first;
         }
-        let may_call = |queue: &str, base_ms| self.lanes.may_call(queue, base_ms);
+        let may_call = |queue: &str, base_ms| self.may_call_advice(queue, base_ms);
         let next_request = self.advice_queue.next_after(last, may_call);
         first.into_iter().chain(next_request).min()
     }
--- a/lilacpass-lead/tests/lanes.rs
+++ b/lilacpass-lead/tests/lanes.rs
@@ -7,12 +7,13 @@
 
 fn nine_lanes() -> Lanes {
     let mut lanes = Lanes::default();
-    lanes.set((0..9).map(|number| Lane(number.to_string())).collect());
+    lanes.set((0..9).map(|number| Lane(number.to_string())).collect(), 0);
     lanes
 }
 
+/// Acquires all lanes that a queue may use while another one wants some.
 fn acquire_all(lanes: &mut Lanes, queue: &str, expected_ms: u64) -> Vec<Lane> {
-    std::iter::from_fn(|| lanes.acquire(queue, expected_ms)).collect()
+    std::iter::from_fn(|| lanes.acquire(queue, expected_ms, true)).collect()
 }
 
 /// Failure: an accepted job did not start for seven seconds although workers were free. Sixty steps of another queue
@@ -28,7 +29,7 @@
         "the queue gets the rest of the six lanes for slow calls"
     );
     lanes.release(&matches[0]);
-    assert!(lanes.acquire("match", SLOW_MS).is_some());
+    assert!(lanes.acquire("match", SLOW_MS, true).is_some());
 }
 
 #[test]
@@ -42,9 +43,49 @@
 #[test]
 fn a_single_lane_serves_all_queues() {
     let mut lanes = Lanes::default();
-    lanes.set(vec![Lane("only".to_owned())]);
-    let lane = lanes.acquire("match", SLOW_MS).expect("a lane");
-    assert!(lanes.acquire("permit", SLOW_MS).is_none());
+    lanes.set(vec![Lane("only".to_owned())], 0);
+    let lane = lanes.acquire("match", SLOW_MS, true).expect("a lane");
+    assert!(lanes.acquire("permit", SLOW_MS, true).is_none());
     lanes.release(&lane);
-    assert!(lanes.acquire("permit", SLOW_MS).is_some());
+    assert!(lanes.acquire("permit", SLOW_MS, true).is_some());
+}
+
+fn names(lanes: &Lanes) -> Vec<Lane> {
+    (0..lanes.len()).map(|number| Lane(number.to_string())).collect()
+}
+
+/// Failure: nearly two hundred steps waited for half of the lanes while the other half stood idle and a third of the
+/// cell was free. No other queue wanted a slow call, and quick calls held three lanes.
+#[test]
+fn slow_calls_use_the_lanes_that_nobody_else_wants() {
+    let mut lanes = Lanes::default();
+    lanes.set((0..34).map(|number| Lane(number.to_string())).collect(), 0);
+    let slow = |lanes: &mut Lanes| {
+        let held: Vec<Lane> =
+            std::iter::from_fn(|| lanes.acquire("audit", SLOW_MS, false)).collect();
+        held.iter().for_each(|lane| lanes.release(lane));
+        held.len()
+    };
+    assert_eq!(slow(&mut lanes), 23, "a third is reserved until the use of quick calls is known");
+    for now_ms in [1_000, 5_000, 9_000] {
+        lanes.set(names(&lanes), now_ms);
+        let quick = [(); 3].map(|()| lanes.acquire("check", QUICK_MS, true).expect("a lane"));
+        quick.iter().for_each(|lane| lanes.release(lane));
+    }
+    assert_eq!(slow(&mut lanes), 29, "five lanes are left, for half as many again as three");
+    assert_eq!(acquire_all(&mut lanes, "audit", SLOW_MS).len(), 19, "others want lanes");
+}
+
+/// A burst of quick calls gets its lanes back: what they hold counts at once.
+#[test]
+fn lanes_for_quick_calls_grow_with_their_use() {
+    let mut lanes = Lanes::default();
+    lanes.set((0..30).map(|number| Lane(number.to_string())).collect(), 0);
+    for now_ms in [4_000, 8_000, 12_000] {
+        lanes.set(names(&lanes), now_ms);
+    }
+    assert_eq!(acquire_all(&mut lanes, "check", QUICK_MS).len(), 30);
+    (0..30).for_each(|number| lanes.release(&Lane(number.to_string())));
+    let slow = std::iter::from_fn(|| lanes.acquire("audit", SLOW_MS, false)).count();
+    assert_eq!(slow, 20, "at most a third is reserved");
 }
--- a/lilacpass-lead/tests/placement.rs
+++ b/lilacpass-lead/tests/placement.rs
@@ -207,3 +207,26 @@
     let waited_ms = world.now_ms - begin_ms;
     assert!(waited_ms < 9_000, "started after {waited_ms} ms");
 }
+
+/// Failure: a third of a cell was free while two hundred steps waited for calls for advice, which used half of the
+/// lanes. The other half was kept for quick calls, of which there were few, and for other queues, which wanted none.
+#[test]
+fn waiting_steps_with_slow_advice_use_the_lanes_that_nobody_wants() {
+    const JOBS: u64 = 300;
+    let mut world = World::new(3, 20, Resources::new(400_000, 100_000, 0, 0));
+    let run = |world: &mut World, for_ms: u64| {
+        for _ in 0..for_ms / 200 {
+            world.set_lanes(30);
+            world.run(200);
+        }
+    };
+    run(&mut world, 9_000);
+    for key in 1..=JOBS {
+        world.submit(key, plan(&[step(8, 1_000, 60_000)]), advised("audit", 2, 500.0, 7.0));
+    }
+    // One call for each job takes 7 s on all lanes but one, and 16 s on the lanes that a queue may hold beside others.
+    run(&mut world, 10_000);
+    let has_started = |key: &u64| world.store.job(JobKey(*key)).is_some_and(|job| job.has_started);
+    let started = (1..=JOBS).filter(has_started).count();
+    assert_eq!(started as u64, JOBS, "jobs started while the cell has room for all");
+}
