--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -121,10 +121,12 @@
         self.effects.push(Effect::RequestAdvice { lane, step: name, workers, expected_ms });
     }
 
-    /// Returns whether the limit on slow calls of a queue permits one more call that takes `expected_ms`.
+    /// Returns whether a call for a step of a queue that takes `expected_ms` can be made now. A search for workers to ask
+    /// about is dear, and in vain if no lane is idle for the call.
     pub(crate) fn may_call_advice(&self, queue: &str, expected_ms: u64) -> bool {
         let is_contended = self.advice_queue.has_slow_beside(queue);
-        self.lanes.may_call(queue, expected_ms, is_contended)
+        self.lanes.has_idle_for(expected_ms)
+            && self.lanes.may_call(queue, expected_ms, is_contended)
     }
 
     /// Delays the next request for advice for a step that no worker has capacity for.
--- a/lilacpass-lead/tests/placement.rs
+++ b/lilacpass-lead/tests/placement.rs
@@ -235,3 +235,21 @@
     let started = (1..=JOBS).filter(has_run).count();
     assert_eq!(started as u64, JOBS, "jobs started while the cell has room for all");
 }
+
+/// Failure: a leader spent eight times its processor time on searches for workers to ask about, for calls that no idle
+/// lane was allowed to make.
+#[test]
+fn steps_look_for_workers_to_ask_about_only_while_a_lane_is_idle_for_the_call() {
+    const JOBS: u64 = 300;
+    let mut world = World::new(3, 20, Resources::new(400_000, 100_000, 0, 0));
+    world.set_lanes(30);
+    world.run(1_000);
+    for key in 1..=JOBS {
+        world.submit(key, plan(&[step(8, 1_000, 60_000)]), advised("audit", 2, 500.0, 7.0));
+    }
+    world.run(4_000);
+    let examined = world.current_instance().leader.work().steps_examined;
+    let calls = world.advice_calls.len() as u64;
+    assert!(calls > JOBS / 4, "{calls} calls for advice");
+    assert!(examined < 10 * calls, "{examined} steps examined for {calls} calls");
+}
