Planned stop: a leader that nobody could replace stays for its grace period

The leader was asked to stop as it began (31.0 s), asked one peer after the other to take over, which none could, and ended at 33.6 s. The store was back at 34.2 s, the next leader at 34.5 s; callers had their last tries at 33.8 to 34.6 s and were told that no leader is known. Cause: a stopping instance went on for 2.6 s and for open requests, whether it still led or not. Change: it also goes on while it leads, within the same deadline (grace less 0.9 s).

--- a/lilacpass-node/src/signals.rs
+++ b/lilacpass-node/src/signals.rs
@@ -63,7 +63,10 @@
 }
 
 /// Performs a planned stop: hands leadership over, serves requests until clients have been redirected, then ends.
-async fn stop(node: &Node) {
+///
+/// A leader that could not hand over yet stays until its grace period is nearly over. While the store is out nobody can
+/// replace it, and it still knows the states of all jobs and stores what comes as soon as the store is back.
+pub async fn stop(node: &Node) {
     log::info!(leads = node.leads(); "stop requested");
     node.leaving.send_replace(true);
     if let Some(leader) = node.leader_handle.borrow().as_ref() {
@@ -73,7 +76,7 @@
     let grace = Duration::from_millis(node.settings.bounds.grace_ms);
     let deadline = start + grace.saturating_sub(GRACE_MARGIN);
     time::sleep_until((start + DRAIN_TIME).min(deadline)).await;
-    while node.open_requests.get() > 0 && Instant::now() < deadline {
+    while (node.open_requests.get() > 0 || node.leads()) && Instant::now() < deadline {
         time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
