--- a/lilacpass-node/tests/access.rs
+++ b/lilacpass-node/tests/access.rs
@@ -11,29 +11,44 @@
     node::Node,
 };
 use lilacpass_platform::{
-    desired::{self, Desired},
+    accounts::Accounts,
+    desired::{Desired, Limits, Queue},
     server::{ReceivedRequest, Reply},
 };
 use lilacpass_platform_standin::instances;
 use lilacpass_schema::v1;
 use prost::Message;
-use serde_json::json;
 
 const KEY: &str = "key-of-the-account";
 const ADDED_KEY: &str = "key-that-is-added";
 
+fn queue(name: &str, is_public: bool) -> Queue {
+    Queue {
+        host: "h".to_owned(),
+        path_prefix: format!("/{name}/"),
+        timeout_ms: 3_000,
+        is_public,
+        policy: v1::QueuePolicy { name: name.to_owned(), ..Default::default() },
+    }
+}
+
+/// An account with a cap on its CPU, in thousandths of a core, and these keys.
+fn account(max_cpu_milli: u64, keys: &[&str]) -> Accounts {
+    let name = "account".to_owned();
+    let policy = v1::AccountPolicy { name, weight: 2.0, max_cpu_milli, ..Default::default() };
+    let mut accounts = Accounts::default();
+    accounts.add(policy, keys.iter().map(|key| KeyDigest::of(key.as_bytes())));
+    accounts
+}
+
 /// A desired state with a private and a public queue, and an account with these keys.
 fn state(version: u64, keys: &[&str]) -> Desired {
-    let route = |name: &str, public: bool| {
-        json!({ "name": name, "host": "h", "pathPrefix": format!("/{name}/"), "service": "s",
-            "public": public })
-    };
-    let text = json!({
-        "version": version,
-        "routes": [route("private", false), route("open", true)],
-        "tenants": [{ "name": "account", "apiKeys": keys, "weight": 2, "cap": { "cpu": 5_000 } }],
-    });
-    desired::decode(text.to_string().as_bytes()).expect("a desired state")
+    Desired {
+        version,
+        queues: vec![queue("private", false), queue("open", true)],
+        accounts: Some(account(5_000, keys)),
+        limits: Limits::default(),
+    }
 }
 
 /// An instance with a desired state that was the newest one just now.
@@ -127,14 +142,7 @@
 #[test]
 fn the_leader_puts_its_own_policy_in_place_of_an_older_one() {
     let sender = node(state(1, &[KEY]));
-    let mut newer = state(2, &[]);
-    let policy = v1::AccountPolicy {
-        max_cpu_milli: 1,
-        ..newer.accounts.as_ref().expect("accounts").policies()[0].clone()
-    };
-    let mut accounts = lilacpass_platform::accounts::Accounts::default();
-    accounts.add(policy, [KeyDigest::of(KEY.as_bytes())]);
-    newer.accounts = Some(accounts);
+    let newer = Desired { accounts: Some(account(1, &[KEY])), ..state(2, &[]) };
     let leader = node(newer);
     let access = authorize(&sender, "private", KEY).expect("access");
     let reviewed = access::review(&leader, access, None).expect("access");
@@ -155,9 +163,7 @@
 #[test]
 fn keys_are_asked_for_where_the_settings_say_so() {
     let mut settings = instances::settings("127.0.0.1:3", 0.0);
-    let text = br#"{"version": 1, "routes": [{"name": "private", "host": "h",
-        "pathPrefix": "/private/", "service": "s"}]}"#;
-    let desired = desired::decode(text).expect("a desired state");
+    let desired = Desired { accounts: None, ..state(1, &[]) };
     let open = node(desired.clone());
     assert_eq!(status(&open, "private", ""), None);
     settings.has_accounts = true;
