Starts wait until the registrations have been read after an outage of the store

The first append after the outage releases the starts that waited for it, up to 0.5 s before the registrations are read again, so the worker starts more than it has capacity for. Likelier since appends are tried every 150 ms. Change: a start order is held while the last read of the registrations was sent more than 2 s ago, and goes out with the next one. That read follows the first response of the store at once, and calls that are sent while nothing responds time out after 0.3 s.

--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -229,7 +229,7 @@
             self.leader.handle(Event::Lanes(lanes.collect()), now);
         }
         self.set_capacities();
-        self.leader.handle(Event::RegistrationsRead, now);
+        self.leader.handle(Event::RegistrationsRead { sent_ms: self.now_ms }, now);
         self.schedule(self.now_ms + REGISTRATIONS_INTERVAL_MS, Action::ReadRegistrations);
     }
 
--- a/lilacpass-lead/src/event.rs
+++ b/lilacpass-lead/src/event.rs
@@ -272,7 +272,10 @@
     /// A worker is no longer registered.
     WorkerUnregistered(WorkerName),
     /// All registrations have been read. Workers that were not among them are not registered.
-    RegistrationsRead,
+    RegistrationsRead {
+        /// Time when the read was sent, in ms on the monotonic clock.
+        sent_ms: u64,
+    },
     /// The current list of instances that can call the advice service.
     Lanes(Vec<Lane>),
     /// The client accounts of the desired state, as of now.
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -25,6 +25,7 @@
     pending_changes::PendingChanges,
     place,
     pressure::Pressure,
+    registration_age::RegistrationAge,
     reservations::Reservations,
     response_loss::ResponseLossMeter,
     scan::Scan,
@@ -132,6 +133,7 @@
     pub(crate) scan: Scan,
     pub(crate) pressure: Pressure,
     pub(crate) pending_changes: PendingChanges,
+    pub(crate) registration_age: RegistrationAge,
     pub(crate) response_loss: ResponseLossMeter,
     pub(crate) outages: RecentOutages,
     /// The worker that registered most recently at each address.
@@ -210,6 +212,7 @@
             scan: Scan::default(),
             pressure: Pressure::new(now),
             pending_changes: PendingChanges::default(),
+            registration_age: RegistrationAge::default(),
             response_loss: ResponseLossMeter::default(),
             outages: RecentOutages::default(),
             latest_by_address: HashMap::default(),
@@ -311,7 +314,7 @@
                 self.on_worker_registered(registration, now);
             }
             Event::WorkerUnregistered(name) => self.on_worker_unregistered(&name),
-            Event::RegistrationsRead => self.give_up_missing_workers(now),
+            Event::RegistrationsRead { sent_ms } => self.on_registrations_read(sent_ms, now),
             Event::Lanes(lanes) => self.lanes.set(lanes, now.steady_ms),
             Event::Accounts(policies) => self.on_accounts(&policies),
             Event::Tick => self.on_tick(now),
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod progress;
 pub mod rank;
 pub mod recording;
+pub mod registration_age;
 pub mod reindex;
 pub mod requests;
 pub mod reservations;
--- a/lilacpass-lead/src/recording.rs
+++ b/lilacpass-lead/src/recording.rs
@@ -6,6 +6,7 @@
     event::{Effect, Now, Record},
     leader::Leader,
     outbox::OnStored,
+    registration_age::HeldStart,
 };
 
 impl Leader {
@@ -20,7 +21,7 @@
                     self.effects.push(Effect::Reply { request_id, response });
                 }
                 OnStored::SendStart { worker, task, run } => {
-                    self.send_start(&worker, task, run, now);
+                    self.send_or_hold_start(HeldStart { worker, task, run }, now);
                 }
                 OnStored::ForgetEnds { worker, up_to } => {
                     if let Some(worker) = self.workers.get_mut(&worker) {
--- a/lilacpass-lead/tests/crashing_tasks.rs
+++ b/lilacpass-lead/tests/crashing_tasks.rs
@@ -472,7 +472,8 @@
     for _ in 0..80 {
         fixture.now_ms += 50;
         fixture.poll_answered("w-3", &[], &[]);
-        fixture.handle(Event::RegistrationsRead);
+        let sent_ms = fixture.now_ms;
+        fixture.handle(Event::RegistrationsRead { sent_ms });
     }
     let crashes = |fixture: &mut LeaderFixture| {
         let now = fixture.now();
--- a/lilacpass-lead/tests/world/fixture.rs
+++ b/lilacpass-lead/tests/world/fixture.rs
@@ -87,16 +87,21 @@
     }
 
     pub fn submit(&mut self, key: u64, steps: &[v1::WorkStep]) -> Vec<Effect> {
-        let request = Request::Submit {
-            job: JobKey(key),
-            plan: plan(steps),
-            queue: queue("quick", 0),
-            account: None,
-        };
-        self.handle(Event::Request { request_id: RequestId(key), request })
+        self.handle(submission(key, steps))
     }
 }
 
+/// The submission of a job of a public queue.
+pub fn submission(key: u64, steps: &[v1::WorkStep]) -> Event {
+    let request = Request::Submit {
+        job: JobKey(key),
+        plan: plan(steps),
+        queue: queue("quick", 0),
+        account: None,
+    };
+    Event::Request { request_id: RequestId(key), request }
+}
+
 pub fn registration(name: impl Into<WorkerName>) -> Registration {
     let name = name.into();
     Registration {
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -302,7 +302,10 @@
                         self.schedule(TICK_MS, Action::Tick { instance });
                     }
                     self.deliver(instance, Event::Tick);
-                    self.deliver(instance, Event::RegistrationsRead);
+                    let sent_ms = self.now_ms;
+                    if !self.store.down {
+                        self.deliver(instance, Event::RegistrationsRead { sent_ms });
+                    }
                 }
             }
             Action::Renew { instance } => {
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -18,7 +18,7 @@
     workers::Workers,
 };
 use prost::Message;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::{
     budget::RetryBudget,
@@ -89,6 +89,8 @@
     pub leader_store_reachable: Cell<bool>,
     /// Time of the last response of the store, on the steady clock.
     pub last_store_response_ms: Cell<u64>,
+    /// Notified of each response of the store.
+    pub store_responded: Notify,
     /// Time since which the store has been refusing all calls, on the steady clock; `None` if it has refused none
     /// since its last response.
     pub store_failing_since_ms: Cell<Option<u64>>,
@@ -144,6 +146,7 @@
             reported_ready: Cell::new(false),
             leader_store_reachable: Cell::new(true),
             last_store_response_ms: Cell::new(0),
+            store_responded: Notify::new(),
             store_failing_since_ms: Cell::new(None),
             append_latency: Cell::new(Duration::ZERO),
             taking_over: Cell::new(false),
@@ -283,6 +286,7 @@
         self.cut_off.set(false);
         let now_ms = clock::now().steady_ms;
         self.last_store_response_ms.set(now_ms);
+        self.store_responded.notify_waiters();
         if let Some(since_ms) = self.store_failing_since_ms.take() {
             log::info!(failed_ms = now_ms.saturating_sub(since_ms); "store accepts calls again");
         }
--- a/lilacpass-node/src/registry_watch.rs
+++ b/lilacpass-node/src/registry_watch.rs
@@ -13,12 +13,17 @@
     time::{self, Instant},
 };
 
-use crate::{leader_handle::Message, metrics, node::Node, registered_workers::RegisteredWorkers};
+use crate::{
+    clock, leader_handle::Message, metrics, node::Node, registered_workers::RegisteredWorkers,
+};
 
 /// Interval between reads. A worker must receive no start later than 2 s after it reports that it is draining.
 const CHANGES_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of a store call. The store's slowest responses take 0.6 s.
 const TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Timeout of a store call while the store responds to nobody. A call that was sent during an outage may stay without a
+/// response, and start orders wait for the read after it.
+const OUTAGE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between full reads, which find entries that were removed without a record. A full read takes some hundred
 /// bytes per worker. If every read were a full one, orders and renewals would have to wait on a thin link.
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(10);
@@ -40,9 +45,11 @@
     let mut next_full_read = Instant::now();
     while !messages.is_closed() {
         let from = next.filter(|_| Instant::now() < next_full_read && !registered.has_missing());
+        let sent_ms = clock::now().steady_ms;
+        let timeout = if node.store_failing_ms() > 0 { OUTAGE_TIMEOUT } else { TIMEOUT };
         let result = match from {
-            Some(from) => read_changes(&node, from).await,
-            None => read_all(&node).await,
+            Some(from) => read_changes(&node, from, timeout).await,
+            None => read_all(&node, timeout).await,
         };
         let scope = if from.is_some() { "changes" } else { "all" };
         node.metrics.workers_read(scope, metrics::outcome(&result));
@@ -62,11 +69,13 @@
             }
             Err(err) => {
                 log::info!(what = scope, error:% = err; "reading the registered workers failed");
-                time::sleep(CHANGES_INTERVAL).await;
+                // Start orders wait for the read after an outage, so it follows the first response of the store.
+                let _elapsed =
+                    time::timeout(CHANGES_INTERVAL, node.store_responded.notified()).await;
                 continue;
             }
         };
-        events.push(Event::RegistrationsRead);
+        events.push(Event::RegistrationsRead { sent_ms });
         for event in events {
             if messages.send(Message::Event(event)).is_err() {
                 return;
@@ -78,13 +87,13 @@
 
 /// Reads the newest entry of each worker. Pages are not a consistent snapshot, so the next read continues from where
 /// the partition ended at the first page.
-async fn read_all(node: &Node) -> Result<RegistryRead> {
+async fn read_all(node: &Node, timeout: Duration) -> Result<RegistryRead> {
     let partition = Partition::platform_topic(registry::TOPIC);
     let mut records = Vec::new();
     let mut end = None;
     loop {
         let after = records.last().map(|stored: &StoredRecord| stored.record.key.clone());
-        let page = node.store.newest(&partition, after.as_deref(), TIMEOUT).await?;
+        let page = node.store.newest(&partition, after.as_deref(), timeout).await?;
         node.record_store_response();
         let end = *end.get_or_insert(page.end);
         let has_more = page.more && !page.records.is_empty();
@@ -96,12 +105,12 @@
 }
 
 /// Reads the records from a position on.
-async fn read_changes(node: &Node, from: u64) -> Result<RegistryRead> {
+async fn read_changes(node: &Node, from: u64, timeout: Duration) -> Result<RegistryRead> {
     let partition = Partition::platform_topic(registry::TOPIC);
     let mut records = Vec::new();
     let mut next = from;
     loop {
-        match node.store.read(&partition, next, Duration::ZERO, TIMEOUT).await? {
+        match node.store.read(&partition, next, Duration::ZERO, timeout).await? {
             ReadOutcome::Gone => return Ok(RegistryRead::Truncated),
             ReadOutcome::Records { records: read, end } => {
                 node.record_store_response();
