Calls for advice name workers whose capacity no other call is about to use

Cause: in a nearly full cell twenty calls in progress named the same workers with the most free capacity, or the first ones by name, so a response of fifteen allowed workers found room on four. Change: a call claims what its step is expected to use (advice_claims.rs); the search for workers leaves out what earlier steps have claimed. Workers that are known to be allowed and whose tickets have expired are named before unknown ones, and these from a place that depends on the step. Capacity for 2.5 times the waiting tasks is asked for, was 1.5. Counters of named and allowed workers and of starts with a ticket.

--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -7,10 +7,13 @@
 //! slow and lanes stand idle that are kept for others. So slow calls leave only as many lanes to quick ones as these
 //! have lately used, and one queue may hold all lanes for slow calls while no other one wants any.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    hash::{DefaultHasher, Hash, Hasher},
+};
 
 use lilacpass_core::hash_map::HashMap;
-use lilacpass_jobs::WorkerName;
+use lilacpass_jobs::{StepName, WorkerName};
 
 use crate::event::{Advice, Lane};
 
@@ -154,6 +157,13 @@
     chosen
 }
 
+/// Returns the position, of `len`, from which a step goes through the workers, so that steps begin at different ones.
+pub fn spread(step: StepName, len: usize) -> usize {
+    let mut hasher = DefaultHasher::new();
+    step.hash(&mut hasher);
+    hasher.finish() as usize % len.max(1)
+}
+
 /// The instances that can call the advice service, each with at most one call at a time.
 #[derive(Debug, Default)]
 pub struct Lanes {
--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -6,7 +6,8 @@
 use lilacpass_schema::v1;
 
 use crate::{
-    advice,
+    advice::{self, StepAdvice},
+    advice_claims,
     candidates::AdviceDemand,
     event::{Advice, Effect, Lane, Now},
     leader::Leader,
@@ -21,8 +22,8 @@
 /// Weight of a new response in the moving average of the allowed share.
 const ALLOWED_SHARE_WEIGHT: f64 = 0.1;
 /// The allowed workers among those named should have capacity for this many times the waiting tasks, because other
-/// steps take some of it before the response arrives.
-const TASK_MARGIN: f64 = 1.5;
+/// steps take some of it before the response arrives. One more worker lengthens a call by a seventieth.
+const TASK_MARGIN: f64 = 2.5;
 /// Advice for a step that may not start yet is requested only if the minimum duration of the call is at most this,
 /// because tickets expire after about 2 s and time on the lanes for slow calls is scarce: the advice service handles
 /// one call per lane at a time.
@@ -105,14 +106,27 @@
         }
         if workers.len() == candidates.len() {
             // Too few workers have enough free capacity, so the step will probably wait and need advice again.
-            workers.extend(self.unknown_workers(name, &plan, &workers, max_extra_workers(&policy)));
+            workers.extend(self.extra_workers(
+                name,
+                &plan,
+                &workers,
+                max_extra_workers(&policy),
+                now,
+            ));
         }
         let expected_ms = (policy.base_ms + policy.per_worker_ms * workers.len() as f64) as u64;
         let queue = &entry.job.queue.name;
         let is_contended = self.advice_queue.has_slow_beside(queue);
         let Some(lane) = self.lanes.acquire(queue, expected_ms, is_contended) else { return };
+        if let Some(rank) = self.waiting.rank_of(name) {
+            let share = demand.allowed_share;
+            let claims =
+                advice_claims::expected_use(&candidates, &workers, &place::need(&plan), share);
+            self.advice_claims.set(rank, claims);
+        }
         self.advice.entry(name).or_default().call_pending = true;
         self.advice_queue.remove(name);
+        self.counters.advice.workers_named += workers.len() as u64;
         log::info!(
             step:% = name, waiting, workers = workers.len(), candidates = candidates.len(),
             expected_ms, lane = lane.0.as_str();
@@ -153,34 +167,49 @@
         }
     }
 
-    /// Returns up to `max` workers, beyond those in `queried`, of which it is unknown whether the step may run there.
-    /// They need not have free capacity now.
+    /// Returns up to `max` workers to name in addition to `named`. They need not have free capacity now: first those that
+    /// are known to be allowed and whose tickets have expired, then those of which it is unknown whether the step may run
+    /// there.
     ///
     /// Which workers may run a step never changes, so the result stays useful. When only the few workers with enough
     /// free capacity were named, a step that three in ten workers may run learned about them one at a time, at half a
     /// second each, and the calls for such steps held nearly all lanes.
-    fn unknown_workers(
+    fn extra_workers(
         &self,
         name: StepName,
         plan: &v1::WorkStep,
-        queried: &[WorkerName],
+        named: &[WorkerName],
         max: usize,
+        now: Now,
     ) -> Vec<WorkerName> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
         let need = place::need(plan);
         let advice = self.advice.get(&name);
-        let queried: HashSet<&WorkerName> = queried.iter().collect();
-        let is_unknown = |worker: &&Worker| {
+        let named: HashSet<&WorkerName> = named.iter().collect();
+        let is_usable = |worker: &&Worker| {
             worker.registered
                 && !worker.draining
                 && need.fits(&worker.registration.capacity)
                 && place::is_eligible(worker, &entry.job.queue.service, plan)
-                && advice.is_none_or(|advice| advice.allows(&worker.registration.name).is_none())
-                && !queried.contains(&worker.registration.name)
+                && !named.contains(&worker.registration.name)
+        };
+        let lacks_ticket = |worker: &&WorkerName| {
+            advice.is_none_or(|advice| advice.ticket(worker, now.steady_ms).is_none())
+        };
+        let is_unknown = |worker: &&Worker| {
+            advice.is_none_or(|advice| advice.allows(&worker.registration.name).is_none())
         };
-        let max = max.min(MAX_WORKERS_PER_CALL.saturating_sub(queried.len()));
-        let unknown = self.workers.values().filter(is_unknown).take(max);
-        unknown.map(|worker| worker.registration.name.clone()).collect()
+        let mut known: Vec<&WorkerName> =
+            advice.into_iter().flat_map(StepAdvice::allowed).filter(lacks_ticket).collect();
+        known.sort_unstable();
+        let known = known.into_iter().filter_map(|worker| self.workers.get(worker));
+        // If all steps named the first workers by name, these would get tickets of all steps, and the others of none.
+        let first = advice::spread(name, self.workers.len());
+        let all = self.workers.values();
+        let rotated = all.clone().skip(first).chain(all.take(first));
+        let max = max.min(MAX_WORKERS_PER_CALL.saturating_sub(named.len()));
+        let extra = known.chain(rotated.filter(is_unknown)).filter(is_usable).take(max);
+        extra.map(|worker| worker.registration.name.clone()).collect()
     }
 
     /// Handles the response to a call for advice.
@@ -193,10 +222,12 @@
         now: Now,
     ) {
         self.lanes.release(lane);
+        self.advice_claims.release(step);
         let Some(entry) = self.jobs.get(&step.job) else { return };
         let good = response.as_ref().map(|response| response.good.len());
         log::info!(step:% = step, asked = queried.len(), good:? = good; "advice received");
         if let Some(response) = &response {
+            self.counters.advice.workers_allowed += response.good.len() as u64;
             let share = response.good.len() as f64 / queried.len().max(1) as f64;
             let average_share = self
                 .allowed_shares
--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -191,7 +191,8 @@
         let capacity = if *with_preemption {
             self.capacity_with_preemption(rank, worker)
         } else {
-            self.free_capacity_for(rank, worker)
+            let claimed = self.advice_claims.claimed_before(rank, worker_name);
+            self.free_capacity_for(rank, worker).minus(&claimed)
         };
         let max_tasks = (*waiting).min(self.remaining_task_limit(worker, *name, plan));
         let task_capacity = place::count_fitting(&capacity, need, max_tasks);
--- a/lilacpass-lead/src/counters.rs
+++ b/lilacpass-lead/src/counters.rs
@@ -27,11 +27,24 @@
     }
 }
 
-/// Counts of lost workers and failed jobs since they were last read.
+/// Counts of calls for advice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AdviceCounters {
+    /// Workers that they named.
+    pub workers_named: u64,
+    /// Workers that the responses allowed, each with a ticket.
+    pub workers_allowed: u64,
+    /// Starts that were sent with a ticket.
+    pub starts: u64,
+}
+
+/// Counts of lost workers, failed jobs and calls for advice since they were last read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
     lost: [u64; WorkerLoss::ALL.len()],
     failed: [u64; Cause::ALL.len()],
+    /// Calls for advice and what came of them.
+    pub advice: AdviceCounters,
 }
 
 impl Counters {
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -14,6 +14,7 @@
 use crate::{
     accounts::{AccountNumber, Accounts},
     advice::{Lanes, StepAdvice},
+    advice_claims::AdviceClaims,
     advice_queue::AdviceQueue,
     capacity_index::CapacityIndex,
     counters::Counters,
@@ -122,6 +123,7 @@
     pub(crate) outbox: Outbox,
     pub(crate) advice: HashMap<StepName, StepAdvice>,
     pub(crate) lanes: Lanes,
+    pub(crate) advice_claims: AdviceClaims,
     pub(crate) waiting: WaitingSteps,
     pub(crate) advice_queue: AdviceQueue,
     /// The steps that are allowed to run on each worker, as far as advice is known.
@@ -203,6 +205,7 @@
             outbox: Outbox::default(),
             advice: HashMap::default(),
             lanes: Lanes::default(),
+            advice_claims: AdviceClaims::default(),
             waiting: WaitingSteps::default(),
             advice_queue: AdviceQueue::default(),
             allowed_steps: HashMap::default(),
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod accounts;
 pub mod advance_reservations;
 pub mod advice;
+pub mod advice_claims;
 pub mod advice_queue;
 pub mod advice_requests;
 pub mod candidates;
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -48,6 +48,7 @@
             return self.end_never_started(name, key, now);
         };
         worker.set_phase(key, Phase::Ordered);
+        self.counters.advice.starts += u64::from(ticket.is_some());
         self.effects.push(Effect::Start {
             worker: name.clone(),
             address: worker.registration.address.clone(),
--- a/lilacpass-lead/src/run_ends.rs
+++ b/lilacpass-lead/src/run_ends.rs
@@ -90,6 +90,7 @@
 
     /// Drops the advice about a step, and removes the step from the allowed steps of each worker that it allows.
     fn forget_advice(&mut self, step: StepName) {
+        self.advice_claims.release(step);
         let Some(advice) = self.advice.remove(&step) else { return };
         for worker in advice.allowed() {
             let Some(steps) = self.allowed_steps.get_mut(worker) else { continue };
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -40,6 +40,8 @@
     append_seconds: Histogram<f64>,
     appends: Counter<u64>,
     advice: Counter<u64>,
+    advised_workers: Counter<u64>,
+    advised_starts: Counter<u64>,
     heartbeats: Counter<u64>,
     desired_reads: Counter<u64>,
     desired_version: Gauge<u64>,
@@ -87,6 +89,8 @@
             append_seconds: seconds("lilacpass_append_seconds"),
             appends: meter.u64_counter("lilacpass_appends").build(),
             advice: meter.u64_counter("lilacpass_advice_calls").build(),
+            advised_workers: meter.u64_counter("lilacpass_advised_workers").build(),
+            advised_starts: meter.u64_counter("lilacpass_advised_starts").build(),
             heartbeats: meter.u64_counter("lilacpass_greetings").build(),
             desired_reads: meter.u64_counter("lilacpass_desired_reads").build(),
             desired_version: meter.u64_gauge("lilacpass_desired_version").build(),
@@ -182,6 +186,10 @@
             let cause_label = KeyValue::new("cause", cause.as_str());
             self.jobs_failed.add(counters.jobs_failed(cause), &[cause_label]);
         }
+        let advice = &counters.advice;
+        self.advised_workers.add(advice.workers_named, &[KeyValue::new("verdict", "asked")]);
+        self.advised_workers.add(advice.workers_allowed, &[KeyValue::new("verdict", "allowed")]);
+        self.advised_starts.add(advice.starts, &[]);
     }
 
     /// Records that this instance does not lead any more.
