--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -11,6 +11,7 @@
     advice_requests::MAX_WORKERS_PER_CALL,
     event::Now,
     leader::{JobEntry, Leader},
+    learned::preference::SpeedPreference,
     place,
     rank::{self, Rank},
     worker::Worker,
@@ -71,6 +72,8 @@
     /// Resources that one task needs.
     need: Resources,
     rank: Rank,
+    /// Which workers the step prefers by their speed.
+    preference: SpeedPreference,
     /// Number of waiting tasks of the step.
     waiting: u64,
     /// Whether capacity that could be freed by preempting less urgent work counts as free.
@@ -97,6 +100,7 @@
             advice: self.advice.get(&name),
             need: place::need(plan),
             rank,
+            preference: self.speed_preference(entry, plan),
             waiting: demand.waiting_tasks,
             with_preemption: false,
         };
@@ -147,7 +151,8 @@
         let home = search.entry.home_for(search.plan);
         // Preemption may free enough capacity on any worker, so none is left out because it has too little now.
         let need = if search.with_preemption { Resources::ZERO } else { search.need };
-        let names = self.capacity_index.by_preference(&search.entry.job.queue.service, home, need);
+        let service = &search.entry.job.queue.service;
+        let names = self.capacity_index.by_preference(service, home, need, search.preference);
         let mut others = names
             .take(MAX_PREFERRED_TRIES)
             .filter(|name| search.verdict(name).is_none())
@@ -171,7 +176,7 @@
     /// Rates a worker for the step. Returns `None` if it cannot run a task of the step, or if the step already has a
     /// valid ticket for it.
     fn rate<'a>(&self, search: &Search<'_>, worker: &'a Worker, now: Now) -> Option<Rated<'a>> {
-        let Search { name, plan, entry, advice, need, rank, waiting, with_preemption } = search;
+        let Search { name, plan, entry, advice, need, rank, waiting, with_preemption, .. } = search;
         // The cheap checks come first, because in a full cell each waiting step goes through many workers.
         let max_capacity =
             if *with_preemption { worker.registration.capacity } else { worker.free_capacity() };
@@ -195,7 +200,7 @@
         };
         let max_tasks = (*waiting).min(self.remaining_task_limit(worker, *name, plan));
         let task_capacity = place::count_fitting(&capacity, need, max_tasks);
-        let score = place::Score::new(worker, plan, entry.home_for(plan));
+        let score = place::Score::new(worker, plan, entry.home_for(plan), search.preference);
         let known_allowed = verdict == Some(true);
         (task_capacity > 0).then_some(Rated {
             known_allowed,
--- a/lilacpass-lead/src/capacity_index.rs
+++ b/lilacpass-lead/src/capacity_index.rs
@@ -12,7 +12,12 @@
 use lilacpass_core::{Resources, hash_map::HashMap};
 use lilacpass_jobs::WorkerName;
 
-use crate::{leader::Leader, place, worker::Worker};
+use crate::{
+    leader::Leader,
+    learned::{preference::SpeedPreference, speeds::SpeedBucket},
+    place,
+    worker::Worker,
+};
 
 /// If more than one worker in this many fits, a scan of all workers is faster than sorting those that fit.
 const INDEX_LOOKUP_DIVISOR: usize = 8;
@@ -31,9 +36,17 @@
     service: String,
     /// Free resources by free CPU in thousandths of a core and worker name.
     by_cpu: BTreeMap<(u64, WorkerName), Resources>,
-    /// For each data centre, the free resources of its workers in order of preference. There are only a few, so data
-    /// centres are never removed.
-    data_centres: Vec<(String, BTreeMap<PreferenceKey, Resources>)>,
+    /// The workers by data centre and speed. There are only a few groups, so they are never removed.
+    groups: Vec<Group>,
+}
+
+/// The indexed workers of one service that are in one data centre and equally fast.
+#[derive(Debug)]
+struct Group {
+    data_centre: String,
+    speed: SpeedBucket,
+    /// Their free resources in order of preference.
+    workers: BTreeMap<PreferenceKey, Resources>,
 }
 
 /// The position of a worker in the index.
@@ -41,8 +54,8 @@
 struct IndexEntry {
     pool: usize,
     free: Resources,
-    /// Index of the data centre in the pool.
-    data_centre: usize,
+    /// Index of the group in the pool.
+    group: usize,
     key: PreferenceKey,
 }
 
@@ -71,7 +84,7 @@
         let entry = IndexEntry {
             pool,
             free,
-            data_centre: self.pools[pool].data_centre_index(&worker.registration.data_centre),
+            group: self.pools[pool].group_index(&worker.registration.data_centre, worker.speed),
             key: PreferenceKey {
                 used_accelerators: Reverse(worker.used.accelerators.0),
                 free_share: Reverse(place::free_share(&free, &worker.registration.capacity)),
@@ -84,7 +97,7 @@
         self.remove(name);
         let pool = &mut self.pools[entry.pool];
         pool.by_cpu.insert((free.cpu.0, name.clone()), free);
-        pool.data_centres[entry.data_centre].1.insert(entry.key.clone(), free);
+        pool.groups[entry.group].workers.insert(entry.key.clone(), free);
         self.entries.insert(name.clone(), entry);
     }
 
@@ -93,34 +106,33 @@
         let Some(entry) = self.entries.remove(worker) else { return };
         let pool = &mut self.pools[entry.pool];
         pool.by_cpu.remove(&(entry.free.cpu.0, worker.clone()));
-        pool.data_centres[entry.data_centre].1.remove(&entry.key);
+        pool.groups[entry.group].workers.remove(&entry.key);
     }
 
-    /// Returns the workers of a service on which `need` fits, in order of preference: all workers in the home data
-    /// centre come before the others. Each of the two groups is sorted by accelerators in use, most first, then by free
-    /// share of CPU, greatest first, and then by name.
+    /// Returns the workers of a service on which `need` fits, in order of preference. Unless the step prefers workers by
+    /// their speed, all workers in the home data centre come before the others. Workers that are preferred alike are
+    /// sorted by accelerators in use, most first, then by free share of CPU, greatest first, and then by name.
     pub fn by_preference(
         &self,
         service: &str,
         home: Option<&str>,
         need: Resources,
+        preference: SpeedPreference,
     ) -> impl Iterator<Item = &WorkerName> {
         let pool = self.pools.iter().find(|pool| pool.service == service);
-        let data_centres = pool.map(|pool| pool.data_centres.as_slice()).unwrap_or_default();
-        let is_home = move |data_centre: &str| Some(data_centre) == home;
-        let at_home = data_centres.iter().find(|(data_centre, _)| is_home(data_centre));
-        let at_home = at_home.map(|(_, workers)| workers);
-        let others = data_centres.iter().filter(|(data_centre, _)| !is_home(data_centre));
-        let mut others: Vec<_> = others.map(|(_, workers)| workers.iter()).collect();
-        let merged = std::iter::from_fn(move || {
-            let first = others.iter_mut().min_by_key(|rest| {
-                // Exhausted iterators come last.
-                let next = btree_map::Iter::clone(rest).next().map(|(key, _)| key);
-                (next.is_none(), next)
-            });
-            first.and_then(Iterator::next)
-        });
-        let in_order = at_home.into_iter().flatten().chain(merged);
+        let mut groups: Vec<&Group> = pool.into_iter().flat_map(|pool| &pool.groups).collect();
+        groups.retain(|group| !group.workers.is_empty());
+        let order = move |group: &&Group| {
+            let at_home = Some(group.data_centre.as_str()) == home;
+            let (class, order) = (preference.class(group.speed), preference.order(group.speed));
+            Reverse((class, at_home, order))
+        };
+        groups.sort_by_key(order);
+        let alike: Vec<Vec<_>> = groups
+            .chunk_by(|group, next| order(group) == order(next))
+            .map(|alike| alike.iter().map(|group| group.workers.iter()).collect())
+            .collect();
+        let in_order = alike.into_iter().flat_map(merge);
         in_order.filter(move |(_, free)| need.fits(free)).map(|(key, _)| &key.worker)
     }
 
@@ -156,23 +168,39 @@
         if let Some(at) = self.pools.iter().position(|pool| pool.service == service) {
             return at;
         }
-        let (by_cpu, data_centres) = (BTreeMap::new(), Vec::new());
-        self.pools.push(Pool { service: service.to_owned(), by_cpu, data_centres });
+        let (by_cpu, groups) = (BTreeMap::new(), Vec::new());
+        self.pools.push(Pool { service: service.to_owned(), by_cpu, groups });
         self.pools.len() - 1
     }
 }
 
 impl Pool {
-    /// Returns the index of a data centre, and adds the data centre if it is new.
-    fn data_centre_index(&mut self, data_centre: &str) -> usize {
-        if let Some(at) = self.data_centres.iter().position(|(known, _)| known == data_centre) {
+    /// Returns the index of the group of a data centre and speed, and adds the group if it is new.
+    fn group_index(&mut self, data_centre: &str, speed: SpeedBucket) -> usize {
+        let is_same = |group: &Group| group.speed == speed && group.data_centre == data_centre;
+        if let Some(at) = self.groups.iter().position(is_same) {
             return at;
         }
-        self.data_centres.push((data_centre.to_owned(), BTreeMap::new()));
-        self.data_centres.len() - 1
+        let (data_centre, workers) = (data_centre.to_owned(), BTreeMap::new());
+        self.groups.push(Group { data_centre, speed, workers });
+        self.groups.len() - 1
     }
 }
 
+/// Merges groups of workers, each in order of preference.
+fn merge(
+    mut groups: Vec<btree_map::Iter<'_, PreferenceKey, Resources>>,
+) -> impl Iterator<Item = (&PreferenceKey, &Resources)> {
+    std::iter::from_fn(move || {
+        let first = groups.iter_mut().min_by_key(|rest| {
+            // Exhausted iterators come last.
+            let next = btree_map::Iter::clone(rest).next().map(|(key, _)| key);
+            (next.is_none(), next)
+        });
+        first.and_then(Iterator::next)
+    })
+}
+
 impl Leader {
     /// Returns workers sorted by name, which include all workers of a service on which `need` fits. Others may be
     /// included too.
--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -9,6 +9,7 @@
     accounts::AccountUsage,
     event::Now,
     leader::{JobEntry, Leader},
+    learned::speeds::KindStatus,
     place,
     worker::Phase,
 };
@@ -29,6 +30,8 @@
     pub runs: BTreeMap<&'static str, u64>,
     /// The state of each client account.
     pub accounts: Vec<AccountStatus>,
+    /// The learned speeds of the workers, by kind.
+    pub speeds: Vec<KindStatus>,
     /// The state of each worker.
     pub workers: Vec<WorkerStatus>,
     /// Time in ms for which the store has not stored the current append, including repetitions after refusals.
@@ -80,6 +83,8 @@
     pub used_cpu_milli: u64,
     /// CPU of the worker, in thousandths of a core.
     pub cpu_milli: u64,
+    /// Learned speed of the worker, relative to the mean of its pool.
+    pub speed: f64,
     /// Why the worker gets no work; empty if it does.
     pub held_back: &'static str,
 }
@@ -132,6 +137,7 @@
             waiting_steps: self.waiting.len() as u64,
             store_stuck_ms: self.store_stuck_ms(now),
             confirmed_ago_ms: now.steady_ms.saturating_sub(self.leadership_confirmed_ms),
+            speeds: self.speeds_by_kind(),
             accounts: self.accounts.usages().map(AccountStatus::from).collect(),
             ..Status::default()
         };
@@ -154,6 +160,7 @@
                 runs: worker.runs.len() as u64,
                 used_cpu_milli: worker.used.cpu.0,
                 cpu_milli: worker.registration.capacity.cpu.0,
+                speed: self.relative_speed(&worker.registration.name),
                 held_back: worker.held_back_reason(now.steady_ms),
             });
         }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -19,6 +19,7 @@
     counters::Counters,
     event::{Effect, Event, Now, Registration},
     incarnations::Incarnations,
+    learned::Learned,
     options::{self, Mechanism, Options},
     outages::RecentOutages,
     outbox::Outbox,
@@ -148,6 +149,10 @@
     /// Workers without a regular poll in flight: few at any time. With 3,000 workers, going through all workers on each
     /// event and sorting all workers for each request for advice took 17 % of a core, out of 60 % for the whole leader.
     pub(crate) unpolled_workers: BTreeSet<WorkerName>,
+    /// What was learned from the ends of runs.
+    pub(crate) learned: Learned,
+    /// The greatest urgency (the lowest priority number) of an open job, as of the last review.
+    pub(crate) most_urgent_priority: u32,
     /// The lowest urgency (the greatest priority number) of an open job, as of the last review.
     pub(crate) least_urgent_priority: u32,
     /// Number of registered workers of each service, as of the last review.
@@ -221,6 +226,8 @@
             crash_affected_jobs: BTreeSet::new(),
             counters: Counters::default(),
             unpolled_workers: BTreeSet::new(),
+            learned: Learned::default(),
+            most_urgent_priority: 0,
             least_urgent_priority: 0,
             pool_sizes: HashMap::default(),
             upcoming_occurrences: BTreeSet::new(),
@@ -421,6 +428,7 @@
                 self.replace_stuck_runs(now);
             }
             self.review_pools();
+            self.review_speeds(now);
         }
         self.refuse_unstored_jobs(now);
         if now.steady_ms >= self.next_cleanup_ms {
@@ -430,6 +438,13 @@
         }
     }
 
+    /// Whether the leader was late so recently that it may hear only now of what happened meanwhile.
+    pub(crate) fn has_just_stalled(&self, now: Now) -> bool {
+        const CATCH_UP_MS: u64 = 500;
+        now.steady_ms > self.last_tick_ms + LATE_TICK_MS
+            || self.last_stall_ms.is_some_and(|ms| now.steady_ms < ms + CATCH_UP_MS)
+    }
+
     /// Updates the pressure level, and logs a change.
     fn update_pressure(&mut self, now: Now) {
         let scan_ms = self.scan.duration_ms(now);
@@ -452,7 +467,9 @@
     /// Counts the workers of each service, and finds the least urgent open job.
     fn review_pools(&mut self) {
         let open = self.jobs.values().filter(|entry| entry.job.outcome == Outcome::Open);
-        self.least_urgent_priority = open.map(|entry| entry.job.queue.priority).max().unwrap_or(0);
+        let priorities = open.map(|entry| entry.job.queue.priority);
+        self.least_urgent_priority = priorities.clone().max().unwrap_or(0);
+        self.most_urgent_priority = priorities.min().unwrap_or(0);
         self.pool_sizes.clear();
         for worker in self.workers.values().filter(|worker| worker.registered) {
             match self.pool_sizes.get_mut(&worker.registration.service) {
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod incarnations;
 pub mod inspect;
 pub mod leader;
+pub mod learned;
 mod lost_workers;
 pub mod options;
 pub mod orders;
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -75,13 +75,17 @@
         if result.is_ok() {
             self.record_job_started(task.step.job);
         }
+        let is_resumed = self
+            .jobs
+            .get(&task.step.job)
+            .is_some_and(|entry| !entry.job.checkpoint(task).is_empty());
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(assigned) = worker.runs.get(&key).copied() else { return };
         match result {
             Ok(()) => {
                 worker.last_response_ms = now.steady_ms;
                 if assigned.phase == Phase::Ordered {
-                    worker.set_phase(key, Phase::Running { since_ms: now.steady_ms });
+                    worker.confirm_start(key, is_resumed, now.steady_ms);
                 }
                 self.review_trial(name);
             }
--- a/lilacpass-lead/src/place.rs
+++ b/lilacpass-lead/src/place.rs
@@ -3,7 +3,7 @@
 use lilacpass_core::Resources;
 use lilacpass_schema::v1;
 
-use crate::worker::Worker;
+use crate::{learned::preference::SpeedPreference, worker::Worker};
 
 /// Returns the resources that a task of a step needs. No CPU is reserved for filling tasks.
 pub fn need(step: &v1::WorkStep) -> Resources {
@@ -44,8 +44,12 @@
 pub struct Score {
     /// Whether the data of the step is on the worker's rack.
     pub near: bool,
+    /// The class of the worker's speed; the same for all workers unless the step prefers fast ones.
+    pub speed_class: i8,
     /// Whether the worker is in the home data centre of the job.
     pub at_home: bool,
+    /// How well the worker's speed suits the step; the same for all workers unless speed matters to the step.
+    pub speed_order: i8,
     /// Number of accelerators in use. Small tasks go to workers that already use some, so that tasks that need most of
     /// a worker's accelerators still find unused workers.
     pub used_accelerators: u64,
@@ -56,10 +60,17 @@
 
 impl Score {
     /// Computes the score of a worker for a step of a job with this home data centre.
-    pub fn new(worker: &Worker, step: &v1::WorkStep, home: Option<&str>) -> Self {
+    pub fn new(
+        worker: &Worker,
+        step: &v1::WorkStep,
+        home: Option<&str>,
+        preference: SpeedPreference,
+    ) -> Self {
         Self {
             near: is_near(worker, step),
+            speed_class: preference.class(worker.speed),
             at_home: home == Some(worker.registration.data_centre.as_str()),
+            speed_order: preference.order(worker.speed),
             used_accelerators: worker.used.accelerators.0,
             free_share: free_share(&worker.free_capacity(), &worker.registration.capacity),
         }
--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -100,6 +100,7 @@
         if worker.failed_polls > 0 {
             log::info!(worker:% = name, failed = worker.failed_polls; "worker responds again");
             self.outages.clear(name);
+            worker.responded_again_ms = Some(now.steady_ms);
         }
         let is_first_response = !worker.accepted_epoch;
         let was_available = worker.is_available();
--- a/lilacpass-lead/src/run_ends.rs
+++ b/lilacpass-lead/src/run_ends.rs
@@ -14,8 +14,9 @@
         now: Now,
     ) {
         let (task, run) = key;
+        let mut assigned = None;
         if let Some(worker) = self.workers.get_mut(worker_name) {
-            worker.remove_run(key);
+            assigned = worker.remove_run(key);
             self.accounts.release(worker_name, key);
             self.capacity_index.update(worker);
             self.pending_changes.mark_worker_freed(worker_name);
@@ -30,6 +31,7 @@
         if change == Change::None {
             return;
         }
+        self.learn_from_end(worker_name, task, assigned, end.reason, now);
         if end.reason != EndReason::NeverStarted {
             self.outbox.pending.states.insert(task.step.job);
         }
@@ -82,6 +84,7 @@
         let steps = self.jobs.get(&key).map(|entry| entry.job.step_names());
         for step in steps.into_iter().flatten() {
             self.forget_advice(step);
+            self.forget_timed_runs(step);
         }
         for worker in self.reservations.release_job(key) {
             self.pending_changes.mark_worker_freed(&worker);
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -13,6 +13,7 @@
     event::Now,
     hosts::{self, Host, HostSelector},
     leader::Leader,
+    learned::preference::{self, SpeedPreference},
     options::Mechanism,
     outbox::OnStored,
     pending_changes::RoundScope,
@@ -246,8 +247,18 @@
         let could_run = |worker: &&Worker| {
             worker.accepts_starts(now.steady_ms) && place::is_eligible(worker, service, plan)
         };
-        let fitting = self.workers_fitting(service, &place::need(plan));
-        let home = place::choose_home_data_centre(fitting.into_iter().filter(could_run), plan);
+        let need = place::need(plan);
+        let mut usable = self.workers_fitting(service, &need);
+        usable.retain(could_run);
+        let is_fast_and_free = |worker: &&Worker| {
+            preference::is_fast(worker.speed) && need.fits(&worker.free_capacity())
+        };
+        if self.speed_preference(entry, plan) == SpeedPreference::Faster
+            && usable.iter().any(is_fast_and_free)
+        {
+            usable.retain(is_fast_and_free);
+        }
+        let home = place::choose_home_data_centre(usable.into_iter(), plan);
         if let Some(entry) = self.jobs.get_mut(&name.job) {
             entry.home_data_centre = home;
         }
@@ -270,6 +281,7 @@
     ) -> Vec<Host> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
         let home = entry.home_for(plan);
+        let preference = self.speed_preference(entry, plan);
         let need = place::need(plan);
         let Some(rank) = self.waiting.rank_of(name) else { return Vec::new() };
         let can_host = |worker: &&Worker| {
@@ -289,7 +301,7 @@
                 is_clean: worker.health.is_clean()
                     && !entry.failed_on.contains_key(&worker.registration.name),
                 rack: worker.rack().to_owned(),
-                score: place::Score::new(worker, plan, home),
+                score: place::Score::new(worker, plan, home, preference),
                 capacity: worker.registration.capacity,
                 remaining_task_limit: self.remaining_task_limit(worker, name, plan),
             })
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -6,7 +6,9 @@
 use lilacpass_core::Resources;
 use lilacpass_jobs::{Run, Suspicion, TaskName, WorkerName};
 
-use crate::{event::Registration, health, options, progress::Progress};
+use crate::{
+    event::Registration, health, learned::speeds::SpeedBucket, options, progress::Progress,
+};
 
 /// Identifies a run on a worker: the task and the number of the run.
 pub type RunKey = (TaskName, u32);
@@ -48,6 +50,9 @@
     pub progress: Option<Progress>,
     /// When a response of the worker first showed that the run had started, on the monotonic clock.
     pub started_ms: Option<u64>,
+    /// When the worker confirmed the start order, on the monotonic clock; `None` if the time of the start is not known
+    /// exactly, or if the run continues from a checkpoint.
+    pub timed_from_ms: Option<u64>,
     /// Whether a former leader assigned the run and its task is not suspected of crashing workers.
     pub is_inherited: bool,
 }
@@ -55,8 +60,14 @@
 impl AssignedRun {
     fn new(need: Resources, phase: Phase) -> Self {
         let is_inherited = matches!(phase, Phase::Uncertain { .. });
-        let mut assigned =
-            Self { phase: Phase::Recording, need, progress: None, started_ms: None, is_inherited };
+        let mut assigned = Self {
+            phase: Phase::Recording,
+            need,
+            progress: None,
+            started_ms: None,
+            timed_from_ms: None,
+            is_inherited,
+        };
         assigned.set_phase(phase);
         assigned
     }
@@ -137,6 +148,10 @@
     /// Since when it has been unregistered and has not accepted the leader's epoch while other workers of its data
     /// centre respond, on the monotonic clock.
     pub missing_since_ms: Option<u64>,
+    /// When it last responded to a poll after one that had failed, on the monotonic clock.
+    pub responded_again_ms: Option<u64>,
+    /// Its learned speed.
+    pub speed: SpeedBucket,
     /// When it last answered any call, on the monotonic clock; 0 if never.
     pub last_response_ms: u64,
     /// A run that may crash the worker. Nothing else is started on it until that run has proved harmless.
@@ -177,6 +192,8 @@
             suspected_until_ms: 0,
             health: health::WorkerHealth::default(),
             missing_since_ms: None,
+            responded_again_ms: None,
+            speed: SpeedBucket::default(),
             last_response_ms: 0,
             trial: None,
             is_replaced: false,
@@ -260,6 +277,15 @@
         }
     }
 
+    /// Records that the worker has confirmed a start order. `is_resumed` says whether the run continues from a
+    /// checkpoint.
+    pub fn confirm_start(&mut self, key: RunKey, is_resumed: bool, now_ms: u64) {
+        if let Some(assigned) = self.runs.get_mut(&key) {
+            assigned.set_phase(Phase::Running { since_ms: now_ms });
+            assigned.timed_from_ms = (!is_resumed).then_some(now_ms);
+        }
+    }
+
     /// The number of the last run end that the next poll lets the worker forget. While the worker does not respond, the
     /// poll may reach its next incarnation, whose ends have the same numbers and are not stored.
     pub fn forget_up_to(&self) -> u64 {
--- a/lilacpass-lead/tests/capacity_index.rs
+++ b/lilacpass-lead/tests/capacity_index.rs
@@ -7,6 +7,7 @@
 use lilacpass_lead::{
     capacity_index::CapacityIndex,
     event::Registration,
+    learned::{preference::SpeedPreference, speeds::SpeedBucket},
     place,
     worker::{Phase, RunKey, Worker},
 };
@@ -68,6 +69,7 @@
         } else {
             let changed = workers.entry(name).or_insert_with(|| worker(number));
             changed.draining = change % 13 == 12;
+            changed.speed = SpeedBucket((change % 11) as i8 - 6);
             let free = changed.free_capacity();
             if need(change).fits(&free) {
                 changed.assign(run(change), need(change), Phase::Ordered);
@@ -96,12 +98,15 @@
     if !names.is_empty() {
         assert_eq!(index.fitting(service, &need, names.len() - 1), None, "too many");
     }
-    for home in [None, Some("south"), Some("nowhere")] {
+    let preferences = [SpeedPreference::Any, SpeedPreference::Faster, SpeedPreference::Slower];
+    let homes = [None, Some("south"), Some("nowhere")];
+    for (home, preference) in homes.into_iter().flat_map(|home| preferences.map(|p| (home, p))) {
         let step = Default::default();
         let mut best: Vec<&Worker> = fitting.iter().collect();
-        best.sort_by_key(|worker| Reverse(place::Score::new(worker, &step, home)));
+        best.sort_by_key(|worker| Reverse(place::Score::new(worker, &step, home, preference)));
         let best: Vec<&WorkerName> = best.iter().map(|worker| &worker.registration.name).collect();
-        let preferred: Vec<&WorkerName> = index.by_preference(service, home, need).collect();
-        assert_eq!(preferred, best, "home {home:?}");
+        let preferred: Vec<&WorkerName> =
+            index.by_preference(service, home, need, preference).collect();
+        assert_eq!(preferred, best, "home {home:?}, {preference:?}");
     }
 }
--- a/lilacpass-lead/tests/world/starts.rs
+++ b/lilacpass-lead/tests/world/starts.rs
@@ -24,7 +24,8 @@
         self.check_start(worker_index, task, &job);
         self.requests.started.insert(job.key);
         let plan = job.step_plan(task.step.step);
-        let work_ms = u64::from(plan.estimate_ms).max(1);
+        let speed_percent = self.workers[worker_index].speed_percent;
+        let work_ms = u64::from(plan.estimate_ms).max(1) * 100 / speed_percent;
         let fails = self.random.percent(3) || self.workers[worker_index].fails_all_runs;
         let need = lilacpass_lead::place::need(plan);
         let now_ms = self.now_ms;
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -59,6 +59,10 @@
     /// Until when its registration remains after a crash.
     pub stale_until_ms: u64,
     pub data_centre: &'static str,
+    /// Its first label.
+    pub kind: &'static str,
+    /// Its speed in percent. A run takes its estimate divided by this.
+    pub speed_percent: u64,
     pub runs: BTreeMap<TaskName, ActiveRun>,
     /// Tasks that were done here.
     pub done: BTreeSet<TaskName>,
@@ -102,6 +106,8 @@
             registered: true,
             stale_until_ms: 0,
             data_centre: "here",
+            kind: "a",
+            speed_percent: 100,
             runs: BTreeMap::new(),
             done: BTreeSet::new(),
             failed: Vec::new(),
@@ -126,6 +132,8 @@
             name: new.name.with_start(Some(START_UNIX_MS + now_ms)),
             address: former.address.clone(),
             data_centre: former.data_centre,
+            kind: former.kind,
+            speed_percent: former.speed_percent,
             clock_offset_ms: FIRST_CLOCK_MS as i64 - now_ms as i64,
             clock_ms: FIRST_CLOCK_MS,
             ..new
@@ -139,7 +147,7 @@
             data_centre: self.data_centre.to_owned(),
             service: "pool".to_owned(),
             capacity: self.capacity,
-            labels: vec!["a".to_owned(), "r-1".to_owned()],
+            labels: vec![self.kind.to_owned(), "r-1".to_owned()],
             draining: self.draining,
         }
     }
