--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -245,6 +245,7 @@
             let lanes = self.lanes(now.steady_ms);
             self.leader.handle(Event::Lanes(lanes), now);
             self.review_relays(now.steady_ms);
+            self.node.metrics.worker_speeds(&self.leader.speeds_by_kind());
         }
         self.accounts_version =
             tell_accounts(&self.node, &mut self.leader, self.accounts_version, now);
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -7,6 +7,7 @@
 use lilacpass_jobs::failure::Cause;
 use lilacpass_lead::{
     counters::{Counters, WorkerLoss},
+    learned::speeds::KindStatus,
     pressure::Level,
 };
 use lilacpass_platform::server::Reply;
@@ -23,6 +24,8 @@
 pub const PORT: u16 = 9_464;
 /// Path of the metrics, as configured in `deploy/system.toml`.
 pub const PATH: &str = "/metrics";
+/// Number of kinds of workers whose speed is shown. Labels of workers are free text.
+const MAX_KINDS: usize = 16;
 /// Bucket bounds of time histograms, in seconds: from a response within one instance up to a client's timeout.
 const TIME_BOUNDS_S: [f64; 12] =
     [0.001, 0.003, 0.01, 0.03, 0.06, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 10.0];
@@ -50,6 +53,7 @@
     leads: Gauge<u64>,
     behind_seconds: Gauge<f64>,
     pressure: Gauge<u64>,
+    worker_speed: Gauge<f64>,
     dropped_lines: Gauge<u64>,
 }
 
@@ -97,6 +101,7 @@
             leads: meter.u64_gauge("lilacpass_leads").build(),
             behind_seconds: meter.f64_gauge("lilacpass_leader_behind_seconds").build(),
             pressure: meter.u64_gauge("lilacpass_leader_pressure").build(),
+            worker_speed: meter.f64_gauge("lilacpass_worker_speed").build(),
             dropped_lines: meter.u64_gauge("lilacpass_dropped_log_lines").build(),
             registry,
             _provider: provider,
@@ -184,6 +189,15 @@
         }
     }
 
+    /// Records the learned speeds of the kinds of workers. Shows the first kinds only if there are too many.
+    pub fn worker_speeds(&self, kinds: &[KindStatus]) {
+        for kind in kinds.iter().take(MAX_KINDS) {
+            let service = KeyValue::new("service", kind.service.clone());
+            self.worker_speed
+                .record(kind.speed, &[service, KeyValue::new("kind", kind.kind.clone())]);
+        }
+    }
+
     /// Records that this instance does not lead any more.
     pub fn leadership_lost(&self) {
         self.leads.record(0, &[]);
