A run on a slow worker gets a copy on a much faster one

Cause: runs are compared with others of their step only, so a single task on a worker that has become several times slower held its job until it was done.

Change: a run that allows copies, is far from done and is on a worker at half the mean speed or less gets a copy if a worker at least twice as fast is allowed and has capacity. Such workers are rare, so the search is too.

Measured: a task of 3 s on a worker at a fifth of the speed is done within 6.2 s instead of 15 s (`a_run_on_a_slow_worker_gets_a_copy_on_a_faster_one`, which fails without the rule).

--- a/lilacpass-lead/src/learned/mod.rs
+++ b/lilacpass-lead/src/learned/mod.rs
@@ -11,19 +11,19 @@
 pub mod speeds;
 
 use lilacpass_core::hash_map::HashMap;
-use lilacpass_jobs::{EndReason, StepName, TaskName, WorkerName};
+use lilacpass_jobs::{EndReason, StepName, TaskName, WorkerName, job::Step};
 use lilacpass_schema::v1;
 
 use crate::{
     event::Now,
     leader::{JobEntry, Leader},
     place,
-    worker::{AssignedRun, Worker},
+    worker::{AssignedRun, RunKey, Worker},
 };
 
 use durations::Durations;
 use preference::SpeedPreference;
-use speeds::{KindStatus, Speeds, TimedRun};
+use speeds::{KindStatus, SpeedBucket, Speeds, TimedRun};
 
 /// Shorter runs are not compared: the time until the leader hears of a start or an end, tens of ms, is too large a part
 /// of their duration.
@@ -74,7 +74,7 @@
             None
         };
         let Some(entry) = self.jobs.get(&task.step.job) else { return };
-        let is_done = entry.job.step(task.step).is_none_or(|step| step.is_done());
+        let is_done = entry.job.step(task.step).is_none_or(Step::is_done);
         if let Some(duration_ms) = duration_ms {
             let plan = entry.job.step_plan(task.step.step);
             let estimate_ms = u64::from(plan.estimate_ms);
@@ -139,6 +139,28 @@
         }
     }
 
+    /// Whether a run that may have a copy is on a slow worker and far from done, while a much faster worker has capacity
+    /// and is allowed.
+    pub(crate) fn has_much_faster_host(
+        &self,
+        worker: &Worker,
+        (task, _): RunKey,
+        plan: &v1::WorkStep,
+        assigned: &AssignedRun,
+        now: Now,
+    ) -> bool {
+        let is_far_from_done = assigned.progress.is_some_and(|progress| !progress.is_nearly_done());
+        let need = place::need(plan);
+        plan.speculative
+            && preference::is_much_slower(worker.speed, SpeedBucket::default())
+            && is_far_from_done
+            && self.allowed_and_fitting(task.step, &need, now).into_iter().any(|other| {
+                preference::is_much_slower(worker.speed, other.speed)
+                    && need.fits(&other.free_capacity())
+                    && self.could_start(other, task.step, plan, now)
+            })
+    }
+
     /// Which workers a step prefers by their speed.
     pub(crate) fn speed_preference(
         &self,
--- a/lilacpass-lead/src/learned/preference.rs
+++ b/lilacpass-lead/src/learned/preference.rs
@@ -14,6 +14,9 @@
 /// Workers at most this fast are slow beyond what kinds of workers differ by: half the mean speed or less.
 const MAX_SLOW: SpeedBucket = SpeedBucket(-4);
 
+/// Number of buckets by which a worker is much faster than another one: twice as fast.
+const MIN_MUCH_FASTER: i8 = 4;
+
 /// Which workers a step prefers by their speed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum SpeedPreference {
@@ -53,6 +56,11 @@
     bucket >= MIN_FAST
 }
 
+/// Whether a worker in this bucket is slow beyond what kinds of workers differ by, and `other` is at least twice as fast.
+pub fn is_much_slower(bucket: SpeedBucket, other: SpeedBucket) -> bool {
+    bucket <= MAX_SLOW && other.0 >= bucket.0 + MIN_MUCH_FASTER
+}
+
 /// Returns which workers a step prefers. `most_urgent_priority` is the lowest priority number of an open job.
 ///
 /// Long-running tasks and filling tasks earn by the time that they run and leave the fast workers to others. A job of
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -248,6 +248,10 @@
                     continue;
                 }
                 let Some(plan) = self.replaceable_plan(*key, assigned) else { continue };
+                if !unresponsive && self.has_much_faster_host(worker, *key, plan, assigned, now) {
+                    runs_to_replace.push((name.clone(), *key, true, false));
+                    continue;
+                }
                 let estimate_ms = u64::from(plan.estimate_ms);
                 let is_lost = assigned.progress.is_some_and(|progress| {
                     !unresponsive && progress.is_stalled(estimate_ms, now.steady_ms)
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -341,7 +341,12 @@
     ///
     /// The fewer of the workers with tickets and of those with enough free capacity are gone through. In a full cell
     /// each waiting step holds tickets for a hundred workers, and hardly any worker has free capacity.
-    fn allowed_and_fitting(&self, name: StepName, need: &Resources, now: Now) -> Vec<&Worker> {
+    pub(crate) fn allowed_and_fitting(
+        &self,
+        name: StepName,
+        need: &Resources,
+        now: Now,
+    ) -> Vec<&Worker> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
         let service = &entry.job.queue.service;
         if entry.job.queue.advice.is_none() {
--- a/lilacpass-lead/tests/learned_speeds.rs
+++ b/lilacpass-lead/tests/learned_speeds.rs
@@ -252,6 +252,40 @@
     assert_eq!((tasks_on(&world, true), tasks_on(&world, false)), (0, 20));
 }
 
+/// Failure: a task on a worker that had become five times slower held its job for five times as long. It was the only task
+/// of its step, so its progress could not be compared, and it got no copy although other workers were free.
+#[test]
+fn a_run_on_a_slow_worker_gets_a_copy_on_a_faster_one() {
+    let mut world = World::new(3, 6, Resources::new(4_000, 32_000, 0, 0));
+    world.run(1_000);
+    world.workers[0].speed_percent = 20;
+    // Two tasks on each worker, so that the speeds are learned.
+    let on_all = v1::WorkStep { max_per_worker: 2, ..step(12, 2_000, 400) };
+    for key in 1..=4 {
+        world.submit(key, plan(std::slice::from_ref(&on_all)), queue("batch", 1));
+        world.run(2_300);
+    }
+    // The other workers are busy for a second, so the task starts on the slow one.
+    let on_others = v1::WorkStep { max_per_worker: 1, ..step(5, 4_000, 1_200) };
+    for worker in &mut world.workers[..1] {
+        worker.unreachable = true;
+    }
+    world.run(500);
+    world.submit(10, plan(&[on_others]), queue("batch", 1));
+    world.run(100);
+    world.workers[0].unreachable = false;
+    world.run(600);
+    let copyable = v1::WorkStep { speculative: true, ..step(1, 2_000, 3_000) };
+    world.submit(11, plan(&[copyable]), queue("batch", 1));
+    world.run(200);
+    let on_slow =
+        |world: &World| world.workers[0].runs.keys().any(|task| task.step.job == JobKey(11));
+    assert!(on_slow(&world), "the task starts on the slow worker");
+    world.run(6_000);
+    let job = world.store.job(JobKey(11)).expect("a stored job");
+    assert_eq!(job.outcome, Outcome::Completed, "it takes 15 s on the slow worker");
+}
+
 /// A new leader knows no speeds. Until it has learned them, all workers must count as equal, and it must learn them
 /// again within seconds of load.
 #[test]
