Slack from predicted durations; long-running tasks avoid fast workers only

And long-running tasks filled the slowest kind first: two kinds at the edge of a bucket would have got unequal shares.

Change: the chain of steps is computed from learned durations. The most urgent priority is that of the jobs that terminate. Workers that are not fast are alike to long-running and filling tasks.

--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -151,7 +151,7 @@
     pub(crate) unpolled_workers: BTreeSet<WorkerName>,
     /// What was learned from the ends of runs.
     pub(crate) learned: Learned,
-    /// The greatest urgency (the lowest priority number) of an open job, as of the last review.
+    /// The greatest urgency (the lowest priority number) of an open job that terminates, as of the last review.
     pub(crate) most_urgent_priority: u32,
     /// The lowest urgency (the greatest priority number) of an open job, as of the last review.
     pub(crate) least_urgent_priority: u32,
@@ -467,9 +467,11 @@
     /// Counts the workers of each service, and finds the least urgent open job.
     fn review_pools(&mut self) {
         let open = self.jobs.values().filter(|entry| entry.job.outcome == Outcome::Open);
-        let priorities = open.map(|entry| entry.job.queue.priority);
-        self.least_urgent_priority = priorities.clone().max().unwrap_or(0);
-        self.most_urgent_priority = priorities.min().unwrap_or(0);
+        let terminates = |entry: &&JobEntry| !entry.job.plan.steps.iter().any(|step| step.lasting);
+        let terminating = open.clone().filter(terminates);
+        self.most_urgent_priority =
+            terminating.map(|entry| entry.job.queue.priority).min().unwrap_or(0);
+        self.least_urgent_priority = open.map(|entry| entry.job.queue.priority).max().unwrap_or(0);
         self.pool_sizes.clear();
         for worker in self.workers.values().filter(|worker| worker.registered) {
             match self.pool_sizes.get_mut(&worker.registration.service) {
--- a/lilacpass-lead/src/learned/mod.rs
+++ b/lilacpass-lead/src/learned/mod.rs
@@ -167,7 +167,10 @@
         entry: &JobEntry,
         plan: &v1::WorkStep,
     ) -> SpeedPreference {
-        preference::of_step(&entry.job, plan, self.most_urgent_priority)
+        let queue = &entry.job.queue.name;
+        let duration_ms =
+            |step: &v1::WorkStep| self.predict_ms(queue, &step.image, u64::from(step.estimate_ms));
+        preference::of_step(&entry.job, plan, self.most_urgent_priority, duration_ms)
     }
 }
 
--- a/lilacpass-lead/src/learned/preference.rs
+++ b/lilacpass-lead/src/learned/preference.rs
@@ -4,9 +4,8 @@
 use lilacpass_schema::v1;
 
 use super::speeds::SpeedBucket;
-use crate::rank;
 
-/// A job has little slack if it is late when it takes this much longer than its estimated chain of steps. A slow worker
+/// A job has little slack if it is late when it takes this much longer than its chain of steps. A slow worker
 /// makes a task of a second late by about as much.
 const MAX_LITTLE_SLACK_MS: u64 = 2_000;
 /// Workers at least this fast are fast: 1.2 times the mean or more.
@@ -25,7 +24,7 @@
     Any,
     /// Faster workers, even outside the home data centre.
     Faster,
-    /// Slower workers within the home data centre.
+    /// Workers that are not fast, within the home data centre.
     Slower,
 }
 
@@ -44,9 +43,8 @@
         match self {
             Self::Any => 0,
             Self::Faster => bucket.0,
-            // A worker that has become very slow may be faulty.
-            Self::Slower if bucket <= MAX_SLOW => 0,
-            Self::Slower => -bucket.0,
+            // All others are preferred alike: these tasks are spread, so that the loss of a worker ends few of them.
+            Self::Slower => -i8::from(is_fast(bucket)),
         }
     }
 }
@@ -61,12 +59,18 @@
     bucket <= MAX_SLOW && other.0 >= bucket.0 + MIN_MUCH_FASTER
 }
 
-/// Returns which workers a step prefers. `most_urgent_priority` is the lowest priority number of an open job.
+/// Returns which workers a step prefers. `most_urgent_priority` is the lowest priority number of an open job that
+/// terminates, and `duration_ms` predicts how long the tasks of a step take.
 ///
 /// Long-running tasks and filling tasks earn by the time that they run and leave the fast workers to others. A job of
 /// the most urgent queues with little slack prefers fast workers. Steps that use accelerators ignore speed, because
 /// they are packed so that unused workers remain.
-pub fn of_step(job: &Job, plan: &v1::WorkStep, most_urgent_priority: u32) -> SpeedPreference {
+pub fn of_step(
+    job: &Job,
+    plan: &v1::WorkStep,
+    most_urgent_priority: u32,
+    duration_ms: impl Fn(&v1::WorkStep) -> u64,
+) -> SpeedPreference {
     if plan.accelerators > 0 {
         return SpeedPreference::Any;
     }
@@ -74,14 +78,20 @@
         return SpeedPreference::Slower;
     }
     let is_urgent = job.queue.priority <= most_urgent_priority;
-    if is_urgent && slack_ms(job) <= MAX_LITTLE_SLACK_MS {
+    if is_urgent && slack_ms(job, duration_ms) <= MAX_LITTLE_SLACK_MS {
         return SpeedPreference::Faster;
     }
     SpeedPreference::Any
 }
 
-/// How much longer than its estimated chain of steps a job may take before it is late, in ms.
-fn slack_ms(job: &Job) -> u64 {
+/// How much longer than its predicted chain of steps a job may take before it is late, in ms.
+fn slack_ms(job: &Job, duration_ms: impl Fn(&v1::WorkStep) -> u64) -> u64 {
+    let mut ends_ms: Vec<u64> = Vec::with_capacity(job.plan.steps.len());
+    for step in &job.plan.steps {
+        let start_ms = step.after.iter().map(|&earlier| ends_ms[earlier as usize]).max();
+        ends_ms.push(start_ms.unwrap_or(0) + duration_ms(step));
+    }
+    let chain_ms = ends_ms.into_iter().max().unwrap_or(0);
     let stretch = job.queue.stretch.max(1.0) - 1.0;
-    u64::from(job.queue.objective_ms) + (stretch * rank::critical_path_ms(job) as f64) as u64
+    u64::from(job.queue.objective_ms) + (stretch * chain_ms as f64) as u64
 }
