Fair use among client accounts while capacity is short

Cause: shares count jobs, so the few wide jobs of an account are within its share, and small jobs that other accounts submit later wait until all of them are done.

The band is a field of `Rank` after the priority. `status` shows usage, fair part and band of each account.

--- a/lilacpass-lead/src/accounts.rs
+++ b/lilacpass-lead/src/accounts.rs
@@ -49,6 +49,8 @@
 /// The state of an account as shown to operators.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AccountUsage<'a> {
+    /// The account.
+    pub account: AccountNumber,
     /// Share and cap of the account.
     pub policy: &'a v1::AccountPolicy,
     /// Whether the desired state lists the account.
@@ -148,20 +150,33 @@
         cap(&entry.policy).minus(&entry.used)
     }
 
+    /// Returns whether the desired state lists an account with a weight.
+    pub fn any_weighted(&self) -> bool {
+        self.entries.iter().any(Entry::is_weighted)
+    }
+
+    /// Returns the accounts that the desired state lists with a weight, each with its weight and what it has running.
+    pub fn weighted(&self) -> impl Iterator<Item = (AccountNumber, f64, Resources)> {
+        let numbered = self.entries.iter().enumerate();
+        let weighted = numbered.filter(|(_, entry)| entry.is_weighted());
+        weighted.map(|(number, entry)| (AccountNumber(number), entry.policy.weight, entry.used))
+    }
+
     /// Returns the state of an account.
     pub fn usage(&self, account: AccountNumber) -> AccountUsage<'_> {
-        self.entries[account.0].usage()
+        let Entry { policy, is_listed, used, .. } = &self.entries[account.0];
+        AccountUsage { account, policy, is_listed: *is_listed, used: *used }
     }
 
     /// Returns the state of all accounts.
     pub fn usages(&self) -> impl Iterator<Item = AccountUsage<'_>> {
-        self.entries.iter().map(Entry::usage)
+        (0..self.entries.len()).map(|number| self.usage(AccountNumber(number)))
     }
 }
 
 impl Entry {
-    fn usage(&self) -> AccountUsage<'_> {
-        AccountUsage { policy: &self.policy, is_listed: self.is_listed, used: self.used }
+    fn is_weighted(&self) -> bool {
+        self.is_listed && self.policy.weight > 0.0 && self.policy.weight.is_finite()
     }
 }
 
--- a/lilacpass-lead/src/advice_queue.rs
+++ b/lilacpass-lead/src/advice_queue.rs
@@ -66,6 +66,29 @@
         }
     }
 
+    /// Moves a step to a new rank, if it may request advice now. A delayed step gets its rank when it is due.
+    pub fn set_rank(&mut self, new: Rank) {
+        if let Some(State::Ready { group, rank }) = self.steps.get_mut(&new.step) {
+            let ranks = &mut self.groups[*group].ranks;
+            ranks.remove(rank);
+            ranks.insert(new);
+            *rank = new;
+        }
+    }
+
+    /// Returns the rank of a step that may request advice now.
+    pub fn rank_of(&self, step: StepName) -> Option<Rank> {
+        match self.steps.get(&step)? {
+            State::Ready { rank, .. } => Some(*rank),
+            State::Delayed { .. } => None,
+        }
+    }
+
+    /// Returns the ranks of all steps that may request advice now, group by group.
+    pub fn ranks(&self) -> impl Iterator<Item = Rank> {
+        self.groups.iter().flat_map(|group| &group.ranks).copied()
+    }
+
     /// Removes and returns the delayed steps that are due at `now_ms`.
     pub fn take_due(&mut self, now_ms: u64) -> Vec<StepName> {
         let mut due = Vec::new();
--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -12,7 +12,7 @@
     event::Now,
     leader::{JobEntry, Leader},
     place,
-    rank::{self, Rank},
+    rank::Rank,
     worker::Worker,
 };
 
@@ -89,7 +89,7 @@
         now: Now,
     ) -> Vec<Candidate> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
-        let rank = self.waiting.rank_of(name).unwrap_or_else(|| rank::of_step(&entry.job, name));
+        let rank = self.waiting.rank_of(name).unwrap_or_else(|| self.compute_rank(entry, name));
         let mut search = Search {
             name,
             plan,
--- a/lilacpass-lead/src/counters.rs
+++ b/lilacpass-lead/src/counters.rs
@@ -2,6 +2,8 @@
 
 use lilacpass_jobs::failure::Cause;
 
+use crate::fair_use::Band;
+
 /// How a worker was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum WorkerLoss {
@@ -27,11 +29,13 @@
     }
 }
 
-/// Counts of lost workers and failed jobs since they were last read.
+/// Counts of lost workers, failed jobs and changes of bands since they were last read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counters {
     lost: [u64; WorkerLoss::ALL.len()],
     failed: [u64; Cause::ALL.len()],
+    band_changes: [u64; Band::ALL.len()],
+    moved_steps: u64,
 }
 
 impl Counters {
@@ -45,6 +49,26 @@
         self.failed[cause as usize] += 1;
     }
 
+    /// Counts a change of the band of an account.
+    pub fn count_band_change(&mut self, to: Band) {
+        self.band_changes[to.index()] += 1;
+    }
+
+    /// Counts a waiting step that got another rank.
+    pub fn count_moved_step(&mut self) {
+        self.moved_steps += 1;
+    }
+
+    /// Number of times that an account entered this band from another one.
+    pub fn band_changes(&self, to: Band) -> u64 {
+        self.band_changes[to.index()]
+    }
+
+    /// Number of times that a waiting step got another rank.
+    pub fn moved_steps(&self) -> u64 {
+        self.moved_steps
+    }
+
     /// Number of jobs that failed for this cause.
     pub fn jobs_failed(&self, cause: Cause) -> u64 {
         self.failed[cause as usize]
--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -8,6 +8,7 @@
 use crate::{
     accounts::AccountUsage,
     event::Now,
+    fair_use::FairUse,
     leader::{JobEntry, Leader},
     place,
     worker::Phase,
@@ -50,12 +51,23 @@
     pub used: [u64; 3],
     /// Its cap on each of these; 0 for none.
     pub cap: [u64; 3],
+    /// Share of the pool that it has used, integrated over time with decay; 0 if it takes no part in fair use.
+    pub usage: f64,
+    /// Its fair part of the pool; 0 if it has no work.
+    pub fair_part: f64,
+    /// Its band: `within` unless capacity is short and it uses more than its fair part.
+    pub band: &'static str,
 }
 
-impl From<AccountUsage<'_>> for AccountStatus {
-    fn from(usage: AccountUsage<'_>) -> Self {
-        let AccountUsage { policy, is_listed, used } = usage;
+impl AccountStatus {
+    /// Creates the status of an account.
+    fn new(usage: AccountUsage<'_>, fair_use: &FairUse) -> Self {
+        let AccountUsage { account, policy, is_listed, used } = usage;
+        let state = fair_use.state_of(account);
         Self {
+            usage: state.map_or(0.0, |state| state.usage),
+            fair_part: state.map_or(0.0, |state| state.fair_part),
+            band: fair_use.band_of(Some(account)).as_str(),
             name: policy.name.clone(),
             is_listed,
             weight: policy.weight,
@@ -132,7 +144,11 @@
             waiting_steps: self.waiting.len() as u64,
             store_stuck_ms: self.store_stuck_ms(now),
             confirmed_ago_ms: now.steady_ms.saturating_sub(self.leadership_confirmed_ms),
-            accounts: self.accounts.usages().map(AccountStatus::from).collect(),
+            accounts: self
+                .accounts
+                .usages()
+                .map(|usage| AccountStatus::new(usage, &self.fair_use))
+                .collect(),
             ..Status::default()
         };
         for entry in self.jobs.values().filter(|entry| entry.job.outcome == Outcome::Open) {
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -18,6 +18,7 @@
     capacity_index::CapacityIndex,
     counters::Counters,
     event::{Effect, Event, Now, Registration},
+    fair_use::FairUse,
     incarnations::Incarnations,
     options::{self, Mechanism, Options},
     outages::RecentOutages,
@@ -107,6 +108,8 @@
 pub struct SchedulingWork {
     /// Steps for which workers with free capacity, or workers to request advice about, were searched for.
     pub steps_examined: u64,
+    /// Waiting steps that got another rank.
+    pub steps_moved: u64,
 }
 
 /// The leader of a cell: a state machine that takes events and returns effects.
@@ -119,6 +122,7 @@
     pub(crate) workers: BTreeMap<WorkerName, Worker>,
     pub(crate) capacity_index: CapacityIndex,
     pub(crate) accounts: Accounts,
+    pub(crate) fair_use: FairUse,
     pub(crate) outbox: Outbox,
     pub(crate) advice: HashMap<StepName, StepAdvice>,
     pub(crate) lanes: Lanes,
@@ -200,6 +204,7 @@
             workers: BTreeMap::new(),
             capacity_index: CapacityIndex::default(),
             accounts: Accounts::default(),
+            fair_use: FairUse::default(),
             outbox: Outbox::default(),
             advice: HashMap::default(),
             lanes: Lanes::default(),
@@ -415,6 +420,7 @@
         self.expire_unresponsive_workers(now);
         self.retry_stops(now);
         self.stop_unanswered_beyond_caps(now);
+        self.update_fair_use(now);
         if now.steady_ms >= self.next_review_ms {
             self.next_review_ms = now.steady_ms + RUN_REVIEW_INTERVAL_MS;
             if self.options.uses(Mechanism::Replacement) {
--- a/lilacpass-lead/src/reindex.rs
+++ b/lilacpass-lead/src/reindex.rs
@@ -51,7 +51,7 @@
             if is_waiting && job.step_may_start(name, now.unix_ms) {
                 let plan = job.step_plan(name.step);
                 let kind = StepKind::of(plan, job.queue.advice.is_some());
-                let rank = || rank::of_step(job, name);
+                let rank = || rank::of_step(job, name, self.fair_use.band_of(entry.account));
                 if self.waiting.add(name, kind, place::need(plan), now.steady_ms, rank) {
                     // It may request advice from the next round on.
                     self.advice_queue.delay(name, now.steady_ms);
--- a/lilacpass-lead/src/reservations.rs
+++ b/lilacpass-lead/src/reservations.rs
@@ -36,6 +36,13 @@
     advance_service: Option<String>,
 }
 
+impl Reservation {
+    /// Returns the rank that steps are compared with, for a step with `rank`.
+    fn effective_rank(&self, rank: Rank) -> Rank {
+        if self.advance_service.is_some() { rank.first_of_priority() } else { rank }
+    }
+}
+
 impl Reservations {
     /// Reserves capacity for a step until `until_ms` on the monotonic clock. Replaces an earlier reservation of the
     /// step.
@@ -78,6 +85,29 @@
         self.by_step.values().filter(is_for_service).count()
     }
 
+    /// Gives the reservation of a step a new rank.
+    pub fn set_rank(&mut self, rank: Rank) {
+        let Some(reservation) = self.by_step.get(&rank.step) else { return };
+        let effective_rank = reservation.effective_rank(rank);
+        for worker in &reservation.workers {
+            let shares = self.by_worker.get_mut(worker).into_iter().flatten();
+            for (other, _) in shares.filter(|(other, _)| other.step == rank.step) {
+                *other = effective_rank;
+            }
+        }
+    }
+
+    /// Returns whether the reservation of a step, if it has one, has this rank on all workers.
+    pub fn is_consistent(&self, rank: &Rank) -> bool {
+        self.by_step.get(&rank.step).is_none_or(|reservation| {
+            let effective_rank = reservation.effective_rank(*rank);
+            let shares = self.by_worker.values().flatten();
+            shares
+                .filter(|(other, _)| other.step == rank.step)
+                .all(|(other, _)| *other == effective_rank)
+        })
+    }
+
     /// Releases the reservation of a step. Returns the workers that it was on.
     pub fn release(&mut self, step: StepName) -> Vec<WorkerName> {
         let workers =
--- a/lilacpass-lead/src/waiting.rs
+++ b/lilacpass-lead/src/waiting.rs
@@ -94,6 +94,32 @@
         }
     }
 
+    /// Moves a step to a new rank, if it is waiting.
+    pub fn set_rank(&mut self, rank: Rank) {
+        let Some(entry) = self.steps.get_mut(&rank.step) else { return };
+        let former = std::mem::replace(&mut entry.rank, rank);
+        for ranks in [&mut self.order, &mut self.plain, &mut self.combined] {
+            if ranks.remove(&former) {
+                ranks.insert(rank);
+            }
+        }
+    }
+
+    /// Returns whether a waiting step has one rank in all sets.
+    pub fn is_consistent(&self, step: StepName) -> bool {
+        let sets = [&self.order, &self.plain, &self.combined];
+        self.steps.get(&step).is_some_and(|entry| {
+            let is_member = sets.map(|ranks| ranks.contains(&entry.rank));
+            let kinds = [true, entry.kind == StepKind::Plain, entry.kind == StepKind::Combined];
+            is_member == kinds && sets.iter().all(|ranks| ranks.len() <= self.steps.len())
+        })
+    }
+
+    /// Returns whether a step has waited since `since_ms` or longer without a task being assigned.
+    pub fn has_waited_since(&self, step: StepName, since_ms: u64) -> bool {
+        self.steps.get(&step).is_some_and(|entry| entry.since_ms <= since_ms)
+    }
+
     /// Returns the rank of a step.
     pub fn rank_of(&self, step: StepName) -> Option<Rank> {
         self.steps.get(&step).map(|entry| entry.rank)
--- a/lilacpass-lead/tests/advice_queue.rs
+++ b/lilacpass-lead/tests/advice_queue.rs
@@ -1,11 +1,11 @@
 //! Tests which waiting steps may request advice, and when.
 
 use lilacpass_jobs::{JobKey, StepName};
-use lilacpass_lead::{advice_queue::AdviceQueue, rank::Rank};
+use lilacpass_lead::{advice_queue::AdviceQueue, fair_use::Band, rank::Rank};
 
 fn rank(job: u64, late_from_ms: u64) -> Rank {
     let step = StepName { job: JobKey(job), occurrence: 0, step: 0 };
-    Rank { is_beyond_share: false, priority: 1, late_from_ms, step }
+    Rank { is_beyond_share: false, priority: 1, band: Band::FIRST, late_from_ms, step }
 }
 
 /// Returns, in order, the jobs of the queued steps that may request advice now. `may_call` receives the name of a job
--- a/lilacpass-lead/tests/pressure.rs
+++ b/lilacpass-lead/tests/pressure.rs
@@ -5,6 +5,7 @@
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
     event::{Request, RequestId, Response},
+    fair_use::Band,
     pressure::{Level, Pressure},
     rank::Rank,
     scan::Scan,
@@ -84,7 +85,13 @@
 
 fn rank(number: u64) -> Rank {
     let step = StepName { job: JobKey(number), occurrence: 0, step: 0 };
-    Rank { is_beyond_share: false, priority: 1, late_from_ms: 1_000 + number, step }
+    Rank {
+        is_beyond_share: false,
+        priority: 1,
+        band: Band::FIRST,
+        late_from_ms: 1_000 + number,
+        step,
+    }
 }
 
 /// Failure: a step waited forever because more urgent steps arrived all the time and a round examines only a few.
