--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -7,6 +7,7 @@
 use lilacpass_jobs::failure::Cause;
 use lilacpass_lead::{
     counters::{Counters, WorkerLoss},
+    fair_use::Band,
     pressure::Level,
 };
 use lilacpass_platform::server::Reply;
@@ -46,6 +47,8 @@
     workers_reads: Counter<u64>,
     workers_lost: Counter<u64>,
     jobs_failed: Counter<u64>,
+    band_changes: Counter<u64>,
+    steps_moved: Counter<u64>,
     takeovers: Counter<u64>,
     leads: Gauge<u64>,
     behind_seconds: Gauge<f64>,
@@ -93,6 +96,8 @@
             workers_reads: meter.u64_counter("lilacpass_workers_reads").build(),
             workers_lost: meter.u64_counter("lilacpass_workers_lost").build(),
             jobs_failed: meter.u64_counter("lilacpass_jobs_failed").build(),
+            band_changes: meter.u64_counter("lilacpass_account_band_changes").build(),
+            steps_moved: meter.u64_counter("lilacpass_waiting_steps_moved").build(),
             takeovers: meter.u64_counter("lilacpass_takeovers").build(),
             leads: meter.u64_gauge("lilacpass_leads").build(),
             behind_seconds: meter.f64_gauge("lilacpass_leader_behind_seconds").build(),
@@ -182,6 +187,11 @@
             let cause_label = KeyValue::new("cause", cause.as_str());
             self.jobs_failed.add(counters.jobs_failed(cause), &[cause_label]);
         }
+        for band in Band::ALL {
+            let band_label = KeyValue::new("to", band.as_str());
+            self.band_changes.add(counters.band_changes(band), &[band_label]);
+        }
+        self.steps_moved.add(counters.moved_steps(), &[]);
     }
 
     /// Records that this instance does not lead any more.
