--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -13,7 +13,7 @@
     leader::{JobEntry, Leader},
     learned::preference::SpeedPreference,
     place,
-    rank::{self, Rank},
+    rank::Rank,
     worker::Worker,
 };
 
@@ -92,7 +92,7 @@
         now: Now,
     ) -> Vec<Candidate> {
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
-        let rank = self.waiting.rank_of(name).unwrap_or_else(|| rank::of_step(&entry.job, name));
+        let rank = self.waiting.rank_of(name).unwrap_or_else(|| self.compute_rank(entry, name));
         let mut search = Search {
             name,
             plan,
--- a/lilacpass-lead/tests/advice_claims.rs
+++ b/lilacpass-lead/tests/advice_claims.rs
@@ -10,6 +10,7 @@
     Effect, Event,
     advice_claims::AdviceClaims,
     event::{Advice, Lane, Registration, ReportedEnd, Request, RequestId, Requester, WorkerTicket},
+    fair_use::Band,
     rank::Rank,
 };
 use lilacpass_schema::v1;
@@ -110,6 +111,7 @@
     let rank = |job: u64| Rank {
         is_beyond_share: false,
         priority: 1,
+        band: Band::FIRST,
         late_from_ms: job,
         step: StepName { job: JobKey(job), occurrence: 0, step: 0 },
     };
