The home data centre follows fast workers only if they hold the whole step

Cause: with room for one task on a fast worker, its data centre became the home of all other tasks too.

Change: fast workers decide the home data centre if all tasks of the step fit on them. The test of late ends also covers start orders without a response.

--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -250,13 +250,16 @@
         let need = place::need(plan);
         let mut usable = self.workers_fitting(service, &need);
         usable.retain(could_run);
-        let is_fast_and_free = |worker: &&Worker| {
-            preference::is_fast(worker.speed) && need.fits(&worker.free_capacity())
-        };
-        if self.speed_preference(entry, plan) == SpeedPreference::Faster
-            && usable.iter().any(is_fast_and_free)
-        {
-            usable.retain(is_fast_and_free);
+        if self.speed_preference(entry, plan) == SpeedPreference::Faster {
+            let max = u64::from(plan.count);
+            let is_fast = |worker: &&Worker| preference::is_fast(worker.speed);
+            let fast = usable.iter().copied().filter(is_fast);
+            let fitting =
+                fast.map(|worker| place::count_fitting(&worker.free_capacity(), &need, max));
+            // If only some tasks fit on fast workers, the data centre matters more for the others.
+            if fitting.sum::<u64>() >= max {
+                usable.retain(is_fast);
+            }
         }
         let home = place::choose_home_data_centre(usable.into_iter(), plan);
         if let Some(entry) = self.jobs.get_mut(&name.job) {
--- a/lilacpass-lead/tests/learned_speeds.rs
+++ b/lilacpass-lead/tests/learned_speeds.rs
@@ -4,11 +4,11 @@
 
 use std::collections::BTreeSet;
 
-use lilacpass_core::Resources;
+use lilacpass_core::{Resources, Verdict};
 use lilacpass_jobs::{EndReason, JobKey, Outcome, RunEnd, TaskName, WorkerName};
 use lilacpass_lead::{
     Event,
-    event::ReportedEnd,
+    event::{CallError, ReportedEnd},
     learned::{
         durations::Durations,
         speeds::{SpeedBucket, Speeds, TimedRun},
@@ -307,14 +307,26 @@
     assert!(on_time >= 70, "{on_time} % of the quick jobs are on time");
 }
 
+/// What is uncertain about the times of the runs on a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Uncertain {
+    Nothing,
+    /// The poll before the one that lists the end failed.
+    End,
+    /// The start order got no response.
+    Start,
+}
+
 /// Runs steps of a task on each of three workers, which take a second. The leader hears of the ends on the last worker
-/// after `late_ms`, and if `is_silent`, its polls failed before. Returns the learned speed of that worker.
-fn speed_after_ends_heard_late(late_ms: u64, is_silent: bool) -> f64 {
+/// 2 s later, where times may be uncertain. Returns the learned speed of that worker.
+fn speed_after_late_ends(uncertain: Uncertain) -> f64 {
+    const LATE_MS: u64 = 2_000;
     const WORKERS: [&str; 3] = ["w-1", "w-2", "w-3"];
     let mut fixture = LeaderFixture::new(&WORKERS);
     let mut end_numbers = [0; 3];
     for key in 1..=8 {
-        fixture.now_ms += 400;
+        // Longer than a worker is avoided after a start order without a response.
+        fixture.now_ms += 1_100;
         fixture.handle(Event::RegistrationsRead { sent_ms: fixture.now_ms });
         fixture.handle(Event::LeadershipConfirmed { sent_ms: fixture.now_ms });
         fixture.handle(Event::Tick);
@@ -326,7 +338,13 @@
         assert_eq!(started.len(), 3);
         for (worker, task, run) in &started {
             let (worker, task, run) = (worker.clone(), *task, *run);
-            fixture.handle(Event::Started { worker, task, run, result: Ok(()) });
+            let is_lost = uncertain == Uncertain::Start && worker.id() == WORKERS[2];
+            let lost = Err(CallError::Failed(Verdict::MayHaveRun));
+            let result = if is_lost { lost } else { Ok(()) };
+            fixture.handle(Event::Started { worker: worker.clone(), task, run, result });
+            if is_lost {
+                fixture.poll_answered(worker, &[(task, run)], &[]);
+            }
         }
         let pass = |fixture: &mut LeaderFixture, for_ms: u64| {
             for _ in 0..for_ms / 100 {
@@ -347,10 +365,10 @@
         pass(&mut fixture, 1_000);
         end(&mut fixture, 0);
         end(&mut fixture, 1);
-        if is_silent {
+        if uncertain == Uncertain::End {
             fixture.poll_failed(WORKERS[2]);
         }
-        pass(&mut fixture, late_ms);
+        pass(&mut fixture, LATE_MS);
         end(&mut fixture, 2);
     }
     fixture.now_ms += 100;
@@ -358,14 +376,16 @@
     fixture.leader.relative_speed(&WorkerName::from("w-3"))
 }
 
-/// The end of a run on a worker that did not respond to its last poll is heard of late. It must not make the worker
-/// count as slow.
+/// If a start order got no response, or the poll before the one that lists the end failed, the leader hears of the start
+/// or the end late. That must not change the speed of the worker.
 #[test]
-fn an_end_that_is_heard_of_late_gives_no_sample() {
-    let slow = speed_after_ends_heard_late(2_000, false);
+fn starts_and_ends_that_are_heard_of_late_give_no_sample() {
+    let slow = speed_after_late_ends(Uncertain::Nothing);
     assert!(slow < 0.85, "a worker that takes three times as long has speed {slow}");
-    let silent = speed_after_ends_heard_late(2_000, true);
-    assert!((silent - 1.0).abs() < 0.05, "a worker that did not respond has speed {silent}");
+    for uncertain in [Uncertain::Start, Uncertain::End] {
+        let speed = speed_after_late_ends(uncertain);
+        assert!((speed - 1.0).abs() < 0.05, "{uncertain:?}: {speed}");
+    }
 }
 
 /// Estimates of one queue are wrong by any factor and those of another are exact. A prediction must correct the first
