One function for the longest chain of a job; claims look named workers up in a set

Cause: the slack rule of placement had its own copy of the loop of rank::critical_path_ms, with other durations; and each call for advice compared up to 200 candidates with up to 100 named workers one by one. Change: rank::longest_chain_ms takes the duration of a step and serves both; a set of the named workers.

--- a/lilacpass-lead/src/advice_claims.rs
+++ b/lilacpass-lead/src/advice_claims.rs
@@ -7,6 +7,8 @@
 //!
 //! Claims decide only which workers are named. They keep no step from being placed.
 
+use std::collections::HashSet;
+
 use lilacpass_core::{Resources, hash_map::HashMap};
 use lilacpass_jobs::{StepName, WorkerName};
 
@@ -68,7 +70,8 @@
     need: &Resources,
     allowed_share: f64,
 ) -> Vec<(WorkerName, Resources)> {
-    // The call names candidates in their order, and then others without free capacity.
+    // A call names up to a hundred workers, and there may be twice as many candidates.
+    let named: HashSet<&WorkerName> = named.iter().collect();
     let is_named = |candidate: &&Candidate| named.contains(&candidate.worker);
     let claim = |candidate: &Candidate| {
         let share = if candidate.known_allowed { 1.0 } else { allowed_share };
--- a/lilacpass-lead/src/learned/preference.rs
+++ b/lilacpass-lead/src/learned/preference.rs
@@ -4,6 +4,7 @@
 use lilacpass_schema::v1;
 
 use super::speeds::SpeedBucket;
+use crate::rank;
 
 /// A job has little slack if it is late when it takes this much longer than its chain of steps. A slow worker
 /// makes a task of a second late by about as much.
@@ -86,12 +87,7 @@
 
 /// How much longer than its predicted chain of steps a job may take before it is late, in ms.
 fn slack_ms(job: &Job, duration_ms: impl Fn(&v1::WorkStep) -> u64) -> u64 {
-    let mut ends_ms: Vec<u64> = Vec::with_capacity(job.plan.steps.len());
-    for step in &job.plan.steps {
-        let start_ms = step.after.iter().map(|&earlier| ends_ms[earlier as usize]).max();
-        ends_ms.push(start_ms.unwrap_or(0) + duration_ms(step));
-    }
-    let chain_ms = ends_ms.into_iter().max().unwrap_or(0);
+    let chain_ms = rank::longest_chain_ms(job, duration_ms);
     let stretch = job.queue.stretch.max(1.0) - 1.0;
     u64::from(job.queue.objective_ms) + (stretch * chain_ms as f64) as u64
 }
--- a/lilacpass-lead/src/rank.rs
+++ b/lilacpass-lead/src/rank.rs
@@ -1,6 +1,7 @@
 //! The order in which waiting steps are scheduled.
 
 use lilacpass_jobs::{Job, StepName};
+use lilacpass_schema::v1;
 
 use crate::fair_use::Band;
 
@@ -37,12 +38,17 @@
     Rank { is_beyond_share: job.is_beyond_share, priority, band, late_from_ms, step }
 }
 
-/// Returns the estimated duration of the longest chain of dependent steps in ms.
+/// Returns the duration of the longest chain of dependent steps in ms, by the estimates of the client.
 pub fn critical_path_ms(job: &Job) -> u64 {
+    longest_chain_ms(job, |step| u64::from(step.estimate_ms))
+}
+
+/// Returns the duration of the longest chain of dependent steps in ms, of which each takes `duration_ms`.
+pub fn longest_chain_ms(job: &Job, duration_ms: impl Fn(&v1::WorkStep) -> u64) -> u64 {
     let mut ends_ms: Vec<u64> = Vec::with_capacity(job.plan.steps.len());
     for step in &job.plan.steps {
         let start_ms = step.after.iter().map(|&earlier| ends_ms[earlier as usize]).max();
-        ends_ms.push(start_ms.unwrap_or(0) + u64::from(step.estimate_ms));
+        ends_ms.push(start_ms.unwrap_or(0) + duration_ms(step));
     }
     ends_ms.into_iter().max().unwrap_or(0)
 }
