--- a/lilacpass-lead/src/learned/durations.rs
+++ b/lilacpass-lead/src/learned/durations.rs
@@ -26,15 +26,6 @@
     model_count: usize,
 }
 
-/// A predicted duration.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Prediction {
-    /// The predicted duration, in ms.
-    pub duration_ms: u64,
-    /// The standard deviation of the logarithm to base 2 of the duration; `None` if no run was seen.
-    pub deviation_log2: Option<f64>,
-}
-
 /// Weighted sums of a regression of y on x.
 #[derive(Debug, Default)]
 struct Regression {
@@ -44,7 +35,6 @@
     /// Weighted sums of squares and products of the differences from the means.
     xx: f64,
     xy: f64,
-    yy: f64,
     updated_ms: u64,
 }
 
@@ -59,7 +49,6 @@
         self.mean_y += dy / self.weight;
         self.xx = self.xx * kept_share + dx * (x - self.mean_x);
         self.xy = self.xy * kept_share + dx * (y - self.mean_y);
-        self.yy = self.yy * kept_share + dy * (y - self.mean_y);
     }
 
     /// The slope, shrunk towards 1.
@@ -73,12 +62,6 @@
         let share = self.weight / (self.weight + ESTIMATE_WEIGHT);
         x + (y - x) * share
     }
-
-    fn deviation(&self) -> f64 {
-        let slope = self.slope();
-        let residual = self.yy - 2.0 * slope * self.xy + slope * slope * self.xx;
-        (residual.max(0.0) / self.weight.max(1.0)).sqrt()
-    }
 }
 
 impl Durations {
@@ -109,16 +92,8 @@
     /// Predicts how long a task takes on a worker of mean speed, in ms. Returns the estimate while no runs of the queue
     /// and image were seen.
     pub fn predict_ms(&self, queue: &str, image: &str, estimate_ms: u64) -> u64 {
-        self.predict(queue, image, estimate_ms).duration_ms
-    }
-
-    /// Predicts how long a task takes on a worker of mean speed, with the uncertainty.
-    pub fn predict(&self, queue: &str, image: &str, estimate_ms: u64) -> Prediction {
-        let Some(model) = self.model(queue, image) else {
-            return Prediction { duration_ms: estimate_ms, deviation_log2: None };
-        };
-        let duration_ms = model.predict(log2_ms(estimate_ms)).exp2().round() as u64;
-        Prediction { duration_ms, deviation_log2: Some(model.deviation()) }
+        let Some(model) = self.model(queue, image) else { return estimate_ms };
+        model.predict(log2_ms(estimate_ms)).exp2().round() as u64
     }
 
     fn model(&self, queue: &str, image: &str) -> Option<&Regression> {
