Many silent workers at once: bounded reviews, probes and log lines

Four things grow with the product of lost and all workers, or with the lost ones without a bound: each first failure goes through all 6,000 workers to judge the data centre; each silent worker is polled by the leader itself, at once, at its own pace; 1,178 extra polls follow from the suspicion; each change is a line. Change: a data centre is reviewed only while none of its workers responds, and once in 0.1 s at most. Probes (polls of silent workers) have a budget for the whole cell, 2,000 a second, and 16 in flight in a data centre that is silent as a whole. Of the suspected workers 32 are checked, then two more for each that responds. Probes and lost orders go through other relays. Lines about single workers: 20 a second, then counts. A data centre that owes 50 responses and is silent for 0.2 s is suspected before a call has failed, unless all are silent, which means that the leader is late. A relay is wrong about a worker only if that responds elsewhere within 0.7 s: after the cut all relays were paused. Tests: unreachable_data_centre.rs, relay_state.rs. In a cell of 600 workers 400 failures examined 240,000 workers before and examine at most 2,400 now.

--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -18,16 +18,19 @@
     advice_queue::AdviceQueue,
     capacity_index::CapacityIndex,
     counters::Counters,
+    data_centres::DataCentres,
     event::{Effect, Event, Now, Registration},
     fair_use::FairUse,
     incarnations::Incarnations,
     learned::Learned,
+    log_limit::LogLimit,
     options::{self, Mechanism, Options},
     outages::RecentOutages,
     outbox::Outbox,
     pending_changes::PendingChanges,
     place,
     pressure::Pressure,
+    probes::Probes,
     registration_age::RegistrationAge,
     reservations::Reservations,
     response_loss::ResponseLossMeter,
@@ -112,6 +115,8 @@
     pub steps_examined: u64,
     /// Waiting steps that got another rank.
     pub steps_moved: u64,
+    /// Workers examined in reviews of data centres.
+    pub workers_reviewed: u64,
 }
 
 /// The leader of a cell: a state machine that takes events and returns effects.
@@ -143,6 +148,10 @@
     pub(crate) registration_age: RegistrationAge,
     pub(crate) response_loss: ResponseLossMeter,
     pub(crate) outages: RecentOutages,
+    pub(crate) data_centres: DataCentres,
+    pub(crate) probes: Probes,
+    /// Limits the log lines about single workers that stop responding or respond again.
+    pub(crate) worker_log_limit: LogLimit,
     /// The worker that registered most recently at each address.
     pub(crate) latest_by_address: HashMap<String, WorkerName>,
     /// The incarnations of workers that started again under their ids.
@@ -228,6 +237,9 @@
             registration_age: RegistrationAge::default(),
             response_loss: ResponseLossMeter::default(),
             outages: RecentOutages::default(),
+            data_centres: DataCentres::default(),
+            probes: Probes::default(),
+            worker_log_limit: LogLimit::default(),
             latest_by_address: HashMap::default(),
             incarnations: Incarnations::default(),
             presumed_gone: HashMap::default(),
@@ -339,15 +351,16 @@
     /// Makes the decisions that follow from all events so far, and returns the collected effects.
     pub fn finish(&mut self, now: Now) -> Vec<Effect> {
         self.send_due_polls(now);
+        self.send_due_probes(now);
         self.schedule(now);
         self.flush(now);
         mem::take(&mut self.effects)
     }
 
-    /// The data centre of a worker that answered its last poll; `None` for any other.
-    pub fn responsive_worker_data_centre(&self, name: &WorkerName) -> Option<&str> {
-        let worker = self.workers.get(name).filter(|worker| worker.failed_polls == 0)?;
-        Some(&worker.registration.data_centre)
+    /// The data centre of a worker, and the number of polls that it has failed to answer since its last response.
+    pub fn reachability(&self, name: &WorkerName) -> Option<(&str, u32)> {
+        let worker = self.workers.get(name)?;
+        Some((&worker.registration.data_centre, worker.failed_polls))
     }
 
     /// Returns the counters, and resets them.
@@ -431,15 +444,18 @@
         self.retry_stops(now);
         self.stop_unanswered_beyond_caps(now);
         self.update_fair_use(now);
+        self.suspect_silent_data_centres(now);
         if now.steady_ms >= self.next_review_ms {
             self.next_review_ms = now.steady_ms + RUN_REVIEW_INTERVAL_MS;
             if self.options.uses(Mechanism::Replacement) {
                 self.replace_stuck_runs(now);
             }
             self.review_pools();
+            self.count_responsive_workers();
             self.review_speeds(now);
         }
         self.refuse_unstored_jobs(now);
+        self.log_unresponsive_workers(now);
         if now.steady_ms >= self.next_cleanup_ms {
             self.next_cleanup_ms = now.steady_ms + CLEANUP_INTERVAL_MS;
             self.forget_old_jobs(now);
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -10,7 +10,7 @@
     event::{CallError, Effect, Now, Refusal},
     leader::Leader,
     progress,
-    worker::{AssignedRun, Phase, RunKey, Worker},
+    worker::{AssignedRun, Phase, RunKey},
 };
 
 impl Leader {
@@ -85,6 +85,7 @@
         match result {
             Ok(()) => {
                 worker.last_response_ms = now.steady_ms;
+                self.data_centres.record_response(&worker.registration.data_centre, now.steady_ms);
                 if assigned.phase == Phase::Ordered {
                     worker.confirm_start(key, is_resumed, now.steady_ms);
                 }
@@ -125,53 +126,6 @@
         }
     }
 
-    /// Suspects a data centre that seems to be unreachable: starts nothing there for a while, except on workers that
-    /// respond from now on. If a whole data centre is cut off, each start sent there delays its task by the timeout of
-    /// the call and then by the rest of the lease.
-    ///
-    /// Unresponsive workers don't count while others in their data centre respond. If one response in twenty is lost,
-    /// several of a hundred workers are unresponsive at any moment, and without this condition starts on their
-    /// neighbours were held back twenty times a second.
-    pub(crate) fn suspect_data_centre(&mut self, name: &WorkerName, now: Now) {
-        /// A data centre is unresponsive if none of its workers has responded for this long. Sixteen idle workers
-        /// together answer twenty polls a second.
-        const UNRESPONSIVE_MS: u64 = 200;
-        /// A single unresponsive worker is no sign that its data centre is unreachable.
-        const MIN_UNRESPONSIVE: usize = 2;
-        let Some(worker) = self.workers.get(name) else { return };
-        let data_centre = worker.registration.data_centre.clone();
-        let avoid_ms = self.options.worker_avoidance_ms;
-        let is_in_data_centre = |worker: &Worker| worker.registration.data_centre == data_centre;
-        let is_unresponsive = |worker: &Worker| {
-            worker.failed_polls > 0 || now.steady_ms < worker.starts_paused_until_ms
-        };
-        let neighbours: Vec<&Worker> =
-            self.workers.values().filter(|worker| is_in_data_centre(worker)).collect();
-        let unresponsive = neighbours.iter().filter(|worker| is_unresponsive(worker)).count();
-        let last_response_ms =
-            neighbours.iter().map(|worker| worker.last_response_ms).max().unwrap_or(0);
-        if unresponsive < MIN_UNRESPONSIVE || last_response_ms + UNRESPONSIVE_MS > now.steady_ms {
-            return;
-        }
-        let suspects: Vec<WorkerName> = self
-            .workers
-            .values_mut()
-            .filter(|worker| is_in_data_centre(worker) && worker.accepts_starts(now.steady_ms))
-            .map(|worker| {
-                worker.suspected_until_ms = now.steady_ms + avoid_ms;
-                worker.registration.name.clone()
-            })
-            .collect();
-        if suspects.is_empty() {
-            return;
-        }
-        log::info!(
-            data_centre = data_centre.as_str(), workers = suspects.len();
-            "data centre is suspected to be unreachable"
-        );
-        suspects.iter().for_each(|name| self.send_extra_poll(name));
-    }
-
     /// Stops a run. A run whose start has not been sent is ended at once.
     pub(crate) fn stop_run(&mut self, name: &WorkerName, key: RunKey, now: Now) {
         let Some(worker) = self.workers.get_mut(name) else { return };
--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -1,7 +1,7 @@
 //! Polls of workers: each one extends the leases on the worker and returns its running runs and its run ends. Also
 //! what follows when a worker stops responding.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, mem};
 
 use lilacpass_core::Verdict;
 use lilacpass_jobs::{EndReason, JobKey, RunEnd, WorkerName};
@@ -18,8 +18,6 @@
 
 /// Maximum number of run ends that a worker lists in one response. A response with that many may omit others.
 const MAX_LISTED_ENDS: usize = 500;
-/// Maximum pause between two polls of an unresponsive worker, in multiples of the retry pause.
-const MAX_RETRY_PAUSES: u64 = 4;
 
 /// Maximum rate of polls, over all workers, while their listed ends are not stored yet. Without it, a leader of
 /// hundreds of workers would spend its time on polls while the store is slow. At this rate, a cell of 48 workers polls
@@ -36,7 +34,9 @@
         result: Result<PollResponse, CallError>,
         now: Now,
     ) {
-        let retry_pause_ms = self.options.poll_retry_ms;
+        if !extra {
+            self.probes.record_end(name);
+        }
         let Some(worker) = self.workers.get_mut(name) else { return };
         if extra {
             worker.extra_poll_in_flight = false;
@@ -66,22 +66,7 @@
             Err(CallError::Refused(Refusal::Fence)) if worker.successor.is_none() => {
                 self.effects.push(Effect::Deposed);
             }
-            Err(err) => {
-                worker.failed_polls += 1;
-                if worker.failed_polls == 1 {
-                    log::info!(worker:% = name, error:? = err; "worker does not respond");
-                }
-                if !extra {
-                    // Polls again at once after the first failure: perhaps only the response was lost, and the leader
-                    // learns of the ends in it only from the response to the next poll.
-                    let pauses = u64::from(worker.failed_polls - 1).min(MAX_RETRY_PAUSES);
-                    worker.poll = PollState::Due { at_ms: now.steady_ms + retry_pause_ms * pauses };
-                }
-                if worker.failed_polls == 1 {
-                    self.record_outage(name, now);
-                    self.suspect_data_centre(name, now);
-                }
-            }
+            Err(err) => self.on_poll_failed(name, extra, &err, now),
         }
     }
 
@@ -98,7 +83,13 @@
             self.response_loss.record_lost_response(now.steady_ms);
         }
         if worker.failed_polls > 0 {
-            log::info!(worker:% = name, failed = worker.failed_polls; "worker responds again");
+            if self.worker_log_limit.allows(now.steady_ms) {
+                log::info!(worker:% = name, failed = worker.failed_polls; "worker responds again");
+            }
+            if let PollState::Due { at_ms } = worker.poll {
+                self.probes.cancel(name, &worker.registration.data_centre, at_ms);
+                self.unpolled_workers.insert(name.clone());
+            }
             self.outages.clear(name);
             worker.responded_again_ms = Some(now.steady_ms);
         }
@@ -110,10 +101,14 @@
         }
         // Only a poll that was sent after the suspicion began counts: an earlier one may have been answered before the
         // rest of the data centre became unreachable.
-        if sent_ms + self.options.worker_avoidance_ms > worker.suspected_until_ms {
-            worker.suspected_until_ms = 0;
+        let mut next_checks = Vec::new();
+        if sent_ms + self.options.worker_avoidance_ms > worker.suspected_until_ms
+            && mem::take(&mut worker.suspected_until_ms) > now.steady_ms
+        {
+            next_checks = self.data_centres.next_checks(&worker.registration.data_centre);
         }
         worker.last_response_ms = now.steady_ms;
+        self.data_centres.record_response(&worker.registration.data_centre, now.steady_ms);
         if is_first_response {
             // From now on the worker refuses orders of a former leader, so the last lease granted by one began before
             // this response. Without this bound, work on a worker that becomes unreachable soon after a take-over would
@@ -135,6 +130,7 @@
         if worker.is_available() != was_available {
             self.capacity_index.update(worker);
         }
+        next_checks.iter().for_each(|name| self.send_extra_poll(name));
         let lists_all_ends = response.ends.len() < MAX_LISTED_ENDS;
         let mut listed_runs: Vec<RunKey> =
             response.running.iter().map(|reported| (reported.task, reported.run)).collect();
@@ -426,17 +422,22 @@
                 self.unpolled_workers.remove(&name);
                 continue;
             };
+            if worker.failed_polls > 0 {
+                self.unpolled_workers.remove(&name);
+                if let PollState::Due { at_ms } = worker.poll {
+                    self.probes.schedule(&name, &worker.registration.data_centre, at_ms);
+                }
+                continue;
+            }
             let PollState::Due { at_ms } = worker.poll else { continue };
             if !worker.can_be_called() || now.steady_ms < at_ms {
                 continue;
             }
             let has_unstored_ends = worker.last_seen_end > worker.last_stored_end;
-            // Grants no new lease while the worker does not respond; otherwise its leases would never expire.
-            let extends_lease = may_extend && worker.failed_polls == 0;
             let lease_ms =
                 if worker.draining { options.draining_lease_ms } else { options.lease_ms };
             let lease_until_ms =
-                if extends_lease { worker.extend_lease(lease_ms, now.steady_ms) } else { None };
+                if may_extend { worker.extend_lease(lease_ms, now.steady_ms) } else { None };
             let wait_ms =
                 if worker.accepted_epoch && !has_unstored_ends { poll_wait_ms } else { 0 };
             worker.poll = PollState::InFlight;
--- a/lilacpass-lead/tests/world/fixture.rs
+++ b/lilacpass-lead/tests/world/fixture.rs
@@ -56,7 +56,21 @@
         running: &[(TaskName, u32)],
         ends: &[ReportedEnd],
     ) -> Vec<Effect> {
-        let worker = name.into();
+        self.answer_poll(name.into(), false, running, ends)
+    }
+
+    /// Delivers the response of a worker to an extra poll.
+    pub fn extra_poll_answered(&mut self, name: impl Into<WorkerName>) -> Vec<Effect> {
+        self.answer_poll(name.into(), true, &[], &[])
+    }
+
+    fn answer_poll(
+        &mut self,
+        worker: WorkerName,
+        extra: bool,
+        running: &[(TaskName, u32)],
+        ends: &[ReportedEnd],
+    ) -> Vec<Effect> {
         let running = running
             .iter()
             .map(|(task, run)| ReportedRun {
@@ -75,7 +89,7 @@
             remaining_ms: None,
         };
         let sent_ms = self.now_ms;
-        self.handle(Event::Polled { worker, sent_ms, extra: false, result: Ok(response) })
+        self.handle(Event::Polled { worker, sent_ms, extra, result: Ok(response) })
     }
 
     /// Delivers the failure of a poll.
--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -270,16 +270,25 @@
         self.node.relays.borrow_mut().review(capacity, candidates.collect(), now_ms);
     }
 
-    /// Counts an order to a worker, and returns its relay, or `None` to send it directly. Workers that failed to
-    /// respond lately are called directly, because it may be the relay that cannot reach them.
-    fn route_order(&self, worker: &WorkerName, payload_bytes: usize) -> orders::Route {
+    /// Counts an order to a worker, and returns its relay, or `None` to send it directly.
+    ///
+    /// Workers that failed to respond lately are called through another relay and directly in turn, because it may be
+    /// the usual relay that cannot reach them. Most of these calls use up their timeout, so not all of them are left to
+    /// the leader.
+    fn route_order(&self, worker: &WorkerName, payload_bytes: usize, extra: bool) -> orders::Route {
         let mut relays = self.node.relays.borrow_mut();
         relays.count_order(payload_bytes);
         if relays.is_empty() {
             return None;
         }
-        let data_centre = self.leader.responsive_worker_data_centre(worker)?;
-        relays.relay_for(worker.id(), data_centre)
+        let (data_centre, failed_polls) = self.leader.reachability(worker)?;
+        if failed_polls == 0 && !extra {
+            return relays.relay_for(worker.id(), data_centre);
+        }
+        if failed_polls % 2 == 0 && !extra {
+            return None;
+        }
+        relays.other_relay_for(worker.id(), data_centre, failed_polls)
     }
 
     /// Instances that can make advice calls: this one, and those that send it heartbeats.
@@ -321,7 +330,7 @@
                     wait_ms,
                     response_timeout_ms: answer_ms,
                 };
-                let route = if extra { None } else { self.route_order(&worker, 0) };
+                let route = self.route_order(&worker, 0, extra);
                 let node = self.node.clone();
                 let fence = self.epoch + fence_step;
                 self.spawn(async move {
@@ -344,7 +353,7 @@
                 checkpoint,
                 ticket,
             } => {
-                let route = self.route_order(&worker, payload.len());
+                let route = self.route_order(&worker, payload.len(), false);
                 let node = self.node.clone();
                 let fence = self.epoch + fence_step;
                 self.spawn(async move {
@@ -364,7 +373,7 @@
                 });
             }
             Effect::Stop { worker, address, fence_step, task, run } => {
-                let route = self.route_order(&worker, 0);
+                let route = self.route_order(&worker, 0, false);
                 let node = self.node.clone();
                 let fence = self.epoch + fence_step;
                 self.spawn(async move {
--- a/lilacpass-node/src/orders.rs
+++ b/lilacpass-node/src/orders.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     budget::RetryBudget,
+    clock,
     node::Node,
     relay_client,
     relay_messages::{self, Order, Recipient},
@@ -32,35 +33,64 @@
 
 /// Polls a worker.
 ///
-/// If the relay does not report an outcome, the worker is polled directly and without a wait, because the relay has
-/// failed rather than the worker. If the relay reports that the worker did not respond, the poll has failed.
+/// If the relay does not report an outcome, the worker is polled again without a wait, because the relay has failed
+/// rather than the worker: through another relay, and directly only if there is none. A relay holds the polls of
+/// hundreds of workers, and the leader cannot open that many connections at once when it is lost. If a relay reports
+/// that the worker did not respond, the poll has failed.
 pub async fn poll(
     node: &Rc<Node>,
     route: Route,
     target: Target<'_>,
     poll: PollOrder,
 ) -> Result<PollResponse, CallError> {
-    let Some(relay) = route else {
-        let result = Box::pin(node.workers.poll(target, poll)).await;
-        node.relays.borrow_mut().record_direct_poll(target.name, result.is_ok());
+    let Some(relay) = route else { return poll_directly(node, target, poll).await };
+    if let Some(result) = poll_through_relay(node, &relay, target, poll).await {
         return result;
-    };
+    }
+    let poll = PollOrder { wait_ms: 0, ..poll };
+    let other = node.relays.borrow().any_relay_but(&relay, target.name.id());
+    match other {
+        Some(other) => {
+            let result = poll_through_relay(node, &other, target, poll).await;
+            result.unwrap_or(Err(CallError::Failed(Verdict::MayHaveRun)))
+        }
+        None => poll_directly(node, target, poll).await,
+    }
+}
+
+async fn poll_directly(
+    node: &Rc<Node>,
+    target: Target<'_>,
+    poll: PollOrder,
+) -> Result<PollResponse, CallError> {
+    let result = Box::pin(node.workers.poll(target, poll)).await;
+    let now_ms = clock::now().steady_ms;
+    node.relays.borrow_mut().record_poll(target.name, None, result.is_ok(), now_ms);
+    result
+}
+
+/// Polls a worker through a relay. Returns `None` if the relay does not report an outcome.
+async fn poll_through_relay(
+    node: &Rc<Node>,
+    relay: &Rc<str>,
+    target: Target<'_>,
+    poll: PollOrder,
+) -> Option<Result<PollResponse, CallError>> {
     let order = relay_messages::poll(recipient(node, target), poll);
     let execution_timeout = Duration::from_millis(poll.wait_ms + poll.response_timeout_ms);
-    match relay_client::execute(node, &relay, order, execution_timeout).await {
-        RelayResult::Outcome(Ok(Some(response))) => Ok(response),
-        // The relay reported success without a poll response, as it does for orders that are not polls.
-        RelayResult::Outcome(Ok(None)) => Err(CallError::Failed(Verdict::MayHaveRun)),
-        RelayResult::Outcome(Err(err)) => {
-            if matches!(err, CallError::Failed(_)) {
-                node.relays.borrow_mut().suspect_worker(target.name, &relay);
-            }
-            Err(err)
-        }
-        RelayResult::NoOutcome(_) => {
-            Box::pin(node.workers.poll(target, PollOrder { wait_ms: 0, ..poll })).await
-        }
+    let result = relay_client::execute(node, relay, order, execution_timeout).await;
+    let now_ms = clock::now().steady_ms;
+    let mut relays = node.relays.borrow_mut();
+    let outcome = match result {
+        RelayResult::NoOutcome(_) => return None,
+        RelayResult::Outcome(outcome) => outcome,
+    };
+    relays.record_poll(target.name, Some(relay), outcome.is_ok(), now_ms);
+    if matches!(outcome, Err(CallError::Failed(_))) {
+        relays.suspect_worker(target.name, relay, now_ms);
     }
+    // A relay reports success without a poll response for orders that are not polls.
+    Some(outcome.and_then(|response| response.ok_or(CallError::Failed(Verdict::MayHaveRun))))
 }
 
 /// Starts a run.
--- a/lilacpass-node/src/relays.rs
+++ b/lilacpass-node/src/relays.rs
@@ -41,6 +41,10 @@
 /// A relay is considered cut off only if at least one in this many of its completed orders was faulty.
 const MAX_ORDERS_PER_FAULT: u32 = 4;
 
+/// A response of a worker contradicts an earlier report that it is unresponsive only within this time, in milliseconds.
+/// After a longer one, the worker or its data centre may have become reachable meanwhile.
+const MAX_CONTRADICTION_MS: u64 = 700;
+
 /// Result of an order sent through a relay.
 #[derive(Debug)]
 pub enum RelayResult {
@@ -63,6 +67,18 @@
     faulty: u32,
 }
 
+impl Relay {
+    fn new(data_centre: &str) -> Self {
+        Self {
+            data_centre: data_centre.to_owned(),
+            queue: Vec::new(),
+            is_sending: false,
+            completed: 0,
+            faulty: 0,
+        }
+    }
+}
+
 /// An order in progress.
 #[derive(Debug)]
 struct Pending {
@@ -89,8 +105,9 @@
     cooldowns: HashMap<String, u64>,
     /// Number of consecutive failures of instances, by address.
     consecutive_failures: HashMap<String, u32>,
-    /// Workers that a relay has reported as unresponsive and that the leader has not polled directly since.
-    suspected_workers: HashMap<WorkerName, Rc<str>>,
+    /// Workers that a relay has reported as unresponsive and that have not been polled on another route since: the
+    /// relay, and the time of its report on the steady clock.
+    suspected_workers: HashMap<WorkerName, (Rc<str>, u64)>,
     /// Number of orders since the last review.
     orders: u64,
     /// Bytes of these orders, including headers.
@@ -127,6 +144,24 @@
         local.or_else(|| self.relays.keys().max_by_key(weight)).cloned()
     }
 
+    /// A relay other than `failed`; `None` if there is no other.
+    pub fn any_relay_but(&self, failed: &str, worker_id: &str) -> Option<Rc<str>> {
+        let others = self.relays.keys().filter(|address| ***address != *failed);
+        others.max_by_key(|address| rendezvous::weight(worker_id.as_bytes(), address)).cloned()
+    }
+
+    /// A relay other than the one that [`Self::relay_for`] returns, for orders to a worker that may be unreachable from
+    /// there; `None` if there is no other. Each `attempt` may use another one.
+    pub fn other_relay_for(
+        &self,
+        worker_id: &str,
+        data_centre: &str,
+        attempt: u32,
+    ) -> Option<Rc<str>> {
+        let usual = self.relay_for(worker_id, data_centre)?;
+        self.any_relay_but(&usual, &format!("{worker_id} {attempt}"))
+    }
+
     /// Chooses the relays again, based on the load since the last review.
     pub fn review(
         &mut self,
@@ -154,13 +189,9 @@
             self.retire(address);
         }
         for candidate in chosen {
-            self.relays.entry(Rc::from(candidate.address)).or_insert_with(|| Relay {
-                data_centre: candidate.data_centre.to_owned(),
-                queue: Vec::new(),
-                is_sending: false,
-                completed: 0,
-                faulty: 0,
-            });
+            self.relays
+                .entry(Rc::from(candidate.address))
+                .or_insert_with(|| Relay::new(candidate.data_centre));
         }
     }
 
@@ -292,22 +323,34 @@
         self.epoch
     }
 
-    /// Records that a relay has reported a worker as unresponsive.
-    pub fn suspect_worker(&mut self, worker: &WorkerName, relay: &Rc<str>) {
-        self.suspected_workers.insert(worker.clone(), relay.clone());
+    /// Records that a relay has reported a worker as unresponsive, unless another relay has reported it before.
+    pub fn suspect_worker(&mut self, worker: &WorkerName, relay: &Rc<str>, now_ms: u64) {
+        let report = || (relay.clone(), now_ms);
+        self.suspected_workers.entry(worker.clone()).or_insert_with(report);
     }
 
-    /// Records that the leader has polled a worker directly. A response proves the report of the relay wrong.
-    pub fn record_direct_poll(&mut self, worker: &WorkerName, succeeded: bool) {
-        if self.suspected_workers.is_empty() {
-            return;
-        }
-        let Some(address) = self.suspected_workers.remove(worker) else { return };
-        if let Some(relay) = self.relays.get_mut(&*address)
-            && succeeded
+    /// Records that a worker has been polled through `relay`, or directly if that is `None`. A response proves the
+    /// report of another relay wrong.
+    pub fn record_poll(
+        &mut self,
+        worker: &WorkerName,
+        relay: Option<&str>,
+        succeeded: bool,
+        now_ms: u64,
+    ) {
+        let Some((suspect, reported_ms)) = self.suspected_workers.get(worker) else { return };
+        let is_other_route = relay != Some(&**suspect);
+        let is_contradiction = now_ms < reported_ms + MAX_CONTRADICTION_MS;
+        if succeeded
+            && is_other_route
+            && is_contradiction
+            && let Some(relay) = self.relays.get_mut(suspect)
         {
             relay.faulty += 1;
         }
+        if succeeded || is_other_route {
+            self.suspected_workers.remove(worker);
+        }
     }
 
     /// The relays as shown to operators: for each, how many of `workers`, given by id with their data centres, are
--- a/lilacpass-node/tests/relay_state.rs
+++ b/lilacpass-node/tests/relay_state.rs
@@ -147,9 +147,34 @@
     for number in 0..4 {
         let worker = WorkerName::from(format!("w-{number}").as_str());
         let relay = sim.relays.relay_for(worker.id(), "a").expect("a relay");
-        sim.relays.suspect_worker(&worker, &relay);
-        sim.relays.record_direct_poll(&worker, true);
+        sim.relays.suspect_worker(&worker, &relay, sim.now_ms);
+        sim.relays.record_poll(&worker, None, true, sim.now_ms);
     }
     sim.review(both_candidates());
     assert_eq!(sim.relay_for("w-1", "a").as_deref(), Some("b:1"));
 }
+
+/// Guards against pausing the relays after a data centre that was cut off is back. Each had reported its workers as
+/// unresponsive, rightly, and these respond through another one now.
+#[test]
+fn a_report_is_not_wrong_because_the_worker_is_back_later() {
+    let mut sim = Simulation::new(both_candidates);
+    for number in 0..4 {
+        let worker = WorkerName::from(format!("w-{number}").as_str());
+        let relay = sim.relays.relay_for(worker.id(), "a").expect("a relay");
+        sim.relays.suspect_worker(&worker, &relay, sim.now_ms);
+        sim.relays.record_poll(&worker, Some("b:1"), true, sim.now_ms + 6_400);
+    }
+    sim.review(both_candidates());
+    assert_eq!(sim.relay_for("w-1", "a").as_deref(), Some("a:1"));
+}
+
+/// Guards against polling the workers of a lost relay directly. It holds the polls of hundreds of workers, and the
+/// leader opened as many connections at once.
+#[test]
+fn another_relay_takes_the_place_of_one_that_is_lost() {
+    let sim = Simulation::new(both_candidates);
+    assert_eq!(sim.relays.any_relay_but("a:1", "w-1").as_deref(), Some("b:1"));
+    let other = sim.relays.other_relay_for("w-1", "a", 1);
+    assert_eq!(other.as_deref(), Some("b:1"), "also for a worker that the relay cannot reach");
+}
