Calls for advice use instances of all data centres; an overdue one is repeated

Change: lanes are ordered by a hash of the address. A quick call that is 0.15 s overdue is repeated once through another lane; one call in ten may be, with a burst of 20, so that a slow service gets no second load. Tests: lanes.rs.

--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -167,7 +167,7 @@
 /// The instances that can call the advice service, each with at most one call at a time.
 #[derive(Debug, Default)]
 pub struct Lanes {
-    lanes: BTreeMap<Lane, LaneState>,
+    lanes: BTreeMap<LaneKey, LaneState>,
     load: Load,
     quick_use: QuickUse,
 }
@@ -209,6 +209,22 @@
     }
 }
 
+/// A lane, ordered by the hash of its address. Idle lanes are used in this order. In the order of the addresses, all
+/// calls of a cell would go through the instances of one data centre, and fail if that is cut off.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct LaneKey {
+    hash: u64,
+    lane: Lane,
+}
+
+impl From<Lane> for LaneKey {
+    fn from(lane: Lane) -> Self {
+        let mut hasher = DefaultHasher::new();
+        lane.hash(&mut hasher);
+        Self { hash: hasher.finish(), lane }
+    }
+}
+
 /// Whether a lane has a call in progress.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum LaneState {
@@ -239,8 +255,9 @@
         self.lanes = lanes
             .into_iter()
             .map(|lane| {
-                let state = old.get(&lane).cloned().unwrap_or(LaneState::Idle);
-                (lane, state)
+                let key = LaneKey::from(lane);
+                let state = old.get(&key).cloned().unwrap_or(LaneState::Idle);
+                (key, state)
             })
             .collect();
         self.update_load();
@@ -256,8 +273,8 @@
         let skipped = if is_slow { self.reserved_for_quick() } else { 0 };
         let idle =
             self.lanes.iter_mut().skip(skipped).find(|(_, state)| **state == LaneState::Idle);
-        let (lane, state) = idle?;
-        let lane = lane.clone();
+        let (key, state) = idle?;
+        let lane = key.lane.clone();
         *state = LaneState::Busy { queue: queue.to_owned(), is_slow };
         let is_quick = |state: &&LaneState| matches!(state, LaneState::Busy { is_slow: false, .. });
         self.quick_use.record(self.lanes.values().filter(is_quick).count());
@@ -286,7 +303,7 @@
 
     /// Releases a lane after its call has ended.
     pub fn release(&mut self, lane: &Lane) {
-        if let Some(state) = self.lanes.get_mut(lane) {
+        if let Some(state) = self.lanes.get_mut(&LaneKey::from(lane.clone())) {
             *state = LaneState::Idle;
         }
         self.update_load();
--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -6,7 +6,7 @@
 use lilacpass_schema::v1;
 
 use crate::{
-    advice::{self, StepAdvice},
+    advice::{self, Lanes, StepAdvice},
     advice_claims,
     candidates::AdviceDemand,
     event::{Advice, Effect, Lane, Now},
@@ -124,6 +124,9 @@
                 advice_claims::expected_use(&candidates, &workers, &place::need(&plan), share);
             self.advice_claims.set(rank, claims);
         }
+        if !Lanes::is_slow(expected_ms) {
+            self.advice_hedge.record_call(&lane, name, expected_ms, now.steady_ms);
+        }
         self.advice.entry(name).or_default().call_pending = true;
         self.advice_queue.remove(name);
         self.counters.advice.workers_named += workers.len() as u64;
@@ -212,6 +215,20 @@
         extra.map(|worker| worker.registration.name.clone()).collect()
     }
 
+    /// Lets the steps whose calls are overdue request advice again. The responses to the first calls still count.
+    pub(crate) fn repeat_overdue_advice_calls(&mut self, now: Now) {
+        for step in self.advice_hedge.take_overdue(now.steady_ms) {
+            let Some(advice) = self.advice.get_mut(&step).filter(|advice| advice.call_pending)
+            else {
+                continue;
+            };
+            advice.call_pending = false;
+            log::info!(step:% = step; "advice call is overdue");
+            self.pending_changes.mark_step_changed(step);
+            self.update_advice_queue(step, now);
+        }
+    }
+
     /// Handles the response to a call for advice.
     pub(crate) fn on_advice_received(
         &mut self,
@@ -222,6 +239,9 @@
         now: Now,
     ) {
         self.lanes.release(lane);
+        if self.advice_hedge.record_end(lane) && response.is_none() {
+            return;
+        }
         self.advice_claims.release(step);
         let Some(entry) = self.jobs.get(&step.job) else { return };
         let good = response.as_ref().map(|response| response.good.len());
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -15,6 +15,7 @@
     accounts::{AccountNumber, Accounts},
     advice::{Lanes, StepAdvice},
     advice_claims::AdviceClaims,
+    advice_hedge::AdviceHedge,
     advice_queue::AdviceQueue,
     capacity_index::CapacityIndex,
     counters::Counters,
@@ -134,6 +135,7 @@
     pub(crate) advice: HashMap<StepName, StepAdvice>,
     pub(crate) lanes: Lanes,
     pub(crate) advice_claims: AdviceClaims,
+    pub(crate) advice_hedge: AdviceHedge,
     pub(crate) waiting: WaitingSteps,
     pub(crate) advice_queue: AdviceQueue,
     /// The steps that are allowed to run on each worker, as far as advice is known.
@@ -225,6 +227,7 @@
             advice: HashMap::default(),
             lanes: Lanes::default(),
             advice_claims: AdviceClaims::default(),
+            advice_hedge: AdviceHedge::default(),
             waiting: WaitingSteps::default(),
             advice_queue: AdviceQueue::default(),
             allowed_steps: HashMap::default(),
@@ -444,6 +447,7 @@
         self.retry_stops(now);
         self.stop_unanswered_beyond_caps(now);
         self.update_fair_use(now);
+        self.repeat_overdue_advice_calls(now);
         self.suspect_silent_data_centres(now);
         if now.steady_ms >= self.next_review_ms {
             self.next_review_ms = now.steady_ms + RUN_REVIEW_INTERVAL_MS;
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod advance_reservations;
 pub mod advice;
 pub mod advice_claims;
+pub mod advice_hedge;
 pub mod advice_queue;
 pub mod advice_requests;
 pub mod candidates;
--- a/lilacpass-lead/tests/lanes.rs
+++ b/lilacpass-lead/tests/lanes.rs
@@ -1,6 +1,7 @@
 //! Tests how lanes for calls to the advice service are shared between queues.
 
-use lilacpass_lead::{advice::Lanes, event::Lane};
+use lilacpass_jobs::{JobKey, StepName};
+use lilacpass_lead::{advice::Lanes, advice_hedge::AdviceHedge, event::Lane};
 
 const SLOW_MS: u64 = 500;
 const QUICK_MS: u64 = 15;
@@ -89,3 +90,50 @@
     let slow = std::iter::from_fn(|| lanes.acquire("audit", SLOW_MS, false)).count();
     assert_eq!(slow, 20, "at most a third is reserved");
 }
+
+/// Guards against calls that all go through the instances of one data centre. When it was cut off, quick jobs of the
+/// whole cell waited for the timeouts of their calls.
+#[test]
+fn idle_lanes_of_all_data_centres_are_used() {
+    let mut lanes = Lanes::default();
+    let address = |number: u32| Lane(format!("10.{}.0.{}:7040", number / 20, number % 20));
+    lanes.set((0..100).map(address).collect(), 0);
+    let used: Vec<Lane> =
+        (0..25).map(|_| lanes.acquire("check", QUICK_MS, false).expect("a lane")).collect();
+    for data_centre in 0..5 {
+        let prefix = format!("10.{data_centre}.");
+        let count = used.iter().filter(|lane| lane.0.starts_with(&prefix)).count();
+        assert!((1..=12).contains(&count), "{count} of 25 in one of five data centres");
+    }
+}
+
+/// Guards against jobs that wait for the timeout of a call through an instance that is cut off. A call takes 40 ms, and
+/// its timeout is a second.
+#[test]
+fn an_overdue_call_is_repeated_once() {
+    let mut hedge = AdviceHedge::default();
+    let step = StepName { job: JobKey(1), occurrence: 0, step: 0 };
+    let lanes = [Lane("a".to_owned()), Lane("b".to_owned())];
+    hedge.record_call(&lanes[0], step, 40, 1_000);
+    assert!(hedge.take_overdue(1_189).is_empty());
+    assert_eq!(hedge.take_overdue(1_190), [step]);
+    hedge.record_call(&lanes[1], step, 40, 1_190);
+    assert!(hedge.take_overdue(5_000).is_empty(), "neither of the two is repeated again");
+    assert!(!hedge.record_end(&lanes[1]), "the second call stands for the step");
+    assert!(hedge.record_end(&lanes[0]), "the first one was given up");
+}
+
+/// Guards against doubling the load of an advice service that is slow for all.
+#[test]
+fn few_of_many_overdue_calls_are_repeated() {
+    let mut hedge = AdviceHedge::default();
+    let mut repeated = 0;
+    for second in 0..10 {
+        for number in 0..100_u64 {
+            let step = StepName { job: JobKey(second * 100 + number), occurrence: 0, step: 0 };
+            hedge.record_call(&Lane(format!("{second} {number}")), step, 40, second * 1_000);
+        }
+        repeated += hedge.take_overdue(second * 1_000 + 900).len();
+    }
+    assert!(repeated <= 120, "{repeated} of 1,000 calls");
+}
