A new leader polls the first workers while it reads the others

It read the registrations of all 6,000 workers, twelve pages one after the other, before it registered and polled the first one, and then handled all of them in one round. Change: the events of each page are sent as soon as it is read. Only a read that came to its end says which workers are missing. No task is refused as too large for all workers before all are known. Test: registry_watch.rs, a read that breaks off.

--- a/lilacpass-lead/src/registration_age.rs
+++ b/lilacpass-lead/src/registration_age.rs
@@ -37,6 +37,11 @@
         self.read_sent_ms.is_some_and(|sent_ms| now_ms > sent_ms + MAX_AGE_MS)
     }
 
+    /// Whether all registrations have been read once.
+    pub fn has_read(&self) -> bool {
+        self.read_sent_ms.is_some()
+    }
+
     /// Keeps a start order until the next read.
     pub fn hold(&mut self, start: HeldStart) {
         self.held.push(start);
--- a/lilacpass-lead/src/requests.rs
+++ b/lilacpass-lead/src/requests.rs
@@ -198,8 +198,12 @@
     }
 
     /// Returns the reason if no worker of the queue's service is large enough for some step. Returns `None` while no
-    /// worker is known. A worker's largest known capacity counts, because a reduced capacity may grow again.
+    /// worker is known, or not all of them. A worker's largest known capacity counts, because a reduced capacity may grow
+    /// again.
     fn find_impossible_step(&self, plan: &v1::WorkPlan, queue: &v1::QueuePolicy) -> Option<String> {
+        if !self.registration_age.has_read() {
+            return None;
+        }
         let is_usable =
             |worker: &&Worker| worker.registered && worker.registration.service == queue.service;
         let workers = self.workers.values().filter(is_usable);
--- a/lilacpass-node/src/registered_workers.rs
+++ b/lilacpass-node/src/registered_workers.rs
@@ -25,20 +25,44 @@
     worker: Option<Registration>,
     /// Number of consecutive full reads that lacked the entry.
     missed_reads: u32,
+    /// Whether the current full read has listed the entry.
+    is_listed: bool,
 }
 
 impl RegisteredWorkers {
     /// Applies the newest entries of all workers. Returns events for all of them, so that a worker that the leader
     /// wrongly considers gone is restored.
     pub fn apply_full_read(&mut self, records: Vec<StoredRecord>) -> Vec<Event> {
-        for seen in self.seen.values_mut() {
-            seen.missed_reads += 1;
-        }
+        self.begin_full_read();
+        let mut events = self.apply_page(records);
+        events.extend(self.end_full_read());
+        events
+    }
+
+    /// Begins a read of the newest entries of all workers, page by page.
+    pub fn begin_full_read(&mut self) {
+        self.seen.values_mut().for_each(|seen| seen.is_listed = false);
+    }
+
+    /// Applies a page of a full read. Returns events for all of its workers.
+    pub fn apply_page(&mut self, records: Vec<StoredRecord>) -> Vec<Event> {
         let mut events = Vec::new();
         for stored in records {
             let change = self.apply_entry(&stored);
+            if let Some(seen) = self.seen.get_mut(&stored.record.key) {
+                seen.is_listed = true;
+            }
             events.extend(change.or_else(|| self.last_registration(&stored)));
         }
+        events
+    }
+
+    /// Ends a full read of which all pages were applied. Returns events for the workers that count as gone.
+    pub fn end_full_read(&mut self) -> Vec<Event> {
+        for seen in self.seen.values_mut().filter(|seen| !seen.is_listed) {
+            seen.missed_reads += 1;
+        }
+        let mut events = Vec::new();
         self.remove_missing(&mut events);
         events
     }
--- a/lilacpass-node/src/registry_watch.rs
+++ b/lilacpass-node/src/registry_watch.rs
@@ -6,7 +6,7 @@
 use lilacpass_platform::{
     error::Result,
     registry,
-    store::{Partition, ReadOutcome, StoredRecord},
+    store::{Partition, ReadOutcome},
 };
 use tokio::{
     sync::mpsc,
@@ -28,12 +28,10 @@
 /// bytes per worker. If every read were a full one, orders and renewals would have to wait on a thin link.
 const FULL_READ_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Result of a read.
+/// Result of a read that was carried out.
 enum RegistryRead {
-    /// The newest entries of all workers, and the position from which to continue.
-    All(Vec<StoredRecord>, u64),
-    /// Records that were written since the last read, and the position from which to continue.
-    Changes(Vec<StoredRecord>, u64),
+    /// All records were read; reading continues from this position.
+    Complete(u64),
     /// The store has deleted the records that were written since the last read.
     Truncated,
 }
@@ -47,21 +45,24 @@
         let from = next.filter(|_| Instant::now() < next_full_read && !registered.has_missing());
         let sent_ms = clock::now().steady_ms;
         let timeout = if node.store_failing_ms() > 0 { OUTAGE_TIMEOUT } else { TIMEOUT };
+        let send = |events: Vec<Event>| {
+            for event in events {
+                // The leader loop may have ended.
+                let _stopped = messages.send(Message::Event(event));
+            }
+        };
         let result = match from {
-            Some(from) => read_changes(&node, from, timeout).await,
-            None => read_all(&node, timeout).await,
+            Some(from) => read_changes(&node, from, timeout, &mut registered, send).await,
+            None => read_all(&node, timeout, &mut registered, send).await,
         };
         let scope = if from.is_some() { "changes" } else { "all" };
         node.metrics.workers_read(scope, metrics::outcome(&result));
-        let mut events = match result {
-            Ok(RegistryRead::All(records, position)) => {
+        match result {
+            Ok(RegistryRead::Complete(position)) => {
                 next = Some(position);
-                next_full_read = Instant::now() + FULL_READ_INTERVAL;
-                registered.apply_full_read(records)
-            }
-            Ok(RegistryRead::Changes(records, position)) => {
-                next = Some(position);
-                registered.apply_changes(records)
+                if from.is_none() {
+                    next_full_read = Instant::now() + FULL_READ_INTERVAL;
+                }
             }
             Ok(RegistryRead::Truncated) => {
                 next = None;
@@ -74,38 +75,49 @@
                     time::timeout(CHANGES_INTERVAL, node.store_responded.notified()).await;
                 continue;
             }
-        };
-        events.push(Event::RegistrationsRead { sent_ms });
-        for event in events {
-            if messages.send(Message::Event(event)).is_err() {
-                return;
-            }
+        }
+        if messages.send(Message::Event(Event::RegistrationsRead { sent_ms })).is_err() {
+            return;
         }
         time::sleep(CHANGES_INTERVAL).await;
     }
 }
 
-/// Reads the newest entry of each worker. Pages are not a consistent snapshot, so the next read continues from where
-/// the partition ended at the first page.
-async fn read_all(node: &Node, timeout: Duration) -> Result<RegistryRead> {
+/// Reads the newest entry of each worker, and sends the events of each page as soon as it is read: a new leader polls the
+/// first workers while the others are read. Pages are not a consistent snapshot, so the next read continues from where the
+/// partition ended at the first page.
+async fn read_all(
+    node: &Node,
+    timeout: Duration,
+    registered: &mut RegisteredWorkers,
+    send: impl Fn(Vec<Event>),
+) -> Result<RegistryRead> {
     let partition = Partition::platform_topic(registry::TOPIC);
-    let mut records = Vec::new();
+    let mut after: Option<String> = None;
     let mut end = None;
+    registered.begin_full_read();
     loop {
-        let after = records.last().map(|stored: &StoredRecord| stored.record.key.clone());
         let page = node.store.newest(&partition, after.as_deref(), timeout).await?;
         node.record_store_response();
         let end = *end.get_or_insert(page.end);
         let has_more = page.more && !page.records.is_empty();
-        records.extend(page.records);
+        after = page.records.last().map(|stored| stored.record.key.clone());
+        send(registered.apply_page(page.records));
         if !has_more {
-            return Ok(RegistryRead::All(records, end));
+            send(registered.end_full_read());
+            return Ok(RegistryRead::Complete(end));
         }
     }
 }
 
-/// Reads the records from a position on.
-async fn read_changes(node: &Node, from: u64, timeout: Duration) -> Result<RegistryRead> {
+/// Reads the records from a position on, and sends the events that follow from them.
+async fn read_changes(
+    node: &Node,
+    from: u64,
+    timeout: Duration,
+    registered: &mut RegisteredWorkers,
+    send: impl Fn(Vec<Event>),
+) -> Result<RegistryRead> {
     let partition = Partition::platform_topic(registry::TOPIC);
     let mut records = Vec::new();
     let mut next = from;
@@ -118,7 +130,8 @@
                 let is_complete = read.is_empty() || next >= end;
                 records.extend(read);
                 if is_complete {
-                    return Ok(RegistryRead::Changes(records, next));
+                    send(registered.apply_changes(records));
+                    return Ok(RegistryRead::Complete(next));
                 }
             }
         }
--- a/lilacpass-node/tests/registry_watch.rs
+++ b/lilacpass-node/tests/registry_watch.rs
@@ -168,3 +168,18 @@
         assert!(read > 0 && read <= max_bytes, "{read} bytes, {max_bytes} at most");
     });
 }
+
+/// Guards against a worker that counts as gone after one read that lacks it and another that broke off before it came to
+/// its page.
+#[test]
+fn a_read_that_breaks_off_says_nothing_about_the_workers_that_it_did_not_reach() {
+    let mut registered = RegisteredWorkers::default();
+    registered.apply_full_read(vec![stored("w-1", 1, READY_ENTRY), stored("w-2", 2, READY_ENTRY)]);
+    registered.begin_full_read();
+    let events = registered.apply_page(vec![stored("w-1", 1, READY_ENTRY)]);
+    assert_eq!(events.iter().filter(|event| registers(event, "w-1")).count(), 1, "at once");
+    assert_eq!(registered.apply_full_read(vec![stored("w-1", 1, READY_ENTRY)]).len(), 1);
+    assert!(registered.has_missing());
+    let events = registered.apply_full_read(vec![stored("w-1", 1, READY_ENTRY)]);
+    assert!(events.contains(&Event::WorkerUnregistered(WorkerName::from("w-2"))));
+}
