A leader of hundreds of instances stays alive, is told from a dead one, and hands over early

Each candidate read all jobs while its announcement was under way. - 583 instances sent 2,900 heartbeats a second, and each went through the list of all instances; each read the desired state once a second, four fifths of all calls to the store. Change: renewals on a thread of their own, which end 2 s after the last tick of the event loop. Heartbeats say when the store last responded to their sender; a leader for which it is silent for 0.25 s while two others got responses hands over. The leader record names the relays and their load. A candidate announces first and reads the jobs then, or after 50 ms; the random delay grows with the candidates. The leader states the interval of heartbeats: at most 1,500 a second, 0.2 to 1 s; a forwarded request that fails has one sent at once; a new leader of more than 300 instances announces itself, 16 instances at a time. Reads of the desired state wait for five of these intervals, 1 to 5 s. An instance that reaches neither leader nor store is not ready at once.

--- a/lilacpass-node/src/append.rs
+++ b/lilacpass-node/src/append.rs
@@ -7,7 +7,7 @@
 use lilacpass_core::{Verdict, size};
 use lilacpass_lead::event::Record;
 use lilacpass_platform::{
-    error::Result as CallResult,
+    error::{Error, Result as CallResult},
     store::{self, AppendCondition, AppendOutcome, Partition, Writer},
 };
 use rand::RngExt;
@@ -50,6 +50,56 @@
     NotStored,
 }
 
+/// Why an attempt to append has failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AttemptError {
+    /// Whether the append may have been executed.
+    pub verdict: Verdict,
+    /// The reason, for the log.
+    pub reason: String,
+}
+
+impl From<&Error> for AttemptError {
+    fn from(err: &Error) -> Self {
+        Self { verdict: err.verdict(), reason: err.to_string() }
+    }
+}
+
+/// Records an attempt to append `bytes` in metrics, log and the state of the store. The time that they need on the link
+/// does not count as latency of the store.
+pub fn record_attempt(
+    node: &Node,
+    writer: Writer,
+    bytes: usize,
+    result: &Result<AppendOutcome, AttemptError>,
+    took: Duration,
+) {
+    let Writer { epoch, sequence } = writer;
+    node.metrics.append(metrics::outcome(result), took);
+    match result {
+        Ok(response) => {
+            node.record_store_response();
+            if matches!(response, AppendOutcome::Stored { .. }) {
+                let transfer_time = node.settings.link.time_for(size::Bytes(bytes as u64));
+                let latency = took.saturating_sub(transfer_time);
+                node.append_latency.set(smoothed_latency(node.append_latency.get(), latency));
+                if took >= SLOW_APPEND {
+                    let took_ms = took.as_millis() as u64;
+                    log::info!(sequence, took_ms, bytes; "append was slow");
+                }
+            } else {
+                log::info!(epoch, sequence, result:? = response; "append refused");
+            }
+        }
+        Err(err) => {
+            log::info!(epoch, sequence, error = err.reason.as_str(); "append failed");
+            if err.verdict == Verdict::NotRun {
+                node.record_store_refusal();
+            }
+        }
+    }
+}
+
 /// Stores records as one append of a writer. Returns once the store has confirmed or rejected it.
 ///
 /// Transfer time extends all timeouts. With the same timeouts for appends of any length, copies of a long one would
@@ -66,34 +116,8 @@
     let send = || async {
         let sent = Instant::now();
         let result = node.store.append(partition, condition, records, timeout).await;
-        node.metrics.append(metrics::outcome(&result), sent.elapsed());
-        match &result {
-            Ok(response) => {
-                node.record_store_response();
-                if matches!(response, AppendOutcome::Stored { .. }) {
-                    let took = sent.elapsed();
-                    update_latency(node, took.saturating_sub(transfer_time));
-                    if took >= SLOW_APPEND {
-                        let took_ms = took.as_millis() as u64;
-                        log::info!(sequence = writer.sequence, took_ms, bytes = records.len(); "append was slow");
-                    }
-                } else {
-                    log::info!(
-                        epoch = writer.epoch, sequence = writer.sequence, result:? = response;
-                        "append refused"
-                    );
-                }
-            }
-            Err(err) => {
-                log::info!(
-                    epoch = writer.epoch, sequence = writer.sequence, error:% = err;
-                    "append failed"
-                );
-                if err.verdict() == Verdict::NotRun {
-                    node.record_store_refusal();
-                }
-            }
-        }
+        let attempt = result.as_ref().copied().map_err(AttemptError::from);
+        record_attempt(node, writer, records.len(), &attempt, sent.elapsed());
         result
     };
     send_until_settled(send, node.append_latency.get(), transfer_time).await
@@ -182,12 +206,10 @@
     (typical_latency * RETRY_LATENCY_FACTOR).clamp(MIN_RETRY_INTERVAL, ATTEMPT_TIMEOUT)
 }
 
-/// Updates the latency estimate. It rises at once and falls slowly, so that a slow store does not receive every append
-/// several times.
-fn update_latency(node: &Node, took: Duration) {
-    let known = node.append_latency.get();
-    let updated = if took > known { took } else { (known * 7 + took) / 8 };
-    node.append_latency.set(updated);
+/// Updates an estimate of the latency. It rises at once and falls slowly, so that a slow store does not receive every
+/// append several times.
+pub fn smoothed_latency(known: Duration, took: Duration) -> Duration {
+    if took > known { took } else { (known * 7 + took) / 8 }
 }
 
 /// Splits records into calls of at most `max_bytes`, in order. A record that is longer than that gets a call of its
--- a/lilacpass-node/src/desired_watch.rs
+++ b/lilacpass-node/src/desired_watch.rs
@@ -11,10 +11,7 @@
 
 use crate::{clock, metrics, node::Node};
 
-/// How long a read waits for a change. Together with [`RESPONSE_TIMEOUT`] it bounds how long a change goes unnoticed on
-/// a dead connection. The platform allows 2 s for a change to take effect.
-const POLL_WAIT: Duration = Duration::from_millis(1_000);
-/// Timeout for the beginning of a response, in addition to the wait, and for each pause within it. The store's slowest
+/// Timeout for the beginning of a response, in addition to the wait for a change, and for each pause within it. The store's slowest
 /// responses take 0.6 s.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 /// With at least this many unread records, the newest record of each key is read instead of all of them.
@@ -82,7 +79,8 @@
 /// are written faster than the link can carry them, it would never catch up.
 async fn read_changes(node: &Node, partition: &Partition, from: u64) -> Result<Option<u64>> {
     let sent_ms = clock::now().steady_ms;
-    match node.store.read(partition, from, POLL_WAIT, RESPONSE_TIMEOUT).await? {
+    let wait = Duration::from_millis(node.desired_wait_ms());
+    match node.store.read(partition, from, wait, RESPONSE_TIMEOUT).await? {
         ReadOutcome::Records { records, end } => {
             node.record_store_response();
             records.iter().for_each(|stored| apply(node, stored));
--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -17,9 +17,17 @@
 use rand::{RngExt, seq::IteratorRandom};
 use tokio::time::{self, Instant};
 
-use crate::{clock, leader_handle, leader_loop, metrics, node::Node, peers, takeover};
+use crate::{
+    clock, leader_handle, leader_loop,
+    members::{self, Largest},
+    metrics,
+    node::Node,
+    peers,
+    takeover::{self, NewLeadership},
+};
 
-/// Interval between heartbeats to the leader.
+/// Interval between heartbeats to the leader while this instance tries to take over from it, and pause before an instance
+/// that is about to stop looks for the leader again.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// How long to wait for the response to a heartbeat. An instance that runs at an eighth of the usual speed responds
 /// within 100 ms. A slower one is not replaced at once: its renewals are observed first, which costs one read of the
@@ -37,8 +45,10 @@
 const STORE_LATENCY_FACTOR: u32 = 2;
 /// How long to wait for another instance that has announced a take-over.
 const CLAIM_WAIT: Duration = Duration::from_millis(1_300);
-/// Upper bound of the random delay that separates instances that notice the same failure at the same time.
+/// Upper bound of the random delay that separates instances that notice the same failure at the same time, if there are
+/// at most [`CANDIDATES_PER_MAX_JITTER`] that could lead.
 const MAX_JITTER: Duration = Duration::from_millis(40);
+const CANDIDATES_PER_MAX_JITTER: u32 = 8;
 /// Additional wait of an instance that is smaller than others. The larger ones notice the same failure, and announce
 /// their take-over meanwhile. The leader of 350 workers uses a quarter of a core. With an eighth of a core it places
 /// 200 tasks a second while 700 arrive, and never catches up.
@@ -55,6 +65,9 @@
 /// announcements were stored after their senders had given them up, and every instance waited for a take-over that
 /// never came.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long to wait for the announcement of a take-over to be stored before the jobs are read. It usually takes 10 ms.
+/// Reading the jobs of a large cell takes tenths of a second, and the responses fill the link of the store.
+const CLAIM_HEAD_START: Duration = Duration::from_millis(50);
 /// Store timeout of an instance that is asked to take over from a leader that is not about to stop. A store that is
 /// slow for every instance is no reason to change the leader.
 const PROMOTE_STORE_TIMEOUT: Duration = Duration::from_millis(150);
@@ -101,8 +114,10 @@
                     campaign_with_heartbeats(&node, &address, view.epoch).await;
                 }
                 let mut leaving = node.leaving.subscribe();
+                let interval = Duration::from_millis(node.heartbeat_interval_ms.get());
                 tokio::select! {
-                    () = time::sleep(HEARTBEAT_INTERVAL) => {}
+                    () = time::sleep(interval) => {}
+                    () = node.leader_doubted.notified() => {}
                     _ = leaving.changed() => {}
                 }
             }
@@ -146,7 +161,10 @@
             node.cut_off.set(false);
             node.leader_store_reachable.set(reply.store_reachable);
             node.follow(reply.epoch, address);
-            node.max_cpu_millis.set(reply.most_cpu_millis);
+            let largest = Largest { cpu_millis: reply.most_cpu_millis, count: reply.candidates };
+            node.largest.set(largest);
+            let interval_ms = u64::from(reply.heartbeat_interval_ms);
+            node.heartbeat_interval_ms.set(interval_ms.max(members::MIN_HEARTBEAT_INTERVAL_MS));
             node.known_members.borrow_mut().update(reply.peers_revision, reply.peers);
             HeartbeatResult::Leads { store_reachable: reply.store_reachable }
         }
@@ -209,8 +227,7 @@
     };
     let renewal_wait =
         if claimed_by_other(node, &page) { renewal_wait.max(CLAIM_WAIT) } else { renewal_wait };
-    let jitter = MAX_JITTER.mul_f64(rand::rng().random());
-    let renewal_wait = renewal_wait + small_instance_delay(node) + jitter;
+    let renewal_wait = renewal_wait + small_instance_delay(node) + jitter(node);
     let read = node.store.read(&partition, page.end, renewal_wait, STORE_TIMEOUT);
     let written = wait_for_records(read, renewal_wait).await;
     if !written.is_empty() {
@@ -222,13 +239,22 @@
     }
     let leader_changed = node.leads() || *node.leader.borrow() != known;
     if !leader_changed {
-        claim_and_take_over(node, page.end).await;
+        claim_and_take_over(node, page.end, lead).await;
     }
 }
 
+/// A random delay that separates instances that notice the same failure at the same time. An announcement is seen by the
+/// others within some milliseconds. The more instances there are, the longer the time over which they are spread, so
+/// that only a few announce a take-over until then; the first of them does so as soon as with few instances.
+fn jitter(node: &Node) -> Duration {
+    let candidates = node.largest.get().count.max(CANDIDATES_PER_MAX_JITTER);
+    let max_jitter = MAX_JITTER * candidates / CANDIDATES_PER_MAX_JITTER;
+    max_jitter.mul_f64(rand::rng().random())
+}
+
 /// How long this instance waits for larger ones to take over first.
 fn small_instance_delay(node: &Node) -> Duration {
-    let max_cpu_millis = match node.max_cpu_millis.get() {
+    let max_cpu_millis = match node.largest.get().cpu_millis {
         0 => SMALL_CPU_MILLIS,
         known => known,
     };
@@ -251,6 +277,7 @@
         }
     };
     log::info!("take-over requested");
+    let former = newest_lead_record(&page.records);
     // Other instances see the former leader resign before the new one is known. The announcement keeps them from taking
     // over from the new leader at once. It is not stored if the former leader has written a renewal since. That is
     // harmless: the take-over goes on without it.
@@ -258,7 +285,7 @@
     // A separate task completes even if the connection to the former leader is closed.
     let taking_over = tokio::task::spawn_local(async move {
         let (_, snapshot) = tokio::join!(claim(&node, page.end), takeover::read_snapshot(&node));
-        take_over(&node, snapshot).await;
+        take_over(&node, snapshot, former).await;
     });
     if let Err(err) = taking_over.await {
         log::error!(error:% = err; "take-over task failed");
@@ -266,21 +293,33 @@
 }
 
 /// Announces a take-over, and takes over unless another record was written after `end`.
-async fn claim_and_take_over(node: &Rc<Node>, end: u64) {
-    let (claimed, snapshot) = tokio::join!(claim(node, end), takeover::read_snapshot(node));
+///
+/// Of all instances that announce a take-over at the same time, only the one whose announcement is stored reads the
+/// jobs. If the store is slow, the jobs are read meanwhile.
+async fn claim_and_take_over(node: &Rc<Node>, end: u64, former: Option<v1::LeadRecord>) {
+    let mut claim = pin!(claim(node, end));
+    let (claimed, snapshot) = match time::timeout(CLAIM_HEAD_START, &mut claim).await {
+        Ok(false) => return,
+        Ok(true) => (true, takeover::read_snapshot(node).await),
+        Err(_) => tokio::join!(claim, takeover::read_snapshot(node)),
+    };
     if claimed {
-        take_over(node, snapshot).await;
+        take_over(node, snapshot, former).await;
     }
 }
 
 /// Completes a take-over from the jobs that were read, and starts leading if it succeeds.
-async fn take_over(node: &Rc<Node>, snapshot: Option<takeover::Snapshot>) {
+async fn take_over(
+    node: &Rc<Node>,
+    snapshot: Option<takeover::Snapshot>,
+    former: Option<v1::LeadRecord>,
+) {
     let Some(snapshot) = snapshot else { return };
     if node.leads() || node.taking_over.replace(true) {
         return;
     }
     if let Some(leadership) = takeover::complete(node, snapshot).await {
-        leader_loop::start(node, leadership);
+        leader_loop::start(node, NewLeadership { former, ..leadership });
     }
     node.taking_over.set(false);
 }
--- a/lilacpass-node/src/frontend.rs
+++ b/lilacpass-node/src/frontend.rs
@@ -29,16 +29,18 @@
 const MAX_LEADER_WAIT: Duration = Duration::from_millis(1_900);
 /// Pause before a request is forwarded again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
-/// Requests are not forwarded to a leader that has not responded to a heartbeat for this long, in milliseconds. It
-/// might execute them without its response arriving, and their outcome would be uncertain. A request that is not
-/// forwarded is refused as not executed. The limit is one heartbeat interval plus the heartbeat timeout, rounded up.
-const MAX_FORWARD_UNRESPONSIVE_MS: u64 = 500;
+/// Requests are not forwarded to a leader that has not responded to a heartbeat for one interval plus this long, in
+/// milliseconds: the heartbeat timeout, rounded up. It might execute them without its response arriving, and their
+/// outcome would be uncertain. A request that is not forwarded is refused as not executed.
+const FORWARD_SLACK_MS: u64 = 300;
 /// Retry-After, in seconds, before the first desired state is known.
 const NO_DESIRED_STATE_RETRY_S: u64 = 1;
-/// An instance is not ready if its leader has not responded for this long, in milliseconds; a leader is not ready if
-/// the store has been failing for this long. The platform redirects clients only after the instance has been unready
-/// for a second or two. By then a lost leader has long been replaced.
-const MAX_READY_UNRESPONSIVE_MS: u64 = 400;
+/// An instance is not ready if its leader has not responded for one heartbeat interval plus this long, in milliseconds.
+/// The platform redirects clients only after the instance has been unready for a second or two. By then a lost leader has
+/// long been replaced.
+const READY_SLACK_MS: u64 = 200;
+/// A leader is not ready if the store has been failing for this long, in milliseconds.
+const MAX_READY_STORE_FAILING_MS: u64 = 400;
 
 /// Answers the platform's readiness check.
 pub async fn ready(node: Rc<Node>, received: ReceivedRequest) -> Reply {
@@ -62,9 +64,10 @@
 /// ready.
 fn has_leader(node: &Node) -> bool {
     if node.leads() {
-        node.store_failing_ms() < MAX_READY_UNRESPONSIVE_MS
+        node.store_failing_ms() < MAX_READY_STORE_FAILING_MS
     } else {
-        leader_unresponsive_ms(node) < MAX_READY_UNRESPONSIVE_MS
+        !node.cut_off.get()
+            && missed_heartbeat_ms(node) < READY_SLACK_MS
             && node.leader_store_reachable.get()
     }
 }
@@ -192,10 +195,13 @@
                     Some(response) => Forwarded::Completed(response),
                     None => Forwarded::Failed(Verdict::MayHaveRun),
                 },
-                (None, Some(address))
-                    if leader_unresponsive_ms(node) < MAX_FORWARD_UNRESPONSIVE_MS =>
-                {
-                    peers::forward(node, &address, &request, access, end - now).await
+                (None, Some(address)) if missed_heartbeat_ms(node) < FORWARD_SLACK_MS => {
+                    let forwarded =
+                        peers::forward(node, &address, &request, access, end - now).await;
+                    if matches!(forwarded, Forwarded::Failed(_)) {
+                        node.leader_doubted.notify_one();
+                    }
+                    forwarded
                 }
                 (None, _) => Forwarded::NotLeading,
             }
@@ -227,6 +233,11 @@
     clock::now().steady_ms.saturating_sub(node.last_leader_response_ms.get())
 }
 
+/// How long the next response to a heartbeat is overdue, in milliseconds; 0 if it is not.
+fn missed_heartbeat_ms(node: &Node) -> u64 {
+    leader_unresponsive_ms(node).saturating_sub(node.heartbeat_interval_ms.get())
+}
+
 /// Turns a refusal into an uncertain outcome if an earlier attempt may have been executed.
 fn account_for_earlier_attempts(response: Response, may_have_run: bool) -> Response {
     match response {
--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -1,6 +1,6 @@
 //! Runs the leader: passes events to its state machine and executes the effects it requests.
 
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use lilacpass_jobs::WorkerName;
 use lilacpass_lead::{
@@ -8,32 +8,33 @@
     event::{Lane, Record, RequestId, Response},
 };
 use lilacpass_platform::{
-    store::{self, Writer},
+    store::Writer,
     workers::{PollOrder, StartOrder, Target},
 };
+use lilacpass_schema::v1;
 use tokio::{
     sync::{mpsc, oneshot, watch},
     task, time,
 };
 
 use crate::{
+    announcement,
     append::{self, AppendError},
     clock, handover,
     intake::IntakeQueue,
     leader_handle::{LeaderHandle, Message, OperatorQuery},
+    members::Peer,
     metrics,
     node::{LeaderView, Node},
     orders, peers, registry_watch,
-    relay_choice::{Candidate, LeaderCapacity},
+    relay_choice::{Candidate, LeaderCapacity, Load},
     relays::Relays,
+    renewal::{self, RenewalState},
     takeover::{self, NewLeadership},
 };
 
 /// Interval of the leader's ticks, which bounds how late it notices that a deadline has passed.
 const TICK: Duration = Duration::from_millis(50);
-/// Interval between renewals of the leader record. Followers that cannot reach a leader wait about 0.3 s for a renewal,
-/// and longer if the store is slow.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between updates of the lanes (instances that can make advice calls) and of the relays, in milliseconds.
 const LANES_INTERVAL_MS: u64 = 200;
 /// Added to the expected duration of an advice call to obtain its timeout.
@@ -50,21 +51,31 @@
     *node.leader_handle.borrow_mut() = Some(LeaderHandle::new(messages.clone(), ended));
     let address = node.peer_address();
     node.leader.send_replace(LeaderView { epoch: leadership.epoch, address: Some(address) });
-    *node.relays.borrow_mut() = Relays::new(leadership.epoch, now.steady_ms);
+    let former = leadership.former.unwrap_or_default();
+    *node.relays.borrow_mut() = inherit_relays(node, &former, leadership.epoch, now);
     node.metrics.took_over();
     task::spawn_local(registry_watch::run(node.clone(), messages.clone()));
     task::spawn_local(handover::run(node.clone(), leadership.epoch, messages.clone()));
-    task::spawn_local(renew(node.clone(), leadership.epoch, leadership.sequence, messages.clone()));
+    task::spawn_local(announcement::run(node.clone(), leadership.epoch, messages.clone()));
+    let record = takeover::lead_record(node, leadership.epoch);
+    let renewal = RenewalState::new(record, now.steady_ms);
+    let (epoch, sequence) = (leadership.epoch, leadership.sequence);
+    let started = renewal::start(node, renewal.clone(), epoch, sequence, messages.clone());
+    if let Err(err) = started {
+        // Without renewals, another instance takes over soon.
+        log::error!(error:% = err; "thread for renewals cannot be started");
+    }
     let leader_loop = LeaderLoop {
         node: node.clone(),
-        epoch: leadership.epoch,
+        epoch,
         leader,
+        renewal,
         accounts_version,
         messages,
         queue: IntakeQueue::default(),
         responders: HashMap::new(),
         next_request_id: 0,
-        next_sequence: leadership.sequence + 1,
+        next_sequence: sequence + 1,
         next_lanes_update_ms: 0,
         is_deposed: false,
     };
@@ -83,36 +94,19 @@
     }
 }
 
-/// Renews the leader record. Renewals show followers that the leader is alive, and confirm to the leader that it still
-/// leads.
-async fn renew(
-    node: Rc<Node>,
-    epoch: u64,
-    first_sequence: u64,
-    messages: mpsc::UnboundedSender<Message>,
-) {
-    let partition = takeover::lead_partition();
-    // The first renewal announces the new leader, and is written without delay.
-    let mut renewal = 0;
-    while !messages.is_closed() {
-        let record = takeover::lead_record(&node, epoch, renewal);
-        let Ok(records) = store::encode_records(&[record]) else { return };
-        let sent_ms = clock::now().steady_ms;
-        let writer = Writer { epoch, sequence: first_sequence + renewal };
-        let message = match append::store(&node, &partition, writer, &records).await {
-            Ok(()) => Message::Event(Event::LeadershipConfirmed { sent_ms }),
-            Err(AppendError::Deposed) => Message::Deposed,
-            Err(AppendError::NotStored) => {
-                time::sleep(RENEWAL_INTERVAL).await;
-                continue;
-            }
-        };
-        if messages.send(message).is_err() {
-            return;
-        }
-        renewal += 1;
-        time::sleep(RENEWAL_INTERVAL).await;
-    }
+/// The relays of the former leader. A new leader polls all workers at once, and has heard of no other instance yet.
+fn inherit_relays(node: &Node, former: &v1::LeadRecord, epoch: u64, now: Now) -> Relays {
+    let own_address = node.peer_address();
+    let others = former.relays.iter().filter(|relay| relay.address != own_address);
+    let mut members = node.members.borrow_mut();
+    others
+        .clone()
+        .for_each(|relay| members.record_heartbeat(&relay.address, Peer::inherited(relay, now)));
+    let load = Load {
+        orders: f64::from(former.orders_per_second),
+        bytes: former.order_bytes_per_second as f64,
+    };
+    Relays::inherit(epoch, others, load, now.steady_ms)
 }
 
 /// Tells the leader the accounts of the desired state if it is newer than `known_version`. Returns the version that the
@@ -130,6 +124,7 @@
     node: Rc<Node>,
     epoch: u64,
     leader: Leader,
+    renewal: Arc<RenewalState>,
     /// Version of the desired state whose accounts the leader knows; 0 before the first.
     accounts_version: u64,
     messages: mpsc::UnboundedSender<Message>,
@@ -239,6 +234,7 @@
     /// Handles a tick, and updates lanes, relays and metrics.
     fn tick(&mut self) {
         let now = clock::now();
+        self.renewal.record_progress(now.steady_ms);
         if now.steady_ms >= self.next_lanes_update_ms {
             self.next_lanes_update_ms = now.steady_ms + LANES_INTERVAL_MS;
             self.node.members.borrow_mut().remove_expired(now.steady_ms);
@@ -257,7 +253,7 @@
         self.node.metrics.record_counters(&counters);
     }
 
-    /// Chooses the relays from the instances that are present.
+    /// Chooses the relays from the instances that are present, and records them for the next leader.
     fn review_relays(&self, now_ms: u64) {
         let settings = &self.node.settings;
         let capacity = LeaderCapacity { cpu_millis: settings.cpu_millis, link: settings.link.0 };
@@ -267,7 +263,20 @@
             data_centre: &peer.data_centre,
             cpu_millis: peer.cpu_millis,
         });
-        self.node.relays.borrow_mut().review(capacity, candidates.collect(), now_ms);
+        let mut relays = self.node.relays.borrow_mut();
+        relays.review(capacity, candidates.collect(), now_ms);
+        let load = relays.load();
+        let cpu_millis = |address: &str| members.cpu_millis(address);
+        let in_use = relays.in_use().map(|(address, data_centre)| v1::RelayInstance {
+            address: address.to_owned(),
+            data_centre: data_centre.to_owned(),
+            cpu_millis: cpu_millis(address),
+        });
+        self.renewal.update_record(|record| {
+            record.relays = in_use.collect();
+            record.orders_per_second = load.orders as u32;
+            record.order_bytes_per_second = load.bytes as u64;
+        });
     }
 
     /// Counts an order to a worker, and returns its relay, or `None` to send it directly.
@@ -294,7 +303,7 @@
     /// Instances that can make advice calls: this one, and those that send it heartbeats.
     fn lanes(&self, now_ms: u64) -> Vec<Lane> {
         let members = self.node.members.borrow();
-        let peers = members.present(now_ms).map(|(address, _)| Lane(address.to_owned()));
+        let peers = members.reachable(now_ms).map(|(address, _)| Lane(address.to_owned()));
         peers.chain([Lane(self.node.peer_address())]).collect()
     }
 
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -1,10 +1,11 @@
 //! One instance of lilacpass on the platform. It accepts client requests, and either leads the cell or follows the
 //! instance that does.
 //!
-//! All work runs on a single thread, except that another one writes the log. Instances have a fraction of one CPU core,
-//! and passing work between threads would cost additional wake-ups.
+//! All work runs on a single thread, except that another one writes the log, and that a leader renews its record on a
+//! third. Instances have a fraction of one CPU core, and passing work between threads would cost additional wake-ups.
 
 pub mod access;
+pub mod announcement;
 pub mod append;
 pub mod budget;
 pub mod clock;
@@ -31,6 +32,7 @@
 pub mod relay_messages;
 pub mod relay_server;
 pub mod relays;
+pub mod renewal;
 pub mod signals;
 pub mod takeover;
 pub mod trace;
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    io,
+    cmp, io,
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -26,7 +26,7 @@
     desired_relay::{DesiredSource, Pacing},
     frontend,
     leader_handle::LeaderHandle,
-    members::{KnownMembers, Members},
+    members::{self, KnownMembers, Largest, Members},
     metrics::{self, Metrics},
     peers,
     relay_server::PendingOutcomes,
@@ -102,9 +102,12 @@
     pub leaving: watch::Sender<bool>,
     /// Instances that send heartbeats to this one.
     pub members: RefCell<Members>,
-    /// Largest CPU limit of any instance that could lead, as reported by the leader, in thousandths of a core; 0 before
-    /// the first report.
-    pub max_cpu_millis: Cell<u32>,
+    /// The largest instances that could lead, as reported by the leader; all 0 before the first report.
+    pub largest: Cell<Largest>,
+    /// Interval between heartbeats to the leader, as the leader has requested, in milliseconds.
+    pub heartbeat_interval_ms: Cell<u64>,
+    /// Notified when a request could not be forwarded to the leader.
+    pub leader_doubted: Notify,
     /// Instances that the leader has listed.
     pub known_members: RefCell<KnownMembers>,
     /// Relays of this leadership; empty while this instance does not lead.
@@ -152,7 +155,9 @@
             taking_over: Cell::new(false),
             leaving: watch::Sender::new(false),
             members: RefCell::default(),
-            max_cpu_millis: Cell::new(0),
+            largest: Cell::default(),
+            heartbeat_interval_ms: Cell::new(members::MIN_HEARTBEAT_INTERVAL_MS),
+            leader_doubted: Notify::new(),
             known_members: RefCell::default(),
             relays: RefCell::default(),
             pending_outcomes: RefCell::default(),
@@ -202,12 +207,15 @@
         }
     }
 
-    /// Largest CPU limit of any instance that could lead, in thousandths of a core: this one, and those that send it
-    /// heartbeats and reach the store.
-    pub fn max_present_cpu_millis(&self, now_ms: u64) -> u32 {
-        let members = self.members.borrow();
-        let eligible = members.present(now_ms).filter(|(_, peer)| peer.store_reachable);
-        eligible.map(|(_, peer)| peer.cpu_millis).fold(self.settings.cpu_millis, u32::max)
+    /// The largest instances that could lead: this one, and those that send it heartbeats and reach the store.
+    pub fn largest_present(&self, now_ms: u64) -> Largest {
+        let peers = self.members.borrow_mut().largest(now_ms);
+        let own_cpu_millis = self.settings.cpu_millis;
+        match peers.cpu_millis.cmp(&own_cpu_millis) {
+            cmp::Ordering::Less => Largest { cpu_millis: own_cpu_millis, count: 1 },
+            cmp::Ordering::Equal => Largest { count: peers.count + 1, ..peers },
+            cmp::Ordering::Greater => peers,
+        }
     }
 
     fn limits(&self) -> Limits {
@@ -313,8 +321,28 @@
 
     /// Whether the store has responded recently.
     pub fn store_reachable(&self) -> bool {
-        let limit_ms = if self.leads() { STORE_REACHABLE_MS } else { FOLLOWER_STORE_REACHABLE_MS };
-        clock::now().steady_ms.saturating_sub(self.last_store_response_ms.get()) < limit_ms
+        let limit_ms = if self.leads() {
+            STORE_REACHABLE_MS
+        } else {
+            self.desired_wait_ms() + FOLLOWER_STORE_SLACK_MS
+        };
+        self.store_response_age_ms() < limit_ms
+    }
+
+    /// Time since the last response of the store, in milliseconds.
+    pub fn store_response_age_ms(&self) -> u64 {
+        clock::now().steady_ms.saturating_sub(self.last_store_response_ms.get())
+    }
+
+    /// How long a read of the desired state waits for a change, in milliseconds. It bounds how long a change goes
+    /// unnoticed on a dead connection, unless a heartbeat of the leader shows it. With many instances, the calls
+    /// would add up to hundreds a second.
+    pub fn desired_wait_ms(&self) -> u64 {
+        if self.leads() || self.leader_unresponsive.get() {
+            return MIN_DESIRED_WAIT_MS;
+        }
+        let wait_ms = self.heartbeat_interval_ms.get() * HEARTBEATS_PER_DESIRED_READ;
+        wait_ms.clamp(MIN_DESIRED_WAIT_MS, MAX_DESIRED_WAIT_MS)
     }
 
     /// Whether the process has been asked to stop.
@@ -323,9 +351,16 @@
     }
 }
 
-/// As [`STORE_REACHABLE_MS`], for an instance that does not lead. If the store is reachable, such an instance receives
-/// a response at least this often, from the watch for the desired state.
-const FOLLOWER_STORE_REACHABLE_MS: u64 = 3_000;
+/// Added to the wait for a change of the desired state to obtain [`STORE_REACHABLE_MS`] of an instance that does not
+/// lead. If the store is reachable, such an instance receives a response at least this often.
+const FOLLOWER_STORE_SLACK_MS: u64 = 2_000;
+/// Shortest wait for a change of the desired state, in milliseconds. The platform allows 2 s for a change to take
+/// effect in a small cell.
+const MIN_DESIRED_WAIT_MS: u64 = 1_000;
+/// Longest wait for a change of the desired state, in milliseconds.
+const MAX_DESIRED_WAIT_MS: u64 = 5_000;
+/// Number of heartbeat intervals for which a read of the desired state waits.
+const HEARTBEATS_PER_DESIRED_READ: u64 = 5;
 
 fn parse(address: &str) -> io::Result<SocketAddr> {
     address.parse().map_err(|err| io::Error::new(io::ErrorKind::InvalidInput, err))
--- a/lilacpass-node/src/peers.rs
+++ b/lilacpass-node/src/peers.rs
@@ -214,6 +214,8 @@
         store_reachable: node.store_reachable(),
         cpu_millis: node.settings.cpu_millis,
         peers_revision: node.known_members.borrow().revision,
+        store_response_age_ms: Some(node.store_response_age_ms()),
+        announced_epoch: 0,
     };
     let reply: v1::PeerHelloReply = post(node, address, HELLO_PATH, &message, timeout).await?;
     node.record_desired_source(reply.config_version, address);
@@ -223,24 +225,53 @@
     Ok(reply)
 }
 
+/// Announces to an instance that this one has taken over under `epoch`.
+pub async fn announce_leadership(
+    node: &Node,
+    address: &str,
+    epoch: u64,
+    timeout: Duration,
+) -> Result<()> {
+    let message = v1::PeerHello {
+        address: node.peer_address(),
+        announced_epoch: epoch,
+        ..Default::default()
+    };
+    let _reply: v1::PeerHelloReply = post(node, address, HELLO_PATH, &message, timeout).await?;
+    Ok(())
+}
+
 /// Records a heartbeat of a peer, and responds with this instance's view of the leader.
 fn handle_heartbeat(node: &Node, hello: v1::PeerHello) -> v1::PeerHelloReply {
+    if hello.announced_epoch > 0 {
+        // A former leader learns of its successor from the store. Until then its responses must not name itself under the
+        // epoch of the successor.
+        if !node.leads() {
+            node.follow(hello.announced_epoch, &hello.address);
+        }
+        return leadership_view(node);
+    }
     let now_ms = clock::now().steady_ms;
+    let store_response_ms = hello.store_response_age_ms.map_or(0, |ms| now_ms.saturating_sub(ms));
     let peer = Peer {
         last_heartbeat_ms: now_ms,
         leaving: hello.leaving,
         store_reachable: hello.store_reachable,
+        store_response_ms,
         cpu_millis: hello.cpu_millis,
         data_centre: hello.data_centre,
     };
     node.members.borrow_mut().record_heartbeat(&hello.address, peer);
     node.record_desired_source(hello.config_version, &hello.address);
+    let largest = node.largest_present(now_ms);
     let members = node.members.borrow();
     let is_known = hello.peers_revision == members.revision();
     v1::PeerHelloReply {
         peers: if is_known { Vec::new() } else { members.addresses() },
         peers_revision: members.revision(),
-        most_cpu_millis: node.max_present_cpu_millis(now_ms),
+        most_cpu_millis: largest.cpu_millis,
+        candidates: largest.count,
+        heartbeat_interval_ms: members.heartbeat_interval_ms() as u32,
         ..leadership_view(node)
     }
 }
--- a/lilacpass-node/src/relays.rs
+++ b/lilacpass-node/src/relays.rs
@@ -124,6 +124,29 @@
         Self { epoch, reviewed_ms: now_ms, ..Self::default() }
     }
 
+    /// The relays of a former leader, for its successor under an epoch, with the load as the former leader measured it.
+    pub fn inherit<'a>(
+        epoch: u64,
+        relays: impl Iterator<Item = &'a v1::RelayInstance>,
+        load: Load,
+        now_ms: u64,
+    ) -> Self {
+        let relay = |relay: &v1::RelayInstance| {
+            (Rc::from(relay.address.as_str()), Relay::new(&relay.data_centre))
+        };
+        Self { relays: relays.map(relay).collect(), load, ..Self::new(epoch, now_ms) }
+    }
+
+    /// The moving average of the load.
+    pub fn load(&self) -> Load {
+        self.load
+    }
+
+    /// Addresses and data centres of the relays.
+    pub fn in_use(&self) -> impl Iterator<Item = (&str, &str)> {
+        self.relays.iter().map(|(address, relay)| (&**address, relay.data_centre.as_str()))
+    }
+
     /// Adds an order to the load, regardless of who sends it.
     pub fn count_order(&mut self, payload_bytes: usize) {
         self.orders += 1;
--- a/lilacpass-node/src/takeover.rs
+++ b/lilacpass-node/src/takeover.rs
@@ -34,6 +34,8 @@
     pub sequence: u64,
     /// All jobs, as read from the log.
     pub jobs: Vec<Job>,
+    /// The last record of the former leader; `None` if there is none.
+    pub former: Option<v1::LeadRecord>,
 }
 
 /// The partition that holds the jobs.
@@ -47,13 +49,17 @@
 }
 
 /// The record that announces this instance as the leader.
-pub fn lead_record(node: &Node, epoch: u64, renewal: u64) -> Record {
-    let lead = v1::LeadRecord {
+pub fn lead_record(node: &Node, epoch: u64) -> v1::LeadRecord {
+    v1::LeadRecord {
         epoch,
         instance: node.settings.instance.clone(),
         address: node.peer_address(),
-        renewal,
-    };
+        ..Default::default()
+    }
+}
+
+/// Encodes a leader record for the store.
+pub fn encode_lead_record(lead: &v1::LeadRecord) -> Record {
     Record { key: LEAD_KEY.to_owned(), value: lead.encode_to_vec() }
 }
 
@@ -94,7 +100,7 @@
                 let took_ms = start.elapsed().as_millis() as u64;
                 let jobs = records.into_jobs();
                 log::info!(epoch, jobs = jobs.len(), took_ms; "took over");
-                return Some(NewLeadership { epoch, sequence, jobs });
+                return Some(NewLeadership { epoch, sequence, jobs, former: None });
             }
             AppendOutcome::Elsewhere { .. } => {}
             AppendOutcome::Fenced | AppendOutcome::OutOfSequence => return None,
@@ -127,7 +133,8 @@
     retries: &mut RetryWindow,
 ) -> Option<AppendOutcome> {
     let condition = AppendCondition { expected_end: Some(end), writer: Some(writer) };
-    let encoded = store::encode_records(&[lead_record(node, writer.epoch, 0)]).ok()?;
+    let record = encode_lead_record(&lead_record(node, writer.epoch));
+    let encoded = store::encode_records(&[record]).ok()?;
     loop {
         match node.store.append(partition, condition, &encoded, CALL_TIMEOUT).await {
             Ok(result) => {
