--- a/lilacpass-node/src/announcement.rs
+++ b/lilacpass-node/src/announcement.rs
@@ -12,7 +12,7 @@
     time::{self, Instant},
 };
 
-use crate::{leader_handle::Message, members, node::Node, peers};
+use crate::{leader_handle::Message, members, node::Node, peers::heartbeats};
 
 /// Time over which the announcements are spread. It bounds how many are sent at a time, however many instances there
 /// are.
@@ -41,7 +41,7 @@
         for address in batch {
             let (node, address) = (node.clone(), address.clone());
             task::spawn_local(async move {
-                let result = peers::announce_leadership(&node, &address, epoch, TIMEOUT).await;
+                let result = heartbeats::announce_leadership(&node, &address, epoch, TIMEOUT).await;
                 if let Err(err) = result {
                     log::debug!(peer = address.as_str(), error:% = err; "announcement was not received");
                 }
--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -22,7 +22,7 @@
     members::{self, Largest},
     metrics,
     node::Node,
-    peers,
+    peers::heartbeats,
     takeover::{self, NewLeadership},
 };
 
@@ -152,7 +152,7 @@
         // An earlier incarnation of this instance led.
         return HeartbeatResult::NotLeading;
     }
-    let result = peers::send_heartbeat(node, address, HEARTBEAT_TIMEOUT).await;
+    let result = heartbeats::send(node, address, HEARTBEAT_TIMEOUT).await;
     node.metrics.heartbeat(metrics::outcome(&result));
     log_reachability(node, address, &result);
     match result {
@@ -402,7 +402,7 @@
     };
     let epoch = node.leader.borrow().epoch;
     for address in &peers {
-        match peers::send_heartbeat(node, address, HEARTBEAT_TIMEOUT).await {
+        match heartbeats::send(node, address, HEARTBEAT_TIMEOUT).await {
             Ok(reply) if reply.epoch > epoch && !reply.leader_address.is_empty() => {
                 node.follow(reply.epoch, &reply.leader_address);
                 return;
--- a/lilacpass-node/src/frontend.rs
+++ b/lilacpass-node/src/frontend.rs
@@ -19,7 +19,7 @@
     access::{self, Access},
     clock,
     node::Node,
-    peers::{self, Forwarded},
+    peers::forwarding::{self, Forwarded},
 };
 
 /// Subtracted from the client's timeout, so that the response arrives before the client gives up.
@@ -197,7 +197,7 @@
                 },
                 (None, Some(address)) if missed_heartbeat_ms(node) < FORWARD_SLACK_MS => {
                     let forwarded =
-                        peers::forward(node, &address, &request, access, end - now).await;
+                        forwarding::forward(node, &address, &request, access, end - now).await;
                     if matches!(forwarded, Forwarded::Failed(_)) {
                         node.leader_doubted.notify_one();
                     }
--- a/lilacpass-node/src/handover.rs
+++ b/lilacpass-node/src/handover.rs
@@ -11,7 +11,7 @@
 use rand::RngExt;
 use tokio::{sync::mpsc, time};
 
-use crate::{clock, leader_handle::Message, members::Peer, node::Node, peers};
+use crate::{clock, leader_handle::Message, members::Peer, node::Node, peers::heartbeats};
 
 /// How long the store must have refused all calls before leadership is handed over, in milliseconds. Isolated refusals
 /// are over sooner.
@@ -146,7 +146,7 @@
 
     /// Asks a peer to take over. Returns whether it did.
     async fn request_takeover(&self, address: &str) -> bool {
-        match peers::request_takeover(&self.node, address, TAKEOVER_TIMEOUT).await {
+        match heartbeats::request_takeover(&self.node, address, TAKEOVER_TIMEOUT).await {
             Ok(reply) if reply.leads && reply.epoch > self.epoch => {
                 log::info!(peer = address, epoch = reply.epoch; "leadership handed over");
                 self.node.follow(reply.epoch, address);
--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -26,7 +26,9 @@
     members::Peer,
     metrics,
     node::{LeaderView, Node},
-    orders, peers, registry_watch,
+    orders,
+    peers::advice_calls,
+    registry_watch,
     relay_choice::{Candidate, LeaderCapacity, Load},
     relays::Relays,
     renewal::{self, RenewalState},
@@ -398,9 +400,10 @@
                 self.spawn(async move {
                     let timeout = Duration::from_millis(expected_ms) + ADVICE_SLACK;
                     let advice = if lane.0 == node.peer_address() {
-                        peers::advise(&node, step, &workers, timeout).await
+                        advice_calls::advise(&node, step, &workers, timeout).await
                     } else {
-                        peers::advise_through_peer(&node, &lane.0, step, &workers, timeout).await
+                        advice_calls::advise_through_peer(&node, &lane.0, step, &workers, timeout)
+                            .await
                     };
                     Event::AdviceReceived { lane, step, queried: workers, advice }
                 });
