--- a/lilacpass-node/tests/renewal.rs
+++ b/lilacpass-node/tests/renewal.rs
@@ -1,6 +1,11 @@
 //! Renewals of the leader record, on the stand-in for the platform.
 
-use std::{rc::Rc, thread, time::Duration};
+use std::{
+    rc::Rc,
+    sync::{Arc, mpsc as sync_mpsc},
+    thread,
+    time::Duration,
+};
 
 use lilacpass_core::Resources;
 use lilacpass_lead::Event;
@@ -24,7 +29,7 @@
 /// A leader whose event loop is this test, with what it receives.
 async fn lead(
     node: &Rc<Node>,
-    state: &std::sync::Arc<RenewalState>,
+    state: &Arc<RenewalState>,
     leadership: &NewLeadership,
 ) -> mpsc::UnboundedReceiver<Message> {
     let (messages, received) = mpsc::unbounded_channel();
@@ -43,7 +48,7 @@
     let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     task::LocalSet::new().block_on(&runtime, async {
         // The stand-in has a thread of its own, so that it responds while the event loop is busy.
-        let (address, served) = std::sync::mpsc::channel();
+        let (address, served) = sync_mpsc::channel();
         thread::spawn(move || {
             let runtime =
                 runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
