One budget for retries: orders and calls for advice share it

Cause: the budget for repeated calls for advice stood a second time beside the one for orders, with the same share and burst. Change: RetryBudget moves from lilacpass-node to lilacpass-core and serves both.

--- a/lilacpass-lead/src/advice_hedge.rs
+++ b/lilacpass-lead/src/advice_hedge.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 
+use lilacpass_core::RetryBudget;
 use lilacpass_jobs::StepName;
 
 use crate::event::Lane;
@@ -16,10 +17,6 @@
 /// Time in ms beyond the expected duration of a call after which it is overdue. A lane on a slow instance adds some tens
 /// of milliseconds.
 const OVERDUE_MS: u64 = 150;
-/// Credit that each call earns: one in ten may be repeated.
-const CREDIT_PER_CALL: f64 = 0.1;
-/// Maximum credit, which covers the calls that are in progress when a data centre is cut off.
-const MAX_CREDIT: f64 = 20.0;
 
 /// A call in progress.
 #[derive(Clone, Copy, Debug)]
@@ -31,22 +28,16 @@
 }
 
 /// The calls for advice in progress, and the budget for repeated ones.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct AdviceHedge {
     pending: BTreeMap<Lane, PendingCall>,
-    credit: f64,
-}
-
-impl Default for AdviceHedge {
-    fn default() -> Self {
-        Self { pending: BTreeMap::new(), credit: MAX_CREDIT }
-    }
+    budget: RetryBudget,
 }
 
 impl AdviceHedge {
     /// Records a call that is made through a lane.
     pub fn record_call(&mut self, lane: &Lane, step: StepName, expected_ms: u64, now_ms: u64) {
-        self.credit = (self.credit + CREDIT_PER_CALL).min(MAX_CREDIT);
+        self.budget.earn();
         // A call may be the repetition of another one for the same step.
         let is_first = !self.pending.values().any(|call| call.step == step);
         let overdue_ms = is_first.then_some(now_ms + expected_ms + OVERDUE_MS);
@@ -64,10 +55,9 @@
         let mut steps = Vec::new();
         for call in self.pending.values_mut() {
             let is_overdue = call.overdue_ms.is_some_and(|overdue_ms| now_ms >= overdue_ms);
-            if !is_overdue || self.credit < 1.0 {
+            if !is_overdue || !self.budget.spend() {
                 continue;
             }
-            self.credit -= 1.0;
             call.overdue_ms = None;
             call.was_repeated = true;
             steps.push(call.step);
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod access;
 pub mod announcement;
 pub mod append;
-pub mod budget;
 pub mod clock;
 pub mod desired_message;
 pub mod desired_relay;
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::Bytes;
+use lilacpass_core::RetryBudget;
 use lilacpass_platform::{
     client::Client,
     desired::{Desired, Limits},
@@ -21,7 +22,6 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    budget::RetryBudget,
     clock, desired_message,
     desired_relay::{DesiredSource, Pacing},
     frontend,
--- a/lilacpass-node/src/orders.rs
+++ b/lilacpass-node/src/orders.rs
@@ -9,14 +9,13 @@
 
 use std::{pin::pin, rc::Rc, time::Duration};
 
-use lilacpass_core::Verdict;
+use lilacpass_core::{RetryBudget, Verdict};
 use lilacpass_jobs::TaskName;
 use lilacpass_lead::event::{CallError, PollResponse, Refusal};
 use lilacpass_platform::workers::{self, PollOrder, StartOrder, Target};
 use tokio::time;
 
 use crate::{
-    budget::RetryBudget,
     clock,
     node::Node,
     relay_client,
--- a/lilacpass-node/tests/orders.rs
+++ b/lilacpass-node/tests/orders.rs
@@ -2,9 +2,9 @@
 
 use std::{cell::Cell, future, time::Duration};
 
-use lilacpass_core::Verdict;
+use lilacpass_core::{RetryBudget, Verdict};
 use lilacpass_lead::event::{CallError, Refusal};
-use lilacpass_node::{budget::RetryBudget, orders};
+use lilacpass_node::orders;
 use tokio::{runtime, time};
 
 type OrderResult = Result<(), CallError>;
