Metrics of what the leader spends its time on: parts of its loop, steps examined, searches for advice

Change: the time that the leader's event loop takes, by part; steps examined; searches for workers to ask about, and those that found none. Moved steps were counted twice (SchedulingWork and Counters); the metric reads SchedulingWork now.

--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -92,7 +92,9 @@
             allowed_share: share.unwrap_or(INITIAL_ALLOWED_SHARE),
         };
         let candidates = self.candidates(name, &plan, &demand, now);
+        self.work.advice_searches += 1;
         if candidates.is_empty() {
+            self.work.vain_advice_searches += 1;
             return self.delay_advice(name, now);
         }
         let mut workers = advice::choose(
--- a/lilacpass-lead/src/counters.rs
+++ b/lilacpass-lead/src/counters.rs
@@ -48,7 +48,6 @@
     /// Calls for advice and what came of them.
     pub advice: AdviceCounters,
     band_changes: [u64; Band::ALL.len()],
-    moved_steps: u64,
 }
 
 impl Counters {
@@ -67,21 +66,11 @@
         self.band_changes[to.index()] += 1;
     }
 
-    /// Counts a waiting step that got another rank.
-    pub fn count_moved_step(&mut self) {
-        self.moved_steps += 1;
-    }
-
     /// Number of times that an account entered this band from another one.
     pub fn band_changes(&self, to: Band) -> u64 {
         self.band_changes[to.index()]
     }
 
-    /// Number of times that a waiting step got another rank.
-    pub fn moved_steps(&self) -> u64 {
-        self.moved_steps
-    }
-
     /// Number of jobs that failed for this cause.
     pub fn jobs_failed(&self, cause: Cause) -> u64 {
         self.failed[cause as usize]
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -118,6 +118,23 @@
     pub steps_moved: u64,
     /// Workers examined in reviews of data centres.
     pub workers_reviewed: u64,
+    /// Searches for workers to name in a call for advice.
+    pub advice_searches: u64,
+    /// Searches of these that found no worker.
+    pub vain_advice_searches: u64,
+}
+
+impl SchedulingWork {
+    /// Returns the work done since an earlier reading.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            steps_examined: self.steps_examined - earlier.steps_examined,
+            steps_moved: self.steps_moved - earlier.steps_moved,
+            workers_reviewed: self.workers_reviewed - earlier.workers_reviewed,
+            advice_searches: self.advice_searches - earlier.advice_searches,
+            vain_advice_searches: self.vain_advice_searches - earlier.vain_advice_searches,
+        }
+    }
 }
 
 /// The leader of a cell: a state machine that takes events and returns effects.
--- a/lilacpass-lead/src/rank_updates.rs
+++ b/lilacpass-lead/src/rank_updates.rs
@@ -30,7 +30,6 @@
         self.reservations.set_rank(rank);
         self.scan.record_move(&former, &rank);
         self.work.steps_moved += 1;
-        self.counters.count_moved_step();
     }
 
     /// Returns a step whose rank in some set is not its present one, for tests; `None` if there is none.
--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -1,11 +1,18 @@
 //! Runs the leader: passes events to its state machine and executes the effects it requests.
 
-use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    mem,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use lilacpass_jobs::WorkerName;
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
     event::{Lane, Record, RequestId, Response},
+    leader::SchedulingWork,
 };
 use lilacpass_platform::{
     store::Writer,
@@ -24,7 +31,7 @@
     intake::IntakeQueue,
     leader_handle::{LeaderHandle, Message, OperatorQuery},
     members::Peer,
-    metrics,
+    metrics::{self, BusyTime},
     node::{LeaderView, Node},
     orders,
     peers::advice_calls,
@@ -80,6 +87,8 @@
         next_sequence: sequence + 1,
         next_lanes_update_ms: 0,
         is_deposed: false,
+        busy: BusyTime::default(),
+        reported_work: SchedulingWork::default(),
     };
     task::spawn_local(leader_loop.run(inbox, end));
 }
@@ -139,6 +148,10 @@
     /// Time of the next update of lanes and relays, on the steady clock.
     next_lanes_update_ms: u64,
     is_deposed: bool,
+    /// Time taken since the last tick.
+    busy: BusyTime,
+    /// Scheduling work that the metrics include.
+    reported_work: SchedulingWork,
 }
 
 impl LeaderLoop {
@@ -162,10 +175,7 @@
             while let Ok(message) = inbox.try_recv() {
                 self.enqueue(message);
             }
-            for message in self.queue.next_round() {
-                self.handle(message);
-            }
-            self.execute_effects();
+            self.run_round();
         }
         self.node.leader_handle.borrow_mut().take();
         *self.node.relays.borrow_mut() = Relays::default();
@@ -174,6 +184,23 @@
         end.send_replace(true);
     }
 
+    /// Processes the messages of a round, and executes the effects that follow.
+    fn run_round(&mut self) {
+        let began = Instant::now();
+        for message in self.queue.next_round() {
+            self.handle(message);
+        }
+        let handled = Instant::now();
+        let effects = self.leader.finish(clock::now());
+        let decided = Instant::now();
+        for effect in effects {
+            self.execute_effect(effect);
+        }
+        self.busy.events += handled - began;
+        self.busy.round += decided - handled;
+        self.busy.effects += decided.elapsed();
+    }
+
     /// Sorts a message into the queue of events or of requests.
     fn enqueue(&mut self, message: Message) {
         match message {
@@ -253,6 +280,10 @@
         self.node.metrics.pressure(pressure.level(), behind);
         let counters = self.leader.take_counters();
         self.node.metrics.record_counters(&counters);
+        let work = self.leader.work();
+        self.node.metrics.scheduling_work(&work.since(&self.reported_work));
+        self.reported_work = work;
+        self.node.metrics.leader_busy(&mem::take(&mut self.busy));
     }
 
     /// Chooses the relays from the instances that are present, and records them for the next leader.
@@ -309,13 +340,7 @@
         peers.chain([Lane(self.node.peer_address())]).collect()
     }
 
-    /// Executes the effects that the leader has requested.
-    fn execute_effects(&mut self) {
-        for effect in self.leader.finish(clock::now()) {
-            self.execute_effect(effect);
-        }
-    }
-
+    /// Executes an effect that the leader has requested.
     fn execute_effect(&mut self, effect: Effect) {
         match effect {
             Effect::Reply { request_id, response } => {
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -8,6 +8,7 @@
 use lilacpass_lead::{
     counters::{Counters, WorkerLoss},
     fair_use::Band,
+    leader::SchedulingWork,
     learned::speeds::KindStatus,
     pressure::Level,
 };
@@ -31,6 +32,17 @@
 const TIME_BOUNDS_S: [f64; 12] =
     [0.001, 0.003, 0.01, 0.03, 0.06, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 10.0];
 
+/// Time that the leader's event loop has taken, by part.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BusyTime {
+    /// Processing of events and requests.
+    pub events: Duration,
+    /// Scheduling rounds, and the polls, probes and appends that go with them.
+    pub round: Duration,
+    /// Execution of the effects that the leader requests.
+    pub effects: Duration,
+}
+
 /// Metrics of an instance. Counters start from 0 with the process.
 pub struct Metrics {
     registry: Registry,
@@ -54,6 +66,9 @@
     jobs_failed: Counter<u64>,
     band_changes: Counter<u64>,
     steps_moved: Counter<u64>,
+    steps_examined: Counter<u64>,
+    advice_searches: Counter<u64>,
+    leader_busy_seconds: Counter<f64>,
     takeovers: Counter<u64>,
     leads: Gauge<u64>,
     behind_seconds: Gauge<f64>,
@@ -106,6 +121,9 @@
             jobs_failed: meter.u64_counter("lilacpass_jobs_failed").build(),
             band_changes: meter.u64_counter("lilacpass_account_band_changes").build(),
             steps_moved: meter.u64_counter("lilacpass_waiting_steps_moved").build(),
+            steps_examined: meter.u64_counter("lilacpass_steps_examined").build(),
+            advice_searches: meter.u64_counter("lilacpass_advice_searches").build(),
+            leader_busy_seconds: meter.f64_counter("lilacpass_leader_busy_seconds").build(),
             takeovers: meter.u64_counter("lilacpass_takeovers").build(),
             leads: meter.u64_gauge("lilacpass_leads").build(),
             behind_seconds: meter.f64_gauge("lilacpass_leader_behind_seconds").build(),
@@ -204,7 +222,24 @@
             let band_label = KeyValue::new("to", band.as_str());
             self.band_changes.add(counters.band_changes(band), &[band_label]);
         }
-        self.steps_moved.add(counters.moved_steps(), &[]);
+    }
+
+    /// Adds scheduling work of the leader.
+    pub fn scheduling_work(&self, work: &SchedulingWork) {
+        self.steps_moved.add(work.steps_moved, &[]);
+        self.steps_examined.add(work.steps_examined, &[]);
+        let found = work.advice_searches - work.vain_advice_searches;
+        self.advice_searches.add(found, &[KeyValue::new("found", true)]);
+        self.advice_searches.add(work.vain_advice_searches, &[KeyValue::new("found", false)]);
+    }
+
+    /// Adds the time that the leader took for its parts.
+    pub fn leader_busy(&self, busy: &BusyTime) {
+        for (part, took) in
+            [("events", busy.events), ("round", busy.round), ("effects", busy.effects)]
+        {
+            self.leader_busy_seconds.add(took.as_secs_f64(), &[KeyValue::new("part", part)]);
+        }
     }
 
     /// Records the learned speeds of the kinds of workers. Shows the first kinds only if there are too many.
