Scheduling rounds: waiting gangs are examined only if a freed worker can hold one of their tasks

Cause: a waiting step that needs several workers (gang, one rack, latency target) was examined with all workers whenever anything was freed on any worker. Cost: such steps times ends of runs. Change: such a step joins a round only if one of its tasks fits on a freed worker for which it has a ticket, as other steps do. Full rounds, ten a second, still examine all of them, so preemption for a gang may come 100 ms later.

--- a/lilacpass-lead/src/rounds.rs
+++ b/lilacpass-lead/src/rounds.rs
@@ -61,7 +61,7 @@
     ) -> Vec<StepName> {
         let end = self.work.steps_examined + max_steps;
         let mut examined = Vec::new();
-        for (rank, workers) in self.due_steps(round) {
+        for (rank, workers) in self.due_steps(round, now) {
             if self.work.steps_examined >= end {
                 break;
             }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -42,7 +42,7 @@
             return self.schedule_by_scan(round, now);
         }
         let end = self.work.steps_examined + self.pressure.max_steps_per_round();
-        let mut due = self.due_steps(&round);
+        let mut due = self.due_steps(&round, now);
         let mut last = None;
         while let Some(rank) = self.next_step(&due, last) {
             if self.work.steps_examined >= end {
@@ -67,7 +67,7 @@
 
     /// Returns the steps that may be placeable now although they were not in the previous round, with the workers to
     /// consider for each.
-    pub(crate) fn due_steps(&self, round: &RoundScope) -> BTreeMap<Rank, WorkerScope> {
+    pub(crate) fn due_steps(&self, round: &RoundScope, now: Now) -> BTreeMap<Rank, WorkerScope> {
         if round.all {
             return self.waiting.in_order().map(|rank| (rank, WorkerScope::All)).collect();
         }
@@ -75,7 +75,9 @@
         if !round.freed.is_empty() {
             let fitting = self.steps_fitting(&round.freed).into_iter();
             due.extend(fitting.map(|rank| (rank, WorkerScope::Freed)));
-            due.extend(self.waiting.combined().map(|rank| (rank, WorkerScope::All)));
+            let combined = self.waiting.combined();
+            let affected = combined.filter(|rank| self.can_use_any(rank.step, &round.freed, now));
+            due.extend(affected.map(|rank| (rank, WorkerScope::All)));
         }
         let changed = round.changed.iter().filter_map(|step| self.waiting.rank_of(*step));
         due.extend(changed.map(|rank| (rank, WorkerScope::All)));
@@ -101,6 +103,17 @@
         fitting
     }
 
+    /// Returns whether a task of a waiting step fits on one of `workers` that advice permits for the step.
+    ///
+    /// Capacity that became free elsewhere does not help a gang, and to examine a gang is to go through all workers.
+    fn can_use_any(&self, step: StepName, workers: &BTreeSet<WorkerName>, now: Now) -> bool {
+        let Some(need) = self.waiting.need_of(step) else { return false };
+        let fitting = workers.iter().filter(|name| {
+            self.workers.get(*name).is_some_and(|worker| need.fits(&worker.free_capacity()))
+        });
+        !self.allowed_among(step, fitting, now).is_empty()
+    }
+
     /// Returns the first step in scheduling order that is due, or that comes after `last` and may request advice.
     fn next_step(&self, due: &BTreeMap<Rank, WorkerScope>, last: Option<Rank>) -> Option<Rank> {
         let first = due.first_key_value().map(|(rank, _)| *rank);
--- a/lilacpass-lead/tests/full_cell.rs
+++ b/lilacpass-lead/tests/full_cell.rs
@@ -129,3 +129,26 @@
     let late = late.count();
     assert_eq!(late, 0, "of {SHORT_JOBS} jobs ended late");
 }
+
+/// Guards against a leader that goes through all workers for each waiting gang whenever a task ends anywhere.
+#[test]
+fn gangs_are_not_examined_when_tasks_end_on_workers_that_hold_none_of_their_tasks() {
+    let mut world = idle_cell();
+    // One worker keeps four cores free but no memory, so that each gang fits there in part, and no short task does.
+    let filled = WORKERS as u32 - 1;
+    world.submit(1, plan(&[step(filled, 7_000, 600_000)]), queue("long", 0));
+    world.run(500);
+    let partly_filled = v1::WorkStep { memory_mb: 100_000, ..step(1, 4_000, 600_000) };
+    world.submit(2, plan(&[partly_filled]), queue("long", 0));
+    world.run(500);
+    for key in 0..WAITING {
+        let gang = v1::WorkStep { gang: true, memory_mb: 0, ..step(2, 4_000, 500) };
+        world.submit(1_000 + key, plan(&[gang]), queue("wide", 0));
+    }
+    world.run(3_000);
+    let full_rounds = MEASURED_MS / 100 + 1;
+    let (ended, examined) = run_short_tasks(&mut world);
+    assert!(ended > SHORT_JOBS / 2, "{ended} short tasks ended");
+    let bound = full_rounds * WAITING + 4 * SHORT_JOBS;
+    assert!(examined < bound, "{examined} steps examined for {ended} tasks, the bound is {bound}");
+}
