Requests for advice: searches that find no worker are bounded for the whole leader

What callers saw: short jobs late in a full cell, while the leader looked again and again for workers to ask about. Cause: a step whose search found nobody searched again after 25 ms, whatever the number of such steps, and each search goes through all workers: waiting steps times workers, forty times a second. Change: the pause is so long that steps that search in vain go through 500,000 workers a second in all, at most half of the duration of the step's call: 25 ms for quick calls as before, up to 273 ms for those of half a second. So a hundred steps or a thousand workers more make the pauses longer and not the leader slower; from about 120 slow steps and 1,100 workers on (60 and 2,200) the pause is at its maximum and the number of searches grows with the steps again, four a second each in place of forty. Weighed: to wake such steps when a worker is freed. What keeps them from finding a candidate are claims of earlier steps, and a freed worker would wake all that fit there.

--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -34,10 +34,6 @@
 /// Pause in ms after a failed call for advice before the next call for the same step.
 const RETRY_MS: u64 = 200;
 
-/// Pause in ms after a search for candidates found none. In a full cell the search goes through all workers for every
-/// waiting step.
-const NO_CANDIDATES_PAUSE_MS: u64 = 25;
-
 /// What is known about the workers for one step. Which workers may run a step never changes.
 #[derive(Debug, Default)]
 pub struct StepAdvice {
@@ -77,11 +73,6 @@
         self.tickets.len()
     }
 
-    /// Delays the next call because there were no candidates to name.
-    pub fn delay_without_candidates(&mut self, now_ms: u64) {
-        self.next_call_ms = now_ms + NO_CANDIDATES_PAUSE_MS;
-    }
-
     /// Removes a ticket that a worker has rejected.
     pub fn remove_ticket(&mut self, worker: &WorkerName) {
         self.tickets.remove(worker);
--- a/lilacpass-lead/src/advice_queue.rs
+++ b/lilacpass-lead/src/advice_queue.rs
@@ -89,6 +89,11 @@
         self.groups.iter().flat_map(|group| &group.ranks).copied()
     }
 
+    /// Returns the number of steps that may request advice only later.
+    pub fn delayed_count(&self) -> usize {
+        self.delayed.len()
+    }
+
     /// Removes and returns the delayed steps that are due at `now_ms`.
     pub fn take_due(&mut self, now_ms: u64) -> Vec<StepName> {
         let mut due = Vec::new();
--- a/lilacpass-lead/tests/full_cell.rs
+++ b/lilacpass-lead/tests/full_cell.rs
@@ -152,3 +152,31 @@
     let bound = full_rounds * WAITING + 4 * SHORT_JOBS;
     assert!(examined < bound, "{examined} steps examined for {ended} tasks, the bound is {bound}");
 }
+
+/// Guards against a leader that spends its time on searches for workers to request advice about that find none: their
+/// number grew with the waiting steps, and the cost of each with the workers.
+#[test]
+fn vain_searches_for_advice_are_bounded_in_a_large_cell() {
+    const LARGE: usize = 400;
+    const STEPS: u64 = 200;
+    /// Workers that all vain searches go through in a second.
+    const MAX_RATINGS_PER_SECOND: u64 = 500_000;
+    let mut world = World::new(7, LARGE, Resources::new(8_000, 100_000, 0, 0));
+    world.set_lanes(STEPS as usize);
+    world.run(500);
+    let advice = v1::AdvicePolicy { base_ms: 500.0, per_worker_ms: 0.1, valid_ms: 2_500 };
+    let policy = v1::QueuePolicy { advice: Some(advice), ..queue("wide", 0) };
+    // Advice allows every other worker. These are filled, so the steps fit only where they are not allowed.
+    world.submit(1, plan(&[step(LARGE as u32 / 2, 8_000, 600_000)]), policy.clone());
+    world.run(15_000);
+    for key in 0..STEPS {
+        world.submit(1_000 + key, plan(&[step(2, 4_000, 500)]), policy.clone());
+    }
+    world.run(30_000);
+    let before = world.current_instance().leader.work();
+    world.run(MEASURED_MS);
+    let vain = world.current_instance().leader.work().since(&before).vain_advice_searches;
+    assert!(vain >= STEPS, "{vain} searches: steps keep looking");
+    let max_searches = MAX_RATINGS_PER_SECOND * MEASURED_MS / 1_000 / LARGE as u64;
+    assert!(vain <= max_searches + STEPS, "{vain} vain searches, the bound is {max_searches}");
+}
