Searches for advice: one pass over the workers where a step is allowed on many

Change: above one worker in eight, all are rated in one pass. Tickets are looked up for allowed workers only. The pass orders all of them, so the workers named may differ from before where several are alike.

--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -21,6 +21,9 @@
 const MAX_RATED_WORKERS: usize = 2 * MAX_WORKERS_PER_CALL;
 /// If fewer than one worker in this many has enough free capacity, all of those are rated and sorted.
 const RATE_ALL_DIVISOR: usize = 8;
+/// If a step is known to be allowed on more than one worker in this many, all workers are rated in one pass. To look up
+/// and sort that many by name costs several times as much.
+const MANY_ALLOWED_DIVISOR: usize = 8;
 
 /// Maximum number of workers that are tried in order of preference before all workers are rated instead. Trying a
 /// worker this way costs several times as much as rating it in a scan of all workers, and a step that already has
@@ -132,7 +135,10 @@
     fn rate_many(&self, search: &Search<'_>, demand: &AdviceDemand, now: Now) -> Vec<Rated<'_>> {
         // The order of preference in the capacity index does not consider racks.
         let by_rack = !search.plan.affinity_rack.is_empty();
-        let quick = if by_rack { None } else { self.rate_preferred(search, demand, now) };
+        let max_allowed = self.workers.len() / MANY_ALLOWED_DIVISOR;
+        let knows_many = search.advice.is_some_and(|advice| advice.ticket_count() > max_allowed);
+        let quick =
+            if by_rack || knows_many { None } else { self.rate_preferred(search, demand, now) };
         quick.unwrap_or_else(|| best_rated(self.rate_all(search, self.workers.values(), now)))
     }
 
@@ -188,9 +194,10 @@
         }
         let worker_name = &worker.registration.name;
         let verdict = search.verdict(worker_name);
+        // Only allowed workers have tickets.
         let holds_ticket =
-            advice.is_some_and(|advice| advice.ticket(worker_name, now.steady_ms).is_some());
-        if verdict == Some(false) || holds_ticket {
+            || advice.is_some_and(|advice| advice.ticket(worker_name, now.steady_ms).is_some());
+        if verdict == Some(false) || verdict == Some(true) && holds_ticket() {
             return None;
         }
         let capacity = if *with_preemption {
