Preemption: a search for advice sums up preemptible runs without sorting them

Cause: for each worker, a search that counts capacity that preemption could free collected and sorted the runs on it, and looked up the job of each run before anything else. Change: the sum needs no order, and what the run itself shows is checked first.

--- a/lilacpass-lead/src/preempt.rs
+++ b/lilacpass-lead/src/preempt.rs
@@ -49,8 +49,8 @@
     /// Returns the capacity of a worker that would be free for a step with this rank if all less urgent work that may
     /// be preempted were stopped.
     pub(crate) fn capacity_with_preemption(&self, rank: &Rank, worker: &Worker) -> Resources {
-        let victims = self.victims(worker, rank.priority);
-        let freed = victims.iter().fold(Resources::ZERO, |sum, (_, need)| sum.plus(need));
+        let victims = self.preemptible_runs(worker, rank.priority);
+        let freed = victims.fold(Resources::ZERO, |sum, (_, assigned)| sum.plus(&assigned.need));
         worker
             .free_capacity_after(&freed)
             .minus(&self.reservations.reserved_before(rank, &worker.registration.name))
@@ -131,30 +131,42 @@
 
     /// Returns the runs on a worker that may be stopped for work of this priority, most recently started first.
     fn victims(&self, worker: &Worker, priority: u32) -> Vec<Victim> {
-        let mut victims: Vec<(u64, Victim)> = worker
-            .runs
-            .iter()
-            .filter(|(key, assigned)| self.may_preempt(**key, assigned, priority))
+        let mut victims: Vec<(u64, Victim)> = self
+            .preemptible_runs(worker, priority)
             .map(|(key, assigned)| (since_ms(assigned), (*key, assigned.need)))
             .collect();
         victims.sort_by_key(|(since_ms, _)| std::cmp::Reverse(*since_ms));
         victims.into_iter().map(|(_, victim)| victim).collect()
     }
 
+    /// Returns the runs on a worker that may be stopped for work of this priority, in the order of their names.
+    fn preemptible_runs<'a>(
+        &'a self,
+        worker: &'a Worker,
+        priority: u32,
+    ) -> impl Iterator<Item = (&'a RunKey, &'a AssignedRun)> {
+        let runs = worker.runs.iter();
+        runs.filter(move |(key, assigned)| self.may_preempt(**key, assigned, priority))
+    }
+
     /// Returns whether a run may be stopped for work of this priority. It must be less urgent, able to resume from a
     /// checkpoint, not about to end, and not preempted too often before.
     fn may_preempt(&self, key: RunKey, assigned: &AssignedRun, priority: u32) -> bool {
+        // What the run itself shows comes first: a search for advice asks this of all runs in the cell.
+        let can_be_stopped = matches!(assigned.phase, Phase::Running { .. })
+            && !assigned.progress.is_some_and(|progress| progress.is_nearly_done());
+        if !can_be_stopped {
+            return false;
+        }
         let Some(entry) = self.jobs.get(&key.0.step.job) else { return false };
         let plan = entry.job.step_plan(key.0.step.step);
-        let preemptions = entry.preemptions.get(&key.0).copied().unwrap_or(0);
+        let preemptions = || entry.preemptions.get(&key.0).copied().unwrap_or(0);
         entry.job.queue.priority > priority
             && plan.checkpointing
             && !plan.gang
             && !plan.lasting
             && !plan.fills
-            && preemptions < MAX_PREEMPTIONS_PER_TASK
-            && matches!(assigned.phase, Phase::Running { .. })
-            && !assigned.progress.is_some_and(|progress| progress.is_nearly_done())
+            && preemptions() < MAX_PREEMPTIONS_PER_TASK
     }
 }
 
