Searches for advice that find no worker: names and comments in the terms of the field

Cause: read as a newcomer, "vain searches" is figurative, and the comment on the pause did not say which of its two limits has precedence. Change: names (empty searches), comments, a test's name and messages.

--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -31,13 +31,13 @@
 /// Maximum extra duration of a call that also names workers without enough free capacity, as a share of its minimum
 /// duration.
 const EXTRA_WORKERS_TIME_SHARE: f64 = 0.5;
-/// Minimum pause in ms after a search for workers to name that found none.
-const MIN_VAIN_SEARCH_PAUSE_MS: u64 = 25;
-/// The pause is so long that the steps that search in vain go through this many workers a second in all, but at most a
-/// part of the duration of their call. Otherwise these searches cost waiting steps times workers, forty times a second.
-const MAX_VAIN_RATINGS_PER_SECOND: u64 = 500_000;
-/// The longest pause is the minimum duration of the call, divided by this.
-const MAX_VAIN_SEARCH_PAUSE_DIVISOR: u64 = 2;
+/// Minimum pause in ms before a step searches again for workers to name, after a search that found none.
+const MIN_EMPTY_SEARCH_PAUSE_MS: u64 = 25;
+/// The pause gets longer with the number of steps that pause, so that their searches go through at most this many
+/// workers a second in all. With a fixed pause the cost is waiting steps times workers.
+const MAX_EMPTY_SEARCH_RATINGS_PER_SECOND: u64 = 500_000;
+/// The pause is at most the minimum duration of the step's call for advice, divided by this. This limit has precedence.
+const MAX_EMPTY_SEARCH_PAUSE_DIVISOR: u64 = 2;
 /// Minimum number of tasks that the allowed workers among those named should have capacity for.
 const MIN_TARGET_TASKS: u64 = 4;
 
@@ -81,7 +81,7 @@
         let plan = entry.job.step_plan(name.step);
         let fits_nowhere = !self.may_preempt_for(name, plan) && !self.fits_anywhere(name);
         if fits_nowhere || self.is_held_back_by_cap(name) {
-            return self.delay_advice(name, MIN_VAIN_SEARCH_PAUSE_MS, now);
+            return self.delay_advice(name, MIN_EMPTY_SEARCH_PAUSE_MS, now);
         }
         let plan = plan.clone();
         let waiting = entry.job.task_names(name).filter(|task| entry.needs_run(*task)).count();
@@ -101,8 +101,8 @@
         let candidates = self.candidates(name, &plan, &demand, now);
         self.work.advice_searches += 1;
         if candidates.is_empty() {
-            self.work.vain_advice_searches += 1;
-            let pause_ms = self.vain_search_pause_ms(policy.base_ms as u64);
+            self.work.empty_advice_searches += 1;
+            let pause_ms = self.empty_search_pause_ms(policy.base_ms as u64);
             return self.delay_advice(name, pause_ms, now);
         }
         let mut workers = advice::choose(
@@ -163,11 +163,11 @@
     }
 
     /// Returns the pause in ms after a search that found no worker, for a step whose calls take `base_ms` at least.
-    fn vain_search_pause_ms(&self, base_ms: u64) -> u64 {
+    fn empty_search_pause_ms(&self, base_ms: u64) -> u64 {
         let ratings = (self.advice_queue.delayed_count() * self.workers.len()) as u64;
-        let pause_ms = ratings * 1_000 / MAX_VAIN_RATINGS_PER_SECOND;
-        let max_ms = (base_ms / MAX_VAIN_SEARCH_PAUSE_DIVISOR).max(MIN_VAIN_SEARCH_PAUSE_MS);
-        pause_ms.clamp(MIN_VAIN_SEARCH_PAUSE_MS, max_ms)
+        let pause_ms = ratings * 1_000 / MAX_EMPTY_SEARCH_RATINGS_PER_SECOND;
+        let max_ms = (base_ms / MAX_EMPTY_SEARCH_PAUSE_DIVISOR).max(MIN_EMPTY_SEARCH_PAUSE_MS);
+        pause_ms.clamp(MIN_EMPTY_SEARCH_PAUSE_MS, max_ms)
     }
 
     /// Updates whether and when a step may request advice.
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -121,7 +121,7 @@
     /// Searches for workers to name in a call for advice.
     pub advice_searches: u64,
     /// Searches of these that found no worker.
-    pub vain_advice_searches: u64,
+    pub empty_advice_searches: u64,
 }
 
 impl SchedulingWork {
@@ -132,7 +132,7 @@
             steps_moved: self.steps_moved - earlier.steps_moved,
             workers_reviewed: self.workers_reviewed - earlier.workers_reviewed,
             advice_searches: self.advice_searches - earlier.advice_searches,
-            vain_advice_searches: self.vain_advice_searches - earlier.vain_advice_searches,
+            empty_advice_searches: self.empty_advice_searches - earlier.empty_advice_searches,
         }
     }
 }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -105,7 +105,8 @@
 
     /// Returns whether a task of a waiting step fits on one of `workers` that advice permits for the step.
     ///
-    /// Capacity that became free elsewhere does not help a gang, and to examine a gang is to go through all workers.
+    /// A step that needs several workers is examined with all workers. Capacity that was freed on a worker that can hold
+    /// none of its tasks does not change the result.
     fn can_use_any(&self, step: StepName, workers: &BTreeSet<WorkerName>, now: Now) -> bool {
         let Some(need) = self.waiting.need_of(step) else { return false };
         let fitting = workers.iter().filter(|name| {
--- a/lilacpass-lead/tests/full_cell.rs
+++ b/lilacpass-lead/tests/full_cell.rs
@@ -156,10 +156,10 @@
 /// Guards against a leader that spends its time on searches for workers to request advice about that find none: their
 /// number grew with the waiting steps, and the cost of each with the workers.
 #[test]
-fn vain_searches_for_advice_are_bounded_in_a_large_cell() {
+fn searches_for_advice_that_find_no_worker_are_bounded_in_a_large_cell() {
     const LARGE: usize = 400;
     const STEPS: u64 = 200;
-    /// Workers that all vain searches go through in a second.
+    /// Limit on the workers that these searches go through in a second.
     const MAX_RATINGS_PER_SECOND: u64 = 500_000;
     let mut world = World::new(7, LARGE, Resources::new(8_000, 100_000, 0, 0));
     world.set_lanes(STEPS as usize);
@@ -175,8 +175,8 @@
     world.run(30_000);
     let before = world.current_instance().leader.work();
     world.run(MEASURED_MS);
-    let vain = world.current_instance().leader.work().since(&before).vain_advice_searches;
-    assert!(vain >= STEPS, "{vain} searches: steps keep looking");
+    let searches = world.current_instance().leader.work().since(&before).empty_advice_searches;
+    assert!(searches >= STEPS, "{searches} searches: the steps stopped to look for workers");
     let max_searches = MAX_RATINGS_PER_SECOND * MEASURED_MS / 1_000 / LARGE as u64;
-    assert!(vain <= max_searches + STEPS, "{vain} vain searches, the bound is {max_searches}");
+    assert!(searches <= max_searches + STEPS, "{searches} searches, the bound is {max_searches}");
 }
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -32,7 +32,7 @@
 const TIME_BOUNDS_S: [f64; 12] =
     [0.001, 0.003, 0.01, 0.03, 0.06, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 10.0];
 
-/// Time that the leader's event loop has taken, by part.
+/// Time that the leader's event loop has taken, by part, without its ticks.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BusyTime {
     /// Processing of events and requests.
@@ -228,9 +228,9 @@
     pub fn scheduling_work(&self, work: &SchedulingWork) {
         self.steps_moved.add(work.steps_moved, &[]);
         self.steps_examined.add(work.steps_examined, &[]);
-        let found = work.advice_searches - work.vain_advice_searches;
+        let found = work.advice_searches - work.empty_advice_searches;
         self.advice_searches.add(found, &[KeyValue::new("found", true)]);
-        self.advice_searches.add(work.vain_advice_searches, &[KeyValue::new("found", false)]);
+        self.advice_searches.add(work.empty_advice_searches, &[KeyValue::new("found", false)]);
     }
 
     /// Adds the time that the leader took for its parts.
