--- a/review/standin/src/cluster.rs
+++ b/review/standin/src/cluster.rs
@@ -65,8 +65,17 @@
 
     /// Sends SIGTERM, as the platform does for a planned stop.
     pub fn terminate(&self) -> io::Result<()> {
+        self.signal("-TERM")
+    }
+
+    /// Stops the process for good, as a machine that has no power: it answers nothing, and closes none of its channels.
+    pub fn silence(&self) -> io::Result<()> {
+        self.signal("-STOP")
+    }
+
+    fn signal(&self, name: &str) -> io::Result<()> {
         let Some(child) = &self.child else { return Ok(()) };
-        let status = Command::new("kill").args(["-TERM", &child.id().to_string()]).status()?;
+        let status = Command::new("kill").args([name, &child.id().to_string()]).status()?;
         if status.success() { Ok(()) } else { Err(io::Error::other("no signal was sent")) }
     }
 
@@ -98,10 +107,91 @@
     }
 }
 
+/// What the settings of all instances share.
+struct Place {
+    port: u16,
+    store_address: SocketAddr,
+    advice_address: SocketAddr,
+    folder: PathBuf,
+}
+
+impl Place {
+    /// Prepares the instance with a number, and writes its settings.
+    fn instance(&self, number: u8) -> io::Result<Instance> {
+        let port = self.port;
+        let seeds: Vec<String> =
+            (0..3).map(|number| at(ip(1, number + 1), port).to_string()).collect();
+        let ip = ip(1, number + 1);
+        let zone = ZONES[usize::from(number) % ZONES.len()];
+        let name = format!("front-{zone}-{}", usize::from(number) / ZONES.len() + 1);
+        let settings = json!({
+            "nodeName": name,
+            "role": "entry",
+            "machineClass": "front",
+            "serves": ["front"],
+            "ip": ip.to_string(),
+            "zone": zone,
+            "region": "region",
+            "zones": { "zone-a": "region", "zone-b": "region", "zone-c": "region" },
+            "listen": {
+                "front": at(ip, port).to_string(),
+                "ready": at(ip, port + 1).to_string(),
+            },
+            "internalPorts": [port + 2, port + 1 + INTERNAL_PORTS],
+            "seeds": seeds,
+            "bootstrap": true,
+            "inTolerance": false,
+            "limits": {
+                "cpuShare": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4100,
+                "linkMbps": 1000.0, "diskMb": 0,
+            },
+            "dataDir": null,
+            "discovery": "platform",
+            "entry": "vip",
+            "heartbeatMs": 1500,
+            "contracts": [
+                "base", "drain", "config", "cost", "recover", "sched", "platform", "advice",
+                "upkeep", "sharing",
+            ],
+            "faultTolerance": { "machines": 1, "zones": 1, "regions": 0 },
+            "bounds": {
+                "seedLagS": 3, "addrReuseS": 2, "stableWindowMs": 3000, "ackMs": 4000,
+                "syncS": 4, "drainMs": 2000, "graceS": 6, "lossSlackMs": 200,
+                "configApplyMs": 2000, "downgradeMs": 250, "maxStretchMs": 5000,
+                "recoveryS": 12, "holdMaxMs": 10000, "stopMs": 900, "gangMs": 3000,
+                "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14,
+                "status_s": 120, "farX": 1.5, "saveS": 2, "restoreMs": 250,
+                "noticeMs": 4500, "moveS": 1.5, "upkeepS": 2, "fencingEnforced": false,
+                "leaseMs": 3000, "thawMs": 300, "paceMs": 100, "harmMs": 4000,
+            },
+            "orders": "call",
+            "advice": self.advice_address.to_string(),
+            "platform": {
+                "address": self.store_address.to_string(), "form": "log", "writesPerS": 600,
+                "readsPerS": 2000, "parts": 16, "appendMs": 3.0, "partitionMbS": 20.0,
+                "readMbS": 80.0, "recordBytes": 262_144, "callBytes": 2_097_152,
+                "keep_s": 300, "partMb": 200, "ttlMinMs": 1000,
+            },
+        });
+        let path = self.folder.join(format!("{name}.json"));
+        fs::write(&path, settings.to_string())?;
+        Ok(Instance {
+            log: self.folder.join(format!("{name}.log")),
+            name,
+            front: at(ip, port),
+            ready: at(ip, port + 1),
+            peer: at(ip, port + 2),
+            settings: path,
+            child: None,
+        })
+    }
+}
+
 /// The deployment.
 pub struct Cluster {
     pub pool: Arc<Pool>,
     pub instances: Vec<Instance>,
+    place: Place,
     record: Record,
     folder: PathBuf,
 }
@@ -118,9 +208,9 @@
         let store = Arc::new(Store::default());
         let store_address = at(ip(3, 1), port);
         let answers = store.clone();
-        Server::start(store_address, move |request| answers.answer(request))?;
+        Server::start(store_address, usize::MAX, move |request| answers.answer(request))?;
         let advice_address = at(ip(3, 2), port);
-        Server::start(advice_address, |_| Some(Response::json(404, &json!({}))))?;
+        Server::start(advice_address, usize::MAX, |_| Some(Response::json(404, &json!({}))))?;
         let places = (0..workers).map(|number| {
             let zone = usize::from(number) % ZONES.len();
             let rack = format!("r{}-{}", zone + 1, number / 6 + 1);
@@ -137,75 +227,12 @@
             },
         });
         store.write("keyed.op", "config", desired.to_string().as_bytes());
-        let seeds: Vec<String> =
-            (0..3).map(|number| at(ip(1, number + 1), port).to_string()).collect();
-        let instances = (0..3_u8).map(|number| {
-            let ip = ip(1, number + 1);
-            let name = format!("front-{}-1", ZONES[usize::from(number)]);
-            let settings = json!({
-                "nodeName": name,
-                "role": "entry",
-                "machineClass": "front",
-                "serves": ["front"],
-                "ip": ip.to_string(),
-                "zone": ZONES[usize::from(number)],
-                "region": "region",
-                "zones": { "zone-a": "region", "zone-b": "region", "zone-c": "region" },
-                "listen": {
-                    "front": at(ip, port).to_string(),
-                    "ready": at(ip, port + 1).to_string(),
-                },
-                "internalPorts": [port + 2, port + 1 + INTERNAL_PORTS],
-                "seeds": seeds,
-                "bootstrap": true,
-                "inTolerance": false,
-                "limits": {
-                    "cpuShare": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4100,
-                    "linkMbps": 1000.0, "diskMb": 0,
-                },
-                "dataDir": null,
-                "discovery": "platform",
-                "entry": "vip",
-                "heartbeatMs": 1500,
-                "contracts": [
-                    "base", "drain", "config", "cost", "recover", "sched", "platform", "advice",
-                    "upkeep", "sharing",
-                ],
-                "faultTolerance": { "machines": 1, "zones": 1, "regions": 0 },
-                "bounds": {
-                    "seedLagS": 3, "addrReuseS": 2, "stableWindowMs": 3000, "ackMs": 4000,
-                    "syncS": 4, "drainMs": 2000, "graceS": 6, "lossSlackMs": 200,
-                    "configApplyMs": 2000, "downgradeMs": 250, "maxStretchMs": 5000,
-                    "recoveryS": 12, "holdMaxMs": 10000, "stopMs": 900, "gangMs": 3000,
-                    "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14,
-                    "status_s": 120, "farX": 1.5, "saveS": 2, "restoreMs": 250,
-                    "noticeMs": 4500, "moveS": 1.5, "upkeepS": 2, "fencingEnforced": false,
-                    "leaseMs": 3000, "thawMs": 300, "paceMs": 100, "harmMs": 4000,
-                },
-                "orders": "call",
-                "advice": advice_address.to_string(),
-                "platform": {
-                    "address": store_address.to_string(), "form": "log", "writesPerS": 600,
-                    "readsPerS": 2000, "parts": 16, "appendMs": 3.0, "partitionMbS": 20.0,
-                    "readMbS": 80.0, "recordBytes": 262_144, "callBytes": 2_097_152,
-                    "keep_s": 300, "partMb": 200, "ttlMinMs": 1000,
-                },
-            });
-            let path = folder.join(format!("{name}.json"));
-            fs::write(&path, settings.to_string())?;
-            Ok(Instance {
-                log: folder.join(format!("{name}.log")),
-                name,
-                front: at(ip, port),
-                ready: at(ip, port + 1),
-                peer: at(ip, port + 2),
-                settings: path,
-                child: None,
-            })
-        });
+        let place = Place { port, store_address, advice_address, folder: folder.clone() };
+        let instances = (0..3_u8).map(|number| place.instance(number));
         let mut cluster = Self {
             pool,
             instances: instances.collect::<io::Result<Vec<_>>>()?,
+            place,
             record: record.clone(),
             folder,
         };
@@ -221,6 +248,15 @@
         Ok(cluster)
     }
 
+    /// Adds an instance at a new address, and starts it.
+    pub fn add_instance(&mut self) -> io::Result<()> {
+        let mut instance = self.place.instance(self.instances.len() as u8)?;
+        instance.start()?;
+        self.record.line(&format!("{} is added", instance.name));
+        self.instances.push(instance);
+        Ok(())
+    }
+
     /// Sends a client's request to an instance, and records it with its answer.
     pub fn request(
         &self,
--- a/review/standin/src/http.rs
+++ b/review/standin/src/http.rs
@@ -6,7 +6,7 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::Duration,
@@ -39,10 +39,16 @@
 
 type Handler = dyn Fn(Request) -> Option<Response> + Send + Sync;
 
+/// Channels that a worker has; it resets further ones.
+pub const CHANNELS: usize = 64;
+
 /// A server that can go down and come back at the same address, as a process that crashes and starts again.
 pub struct Server {
     address: SocketAddr,
     handler: Arc<Handler>,
+    most_channels: usize,
+    /// Number of channels that were reset because there were too many.
+    reset: Arc<AtomicUsize>,
     state: Mutex<Option<Running>>,
 }
 
@@ -56,14 +62,25 @@
     /// Starts a server.
     pub fn start(
         address: SocketAddr,
+        most_channels: usize,
         handler: impl Fn(Request) -> Option<Response> + Send + Sync + 'static,
     ) -> io::Result<Arc<Self>> {
-        let server =
-            Arc::new(Self { address, handler: Arc::new(handler), state: Mutex::new(None) });
+        let server = Arc::new(Self {
+            address,
+            handler: Arc::new(handler),
+            most_channels,
+            reset: Arc::default(),
+            state: Mutex::new(None),
+        });
         server.up()?;
         Ok(server)
     }
 
+    /// Returns the number of channels that were reset because there were too many.
+    pub fn reset(&self) -> usize {
+        self.reset.load(Ordering::SeqCst)
+    }
+
     /// Listens again.
     pub fn up(&self) -> io::Result<()> {
         let listener = TcpListener::bind(self.address)?;
@@ -71,14 +88,24 @@
         let stopped = Arc::new(AtomicBool::new(false));
         let connections = Arc::new(Mutex::new(Vec::new()));
         let (stop, open, handler) = (stopped.clone(), connections.clone(), self.handler.clone());
+        let (most_channels, reset) = (self.most_channels, self.reset.clone());
+        let live = Arc::new(AtomicUsize::new(0));
         let acceptor = thread::spawn(move || {
             while !stop.load(Ordering::SeqCst) {
                 match listener.accept() {
                     Ok((stream, _)) => {
+                        if live.load(Ordering::SeqCst) >= most_channels {
+                            reset.fetch_add(1, Ordering::SeqCst);
+                            continue;
+                        }
                         let Ok(copy) = stream.try_clone() else { continue };
                         open.lock().unwrap().push(copy);
-                        let (handler, stop) = (handler.clone(), stop.clone());
-                        thread::spawn(move || serve(stream, &*handler, &stop));
+                        live.fetch_add(1, Ordering::SeqCst);
+                        let (handler, stop, live) = (handler.clone(), stop.clone(), live.clone());
+                        thread::spawn(move || {
+                            serve(stream, &*handler, &stop);
+                            live.fetch_sub(1, Ordering::SeqCst);
+                        });
                     }
                     Err(_) => thread::sleep(Duration::from_millis(1)),
                 }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -2,6 +2,7 @@
 
 #![recursion_limit = "256"]
 
+mod channels;
 mod cluster;
 mod handover;
 mod http;
@@ -29,6 +30,7 @@
     let (case, copy) = (case.clone(), record.clone());
     let runner = thread::spawn(move || {
         let outcome = match case.as_str() {
+            "channels" => channels::run(&copy, has_trouble),
             "handover" => handover::run(&copy, has_trouble),
             "watchers" => watchers::run(&copy, has_trouble),
             _ => Err(std::io::Error::other("no such case")),
--- a/review/standin/src/workers.rs
+++ b/review/standin/src/workers.rs
@@ -1,7 +1,7 @@
 //! The workers: they run tasks under leases, list what runs and what has ended, and crash when they are told to.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::{Arc, Condvar, Mutex},
     thread,
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    http::{Request, Response, Server},
+    http::{self, Request, Response, Server},
     record::Record,
     store::Store,
 };
@@ -110,6 +110,8 @@
 pub struct Pool {
     pub workers: Vec<Arc<Worker>>,
     pub plans: Arc<Mutex<HashMap<String, Plan>>>,
+    /// The tasks of which a run has ended as done.
+    done: Arc<Mutex<HashSet<String>>>,
     record: Record,
     next_id: Mutex<u64>,
 }
@@ -122,6 +124,7 @@
         record: Record,
     ) -> std::io::Result<Arc<Self>> {
         let plans: Arc<Mutex<HashMap<String, Plan>>> = Arc::default();
+        let done: Arc<Mutex<HashSet<String>>> = Arc::default();
         let mut workers = Vec::new();
         for (number, (address, zone, rack)) in places.into_iter().enumerate() {
             let worker = Arc::new(Worker {
@@ -134,17 +137,18 @@
                 server: Mutex::new(None),
             });
             let (copy, known, notes) = (worker.clone(), plans.clone(), record.clone());
-            let server =
-                Server::start(address, move |request| copy.answer(&request, &known, &notes))?;
+            let server = Server::start(address, http::CHANNELS, move |request| {
+                copy.answer(&request, &known, &notes)
+            })?;
             *worker.server.lock().unwrap() = Some(server);
-            let (copy, notes) = (worker.clone(), record.clone());
-            thread::spawn(move || copy.keep_time(&notes));
+            let (copy, ended, notes) = (worker.clone(), done.clone(), record.clone());
+            thread::spawn(move || copy.keep_time(&ended, &notes));
             let (copy, store, notes) = (worker.clone(), store.clone(), record.clone());
             thread::spawn(move || copy.register(&store, &notes));
             workers.push(worker);
         }
         let next_id = Mutex::new(0x100);
-        Ok(Arc::new(Self { workers, plans, record, next_id }))
+        Ok(Arc::new(Self { workers, plans, done, record, next_id }))
     }
 
     /// Crashes a worker, and starts it again under a new id after `down`.
@@ -196,6 +200,23 @@
         self.record.line(&format!("{what}: {id}"));
     }
 
+    /// Whether a task of a job of `tasks` tasks is neither done nor running, and nothing of the job runs.
+    pub fn stands_still(&self, job: &str, tasks: u32) -> bool {
+        let done = self.done.lock().unwrap().iter().filter(|task| task.starts_with(job)).count();
+        let runs = |worker: &Arc<Worker>| {
+            let life = worker.life.lock().unwrap();
+            life.is_up && life.running.keys().any(|(task, _)| task.starts_with(job))
+        };
+        done < tasks as usize && !self.workers.iter().any(runs)
+    }
+
+    /// Number of channels that the workers have reset because they had too many.
+    pub fn reset_channels(&self) -> usize {
+        let servers =
+            self.workers.iter().filter_map(|worker| worker.server.lock().unwrap().clone());
+        servers.map(|server| server.reset()).sum()
+    }
+
     /// When a worker last wrote its entry.
     pub fn last_entry(&self, number: usize) -> Option<Instant> {
         self.workers[number].entry.lock().unwrap().written.as_ref().map(|(time, _)| *time)
@@ -282,7 +303,7 @@
     }
 
     /// Ends runs whose time has come.
-    fn keep_time(&self, record: &Record) {
+    fn keep_time(&self, done: &Mutex<HashSet<String>>, record: &Record) {
         loop {
             thread::sleep(Duration::from_millis(5));
             let mut life = self.life.lock().unwrap();
@@ -301,6 +322,9 @@
                 let how = if is_due { run.how } else { "lapsed" };
                 let (task, number) = key;
                 record.line(&format!("run ended {how}: {task} run {number} on {}", life.id));
+                if how == "done" {
+                    done.lock().unwrap().insert(task.clone());
+                }
                 life.last_ended.insert(task.clone(), number);
                 let end = life.next_end;
                 life.next_end += 1;
