--- a/review/standin/src/cluster.rs
+++ b/review/standin/src/cluster.rs
@@ -6,7 +6,7 @@
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::{Duration, Instant},
 };
 
@@ -33,6 +33,20 @@
     SocketAddr::new(IpAddr::V4(ip), port)
 }
 
+/// The processes that this run has started and not ended, and its folder.
+static STARTED: Mutex<(Vec<u32>, Option<PathBuf>)> = Mutex::new((Vec::new(), None));
+
+/// Ends all processes that this run has started, and removes its folder, when the case is given up.
+pub fn end_all() {
+    let (processes, folder) = &mut *STARTED.lock().unwrap();
+    for process in processes.drain(..) {
+        let _ended = Command::new("kill").args(["-KILL", &process.to_string()]).status();
+    }
+    if let Some(folder) = folder.take() {
+        let _removed = fs::remove_dir_all(folder);
+    }
+}
+
 /// An instance.
 pub struct Instance {
     pub name: String,
@@ -53,6 +67,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        STARTED.lock().unwrap().0.push(child.id());
         self.child = Some(child);
         Ok(())
     }
@@ -97,6 +112,7 @@
         if let Some(mut child) = self.child.take() {
             let _killed = child.kill();
             let _ended = child.wait();
+            STARTED.lock().unwrap().0.retain(|process| *process != child.id());
         }
     }
 }
@@ -205,6 +221,7 @@
         let port = free_ports()?;
         let folder = std::env::temp_dir().join(format!("lilacpass-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
+        STARTED.lock().unwrap().1 = Some(folder.clone());
         let store = Arc::new(Store::default());
         let store_address = at(ip(3, 1), port);
         let answers = store.clone();
