Take-over: workers are called at the address in the records, and no run is presumed over before its leases

Cause: a worker that can't reach the store loses its registration, and the record of a run named the worker but not its address. A new leader could therefore not call it, and presumed it gone 2.5 s after another worker of its data centre had responded. The last leases that the former leader granted go on for 5 s, and a former leader that is cut off from the store extends them for 7 s more.

Change: the record of a run holds the address of its worker, so the new leader polls the worker at once, as the former one did. A response, or that of another incarnation at the address, ends the wait; nothing else does before the last lease that any leader can have granted has expired. `Options::leases_expire_by_ms` is the one place that says when that is, and `unregistered_limit_ms` is gone. A refused connection does not count: a worker above its limit of connections refuses too. The address adds some 20 bytes to a run; a state that is too long for the store drops addresses before anything that was in it before, except long checkpoints.

`a_task_on_a_worker_that_left_during_a_take_over_starts_again_soon` asked for a start 4 s after a take-over, when leases of 5 s may still last, and is replaced: the second test above asks for the start once they have expired, and for none before. The gang test of crashing_tasks.rs waits for the leases as well.

--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -1,14 +1,12 @@
 //! The state machine of a job: which steps may start, and how the end of a run changes the job.
 
-use std::sync::Arc;
-
 use lilacpass_schema::v1;
 
 use crate::{
     end::{EndReason, RunEnd, Suspicion},
     failure::{Cause, Failure},
     ids::{JobKey, StepName, TaskName, WorkerName},
-    task::{Run, Task},
+    task::{Run, RunHost, Task},
 };
 
 /// Whether a job is open, and how it ended if it is not.
@@ -206,34 +204,24 @@
         live
     }
 
-    /// Assigns the next run of a task to a worker in a data centre. Returns the number of the run.
-    pub fn assign_run(
-        &mut self,
-        name: TaskName,
-        worker: WorkerName,
-        data_centre: Arc<str>,
-    ) -> Option<u32> {
+    /// Assigns the next run of a task to a worker. Returns the number of the run.
+    pub fn assign_run(&mut self, name: TaskName, host: RunHost) -> Option<u32> {
         let task = self.task_mut(name)?;
         let number = task.last_run + 1;
         task.last_run = number;
-        task.runs.push(Run { number, worker, data_centre });
+        task.runs.push(Run { number, host });
         Some(number)
     }
 
     /// Assigns the next run of a gang to its workers, one per task. Returns the number of the run, which all members
     /// share.
-    pub fn assign_gang(
-        &mut self,
-        name: StepName,
-        workers: &[(WorkerName, Arc<str>)],
-    ) -> Option<u32> {
+    pub fn assign_gang(&mut self, name: StepName, hosts: &[RunHost]) -> Option<u32> {
         let steps = self.occurrences.get_mut(name.occurrence as usize)?;
         let tasks = &mut steps.get_mut(name.step as usize)?.tasks;
         let number = tasks.iter().map(|task| task.last_run).max()? + 1;
-        for (task, (worker, data_centre)) in tasks.iter_mut().zip(workers) {
+        for (task, host) in tasks.iter_mut().zip(hosts) {
             task.last_run = number;
-            let (worker, data_centre) = (worker.clone(), data_centre.clone());
-            task.runs.push(Run { number, worker, data_centre });
+            task.runs.push(Run { number, host: host.clone() });
         }
         Some(number)
     }
@@ -267,8 +255,8 @@
         to: &WorkerName,
     ) -> bool {
         let runs = self.task_mut(name).map(|task| task.runs.as_mut_slice()).unwrap_or_default();
-        let run = runs.iter_mut().find(|run| run.number == number && run.worker == *from);
-        run.map(|run| run.worker = to.clone()).is_some()
+        let run = runs.iter_mut().find(|run| run.number == number && run.host.worker == *from);
+        run.map(|run| run.host.worker = to.clone()).is_some()
     }
 
     /// Handles the end of a run on a worker. `unix_ms` is the current time, in milliseconds since 1970.
@@ -281,7 +269,7 @@
     ) -> Change {
         let Some(task) = self.task_mut(name) else { return Change::None };
         let runs_before = task.runs.len();
-        task.runs.retain(|run| run.number != end.run || run.worker != *worker);
+        task.runs.retain(|run| run.number != end.run || run.host.worker != *worker);
         let is_unknown = task.runs.len() == runs_before;
         // A run that was dropped because its worker was unresponsive may still have finished its work.
         let is_late_success = end.reason == EndReason::Done && !task.done;
--- a/lilacpass-jobs/src/lib.rs
+++ b/lilacpass-jobs/src/lib.rs
@@ -19,4 +19,4 @@
 pub use failure::Failure;
 pub use ids::{JobKey, StepName, TaskName, WorkerName};
 pub use job::{Job, Outcome};
-pub use task::{Run, Task};
+pub use task::{Run, RunHost, Task};
--- a/lilacpass-jobs/src/record.rs
+++ b/lilacpass-jobs/src/record.rs
@@ -1,8 +1,6 @@
 //! Encoding of jobs as records of a keyed log. Each job has one record for its plan, which is written once, and one
 //! for its state.
 
-use std::sync::Arc;
-
 use lilacpass_schema::v1;
 use prost::Message;
 
@@ -13,7 +11,7 @@
     failure::{Cause, Failure},
     ids::{JobKey, StepName, TaskName, WorkerName},
     job::{Job, Outcome},
-    task::{Run, Task},
+    task::{Run, RunHost, Task},
 };
 
 const PLAN_PREFIX: char = 'p';
@@ -62,8 +60,8 @@
     .encode_to_vec()
 }
 
-/// Encodes the state of a job. A state that would be too long for the store loses its long checkpoints and, if that
-/// is not enough, the names of crashed workers.
+/// Encodes the state of a job. A state that would be too long for the store loses its long checkpoints, then the
+/// addresses of workers, and then the names of crashed workers, until it fits.
 pub fn encode_state(job: &Job) -> Vec<u8> {
     let mut tasks = Vec::new();
     for step in job.step_names() {
@@ -88,6 +86,9 @@
         return bytes;
     }
     drop_long_checkpoints(&mut record);
+    if record.encoded_len() > MAX_STATE_BYTES {
+        drop_addresses(&mut record);
+    }
     if record.encoded_len() > MAX_STATE_BYTES {
         drop_crashed_workers(&mut record);
     }
@@ -116,6 +117,13 @@
     });
 }
 
+/// Clears the addresses of workers. A new leader can't call a worker without an address until it is registered, and
+/// waits for the leases on it instead.
+fn drop_addresses(record: &mut v1::StateRecord) {
+    let runs = record.tasks.iter_mut().flat_map(|task| &mut task.runs);
+    runs.for_each(|run| run.address.clear());
+}
+
 fn encode_crashes(crashes: &Crashes) -> v1::CrashesRecord {
     let unexplained = crashes.unexplained.iter().map(encode_crash).collect();
     v1::CrashesRecord { known: crashes.known, unexplained, last_run: crashes.last_run }
@@ -182,9 +190,10 @@
             .iter()
             .map(|run| v1::RunRecord {
                 run: run.number,
-                worker: run.worker.id().to_owned(),
-                data_centre: run.data_centre.to_string(),
-                worker_started_ms: run.worker.started_ms(),
+                worker: run.host.worker.id().to_owned(),
+                data_centre: run.host.data_centre.to_string(),
+                worker_started_ms: run.host.worker.started_ms(),
+                address: run.host.address.to_string(),
             })
             .collect(),
     }
@@ -235,8 +244,11 @@
             .iter()
             .map(|run| Run {
                 number: run.run,
-                worker: WorkerName::new(&run.worker, run.worker_started_ms),
-                data_centre: Arc::from(run.data_centre.as_str()),
+                host: RunHost::new(
+                    WorkerName::new(&run.worker, run.worker_started_ms),
+                    &run.data_centre,
+                    &run.address,
+                ),
             })
             .collect(),
     }
--- a/lilacpass-jobs/src/task.rs
+++ b/lilacpass-jobs/src/task.rs
@@ -4,15 +4,31 @@
 
 use crate::{crashes::Crashes, ids::WorkerName};
 
+/// A worker with what a new leader needs to call it while it is not registered.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunHost {
+    /// Name of the worker.
+    pub worker: WorkerName,
+    /// Data centre of the worker.
+    pub data_centre: Arc<str>,
+    /// Address to which orders are sent; empty if it is not known.
+    pub address: Arc<str>,
+}
+
+impl RunHost {
+    /// Creates the host of a run.
+    pub fn new(worker: WorkerName, data_centre: &str, address: &str) -> Self {
+        Self { worker, data_centre: Arc::from(data_centre), address: Arc::from(address) }
+    }
+}
+
 /// A run that is assigned to a worker and is not known to have ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
     /// Number of the run; increases with each start of the task.
     pub number: u32,
     /// The worker that the run is assigned to.
-    pub worker: WorkerName,
-    /// Data centre of the worker.
-    pub data_centre: Arc<str>,
+    pub host: RunHost,
 }
 
 /// The state of a task.
--- a/lilacpass-jobs/tests/jobs.rs
+++ b/lilacpass-jobs/tests/jobs.rs
@@ -1,9 +1,7 @@
 //! Tests of the state machine of a job: steps, attempts, gangs, checkpoints and records.
 
-use std::sync::Arc;
-
 use lilacpass_jobs::{
-    EndReason, Job, JobKey, Outcome, RunEnd, StepName, Suspicion, TaskName, WorkerName,
+    EndReason, Job, JobKey, Outcome, RunEnd, RunHost, StepName, Suspicion, TaskName, WorkerName,
     failure::Cause, job::Change, record,
 };
 use lilacpass_schema::v1;
@@ -30,7 +28,8 @@
 }
 
 fn assign(job: &mut Job, task: TaskName) -> u32 {
-    job.assign_run(task, WorkerName::from("w"), Arc::from("dc")).expect("the task is in the job")
+    let host = RunHost::new(WorkerName::from("w"), "dc", "w:80");
+    job.assign_run(task, host).expect("the task is in the job")
 }
 
 fn worker() -> WorkerName {
@@ -101,8 +100,8 @@
 #[test]
 fn a_failed_gang_counts_as_one_attempt_and_one_finished_member_finishes_all() {
     let mut job = new_job(vec![v1::WorkStep { gang: true, ..step_plan(3, vec![]) }]);
-    let workers: Vec<(WorkerName, Arc<str>)> =
-        (0..3).map(|_| (WorkerName::from("w"), Arc::from("dc"))).collect();
+    let workers: Vec<RunHost> =
+        (0..3).map(|_| RunHost::new(WorkerName::from("w"), "dc", "w:80")).collect();
     let run = job.assign_gang(step_name(0), &workers).expect("a gang");
     for index in 0..3 {
         let reason = if index < 2 { EndReason::Failed } else { EndReason::GangBroken };
--- a/lilacpass-jobs/tests/records.rs
+++ b/lilacpass-jobs/tests/records.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use lilacpass_jobs::{
-    EndReason, Job, JobKey, Outcome, RunEnd, Suspicion, TaskName, WorkerName, plan, record,
+    EndReason, Job, JobKey, Outcome, Run, RunEnd, RunHost, Suspicion, TaskName, WorkerName, plan,
+    record,
 };
 use lilacpass_schema::v1;
 use prost::Message;
@@ -59,7 +60,7 @@
     let started_ms = (!parameter.is_multiple_of(3)).then_some(1_800_000_000_000 + u64::from(kind));
     let worker = WorkerName::new(&format!("i-{parameter}"), started_ms);
     match kind % 8 {
-        0..=2 => drop(job.assign_run(name, worker, Arc::from("a"))),
+        0..=2 => drop(job.assign_run(name, RunHost::new(worker, "a", "10.0.0.1:80"))),
         3 => job.update_checkpoint(name, &format!("c{parameter}")),
         4..=6 => {
             let run = job.task(name).and_then(|task| task.runs.first().cloned());
@@ -67,7 +68,7 @@
             if let Some(run) = run {
                 let reason = reason.parse().expect("a reason");
                 let end = RunEnd { run: run.number, reason, checkpoint: String::new() };
-                let _change = job.end_run(name, &run.worker, &end, 11);
+                let _change = job.end_run(name, &run.host.worker, &end, 11);
             }
         }
         _ if parameter < 16 => drop(job.cancel(13)),
@@ -113,7 +114,7 @@
     let mut job = Job::new(KEY, v1::PlanRecord { plan: Some(plan), ..Default::default() });
     let names: Vec<TaskName> = job.step_names().flat_map(|step| job.task_names(step)).collect();
     for name in &names {
-        job.assign_run(*name, WorkerName::from("i-1"), Arc::from("a"));
+        job.assign_run(*name, RunHost::new(WorkerName::from("i-1"), "a", "10.0.0.1:80"));
         let bytes = if name.index < 10 { 16 } else { 10_000 };
         job.update_checkpoint(*name, &"c".repeat(bytes));
     }
@@ -133,13 +134,14 @@
     let mut job = Job::new(KEY, v1::PlanRecord { plan: Some(plan), ..Default::default() });
     let names: Vec<TaskName> = job.step_names().flat_map(|step| job.task_names(step)).collect();
     let worker = WorkerName::from("i-0123456789");
+    let host = RunHost::new(worker.clone(), "hal-a", "10.123.45.67:18161");
     for name in &names {
         for _ in 0..2 {
-            let run = job.assign_run(*name, worker.clone(), Arc::from("hal-a")).expect("a run");
+            let run = job.assign_run(*name, host.clone()).expect("a run");
             let reason = EndReason::Crashed(Suspicion::Suspect);
             job.end_run(*name, &worker, &RunEnd { run, reason, checkpoint: String::new() }, 9);
         }
-        job.assign_run(*name, worker.clone(), Arc::from("hal-a"));
+        job.assign_run(*name, host.clone());
     }
     let (plan, state) = (record::encode_plan(&job), record::encode_state(&job));
     assert!(state.len() <= MAX_RECORD_BYTES, "{} bytes", state.len());
@@ -149,7 +151,15 @@
         names.iter().all(|name| decoded.crashed_workers(*name).is_empty()),
         "the names don't fit"
     );
-    assert_eq!(decoded.live_runs(), job.live_runs());
+    let without_addresses = |(name, run): (TaskName, Run)| {
+        let address = Arc::from("");
+        (name, Run { host: RunHost { address, ..run.host }, ..run })
+    };
+    let expected: Vec<_> = job.live_runs().into_iter().map(without_addresses).collect();
+    assert!(
+        decoded.live_runs() == expected,
+        "the runs are kept without addresses, which don't fit"
+    );
 }
 
 /// Guards against a job that waits forever because its record has no plan.
--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -225,11 +225,11 @@
             for run in &task.runs {
                 let assigned = self
                     .workers
-                    .get(&run.worker)
+                    .get(&run.host.worker)
                     .and_then(|worker| worker.runs.get(&(task_name, run.number)));
                 let phase = assigned.map_or("unknown", |assigned| phase_name(assigned.phase));
                 let description =
-                    format!("{task_name} run {} on {}: {phase}", run.number, run.worker);
+                    format!("{task_name} run {} on {}: {phase}", run.number, run.host.worker);
                 explanation.runs.push(description);
             }
         }
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -25,7 +25,7 @@
     incarnations::Incarnations,
     learned::Learned,
     log_limit::LogLimit,
-    options::{self, Mechanism, Options},
+    options::{Mechanism, Options},
     outages::RecentOutages,
     outbox::Outbox,
     pending_changes::PendingChanges,
@@ -229,10 +229,8 @@
 impl Leader {
     /// Creates a leader that has just taken over, with all stored jobs.
     pub fn new(options: Options, jobs: Vec<Job>, now: Now) -> Self {
-        let longest_lease_ms =
-            options::max_lease_ms(options.lease_ms, options.unconfirmed_lease_ms);
-        let inherited_leases_expire_by_ms =
-            now.steady_ms + options.unconfirmed_lease_ms + longest_lease_ms;
+        let last_granted_ms = now.steady_ms + options.unconfirmed_lease_ms;
+        let inherited_leases_expire_by_ms = options.leases_expire_by_ms(last_granted_ms);
         let mut leader = Self {
             options,
             jobs: HashMap::default(),
@@ -312,9 +310,9 @@
             let leases_expire_by_ms = self.inherited_leases_expire_by_ms;
             let worker = self
                 .workers
-                .entry(run.worker.clone())
+                .entry(run.host.worker.clone())
                 .or_insert_with(|| Worker::from_run_record(run, leases_expire_by_ms));
-            self.unpolled_workers.insert(run.worker.clone());
+            self.unpolled_workers.insert(run.host.worker.clone());
             worker.assign((task, run.number), need, Phase::Uncertain { since_ms: now.steady_ms });
             if job.is_suspected(task) {
                 worker.resume_trial((task, run.number));
@@ -325,7 +323,9 @@
             self.crash_affected_jobs.insert(key);
         }
         self.jobs.insert(key, JobEntry::new(job, account, true));
-        live_runs.iter().for_each(|(task, run)| self.charge_run(&run.worker, (*task, run.number)));
+        live_runs
+            .iter()
+            .for_each(|(task, run)| self.charge_run(&run.host.worker, (*task, run.number)));
         self.reindex(key, now);
         let has_ended = self.jobs.get(&key).is_some_and(|entry| entry.job.outcome != Outcome::Open);
         if has_ended {
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -48,9 +48,6 @@
     pub store_unresponsive_limit_ms: u64,
     /// Time for which the state of an ended job can still be queried.
     pub retention_ms: u64,
-    /// Maximum time for which a live worker that can reach the store is unregistered. Registrations that expired during
-    /// an outage are back within about 2 s of its end.
-    pub unregistered_limit_ms: u64,
     /// Subtracted from the validity of a ticket to allow for the transmission of the start order.
     pub ticket_margin_ms: u64,
     /// How a worker is chosen among those with enough free capacity. Strategies other than the default are for
@@ -61,6 +58,13 @@
 }
 
 impl Options {
+    /// Returns when the leases of a leader that granted the last one at `last_granted_ms` have certainly expired. Both
+    /// times are on the clock of the leader that asks.
+    pub fn leases_expire_by_ms(&self, last_granted_ms: u64) -> u64 {
+        // A leader may have read the clock of a worker that long before it granted the lease.
+        last_granted_ms + max_lease_ms(self.lease_ms, self.unconfirmed_lease_ms)
+    }
+
     /// Returns whether a mechanism is enabled.
     pub fn uses(&self, mechanism: Mechanism) -> bool {
         self.disabled_mechanism != Some(mechanism)
@@ -183,7 +187,6 @@
             store_refusal_limit_ms: 700,
             store_unresponsive_limit_ms: 1_500,
             retention_ms: 150_000,
-            unregistered_limit_ms: 2_500,
             ticket_margin_ms: 150,
             placement: Placement::default(),
             disabled_mechanism: None,
--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -11,7 +11,7 @@
     event::{CallError, Effect, Now, PollResponse, Refusal, ReportedEnd, ReportedRun},
     health, incarnations,
     leader::Leader,
-    options::{self, Mechanism},
+    options::Mechanism,
     outbox::OnStored,
     worker::{Phase, PollState, RunKey, Worker},
 };
@@ -113,8 +113,7 @@
             // From now on the worker refuses orders of a former leader, so the last lease granted by one began before
             // this response. Without this bound, work on a worker that becomes unreachable soon after a take-over would
             // wait seven seconds longer, for the last lease that a former leader can still grant.
-            let lease_ms = options::max_lease_ms(self.options.lease_ms, 0);
-            worker.leases_expire_by_ms = now.steady_ms + lease_ms;
+            worker.leases_expire_by_ms = self.options.leases_expire_by_ms(now.steady_ms);
         }
         worker.accepted_epoch = true;
         worker.failed_polls = 0;
@@ -346,8 +345,13 @@
         if expired.is_empty() {
             return;
         }
+        let missing = self.missing_workers(&expired, now);
         for name in expired {
             let Some(worker) = self.workers.get(&name) else { continue };
+            if missing.contains(&name) {
+                self.presume_gone(&name, missing.len(), now);
+                continue;
+            }
             if !worker.runs.is_empty() {
                 log::info!(
                     worker:% = name, runs = worker.runs.len(),
@@ -368,32 +372,22 @@
         gone.iter().for_each(|name| self.forget_worker(name, now));
     }
 
-    /// Presumes that a worker of a former leader is gone if it is not registered and has not responded to this leader
-    /// for the time in which a live worker would have registered again.
-    ///
-    /// Such a worker can be alive only if a former leader still extends its leases and both are cut off from this
-    /// leader and from the store. But then other workers of its data centre would not respond to this leader either,
-    /// so the rule requires that one does. Without it, work on a worker that left during a change of leader would wait
-    /// for the longest lease that the former leader can have granted, over ten seconds.
-    pub(crate) fn give_up_missing_workers(&mut self, now: Now) {
+    /// Those of the workers whose leases have expired that are presumed gone: the worker is not registered and has not
+    /// responded to this leader, while others of its data centre do. If none did, the data centre would be cut off.
+    fn missing_workers(&self, expired: &[WorkerName], now: Now) -> BTreeSet<WorkerName> {
+        if !self.registration_age.is_current(now.steady_ms) {
+            return BTreeSet::new();
+        }
         let responsive = self.responsive_data_centres(now);
-        let mut missing = Vec::new();
-        for (name, worker) in &mut self.workers {
-            let is_missing = !worker.registered
+        let is_missing = |worker: &Worker| {
+            !worker.registered
                 && worker.successor.is_none()
                 && !worker.accepted_epoch
                 && worker.expired_runs.is_empty()
-                && responsive.contains(&worker.registration.data_centre);
-            if !is_missing {
-                worker.missing_since_ms = None;
-                continue;
-            }
-            let since_ms = *worker.missing_since_ms.get_or_insert(now.steady_ms);
-            if now.steady_ms >= since_ms + self.options.unregistered_limit_ms {
-                missing.push(name.clone());
-            }
-        }
-        missing.iter().for_each(|name| self.presume_gone(name, missing.len(), now));
+                && responsive.contains(&worker.registration.data_centre)
+        };
+        let is_missing = |name: &&WorkerName| self.workers.get(name).is_some_and(is_missing);
+        expired.iter().filter(is_missing).cloned().collect()
     }
 
     /// Data centres of which a worker has responded recently.
--- a/lilacpass-lead/src/registration_age.rs
+++ b/lilacpass-lead/src/registration_age.rs
@@ -42,6 +42,11 @@
         self.read_sent_ms.is_some()
     }
 
+    /// Whether all registrations have been read lately, so that a worker that is not among them is not registered.
+    pub fn is_current(&self, now_ms: u64) -> bool {
+        self.has_read() && !self.is_outdated(now_ms)
+    }
+
     /// Keeps a start order until the next read.
     pub fn hold(&mut self, start: HeldStart) {
         self.held.push(start);
@@ -68,11 +73,10 @@
         self.registration_age.hold(start);
     }
 
-    /// Processes a read of all registrations: sends the start orders that waited for it, and gives up missing workers.
+    /// Processes a read of all registrations: sends the start orders that waited for it.
     pub(crate) fn on_registrations_read(&mut self, sent_ms: u64, now: Now) {
         for start in self.registration_age.record_read(sent_ms, now.steady_ms) {
             self.send_start(&start.worker, start.task, start.run, now);
         }
-        self.give_up_missing_workers(now);
     }
 }
--- a/lilacpass-lead/src/run_ends.rs
+++ b/lilacpass-lead/src/run_ends.rs
@@ -61,7 +61,7 @@
         let members: Vec<(TaskName, WorkerName)> = entry
             .job
             .task_names(lost.step)
-            .filter_map(|task| Some((task, entry.job.task(task)?.run(run)?.worker.clone())))
+            .filter_map(|task| Some((task, entry.job.task(task)?.run(run)?.host.worker.clone())))
             .collect();
         for (task, worker) in members {
             self.stop_run(&worker, (task, run), now);
@@ -108,7 +108,7 @@
     pub(crate) fn stop_job(&mut self, key: JobKey, now: Now) {
         let live = self.jobs.get(&key).map(|entry| entry.job.live_runs()).unwrap_or_default();
         for (task, run) in live {
-            self.stop_run(&run.worker, (task, run.number), now);
+            self.stop_run(&run.host.worker, (task, run.number), now);
         }
     }
 
@@ -121,7 +121,7 @@
             .map(|task| task.runs.clone())
             .unwrap_or_default();
         for run in runs {
-            self.stop_run(&run.worker, (task, run.number), now);
+            self.stop_run(&run.host.worker, (task, run.number), now);
         }
     }
 }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -1,12 +1,9 @@
 //! A scheduling round: places waiting tasks on workers and requests advice for steps that need it.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::{StepName, TaskName, WorkerName};
+use lilacpass_jobs::{RunHost, StepName, TaskName, WorkerName};
 use lilacpass_schema::v1;
 
 use crate::{
@@ -285,7 +282,7 @@
     fn has_run_on(&self, task: TaskName, worker: &WorkerName) -> bool {
         let entry = self.jobs.get(&task.step.job);
         let runs = entry.and_then(|entry| entry.job.task(task)).map(|task| &task.runs);
-        runs.is_some_and(|runs| runs.iter().any(|run| run.worker == *worker))
+        runs.is_some_and(|runs| runs.iter().any(|run| run.host.worker == *worker))
     }
 
     /// Returns the workers that can start tasks of a step now, limited to those in `subset` if it is `Some`.
@@ -456,8 +453,8 @@
         let entry = self.jobs.get(&task.step.job);
         let is_on_trial = entry.is_some_and(|entry| self.is_on_trial(entry, task));
         let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
-        let data_centre = data_centre_of(&self.workers, &worker);
-        let Some(run) = entry.job.assign_run(task, worker.clone(), data_centre) else { return };
+        let host = run_host(&self.workers, &worker);
+        let Some(run) = entry.job.assign_run(task, host) else { return };
         entry.wanted_copies.remove(&task);
         self.record_start(task, run, worker.clone(), now);
         if is_on_trial {
@@ -469,10 +466,8 @@
     /// Begins a run of all tasks of a gang at once, the first task on the first worker and so on.
     fn assign_gang(&mut self, name: StepName, workers: &[WorkerName], now: Now) {
         let Some(entry) = self.jobs.get_mut(&name.job) else { return };
-        let hosts: Vec<(WorkerName, Arc<str>)> = workers
-            .iter()
-            .map(|worker| (worker.clone(), data_centre_of(&self.workers, worker)))
-            .collect();
+        let hosts: Vec<RunHost> =
+            workers.iter().map(|worker| run_host(&self.workers, worker)).collect();
         let is_on_trial = entry.job.is_suspected(name.task(0));
         let Some(run) = entry.job.assign_gang(name, &hosts) else { return };
         self.reservations.release(name);
@@ -512,6 +507,10 @@
 }
 
 /// Returns the data centre of a worker, or an empty string if the worker is unknown.
-fn data_centre_of(workers: &BTreeMap<WorkerName, Worker>, name: &WorkerName) -> Arc<str> {
-    Arc::from(workers.get(name).map_or("", |worker| worker.registration.data_centre.as_str()))
+fn run_host(workers: &BTreeMap<WorkerName, Worker>, name: &WorkerName) -> RunHost {
+    let (data_centre, address) = workers.get(name).map_or(("", ""), |worker| {
+        let registration = &worker.registration;
+        (registration.data_centre.as_str(), registration.address.as_str())
+    });
+    RunHost::new(name.clone(), data_centre, address)
 }
--- a/lilacpass-lead/src/trials.rs
+++ b/lilacpass-lead/src/trials.rs
@@ -26,7 +26,8 @@
     pub(crate) fn is_on_trial(&self, entry: &JobEntry, name: TaskName) -> bool {
         let runs = entry.job.task(name).map(|task| task.runs.as_slice()).unwrap_or_default();
         let is_lost_after_start = |run: &Run| {
-            let worker = self.workers.get(&run.worker).filter(|worker| worker.failed_polls > 0);
+            let worker =
+                self.workers.get(&run.host.worker).filter(|worker| worker.failed_polls > 0);
             worker.is_some_and(|worker| {
                 let assigned = worker.runs.get(&(name, run.number));
                 assigned.is_some_and(|assigned| worker.is_suspect(assigned))
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -101,8 +101,8 @@
 /// A worker as known to the leader.
 #[derive(Clone, Debug)]
 pub struct Worker {
-    /// Its latest registration. All but the name and the data centre is empty for a worker that is known only from a
-    /// stored run.
+    /// Its latest registration. All but the name, the address and the data centre is empty for a worker that is known
+    /// only from a stored run.
     pub registration: Registration,
     /// The largest capacity that it has ever registered, for each resource.
     pub max_capacity: Resources,
@@ -145,9 +145,6 @@
     pub suspected_until_ms: u64,
     /// Evidence of failures on it, for its quarantine.
     pub health: health::WorkerHealth,
-    /// Since when it has been unregistered and has not accepted the leader's epoch while other workers of its data
-    /// centre respond, on the monotonic clock.
-    pub missing_since_ms: Option<u64>,
     /// When it last responded to a poll after one that had failed, on the monotonic clock.
     pub responded_again_ms: Option<u64>,
     /// Its learned speed.
@@ -191,7 +188,6 @@
             starts_paused_until_ms: 0,
             suspected_until_ms: 0,
             health: health::WorkerHealth::default(),
-            missing_since_ms: None,
             responded_again_ms: None,
             speed: SpeedBucket::default(),
             last_response_ms: 0,
@@ -206,12 +202,13 @@
         Self { fence_step, ..self }
     }
 
-    /// Creates a worker that is known only from a stored run. It has no address, so it can't be reached.
+    /// Creates a worker that is known only from a stored run. It can be called if the run names its address: the worker
+    /// may be alive although it is not registered, for example because it can't reach the store.
     pub fn from_run_record(run: &Run, leases_expire_by_ms: u64) -> Self {
         let registration = Registration {
-            name: run.worker.clone(),
-            address: String::new(),
-            data_centre: run.data_centre.to_string(),
+            name: run.host.worker.clone(),
+            address: run.host.address.to_string(),
+            data_centre: run.host.data_centre.to_string(),
             service: String::new(),
             capacity: Resources::ZERO,
             labels: Vec::new(),
--- a/lilacpass-lead/tests/cell_regressions.rs
+++ b/lilacpass-lead/tests/cell_regressions.rs
@@ -18,23 +18,51 @@
     world.store.job(JobKey(key)).map(|job| job.outcome)
 }
 
-/// Failure: a lasting task stopped, and was not restarted for over ten seconds. Its worker had left while the leader
-/// crashed; the successor knew the worker from stored runs only, could not poll it, and waited for the longest lease
-/// that the former leader could have granted.
-#[test]
-fn a_task_on_a_worker_that_left_during_a_take_over_starts_again_soon() {
+/// A cell with a lasting task, and the index of the worker that runs it.
+fn cell_with_lasting_task() -> (World, usize) {
     let mut world = four_workers(3);
     let lasting = v1::WorkStep { lasting: true, ..step(1, 4_000, 500) };
     world.submit(1, plan(&[lasting]), queue("watch", 1));
     world.run(1_000);
     let host = world.workers.iter().position(|w| !w.runs.is_empty()).expect("the task runs");
-    world.current_instance().alive = false;
-    world.workers[host].alive = false;
-    world.run(1_000);
+    (world, host)
+}
+
+/// Number of the last run of the lasting task.
+fn last_run(world: &World) -> u32 {
+    let job = world.store.job(JobKey(1)).expect("the job is stored");
+    job.tasks().map(|task| task.last_run).max().unwrap_or(0)
+}
+
+/// Guards against two runs of a task at once: its worker can't reach the store and is not registered, and the leader
+/// changes. The new leader must call the worker, which goes on under its leases.
+#[test]
+fn a_task_on_a_worker_that_is_cut_off_from_the_store_is_not_started_twice() {
+    let (mut world, host) = cell_with_lasting_task();
+    world.workers[host].registered = false;
+    world.unregister(host);
+    for _ in 0..3 {
+        world.current_instance().alive = false;
+        world.take_over();
+        world.run(8_000);
+    }
+    assert_eq!(last_run(&world), 1, "no second run has begun");
+    assert_eq!(world.workers[host].runs.len(), 1, "the first one goes on");
+}
+
+/// Guards against two runs of a task at once: the former leader can't reach the store and goes on to extend the leases
+/// of the worker, which the new leader can't reach. Other workers of the data centre respond to the new leader.
+#[test]
+fn a_task_is_not_started_again_before_all_leases_of_a_former_leader_have_expired() {
+    let (mut world, host) = cell_with_lasting_task();
+    world.workers[host].registered = false;
+    world.unregister(host);
+    world.workers[host].unreachable_from_epoch = world.current_instance().epoch + 1;
     world.take_over();
-    world.run(4_000);
-    let running = world.workers.iter().filter(|w| w.alive && !w.runs.is_empty()).count();
-    assert_eq!(running, 1, "the task runs again four seconds after the take-over");
+    world.run(11_500);
+    assert_eq!(last_run(&world), 1, "no second run has begun");
+    world.run(1_500);
+    assert_eq!(last_run(&world), 2, "it starts again once the leases have expired");
 }
 
 /// Failure: a job never ended. Its worker became unreachable, and each poll of the worker counted as an extension of
--- a/lilacpass-lead/tests/crashing_tasks.rs
+++ b/lilacpass-lead/tests/crashing_tasks.rs
@@ -2,11 +2,11 @@
 
 mod world;
 
-use std::{collections::BTreeSet, ops::Range, sync::Arc};
+use std::{collections::BTreeSet, ops::Range};
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::{
-    EndReason, Job, JobKey, Outcome, RunEnd, StepName, Suspicion, TaskName, WorkerName,
+    EndReason, Job, JobKey, Outcome, RunEnd, RunHost, StepName, Suspicion, TaskName, WorkerName,
 };
 use lilacpass_lead::Event;
 use lilacpass_schema::v1;
@@ -457,8 +457,8 @@
     };
     let mut job = Job::new(gang.job, record);
     let assign = |job: &mut Job, workers: [&str; 2]| {
-        let workers = workers.map(|name| (WorkerName::from(name), Arc::from("here")));
-        job.assign_gang(gang, &workers).expect("a gang");
+        let hosts = workers.map(|name| RunHost::new(WorkerName::from(name), "here", ""));
+        job.assign_gang(gang, &hosts).expect("a gang");
     };
     assign(&mut job, ["w-8", "w-9"]);
     for (index, worker) in [(0, "w-8"), (1, "w-9")] {
@@ -469,11 +469,13 @@
     assign(&mut job, ["w-1", "w-2"]);
     let mut fixture = LeaderFixture::with_jobs(vec![job]);
     fixture.handle(Event::WorkerRegistered(registration("w-3")));
-    for _ in 0..80 {
+    // The leases of former leaders expire meanwhile.
+    for _ in 0..260 {
         fixture.now_ms += 50;
         fixture.poll_answered("w-3", &[], &[]);
         let sent_ms = fixture.now_ms;
         fixture.handle(Event::RegistrationsRead { sent_ms });
+        fixture.handle(Event::Tick);
     }
     let crashes = |fixture: &mut LeaderFixture| {
         let now = fixture.now();
@@ -501,12 +503,12 @@
         let mut job = Job::new(JobKey(key), record);
         for name in crashed {
             let name = WorkerName::from(*name);
-            let run = job.assign_run(task(key, 0), name.clone(), Arc::from("here"));
+            let run = job.assign_run(task(key, 0), RunHost::new(name.clone(), "here", ""));
             let reason = EndReason::Crashed(Suspicion::Present);
             let end = RunEnd { run: run.expect("a run"), reason, checkpoint: String::new() };
             job.end_run(task(key, 0), &name, &end, 1);
         }
-        job.assign_run(task(key, 0), worker.clone(), Arc::from("here")).expect("a run");
+        job.assign_run(task(key, 0), RunHost::new(worker.clone(), "here", "")).expect("a run");
         job
     };
     let mut jobs = vec![inherited(1, &["w-8", "w-9"])];
--- a/lilacpass-lead/tests/incarnations.rs
+++ b/lilacpass-lead/tests/incarnations.rs
@@ -2,7 +2,9 @@
 
 mod world;
 
-use lilacpass_jobs::{EndReason, Job, JobKey, RunEnd, StepName, TaskName, WorkerName, record};
+use lilacpass_jobs::{
+    EndReason, Job, JobKey, RunEnd, RunHost, StepName, TaskName, WorkerName, record,
+};
 use lilacpass_lead::{
     Effect, Event,
     event::{
@@ -301,7 +303,7 @@
         ..Default::default()
     };
     let mut job = Job::new(JobKey(1), record);
-    job.assign_run(first_task(1), worker, "here".into());
+    job.assign_run(first_task(1), RunHost::new(worker, "here", ""));
     let (plan, state) = (record::encode_plan(&job), record::encode_state(&job));
     record::decode(JobKey(1), &plan, Some(&state)).expect("a job")
 }
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -483,8 +483,8 @@
         };
         let worker_index =
             self.workers.iter().position(|worker| worker.alive && worker.address == address);
-        let reachable =
-            worker_index.filter(|&worker_index| !self.workers[worker_index].unreachable);
+        let epoch = self.instances[instance].epoch;
+        let reachable = worker_index.filter(|&index| self.workers[index].is_reachable_from(epoch));
         let Some(worker_index) = reachable else {
             if is_answered {
                 self.schedule_failure(instance, effect);
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -51,6 +51,8 @@
     pub alive: bool,
     /// Whether no call reaches it, while its runs go on.
     pub unreachable: bool,
+    /// Calls of leaders with this epoch or a higher one don't reach it.
+    pub unreachable_from_epoch: u64,
     pub draining: bool,
     /// Whether all its runs fail.
     pub fails_all_runs: bool,
@@ -101,6 +103,7 @@
             earlier_capacities: Vec::new(),
             alive: true,
             unreachable: false,
+            unreachable_from_epoch: u64::MAX,
             draining: false,
             fails_all_runs: false,
             registered: true,
@@ -140,6 +143,11 @@
         }
     }
 
+    /// Whether calls of a leader with this epoch reach it.
+    pub fn is_reachable_from(&self, epoch: u64) -> bool {
+        !self.unreachable && epoch < self.unreachable_from_epoch
+    }
+
     pub fn registration(&self) -> Registration {
         Registration {
             name: self.name.clone(),
