Take-over: a former leader that has stopped shortens the wait for its leases

Cause: a new leader waits for the leases that a former one may go on extending while it is cut off from the store, 12.3 s in all.

Change: a heartbeat says how long the process of its sender has not led, and which epoch it follows. When it comes from the name and the address of the leader before, and follows the present epoch, that leader grants nothing any more, and the wait is one lease from when it stopped. The leader record carries the time until the leases of still earlier leaders end, so that a chain of leaders is waited for as a whole. A heartbeat from before the take-over, of another address, of an earlier version, or after a record that is not of the last leader before this one changes nothing.

--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -203,7 +203,8 @@
     /// When the last append was sent, on the monotonic clock.
     pub(crate) append_sent_ms: u64,
     /// The latest time at which leases of a former leader expire on a worker that does not respond, on the
-    /// monotonic clock.
+    /// monotonic clock. Until a former leader is known to have stopped, it may go on to extend leases for as long as
+    /// [`Leader::may_extend_leases`] allows.
     inherited_leases_expire_by_ms: u64,
     /// When ended jobs are next checked for removal, on the monotonic clock.
     next_cleanup_ms: u64,
@@ -345,6 +346,10 @@
             Event::LeadershipConfirmed { sent_ms } => {
                 self.leadership_confirmed_ms = self.leadership_confirmed_ms.max(sent_ms);
             }
+            Event::FormerLeaderStopped { stopped_ms, earlier_leases_expire_by_ms } => {
+                let leases_expire_by_ms = self.options.leases_expire_by_ms(stopped_ms);
+                self.limit_inherited_leases(leases_expire_by_ms.max(earlier_leases_expire_by_ms));
+            }
             Event::Polled { worker, sent_ms, extra, result } => {
                 self.on_polled(&worker, sent_ms, extra, result, now);
             }
@@ -400,6 +405,26 @@
         now.steady_ms.saturating_sub(self.leadership_confirmed_ms) < MAX_CONFIRMATION_AGE_MS
     }
 
+    /// Time in ms until all leases that former leaders may have granted have expired.
+    pub fn inherited_leases_ms(&self, now: Now) -> u64 {
+        self.inherited_leases_expire_by_ms.saturating_sub(now.steady_ms)
+    }
+
+    /// Records that all leases of former leaders expire by `expire_by_ms`, on the monotonic clock.
+    fn limit_inherited_leases(&mut self, expire_by_ms: u64) {
+        let assumed_ms = self.inherited_leases_expire_by_ms;
+        if expire_by_ms >= assumed_ms {
+            return;
+        }
+        log::info!(sooner_ms = assumed_ms - expire_by_ms; "the former leader has stopped, and its leases end sooner");
+        self.inherited_leases_expire_by_ms = expire_by_ms;
+        // On a worker that has responded, or whose next incarnation may have been granted leases, they end at another time.
+        self.workers
+            .values_mut()
+            .filter(|worker| !worker.has_responded() && worker.leases_expire_by_ms == assumed_ms)
+            .for_each(|worker| worker.leases_expire_by_ms = expire_by_ms);
+    }
+
     /// Whether leases may be extended: only for `unconfirmed_lease_ms` after the last confirmation of the leadership,
     /// because a successor that can't reach a worker waits that long before it starts the worker's runs elsewhere.
     pub(crate) fn may_extend_leases(&self, now: Now) -> bool {
--- a/lilacpass-node/src/leader_handle.rs
+++ b/lilacpass-node/src/leader_handle.rs
@@ -66,6 +66,12 @@
         receiver.await.ok()
     }
 
+    /// Passes an event to the leader.
+    pub fn report(&self, event: Event) {
+        // The leader loop may have ended already.
+        let _stopped = self.messages.send(Message::Event(event));
+    }
+
     /// Requests that the leader hand over.
     pub fn resign(&self) {
         // The leader loop may have ended already.
--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -27,7 +27,9 @@
 use crate::{
     announcement,
     append::{self, AppendError},
-    clock, handover,
+    clock,
+    former_leader::FormerLeader,
+    handover,
     intake::IntakeQueue,
     leader_handle::{LeaderHandle, Message, OperatorQuery},
     members::Peer,
@@ -61,12 +63,16 @@
     let address = node.peer_address();
     node.leader.send_replace(LeaderView { epoch: leadership.epoch, address: Some(address) });
     let former = leadership.former.unwrap_or_default();
+    note_former_leader(node, &former, leadership.former_epoch, &mut leader, now);
     *node.relays.borrow_mut() = inherit_relays(node, &former, leadership.epoch, now);
     node.metrics.took_over();
     task::spawn_local(registry_watch::run(node.clone(), messages.clone()));
     task::spawn_local(handover::run(node.clone(), leadership.epoch, messages.clone()));
     task::spawn_local(announcement::run(node.clone(), leadership.epoch, messages.clone()));
-    let record = takeover::lead_record(node, leadership.epoch);
+    let record = v1::LeadRecord {
+        earlier_leases_ms: Some(leader.inherited_leases_ms(now)),
+        ..takeover::lead_record(node, leadership.epoch)
+    };
     let renewal = RenewalState::new(record, now.steady_ms);
     let (epoch, sequence) = (leadership.epoch, leadership.sequence);
     let started = renewal::start(node, renewal.clone(), epoch, sequence, messages.clone());
@@ -105,6 +111,23 @@
     }
 }
 
+/// Remembers the leader before this one, unless this process led then and has stopped.
+fn note_former_leader(
+    node: &Node,
+    record: &v1::LeadRecord,
+    epoch: Option<u64>,
+    leader: &mut Leader,
+    now: Now,
+) {
+    let mut former = FormerLeader::new(record, epoch, now);
+    let is_own =
+        |former: &mut FormerLeader| former.is(&node.settings.instance, &node.peer_address());
+    if let Some(own) = former.take_if(is_own) {
+        leader.handle(own.stopped(node.not_leading_since_ms.get()), now);
+    }
+    *node.former_leader.borrow_mut() = former;
+}
+
 /// The relays of the former leader. A new leader polls all workers at once, and has heard of no other instance yet.
 fn inherit_relays(node: &Node, former: &v1::LeadRecord, epoch: u64, now: Now) -> Relays {
     let own_address = node.peer_address();
@@ -177,6 +200,7 @@
             }
             self.run_round();
         }
+        self.node.not_leading_since_ms.set(clock::now().steady_ms);
         self.node.leader_handle.borrow_mut().take();
         *self.node.relays.borrow_mut() = Relays::default();
         self.node.metrics.leadership_lost();
@@ -269,7 +293,7 @@
             self.node.members.borrow_mut().remove_expired(now.steady_ms);
             let lanes = self.lanes(now.steady_ms);
             self.leader.handle(Event::Lanes(lanes), now);
-            self.review_relays(now.steady_ms);
+            self.update_leader_record(now);
             self.node.metrics.worker_speeds(&self.leader.speeds_by_kind());
         }
         self.accounts_version =
@@ -286,8 +310,10 @@
         self.node.metrics.leader_busy(&mem::take(&mut self.busy));
     }
 
-    /// Chooses the relays from the instances that are present, and records them for the next leader.
-    fn review_relays(&self, now_ms: u64) {
+    /// Chooses the relays from the instances that are present, and records what the next leader needs to know of this
+    /// one.
+    fn update_leader_record(&self, now: Now) {
+        let now_ms = now.steady_ms;
         let settings = &self.node.settings;
         let capacity = LeaderCapacity { cpu_millis: settings.cpu_millis, link: settings.link.0 };
         let members = self.node.members.borrow();
@@ -296,6 +322,7 @@
             data_centre: &peer.data_centre,
             cpu_millis: peer.cpu_millis,
         });
+        let earlier_leases_ms = self.leader.inherited_leases_ms(now);
         let mut relays = self.node.relays.borrow_mut();
         relays.review(capacity, candidates.collect(), now_ms);
         let load = relays.load();
@@ -306,6 +333,7 @@
             cpu_millis: cpu_millis(address),
         });
         self.renewal.update_record(|record| {
+            record.earlier_leases_ms = Some(earlier_leases_ms);
             record.relays = in_use.collect();
             record.orders_per_second = load.orders as u32;
             record.order_bytes_per_second = load.bytes as u64;
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -18,12 +18,14 @@
     store::Store,
     workers::Workers,
 };
+use lilacpass_schema::v1;
 use prost::Message;
 use tokio::sync::{Notify, watch};
 
 use crate::{
     clock, desired_message,
     desired_relay::{DesiredSource, Pacing},
+    former_leader::FormerLeader,
     frontend,
     leader_handle::LeaderHandle,
     members::{self, KnownMembers, Largest, Members},
@@ -98,6 +100,10 @@
     pub append_latency: Cell<Duration>,
     /// Whether this instance is completing a take-over.
     pub taking_over: Cell<bool>,
+    /// Since when this process has not led, on the steady clock.
+    pub not_leading_since_ms: Cell<u64>,
+    /// The leader before this one, while this instance leads and does not know whether it has stopped.
+    pub former_leader: RefCell<Option<FormerLeader>>,
     /// Whether the process has been asked to stop.
     pub leaving: watch::Sender<bool>,
     /// Instances that send heartbeats to this one.
@@ -153,6 +159,8 @@
             store_failing_since_ms: Cell::new(None),
             append_latency: Cell::new(Duration::ZERO),
             taking_over: Cell::new(false),
+            not_leading_since_ms: Cell::new(clock::now().steady_ms),
+            former_leader: RefCell::default(),
             leaving: watch::Sender::new(false),
             members: RefCell::default(),
             largest: Cell::default(),
@@ -272,6 +280,16 @@
         self.desired_source.borrow().clone().filter(|known| known.version > obtained_version)
     }
 
+    /// Tells the leader of this instance that the one before it has stopped, if a heartbeat shows that.
+    pub fn note_former_leader(&self, hello: &v1::PeerHello, now_ms: u64) {
+        let epoch = self.leader.borrow().epoch;
+        let Some(leader) = self.leader_handle.borrow().clone() else { return };
+        let mut former = self.former_leader.borrow_mut();
+        if let Some(former) = former.take_if(|former| former.has_stopped(hello, epoch)) {
+            leader.report(former.stopped(now_ms.saturating_sub(hello.not_leading_ms)));
+        }
+    }
+
     /// Whether this instance leads.
     pub fn leads(&self) -> bool {
         self.leader_handle.borrow().is_some()
--- a/lilacpass-node/src/peers/heartbeats.rs
+++ b/lilacpass-node/src/peers/heartbeats.rs
@@ -22,6 +22,8 @@
         peers_revision: node.known_members.borrow().revision,
         store_response_age_ms: Some(node.store_response_age_ms()),
         announced_epoch: 0,
+        followed_epoch: if node.leads() { 0 } else { node.leader.borrow().epoch },
+        not_leading_ms: sent_ms.saturating_sub(node.not_leading_since_ms.get()),
     };
     let reply: v1::PeerHelloReply = post(node, address, HELLO_PATH, &message, timeout).await?;
     node.record_desired_source(reply.config_version, address);
@@ -58,6 +60,7 @@
         return leadership_view(node);
     }
     let now_ms = clock::now().steady_ms;
+    node.note_former_leader(&hello, now_ms);
     let store_response_ms = hello.store_response_age_ms.map_or(0, |ms| now_ms.saturating_sub(ms));
     let peer = Peer {
         last_heartbeat_ms: now_ms,
--- a/lilacpass-node/src/takeover.rs
+++ b/lilacpass-node/src/takeover.rs
@@ -34,8 +34,10 @@
     pub sequence: u64,
     /// All jobs, as read from the log.
     pub jobs: Vec<Job>,
-    /// The last record of the former leader; `None` if there is none.
+    /// The last record of the former leader that was read, which may have been replaced since; `None` if there is none.
     pub former: Option<v1::LeadRecord>,
+    /// Epoch of the last leader before this one; `None` if there was none.
+    pub former_epoch: Option<u64>,
 }
 
 /// The partition that holds the jobs.
@@ -98,9 +100,10 @@
         match append_leader_record(node, &partition, end, writer, &mut retries).await? {
             AppendOutcome::Stored { .. } => {
                 let took_ms = start.elapsed().as_millis() as u64;
+                let former_epoch = records.former_epoch();
                 let jobs = records.into_jobs();
                 log::info!(epoch, jobs = jobs.len(), took_ms; "took over");
-                return Some(NewLeadership { epoch, sequence, jobs, former: None });
+                return Some(NewLeadership { epoch, sequence, jobs, former: None, former_epoch });
             }
             AppendOutcome::Elsewhere { .. } => {}
             AppendOutcome::Fenced | AppendOutcome::OutOfSequence => return None,
@@ -196,6 +199,8 @@
     end_at_start: Option<u64>,
     /// Whether another instance has taken over since the read started.
     other_leader_seen: bool,
+    /// The newest leader record, as its offset and its encoding.
+    leader: Option<(u64, Vec<u8>)>,
 }
 
 impl JobRecords {
@@ -205,6 +210,9 @@
         if read.key == LEAD_KEY {
             // The record of the former leader may be read again, if the store has deleted its history meanwhile.
             self.other_leader_seen |= self.end_at_start.is_some_and(|end| offset >= end);
+            if self.leader.as_ref().is_none_or(|(known, _)| *known < offset) {
+                self.leader = Some((offset, read.value));
+            }
             return;
         }
         let (map, key) = match record::parse_key(&read.key) {
@@ -221,6 +229,12 @@
         }
     }
 
+    /// Epoch of the last leader that has fenced the log; `None` if there was none or its record can't be decoded.
+    fn former_epoch(&self) -> Option<u64> {
+        let (_, record) = self.leader.as_ref()?;
+        v1::LeadRecord::decode(record.as_slice()).ok().map(|record| record.epoch)
+    }
+
     /// Decodes the jobs, skipping deleted and undecodable ones.
     fn into_jobs(self) -> Vec<Job> {
         let mut jobs = Vec::with_capacity(self.plans.len());
