Orders: an instance opens three connections to a worker at most, so that lost leaders leave room

Cause: the client opened a connection for each call for which none was idle and kept eight. A worker accepts 64 from all instances together, and nothing closes those of a machine that is gone. After three bursts of 40 starts a worker had none left; above the limit it resets the present leader's polls and starts.

To a worker there is one for polls that wait and one for all other calls, with a second one while these queue up, which is closed after its use. A call whose timeout passes while it waits for a connection is reported as not run. Connections that have not been used for 10 s are closed, as a former leader or relay lives on. Two metrics show them.

Bound: a lost instance leaves two connections, or three in a burst to that worker; 64 allow for 21 to 31 lost leaders, whatever the numbers of instances, workers and jobs.

--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod signals;
 pub mod takeover;
 pub mod trace;
+pub mod worker_connections;
 
 use std::{process::ExitCode, rc::Rc};
 
@@ -82,6 +83,7 @@
     tokio::task::spawn_local(desired_watch::run(node.clone()));
     tokio::task::spawn_local(desired_relay::run(node.clone()));
     tokio::task::spawn_local(election::run(node.clone()));
+    tokio::task::spawn_local(worker_connections::run(node.clone()));
     signals::run(node).await;
     log::info!("instance stopped");
     ExitCode::SUCCESS
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -63,6 +63,8 @@
     desired_version: Gauge<u64>,
     workers_reads: Counter<u64>,
     workers_lost: Counter<u64>,
+    worker_connections: Gauge<u64>,
+    worker_connections_opened: Counter<u64>,
     jobs_failed: Counter<u64>,
     band_changes: Counter<u64>,
     steps_moved: Counter<u64>,
@@ -118,6 +120,10 @@
             desired_version: meter.u64_gauge("lilacpass_desired_version").build(),
             workers_reads: meter.u64_counter("lilacpass_workers_reads").build(),
             workers_lost: meter.u64_counter("lilacpass_workers_lost").build(),
+            worker_connections: meter.u64_gauge("lilacpass_worker_connections").build(),
+            worker_connections_opened: meter
+                .u64_counter("lilacpass_worker_connections_opened")
+                .build(),
             jobs_failed: meter.u64_counter("lilacpass_jobs_failed").build(),
             band_changes: meter.u64_counter("lilacpass_account_band_changes").build(),
             steps_moved: meter.u64_counter("lilacpass_waiting_steps_moved").build(),
@@ -147,6 +153,12 @@
         self.keys_refused.add(1, &[KeyValue::new("judged", is_judged)]);
     }
 
+    /// Records the open connections to workers, and how many were opened since the last call.
+    pub fn worker_connections(&self, open: usize, opened: u64) {
+        self.worker_connections.record(open as u64, &[]);
+        self.worker_connections_opened.add(opened, &[]);
+    }
+
     /// Records an order to a worker that has completed or failed.
     pub fn order(&self, order: &'static str, outcome: &'static str, took: Duration) {
         let order = KeyValue::new("order", order);
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -138,7 +138,7 @@
         let store = Store::new(client.clone(), settings.store_address.clone());
         Self {
             store,
-            workers: Workers::new(client.clone()),
+            workers: Workers::default(),
             order_budget: RetryBudget::default(),
             client,
             settings,
