Take-over: all former leaders whose leases may last are named in the leader record

Cause: only the last leader was asked whether it had stopped.

Change: the leader record, with which an instance takes over and which it renews, names each former leader whose leases may last, with the time until then. A heartbeat of any of them that follows the new leader ends its part of the wait. The record of another leader than the last, and that of an earlier version, are not relied upon.

--- a/lilacpass-lead/src/event.rs
+++ b/lilacpass-lead/src/event.rs
@@ -223,12 +223,10 @@
         /// Time when the call was sent, in ms on the monotonic clock.
         sent_ms: u64,
     },
-    /// The former leader is known to have granted no lease since some time.
-    FormerLeaderStopped {
+    /// It is known when all leases of former leaders have expired.
+    InheritedLeases {
         /// That time, in ms on the monotonic clock.
-        stopped_ms: u64,
-        /// When the leases of still earlier leaders have expired, in ms on the monotonic clock.
-        earlier_leases_expire_by_ms: u64,
+        expire_by_ms: u64,
     },
     /// A poll has ended.
     Polled {
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -346,10 +346,7 @@
             Event::LeadershipConfirmed { sent_ms } => {
                 self.leadership_confirmed_ms = self.leadership_confirmed_ms.max(sent_ms);
             }
-            Event::FormerLeaderStopped { stopped_ms, earlier_leases_expire_by_ms } => {
-                let leases_expire_by_ms = self.options.leases_expire_by_ms(stopped_ms);
-                self.limit_inherited_leases(leases_expire_by_ms.max(earlier_leases_expire_by_ms));
-            }
+            Event::InheritedLeases { expire_by_ms } => self.limit_inherited_leases(expire_by_ms),
             Event::Polled { worker, sent_ms, extra, result } => {
                 self.on_polled(&worker, sent_ms, extra, result, now);
             }
@@ -405,18 +402,13 @@
         now.steady_ms.saturating_sub(self.leadership_confirmed_ms) < MAX_CONFIRMATION_AGE_MS
     }
 
-    /// Time in ms until all leases that former leaders may have granted have expired.
-    pub fn inherited_leases_ms(&self, now: Now) -> u64 {
-        self.inherited_leases_expire_by_ms.saturating_sub(now.steady_ms)
-    }
-
     /// Records that all leases of former leaders expire by `expire_by_ms`, on the monotonic clock.
     fn limit_inherited_leases(&mut self, expire_by_ms: u64) {
         let assumed_ms = self.inherited_leases_expire_by_ms;
         if expire_by_ms >= assumed_ms {
             return;
         }
-        log::info!(sooner_ms = assumed_ms - expire_by_ms; "the former leader has stopped, and its leases end sooner");
+        log::info!(sooner_ms = assumed_ms - expire_by_ms; "former leaders have stopped, and their leases end sooner");
         self.inherited_leases_expire_by_ms = expire_by_ms;
         // On a worker that has responded, or whose next incarnation may have been granted leases, they end at another time.
         self.workers
--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -23,7 +23,7 @@
     metrics,
     node::Node,
     peers::heartbeats,
-    takeover::{self, NewLeadership},
+    takeover,
 };
 
 /// Interval between heartbeats to the leader while this instance tries to take over from it, and pause before an instance
@@ -318,8 +318,8 @@
     if node.leads() || node.taking_over.replace(true) {
         return;
     }
-    if let Some(leadership) = takeover::complete(node, snapshot).await {
-        leader_loop::start(node, NewLeadership { former, ..leadership });
+    if let Some(leadership) = takeover::complete(node, snapshot, former).await {
+        leader_loop::start(node, leadership);
     }
     node.taking_over.set(false);
 }
--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -28,7 +28,7 @@
     announcement,
     append::{self, AppendError},
     clock,
-    former_leader::FormerLeader,
+    former_leaders::FormerLeaders,
     handover,
     intake::IntakeQueue,
     leader_handle::{LeaderHandle, Message, OperatorQuery},
@@ -55,24 +55,30 @@
 pub fn start(node: &Rc<Node>, leadership: NewLeadership) {
     let (messages, inbox) = mpsc::unbounded_channel();
     let (end, ended) = watch::channel(false);
-    let options = options(node);
+    let leader_options = options(node);
     let now = clock::now();
-    let mut leader = Leader::new(options, leadership.jobs, now);
+    let mut leader = Leader::new(leader_options.clone(), leadership.jobs, now);
     let accounts_version = tell_accounts(node, &mut leader, 0, now);
     *node.leader_handle.borrow_mut() = Some(LeaderHandle::new(messages.clone(), ended));
     let address = node.peer_address();
     node.leader.send_replace(LeaderView { epoch: leadership.epoch, address: Some(address) });
     let former = leadership.former.unwrap_or_default();
-    note_former_leader(node, &former, leadership.former_epoch, &mut leader, now);
+    let mut former_leaders =
+        FormerLeaders::new(leader_options, leadership.last.as_ref(), Some(&former), now);
+    // This process has stopped leading before it took over again.
+    let stopped_ms = node.not_leading_since_ms.get();
+    former_leaders.record_stop(&node.settings.instance, &node.peer_address(), stopped_ms);
+    if leadership.last.is_some() {
+        let expire_by_ms = former_leaders.leases_expire_by_ms();
+        leader.handle(Event::InheritedLeases { expire_by_ms }, now);
+    }
     *node.relays.borrow_mut() = inherit_relays(node, &former, leadership.epoch, now);
     node.metrics.took_over();
     task::spawn_local(registry_watch::run(node.clone(), messages.clone()));
     task::spawn_local(handover::run(node.clone(), leadership.epoch, messages.clone()));
     task::spawn_local(announcement::run(node.clone(), leadership.epoch, messages.clone()));
-    let record = v1::LeadRecord {
-        earlier_leases_ms: Some(leader.inherited_leases_ms(now)),
-        ..takeover::lead_record(node, leadership.epoch)
-    };
+    let record = takeover::lead_record(node, leadership.epoch, &former_leaders, now);
+    *node.former_leaders.borrow_mut() = Some(former_leaders);
     let renewal = RenewalState::new(record, now.steady_ms);
     let (epoch, sequence) = (leadership.epoch, leadership.sequence);
     let started = renewal::start(node, renewal.clone(), epoch, sequence, messages.clone());
@@ -100,7 +106,7 @@
 }
 
 /// Options of the leader within the bounds that the platform sets.
-fn options(node: &Node) -> Options {
+pub fn options(node: &Node) -> Options {
     let bounds = &node.settings.bounds;
     let defaults = Options::default();
     Options {
@@ -111,23 +117,6 @@
     }
 }
 
-/// Remembers the leader before this one, unless this process led then and has stopped.
-fn note_former_leader(
-    node: &Node,
-    record: &v1::LeadRecord,
-    epoch: Option<u64>,
-    leader: &mut Leader,
-    now: Now,
-) {
-    let mut former = FormerLeader::new(record, epoch, now);
-    let is_own =
-        |former: &mut FormerLeader| former.is(&node.settings.instance, &node.peer_address());
-    if let Some(own) = former.take_if(is_own) {
-        leader.handle(own.stopped(node.not_leading_since_ms.get()), now);
-    }
-    *node.former_leader.borrow_mut() = former;
-}
-
 /// The relays of the former leader. A new leader polls all workers at once, and has heard of no other instance yet.
 fn inherit_relays(node: &Node, former: &v1::LeadRecord, epoch: u64, now: Now) -> Relays {
     let own_address = node.peer_address();
@@ -322,7 +311,8 @@
             data_centre: &peer.data_centre,
             cpu_millis: peer.cpu_millis,
         });
-        let earlier_leases_ms = self.leader.inherited_leases_ms(now);
+        let former_leaders = self.node.former_leaders.borrow();
+        let former_leaders = former_leaders.as_ref().map(|former| former.to_records(now_ms));
         let mut relays = self.node.relays.borrow_mut();
         relays.review(capacity, candidates.collect(), now_ms);
         let load = relays.load();
@@ -333,7 +323,7 @@
             cpu_millis: cpu_millis(address),
         });
         self.renewal.update_record(|record| {
-            record.earlier_leases_ms = Some(earlier_leases_ms);
+            record.former_leaders = former_leaders.unwrap_or_default();
             record.relays = in_use.collect();
             record.orders_per_second = load.orders as u32;
             record.order_bytes_per_second = load.bytes as u64;
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod desired_relay;
 pub mod desired_watch;
 pub mod election;
-pub mod former_leader;
+pub mod former_leaders;
 pub mod frontend;
 pub mod handover;
 pub mod intake;
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use lilacpass_core::RetryBudget;
+use lilacpass_lead::Event;
 use lilacpass_platform::{
     client::Client,
     desired::{Desired, Limits},
@@ -25,7 +26,7 @@
 use crate::{
     clock, desired_message,
     desired_relay::{DesiredSource, Pacing},
-    former_leader::FormerLeader,
+    former_leaders::FormerLeaders,
     frontend,
     leader_handle::LeaderHandle,
     members::{self, KnownMembers, Largest, Members},
@@ -102,8 +103,8 @@
     pub taking_over: Cell<bool>,
     /// Since when this process has not led, on the steady clock.
     pub not_leading_since_ms: Cell<u64>,
-    /// The leader before this one, while this instance leads and does not know whether it has stopped.
-    pub former_leader: RefCell<Option<FormerLeader>>,
+    /// The leaders before this one, while this instance leads.
+    pub former_leaders: RefCell<Option<FormerLeaders>>,
     /// Whether the process has been asked to stop.
     pub leaving: watch::Sender<bool>,
     /// Instances that send heartbeats to this one.
@@ -126,6 +127,9 @@
     pub metrics: Metrics,
 }
 
+/// A heartbeat of a former leader is passed on to the leader if it shortens the wait for leases by this time, in
+/// milliseconds. The time that heartbeats take differs by some milliseconds from one to the next.
+const MIN_SHORTER_WAIT_MS: u64 = 100;
 /// How long the leader considers the store reachable after a response of the store, in milliseconds. Its renewals
 /// receive several responses a second. Without them, the watch for the desired state receives at least one every two
 /// seconds, for which [`FOLLOWER_STORE_REACHABLE_MS`] allows.
@@ -160,7 +164,7 @@
             append_latency: Cell::new(Duration::ZERO),
             taking_over: Cell::new(false),
             not_leading_since_ms: Cell::new(clock::now().steady_ms),
-            former_leader: RefCell::default(),
+            former_leaders: RefCell::default(),
             leaving: watch::Sender::new(false),
             members: RefCell::default(),
             largest: Cell::default(),
@@ -280,13 +284,16 @@
         self.desired_source.borrow().clone().filter(|known| known.version > obtained_version)
     }
 
-    /// Tells the leader of this instance that the one before it has stopped, if a heartbeat shows that.
+    /// Tells the leader of this instance that the leases of those before it end sooner, if a heartbeat shows that.
     pub fn note_former_leader(&self, hello: &v1::PeerHello, now_ms: u64) {
-        let epoch = self.leader.borrow().epoch;
         let Some(leader) = self.leader_handle.borrow().clone() else { return };
-        let mut former = self.former_leader.borrow_mut();
-        if let Some(former) = former.take_if(|former| former.has_stopped(hello, epoch)) {
-            leader.report(former.stopped(now_ms.saturating_sub(hello.not_leading_ms)));
+        let mut former = self.former_leaders.borrow_mut();
+        let Some(former) = former.as_mut() else { return };
+        let assumed_ms = former.leases_expire_by_ms();
+        former.record_heartbeat(hello, self.leader.borrow().epoch, now_ms);
+        let expire_by_ms = former.leases_expire_by_ms();
+        if expire_by_ms + MIN_SHORTER_WAIT_MS <= assumed_ms {
+            leader.report(Event::InheritedLeases { expire_by_ms });
         }
     }
 
--- a/lilacpass-node/src/takeover.rs
+++ b/lilacpass-node/src/takeover.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use lilacpass_jobs::{Job, JobKey, record};
-use lilacpass_lead::event::Record;
+use lilacpass_lead::{Now, event::Record};
 use lilacpass_platform::store::{
     self, AppendCondition, AppendOutcome, Partition, ReadOutcome, StoredRecord, Writer,
 };
@@ -12,7 +12,7 @@
 use rand::RngExt;
 use tokio::time::{self, Instant};
 
-use crate::node::Node;
+use crate::{clock, former_leaders::FormerLeaders, leader_loop, node::Node};
 
 /// Key of the record that names the leader.
 pub const LEAD_KEY: &str = "lead";
@@ -36,8 +36,8 @@
     pub jobs: Vec<Job>,
     /// The last record of the former leader that was read, which may have been replaced since; `None` if there is none.
     pub former: Option<v1::LeadRecord>,
-    /// Epoch of the last leader before this one; `None` if there was none.
-    pub former_epoch: Option<u64>,
+    /// The record with which the last leader before this one took over; `None` if there was none.
+    pub last: Option<v1::LeadRecord>,
 }
 
 /// The partition that holds the jobs.
@@ -51,11 +51,13 @@
 }
 
 /// The record that announces this instance as the leader.
-pub fn lead_record(node: &Node, epoch: u64) -> v1::LeadRecord {
+pub fn lead_record(node: &Node, epoch: u64, former: &FormerLeaders, now: Now) -> v1::LeadRecord {
     v1::LeadRecord {
         epoch,
         instance: node.settings.instance.clone(),
         address: node.peer_address(),
+        former_leaders: former.to_records(now.steady_ms),
+        names_former_leaders: true,
         ..Default::default()
     }
 }
@@ -87,8 +89,13 @@
     Some(Snapshot { records, end, start })
 }
 
-/// Completes a take-over from a snapshot. Returns `None` if another instance was faster or the store keeps failing.
-pub async fn complete(node: &Rc<Node>, snapshot: Snapshot) -> Option<NewLeadership> {
+/// Completes a take-over from a snapshot. `former` is the newest leader record that was read. Returns `None` if another
+/// instance was faster or the store keeps failing.
+pub async fn complete(
+    node: &Rc<Node>,
+    snapshot: Snapshot,
+    former: Option<v1::LeadRecord>,
+) -> Option<NewLeadership> {
     let Snapshot { mut records, mut end, start } = snapshot;
     let partition = jobs_partition();
     let sequence = random_first_sequence();
@@ -97,13 +104,17 @@
         // Offsets never decrease, so an epoch derived from the end of the log is higher than all earlier ones.
         let epoch = end + 1;
         let writer = Writer { epoch, sequence };
-        match append_leader_record(node, &partition, end, writer, &mut retries).await? {
+        let last = records.last_leader();
+        let now = clock::now();
+        let options = leader_loop::options(node);
+        let former_leaders = FormerLeaders::new(options, last.as_ref(), former.as_ref(), now);
+        let record = lead_record(node, epoch, &former_leaders, now);
+        match append_leader_record(node, &partition, end, writer, record, &mut retries).await? {
             AppendOutcome::Stored { .. } => {
                 let took_ms = start.elapsed().as_millis() as u64;
-                let former_epoch = records.former_epoch();
                 let jobs = records.into_jobs();
                 log::info!(epoch, jobs = jobs.len(), took_ms; "took over");
-                return Some(NewLeadership { epoch, sequence, jobs, former: None, former_epoch });
+                return Some(NewLeadership { epoch, sequence, jobs, former, last });
             }
             AppendOutcome::Elsewhere { .. } => {}
             AppendOutcome::Fenced | AppendOutcome::OutOfSequence => return None,
@@ -133,10 +144,11 @@
     partition: &Partition,
     end: u64,
     writer: Writer,
+    record: v1::LeadRecord,
     retries: &mut RetryWindow,
 ) -> Option<AppendOutcome> {
     let condition = AppendCondition { expected_end: Some(end), writer: Some(writer) };
-    let record = encode_lead_record(&lead_record(node, writer.epoch));
+    let record = encode_lead_record(&record);
     let encoded = store::encode_records(&[record]).ok()?;
     loop {
         match node.store.append(partition, condition, &encoded, CALL_TIMEOUT).await {
@@ -229,10 +241,11 @@
         }
     }
 
-    /// Epoch of the last leader that has fenced the log; `None` if there was none or its record can't be decoded.
-    fn former_epoch(&self) -> Option<u64> {
+    /// The record with which the last leader took over; `None` if there was none. One that can't be decoded counts as that
+    /// of an earlier version, which tells nothing.
+    fn last_leader(&self) -> Option<v1::LeadRecord> {
         let (_, record) = self.leader.as_ref()?;
-        v1::LeadRecord::decode(record.as_slice()).ok().map(|record| record.epoch)
+        Some(v1::LeadRecord::decode(record.as_slice()).unwrap_or_default())
     }
 
     /// Decodes the jobs, skipping deleted and undecodable ones.
