Expired workers: the responsive data centres are determined only if a worker may be missing

An unregistered worker stays among those whose leases have expired for up to 30 s, until it is known whether it crashed. Change: the cheap conditions come first, and such a worker does not meet them. Result: the same workers are presumed gone; tests of the crate pass. The saving was not measured.

--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -378,16 +378,22 @@
         if !self.registration_age.is_current(now.steady_ms) {
             return BTreeSet::new();
         }
-        let responsive = self.responsive_data_centres(now);
-        let is_missing = |worker: &Worker| {
+        let is_candidate = |worker: &&Worker| {
             !worker.registered
                 && worker.successor.is_none()
                 && !worker.accepted_epoch
                 && worker.expired_runs.is_empty()
-                && responsive.contains(&worker.registration.data_centre)
         };
-        let is_missing = |name: &&WorkerName| self.workers.get(name).is_some_and(is_missing);
-        expired.iter().filter(is_missing).cloned().collect()
+        let expired = expired.iter().filter_map(|name| self.workers.get(name));
+        let candidates: Vec<&Worker> = expired.filter(is_candidate).collect();
+        if candidates.is_empty() {
+            // A worker that may have crashed stays among the expired ones for long; the rest goes through all workers.
+            return BTreeSet::new();
+        }
+        let responsive = self.responsive_data_centres(now);
+        let registrations = candidates.into_iter().map(|worker| &worker.registration);
+        let missing = registrations.filter(|known| responsive.contains(&known.data_centre));
+        missing.map(|known| known.name.clone()).collect()
     }
 
     /// Data centres of which a worker has responded recently.
