Former leaders: one method says whether an entry is of an instance

Cause: found on reading the change; the comparison stood twice. Change: FormerLeader::is. Result: behaviour is the same, and the tests of former_leaders.rs are unchanged.

--- a/lilacpass-node/src/former_leaders.rs
+++ b/lilacpass-node/src/former_leaders.rs
@@ -17,6 +17,12 @@
     leases_expire_by_ms: u64,
 }
 
+impl FormerLeader {
+    fn is(&self, instance: &str, address: &str) -> bool {
+        self.instance == instance && self.address == address
+    }
+}
+
 /// The leaders before this one whose leases may last.
 #[derive(Clone, Debug)]
 pub struct FormerLeaders {
@@ -53,9 +59,7 @@
     }
 
     fn add(&mut self, instance: &str, address: &str, leases_expire_by_ms: u64) {
-        let is_same =
-            |known: &&mut FormerLeader| known.instance == instance && known.address == address;
-        if let Some(known) = self.leaders.iter_mut().find(is_same) {
+        if let Some(known) = self.leaders.iter_mut().find(|known| known.is(instance, address)) {
             known.leases_expire_by_ms = known.leases_expire_by_ms.max(leases_expire_by_ms);
             return;
         }
@@ -66,9 +70,7 @@
     /// Records that the process of an instance at an address has not led since `stopped_ms`.
     pub fn record_stop(&mut self, instance: &str, address: &str, stopped_ms: u64) {
         let leases_expire_by_ms = self.options.leases_expire_by_ms(stopped_ms);
-        let is_same =
-            |known: &&mut FormerLeader| known.instance == instance && known.address == address;
-        for known in self.leaders.iter_mut().filter(is_same) {
+        for known in self.leaders.iter_mut().filter(|known| known.is(instance, address)) {
             known.leases_expire_by_ms = known.leases_expire_by_ms.min(leases_expire_by_ms);
         }
     }
