Metrics of what the leader goes through, and of how busy its event loop is

Cause: the time of the loop by part showed that rounds take long, but not what they go through, and nothing showed the loop's time outside of the parts, which is a third of it at rest.

Change: lilacpass_leader_visits_total{part} counts workers, runs, tickets, steps, tasks and jobs that decisions go through; counts do not depend on the machine. lilacpass_busy_seconds_total is the time for which the event loop is busy with everything. Ticks are a part of lilacpass_leader_busy_seconds_total. SchedulingWork moves from leader.rs to work.rs.

No decision changes.

--- a/lilacpass-lead/src/advance_reservations.rs
+++ b/lilacpass-lead/src/advance_reservations.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     event::Now, leader::Leader, options::Mechanism, place, rank::Rank, reservations::Share,
-    worker::Worker,
+    work::Part, worker::Worker,
 };
 
 /// Time in ms that a step waits before capacity is reserved in advance for it. Most steps wait for less in a pool that
@@ -47,6 +47,7 @@
         if !self.options.uses(Mechanism::AdvanceReservations) {
             return;
         }
+        self.visits.add(Part::Reservation, self.waiting.len());
         for name in self.waiting.waiting_since(now.steady_ms.saturating_sub(MIN_WAIT_MS)) {
             self.make_advance_reservation(name, now);
         }
@@ -119,6 +120,7 @@
         let advice = self.advice.get(&name);
         let verdict =
             |worker: &Worker| advice.and_then(|advice| advice.allows(&worker.registration.name));
+        self.visits.add(Part::Reservation, self.workers.len());
         self.workers
             .values()
             .filter(|worker| {
@@ -144,6 +146,7 @@
     ) -> Option<u64> {
         let need = place::need(plan);
         let reserved = self.reservations.reserved_before(rank, &worker.registration.name);
+        self.visits.add(Part::Reservation, worker.runs.len());
         // The remaining time of each run in ms, and the resources that its end frees.
         let mut ends: Vec<(u64, Resources)> = worker
             .runs
--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -12,6 +12,7 @@
     event::{Advice, Effect, Lane, Now},
     leader::Leader,
     place,
+    work::Part,
     worker::Worker,
 };
 
@@ -90,6 +91,7 @@
             return;
         }
         self.work.steps_examined += 1;
+        self.visits.add(Part::AdviceSearch, plan.count as usize);
         self.choose_home_data_centre(name, &plan, now);
         let Some(entry) = self.jobs.get(&name.job) else { return };
         let share = self.allowed_shares.get(&entry.job.queue.name).copied();
@@ -208,6 +210,7 @@
         let advice = self.advice.get(&name);
         let named: HashSet<&WorkerName> = named.iter().collect();
         let is_usable = |worker: &&Worker| {
+            self.visits.add(Part::AdviceSearch, 1);
             worker.registered
                 && !worker.draining
                 && need.fits(&worker.registration.capacity)
--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -14,6 +14,7 @@
     learned::preference::SpeedPreference,
     place,
     rank::Rank,
+    work::Part,
     worker::Worker,
 };
 
@@ -183,6 +184,7 @@
     /// valid ticket for it.
     fn rate<'a>(&self, search: &Search<'_>, worker: &'a Worker, now: Now) -> Option<Rated<'a>> {
         let Search { name, plan, entry, advice, need, rank, waiting, with_preemption, .. } = search;
+        self.visits.add(Part::AdviceSearch, 1);
         // The cheap checks come first, because in a full cell each waiting step goes through many workers.
         let max_capacity =
             if *with_preemption { worker.registration.capacity } else { worker.free_capacity() };
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -37,6 +37,7 @@
     response_loss::ResponseLossMeter,
     scan::Scan,
     waiting::WaitingSteps,
+    work::{Part, SchedulingWork, VisitCounter},
     worker::{Phase, PollState, Worker},
 };
 
@@ -108,35 +109,6 @@
     }
 }
 
-/// Counts the work spent on scheduling since the leader took over. Nearly all scheduling time goes into examining
-/// steps.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct SchedulingWork {
-    /// Steps for which workers with free capacity, or workers to request advice about, were searched for.
-    pub steps_examined: u64,
-    /// Waiting steps that got another rank.
-    pub steps_moved: u64,
-    /// Workers examined in reviews of data centres.
-    pub workers_reviewed: u64,
-    /// Searches for workers to name in a call for advice.
-    pub advice_searches: u64,
-    /// Searches of these that found no worker.
-    pub empty_advice_searches: u64,
-}
-
-impl SchedulingWork {
-    /// Returns the work done since an earlier reading.
-    pub fn since(&self, earlier: &Self) -> Self {
-        Self {
-            steps_examined: self.steps_examined - earlier.steps_examined,
-            steps_moved: self.steps_moved - earlier.steps_moved,
-            workers_reviewed: self.workers_reviewed - earlier.workers_reviewed,
-            advice_searches: self.advice_searches - earlier.advice_searches,
-            empty_advice_searches: self.empty_advice_searches - earlier.empty_advice_searches,
-        }
-    }
-}
-
 /// The leader of a cell: a state machine that takes events and returns effects.
 #[derive(Debug)]
 pub struct Leader {
@@ -161,6 +133,8 @@
     /// Number of steps for which this round has searched for runs to preempt.
     pub(crate) preemption_searches: u32,
     pub(crate) work: SchedulingWork,
+    /// Counts what searches and reviews go through. Read into `work` by [`Leader::work`].
+    pub(crate) visits: VisitCounter,
     pub(crate) scan: Scan,
     pub(crate) pressure: Pressure,
     pub(crate) pending_changes: PendingChanges,
@@ -250,6 +224,7 @@
             reservations: Reservations::default(),
             preemption_searches: 0,
             work: SchedulingWork::default(),
+            visits: VisitCounter::default(),
             scan: Scan::default(),
             pressure: Pressure::new(now),
             pending_changes: PendingChanges::default(),
@@ -392,7 +367,7 @@
 
     /// The scheduling work done so far.
     pub fn work(&self) -> SchedulingWork {
-        self.work
+        SchedulingWork { visits: self.visits.read(), ..self.work }
     }
 
     /// Whether the store has confirmed the leadership so recently that no other instance can have taken over.
@@ -529,6 +504,7 @@
 
     /// Counts the workers of each service, and finds the least urgent open job.
     fn review_pools(&mut self) {
+        self.visits.add(Part::Review, self.jobs.len() + self.workers.len());
         let open = self.jobs.values().filter(|entry| entry.job.outcome == Outcome::Open);
         let terminates = |entry: &&JobEntry| !entry.job.plan.steps.iter().any(|step| step.lasting);
         let terminating = open.clone().filter(terminates);
--- a/lilacpass-lead/src/learned/mod.rs
+++ b/lilacpass-lead/src/learned/mod.rs
@@ -18,6 +18,7 @@
     event::Now,
     leader::{JobEntry, Leader},
     place,
+    work::Part,
     worker::{AssignedRun, RunKey, Worker},
 };
 
@@ -130,6 +131,7 @@
 
     /// Updates the speeds of all workers, and the order in which workers are preferred.
     pub(crate) fn review_speeds(&mut self, now: Now) {
+        self.visits.add(Part::Review, self.workers.len());
         let registered = self.workers.values().filter(|worker| worker.registered);
         let changes = self.learned.speeds.review(registered.map(kind_of), now.steady_ms);
         for (name, bucket) in changes {
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -61,6 +61,7 @@
 mod trials;
 mod unresponsive;
 pub mod waiting;
+pub mod work;
 pub mod worker;
 
 pub use event::{Effect, Event, Now};
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -10,6 +10,7 @@
     event::{CallError, Effect, Now, Refusal},
     leader::Leader,
     progress,
+    work::Part,
     worker::{AssignedRun, Phase, RunKey},
 };
 
@@ -48,6 +49,7 @@
             return self.end_never_started(name, key, now);
         };
         worker.set_phase(key, Phase::Ordered);
+        self.work.starts += 1;
         self.counters.advice.starts += u64::from(ticket.is_some());
         self.effects.push(Effect::Start {
             worker: name.clone(),
@@ -194,6 +196,7 @@
         // Worker, run, whether a copy may be started, and whether the run itself is stuck or slow.
         let mut runs_to_replace = Vec::new();
         for (name, worker) in &self.workers {
+            self.visits.add(Part::Review, 1 + worker.runs.len());
             let unresponsive = worker.failed_polls > 0;
             let slowdowns = slowdowns.get(name).map(Vec::as_slice).unwrap_or_default();
             let is_slow = !unresponsive && progress::is_slow_worker(slowdowns);
@@ -243,6 +246,7 @@
     fn run_time_estimates(&self) -> RunTimeEstimates {
         let mut estimates = RunTimeEstimates::new();
         for (name, worker) in &self.workers {
+            self.visits.add(Part::Review, 1 + worker.runs.len());
             for (key, assigned) in &worker.runs {
                 if self.replaceable_plan(*key, assigned).is_none() {
                     continue;
@@ -289,6 +293,7 @@
         let mut unconfirmed = Vec::new();
         let mut unsettled = Vec::new();
         for (name, worker) in &mut self.workers {
+            self.visits.add(Part::Review, 1 + worker.runs.len());
             for (key, assigned) in &mut worker.runs {
                 let Phase::Stopping { sent_ms, confirmed_ms } = assigned.phase else { continue };
                 if now.steady_ms < sent_ms + retry_ms {
--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -13,6 +13,7 @@
     leader::Leader,
     options::Mechanism,
     outbox::OnStored,
+    work::Part,
     worker::{Phase, PollState, RunKey, Worker},
 };
 
@@ -335,6 +336,7 @@
     /// Ends the runs on workers whose leases have expired even by the slowest possible worker clock, and forgets
     /// workers that are gone.
     pub(crate) fn expire_unresponsive_workers(&mut self, now: Now) {
+        self.visits.add(Part::Review, self.workers.len());
         let expired: Vec<WorkerName> = self
             .workers
             .values()
@@ -417,6 +419,7 @@
             (options.poll_wait_ms, options.poll_answer_ms)
         };
         let unpolled: Vec<WorkerName> = self.unpolled_workers.iter().cloned().collect();
+        self.visits.add(Part::Review, unpolled.len());
         for name in unpolled {
             let Some(worker) = self.workers.get_mut(&name) else {
                 self.unpolled_workers.remove(&name);
--- a/lilacpass-lead/src/preempt.rs
+++ b/lilacpass-lead/src/preempt.rs
@@ -14,6 +14,7 @@
     place,
     rank::Rank,
     reservations::Share,
+    work::Part,
     worker::{AssignedRun, Phase, RunKey, Worker},
 };
 
@@ -146,6 +147,7 @@
         priority: u32,
     ) -> impl Iterator<Item = (&'a RunKey, &'a AssignedRun)> {
         let runs = worker.runs.iter();
+        self.visits.add(Part::Preemption, runs.len());
         runs.filter(move |(key, assigned)| self.may_preempt(**key, assigned, priority))
     }
 
--- a/lilacpass-lead/src/recording.rs
+++ b/lilacpass-lead/src/recording.rs
@@ -7,6 +7,7 @@
     leader::Leader,
     outbox::OnStored,
     registration_age::HeldStart,
+    work::Part,
 };
 
 impl Leader {
@@ -64,6 +65,7 @@
         }
         for key in &batch.states {
             if let Some(entry) = self.jobs.get(key) {
+                self.visits.add(Part::JobUpdate, entry.job.tasks().count());
                 let value = record::encode_state(&entry.job);
                 records.push(Record { key: record::state_key(*key), value });
             }
--- a/lilacpass-lead/src/reindex.rs
+++ b/lilacpass-lead/src/reindex.rs
@@ -10,6 +10,7 @@
     leader::{JobEntry, Leader},
     place, rank,
     waiting::StepKind,
+    work::Part,
 };
 
 impl Leader {
@@ -41,6 +42,7 @@
         let job = &entry.job;
         let mut next_due_ms = None;
         for name in job.step_names() {
+            self.visits.add(Part::JobUpdate, 1);
             if !may_have_changed(name) {
                 if self.waiting.rank_of(name).is_some() {
                     self.pending_changes.mark_step_changed(name);
@@ -48,6 +50,7 @@
                 continue;
             }
             let is_waiting = has_waiting_tasks(entry, name);
+            self.visits.add(Part::JobUpdate, job.step_plan(name.step).count as usize);
             if is_waiting && job.step_may_start(name, now.unix_ms) {
                 let plan = job.step_plan(name.step);
                 let kind = StepKind::of(plan, job.queue.advice.is_some());
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -16,6 +16,7 @@
     pending_changes::RoundScope,
     place,
     rank::Rank,
+    work::Part,
     worker::{Phase, RunKey, Worker},
 };
 
@@ -66,6 +67,7 @@
     /// consider for each.
     pub(crate) fn due_steps(&self, round: &RoundScope, now: Now) -> BTreeMap<Rank, WorkerScope> {
         if round.all {
+            self.visits.add(Part::StepSelection, self.waiting.len());
             return self.waiting.in_order().map(|rank| (rank, WorkerScope::All)).collect();
         }
         let mut due = BTreeMap::new();
@@ -93,8 +95,10 @@
             need.is_some_and(|need| free.iter().any(|(_, free)| need.fits(free)))
         };
         let mut fitting: Vec<Rank> = self.waiting.plain().filter(fits_on_any).collect();
+        self.visits.add(Part::StepSelection, self.waiting.plain().count() * free.len());
         for (worker, free) in &free {
             let allowed = self.allowed_steps.get(*worker).into_iter().flatten();
+            let allowed = allowed.inspect(|_| self.visits.add(Part::StepSelection, 1));
             fitting.extend(allowed.filter_map(|step| self.waiting.rank_of_advised(*step, free)));
         }
         fitting
@@ -106,6 +110,7 @@
     /// none of its tasks does not change the result.
     fn can_use_any(&self, step: StepName, workers: &BTreeSet<WorkerName>, now: Now) -> bool {
         let Some(need) = self.waiting.need_of(step) else { return false };
+        self.visits.add(Part::StepSelection, workers.len());
         let fitting = workers.iter().filter(|name| {
             self.workers.get(*name).is_some_and(|worker| need.fits(&worker.free_capacity()))
         });
@@ -149,6 +154,7 @@
         }
         let plan = entry.job.step_plan(name.step).clone();
         self.work.steps_examined += 1;
+        self.visits.add(Part::Placement, plan.count as usize);
         self.choose_home_data_centre(name, &plan, now);
         let mut hosts = self.available_hosts(name, &plan, subset, now);
         let home_is_unusable =
@@ -164,6 +170,7 @@
             HostSelector { placement: self.options.placement, step: name, now_ms: now.steady_ms };
         let wanted = waiting.len();
         let picks = self.pick_hosts(&mut waiting, &mut hosts, &plan, &selector);
+        self.visits.add(Part::Placement, hosts.len() * (picks.len() + 1).min(wanted));
         if plan.target_ms > 0 && picks.len() < wanted {
             self.stop_filling_tasks(name, &plan, now);
         }
@@ -260,6 +267,7 @@
         };
         let need = place::need(plan);
         let mut usable = self.workers_fitting(service, &need);
+        self.visits.add(Part::Placement, usable.len());
         usable.retain(could_run);
         if self.speed_preference(entry, plan) == SpeedPreference::Faster {
             let max = u64::from(plan.count);
@@ -306,6 +314,7 @@
             Some(subset) => self.allowed_among(name, subset, now),
             None => self.allowed_and_fitting(name, &need, now),
         };
+        self.visits.add(Part::Placement, workers.len());
         workers
             .into_iter()
             .filter(can_host)
--- a/lilacpass-lead/src/unresponsive.rs
+++ b/lilacpass-lead/src/unresponsive.rs
@@ -6,6 +6,7 @@
 use crate::{
     event::{CallError, Effect, Now},
     leader::Leader,
+    work::Part,
     worker::{PollState, Worker},
 };
 
@@ -100,6 +101,7 @@
 
     /// Counts the workers of each data centre that respond.
     pub(crate) fn count_responsive_workers(&mut self) {
+        self.visits.add(Part::Review, self.workers.len());
         let responsive = self
             .workers
             .values()
--- a/lilacpass-lead/tests/world/cost.rs
+++ b/lilacpass-lead/tests/world/cost.rs
@@ -6,7 +6,7 @@
 
 use std::mem;
 
-use lilacpass_lead::{Effect, Event, event::Response, leader::SchedulingWork};
+use lilacpass_lead::{Effect, Event, event::Response, work::SchedulingWork};
 
 use super::{Action, LeaderInstance, TICK_MS, World};
 
--- a/lilacpass-node/src/leader_loop.rs
+++ b/lilacpass-node/src/leader_loop.rs
@@ -12,7 +12,7 @@
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
     event::{Lane, Record, RequestId, Response},
-    leader::SchedulingWork,
+    work::SchedulingWork,
 };
 use lilacpass_platform::{
     store::Writer,
@@ -160,7 +160,7 @@
     /// Time of the next update of lanes and relays, on the steady clock.
     next_lanes_update_ms: u64,
     is_deposed: bool,
-    /// Time taken since the last tick.
+    /// Time taken since the metrics were last updated.
     busy: BusyTime,
     /// Scheduling work that the metrics include.
     reported_work: SchedulingWork,
@@ -176,7 +176,11 @@
             tokio::select! {
                 // A due tick takes precedence: it measures how late the leader is, and expires leases.
                 biased;
-                _ = ticks.tick() => self.tick(),
+                _ = ticks.tick() => {
+                    let began = Instant::now();
+                    self.tick();
+                    self.busy.ticks += began.elapsed();
+                }
                 message = inbox.recv() => {
                     let Some(message) = message else { break };
                     self.enqueue(message);
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Metrics of an instance, served as text on the metrics port.
 
-use std::time::Duration;
+use std::{cell::Cell, time::Duration};
 
 use bytes::Bytes;
 use http::StatusCode;
@@ -8,9 +8,9 @@
 use lilacpass_lead::{
     counters::{Counters, WorkerLoss},
     fair_use::Band,
-    leader::SchedulingWork,
     learned::speeds::KindStatus,
     pressure::Level,
+    work::{Part, SchedulingWork},
 };
 use lilacpass_platform::server::Reply;
 use opentelemetry::{
@@ -19,6 +19,7 @@
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
+use tokio::runtime::Handle;
 
 use crate::logging;
 
@@ -32,7 +33,7 @@
 const TIME_BOUNDS_S: [f64; 12] =
     [0.001, 0.003, 0.01, 0.03, 0.06, 0.1, 0.25, 0.5, 1.0, 2.0, 3.0, 10.0];
 
-/// Time that the leader's event loop has taken, by part, without its ticks.
+/// Time that the leader's event loop has taken, by part.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BusyTime {
     /// Processing of events and requests.
@@ -41,6 +42,8 @@
     pub round: Duration,
     /// Execution of the effects that the leader requests.
     pub effects: Duration,
+    /// Ticks, with their reviews of all workers and runs.
+    pub ticks: Duration,
 }
 
 /// Metrics of an instance. Counters start from 0 with the process.
@@ -70,7 +73,11 @@
     steps_moved: Counter<u64>,
     steps_examined: Counter<u64>,
     advice_searches: Counter<u64>,
+    leader_visits: Counter<u64>,
     leader_busy_seconds: Counter<f64>,
+    busy_seconds: Counter<f64>,
+    /// The part of the time of the event loop that `busy_seconds` includes.
+    reported_busy: Cell<Duration>,
     takeovers: Counter<u64>,
     leads: Gauge<u64>,
     behind_seconds: Gauge<f64>,
@@ -129,7 +136,10 @@
             steps_moved: meter.u64_counter("lilacpass_waiting_steps_moved").build(),
             steps_examined: meter.u64_counter("lilacpass_steps_examined").build(),
             advice_searches: meter.u64_counter("lilacpass_advice_searches").build(),
+            leader_visits: meter.u64_counter("lilacpass_leader_visits").build(),
             leader_busy_seconds: meter.f64_counter("lilacpass_leader_busy_seconds").build(),
+            busy_seconds: meter.f64_counter("lilacpass_busy_seconds").build(),
+            reported_busy: Cell::default(),
             takeovers: meter.u64_counter("lilacpass_takeovers").build(),
             leads: meter.u64_gauge("lilacpass_leads").build(),
             behind_seconds: meter.f64_gauge("lilacpass_leader_behind_seconds").build(),
@@ -243,13 +253,19 @@
         let found = work.advice_searches - work.empty_advice_searches;
         self.advice_searches.add(found, &[KeyValue::new("found", true)]);
         self.advice_searches.add(work.empty_advice_searches, &[KeyValue::new("found", false)]);
+        for part in Part::ALL {
+            self.leader_visits.add(work.visits.of(part), &[KeyValue::new("part", part.as_str())]);
+        }
     }
 
     /// Adds the time that the leader took for its parts.
     pub fn leader_busy(&self, busy: &BusyTime) {
-        for (part, took) in
-            [("events", busy.events), ("round", busy.round), ("effects", busy.effects)]
-        {
+        for (part, took) in [
+            ("events", busy.events),
+            ("round", busy.round),
+            ("effects", busy.effects),
+            ("ticks", busy.ticks),
+        ] {
             self.leader_busy_seconds.add(took.as_secs_f64(), &[KeyValue::new("part", part)]);
         }
     }
@@ -269,12 +285,22 @@
         self.pressure(Level::KeepsUp, Duration::ZERO);
     }
 
+    /// Adds the time for which the event loop of the process has been busy, with everything that runs on it.
+    fn update_busy_seconds(&self) {
+        // The runtime has one thread.
+        let Ok(runtime) = Handle::try_current() else { return };
+        let busy = runtime.metrics().worker_total_busy_duration(0);
+        let reported = self.reported_busy.replace(busy);
+        self.busy_seconds.add(busy.saturating_sub(reported).as_secs_f64(), &[]);
+    }
+
     /// The response to a request for metrics, in the text format of Prometheus.
     pub fn reply(&self, path: &str) -> Reply {
         if path != PATH {
             return Reply::error(StatusCode::NOT_FOUND, "no such path");
         }
         self.dropped_lines.record(logging::dropped(), &[]);
+        self.update_busy_seconds();
         match TextEncoder::new().encode_to_string(&self.registry.gather()) {
             Ok(text) => Reply::body(StatusCode::OK, Bytes::from(text)),
             Err(err) => Reply::error(StatusCode::INTERNAL_SERVER_ERROR, &err.to_string()),
