--- a/lilacpass-lab/src/arrivals.rs
+++ b/lilacpass-lab/src/arrivals.rs
@@ -58,9 +58,10 @@
 
 /// Returns the policy of the queue of a class.
 pub fn queue_policy(class: &Class, scenario: &Scenario) -> v1::QueuePolicy {
+    let timing = scenario.advice_for(class);
     let advice = v1::AdvicePolicy {
-        base_ms: scenario.advice.base_ms,
-        per_worker_ms: scenario.advice.per_worker_ms,
+        base_ms: timing.base_ms,
+        per_worker_ms: timing.per_worker_ms,
         valid_ms: scenario.advice.valid_ms,
     };
     v1::QueuePolicy {
--- a/lilacpass-lab/src/bound.rs
+++ b/lilacpass-lab/src/bound.rs
@@ -55,13 +55,8 @@
 pub fn simulate(scenario: &Scenario, arrivals: &[Arrival], seed: u64) -> Outcome {
     let mut free_capacity: BTreeMap<&str, Resources> = BTreeMap::new();
     for pool in &scenario.pools {
-        let count = pool.workers as u64;
-        let pool_capacity = Resources::new(
-            pool.cores * 1_000 * count,
-            pool.memory_mb * count,
-            pool.accelerators * count,
-            0,
-        );
+        let capacities = (0..pool.workers).map(|number| pool.capacity(number));
+        let pool_capacity = capacities.fold(Resources::ZERO, |sum, capacity| sum.plus(&capacity));
         let total = free_capacity.entry(pool.service.as_str()).or_insert(Resources::ZERO);
         *total = total.plus(&pool_capacity);
     }
--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -2,9 +2,9 @@
 //!
 //! The model includes workers with capacity, leases, ends and checkpoints; one append at a time; calls of the advice
 //! service; callers that retry; bursts; slow, failing, crashing and shrinking workers; a slow or unavailable store; and
-//! an unresponsive advice service. It leaves out other instances and take-overs, lost messages, cancelled jobs, tasks
-//! that are slow across racks, and the processor time of the leader: a scheduling round takes no simulated time;
-//! its real duration is measured separately.
+//! an unresponsive advice service. It leaves out other instances and take-overs, lost messages, cancelled jobs and tasks
+//! that are slow across racks. A scheduling round takes no simulated time unless the scenario has a model of the
+//! leader's processor; its real duration is measured separately.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -26,6 +26,7 @@
     model_worker::{ModelRun, ModelWorker, WaitingPoll},
     outcome::{Outcome, Recorder},
     policy::Policy,
+    processor::EventLoop,
     scenario::{FaultKind, Scenario},
     services, workers,
 };
@@ -66,6 +67,8 @@
     ReadRegistrations,
     /// Records the processor use and the number of waiting steps.
     Sample,
+    /// Runs the next round of a leader whose processor is limited.
+    RunRound,
     /// Crashes the worker with this index, if `worker` is still its current incarnation.
     Crash { index: usize, worker: WorkerName },
     /// Restarts the crashed worker with this index.
@@ -91,6 +94,7 @@
     /// Number of tasks that are done, by step.
     done_tasks: HashMap<StepName, u32>,
     actions: EventQueue<Action>,
+    event_loop: EventLoop,
     /// Time at which the current append is done; the next one waits for it.
     store_free_ms: u64,
     /// Time until which each lane is busy with a call.
@@ -138,6 +142,7 @@
             recorder: Recorder::new(scenario.classes.len()),
             done_tasks: HashMap::new(),
             actions: EventQueue::default(),
+            event_loop: EventLoop::default(),
             store_free_ms: 0,
             lanes_free_ms: HashMap::new(),
             scenario,
@@ -171,40 +176,86 @@
         while let Some((at_ms, action)) = self.actions.pop_until(end_ms) {
             self.now_ms = at_ms;
             self.handle_action(action);
-            if self.actions.next_ms() != Some(self.now_ms) {
-                self.run_round();
+            if self.scenario.processor.is_none() && self.actions.next_ms() != Some(self.now_ms) {
+                self.decide();
             }
         }
     }
 
-    /// Runs a scheduling round of the leader after all events of the current time, and schedules its effects.
+    /// Passes an event to the leader, at once unless its processor is limited.
+    fn send_to_leader(&mut self, event: Event) {
+        if self.scenario.processor.is_none() {
+            return self.leader.handle(event, self.now());
+        }
+        self.event_loop.push(event);
+        self.schedule_round();
+    }
+
+    fn schedule_round(&mut self) {
+        if let Some(at_ms) = self.event_loop.schedule_round(self.now_ms) {
+            self.schedule(at_ms, Action::RunRound);
+        }
+    }
+
+    /// Runs a round of a leader whose processor is limited. Its effects follow once the round is over.
     fn run_round(&mut self) {
+        let Some(processor) = &self.scenario.processor else { return };
+        let now = self.now();
+        let before = self.leader.work();
+        let events = self.event_loop.begin_round();
+        let event_count = events.len();
+        for event in events {
+            if event == Event::Tick {
+                self.schedule(self.now_ms + TICK_INTERVAL_MS, Action::Tick);
+            }
+            self.leader.handle(event, now);
+        }
+        let effects = self.leader.finish(now);
+        let visits = self.leader.work().since(&before).visits.total();
+        let duration_us = processor.time_us(event_count, effects.len(), visits);
+        let ends_ms = self.event_loop.end_round(self.now_ms, duration_us);
+        self.schedule_effects(effects, ends_ms);
+        if self.leader.has_more() {
+            self.schedule_round();
+        }
+    }
+
+    /// Runs a scheduling round of the leader after all events of the current time, and schedules its effects.
+    fn decide(&mut self) {
         let now = self.now();
         let started = Instant::now();
         let effects = self.leader.finish(now);
         self.recorder.record_round(started.elapsed());
+        self.schedule_effects(effects, self.now_ms);
+    }
+
+    fn schedule_effects(&mut self, effects: Vec<Effect>, at_ms: u64) {
         for effect in effects {
             let delay_ms = match &effect {
                 Effect::Reply { .. } | Effect::Append(_) | Effect::RequestAdvice { .. } => 0,
                 _ => ONE_WAY_DELAY_MS,
             };
-            self.schedule(self.now_ms + delay_ms, Action::CarryOut(effect));
+            self.schedule(at_ms + delay_ms, Action::CarryOut(effect));
         }
     }
 
     fn handle_action(&mut self, action: Action) {
         match action {
-            Action::Deliver(event) => self.leader.handle(event, self.now()),
+            Action::Deliver(event) => self.send_to_leader(event),
             Action::CarryOut(effect) => self.carry_out(effect),
             Action::AdvanceWorker(index) => self.advance_worker(index),
             Action::Submit(job) => self.submit(job),
             Action::Tick => {
-                self.schedule(self.now_ms + TICK_INTERVAL_MS, Action::Tick);
-                self.leader.handle(Event::Tick, self.now());
+                // With a limited processor, the next tick follows once this one has been processed.
+                if self.scenario.processor.is_none() {
+                    self.schedule(self.now_ms + TICK_INTERVAL_MS, Action::Tick);
+                }
+                self.send_to_leader(Event::Tick);
             }
             Action::Renew => self.renew(),
             Action::ReadRegistrations => self.read_registrations(),
             Action::Sample => self.sample(),
+            Action::RunRound => self.run_round(),
             Action::Crash { index, worker } => self.crash(index, &worker),
             Action::Restart(index) => self.restart(index),
         }
@@ -215,21 +266,22 @@
         let scenario_ms = self.scenario_ms();
         if services::append_ms(self.scenario, scenario_ms).is_some() {
             let sent_ms = self.now_ms;
-            self.leader.handle(Event::LeadershipConfirmed { sent_ms }, self.now());
+            self.send_to_leader(Event::LeadershipConfirmed { sent_ms });
         }
     }
 
     fn read_registrations(&mut self) {
-        let now = self.now();
         if self.now_ms == 0 {
-            for worker in &self.workers {
-                self.leader.handle(Event::WorkerRegistered(worker.registration.clone()), now);
+            let registrations: Vec<_> =
+                self.workers.iter().map(|worker| worker.registration.clone()).collect();
+            for registration in registrations {
+                self.send_to_leader(Event::WorkerRegistered(registration));
             }
             let lanes = (0..self.scenario.advice.lanes).map(|n| Lane(format!("lane-{n:03}")));
-            self.leader.handle(Event::Lanes(lanes.collect()), now);
+            self.send_to_leader(Event::Lanes(lanes.collect()));
         }
         self.set_capacities();
-        self.leader.handle(Event::RegistrationsRead { sent_ms: self.now_ms }, now);
+        self.send_to_leader(Event::RegistrationsRead { sent_ms: self.now_ms });
         self.schedule(self.now_ms + REGISTRATIONS_INTERVAL_MS, Action::ReadRegistrations);
     }
 
@@ -240,6 +292,7 @@
         let total: f64 = self.workers.iter().map(|worker| cpu(worker.registration.capacity)).sum();
         self.recorder.use_by_s.push(used / total.max(1.0));
         self.recorder.waiting_by_s.push(self.leader.status(self.now()).waiting_steps);
+        self.recorder.record_work(self.leader.work(), self.event_loop.busy_us);
     }
 
     fn submit(&mut self, job: usize) {
@@ -253,8 +306,7 @@
             queue: arrivals::queue_policy(class, self.scenario),
             account: None,
         };
-        self.leader
-            .handle(Event::Request { request_id: RequestId(job as u64), request }, self.now());
+        self.send_to_leader(Event::Request { request_id: RequestId(job as u64), request });
     }
 
     fn carry_out(&mut self, effect: Effect) {
@@ -319,7 +371,10 @@
 
     fn advise(&mut self, lane: Lane, step: StepName, workers: Vec<WorkerName>) {
         let scenario_ms = self.scenario_ms();
-        let (duration_ms, advice) = services::advise(self.scenario, step, &workers, scenario_ms);
+        let Some(&job) = self.job_indices.get(&step.job) else { return };
+        let class = &self.scenario.classes[self.arrivals[job].class];
+        let (duration_ms, advice) =
+            services::advise(self.scenario, class, step, &workers, scenario_ms);
         let free_ms = self.lanes_free_ms.get(&lane).copied().unwrap_or(0).max(self.now_ms);
         let response_ms = free_ms + duration_ms + ONE_WAY_DELAY_MS;
         self.lanes_free_ms.insert(lane.clone(), response_ms);
--- a/lilacpass-lab/src/lib.rs
+++ b/lilacpass-lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod outcome;
 pub mod plot;
 pub mod policy;
+pub mod processor;
 pub mod report;
 pub mod scenario;
 pub mod services;
--- a/lilacpass-lab/src/outcome.rs
+++ b/lilacpass-lab/src/outcome.rs
@@ -1,9 +1,14 @@
 //! The result of a simulation.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    mem,
+    time::Duration,
+};
 
 use hdrhistogram::Histogram;
 use lilacpass_jobs::StepName;
+use lilacpass_lead::work::{Part, SchedulingWork};
 use serde::Serialize;
 
 use crate::{
@@ -60,10 +65,30 @@
     pub crashed_workers: u32,
     /// Highest number of starts of a task that crashes its workers.
     pub most_crashing_starts: u32,
+    /// What the leader did in each second.
+    pub work_by_s: Vec<WorkSample>,
     /// Real time that scheduling rounds took on the machine that ran the simulation.
     pub decisions: Decisions,
 }
 
+/// What the leader did within a second. Unlike its real time, this depends only on the scenario and the seed.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+pub struct WorkSample {
+    /// Number of start orders.
+    pub starts: u64,
+    /// Number of items that decisions went through, by part; see [`lilacpass_lead::work::Part`].
+    pub visits: BTreeMap<&'static str, u64>,
+    /// Share of the second for which the leader was busy; 0 without a model of its processor.
+    pub busy: f64,
+}
+
+impl WorkSample {
+    /// Returns the number of items that all decisions went through.
+    pub fn all_visits(&self) -> u64 {
+        self.visits.values().sum()
+    }
+}
+
 /// Real time that the scheduling rounds of a simulation took.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Decisions {
@@ -97,6 +122,9 @@
     pub use_by_s: Vec<f64>,
     /// Number of waiting steps, sampled every second.
     pub waiting_by_s: Vec<u64>,
+    work_by_s: Vec<WorkSample>,
+    /// The work of the leader until the last sample, and the time for which it was busy, in microseconds.
+    recorded_work: (SchedulingWork, u64),
 }
 
 impl Recorder {
@@ -115,6 +143,8 @@
             most_crashing_starts: 0,
             use_by_s: Vec::new(),
             waiting_by_s: Vec::new(),
+            work_by_s: Vec::new(),
+            recorded_work: (SchedulingWork::default(), 0),
         }
     }
 
@@ -129,6 +159,17 @@
         self.waits_ms[class].saturating_record(now_ms.saturating_sub(since_ms));
     }
 
+    /// Records what the leader did in the last second, from its work and busy time since it began to lead.
+    pub fn record_work(&mut self, work: SchedulingWork, busy_us: u64) {
+        let (recorded, recorded_us) = mem::replace(&mut self.recorded_work, (work, busy_us));
+        let done = work.since(&recorded);
+        self.work_by_s.push(WorkSample {
+            starts: done.starts,
+            visits: Part::ALL.map(|part| (part.as_str(), done.visits.of(part))).into(),
+            busy: (busy_us - recorded_us) as f64 / 1e6,
+        });
+    }
+
     /// Records the duration of a scheduling round.
     pub fn record_round(&mut self, duration: Duration) {
         self.rounds_us.saturating_record(duration.as_micros() as u64);
@@ -178,6 +219,7 @@
             use_by_s: self.use_by_s,
             lost_by_s,
             waiting_by_s: self.waiting_by_s,
+            work_by_s: self.work_by_s,
             over_capacity: self.over_capacity,
             crashed_workers: self.crashed_workers,
             most_crashing_starts: self.most_crashing_starts,
--- a/lilacpass-lab/src/scenario.rs
+++ b/lilacpass-lab/src/scenario.rs
@@ -2,6 +2,7 @@
 
 use std::{fs, path::Path};
 
+use lilacpass_core::Resources;
 use serde::Deserialize;
 
 use crate::error::{self, Error, Result};
@@ -29,11 +30,24 @@
     /// The model of the advice service.
     #[serde(default)]
     pub advice: Advice,
+    /// The model of the leader's processor. Without it, decisions take no simulated time.
+    pub processor: Option<Processor>,
     /// Faults that occur during the scenario.
     #[serde(rename = "fault", default)]
     pub faults: Vec<Fault>,
 }
 
+impl Scenario {
+    /// Returns the advice for the steps of a class.
+    pub fn advice_for(&self, class: &Class) -> ClassAdvice {
+        class.advice.unwrap_or(ClassAdvice {
+            base_ms: self.advice.base_ms,
+            per_worker_ms: self.advice.per_worker_ms,
+            allowed_percent: self.advice.allowed_percent,
+        })
+    }
+}
+
 fn default_rest_s() -> f64 {
     15.0
 }
@@ -53,6 +67,9 @@
     /// Number of accelerators of each worker.
     #[serde(default)]
     pub accelerators: u64,
+    /// Sizes of the workers in turn, as factors of `cores` and `memory_mb`.
+    #[serde(default = "default_sizes")]
+    pub sizes: Vec<f64>,
     /// Number of workers per rack.
     #[serde(default = "default_rack")]
     pub rack_workers: usize,
@@ -61,6 +78,10 @@
     pub data_centres: usize,
 }
 
+fn default_sizes() -> Vec<f64> {
+    vec![1.0]
+}
+
 fn default_rack() -> usize {
     8
 }
@@ -69,6 +90,25 @@
     3
 }
 
+impl Pool {
+    /// Returns the capacity of a worker, given its number in the pool.
+    pub fn capacity(&self, number: usize) -> Resources {
+        let size = self.sizes[number % self.sizes.len()];
+        let scaled = |value: u64| (value as f64 * size) as u64;
+        Resources::new(scaled(self.cores * 1_000), scaled(self.memory_mb), self.accelerators, 0)
+    }
+
+    fn largest_cpu_milli(&self) -> u64 {
+        let workers = 0..self.sizes.len();
+        workers.map(|number| self.capacity(number).cpu.0).max().unwrap_or(0)
+    }
+
+    fn largest_memory_mb(&self) -> u64 {
+        let workers = 0..self.sizes.len();
+        workers.map(|number| self.capacity(number).memory.0).max().unwrap_or(0)
+    }
+}
+
 /// A class of similar jobs.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -109,6 +149,8 @@
     /// Whether the tasks need advice to start.
     #[serde(default)]
     pub advised: bool,
+    /// Advice for this class, if it differs from that of the other classes.
+    pub advice: Option<ClassAdvice>,
     /// Number of failed runs of a task after which its job fails.
     #[serde(default = "default_attempts")]
     pub attempts: u32,
@@ -188,6 +230,45 @@
     }
 }
 
+/// The advice for the steps of one class; see [`Advice`].
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassAdvice {
+    /// Fixed duration of a call, in milliseconds.
+    pub base_ms: f64,
+    /// Additional duration for each named worker, in milliseconds.
+    pub per_worker_ms: f64,
+    /// Percentage of the workers that may run a step.
+    pub allowed_percent: u64,
+}
+
+/// The model of the leader's processor: how long its work takes on a whole core, and the share of a core that it has.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Processor {
+    /// Share of a core that the leader has.
+    pub share: f64,
+    /// Share of its time that work takes which does not depend on jobs, such as heartbeats of other instances.
+    #[serde(default)]
+    pub other_share: f64,
+    /// Time for an event, in microseconds.
+    pub event_us: f64,
+    /// Time for an effect, such as a message to a worker, in microseconds.
+    pub effect_us: f64,
+    /// Time for an item that a decision goes through, in microseconds; see [`lilacpass_lead::work::Visits`].
+    pub visit_us: f64,
+}
+
+impl Processor {
+    /// Returns the time that work takes, in microseconds.
+    pub fn time_us(&self, events: usize, effects: usize, visits: u64) -> u64 {
+        let work_us = self.event_us * events as f64
+            + self.effect_us * effects as f64
+            + self.visit_us * visits as f64;
+        (work_us / (self.share * (1.0 - self.other_share))) as u64
+    }
+}
+
 /// A fault that starts at `at_s` and lasts for `for_s` seconds.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -265,6 +346,9 @@
     }
     for (number, pool) in scenario.pools.iter().enumerate() {
         let field = |name: &str| format!("pool[{number}].{name}");
+        if pool.sizes.is_empty() || pool.sizes.iter().any(|size| *size <= 0.0) {
+            return Err(error::value(field("sizes"), "must have entries above 0"));
+        }
         for (name, value) in [
             ("workers", pool.workers),
             ("rack_workers", pool.rack_workers),
@@ -283,9 +367,30 @@
     if scenario.advice.lanes == 0 {
         return Err(error::value("advice.lanes", "must be above 0"));
     }
+    if let Some(processor) = &scenario.processor {
+        check_processor(processor)?;
+    }
     scenario.faults.iter().enumerate().try_for_each(|(n, fault)| check_fault(n, fault))
 }
 
+fn check_processor(processor: &Processor) -> Result<()> {
+    check_positive("processor.share", processor.share)?;
+    for (name, value) in [
+        ("other_share", processor.other_share),
+        ("event_us", processor.event_us),
+        ("effect_us", processor.effect_us),
+        ("visit_us", processor.visit_us),
+    ] {
+        if value < 0.0 {
+            return Err(error::value(format!("processor.{name}"), "must not be negative"));
+        }
+    }
+    if processor.other_share >= 1.0 {
+        return Err(error::value("processor.other_share", "must be below 1"));
+    }
+    Ok(())
+}
+
 fn check_class(scenario: &Scenario, number: usize, class: &Class) -> Result<()> {
     let field = |name: &str| format!("class[{number}].{name}");
     check_positive(&field("rate"), class.rate)?;
@@ -299,8 +404,8 @@
     }
     let fits = |pool: &&Pool| {
         pool.service == class.service
-            && u64::from(class.cpu_milli) <= pool.cores * 1_000
-            && u64::from(class.memory_mb) <= pool.memory_mb
+            && u64::from(class.cpu_milli) <= pool.largest_cpu_milli()
+            && u64::from(class.memory_mb) <= pool.largest_memory_mb()
             && u64::from(class.accelerators) <= pool.accelerators
     };
     if !scenario.pools.iter().any(|pool| fits(&pool)) {
--- a/lilacpass-lab/src/services.rs
+++ b/lilacpass-lab/src/services.rs
@@ -5,7 +5,7 @@
 use lilacpass_jobs::{StepName, WorkerName};
 use lilacpass_lead::event::{Advice, WorkerTicket};
 
-use crate::scenario::{FaultKind, Scenario};
+use crate::scenario::{Class, FaultKind, Scenario};
 
 /// Returns the strength of the strongest active fault of a kind, or `None` if none is active.
 pub fn fault_strength(scenario: &Scenario, kind: FaultKind, now_ms: u64) -> Option<f64> {
@@ -26,6 +26,7 @@
 /// respond. The advice for the same step and worker is always the same.
 pub fn advise(
     scenario: &Scenario,
+    class: &Class,
     step: StepName,
     workers: &[WorkerName],
     now_ms: u64,
@@ -35,7 +36,7 @@
     if fault_strength(scenario, FaultKind::AdviceSilent, now_ms).is_some() {
         return (ADVICE_TIMEOUT_MS, None);
     }
-    let advice = &scenario.advice;
+    let advice = scenario.advice_for(class);
     let duration_ms = advice.base_ms + advice.per_worker_ms * workers.len() as f64;
     let is_allowed = |worker: &&WorkerName| {
         let mut hasher = DefaultHasher::new();
@@ -45,5 +46,5 @@
     let ticket =
         |worker: &WorkerName| WorkerTicket { worker: worker.clone(), ticket: "t".to_owned() };
     let good = workers.iter().filter(is_allowed).map(ticket).collect();
-    (duration_ms as u64, Some(Advice { good, valid_ms: u64::from(advice.valid_ms) }))
+    (duration_ms as u64, Some(Advice { good, valid_ms: u64::from(scenario.advice.valid_ms) }))
 }
--- a/lilacpass-lab/src/workers.rs
+++ b/lilacpass-lab/src/workers.rs
@@ -2,7 +2,6 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use lilacpass_core::Resources;
 use lilacpass_jobs::WorkerName;
 use lilacpass_lead::event::Registration;
 
@@ -45,7 +44,6 @@
 
 /// Returns the registrations of the workers of a pool.
 pub fn registrations(pool: &Pool) -> Vec<Registration> {
-    let capacity = Resources::new(pool.cores * 1_000, pool.memory_mb, pool.accelerators, 0);
     (0..pool.workers)
         .map(|number| {
             let rack = number / pool.rack_workers;
@@ -55,7 +53,7 @@
                 address: format!("{}:{number}", pool.service),
                 data_centre: format!("dc-{data_centre}"),
                 service: pool.service.clone(),
-                capacity,
+                capacity: pool.capacity(number),
                 labels: vec![pool.service.clone(), format!("rack-{rack}")],
                 draining: false,
             }
