Tests that fail: the leader's work for each start in a nearly full cell, and short work on a slower processor

Where the bound comes from: half of a core at 1.6 times the normal 2,060 starts a second has 128 us for each start, 15 % of it for what does not depend on jobs. Two events and two effects take 46 us. On a processor 1.5 times as slow, that leaves the time for some 200 items.

Ids of the lab's workers begin with their numbers, because those of the platform differ in their first bytes.

--- a/lilacpass-lab/src/workers.rs
+++ b/lilacpass-lab/src/workers.rs
@@ -49,7 +49,8 @@
             let rack = number / pool.rack_workers;
             let data_centre = rack % pool.data_centres;
             Registration {
-                name: WorkerName::new(&format!("{}-{number:05}", pool.service), Some(0)),
+                // The number comes first, as ids on the platform differ in their first bytes.
+                name: WorkerName::new(&format!("{number:05}-{}", pool.service), Some(0)),
                 address: format!("{}:{number}", pool.service),
                 data_centre: format!("dc-{data_centre}"),
                 service: pool.service.clone(),
--- /dev/null
+++ b/lilacpass-lab/tests/leader_work.rs
@@ -0,0 +1,75 @@
+//! Tests of how much work a nearly full cell makes for its leader. All counts and times are simulated, so the results do
+//! not depend on the machine.
+
+use std::path::Path;
+
+use lilacpass_lab::{
+    cli,
+    outcome::{Outcome, WorkSample},
+    policy::Policy,
+    scenario::{self, Scenario},
+};
+
+const SEED: u64 = 1;
+/// The seconds in which the cells are nearly full: a burst, and what follows.
+const FULL: std::ops::Range<usize> = 16..26;
+/// Items that the leader may go through for each start. A leader with half of a core has the time for 200 at 1.6 times
+/// the normal load of 1,100 workers on a processor that is 1.5 times as slow as that of the scenario.
+const MAX_VISITS_PER_START: u64 = 200;
+/// The worth of the work of the users' large site that is to be earned, of 1.
+const MIN_WORTH: f64 = 0.76;
+
+fn large_cell(workers: usize) -> Scenario {
+    let file = format!("../examples/lab/large-{workers}.toml");
+    let mut scenario =
+        scenario::read(&Path::new(env!("CARGO_MANIFEST_DIR")).join(file)).expect("a valid file");
+    scenario.length_s = FULL.end as f64;
+    scenario.rest_s = 0.0;
+    scenario
+}
+
+/// Returns the number of items that the leader went through for each start while the cell was nearly full.
+fn visits_per_start(outcome: &Outcome) -> u64 {
+    let full = &outcome.work_by_s[FULL];
+    let starts: u64 = full.iter().map(|sample| sample.starts).sum();
+    full.iter().map(WorkSample::all_visits).sum::<u64>() / starts.max(1)
+}
+
+fn assert_bounded(workers: usize) {
+    let mut scenario = large_cell(workers);
+    // The counts are to be those of a leader that keeps up.
+    scenario.processor = None;
+    let outcome = cli::simulate(&scenario, Policy::Today, SEED);
+    let visits = visits_per_start(&outcome);
+    assert!(
+        visits <= MAX_VISITS_PER_START,
+        "{visits} visits for each start in a cell of {workers} workers: {:#?}",
+        outcome.work_by_s[FULL.start]
+    );
+}
+
+/// Guards against a leader whose work for each start grows with the steps that wait, so that a burst leaves it without
+/// time for new ones.
+#[test]
+fn the_work_for_each_start_is_bounded_in_a_nearly_full_cell() {
+    assert_bounded(1_100);
+}
+
+/// Guards against a leader whose work for each start grows with the workers.
+#[test]
+fn the_work_for_each_start_is_bounded_at_twice_the_size() {
+    assert_bounded(2_200);
+}
+
+/// Guards against a leader that stays behind after a burst, so that all short work is late from then on.
+#[test]
+fn short_work_is_in_time_on_a_processor_that_is_half_as_slow_again() {
+    let mut scenario = large_cell(1_100);
+    scenario.rest_s = 5.0;
+    let processor = scenario.processor.as_mut().expect("a model of the processor");
+    processor.share /= 1.5;
+    let outcome = cli::simulate(&scenario, Policy::Today, SEED);
+    for class in outcome.classes.iter().filter(|class| class.name.starts_with("check")) {
+        assert!(class.worth >= MIN_WORTH, "{} earns {:.3} of its worth", class.name, class.worth);
+    }
+}
