Waiting steps are examined again only if they begin to wait, not with each start and end of their jobs

Cause: each start and each end of a run marked all waiting steps of its job as changed, so that the next round examined them with all workers. A step that waited before has tasks left that could not be placed; one more of them changes nothing, and the capacity that an end frees is marked by itself.

Change: only steps that begin to wait are marked, and those of which a task is to have a copy.

--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -279,6 +279,7 @@
             if runs == 1 && entry.wanted_copies.insert(task) {
                 log::info!(task:% = task, run, worker:% = name, is_lost; "copy requested");
                 self.reindex(task.step.job, now);
+                self.pending_changes.mark_step_changed(task.step);
             }
             return;
         }
--- a/lilacpass-lead/src/reindex.rs
+++ b/lilacpass-lead/src/reindex.rs
@@ -31,7 +31,10 @@
         self.reindex_steps(changed.job, may_have_changed, now);
     }
 
-    /// Updates the steps that may have changed. The next round also examines all other waiting steps of the job.
+    /// Updates the steps that may have changed. The next round examines those that begin to wait.
+    ///
+    /// A step that waited before has tasks left that could not be placed, so that another task of it changes nothing.
+    /// Capacity that the end of its run has freed is marked by itself.
     fn reindex_steps(
         &mut self,
         key: JobKey,
@@ -44,9 +47,6 @@
         for name in job.step_names() {
             self.visits.add(Part::JobUpdate, 1);
             if !may_have_changed(name) {
-                if self.waiting.rank_of(name).is_some() {
-                    self.pending_changes.mark_step_changed(name);
-                }
                 continue;
             }
             let is_waiting = has_waiting_tasks(entry, name);
@@ -58,8 +58,8 @@
                 if self.waiting.add(name, kind, place::need(plan), now.steady_ms, rank) {
                     // It may request advice from the next round on.
                     self.advice_queue.delay(name, now.steady_ms);
+                    self.pending_changes.mark_step_changed(name);
                 }
-                self.pending_changes.mark_step_changed(name);
                 continue;
             }
             if self.waiting.remove(name) {
