Jobs: the tasks of a step that wait are kept, and only changed tasks are encoded anew

Cause: each start and each end of a run went through all tasks of the changed step and of the later ones, and each append encoded all tasks of the jobs that had changed: 13 to 160 tasks, some 4,000 times a second. It is the part of the leader's work that grows with the width of jobs.

Change: a step keeps the set of its waiting tasks, the number of those that are done, and the encoded form of each task until it changes; ended jobs drop the last. Tasks are changed through Step::change only. The records are the same bytes as before.

--- a/lilacpass-jobs/src/job.rs
+++ b/lilacpass-jobs/src/job.rs
@@ -6,6 +6,7 @@
     end::{EndReason, RunEnd, Suspicion},
     failure::{Cause, Failure},
     ids::{JobKey, StepName, TaskName, WorkerName},
+    step::Step,
     task::{Run, RunHost, Task},
 };
 
@@ -35,25 +36,6 @@
     }
 }
 
-/// The state of a step in one occurrence of a job.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Step {
-    /// The tasks of the step, by index.
-    pub tasks: Vec<Task>,
-}
-
-impl Step {
-    /// Returns whether all tasks are done.
-    pub fn is_done(&self) -> bool {
-        self.tasks.iter().all(|task| task.done)
-    }
-
-    /// Returns whether all tasks are waiting. A gang can only start in this state.
-    pub fn all_waiting(&self) -> bool {
-        self.tasks.iter().all(Task::is_waiting)
-    }
-}
-
 /// The state of a job with all its occurrences.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
@@ -99,11 +81,7 @@
     /// Creates a newly accepted job.
     pub fn new(key: JobKey, record: v1::PlanRecord) -> Self {
         let plan = record.plan.unwrap_or_default();
-        let occurrence: Vec<Step> = plan
-            .steps
-            .iter()
-            .map(|step| Step { tasks: vec![Task::default(); step.count as usize] })
-            .collect();
+        let occurrence: Vec<Step> = plan.steps.iter().map(|step| Step::new(step.count)).collect();
         let occurrences = vec![occurrence; plan.repeat_count.max(1) as usize];
         Self {
             key,
@@ -132,13 +110,20 @@
 
     /// Returns the state of a task, or `None` if the job has no such task.
     pub fn task(&self, name: TaskName) -> Option<&Task> {
-        self.step(name.step)?.tasks.get(name.index as usize)
+        self.step(name.step)?.tasks().get(name.index as usize)
     }
 
-    /// Returns the state of a task for modification, or `None` if the job has no such task.
-    pub fn task_mut(&mut self, name: TaskName) -> Option<&mut Task> {
-        let steps = self.occurrences.get_mut(name.step.occurrence as usize)?;
-        steps.get_mut(name.step.step as usize)?.tasks.get_mut(name.index as usize)
+    fn step_mut(&mut self, name: StepName) -> Option<&mut Step> {
+        self.occurrences.get_mut(name.occurrence as usize)?.get_mut(name.step as usize)
+    }
+
+    /// Changes the state of a task. Returns `None` if the job has no such task.
+    pub fn change_task<R>(
+        &mut self,
+        name: TaskName,
+        change: impl FnOnce(&mut Task) -> R,
+    ) -> Option<R> {
+        self.step_mut(name.step)?.change(name.index, change)
     }
 
     /// Returns the time at which an occurrence is due, in milliseconds since 1970; 0 means at once.
@@ -185,11 +170,7 @@
 
     /// Returns all tasks of all occurrences.
     pub fn tasks(&self) -> impl Iterator<Item = &Task> {
-        self.occurrences.iter().flatten().flat_map(|step| &step.tasks)
-    }
-
-    fn tasks_mut(&mut self) -> impl Iterator<Item = &mut Task> {
-        self.occurrences.iter_mut().flatten().flat_map(|step| &mut step.tasks)
+        self.occurrences.iter().flatten().flat_map(Step::tasks)
     }
 
     /// Returns all runs that may be on workers, with the names of their tasks.
@@ -206,22 +187,23 @@
 
     /// Assigns the next run of a task to a worker. Returns the number of the run.
     pub fn assign_run(&mut self, name: TaskName, host: RunHost) -> Option<u32> {
-        let task = self.task_mut(name)?;
-        let number = task.last_run + 1;
-        task.last_run = number;
-        task.runs.push(Run { number, host });
-        Some(number)
+        self.change_task(name, |task| {
+            task.last_run += 1;
+            task.runs.push(Run { number: task.last_run, host });
+            task.last_run
+        })
     }
 
     /// Assigns the next run of a gang to its workers, one per task. Returns the number of the run, which all members
     /// share.
     pub fn assign_gang(&mut self, name: StepName, hosts: &[RunHost]) -> Option<u32> {
-        let steps = self.occurrences.get_mut(name.occurrence as usize)?;
-        let tasks = &mut steps.get_mut(name.step as usize)?.tasks;
-        let number = tasks.iter().map(|task| task.last_run).max()? + 1;
-        for (task, host) in tasks.iter_mut().zip(hosts) {
-            task.last_run = number;
-            task.runs.push(Run { number, host: host.clone() });
+        let step = self.step_mut(name)?;
+        let number = step.tasks().iter().map(|task| task.last_run).max()? + 1;
+        for (index, host) in (0..).zip(hosts) {
+            step.change(index, |task| {
+                task.last_run = number;
+                task.runs.push(Run { number, host: host.clone() });
+            });
         }
         Some(number)
     }
@@ -240,9 +222,7 @@
         if checkpoint.is_empty() || self.checkpoint(holder) == checkpoint {
             return;
         }
-        if let Some(task) = self.task_mut(holder) {
-            task.checkpoint = checkpoint.to_owned();
-        }
+        self.change_task(holder, |task| task.checkpoint = checkpoint.to_owned());
     }
 
     /// Assigns a run to another incarnation of its worker, in which its start order turned out to have been carried
@@ -254,9 +234,12 @@
         from: &WorkerName,
         to: &WorkerName,
     ) -> bool {
-        let runs = self.task_mut(name).map(|task| task.runs.as_mut_slice()).unwrap_or_default();
-        let run = runs.iter_mut().find(|run| run.number == number && run.host.worker == *from);
-        run.map(|run| run.host.worker = to.clone()).is_some()
+        let is_reassigned = self.change_task(name, |task| {
+            let mut runs = task.runs.iter_mut();
+            let run = runs.find(|run| run.number == number && run.host.worker == *from);
+            run.map(|run| run.host.worker = to.clone()).is_some()
+        });
+        is_reassigned.unwrap_or(false)
     }
 
     /// Handles the end of a run on a worker. `unix_ms` is the current time, in milliseconds since 1970.
@@ -267,12 +250,14 @@
         end: &RunEnd,
         unix_ms: u64,
     ) -> Change {
-        let Some(task) = self.task_mut(name) else { return Change::None };
-        let runs_before = task.runs.len();
-        task.runs.retain(|run| run.number != end.run || run.host.worker != *worker);
-        let is_unknown = task.runs.len() == runs_before;
+        let removed = self.change_task(name, |task| {
+            let runs_before = task.runs.len();
+            task.runs.retain(|run| run.number != end.run || run.host.worker != *worker);
+            (task.runs.len() == runs_before, task.done)
+        });
+        let Some((is_unknown, is_done)) = removed else { return Change::None };
         // A run that was dropped because its worker was unresponsive may still have finished its work.
-        let is_late_success = end.reason == EndReason::Done && !task.done;
+        let is_late_success = end.reason == EndReason::Done && !is_done;
         if is_unknown && !is_late_success {
             return Change::None;
         }
@@ -297,15 +282,12 @@
             return Change::Waiting;
         }
         let gang = plan.gang;
-        let Some(steps) = self.occurrences.get_mut(name.step.occurrence as usize) else {
-            return Change::None;
-        };
-        let tasks = &mut steps[name.step.step as usize].tasks;
+        let Some(step) = self.step_mut(name.step) else { return Change::None };
         if gang {
             // The members of a gang finish together, so the end of one member counts for all.
-            tasks.iter_mut().for_each(|task| task.done = true);
+            step.change_all(|task| task.done = true);
         } else {
-            tasks[name.index as usize].done = true;
+            step.change(name.index, |task| task.done = true);
         }
         let all_done = self.occurrences.iter().flatten().all(Step::is_done);
         if self.outcome == Outcome::Open && all_done {
@@ -321,14 +303,16 @@
         }
         let counting = self.counting_task(name);
         let attempts = self.queue.attempts.max(1);
-        let Some(task) = self.task_mut(counting) else { return Change::None };
-        // Every member of a gang reports the failure of the same run; it counts once.
-        if task.done || run == task.failed_run {
-            return Change::Waiting;
-        }
-        task.failed_run = run;
-        task.failed += 1;
-        let count = task.failed;
+        let count = self.change_task(counting, |task| {
+            // Every member of a gang reports the failure of the same run; it counts once.
+            if task.done || run == task.failed_run {
+                return 0;
+            }
+            task.failed_run = run;
+            task.failed += 1;
+            task.failed
+        });
+        let Some(count) = count else { return Change::None };
         if count < attempts {
             return Change::Waiting;
         }
@@ -345,13 +329,14 @@
         unix_ms: u64,
     ) -> Change {
         let counting = self.counting_task(name);
-        let Some(task) = self.task_mut(counting) else { return Change::None };
-        // Several members of a gang may have lost their workers in the same run; it counts once.
-        if task.done || run == task.crashes.last_run {
-            return Change::Waiting;
-        }
-        let is_over_limit = task.crashes.record(run, worker, suspicion);
-        let count = task.crashes.known;
+        let recorded = self.change_task(counting, |task| {
+            // Several members of a gang may have lost their workers in the same run; it counts once.
+            if task.done || run == task.crashes.last_run {
+                return (false, 0);
+            }
+            (task.crashes.record(run, worker, suspicion), task.crashes.known)
+        });
+        let Some((is_over_limit, count)) = recorded else { return Change::None };
         if !is_over_limit {
             return Change::Waiting;
         }
@@ -373,13 +358,13 @@
     /// Returns whether anything changed.
     pub fn clear_crashes(&mut self, name: TaskName) -> bool {
         let counting = self.counting_task(name);
-        self.task_mut(counting).is_some_and(|task| task.crashes.clear())
+        self.change_task(counting, |task| task.crashes.clear()).unwrap_or(false)
     }
 
     /// Removes a crash of a worker that turned out to be alive. Returns whether anything changed.
     pub fn retract_crash(&mut self, name: TaskName, worker: &WorkerName) -> bool {
         let counting = self.counting_task(name);
-        self.task_mut(counting).is_some_and(|task| task.crashes.retract(worker))
+        self.change_task(counting, |task| task.crashes.retract(worker)).unwrap_or(false)
     }
 
     /// Returns the number of all crashes counted for a task, or for its gang.
@@ -405,10 +390,12 @@
     /// was counted against a task of this job.
     pub fn explain_crashes(&mut self, workers: &[WorkerName]) -> bool {
         let mut is_changed = false;
-        for task in self.tasks_mut() {
-            for worker in workers {
-                is_changed |= task.crashes.explain(worker);
-            }
+        for step in self.occurrences.iter_mut().flatten() {
+            step.change_all(|task| {
+                for worker in workers {
+                    is_changed |= task.crashes.explain(worker);
+                }
+            });
         }
         is_changed
     }
@@ -433,6 +420,12 @@
     fn end(&mut self, outcome: Outcome, unix_ms: u64) -> Change {
         self.outcome = outcome;
         self.ended_ms = unix_ms;
+        self.drop_encoded();
         Change::JobEnded
     }
+
+    /// Drops the encoded tasks of a job that has ended: it is hardly stored again, and is kept for minutes.
+    pub(crate) fn drop_encoded(&mut self) {
+        self.occurrences.iter_mut().flatten().for_each(Step::drop_encoded);
+    }
 }
--- a/lilacpass-jobs/src/lib.rs
+++ b/lilacpass-jobs/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod job;
 pub mod plan;
 pub mod record;
+pub mod step;
 pub mod task;
 
 pub use crashes::Crashes;
--- a/lilacpass-jobs/src/record.rs
+++ b/lilacpass-jobs/src/record.rs
@@ -63,6 +63,37 @@
 /// Encodes the state of a job. A state that would be too long for the store loses its long checkpoints, then the
 /// addresses of workers, and then the names of crashed workers, until it fits.
 pub fn encode_state(job: &Job) -> Vec<u8> {
+    match encode_open_state(job) {
+        Some(bytes) if bytes.len() <= MAX_STATE_BYTES => bytes,
+        Some(_) | None => encode_any_state(job),
+    }
+}
+
+/// Encodes the state of an open job from its encoded tasks, of which only those that have changed are encoded anew.
+/// Returns `None` if the job is not open.
+fn encode_open_state(job: &Job) -> Option<Vec<u8>> {
+    if job.outcome != Outcome::Open {
+        return None;
+    }
+    let mut bytes = Vec::new();
+    for name in job.step_names() {
+        let step = job.step(name)?;
+        for (index, task) in (0..).zip(step.tasks()) {
+            if !task.is_untouched() {
+                // The encoding of a repeated field is that of its entries, one after the other.
+                bytes.extend_from_slice(step.encoded(index, |task| {
+                    let tasks = vec![encode_task(name.task(index), task)];
+                    v1::StateRecord { tasks, ..Default::default() }.encode_to_vec()
+                })?);
+            }
+        }
+    }
+    let rest = v1::StateRecord { not_begun: !job.has_started, ..Default::default() };
+    bytes.extend(rest.encode_to_vec());
+    Some(bytes)
+}
+
+fn encode_any_state(job: &Job) -> Vec<u8> {
     let mut tasks = Vec::new();
     for step in job.step_names() {
         for name in job.task_names(step) {
@@ -220,10 +251,11 @@
     for record in state.tasks {
         let step = StepName { job: key, occurrence: record.occurrence, step: record.step };
         let name = step.task(record.index);
-        let task = job
-            .task_mut(name)
+        job.change_task(name, |task| *task = decode_task(record))
             .ok_or_else(|| Error::Record(format!("{name} is not in the plan of its job")))?;
-        *task = decode_task(record);
+    }
+    if job.outcome != Outcome::Open {
+        job.drop_encoded();
     }
     // Records of earlier versions lack `not_begun`; in these an assigned run counts as started.
     let was_assigned = job.tasks().any(|task| task.done || task.last_run > 0);
--- a/lilacpass-lab/src/outcome.rs
+++ b/lilacpass-lab/src/outcome.rs
@@ -76,6 +76,10 @@
 pub struct WorkSample {
     /// Number of start orders.
     pub starts: u64,
+    /// Number of steps that were examined.
+    pub steps_examined: u64,
+    /// Number of searches for workers to name in calls for advice.
+    pub advice_searches: u64,
     /// Number of items that decisions went through, by part; see [`lilacpass_lead::work::Part`].
     pub visits: BTreeMap<&'static str, u64>,
     /// Share of the second for which the leader was busy; 0 without a model of its processor.
@@ -165,6 +169,8 @@
         let done = work.since(&recorded);
         self.work_by_s.push(WorkSample {
             starts: done.starts,
+            steps_examined: done.steps_examined,
+            advice_searches: done.advice_searches,
             visits: Part::ALL.map(|part| (part.as_str(), done.visits.of(part))).into(),
             busy: (busy_us - recorded_us) as f64 / 1e6,
         });
--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -85,13 +85,11 @@
             return self.delay_advice(name, MIN_EMPTY_SEARCH_PAUSE_MS, now);
         }
         let plan = plan.clone();
-        let waiting = entry.job.task_names(name).filter(|task| entry.needs_run(*task)).count();
-        let waiting = self.count_within_cap(name, waiting) as u64;
+        let waiting = self.count_within_cap(name, entry.count_to_start(name)) as u64;
         if waiting == 0 {
             return;
         }
         self.work.steps_examined += 1;
-        self.visits.add(Part::AdviceSearch, plan.count as usize);
         self.choose_home_data_centre(name, &plan, now);
         let Some(entry) = self.jobs.get(&name.job) else { return };
         let share = self.allowed_shares.get(&entry.job.queue.name).copied();
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -7,7 +7,7 @@
 };
 
 use lilacpass_core::{Resources, hash_map::HashMap};
-use lilacpass_jobs::{Job, JobKey, Outcome, StepName, TaskName, WorkerName};
+use lilacpass_jobs::{Job, JobKey, Outcome, StepName, TaskName, WorkerName, step::Step};
 
 use lilacpass_schema::v1;
 
@@ -99,12 +99,33 @@
         self.failed_on.get(worker).is_some_and(|failed_ms| now_ms < failed_ms + AVOID_MS)
     }
 
-    /// Whether a task may be assigned another run now: it has none, or is to have a copy.
-    pub fn needs_run(&self, name: TaskName) -> bool {
-        self.job.task(name).is_some_and(|task| {
+    /// The tasks of a step that may be assigned another run now: those that have none, and those that are to have a
+    /// copy, in the order of their names.
+    pub fn tasks_to_start(&self, step: StepName) -> Vec<TaskName> {
+        let waiting = self.job.step(step).into_iter().flat_map(Step::waiting);
+        let mut tasks: Vec<TaskName> = waiting.map(|index| step.task(index)).collect();
+        let waiting_count = tasks.len();
+        tasks.extend(self.copies_to_start(step));
+        if tasks.len() > waiting_count {
+            tasks.sort_unstable();
+        }
+        tasks
+    }
+
+    /// The number of these tasks.
+    pub fn count_to_start(&self, step: StepName) -> usize {
+        let waiting = self.job.step(step).map_or(0, |step| step.waiting().len());
+        waiting + self.copies_to_start(step).count()
+    }
+
+    /// The tasks of a step that may be assigned a copy beside their only run.
+    pub fn copies_to_start(&self, step: StepName) -> impl Iterator<Item = TaskName> {
+        let wanted = self.wanted_copies.range(step.task(0)..=step.task(u32::MAX));
+        wanted.copied().filter(|name| {
             // A copy of a task that crashes its workers would take down one more.
-            let may_have_copy = || self.wanted_copies.contains(&name) && task.crashes.known == 0;
-            task.is_waiting() || !task.done && task.runs.len() == 1 && may_have_copy()
+            self.job
+                .task(*name)
+                .is_some_and(|task| !task.done && task.runs.len() == 1 && task.crashes.known == 0)
         })
     }
 }
--- a/lilacpass-lead/src/learned/mod.rs
+++ b/lilacpass-lead/src/learned/mod.rs
@@ -11,7 +11,7 @@
 pub mod speeds;
 
 use lilacpass_core::hash_map::HashMap;
-use lilacpass_jobs::{EndReason, StepName, TaskName, WorkerName, job::Step};
+use lilacpass_jobs::{EndReason, StepName, TaskName, WorkerName, step::Step};
 use lilacpass_schema::v1;
 
 use crate::{
--- a/lilacpass-lead/src/reindex.rs
+++ b/lilacpass-lead/src/reindex.rs
@@ -3,7 +3,7 @@
 //! Load pattern: repeating jobs with steps of hundreds of tasks. Each start and each end changes one step, so going
 //! through all tasks of the job every time took time quadratic in their number.
 
-use lilacpass_jobs::{JobKey, Outcome, StepName, job::Step};
+use lilacpass_jobs::{JobKey, Outcome, StepName};
 
 use crate::{
     event::Now,
@@ -50,7 +50,6 @@
                 continue;
             }
             let is_waiting = has_waiting_tasks(entry, name);
-            self.visits.add(Part::JobUpdate, job.step_plan(name.step).count as usize);
             if is_waiting && job.step_may_start(name, now.unix_ms) {
                 let plan = job.step_plan(name.step);
                 let kind = StepKind::of(plan, job.queue.advice.is_some());
@@ -78,9 +77,9 @@
 
 /// Returns whether a step has tasks to start. All tasks of a gang must be waiting.
 fn has_waiting_tasks(entry: &JobEntry, name: StepName) -> bool {
-    let job = &entry.job;
-    if job.step_plan(name.step).gang {
-        return job.step(name).is_some_and(Step::all_waiting);
+    let Some(step) = entry.job.step(name) else { return false };
+    if entry.job.step_plan(name.step).gang {
+        return step.all_waiting();
     }
-    job.step(name).is_some() && job.task_names(name).any(|task| entry.needs_run(task))
+    step.waiting().len() > 0 || entry.copies_to_start(name).next().is_some()
 }
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -146,15 +146,14 @@
             return;
         }
         let Some(entry) = self.jobs.get(&name.job) else { return };
-        let mut waiting: Vec<TaskName> =
-            entry.job.task_names(name).filter(|task| entry.needs_run(*task)).collect();
+        let mut waiting = entry.tasks_to_start(name);
         waiting.truncate(self.count_within_cap(name, waiting.len()));
         if waiting.is_empty() {
             return;
         }
         let plan = entry.job.step_plan(name.step).clone();
         self.work.steps_examined += 1;
-        self.visits.add(Part::Placement, plan.count as usize);
+        self.visits.add(Part::Placement, waiting.len());
         self.choose_home_data_centre(name, &plan, now);
         let mut hosts = self.available_hosts(name, &plan, subset, now);
         let home_is_unusable =
