--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -8,7 +8,7 @@
 //! have lately used, and one queue may hold all lanes for slow calls while no other one wants any.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     hash::{DefaultHasher, Hash, Hasher},
 };
 
@@ -40,6 +40,10 @@
     tickets: BTreeMap<WorkerName, Ticket>,
     /// Whether each worker that was named in a call may run the step.
     verdicts: HashMap<WorkerName, bool>,
+    /// The workers that may run it, of those.
+    allowed: BTreeSet<WorkerName>,
+    /// Number of positions in the roster that earlier searches have looked at.
+    pub searched_positions: usize,
     /// Whether a call for this step is pending.
     pub call_pending: bool,
     /// Earliest time of the next call in ms on the monotonic clock.
@@ -83,9 +87,14 @@
         self.verdicts.get(worker).copied()
     }
 
-    /// Returns the workers that are known to be allowed.
+    /// Returns the workers that are known to be allowed, sorted by name.
     pub fn allowed(&self) -> impl Iterator<Item = &WorkerName> {
-        self.verdicts.iter().filter(|(_, is_allowed)| **is_allowed).map(|(worker, _)| worker)
+        self.allowed.iter()
+    }
+
+    /// Returns the number of workers that are known to be allowed.
+    pub fn allowed_count(&self) -> usize {
+        self.allowed.len()
     }
 
     /// Records the response to a call that named the workers `queried`; `None` if the call failed. `margin_ms` is
@@ -103,7 +112,9 @@
             return;
         };
         let until_ms = (now_ms + advice.valid_ms).saturating_sub(margin_ms);
+        self.tickets.retain(|_, ticket| now_ms < ticket.until_ms);
         for allowed in advice.good {
+            self.allowed.insert(allowed.worker.clone());
             self.verdicts.insert(allowed.worker.clone(), true);
             self.tickets.insert(allowed.worker, Ticket { text: allowed.ticket, until_ms });
         }
@@ -148,11 +159,13 @@
     chosen
 }
 
-/// Returns the position, of `len`, from which a step goes through the workers, so that steps begin at different ones.
-pub fn spread(step: StepName, len: usize) -> usize {
+/// Returns the position in the roster from which the next search for a step looks at workers. Steps begin at different
+/// ones. If all of them named the first workers by name, these would get tickets of all steps, and the others of none.
+pub fn search_position(step: StepName, advice: Option<&StepAdvice>) -> usize {
     let mut hasher = DefaultHasher::new();
     step.hash(&mut hasher);
-    hasher.finish() as usize % len.max(1)
+    let searched = advice.map_or(0, |advice| advice.searched_positions);
+    (hasher.finish() as usize).wrapping_add(searched)
 }
 
 /// The instances that can call the advice service, each with at most one call at a time.
--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -8,7 +8,7 @@
 use crate::{
     advice::{self, Lanes, StepAdvice},
     advice_claims,
-    candidates::AdviceDemand,
+    candidates::{self, AdviceDemand},
     event::{Advice, Effect, Lane, Now},
     leader::Leader,
     place,
@@ -34,11 +34,13 @@
 const EXTRA_WORKERS_TIME_SHARE: f64 = 0.5;
 /// Minimum pause in ms before a step searches again for workers to name, after a search that found none.
 const MIN_EMPTY_SEARCH_PAUSE_MS: u64 = 25;
-/// The pause gets longer with the number of steps that pause, so that their searches go through at most this many
-/// workers a second in all. With a fixed pause the cost is waiting steps times workers.
-const MAX_EMPTY_SEARCH_RATINGS_PER_SECOND: u64 = 500_000;
-/// The pause is at most the minimum duration of the step's call for advice, divided by this. This limit has precedence.
-const MAX_EMPTY_SEARCH_PAUSE_DIVISOR: u64 = 2;
+/// The pause gets longer with the number of steps that pause, so that they make at most this many searches a second in
+/// all. With a fixed pause the number of searches grows with the steps.
+const MAX_EMPTY_SEARCHES_PER_SECOND: u64 = 300;
+/// Maximum pause in ms, unless the calls of the step take longer.
+const MAX_EMPTY_SEARCH_PAUSE_MS: u64 = 250;
+/// Maximum number of workers that are tried for each one to name in addition; see [`Leader::extra_workers`].
+const MAX_TRIES_PER_EXTRA_WORKER: usize = 4;
 /// Minimum number of tasks that the allowed workers among those named should have capacity for.
 const MIN_TARGET_TASKS: u64 = 4;
 
@@ -98,8 +100,11 @@
             target_tasks: ((waiting as f64 * TASK_MARGIN) as u64).max(MIN_TARGET_TASKS),
             allowed_share: share.unwrap_or(INITIAL_ALLOWED_SHARE),
         };
+        let before = self.search_visits();
         let candidates = self.candidates(name, &plan, &demand, now);
+        self.search_budget.spend(self.search_visits() - before);
         self.work.advice_searches += 1;
+        self.advice.entry(name).or_default().searched_positions += candidates::MAX_FROM_POSITION;
         if candidates.is_empty() {
             self.work.empty_advice_searches += 1;
             let pause_ms = self.empty_search_pause_ms(policy.base_ms as u64);
@@ -149,13 +154,20 @@
     }
 
     /// Returns whether a call for a step of a queue that takes `expected_ms` can be made now. A search for workers to ask
-    /// about is dear, and in vain if no lane is idle for the call.
+    /// about is dear, and in vain if no lane is idle for the call. In a full cell, searches are limited by their budget.
     pub(crate) fn may_call_advice(&self, queue: &str, expected_ms: u64) -> bool {
         let is_contended = self.advice_queue.has_slow_beside(queue);
-        self.lanes.has_idle_for(expected_ms)
+        self.search_budget.allows(Lanes::is_slow(expected_ms))
+            && self.lanes.has_idle_for(expected_ms)
             && self.lanes.may_call(queue, expected_ms, is_contended)
     }
 
+    /// Returns the number of items that searches for workers to name have gone through.
+    fn search_visits(&self) -> u64 {
+        let visits = self.visits.read();
+        visits.of(Part::AdviceSearch) + visits.of(Part::Preemption) + self.capacity_index.visits()
+    }
+
     /// Delays the next request for advice for a step that no worker has capacity for.
     fn delay_advice(&mut self, name: StepName, pause_ms: u64, now: Now) {
         self.advice.entry(name).or_default().next_call_ms = now.steady_ms + pause_ms;
@@ -164,10 +176,9 @@
 
     /// Returns the pause in ms after a search that found no worker, for a step whose calls take `base_ms` at least.
     fn empty_search_pause_ms(&self, base_ms: u64) -> u64 {
-        let ratings = (self.advice_queue.delayed_count() * self.workers.len()) as u64;
-        let pause_ms = ratings * 1_000 / MAX_EMPTY_SEARCH_RATINGS_PER_SECOND;
-        let max_ms = (base_ms / MAX_EMPTY_SEARCH_PAUSE_DIVISOR).max(MIN_EMPTY_SEARCH_PAUSE_MS);
-        pause_ms.clamp(MIN_EMPTY_SEARCH_PAUSE_MS, max_ms)
+        let pausing = self.advice_queue.delayed_count() as u64;
+        let pause_ms = pausing * 1_000 / MAX_EMPTY_SEARCHES_PER_SECOND;
+        pause_ms.clamp(MIN_EMPTY_SEARCH_PAUSE_MS, MAX_EMPTY_SEARCH_PAUSE_MS.max(base_ms))
     }
 
     /// Updates whether and when a step may request advice.
@@ -221,15 +232,13 @@
         let is_unknown = |worker: &&Worker| {
             advice.is_none_or(|advice| advice.allows(&worker.registration.name).is_none())
         };
-        let mut known: Vec<&WorkerName> =
-            advice.into_iter().flat_map(StepAdvice::allowed).filter(lacks_ticket).collect();
-        known.sort_unstable();
-        let known = known.into_iter().filter_map(|worker| self.workers.get(worker));
-        // If all steps named the first workers by name, these would get tickets of all steps, and the others of none.
-        let first = advice::spread(name, self.workers.len());
-        let all = self.workers.values();
-        let rotated = all.clone().skip(first).chain(all.take(first));
         let max = max.min(MAX_WORKERS_PER_CALL.saturating_sub(named.len()));
+        let max_tries = max * MAX_TRIES_PER_EXTRA_WORKER;
+        let known = advice.into_iter().flat_map(StepAdvice::allowed).take(max_tries);
+        let known = known.filter(lacks_ticket).filter_map(|worker| self.workers.get(worker));
+        let position = advice::search_position(name, advice);
+        let rotated = self.roster.from_position(position, max_tries);
+        let rotated = rotated.filter_map(|worker| self.workers.get(worker));
         let extra = known.chain(rotated.filter(is_unknown)).filter(is_usable).take(max);
         extra.map(|worker| worker.registration.name.clone()).collect()
     }
--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -1,14 +1,13 @@
 //! Selects and orders the workers that a call to the advice service could name for a step.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, collections::HashSet};
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::{StepName, WorkerName};
 use lilacpass_schema::v1;
 
 use crate::{
-    advice::{Candidate, StepAdvice},
-    advice_requests::MAX_WORKERS_PER_CALL,
+    advice::{self, Candidate, StepAdvice},
     event::Now,
     leader::{JobEntry, Leader},
     learned::preference::SpeedPreference,
@@ -18,18 +17,14 @@
     worker::Worker,
 };
 
-/// Maximum number of workers that are sorted for one call, out of possibly thousands. A call names fewer than this.
-const MAX_RATED_WORKERS: usize = 2 * MAX_WORKERS_PER_CALL;
-/// If fewer than one worker in this many has enough free capacity, all of those are rated and sorted.
-const RATE_ALL_DIVISOR: usize = 8;
-/// If a step is known to be allowed on more than one worker in this many, all workers are rated in one pass. To look up
-/// and sort that many by name costs several times as much.
-const MANY_ALLOWED_DIVISOR: usize = 8;
-
-/// Maximum number of workers that are tried in order of preference before all workers are rated instead. Trying a
-/// worker this way costs several times as much as rating it in a scan of all workers, and a step that already has
-/// advice about all workers with enough free capacity would search in vain again and again.
-const MAX_PREFERRED_TRIES: usize = 32;
+/// Maximum number of workers with enough free capacity that are all rated. If there are more, the most suitable ones are.
+const MAX_ALL_RATED: usize = 128;
+/// Maximum number of workers of each kind that one search looks at besides: in the order of preference, of those that are
+/// known to be allowed, and from the position at which the last search ended. The last ones make sure that each worker is
+/// looked at sooner or later. So the cost of a search does not grow with the workers of the cell.
+const MAX_PREFERRED: usize = 96;
+const MAX_KNOWN_ALLOWED: usize = 64;
+pub(crate) const MAX_FROM_POSITION: usize = 64;
 
 /// How many tasks a call for advice should find workers for.
 #[derive(Clone, Copy, Debug)]
@@ -42,18 +37,32 @@
     pub(crate) allowed_share: f64,
 }
 
-impl AdviceDemand {
-    /// Returns whether the candidates, sorted best first, are more than enough for one call and can hold all waiting
-    /// tasks.
-    fn has_enough(&self, candidates: &[Rated<'_>]) -> bool {
-        let share = |rated: &Rated<'_>| if rated.known_allowed { 1.0 } else { self.allowed_share };
-        // The last candidate is not counted. If the call named all candidates found, the caller would conclude that
-        // there are no others.
-        let named = candidates.split_last().map(|(_, named)| named).unwrap_or_default();
-        let expected: f64 =
-            named.iter().map(|rated| share(rated) * rated.task_capacity as f64).sum();
-        let task_capacity: u64 = candidates.iter().map(|rated| rated.task_capacity).sum();
-        expected >= self.target_tasks as f64 && task_capacity >= self.waiting_tasks
+/// Counts what a search has found.
+#[derive(Default)]
+struct Found<'a> {
+    rated: Vec<Rated<'a>>,
+    /// Number of tasks that the workers can hold.
+    task_capacity: u64,
+    /// Number of tasks that the allowed ones of them can be expected to hold.
+    expected: f64,
+    seen: HashSet<&'a WorkerName>,
+}
+
+impl<'a> Found<'a> {
+    fn push(&mut self, rated: Rated<'a>, demand: &AdviceDemand) {
+        let share = if rated.known_allowed { 1.0 } else { demand.allowed_share };
+        self.expected += share * rated.task_capacity as f64;
+        self.task_capacity += rated.task_capacity;
+        self.rated.push(rated);
+    }
+
+    /// Returns whether the workers are more than enough for one call and can hold all waiting tasks.
+    fn is_enough(&self, demand: &AdviceDemand) -> bool {
+        // The last worker is not counted. If the call named all that were found, the caller would conclude that there
+        // are no others.
+        let last = self.rated.last().map_or(0, |rated| rated.task_capacity);
+        self.expected - last as f64 >= demand.target_tasks as f64
+            && self.task_capacity >= demand.waiting_tasks
     }
 }
 
@@ -88,6 +97,8 @@
     /// Returns workers that could run tasks of a step if advice permits it, best first. These are workers with enough
     /// free capacity or, if they cannot hold all waiting tasks, workers on which preemption could free capacity. If
     /// there are many, only as many as needed are returned.
+    ///
+    /// A search looks at a bounded number of workers, and may miss some that another one finds.
     pub(crate) fn candidates(
         &self,
         name: StepName,
@@ -114,70 +125,72 @@
             return to_candidates(&fitting);
         }
         search.with_preemption = true;
-        to_candidates(&self.rate_many(&search, demand, now))
+        to_candidates(&self.rate_some(&search, demand, now))
     }
 
     /// Rates the workers with enough free capacity and sorts them, best first.
     fn rate_fitting(&self, search: &Search<'_>, demand: &AdviceDemand, now: Now) -> Vec<Rated<'_>> {
         let service = &search.entry.job.queue.service;
-        let fitting = self.capacity_index.fitting(
-            service,
-            &search.need,
-            self.workers.len() / RATE_ALL_DIVISOR,
-        );
-        if let Some(fitting) = fitting {
-            let workers = fitting.into_iter().filter_map(|name| self.workers.get(name));
-            return best_rated(self.rate_all(search, workers, now));
-        }
-        self.rate_many(search, demand, now)
-    }
-
-    /// Rates workers and returns them, best first. Avoids rating all workers if possible, as many may be suitable.
-    fn rate_many(&self, search: &Search<'_>, demand: &AdviceDemand, now: Now) -> Vec<Rated<'_>> {
-        // The order of preference in the capacity index does not consider racks.
-        let by_rack = !search.plan.affinity_rack.is_empty();
-        let max_allowed = self.workers.len() / MANY_ALLOWED_DIVISOR;
-        let knows_many = search.advice.is_some_and(|advice| advice.ticket_count() > max_allowed);
-        let quick =
-            if by_rack || knows_many { None } else { self.rate_preferred(search, demand, now) };
-        quick.unwrap_or_else(|| best_rated(self.rate_all(search, self.workers.values(), now)))
+        let Some(fitting) = self.capacity_index.fitting(service, &search.need, MAX_ALL_RATED)
+        else {
+            return self.rate_some(search, demand, now);
+        };
+        let workers = fitting.into_iter().filter_map(|name| self.workers.get(name));
+        sorted_best_first(workers.filter_map(|worker| self.rate(search, worker, now)).collect())
     }
 
-    /// Rates workers until there are enough: first those known to be allowed, then the others in order of preference.
-    /// Returns `None` if that would take too many tries.
-    fn rate_preferred(
-        &self,
-        search: &Search<'_>,
-        demand: &AdviceDemand,
-        now: Now,
-    ) -> Option<Vec<Rated<'_>>> {
+    /// Rates a bounded number of workers until there are enough, and sorts them, best first.
+    fn rate_some(&self, search: &Search<'_>, demand: &AdviceDemand, now: Now) -> Vec<Rated<'_>> {
+        let position = advice::search_position(search.name, search.advice);
         let allowed = search.advice.into_iter().flat_map(StepAdvice::allowed);
-        let mut allowed: Vec<&Worker> = allowed.filter_map(|name| self.workers.get(name)).collect();
-        allowed.sort_unstable_by_key(|worker| &worker.registration.name);
-        let mut rated = best_rated(self.rate_all(search, allowed.into_iter(), now));
+        let first_allowed = position % search.advice.map_or(0, StepAdvice::allowed_count).max(1);
+        let allowed = allowed.skip(first_allowed).take(MAX_KNOWN_ALLOWED);
+        let allowed = allowed.filter_map(|name| Some(self.workers.get_key_value(name)?.0));
+        let affinity = &search.plan.affinity_rack;
+        let near = (!affinity.is_empty()).then(|| self.roster.on_rack(affinity));
+        let mut found = Found::default();
+        for name in near.into_iter().flatten().chain(allowed) {
+            self.rate_into(&mut found, search, demand, name, now);
+        }
         let home = search.entry.home_for(search.plan);
         // Preemption may free enough capacity on any worker, so none is left out because it has too little now.
         let need = if search.with_preemption { Resources::ZERO } else { search.need };
         let service = &search.entry.job.queue.service;
-        let names = self.capacity_index.by_preference(service, home, need, search.preference);
-        let mut others = names
-            .take(MAX_PREFERRED_TRIES)
-            .filter(|name| search.verdict(name).is_none())
-            .filter_map(|name| self.rate(search, self.workers.get(name)?, now));
-        while rated.len() < MAX_RATED_WORKERS && !demand.has_enough(&rated) {
-            rated.push(others.next()?);
+        let preferred = self.capacity_index.by_preference(
+            service,
+            home,
+            need,
+            search.preference,
+            MAX_PREFERRED,
+        );
+        let others = self.roster.from_position(position, MAX_FROM_POSITION);
+        for name in preferred.chain(others) {
+            if found.is_enough(demand) {
+                break;
+            }
+            // Those that are known to be allowed have been rated, or are next time.
+            if search.verdict(name).is_none() {
+                self.rate_into(&mut found, search, demand, name, now);
+            }
         }
-        Some(rated)
+        sorted_best_first(found.rated)
     }
 
-    /// Rates all of `workers` and drops the unsuitable ones.
-    fn rate_all<'a>(
+    /// Rates a worker and adds it to those that were found, unless it is unsuitable.
+    fn rate_into<'a>(
         &'a self,
+        found: &mut Found<'a>,
         search: &Search<'_>,
-        workers: impl Iterator<Item = &'a Worker>,
+        demand: &AdviceDemand,
+        name: &'a WorkerName,
         now: Now,
-    ) -> Vec<Rated<'a>> {
-        workers.filter_map(|worker| self.rate(search, worker, now)).collect()
+    ) {
+        let Some(worker) = self.workers.get(name).filter(|_| found.seen.insert(name)) else {
+            return;
+        };
+        if let Some(rated) = self.rate(search, worker, now) {
+            found.push(rated, demand);
+        }
     }
 
     /// Rates a worker for the step. Returns `None` if it cannot run a task of the step, or if the step already has a
@@ -228,14 +241,9 @@
     }
 }
 
-/// Sorts workers, best first, and keeps at most [`MAX_RATED_WORKERS`].
-fn best_rated(mut rated: Vec<Rated<'_>>) -> Vec<Rated<'_>> {
-    let by_preference = |rated: &Rated<'_>| Reverse((rated.known_allowed, rated.score));
-    if rated.len() > MAX_RATED_WORKERS {
-        rated.select_nth_unstable_by_key(MAX_RATED_WORKERS, by_preference);
-        rated.truncate(MAX_RATED_WORKERS);
-    }
-    rated.sort_by_key(by_preference);
+/// Sorts workers, best first.
+fn sorted_best_first(mut rated: Vec<Rated<'_>>) -> Vec<Rated<'_>> {
+    rated.sort_by_key(|rated| Reverse((rated.known_allowed, rated.score)));
     rated
 }
 
--- a/lilacpass-lead/src/capacity_index.rs
+++ b/lilacpass-lead/src/capacity_index.rs
@@ -5,6 +5,7 @@
 //! hardly any worker has free capacity.
 
 use std::{
+    cell::Cell,
     cmp::Reverse,
     collections::{BTreeMap, btree_map},
 };
@@ -13,21 +14,33 @@
 use lilacpass_jobs::WorkerName;
 
 use crate::{
-    leader::Leader,
     learned::{preference::SpeedPreference, speeds::SpeedBucket},
     place,
     worker::Worker,
 };
 
-/// If more than one worker in this many fits, a scan of all workers is faster than sorting those that fit.
-const INDEX_LOOKUP_DIVISOR: usize = 8;
+/// Maximum number of workers of a group that are looked at to estimate what a data centre can hold.
+const MAX_ESTIMATED_WORKERS: usize = 24;
 
-/// Index of the workers that can get work, by pool.
+/// Index of the workers that accept starts, by pool.
 #[derive(Debug, Default)]
 pub struct CapacityIndex {
     /// One pool per service. There are only a few, so pools are never removed.
     pools: Vec<Pool>,
     entries: HashMap<WorkerName, IndexEntry>,
+    /// Number of entries that lookups have gone through.
+    visits: Cell<u64>,
+}
+
+/// What a data centre can hold of a step, as far as it was looked at. The greatest is the best.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct DataCentreCapacity<'a> {
+    /// Number of tasks that fit there, at most the limit of the estimate.
+    pub tasks: u64,
+    /// Free CPU of all its workers that may be used, in thousandths of a core.
+    pub free_cpu_milli: u64,
+    /// Name of the data centre.
+    pub data_centre: &'a str,
 }
 
 /// The indexed workers of one service.
@@ -47,6 +60,8 @@
     speed: SpeedBucket,
     /// Their free resources in order of preference.
     workers: BTreeMap<PreferenceKey, Resources>,
+    /// Sum of their free CPU in thousandths of a core.
+    free_cpu_milli: u64,
 }
 
 /// The position of a worker in the index.
@@ -69,14 +84,14 @@
 }
 
 impl CapacityIndex {
-    /// Updates the entry of a worker. It must be called whenever the worker's free capacity changes, or whether it can
-    /// get work at all.
+    /// Updates the entry of a worker. It must be called whenever the worker's free capacity changes, or whether runs may be
+    /// started there.
     ///
-    /// A worker that has not yet accepted this leader's epoch cannot get work and is left out. Right after a take-over
-    /// this holds for all workers, while hundreds of steps look for capacity.
-    pub fn update(&mut self, worker: &Worker) {
+    /// Workers that accept no starts are left out. Those that fail their runs, or that belong to a data centre that is
+    /// cut off, have the most free capacity, and a search that looks at the first workers only would find no others.
+    pub fn update(&mut self, worker: &Worker, now_ms: u64) {
         let name = &worker.registration.name;
-        if !worker.is_available() {
+        if !worker.accepts_starts(now_ms) {
             return self.remove(name);
         }
         let free = worker.free_capacity();
@@ -97,7 +112,9 @@
         self.remove(name);
         let pool = &mut self.pools[entry.pool];
         pool.by_cpu.insert((free.cpu.0, name.clone()), free);
-        pool.groups[entry.group].workers.insert(entry.key.clone(), free);
+        let group = &mut pool.groups[entry.group];
+        group.workers.insert(entry.key.clone(), free);
+        group.free_cpu_milli += free.cpu.0;
         self.entries.insert(name.clone(), entry);
     }
 
@@ -106,21 +123,75 @@
         let Some(entry) = self.entries.remove(worker) else { return };
         let pool = &mut self.pools[entry.pool];
         pool.by_cpu.remove(&(entry.free.cpu.0, worker.clone()));
-        pool.groups[entry.group].workers.remove(&entry.key);
+        let group = &mut pool.groups[entry.group];
+        group.workers.remove(&entry.key);
+        group.free_cpu_milli -= entry.free.cpu.0;
+    }
+
+    /// Number of entries that lookups have gone through.
+    pub fn visits(&self) -> u64 {
+        self.visits.get()
+    }
+
+    fn count_visit(&self) {
+        self.visits.set(self.visits.get() + 1);
+    }
+
+    fn pool(&self, service: &str) -> Option<&Pool> {
+        self.pools.iter().find(|pool| pool.service == service)
+    }
+
+    /// Estimates how many tasks that need `need` fit into each data centre, up to `max_tasks`, on workers that are
+    /// `usable` and whose speed is `usable_speed`. Looks at the workers with the greatest free share first, and at a
+    /// bounded number of them, so that the cost does not grow with the workers.
+    pub fn estimate_by_data_centre(
+        &self,
+        service: &str,
+        need: &Resources,
+        max_tasks: u64,
+        usable_speed: impl Fn(SpeedBucket) -> bool,
+        usable: impl Fn(&WorkerName) -> bool,
+    ) -> Vec<DataCentreCapacity<'_>> {
+        // There are only a few data centres, so searching a list is faster than a map.
+        let mut capacities: Vec<DataCentreCapacity<'_>> = Vec::new();
+        let groups = self.pool(service).into_iter().flat_map(|pool| &pool.groups);
+        for group in groups.filter(|group| usable_speed(group.speed)) {
+            let data_centre = group.data_centre.as_str();
+            let known = capacities.iter().position(|known| known.data_centre == data_centre);
+            let at = known.unwrap_or_else(|| {
+                capacities.push(DataCentreCapacity { tasks: 0, free_cpu_milli: 0, data_centre });
+                capacities.len() - 1
+            });
+            let capacity = &mut capacities[at];
+            capacity.free_cpu_milli += group.free_cpu_milli;
+            for (key, free) in group.workers.iter().take(MAX_ESTIMATED_WORKERS) {
+                if capacity.tasks >= max_tasks {
+                    break;
+                }
+                self.count_visit();
+                let tasks = place::count_fitting(free, need, max_tasks - capacity.tasks);
+                if tasks > 0 && usable(&key.worker) {
+                    capacity.tasks += tasks;
+                }
+            }
+        }
+        capacities
     }
 
     /// Returns the workers of a service on which `need` fits, in order of preference. Unless the step prefers workers by
     /// their speed, all workers in the home data centre come before the others. Workers that are preferred alike are
-    /// sorted by accelerators in use, most first, then by free share of CPU, greatest first, and then by name.
+    /// sorted by accelerators in use, most first, then by free share of CPU, greatest first, and then by name. Looks at
+    /// most at the first `max_looked_at` workers.
     pub fn by_preference(
         &self,
         service: &str,
         home: Option<&str>,
         need: Resources,
         preference: SpeedPreference,
+        max_looked_at: usize,
     ) -> impl Iterator<Item = &WorkerName> {
-        let pool = self.pools.iter().find(|pool| pool.service == service);
-        let mut groups: Vec<&Group> = pool.into_iter().flat_map(|pool| &pool.groups).collect();
+        let mut groups: Vec<&Group> =
+            self.pool(service).into_iter().flat_map(|pool| &pool.groups).collect();
         groups.retain(|group| !group.workers.is_empty());
         let order = move |group: &&Group| {
             let at_home = Some(group.data_centre.as_str()) == home;
@@ -132,7 +203,8 @@
             .chunk_by(|group, next| order(group) == order(next))
             .map(|alike| alike.iter().map(|group| group.workers.iter()).collect())
             .collect();
-        let in_order = alike.into_iter().flat_map(merge);
+        let in_order = alike.into_iter().flat_map(merge).take(max_looked_at);
+        let in_order = in_order.inspect(|_| self.count_visit());
         in_order.filter(move |(_, free)| need.fits(free)).map(|(key, _)| &key.worker)
     }
 
@@ -144,10 +216,11 @@
         need: &Resources,
         max_workers: usize,
     ) -> Option<Vec<&WorkerName>> {
-        let pool = self.pools.iter().find(|pool| pool.service == service);
+        let pool = self.pool(service);
         let descending = pool.into_iter().flat_map(|pool| pool.by_cpu.iter().rev());
         let fitting = descending
             .take_while(|((cpu_milli, _), _)| *cpu_milli >= need.cpu.0)
+            .inspect(|_| self.count_visit())
             .filter(|(_, free)| need.fits(free));
         let mut names: Vec<&WorkerName> =
             fitting.take(max_workers + 1).map(|((_, name), _)| name).collect();
@@ -182,7 +255,7 @@
             return at;
         }
         let (data_centre, workers) = (data_centre.to_owned(), BTreeMap::new());
-        self.groups.push(Group { data_centre, speed, workers });
+        self.groups.push(Group { data_centre, speed, workers, free_cpu_milli: 0 });
         self.groups.len() - 1
     }
 }
@@ -200,15 +273,3 @@
         first.and_then(Iterator::next)
     })
 }
-
-impl Leader {
-    /// Returns workers sorted by name, which include all workers of a service on which `need` fits. Others may be
-    /// included too.
-    pub(crate) fn workers_fitting(&self, service: &str, need: &Resources) -> Vec<&Worker> {
-        match self.capacity_index.fitting(service, need, self.workers.len() / INDEX_LOOKUP_DIVISOR)
-        {
-            Some(few) => few.into_iter().filter_map(|name| self.workers.get(name)).collect(),
-            None => self.workers.values().collect(),
-        }
-    }
-}
--- a/lilacpass-lead/src/hosts.rs
+++ b/lilacpass-lead/src/hosts.rs
@@ -1,7 +1,7 @@
 //! Selects workers for the tasks of one step within a scheduling round.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BinaryHeap},
     hash::{DefaultHasher, Hash, Hasher},
 };
 
@@ -26,6 +26,11 @@
 }
 
 impl Host {
+    /// Whether one more task fits on the worker.
+    fn can_hold(&self, need: &Resources) -> bool {
+        self.remaining_task_limit > 0 && need.fits(&self.free_capacity)
+    }
+
     /// Accounts for one more task on the worker.
     fn assign_task(&mut self, need: &Resources) {
         self.free_capacity = self.free_capacity.minus(need);
@@ -90,19 +95,34 @@
     selector: &HostSelector,
 ) -> Vec<WorkerName> {
     let need = place::need(plan);
+    if selector.placement == Placement::BestScore {
+        return pick_best(hosts, &need, count);
+    }
     let mut picks = Vec::new();
     while picks.len() < count {
-        let eligible =
-            |host: &&mut Host| host.remaining_task_limit > 0 && need.fits(&host.free_capacity);
-        let best = if selector.placement == Placement::BestScore {
-            hosts.iter_mut().filter(eligible).max_by_key(|host| (host.is_clean, host.score))
-        } else {
-            let eligible: Vec<&mut Host> = hosts.iter_mut().filter(eligible).collect();
-            selector.choose(eligible, picks.len())
-        };
-        let Some(host) = best else { break };
+        let eligible = hosts.iter_mut().filter(|host| host.can_hold(&need)).collect();
+        let Some(host) = selector.choose(eligible, picks.len()) else { break };
         host.assign_task(&need);
         picks.push(host.name.clone());
     }
     picks
 }
+
+/// Picks the host with the greatest score for each task; of equal ones the last.
+fn pick_best(hosts: &mut [Host], need: &Resources, count: usize) -> Vec<WorkerName> {
+    let eligible = hosts.iter().enumerate().filter(|(_, host)| host.can_hold(need));
+    let mut by_score: BinaryHeap<_> =
+        eligible.map(|(index, host)| (host.is_clean, host.score, index)).collect();
+    let mut picks = Vec::new();
+    while picks.len() < count
+        && let Some((_, _, index)) = by_score.pop()
+    {
+        let host = &mut hosts[index];
+        host.assign_task(need);
+        picks.push(host.name.clone());
+        if host.can_hold(need) {
+            by_score.push((host.is_clean, host.score, index));
+        }
+    }
+    picks
+}
--- a/lilacpass-lead/src/incarnations.rs
+++ b/lilacpass-lead/src/incarnations.rs
@@ -174,7 +174,7 @@
             Registration { name: next.clone(), draining: false, ..worker.registration.clone() };
         worker.leases_expire_by_ms = leases_expire_by_ms;
         worker.registered = false;
-        self.capacity_index.update(worker);
+        self.capacity_index.update(worker, now.steady_ms);
         for incarnation in self.incarnations_of(&next) {
             let Some(worker) = self.workers.get_mut(&incarnation) else { continue };
             if incarnation == *former || worker.successor.as_ref() == Some(former) {
@@ -228,7 +228,7 @@
         log::info!(task:% = key.0, run = key.1, worker:% = next; "run was started in the next incarnation of its worker");
         worker.assign(key, assigned.need, Phase::Ordered);
         worker.trial = worker.trial.or(is_trial.then_some(key));
-        self.capacity_index.update(worker);
+        self.capacity_index.update(worker, now.steady_ms);
         self.accounts.release(former, key);
         self.charge_run(next, key);
         if let Some(entry) = self.jobs.get_mut(&key.0.step.job)
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -35,9 +35,11 @@
     registration_age::RegistrationAge,
     reservations::Reservations,
     response_loss::ResponseLossMeter,
+    roster::Roster,
     scan::Scan,
     waiting::WaitingSteps,
     work::{Part, SchedulingWork, VisitCounter},
+    work_budget::WorkBudget,
     worker::{Phase, PollState, Worker},
 };
 
@@ -138,7 +140,10 @@
     pub(crate) jobs: HashMap<JobKey, JobEntry>,
     /// Registered workers, and unregistered ones whose runs or crash are not settled yet.
     pub(crate) workers: BTreeMap<WorkerName, Worker>,
+    pub(crate) roster: Roster,
     pub(crate) capacity_index: CapacityIndex,
+    /// Workers on which no runs are started until a time, in ms on the monotonic clock. They are indexed again then.
+    pub(crate) held_back: BTreeSet<(u64, WorkerName)>,
     pub(crate) accounts: Accounts,
     pub(crate) fair_use: FairUse,
     pub(crate) outbox: Outbox,
@@ -156,6 +161,8 @@
     pub(crate) work: SchedulingWork,
     /// Counts what searches and reviews go through. Read into `work` by [`Leader::work`].
     pub(crate) visits: VisitCounter,
+    /// Limits the searches for workers to name in calls for advice.
+    pub(crate) search_budget: WorkBudget,
     pub(crate) scan: Scan,
     pub(crate) pressure: Pressure,
     pub(crate) pending_changes: PendingChanges,
@@ -231,7 +238,9 @@
             options,
             jobs: HashMap::default(),
             workers: BTreeMap::new(),
+            roster: Roster::default(),
             capacity_index: CapacityIndex::default(),
+            held_back: BTreeSet::new(),
             accounts: Accounts::default(),
             fair_use: FairUse::default(),
             outbox: Outbox::default(),
@@ -246,6 +255,7 @@
             preemption_searches: 0,
             work: SchedulingWork::default(),
             visits: VisitCounter::default(),
+            search_budget: WorkBudget::default(),
             scan: Scan::default(),
             pressure: Pressure::new(now),
             pending_changes: PendingChanges::default(),
@@ -314,7 +324,7 @@
             if job.is_suspected(task) {
                 worker.resume_trial((task, run.number));
             }
-            self.capacity_index.update(worker);
+            self.capacity_index.update(worker, now.steady_ms);
         }
         if job.outcome == Outcome::Open && job.has_crashes() {
             self.crash_affected_jobs.insert(key);
@@ -358,7 +368,7 @@
             Event::WorkerRegistered(registration) => {
                 self.on_worker_registered(registration, now);
             }
-            Event::WorkerUnregistered(name) => self.on_worker_unregistered(&name),
+            Event::WorkerUnregistered(name) => self.on_worker_unregistered(&name, now),
             Event::RegistrationsRead { sent_ms } => self.on_registrations_read(sent_ms, now),
             Event::Lanes(lanes) => self.lanes.set(lanes, now.steady_ms),
             Event::Accounts(policies) => self.on_accounts(&policies),
@@ -388,7 +398,8 @@
 
     /// The scheduling work done so far.
     pub fn work(&self) -> SchedulingWork {
-        SchedulingWork { visits: self.visits.read(), ..self.work }
+        let visits = self.visits.read().with(Part::CapacityIndex, self.capacity_index.visits());
+        SchedulingWork { visits, ..self.work }
     }
 
     /// Whether the store has confirmed the leadership so recently that no other instance can have taken over.
@@ -445,15 +456,38 @@
             self.unpolled_workers.insert(name.clone());
         }
         worker.max_capacity = worker.max_capacity.max(&registration.capacity);
+        self.roster.remove(&name, worker.rack());
         worker.registration = registration;
-        self.capacity_index.update(worker);
+        self.roster.add(&name, worker.rack());
+        self.capacity_index.update(worker, now.steady_ms);
         self.replace_former_incarnations(&name, now);
     }
 
-    fn on_worker_unregistered(&mut self, name: &WorkerName) {
+    fn on_worker_unregistered(&mut self, name: &WorkerName, now: Now) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.registered = false;
-            self.capacity_index.update(worker);
+            self.capacity_index.update(worker, now.steady_ms);
+        }
+    }
+
+    /// Takes a worker on which no runs are started until `until_ms` out of the index of free capacity.
+    pub(crate) fn hold_back(&mut self, name: &WorkerName, until_ms: u64, now: Now) {
+        if let Some(worker) = self.workers.get(name) {
+            self.capacity_index.update(worker, now.steady_ms);
+            self.held_back.insert((until_ms, name.clone()));
+        }
+    }
+
+    /// Indexes the workers on which runs may be started again.
+    pub(crate) fn end_holds(&mut self, now: Now) {
+        while let Some((until_ms, _)) = self.held_back.first()
+            && *until_ms <= now.steady_ms
+        {
+            let Some((_, name)) = self.held_back.pop_first() else { return };
+            if let Some(worker) = self.workers.get(&name) {
+                self.capacity_index.update(worker, now.steady_ms);
+                self.pending_changes.mark_worker_freed(&name);
+            }
         }
     }
 
--- a/lilacpass-lead/src/learned/mod.rs
+++ b/lilacpass-lead/src/learned/mod.rs
@@ -137,7 +137,7 @@
         for (name, bucket) in changes {
             let Some(worker) = self.workers.get_mut(&name) else { continue };
             worker.speed = bucket;
-            self.capacity_index.update(worker);
+            self.capacity_index.update(worker, now.steady_ms);
         }
     }
 
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod requests;
 pub mod reservations;
 pub mod response_loss;
+pub mod roster;
 pub mod rounds;
 pub mod run_ends;
 pub mod scan;
@@ -62,6 +63,7 @@
 mod unresponsive;
 pub mod waiting;
 pub mod work;
+pub mod work_budget;
 pub mod worker;
 
 pub use event::{Effect, Event, Now};
--- a/lilacpass-lead/src/lost_workers.rs
+++ b/lilacpass-lead/src/lost_workers.rs
@@ -241,7 +241,7 @@
         }
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.accepted_epoch = false;
-        self.capacity_index.update(worker);
+        self.capacity_index.update(worker, now.steady_ms);
         self.expire_all_runs(name, now);
     }
 
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -91,20 +91,22 @@
                 if assigned.phase == Phase::Ordered {
                     worker.confirm_start(key, is_resumed, now.steady_ms);
                 }
-                self.review_trial(name);
+                self.review_trial(name, now);
             }
             Err(CallError::OtherLife) => self.end_replaced_worker(name, now),
             Err(CallError::Failed(Verdict::NotRun)) => {
-                worker.pause_starts(now.steady_ms, avoid_ms);
+                let until_ms = worker.pause_starts(now.steady_ms, avoid_ms);
+                self.hold_back(name, until_ms, now);
                 log::info!(task:% = task, run, worker:% = name; "start did not reach the worker");
                 self.end_never_started(name, key, now);
             }
             Err(CallError::Failed(Verdict::MayHaveRun | Verdict::Ran)) => {
-                worker.pause_starts(now.steady_ms, avoid_ms);
+                let until_ms = worker.pause_starts(now.steady_ms, avoid_ms);
                 log::info!(task:% = task, run, worker:% = name; "start got no response");
                 if assigned.phase == Phase::Ordered {
                     worker.set_phase(key, Phase::Uncertain { since_ms: now.steady_ms });
                 }
+                self.hold_back(name, until_ms, now);
                 self.suspect_data_centre(name, now);
                 self.send_extra_poll(name);
             }
@@ -120,7 +122,8 @@
                     }
                     Refusal::Old => {}
                     Refusal::Room | Refusal::Late | Refusal::Unhealthy | Refusal::Malformed => {
-                        worker.pause_starts(now.steady_ms, avoid_ms);
+                        let until_ms = worker.pause_starts(now.steady_ms, avoid_ms);
+                        self.hold_back(name, until_ms, now);
                     }
                 }
                 self.end_never_started(name, key, now);
--- a/lilacpass-lead/src/place.rs
+++ b/lilacpass-lead/src/place.rs
@@ -81,29 +81,3 @@
 pub fn free_share(free: &Resources, capacity: &Resources) -> u64 {
     free.cpu.0 * 1_000 / capacity.cpu.0.max(1)
 }
-
-/// Returns the data centre in which most tasks of a step fit on `workers`; `None` if no task fits anywhere.
-///
-/// The tasks of a job are kept in one data centre, because a job completes only with its last task. If one of three
-/// data centres is cut off, a third of the running jobs are delayed. If tasks were spread over all workers, nearly
-/// every job with ten tasks would be delayed.
-pub fn choose_home_data_centre<'a>(
-    workers: impl Iterator<Item = &'a Worker>,
-    step: &v1::WorkStep,
-) -> Option<String> {
-    let need = need(step);
-    let max = u64::from(step.count);
-    // There are only a few data centres, so searching a list is faster than a map.
-    let mut capacities: Vec<(&str, u64)> = Vec::new();
-    for worker in workers {
-        let fitting = count_fitting(&worker.free_capacity(), &need, max);
-        let data_centre = worker.registration.data_centre.as_str();
-        match capacities.iter_mut().find(|(known, _)| *known == data_centre) {
-            Some((_, tasks)) => *tasks += fitting,
-            None => capacities.push((data_centre, fitting)),
-        }
-    }
-    let (data_centre, tasks) =
-        capacities.into_iter().max_by_key(|(name, tasks)| (*tasks, *name))?;
-    (tasks > 0).then(|| data_centre.to_owned())
-}
--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -95,7 +95,6 @@
             worker.responded_again_ms = Some(now.steady_ms);
         }
         let is_first_response = !worker.accepted_epoch;
-        let was_available = worker.is_available();
         if is_first_response || worker.failed_polls > 0 || worker.suspected_until_ms > now.steady_ms
         {
             self.pending_changes.mark_worker_freed(name);
@@ -127,9 +126,7 @@
             log::info!(worker:% = name, remaining_ms = response.remaining_ms; "worker is draining");
             worker.draining = true;
         }
-        if worker.is_available() != was_available {
-            self.capacity_index.update(worker);
-        }
+        self.capacity_index.update(worker, now.steady_ms);
         next_checks.iter().for_each(|name| self.send_extra_poll(name));
         let lists_all_ends = response.ends.len() < MAX_LISTED_ENDS;
         let mut listed_runs: Vec<RunKey> =
@@ -140,7 +137,7 @@
         }
         self.handle_ends(name, response.ends, now);
         self.handle_running(name, &response.running, now);
-        self.review_trial(name);
+        self.review_trial(name, now);
         if lists_all_ends {
             self.settle_unlisted_runs(name, &listed_runs, sent_ms, is_first_response, now);
         }
@@ -221,10 +218,12 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         if worker.health.record_failure(job, counts_against_worker) && may_quarantine {
             worker.health.quarantine(now.steady_ms);
+            let until_ms = worker.health.quarantined_until_ms;
             log::info!(
-                worker:% = name, until_ms = worker.health.quarantined_until_ms - now.steady_ms;
+                worker:% = name, until_ms = until_ms - now.steady_ms;
                 "worker fails its runs and is quarantined"
             );
+            self.hold_back(name, until_ms, now);
         }
     }
 
@@ -237,7 +236,7 @@
                 entry.job.update_checkpoint(reported.task, &reported.checkpoint);
             }
             let Some(worker) = self.workers.get_mut(name) else { return };
-            let Some(assigned) = worker.runs.get_mut(&key) else {
+            let Some(assigned) = worker.run_mut(key) else {
                 self.stop_orphaned_run(name, key, now);
                 continue;
             };
@@ -257,7 +256,7 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         log::warn!(task:% = key.0, run = key.1, worker:% = name; "stopping an orphaned run");
         worker.assign(key, need, Phase::Running { since_ms: now.steady_ms });
-        self.capacity_index.update(worker);
+        self.capacity_index.update(worker, now.steady_ms);
         self.charge_run(name, key);
         self.stop_run(name, key, now);
     }
@@ -314,6 +313,7 @@
     pub(crate) fn forget_worker(&mut self, name: &WorkerName, now: Now) {
         self.incarnations.record_removal(name, now);
         if let Some(worker) = self.workers.remove(name) {
+            self.roster.remove(name, worker.rack());
             worker.runs.keys().for_each(|key| self.accounts.release(name, *key));
             let address = &worker.registration.address;
             if self.latest_by_address.get(address) == Some(name) {
--- a/lilacpass-lead/src/preempt.rs
+++ b/lilacpass-lead/src/preempt.rs
@@ -50,8 +50,10 @@
     /// Returns the capacity of a worker that would be free for a step with this rank if all less urgent work that may
     /// be preempted were stopped.
     pub(crate) fn capacity_with_preemption(&self, rank: &Rank, worker: &Worker) -> Resources {
-        let victims = self.preemptible_runs(worker, rank.priority);
-        let freed = victims.fold(Resources::ZERO, |sum, (_, assigned)| sum.plus(&assigned.need));
+        let freed = worker.preemptible_for(rank.priority, || {
+            let victims = self.preemptible_runs(worker, rank.priority);
+            victims.fold(Resources::ZERO, |sum, (_, assigned)| sum.plus(&assigned.need))
+        });
         worker
             .free_capacity_after(&freed)
             .minus(&self.reservations.reserved_before(rank, &worker.registration.name))
--- a/lilacpass-lead/src/run_ends.rs
+++ b/lilacpass-lead/src/run_ends.rs
@@ -18,7 +18,7 @@
         if let Some(worker) = self.workers.get_mut(worker_name) {
             assigned = worker.remove_run(key);
             self.accounts.release(worker_name, key);
-            self.capacity_index.update(worker);
+            self.capacity_index.update(worker, now.steady_ms);
             self.pending_changes.mark_worker_freed(worker_name);
         }
         let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -10,7 +10,10 @@
     event::Now,
     hosts::{self, Host, HostSelector},
     leader::Leader,
-    learned::preference::{self, SpeedPreference},
+    learned::{
+        preference::{self, SpeedPreference},
+        speeds::SpeedBucket,
+    },
     options::Mechanism,
     outbox::OnStored,
     pending_changes::RoundScope,
@@ -23,6 +26,9 @@
 /// Maximum number of steps per round for which preemption is attempted, in scheduling order. Each attempt scans the
 /// runs of all workers that the step may use, and hundreds of steps wait during an overload.
 const MAX_PREEMPTION_SEARCHES: u32 = 16;
+/// The home data centre of a job is chosen among those that can hold this many times the tasks of a step, if there are
+/// any, because others take some of the capacity before the step starts.
+const HOME_MARGIN: u64 = 4;
 
 impl Leader {
     /// Runs one scheduling round: places waiting tasks and requests advice for steps that need it.
@@ -30,8 +36,10 @@
         for worker in self.reservations.expire(now.steady_ms) {
             self.pending_changes.mark_worker_freed(&worker);
         }
+        self.end_holds(now);
         let mut round = self.pending_changes.take(now.steady_ms);
         self.preemption_searches = 0;
+        self.search_budget.refill(now.steady_ms);
         for step in self.advice_queue.take_due(now.steady_ms) {
             self.update_advice_queue(step, now);
         }
@@ -169,7 +177,7 @@
             HostSelector { placement: self.options.placement, step: name, now_ms: now.steady_ms };
         let wanted = waiting.len();
         let picks = self.pick_hosts(&mut waiting, &mut hosts, &plan, &selector);
-        self.visits.add(Part::Placement, hosts.len() * (picks.len() + 1).min(wanted));
+        self.visits.add(Part::Placement, hosts.len() + picks.len());
         if plan.target_ms > 0 && picks.len() < wanted {
             self.stop_filling_tasks(name, &plan, now);
         }
@@ -250,6 +258,9 @@
     /// Chooses the home data centre of a job, in which all its tasks should run, unless it has one. Long-running tasks
     /// are spread instead, because their job does not wait for a last task to complete: each one that is lost counts by
     /// itself.
+    ///
+    /// A job completes only with its last task. If one of three data centres is cut off, a third of the running jobs are
+    /// delayed. If tasks were spread over all workers, nearly every job with ten tasks would be delayed.
     pub(crate) fn choose_home_data_centre(
         &mut self,
         name: StepName,
@@ -261,25 +272,29 @@
             return;
         }
         let service = entry.job.queue.service.as_str();
-        let could_run = |worker: &&Worker| {
-            worker.accepts_starts(now.steady_ms) && place::is_eligible(worker, service, plan)
+        let could_run = |name: &WorkerName| {
+            self.workers.get(name).is_some_and(|worker| {
+                worker.accepts_starts(now.steady_ms) && place::is_eligible(worker, service, plan)
+            })
         };
         let need = place::need(plan);
-        let mut usable = self.workers_fitting(service, &need);
-        self.visits.add(Part::Placement, usable.len());
-        usable.retain(could_run);
-        if self.speed_preference(entry, plan) == SpeedPreference::Faster {
-            let max = u64::from(plan.count);
-            let is_fast = |worker: &&Worker| preference::is_fast(worker.speed);
-            let fast = usable.iter().copied().filter(is_fast);
-            let fitting =
-                fast.map(|worker| place::count_fitting(&worker.free_capacity(), &need, max));
-            // If only some tasks fit on fast workers, the data centre matters more for the others.
-            if fitting.sum::<u64>() >= max {
-                usable.retain(is_fast);
-            }
-        }
-        let home = place::choose_home_data_centre(usable.into_iter(), plan);
+        let wanted = u64::from(plan.count);
+        let best_among = |usable_speed: fn(SpeedBucket) -> bool| {
+            let max_tasks = HOME_MARGIN * wanted;
+            let capacities = self.capacity_index.estimate_by_data_centre(
+                service,
+                &need,
+                max_tasks,
+                usable_speed,
+                could_run,
+            );
+            capacities.into_iter().max().filter(|best| best.tasks > 0)
+        };
+        let prefers_fast = self.speed_preference(entry, plan) == SpeedPreference::Faster;
+        let fast = if prefers_fast { best_among(preference::is_fast) } else { None };
+        // If only some tasks fit on fast workers, the data centre matters more for the others.
+        let fast = fast.filter(|best| best.tasks >= wanted);
+        let home = fast.or_else(|| best_among(|_| true)).map(|best| best.data_centre.to_owned());
         if let Some(entry) = self.jobs.get_mut(&name.job) {
             entry.home_data_centre = home;
         }
@@ -372,7 +387,9 @@
         let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
         let service = &entry.job.queue.service;
         if entry.job.queue.advice.is_none() {
-            return self.workers_fitting(service, need);
+            let all = self.workers.len();
+            let fitting = self.capacity_index.fitting(service, need, all).unwrap_or_default();
+            return fitting.into_iter().filter_map(|name| self.workers.get(name)).collect();
         }
         let Some(advice) = self.advice.get(&name) else { return Vec::new() };
         match self.capacity_index.fitting(service, need, advice.ticket_count()) {
@@ -466,7 +483,7 @@
         entry.wanted_copies.remove(&task);
         self.record_start(task, run, worker.clone(), now);
         if is_on_trial {
-            self.begin_trial(&worker, (task, run));
+            self.begin_trial(&worker, (task, run), now);
         }
         self.reindex_step(task.step, now);
     }
@@ -483,7 +500,7 @@
             let task = name.task(index as u32);
             self.record_start(task, run, worker.clone(), now);
             if is_on_trial {
-                self.begin_trial(worker, (task, run));
+                self.begin_trial(worker, (task, run), now);
             }
         }
         self.reindex_step(name, now);
@@ -496,7 +513,7 @@
         self.waiting.record_start(task.step, now.steady_ms);
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.assign((task, run), need, Phase::Recording);
-            self.capacity_index.update(worker);
+            self.capacity_index.update(worker, now.steady_ms);
             self.charge_run(&name, (task, run));
         }
         log::info!(task:% = task, run, worker:% = name, need:% = need; "task placed");
--- a/lilacpass-lead/src/trials.rs
+++ b/lilacpass-lead/src/trials.rs
@@ -73,20 +73,22 @@
     }
 
     /// Marks a run as the trial of its worker. Nothing else is started there until the run has proved harmless.
-    pub(crate) fn begin_trial(&mut self, name: &WorkerName, key: RunKey) {
+    pub(crate) fn begin_trial(&mut self, name: &WorkerName, key: RunKey, now: Now) {
         log::info!(task:% = key.0, run = key.1, worker:% = name; "trial of a task begins");
         if let Some(worker) = self.workers.get_mut(name) {
             worker.trial = Some(key);
+            self.capacity_index.update(worker, now.steady_ms);
         }
     }
 
     /// Ends the trial of a worker that has responded, if that shows the run to be harmless.
-    pub(crate) fn review_trial(&mut self, name: &WorkerName) {
+    pub(crate) fn review_trial(&mut self, name: &WorkerName, now: Now) {
         let Some(worker) = self.workers.get_mut(name) else { return };
         let Some(key) = worker.trial else { return };
         let is_proven = worker.runs.get(&key).is_none_or(|assigned| !worker.is_unproven(assigned));
         if is_proven {
             worker.trial = None;
+            self.capacity_index.update(worker, now.steady_ms);
             self.pending_changes.mark_worker_freed(name);
         }
     }
--- a/lilacpass-lead/src/unresponsive.rs
+++ b/lilacpass-lead/src/unresponsive.rs
@@ -25,6 +25,7 @@
         let retry_pause_ms = self.options.poll_retry_ms;
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.failed_polls += 1;
+        self.capacity_index.update(worker, now.steady_ms);
         let is_first_failure = worker.failed_polls == 1;
         if !extra {
             // Polls again at once after the first failure: perhaps only the response was lost, and the leader learns of
@@ -89,6 +90,9 @@
                 worker.registration.name.clone()
             })
             .collect();
+        for name in &suspects {
+            self.hold_back(name, suspected_until_ms, now);
+        }
         if !suspects.is_empty() {
             log::info!(
                 data_centre, workers = suspects.len();
--- a/lilacpass-lead/src/work.rs
+++ b/lilacpass-lead/src/work.rs
@@ -8,6 +8,8 @@
 /// A part of the leader's decisions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Part {
+    /// Lookups in the index of free capacity.
+    CapacityIndex,
     /// Which waiting steps a round examines.
     StepSelection,
     /// The choice of workers for the tasks of a step, and of a job's data centre.
@@ -26,7 +28,8 @@
 
 impl Part {
     /// All parts.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
+        Self::CapacityIndex,
         Self::StepSelection,
         Self::Placement,
         Self::AdviceSearch,
@@ -39,6 +42,7 @@
     /// Returns the name of the part as a metric label.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::CapacityIndex => "capacity-index",
             Self::StepSelection => "step-selection",
             Self::Placement => "placement",
             Self::AdviceSearch => "advice-search",
@@ -61,6 +65,12 @@
         self.0[part as usize]
     }
 
+    /// Sets the number of items that a part has gone through.
+    pub fn with(mut self, part: Part, items: u64) -> Self {
+        self.0[part as usize] = items;
+        self
+    }
+
     /// Returns the number of items that all parts have gone through.
     pub fn total(&self) -> u64 {
         self.0.iter().sum()
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -1,7 +1,7 @@
 //! The leader's view of a worker: its registration, the runs assigned to it, how long its leases may last, and
 //! whether it accepts new runs.
 
-use std::collections::BTreeMap;
+use std::{cell::Cell, collections::BTreeMap};
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::{Run, Suspicion, TaskName, WorkerName};
@@ -126,6 +126,8 @@
     pub runs: BTreeMap<RunKey, AssignedRun>,
     /// Resources that these runs occupy.
     pub used: Resources,
+    /// What preemption could free for work of this priority; `None` if the runs have changed since it was summed up.
+    preemptible: Cell<Option<(u32, Resources)>>,
     /// Number of the last run end that the leader has processed.
     pub last_seen_end: u64,
     /// Number of the last run end that is stored, so that the worker may forget it.
@@ -179,6 +181,7 @@
             leases_expire_by_ms,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
+            preemptible: Cell::default(),
             last_seen_end: 0,
             last_stored_end: 0,
             poll: PollState::Due { at_ms: 0 },
@@ -244,6 +247,7 @@
 
     /// Adds a run and the resources that it occupies.
     pub fn assign(&mut self, key: RunKey, need: Resources, phase: Phase) {
+        self.preemptible.take();
         if self.runs.insert(key, AssignedRun::new(need, phase)).is_none() {
             self.used = self.used.plus(&need);
         }
@@ -260,6 +264,7 @@
     /// Removes a run that has ended. Returns it if it was assigned to this worker.
     pub fn remove_run(&mut self, key: RunKey) -> Option<AssignedRun> {
         let assigned = self.runs.remove(&key)?;
+        self.preemptible.take();
         self.used = self.used.minus(&assigned.need);
         if self.trial == Some(key) {
             self.trial = None;
@@ -267,9 +272,28 @@
         Some(assigned)
     }
 
+    /// Returns a run for modification, if it is assigned to this worker.
+    pub fn run_mut(&mut self, key: RunKey) -> Option<&mut AssignedRun> {
+        self.preemptible.take();
+        self.runs.get_mut(&key)
+    }
+
+    /// Returns what preemption could free for work of this priority. `sum` adds it up, and is called only if the runs
+    /// have changed since the last call or that was for another priority.
+    pub fn preemptible_for(&self, priority: u32, sum: impl FnOnce() -> Resources) -> Resources {
+        if let Some((known, resources)) = self.preemptible.get()
+            && known == priority
+        {
+            return resources;
+        }
+        let resources = sum();
+        self.preemptible.set(Some((priority, resources)));
+        resources
+    }
+
     /// Updates the phase of a run, if it is assigned to this worker.
     pub fn set_phase(&mut self, key: RunKey, phase: Phase) {
-        if let Some(assigned) = self.runs.get_mut(&key) {
+        if let Some(assigned) = self.run_mut(key) {
             assigned.set_phase(phase);
         }
     }
@@ -277,7 +301,7 @@
     /// Records that the worker has confirmed a start order. `is_resumed` says whether the run continues from a
     /// checkpoint.
     pub fn confirm_start(&mut self, key: RunKey, is_resumed: bool, now_ms: u64) {
-        if let Some(assigned) = self.runs.get_mut(&key) {
+        if let Some(assigned) = self.run_mut(key) {
             assigned.set_phase(Phase::Running { since_ms: now_ms });
             assigned.timed_from_ms = (!is_resumed).then_some(now_ms);
         }
@@ -369,8 +393,9 @@
         if now_ms < self.suspected_until_ms { "suspected" } else { "" }
     }
 
-    /// Starts no run on the worker for `pause_ms` from now on.
-    pub fn pause_starts(&mut self, now_ms: u64, pause_ms: u64) {
+    /// Starts no run on the worker for `pause_ms` from now on. Returns when the pause ends, on the monotonic clock.
+    pub fn pause_starts(&mut self, now_ms: u64, pause_ms: u64) -> u64 {
         self.starts_paused_until_ms = self.starts_paused_until_ms.max(now_ms + pause_ms);
+        self.starts_paused_until_ms
     }
 }
--- a/lilacpass-lead/tests/capacity_index.rs
+++ b/lilacpass-lead/tests/capacity_index.rs
@@ -76,7 +76,7 @@
             } else if let Some(&first) = changed.runs.keys().next() {
                 changed.remove_run(first);
             }
-            index.update(changed);
+            index.update(changed, 0);
         }
         let need = need(change / 3);
         for service in ["service-0", "service-1"] {
@@ -106,7 +106,7 @@
         best.sort_by_key(|worker| Reverse(place::Score::new(worker, &step, home, preference)));
         let best: Vec<&WorkerName> = best.iter().map(|worker| &worker.registration.name).collect();
         let preferred: Vec<&WorkerName> =
-            index.by_preference(service, home, need, preference).collect();
+            index.by_preference(service, home, need, preference, usize::MAX).collect();
         assert_eq!(preferred, best, "home {home:?}, {preference:?}");
     }
 }
