Scheduling rounds: bounded numbers of steps come into a full round, and into one in which capacity became free

Cause: a full round examined all waiting steps, ten times a second; between them, all steps that are allowed on a freed worker were examined, also without a ticket for it, and each waiting gang with all its workers whenever one of its tasks fitted a freed worker.

Change: a full round takes the first 32 steps, the first 24 that need several workers, and 32 others in turn. A freed worker brings in steps with a valid ticket for it, and a gang once as many of its tasks may fit on freed workers as it lacked capacity for. A step whose queue needs no advice looks at the workers that it prefers, two for each task and 64 more, and not at all that fit.

--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -32,6 +32,7 @@
     place,
     pressure::Pressure,
     probes::Probes,
+    rank::Rank,
     registration_age::RegistrationAge,
     reservations::Reservations,
     response_loss::ResponseLossMeter,
@@ -164,6 +165,8 @@
     /// Limits the searches for workers to name in calls for advice.
     pub(crate) search_budget: WorkBudget,
     pub(crate) scan: Scan,
+    /// The last step that the previous full round examined; `None` if the next one begins anew.
+    pub(crate) full_round_position: Option<Rank>,
     pub(crate) pressure: Pressure,
     pub(crate) pending_changes: PendingChanges,
     pub(crate) registration_age: RegistrationAge,
@@ -257,6 +260,7 @@
             visits: VisitCounter::default(),
             search_budget: WorkBudget::default(),
             scan: Scan::default(),
+            full_round_position: None,
             pressure: Pressure::new(now),
             pending_changes: PendingChanges::default(),
             registration_age: RegistrationAge::default(),
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -9,7 +9,7 @@
 use crate::{
     event::Now,
     hosts::{self, Host, HostSelector},
-    leader::Leader,
+    leader::{JobEntry, Leader},
     learned::{
         preference::{self, SpeedPreference},
         speeds::SpeedBucket,
@@ -29,6 +29,14 @@
 /// The home data centre of a job is chosen among those that can hold this many times the tasks of a step, if there are
 /// any, because others take some of the capacity before the step starts.
 const HOME_MARGIN: u64 = 4;
+/// Number of steps that each full round examines from the first one on, and in turn from the others.
+const FIRST_FULL_ROUND_STEPS: usize = 32;
+const NEXT_FULL_ROUND_STEPS: usize = 32;
+/// Maximum number of steps of the kind [`StepKind::Combined`](crate::waiting::StepKind), from the first one on, that are
+/// examined in each full round and when capacity becomes free.
+const MAX_COMBINED_STEPS: usize = 24;
+/// Number of workers that are looked at for a step that may use all of them, in addition to two for each task.
+const MIN_HOSTS: usize = 64;
 
 impl Leader {
     /// Runs one scheduling round: places waiting tasks and requests advice for steps that need it.
@@ -73,29 +81,53 @@
 
     /// Returns the steps that may be placeable now although they were not in the previous round, with the workers to
     /// consider for each.
-    pub(crate) fn due_steps(&self, round: &RoundScope, now: Now) -> BTreeMap<Rank, WorkerScope> {
+    pub(crate) fn due_steps(
+        &mut self,
+        round: &RoundScope,
+        now: Now,
+    ) -> BTreeMap<Rank, WorkerScope> {
+        let mut due = BTreeMap::new();
         if round.all {
-            self.visits.add(Part::StepSelection, self.waiting.len());
-            return self.waiting.in_order().map(|rank| (rank, WorkerScope::All)).collect();
+            due.extend(self.take_full_round_steps().into_iter().map(|r| (r, WorkerScope::All)));
         }
-        let mut due = BTreeMap::new();
         if !round.freed.is_empty() {
-            let fitting = self.steps_fitting(&round.freed).into_iter();
-            due.extend(fitting.map(|rank| (rank, WorkerScope::Freed)));
-            let combined = self.waiting.combined();
-            let affected = combined.filter(|rank| self.can_use_any(rank.step, &round.freed, now));
-            due.extend(affected.map(|rank| (rank, WorkerScope::All)));
+            for rank in self.steps_fitting(&round.freed, now) {
+                due.entry(rank).or_insert(WorkerScope::Freed);
+            }
+            for rank in self.combined_steps_fitting(&round.freed, now) {
+                due.insert(rank, WorkerScope::All);
+            }
         }
         let changed = round.changed.iter().filter_map(|step| self.waiting.rank_of(*step));
         due.extend(changed.map(|rank| (rank, WorkerScope::All)));
         due
     }
 
+    /// Returns the steps that a full round examines whatever has changed: the first ones in scheduling order, the first
+    /// of those that need several workers, and then those that follow the last one of the previous full round.
+    ///
+    /// What comes with time alone, such as work that may be preempted, matters to the first steps most. If all waiting
+    /// steps were examined each time, the cost would grow with their number.
+    fn take_full_round_steps(&mut self) -> Vec<Rank> {
+        let first = self.waiting.after(None, FIRST_FULL_ROUND_STEPS);
+        let mut steps = first.clone();
+        steps.extend(self.waiting.combined().take(MAX_COMBINED_STEPS));
+        let from = self.full_round_position.take().max(first.last().copied());
+        let next = self.waiting.after(from, NEXT_FULL_ROUND_STEPS);
+        if next.len() == NEXT_FULL_ROUND_STEPS {
+            self.full_round_position = next.last().copied();
+        }
+        steps.extend(next);
+        self.visits.add(Part::StepSelection, steps.len());
+        steps
+    }
+
     /// Returns the waiting steps of which a task fits on one of `workers`, except those of the kind
     /// [`StepKind::Combined`](crate::waiting::StepKind). The others stay out of the round: in a full cell, hundreds of
     /// steps wait for each worker.
-    fn steps_fitting(&self, workers: &BTreeSet<WorkerName>) -> Vec<Rank> {
+    fn steps_fitting(&self, workers: &BTreeSet<WorkerName>, now: Now) -> Vec<Rank> {
         let known = workers.iter().filter_map(|name| self.workers.get_key_value(name));
+        let known = known.filter(|(_, worker)| worker.accepts_starts(now.steady_ms));
         let free: Vec<(&WorkerName, Resources)> =
             known.map(|(name, worker)| (name, worker.free_capacity())).collect();
         let fits_on_any = |rank: &Rank| {
@@ -107,22 +139,36 @@
         for (worker, free) in &free {
             let allowed = self.allowed_steps.get(*worker).into_iter().flatten();
             let allowed = allowed.inspect(|_| self.visits.add(Part::StepSelection, 1));
-            fitting.extend(allowed.filter_map(|step| self.waiting.rank_of_advised(*step, free)));
+            let has_ticket = |rank: &Rank| {
+                let advice = self.advice.get(&rank.step);
+                advice.is_some_and(|advice| advice.ticket(worker, now.steady_ms).is_some())
+            };
+            let allowed = allowed.filter_map(|step| self.waiting.rank_of_advised(*step, free));
+            fitting.extend(allowed.filter(has_ticket));
         }
         fitting
     }
 
-    /// Returns whether a task of a waiting step fits on one of `workers` that advice permits for the step.
-    ///
-    /// A step that needs several workers is examined with all workers. Capacity that was freed on a worker that can hold
-    /// none of its tasks does not change the result.
-    fn can_use_any(&self, step: StepName, workers: &BTreeSet<WorkerName>, now: Now) -> bool {
-        let Some(need) = self.waiting.need_of(step) else { return false };
-        self.visits.add(Part::StepSelection, workers.len());
-        let fitting = workers.iter().filter(|name| {
-            self.workers.get(*name).is_some_and(|worker| need.fits(&worker.free_capacity()))
-        });
-        !self.allowed_among(step, fitting, now).is_empty()
+    /// Returns those of the first steps of the kind [`StepKind::Combined`](crate::waiting::StepKind) that may start now
+    /// that `workers` have more free capacity: as many of their tasks fit there as they lacked capacity for.
+    fn combined_steps_fitting(&mut self, workers: &BTreeSet<WorkerName>, now: Now) -> Vec<Rank> {
+        let first: Vec<Rank> = self.waiting.combined().take(MAX_COMBINED_STEPS).collect();
+        self.visits.add(Part::StepSelection, first.len() * workers.len());
+        let mut due = Vec::new();
+        for rank in first {
+            let Some(need) = self.waiting.need_of(rank.step) else { continue };
+            let fitting = workers.iter().filter(|name| {
+                self.workers.get(*name).is_some_and(|worker| need.fits(&worker.free_capacity()))
+            });
+            let allowed = self.allowed_among(rank.step, fitting, now).into_iter();
+            let capacities = allowed
+                .map(|worker| place::count_fitting(&worker.free_capacity(), &need, u64::MAX));
+            let tasks = capacities.fold(0, u64::saturating_add);
+            if self.waiting.record_freed(rank.step, tasks) {
+                due.push(rank);
+            }
+        }
+        due
     }
 
     /// Returns the first step in scheduling order that is due, or that comes after `last` and may request advice.
@@ -182,6 +228,9 @@
             self.stop_filling_tasks(name, &plan, now);
         }
         let missing = (wanted - picks.len()) as u64;
+        if plan.gang {
+            self.waiting.record_lack(name, missing);
+        }
         if missing > 0 && subset.is_none() {
             let wanted = if plan.gang { wanted as u64 } else { missing };
             let may_preempt = !plan.lasting && self.options.uses(Mechanism::Preemption);
@@ -326,6 +375,7 @@
         };
         let workers = match subset {
             Some(subset) => self.allowed_among(name, subset, now),
+            None if entry.job.queue.advice.is_none() => self.preferred_hosts(entry, name, plan),
             None => self.allowed_and_fitting(name, &need, now),
         };
         self.visits.add(Part::Placement, workers.len());
@@ -345,6 +395,32 @@
             .collect()
     }
 
+    /// Returns workers on which the tasks of a step fit whose queue needs no advice, sorted by name: those that it prefers,
+    /// and more than its waiting tasks can use. All of them if only some can be used for another reason.
+    fn preferred_hosts(
+        &self,
+        entry: &JobEntry,
+        name: StepName,
+        plan: &v1::WorkStep,
+    ) -> Vec<&Worker> {
+        let may_use_some_only = plan.one_rack || plan.target_ms > 0;
+        let max = if may_use_some_only || !plan.required_label.is_empty() {
+            usize::MAX
+        } else {
+            MIN_HOSTS + 2 * entry.count_to_start(name)
+        };
+        let preferred = self.capacity_index.by_preference(
+            &entry.job.queue.service,
+            entry.home_for(plan),
+            place::need(plan),
+            self.speed_preference(entry, plan),
+            max,
+        );
+        let near = self.roster.on_rack(&plan.affinity_rack);
+        let names: BTreeSet<&WorkerName> = preferred.chain(near).collect();
+        names.into_iter().filter_map(|name| self.workers.get(name)).collect()
+    }
+
     /// Returns the workers that advice permits for a step, sorted by name. A step whose queue needs no advice may use all
     /// workers.
     pub(crate) fn allowed_workers(&self, name: StepName, now: Now) -> Vec<&Worker> {
--- a/lilacpass-lead/src/waiting.rs
+++ b/lilacpass-lead/src/waiting.rs
@@ -28,6 +28,9 @@
     need: Resources,
     /// Time since when no task of the step has been assigned, in ms on the monotonic clock.
     since_ms: u64,
+    /// Number of tasks for which there must be more capacity than at the last examination, before a step of the kind
+    /// [`StepKind::Combined`] may start.
+    lacking: u64,
 }
 
 /// How a waiting step can use capacity that becomes free on a worker.
@@ -70,7 +73,7 @@
             return false;
         }
         let rank = rank();
-        self.steps.insert(step, WaitingStep { rank, kind, need, since_ms: now_ms });
+        self.steps.insert(step, WaitingStep { rank, kind, need, since_ms: now_ms, lacking: 0 });
         self.order.insert(rank);
         match kind {
             StepKind::Plain => self.plain.insert(rank),
@@ -94,6 +97,21 @@
         }
     }
 
+    /// Records that there was too little capacity for `tasks` tasks of a step when it was examined.
+    pub fn record_lack(&mut self, step: StepName, tasks: u64) {
+        if let Some(entry) = self.steps.get_mut(&step) {
+            entry.lacking = tasks;
+        }
+    }
+
+    /// Records that capacity for up to `tasks` tasks of a step has become free. Returns whether that may suffice.
+    pub fn record_freed(&mut self, step: StepName, tasks: u64) -> bool {
+        self.steps.get_mut(&step).is_some_and(|entry| {
+            entry.lacking = entry.lacking.saturating_sub(tasks);
+            tasks > 0 && entry.lacking == 0
+        })
+    }
+
     /// Moves a step to a new rank, if it is waiting.
     pub fn set_rank(&mut self, rank: Rank) {
         let Some(entry) = self.steps.get_mut(&rank.step) else { return };
