--- a/lilacpass-jobs/src/record.rs
+++ b/lilacpass-jobs/src/record.rs
@@ -63,25 +63,32 @@
 /// Encodes the state of a job. A state that would be too long for the store loses its long checkpoints, then the
 /// addresses of workers, and then the names of crashed workers, until it fits.
 pub fn encode_state(job: &Job) -> Vec<u8> {
+    encode_state_counted(job).0
+}
+
+/// As [`encode_state`], also returns the number of tasks that were encoded. The others have not changed since they were.
+pub fn encode_state_counted(job: &Job) -> (Vec<u8>, usize) {
     match encode_open_state(job) {
-        Some(bytes) if bytes.len() <= MAX_STATE_BYTES => bytes,
-        Some(_) | None => encode_any_state(job),
+        Some((bytes, encoded)) if bytes.len() <= MAX_STATE_BYTES => (bytes, encoded),
+        Some(_) | None => (encode_any_state(job), job.tasks().count()),
     }
 }
 
 /// Encodes the state of an open job from its encoded tasks, of which only those that have changed are encoded anew.
-/// Returns `None` if the job is not open.
-fn encode_open_state(job: &Job) -> Option<Vec<u8>> {
+/// Returns it with their number, or `None` if the job is not open.
+fn encode_open_state(job: &Job) -> Option<(Vec<u8>, usize)> {
     if job.outcome != Outcome::Open {
         return None;
     }
     let mut bytes = Vec::new();
+    let mut encoded = 0;
     for name in job.step_names() {
         let step = job.step(name)?;
         for (index, task) in (0..).zip(step.tasks()) {
             if !task.is_untouched() {
                 // The encoding of a repeated field is that of its entries, one after the other.
                 bytes.extend_from_slice(step.encoded(index, |task| {
+                    encoded += 1;
                     let tasks = vec![encode_task(name.task(index), task)];
                     v1::StateRecord { tasks, ..Default::default() }.encode_to_vec()
                 })?);
@@ -90,7 +97,7 @@
     }
     let rest = v1::StateRecord { not_begun: !job.has_started, ..Default::default() };
     bytes.extend(rest.encode_to_vec());
-    Some(bytes)
+    Some((bytes, encoded))
 }
 
 fn encode_any_state(job: &Job) -> Vec<u8> {
--- a/lilacpass-lead/src/recording.rs
+++ b/lilacpass-lead/src/recording.rs
@@ -65,8 +65,8 @@
         }
         for key in &batch.states {
             if let Some(entry) = self.jobs.get(key) {
-                self.visits.add(Part::JobUpdate, entry.job.tasks().count());
-                let value = record::encode_state(&entry.job);
+                let (value, encoded) = record::encode_state_counted(&entry.job);
+                self.visits.add(Part::JobUpdate, encoded);
                 records.push(Record { key: record::state_key(*key), value });
             }
         }
