Tickets are dropped when they expire, so that a freed worker brings in only steps with a valid ticket for it

Cause: the steps that are allowed on a worker were kept until their jobs ended. A ticket is valid for 2.5 s; in a full cell steps wait for longer, and each freed worker made the leader look at all steps that had ever had a ticket for it.

--- a/lilacpass-lead/src/advice.rs
+++ b/lilacpass-lead/src/advice.rs
@@ -72,6 +72,22 @@
             .map(|(worker, _)| worker)
     }
 
+    /// Returns the workers for which there are tickets, including expired ones.
+    pub fn ticketed(&self) -> impl Iterator<Item = &WorkerName> {
+        self.tickets.keys()
+    }
+
+    /// Returns when the last ticket expires, in ms on the monotonic clock.
+    pub fn last_expiry_ms(&self) -> Option<u64> {
+        self.tickets.values().map(|ticket| ticket.until_ms).max()
+    }
+
+    /// Removes the tickets that have expired. Returns their workers.
+    pub fn take_expired(&mut self, now_ms: u64) -> Vec<WorkerName> {
+        let expired = self.tickets.extract_if(.., |_, ticket| ticket.until_ms <= now_ms);
+        expired.map(|(worker, _)| worker).collect()
+    }
+
     /// Returns the number of workers for which there are tickets, including expired ones.
     pub fn ticket_count(&self) -> usize {
         self.tickets.len()
@@ -112,7 +128,6 @@
             return;
         };
         let until_ms = (now_ms + advice.valid_ms).saturating_sub(margin_ms);
-        self.tickets.retain(|_, ticket| now_ms < ticket.until_ms);
         for allowed in advice.good {
             self.allowed.insert(allowed.worker.clone());
             self.verdicts.insert(allowed.worker.clone(), true);
--- a/lilacpass-lead/src/advice_requests.rs
+++ b/lilacpass-lead/src/advice_requests.rs
@@ -288,8 +288,9 @@
         advice.record_response(queried, response, margin_ms, now.steady_ms);
         let is_forbidden = |worker: &WorkerName| advice.allows(worker) == Some(false);
         for worker in queried.iter().filter(|worker| advice.allows(worker) == Some(true)) {
-            self.allowed_steps.entry(worker.clone()).or_default().insert(step);
+            self.ticketed_steps.entry(worker.clone()).or_default().insert(step);
         }
+        self.ticket_expiries.extend(advice.last_expiry_ms().map(|expiry_ms| (expiry_ms, step)));
         if self.reservations.workers_of(step).iter().any(is_forbidden) {
             for worker in self.reservations.release(step) {
                 self.pending_changes.mark_worker_freed(&worker);
@@ -298,6 +299,29 @@
         self.pending_changes.mark_step_changed(step);
         self.update_advice_queue(step, now);
     }
+
+    /// Drops the tickets that have expired. A step has a ticket for a few seconds, and waits for longer in a full cell;
+    /// without this, each freed worker would bring in all the steps that ever had one for it.
+    pub(crate) fn forget_expired_tickets(&mut self, now: Now) {
+        while let Some((expiry_ms, _)) = self.ticket_expiries.first()
+            && *expiry_ms <= now.steady_ms
+        {
+            let Some((_, step)) = self.ticket_expiries.pop_first() else { return };
+            let Some(advice) = self.advice.get_mut(&step) else { continue };
+            let expired = advice.take_expired(now.steady_ms);
+            self.visits.add(Part::StepSelection, expired.len());
+            expired.iter().for_each(|worker| self.remove_ticketed_step(worker, step));
+        }
+    }
+
+    /// Records that a step has no valid ticket for a worker any more.
+    pub(crate) fn remove_ticketed_step(&mut self, worker: &WorkerName, step: StepName) {
+        let Some(steps) = self.ticketed_steps.get_mut(worker) else { return };
+        steps.remove(&step);
+        if steps.is_empty() {
+            self.ticketed_steps.remove(worker);
+        }
+    }
 }
 
 /// Returns how many workers without enough free capacity a call may name without taking much longer.
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -154,8 +154,10 @@
     pub(crate) advice_hedge: AdviceHedge,
     pub(crate) waiting: WaitingSteps,
     pub(crate) advice_queue: AdviceQueue,
-    /// The steps that are allowed to run on each worker, as far as advice is known.
-    pub(crate) allowed_steps: HashMap<WorkerName, BTreeSet<StepName>>,
+    /// The steps that have valid tickets for each worker.
+    pub(crate) ticketed_steps: HashMap<WorkerName, BTreeSet<StepName>>,
+    /// When tickets of steps expire, in ms on the monotonic clock.
+    pub(crate) ticket_expiries: BTreeSet<(u64, StepName)>,
     pub(crate) reservations: Reservations,
     /// Number of steps for which this round has searched for runs to preempt.
     pub(crate) preemption_searches: u32,
@@ -253,7 +255,8 @@
             advice_hedge: AdviceHedge::default(),
             waiting: WaitingSteps::default(),
             advice_queue: AdviceQueue::default(),
-            allowed_steps: HashMap::default(),
+            ticketed_steps: HashMap::default(),
+            ticket_expiries: BTreeSet::new(),
             reservations: Reservations::default(),
             preemption_searches: 0,
             work: SchedulingWork::default(),
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -119,6 +119,7 @@
                         if let Some(advice) = self.advice.get_mut(&task.step) {
                             advice.remove_ticket(name);
                         }
+                        self.remove_ticketed_step(name, task.step);
                     }
                     Refusal::Old => {}
                     Refusal::Room | Refusal::Late | Refusal::Unhealthy | Refusal::Malformed => {
--- a/lilacpass-lead/src/run_ends.rs
+++ b/lilacpass-lead/src/run_ends.rs
@@ -95,12 +95,8 @@
     fn forget_advice(&mut self, step: StepName) {
         self.advice_claims.release(step);
         let Some(advice) = self.advice.remove(&step) else { return };
-        for worker in advice.allowed() {
-            let Some(steps) = self.allowed_steps.get_mut(worker) else { continue };
-            steps.remove(&step);
-            if steps.is_empty() {
-                self.allowed_steps.remove(worker);
-            }
+        for worker in advice.ticketed() {
+            self.remove_ticketed_step(worker, step);
         }
     }
 
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -45,6 +45,7 @@
             self.pending_changes.mark_worker_freed(&worker);
         }
         self.end_holds(now);
+        self.forget_expired_tickets(now);
         let mut round = self.pending_changes.take(now.steady_ms);
         self.preemption_searches = 0;
         self.search_budget.refill(now.steady_ms);
@@ -91,7 +92,7 @@
             due.extend(self.take_full_round_steps().into_iter().map(|r| (r, WorkerScope::All)));
         }
         if !round.freed.is_empty() {
-            for rank in self.steps_fitting(&round.freed, now) {
+            for rank in self.steps_fitting(&round.freed) {
                 due.entry(rank).or_insert(WorkerScope::Freed);
             }
             for rank in self.combined_steps_fitting(&round.freed, now) {
@@ -125,9 +126,8 @@
     /// Returns the waiting steps of which a task fits on one of `workers`, except those of the kind
     /// [`StepKind::Combined`](crate::waiting::StepKind). The others stay out of the round: in a full cell, hundreds of
     /// steps wait for each worker.
-    fn steps_fitting(&self, workers: &BTreeSet<WorkerName>, now: Now) -> Vec<Rank> {
+    fn steps_fitting(&self, workers: &BTreeSet<WorkerName>) -> Vec<Rank> {
         let known = workers.iter().filter_map(|name| self.workers.get_key_value(name));
-        let known = known.filter(|(_, worker)| worker.accepts_starts(now.steady_ms));
         let free: Vec<(&WorkerName, Resources)> =
             known.map(|(name, worker)| (name, worker.free_capacity())).collect();
         let fits_on_any = |rank: &Rank| {
@@ -137,14 +137,9 @@
         let mut fitting: Vec<Rank> = self.waiting.plain().filter(fits_on_any).collect();
         self.visits.add(Part::StepSelection, self.waiting.plain().count() * free.len());
         for (worker, free) in &free {
-            let allowed = self.allowed_steps.get(*worker).into_iter().flatten();
+            let allowed = self.ticketed_steps.get(*worker).into_iter().flatten();
             let allowed = allowed.inspect(|_| self.visits.add(Part::StepSelection, 1));
-            let has_ticket = |rank: &Rank| {
-                let advice = self.advice.get(&rank.step);
-                advice.is_some_and(|advice| advice.ticket(worker, now.steady_ms).is_some())
-            };
-            let allowed = allowed.filter_map(|step| self.waiting.rank_of_advised(*step, free));
-            fitting.extend(allowed.filter(has_ticket));
+            fitting.extend(allowed.filter_map(|step| self.waiting.rank_of_advised(*step, free)));
         }
         fitting
     }
