Reviews: leases, polls, stops and jobs are looked at when something is due, and all workers within a bound

Cause: twenty times a second the leader went through all workers for expired leases and for stops to repeat, five times a second twice through all runs, all workers four times and all jobs of the last 150 s, and with each round through all workers whose next poll is not due. 150,000 to 250,000 items a second at 1,100 workers, 1,600,000 while the store is slow, whatever there was to do; at 21,000 workers this alone would fill the leader.

Change: a worker's leases are looked at when they would end, its poll is kept by the time when it is due, workers with stops under way and those that do not respond are kept, and open jobs are counted by priority. Reviews of all runs and speeds go through 30,000 items a second at most: every 0.2 s up to some 400 workers, every 0.6 s at 1,100.

--- a/lilacpass-lead/src/incarnations.rs
+++ b/lilacpass-lead/src/incarnations.rs
@@ -193,7 +193,9 @@
         if worker.registration.address.is_empty() {
             worker.registration = registration;
         }
-        self.unpolled_workers.insert(next);
+        let check_ms = worker.leases_expire_by_ms + 1;
+        self.schedule_poll(&next);
+        self.check_leases_at(&next, check_ms);
     }
 
     /// Settles the runs of the former incarnations of a worker by the first response of `next`. From then on it refuses
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -25,6 +25,7 @@
     incarnations::Incarnations,
     learned::Learned,
     log_limit::LogLimit,
+    open_jobs::OpenJobs,
     options::{Mechanism, Options},
     outages::RecentOutages,
     outbox::Outbox,
@@ -41,7 +42,7 @@
     waiting::WaitingSteps,
     work::{Part, SchedulingWork, VisitCounter},
     work_budget::WorkBudget,
-    worker::{Phase, PollState, Worker},
+    worker::{Phase, Worker},
 };
 
 /// A job with what the leader keeps about it beside its stored records.
@@ -187,17 +188,22 @@
     /// Open jobs whose tasks ran on workers that crashed.
     pub(crate) crash_affected_jobs: BTreeSet<JobKey>,
     pub(crate) counters: Counters,
-    /// Workers without a regular poll in flight: few at any time. With 3,000 workers, going through all workers on each
-    /// event and sorting all workers for each request for advice took 17 % of a core, out of 60 % for the whole leader.
-    pub(crate) unpolled_workers: BTreeSet<WorkerName>,
+    /// Workers without a regular poll in flight, each with the time at which its next one is due, in ms on the monotonic
+    /// clock.
+    pub(crate) due_polls: BTreeSet<(u64, WorkerName)>,
+    /// When the leases on each worker are next looked at, in ms on the monotonic clock.
+    pub(crate) lease_checks: BTreeSet<(u64, WorkerName)>,
+    /// Workers that have not answered their last poll.
+    pub(crate) unresponsive_workers: BTreeSet<WorkerName>,
+    /// Workers with runs that are being stopped; those of which all such runs have ended are removed sooner or later.
+    pub(crate) stopping_workers: BTreeSet<WorkerName>,
     /// What was learned from the ends of runs.
     pub(crate) learned: Learned,
-    /// The greatest urgency (the lowest priority number) of an open job that terminates, as of the last review.
-    pub(crate) most_urgent_priority: u32,
-    /// The lowest urgency (the greatest priority number) of an open job, as of the last review.
-    pub(crate) least_urgent_priority: u32,
+    pub(crate) open_jobs: OpenJobs,
     /// Number of registered workers of each service, as of the last review.
     pub(crate) pool_sizes: HashMap<String, usize>,
+    /// Whether a worker has registered, or is not registered any more, since then.
+    pub(crate) are_pool_sizes_outdated: bool,
     /// Jobs with an occurrence that is not due yet, each with the time at which that is due, in ms since the Unix
     /// epoch.
     pub(crate) upcoming_occurrences: BTreeSet<(u64, JobKey)>,
@@ -215,8 +221,9 @@
     inherited_leases_expire_by_ms: u64,
     /// When ended jobs are next checked for removal, on the monotonic clock.
     next_cleanup_ms: u64,
-    /// When all runs are next checked, on the monotonic clock.
+    /// When the next review is due, and the next one of all workers and runs, on the monotonic clock.
     next_review_ms: u64,
+    next_full_review_ms: u64,
     /// When the last tick was processed, on the monotonic clock.
     last_tick_ms: u64,
     /// When the leader last resumed after a stall, on the monotonic clock.
@@ -228,9 +235,10 @@
 /// If more time than this passes between two ticks, the leader counts as stalled: it can't tell when events happened in
 /// the meantime.
 const STALL_MS: u64 = 1_000;
-/// How often all runs are checked for lost and stalled ones. The check costs time for each run, and workers hardly
-/// report progress more often.
-const RUN_REVIEW_INTERVAL_MS: u64 = 200;
+/// Minimum interval between reviews, in ms. Workers hardly report progress more often.
+const REVIEW_INTERVAL_MS: u64 = 200;
+/// Maximum number of items that reviews of all workers and runs go through per second.
+const MAX_REVIEW_VISITS_PER_SECOND: u64 = 30_000;
 /// How often ended jobs are checked for those whose retention time is over.
 const CLEANUP_INTERVAL_MS: u64 = 10_000;
 
@@ -277,11 +285,14 @@
             presumed_gone: HashMap::default(),
             crash_affected_jobs: BTreeSet::new(),
             counters: Counters::default(),
-            unpolled_workers: BTreeSet::new(),
+            due_polls: BTreeSet::new(),
+            lease_checks: BTreeSet::new(),
+            unresponsive_workers: BTreeSet::new(),
+            stopping_workers: BTreeSet::new(),
             learned: Learned::default(),
-            most_urgent_priority: 0,
-            least_urgent_priority: 0,
+            open_jobs: OpenJobs::default(),
             pool_sizes: HashMap::default(),
+            are_pool_sizes_outdated: true,
             upcoming_occurrences: BTreeSet::new(),
             allowed_shares: HashMap::default(),
             effects: Vec::new(),
@@ -290,6 +301,7 @@
             inherited_leases_expire_by_ms,
             next_cleanup_ms: now.steady_ms + CLEANUP_INTERVAL_MS,
             next_review_ms: now.steady_ms,
+            next_full_review_ms: now.steady_ms,
             last_tick_ms: now.steady_ms,
             last_stall_ms: None,
         };
@@ -326,16 +338,18 @@
                 .workers
                 .entry(run.host.worker.clone())
                 .or_insert_with(|| Worker::from_run_record(run, leases_expire_by_ms));
-            self.unpolled_workers.insert(run.host.worker.clone());
             worker.assign((task, run.number), need, Phase::Uncertain { since_ms: now.steady_ms });
             if job.is_suspected(task) {
                 worker.resume_trial((task, run.number));
             }
             self.capacity_index.update(worker, now.steady_ms);
+            self.schedule_poll(&run.host.worker);
+            self.check_leases_at(&run.host.worker, leases_expire_by_ms + 1);
         }
         if job.outcome == Outcome::Open && job.has_crashes() {
             self.crash_affected_jobs.insert(key);
         }
+        self.open_jobs.add(&job);
         self.jobs.insert(key, JobEntry::new(job, account, true));
         live_runs
             .iter()
@@ -429,6 +443,7 @@
             .values_mut()
             .filter(|worker| !worker.has_responded() && worker.leases_expire_by_ms == assumed_ms)
             .for_each(|worker| worker.leases_expire_by_ms = expire_by_ms);
+        self.check_all_leases();
     }
 
     /// Whether leases may be extended: only for `unconfirmed_lease_ms` after the last confirmation of the leadership,
@@ -456,24 +471,27 @@
             let worker = Worker::new(registration.clone(), leases_expire_by_ms);
             worker.with_fence_step(incarnations.next_fence_step(name.id()))
         });
+        self.are_pool_sizes_outdated |= !worker.registered;
         worker.registered = true;
         worker.draining |= registration.draining;
         self.pending_changes.mark_worker_freed(&name);
-        if worker.poll != PollState::InFlight {
-            self.unpolled_workers.insert(name.clone());
-        }
         worker.max_capacity = worker.max_capacity.max(&registration.capacity);
         self.roster.remove(&name, worker.rack());
         worker.registration = registration;
         self.roster.add(&name, worker.rack());
         self.capacity_index.update(worker, now.steady_ms);
+        let check_ms = worker.leases_expire_by_ms + 1;
+        self.schedule_poll(&name);
+        self.check_leases_at(&name, check_ms);
         self.replace_former_incarnations(&name, now);
     }
 
     fn on_worker_unregistered(&mut self, name: &WorkerName, now: Now) {
         if let Some(worker) = self.workers.get_mut(name) {
             worker.registered = false;
+            self.are_pool_sizes_outdated = true;
             self.capacity_index.update(worker, now.steady_ms);
+            self.check_leases_at(name, now.steady_ms);
         }
     }
 
@@ -520,21 +538,14 @@
         self.update_fair_use(now);
         self.repeat_overdue_advice_calls(now);
         self.suspect_silent_data_centres(now);
-        if now.steady_ms >= self.next_review_ms {
-            self.next_review_ms = now.steady_ms + RUN_REVIEW_INTERVAL_MS;
-            if self.options.uses(Mechanism::Replacement) {
-                self.replace_stuck_runs(now);
-            }
-            self.review_pools();
-            self.count_responsive_workers();
-            self.review_speeds(now);
-        }
+        self.review(now);
         self.refuse_unstored_jobs(now);
         self.log_unresponsive_workers(now);
         if now.steady_ms >= self.next_cleanup_ms {
             self.next_cleanup_ms = now.steady_ms + CLEANUP_INTERVAL_MS;
             self.forget_old_jobs(now);
             self.forget_old_incarnations(now);
+            self.check_all_leases();
         }
     }
 
@@ -564,15 +575,40 @@
         &self.pressure
     }
 
-    /// Counts the workers of each service, and finds the least urgent open job.
-    fn review_pools(&mut self) {
-        self.visits.add(Part::Review, self.jobs.len() + self.workers.len());
-        let open = self.jobs.values().filter(|entry| entry.job.outcome == Outcome::Open);
-        let terminates = |entry: &&JobEntry| !entry.job.plan.steps.iter().any(|step| step.lasting);
-        let terminating = open.clone().filter(terminates);
-        self.most_urgent_priority =
-            terminating.map(|entry| entry.job.queue.priority).min().unwrap_or(0);
-        self.least_urgent_priority = open.map(|entry| entry.job.queue.priority).max().unwrap_or(0);
+    /// Reviews what comes with time alone.
+    fn review(&mut self, now: Now) {
+        if now.steady_ms < self.next_review_ms {
+            return;
+        }
+        self.next_review_ms = now.steady_ms + REVIEW_INTERVAL_MS;
+        if self.options.uses(Mechanism::Replacement) {
+            self.copy_unresponsive_runs(now);
+        }
+        self.update_pool_sizes();
+        if now.steady_ms >= self.next_full_review_ms {
+            self.review_all(now);
+        }
+    }
+
+    /// Reviews all workers and their runs. The more there are, the rarer are these reviews.
+    fn review_all(&mut self, now: Now) {
+        let before = self.visits.read().of(Part::Review);
+        if self.options.uses(Mechanism::Replacement) {
+            self.replace_stuck_runs(now);
+        }
+        self.count_responsive_workers();
+        self.review_speeds(now);
+        let visits = self.visits.read().of(Part::Review) - before;
+        let pause_ms = visits * 1_000 / MAX_REVIEW_VISITS_PER_SECOND;
+        self.next_full_review_ms = now.steady_ms + pause_ms.max(REVIEW_INTERVAL_MS);
+    }
+
+    /// Counts the registered workers of each service, if that may have changed.
+    fn update_pool_sizes(&mut self) {
+        if !mem::take(&mut self.are_pool_sizes_outdated) {
+            return;
+        }
+        self.visits.add(Part::Review, self.workers.len());
         self.pool_sizes.clear();
         for worker in self.workers.values().filter(|worker| worker.registered) {
             match self.pool_sizes.get_mut(&worker.registration.service) {
--- a/lilacpass-lead/src/learned/mod.rs
+++ b/lilacpass-lead/src/learned/mod.rs
@@ -157,6 +157,7 @@
             && preference::is_much_slower(worker.speed, SpeedBucket::default())
             && is_far_from_done
             && self.allowed_and_fitting(task.step, &need, now).into_iter().any(|other| {
+                self.visits.add(Part::Review, 1);
                 preference::is_much_slower(worker.speed, other.speed)
                     && need.fits(&other.free_capacity())
                     && self.could_start(other, task.step, plan, now)
@@ -172,7 +173,7 @@
         let queue = &entry.job.queue.name;
         let duration_ms =
             |step: &v1::WorkStep| self.predict_ms(queue, &step.image, u64::from(step.estimate_ms));
-        preference::of_step(&entry.job, plan, self.most_urgent_priority, duration_ms)
+        preference::of_step(&entry.job, plan, self.open_jobs.most_urgent_priority(), duration_ms)
     }
 }
 
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -142,6 +142,7 @@
             Phase::Ordered | Phase::Uncertain { .. } | Phase::Running { .. } => {
                 let sent_ms = now.steady_ms;
                 worker.set_phase(key, Phase::Stopping { sent_ms, confirmed_ms: None });
+                self.stopping_workers.insert(name.clone());
                 self.send_stop(name, key);
             }
         }
@@ -192,31 +193,43 @@
         }
     }
 
-    /// Replaces runs that make no progress, run on a worker that is far too slow, or run on an unresponsive worker.
-    /// Where the step allows copies, a copy is started beside the run; otherwise the run is stopped and then started
-    /// again.
+    /// Starts copies beside the runs on unresponsive workers where their steps allow copies.
+    pub(crate) fn copy_unresponsive_runs(&mut self, now: Now) {
+        let mut to_copy = Vec::new();
+        for name in &self.unresponsive_workers {
+            let Some(worker) = self.workers.get(name) else { continue };
+            self.visits.add(Part::Review, 1 + worker.runs.len());
+            let runs = worker.runs.iter();
+            let copied = runs.filter(|(key, assigned)| self.may_have_copy(**key, assigned));
+            to_copy.extend(copied.map(|(key, _)| (name.clone(), *key)));
+        }
+        for (name, key) in to_copy {
+            self.replace_run(&name, key, true, false, now);
+        }
+    }
+
+    /// Replaces runs that make no progress, or run on a worker that is far too slow. Where the step allows copies, a copy
+    /// is started beside the run; otherwise the run is stopped and then started again.
     pub(crate) fn replace_stuck_runs(&mut self, now: Now) {
         let slowdowns = worker_slowdowns(&self.run_time_estimates());
         // Worker, run, whether a copy may be started, and whether the run itself is stuck or slow.
         let mut runs_to_replace = Vec::new();
         for (name, worker) in &self.workers {
             self.visits.add(Part::Review, 1 + worker.runs.len());
-            let unresponsive = worker.failed_polls > 0;
+            if worker.failed_polls > 0 {
+                continue;
+            }
             let slowdowns = slowdowns.get(name).map(Vec::as_slice).unwrap_or_default();
-            let is_slow = !unresponsive && progress::is_slow_worker(slowdowns);
+            let is_slow = progress::is_slow_worker(slowdowns);
             for (key, assigned) in &worker.runs {
-                if unresponsive && self.may_have_copy(*key, assigned) {
-                    runs_to_replace.push((name.clone(), *key, true, false));
-                    continue;
-                }
                 let Some(plan) = self.replaceable_plan(*key, assigned) else { continue };
-                if !unresponsive && self.has_much_faster_host(worker, *key, plan, assigned, now) {
+                if self.has_much_faster_host(worker, *key, plan, assigned, now) {
                     runs_to_replace.push((name.clone(), *key, true, false));
                     continue;
                 }
                 let estimate_ms = u64::from(plan.estimate_ms);
                 let is_lost = assigned.progress.is_some_and(|progress| {
-                    !unresponsive && progress.is_stalled(estimate_ms, now.steady_ms)
+                    progress.is_stalled(estimate_ms, now.steady_ms)
                         || is_slow && !progress.is_nearly_done()
                 });
                 if is_lost {
@@ -297,10 +310,15 @@
         let retry_ms = self.options.stop_retry_ms;
         let mut unconfirmed = Vec::new();
         let mut unsettled = Vec::new();
-        for (name, worker) in &mut self.workers {
-            self.visits.add(Part::Review, 1 + worker.runs.len());
+        let workers = &mut self.workers;
+        let visits = &self.visits;
+        self.stopping_workers.retain(|name| {
+            let Some(worker) = workers.get_mut(name) else { return false };
+            visits.add(Part::Review, 1 + worker.runs.len());
+            let mut is_stopping = false;
             for (key, assigned) in &mut worker.runs {
                 let Phase::Stopping { sent_ms, confirmed_ms } = assigned.phase else { continue };
+                is_stopping = true;
                 if now.steady_ms < sent_ms + retry_ms {
                     continue;
                 }
@@ -311,7 +329,8 @@
                     unconfirmed.push((name.clone(), *key));
                 }
             }
-        }
+            is_stopping
+        });
         for (name, key) in unconfirmed {
             self.send_stop(&name, key);
         }
--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -1,20 +1,19 @@
 //! Polls of workers: each one extends the leases on the worker and returns its running runs and its run ends. Also
 //! what follows when a worker stops responding.
 
-use std::{collections::BTreeSet, mem};
+use std::mem;
 
 use lilacpass_core::Verdict;
 use lilacpass_jobs::{EndReason, JobKey, RunEnd, WorkerName};
 
 use crate::{
-    counters::WorkerLoss,
     event::{CallError, Effect, Now, PollResponse, Refusal, ReportedEnd, ReportedRun},
     health, incarnations,
     leader::Leader,
     options::Mechanism,
     outbox::OnStored,
     work::Part,
-    worker::{Phase, PollState, RunKey, Worker},
+    worker::{Phase, PollState, RunKey},
 };
 
 /// Maximum number of run ends that a worker lists in one response. A response with that many may omit others.
@@ -41,8 +40,6 @@
         let Some(worker) = self.workers.get_mut(name) else { return };
         if extra {
             worker.extra_poll_in_flight = false;
-        } else {
-            self.unpolled_workers.insert(name.clone());
         }
         let result = match result {
             Ok(response) => match incarnations::incarnation_of_response(name, &response) {
@@ -62,12 +59,16 @@
                 if !extra {
                     self.delay_poll_until_ends_stored(name, now);
                 }
+                self.schedule_poll(name);
             }
             Err(CallError::OtherLife) => self.end_replaced_worker(name, now),
             Err(CallError::Refused(Refusal::Fence)) if worker.successor.is_none() => {
                 self.effects.push(Effect::Deposed);
             }
-            Err(err) => self.on_poll_failed(name, extra, &err, now),
+            Err(err) => {
+                self.on_poll_failed(name, extra, &err, now);
+                self.schedule_poll(name);
+            }
         }
     }
 
@@ -89,8 +90,8 @@
             }
             if let PollState::Due { at_ms } = worker.poll {
                 self.probes.cancel(name, &worker.registration.data_centre, at_ms);
-                self.unpolled_workers.insert(name.clone());
             }
+            self.unresponsive_workers.remove(name);
             self.outages.clear(name);
             worker.responded_again_ms = Some(now.steady_ms);
         }
@@ -115,6 +116,7 @@
             // wait seven seconds longer, for the last lease that a former leader can still grant.
             worker.leases_expire_by_ms = self.options.leases_expire_by_ms(now.steady_ms);
         }
+        let first_check_ms = is_first_response.then_some(worker.leases_expire_by_ms + 1);
         worker.accepted_epoch = true;
         worker.failed_polls = 0;
         worker.unresponsive_since_ms = None;
@@ -128,6 +130,9 @@
         }
         self.capacity_index.update(worker, now.steady_ms);
         next_checks.iter().for_each(|name| self.send_extra_poll(name));
+        if let Some(at_ms) = first_check_ms {
+            self.check_leases_at(name, at_ms);
+        }
         let lists_all_ends = response.ends.len() < MAX_LISTED_ENDS;
         let mut listed_runs: Vec<RunKey> =
             response.running.iter().map(|reported| (reported.task, reported.run)).collect();
@@ -314,6 +319,7 @@
         self.incarnations.record_removal(name, now);
         if let Some(worker) = self.workers.remove(name) {
             self.roster.remove(name, worker.rack());
+            self.are_pool_sizes_outdated |= worker.registered;
             worker.runs.keys().for_each(|key| self.accounts.release(name, *key));
             let address = &worker.registration.address;
             if self.latest_by_address.get(address) == Some(name) {
@@ -321,6 +327,8 @@
             }
         }
         self.capacity_index.remove(name);
+        self.unresponsive_workers.remove(name);
+        self.stopping_workers.remove(name);
     }
 
     /// Ends all runs that are still assigned to a worker, as if their leases had expired.
@@ -333,80 +341,18 @@
         }
     }
 
-    /// Ends the runs on workers whose leases have expired even by the slowest possible worker clock, and forgets
-    /// workers that are gone.
-    pub(crate) fn expire_unresponsive_workers(&mut self, now: Now) {
-        self.visits.add(Part::Review, self.workers.len());
-        let expired: Vec<WorkerName> = self
-            .workers
-            .values()
-            .filter(|worker| now.steady_ms > worker.leases_expire_by_ms)
-            .filter(|worker| !worker.runs.is_empty() || !worker.registered)
-            .map(|worker| worker.registration.name.clone())
-            .collect();
-        if expired.is_empty() {
+    /// Plans the regular poll of a worker, or a probe if it does not respond, for when it is due.
+    pub(crate) fn schedule_poll(&mut self, name: &WorkerName) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        let PollState::Due { at_ms } = worker.poll else { return };
+        if worker.failed_polls > 0 {
+            self.probes.schedule(name, &worker.registration.data_centre, at_ms);
             return;
         }
-        let missing = self.missing_workers(&expired, now);
-        for name in expired {
-            let Some(worker) = self.workers.get(&name) else { continue };
-            if missing.contains(&name) {
-                self.presume_gone(&name, missing.len(), now);
-                continue;
-            }
-            if !worker.runs.is_empty() {
-                log::info!(
-                    worker:% = name, runs = worker.runs.len(),
-                    silent_ms = worker.unresponsive_ms(now.steady_ms);
-                    "leases of an unresponsive worker have expired"
-                );
-                self.counters.count_lost_worker(WorkerLoss::LeasesExpired);
-            }
-            self.expire_worker(&name, now);
+        if let Some(planned_ms) = worker.poll_scheduled_ms.replace(at_ms) {
+            self.due_polls.remove(&(planned_ms, name.clone()));
         }
-        let is_gone = |worker: &&Worker| {
-            !worker.registered
-                && worker.runs.is_empty()
-                && !Self::awaits_crash_evidence(worker, now)
-        };
-        let gone = self.workers.values().filter(is_gone);
-        let gone: Vec<WorkerName> = gone.map(|worker| worker.registration.name.clone()).collect();
-        gone.iter().for_each(|name| self.forget_worker(name, now));
-    }
-
-    /// Those of the workers whose leases have expired that are presumed gone: the worker is not registered and has not
-    /// responded to this leader, while others of its data centre do. If none did, the data centre would be cut off.
-    fn missing_workers(&self, expired: &[WorkerName], now: Now) -> BTreeSet<WorkerName> {
-        if !self.registration_age.is_current(now.steady_ms) {
-            return BTreeSet::new();
-        }
-        let is_candidate = |worker: &&Worker| {
-            !worker.registered
-                && worker.successor.is_none()
-                && !worker.accepted_epoch
-                && worker.expired_runs.is_empty()
-        };
-        let expired = expired.iter().filter_map(|name| self.workers.get(name));
-        let candidates: Vec<&Worker> = expired.filter(is_candidate).collect();
-        if candidates.is_empty() {
-            // A worker that may have crashed stays among the expired ones for long; the rest goes through all workers.
-            return BTreeSet::new();
-        }
-        let responsive = self.responsive_data_centres(now);
-        let registrations = candidates.into_iter().map(|worker| &worker.registration);
-        let missing = registrations.filter(|known| responsive.contains(&known.data_centre));
-        missing.map(|known| known.name.clone()).collect()
-    }
-
-    /// Data centres of which a worker has responded recently.
-    fn responsive_data_centres(&self, now: Now) -> BTreeSet<String> {
-        let responded_since_ms = now.steady_ms.saturating_sub(2 * self.options.poll_wait_ms);
-        self.workers
-            .values()
-            .filter(|worker| worker.accepted_epoch && worker.failed_polls == 0)
-            .filter(|worker| worker.last_response_ms > responded_since_ms)
-            .map(|worker| worker.registration.data_centre.clone())
-            .collect()
+        self.due_polls.insert((at_ms, name.clone()));
     }
 
     /// Sends the regular polls that are due.
@@ -418,33 +364,33 @@
         } else {
             (options.poll_wait_ms, options.poll_answer_ms)
         };
-        let unpolled: Vec<WorkerName> = self.unpolled_workers.iter().cloned().collect();
-        self.visits.add(Part::Review, unpolled.len());
-        for name in unpolled {
-            let Some(worker) = self.workers.get_mut(&name) else {
-                self.unpolled_workers.remove(&name);
-                continue;
-            };
-            if worker.failed_polls > 0 {
-                self.unpolled_workers.remove(&name);
-                if let PollState::Due { at_ms } = worker.poll {
-                    self.probes.schedule(&name, &worker.registration.data_centre, at_ms);
-                }
+        let (usual_lease_ms, draining_lease_ms) = (options.lease_ms, options.draining_lease_ms);
+        let mut due = Vec::new();
+        while let Some((at_ms, _)) = self.due_polls.first()
+            && *at_ms <= now.steady_ms
+        {
+            due.extend(self.due_polls.pop_first().map(|(_, name)| name));
+        }
+        due.sort_unstable();
+        self.visits.add(Part::Review, due.len());
+        for name in due {
+            let Some(worker) = self.workers.get_mut(&name) else { continue };
+            worker.poll_scheduled_ms = None;
+            let PollState::Due { at_ms } = worker.poll else { continue };
+            if worker.failed_polls > 0 || !worker.can_be_called() {
                 continue;
             }
-            let PollState::Due { at_ms } = worker.poll else { continue };
-            if !worker.can_be_called() || now.steady_ms < at_ms {
+            if now.steady_ms < at_ms {
+                self.schedule_poll(&name);
                 continue;
             }
             let has_unstored_ends = worker.last_seen_end > worker.last_stored_end;
-            let lease_ms =
-                if worker.draining { options.draining_lease_ms } else { options.lease_ms };
+            let lease_ms = if worker.draining { draining_lease_ms } else { usual_lease_ms };
             let lease_until_ms =
                 if may_extend { worker.extend_lease(lease_ms, now.steady_ms) } else { None };
             let wait_ms =
                 if worker.accepted_epoch && !has_unstored_ends { poll_wait_ms } else { 0 };
             worker.poll = PollState::InFlight;
-            self.unpolled_workers.remove(&name);
             self.effects.push(Effect::Poll {
                 worker: worker.registration.name.clone(),
                 address: worker.registration.address.clone(),
--- a/lilacpass-lead/src/preempt.rs
+++ b/lilacpass-lead/src/preempt.rs
@@ -38,7 +38,7 @@
     /// Returns whether any open job was less urgent than this step when the leader last compared the open jobs.
     fn may_preempt_any(&self, name: StepName) -> bool {
         let entry = self.jobs.get(&name.job);
-        entry.is_some_and(|entry| entry.job.queue.priority < self.least_urgent_priority)
+        entry.is_some_and(|entry| entry.job.queue.priority < self.open_jobs.least_urgent_priority())
     }
 
     /// Returns whether runs may be stopped to free capacity for a step: its tasks end by themselves, and some open job
--- a/lilacpass-lead/src/recording.rs
+++ b/lilacpass-lead/src/recording.rs
@@ -24,11 +24,12 @@
                 OnStored::SendStart { worker, task, run } => {
                     self.send_or_hold_start(HeldStart { worker, task, run }, now);
                 }
-                OnStored::ForgetEnds { worker, up_to } => {
-                    if let Some(worker) = self.workers.get_mut(&worker) {
+                OnStored::ForgetEnds { worker: name, up_to } => {
+                    if let Some(worker) = self.workers.get_mut(&name) {
                         worker.last_stored_end = worker.last_stored_end.max(up_to);
                         worker.poll_at_once(now.steady_ms);
                     }
+                    self.schedule_poll(&name);
                 }
                 OnStored::PublishOutcome(key) => {
                     if let Some(entry) = self.jobs.get_mut(&key) {
--- a/lilacpass-lead/src/requests.rs
+++ b/lilacpass-lead/src/requests.rs
@@ -123,6 +123,7 @@
             beyond_share = job.is_beyond_share;
             "job accepted"
         );
+        self.open_jobs.add(&job);
         self.jobs.insert(key, JobEntry::new(job, account, false));
         self.outbox.pending.plans.insert(key);
         self.outbox.when_stored(OnStored::Accept(request_id, key));
@@ -189,7 +190,9 @@
     /// Removes a job that was never stored, together with its prepared runs.
     fn withdraw(&mut self, key: JobKey, now: Now) {
         let Some(entry) = self.jobs.get_mut(&key) else { return };
-        entry.job.cancel(now.unix_ms);
+        if entry.job.cancel(now.unix_ms) {
+            self.open_jobs.remove(&entry.job);
+        }
         self.stop_job(key, now);
         self.reindex(key, now);
         self.release_steps(key);
--- a/lilacpass-lead/src/run_ends.rs
+++ b/lilacpass-lead/src/run_ends.rs
@@ -71,6 +71,9 @@
     /// Processes the end of a job: makes its outcome visible once it is stored, and stops its remaining runs.
     pub(crate) fn on_job_ended(&mut self, key: JobKey, now: Now) {
         self.crash_affected_jobs.remove(&key);
+        if let Some(entry) = self.jobs.get(&key) {
+            self.open_jobs.remove(&entry.job);
+        }
         self.report_failure(key);
         self.outbox.pending.states.insert(key);
         self.outbox.when_stored(OnStored::PublishOutcome(key));
@@ -91,7 +94,7 @@
         }
     }
 
-    /// Drops the advice about a step, and removes the step from the allowed steps of each worker that it allows.
+    /// Drops the advice about a step.
     fn forget_advice(&mut self, step: StepName) {
         self.advice_claims.release(step);
         let Some(advice) = self.advice.remove(&step) else { return };
--- a/lilacpass-lead/src/unresponsive.rs
+++ b/lilacpass-lead/src/unresponsive.rs
@@ -33,6 +33,7 @@
             let pauses = u64::from(worker.failed_polls - 1).min(MAX_RETRY_PAUSES);
             worker.poll = PollState::Due { at_ms: now.steady_ms + retry_pause_ms * pauses };
         }
+        self.unresponsive_workers.insert(name.clone());
         if is_first_failure {
             if self.worker_log_limit.allows(now.steady_ms) {
                 log::info!(worker:% = name, error:? = err; "worker does not respond");
@@ -132,7 +133,6 @@
                 continue;
             };
             worker.poll = PollState::InFlight;
-            self.unpolled_workers.remove(&name);
             self.effects.push(Effect::Poll {
                 address: worker.registration.address.clone(),
                 fence_step: worker.fence_step,
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -122,6 +122,8 @@
     clock: Option<(i64, u64)>,
     /// When all leases on it have certainly expired unless another one is granted, on the monotonic clock.
     pub leases_expire_by_ms: u64,
+    /// When its leases are next looked at, on the monotonic clock; `None` if that is not planned.
+    pub lease_check_ms: Option<u64>,
     /// Runs assigned to it that are not known to have ended.
     pub runs: BTreeMap<RunKey, AssignedRun>,
     /// Resources that these runs occupy.
@@ -134,6 +136,8 @@
     pub last_stored_end: u64,
     /// State of the regular poll, which waits on the worker until a run ends there.
     pub poll: PollState,
+    /// The time for which the next regular poll is planned, on the monotonic clock.
+    pub poll_scheduled_ms: Option<u64>,
     /// Whether an extra poll, sent beside the regular one, is in flight.
     pub extra_poll_in_flight: bool,
     /// Polls that have failed since the last successful one.
@@ -179,12 +183,14 @@
             accepted_epoch: false,
             clock: None,
             leases_expire_by_ms,
+            lease_check_ms: None,
             runs: BTreeMap::new(),
             used: Resources::ZERO,
             preemptible: Cell::default(),
             last_seen_end: 0,
             last_stored_end: 0,
             poll: PollState::Due { at_ms: 0 },
+            poll_scheduled_ms: None,
             extra_poll_in_flight: false,
             failed_polls: 0,
             unresponsive_since_ms: None,
