--- a/lilacpass-lead/tests/incarnations.rs
+++ b/lilacpass-lead/tests/incarnations.rs
@@ -6,7 +6,7 @@
     EndReason, Job, JobKey, RunEnd, RunHost, StepName, TaskName, WorkerName, record,
 };
 use lilacpass_lead::{
-    Effect, Event,
+    Effect, Event, Options,
     event::{
         Advice, CallError, Lane, PollResponse, Refusal, ReportedEnd, Request, RequestId, Requester,
         WorkerTicket,
@@ -420,3 +420,31 @@
     assert_eq!(starts(&effects), [(WorkerName::from("w-1"), first_task(1), 2)]);
     assert_eq!(outcome(&mut fixture, 1), "open");
 }
+
+/// Failure: a call that was meant for the former incarnation granted the next one the longest lease, since the clocks of
+/// the two differ. The leader counted on its own shorter ones, and started a task again while it still ran.
+#[test]
+fn leases_that_calls_for_a_former_incarnation_granted_are_waited_for() {
+    let mut fixture = with_a_start();
+    answered_by(&mut fixture, &incarnation(1), 2);
+    fixture.handle(Event::WorkerRegistered(registration(incarnation(2))));
+    let effects = fixture.poll_answered(incarnation(2), &[], &[]);
+    assert_eq!(starts(&effects), [(incarnation(2), first_task(1), 2)]);
+    let refuses_former_since_ms = fixture.now_ms;
+    fixture.handle(Event::WorkerRegistered(registration("w-1")));
+    let started_ms = loop {
+        fixture.now_ms += 50;
+        let sent_ms = fixture.now_ms;
+        fixture.handle(Event::LeadershipConfirmed { sent_ms });
+        fixture.poll_answered("w-1", &[], &[]);
+        fixture.poll_failed(incarnation(2));
+        if !starts(&fixture.handle(Event::Tick)).is_empty() {
+            break fixture.now_ms;
+        }
+        assert!(fixture.now_ms < 60_000, "the task is not started again");
+    };
+    let waited_ms = started_ms - refuses_former_since_ms;
+    let longest_lease_ms = Options::default().longest_lease_ms;
+    assert!(waited_ms > longest_lease_ms, "{waited_ms} ms");
+    assert!(waited_ms < longest_lease_ms + 1_000, "{waited_ms} ms");
+}
