Workers: an order reaches only the incarnation that it is meant for

Cause: the header that names the receiver of an order holds the worker's id, which both incarnations have. So the next one takes what was sent for the former one: starts, leases that end on another clock, ends to forget. A leader that knows of the restart can allow for that; its successor does not know of it, and an instance that stood still may send such an order at any time.

If another incarnation responds, the order is not sent, and the leader learns of it at once. Orders through relays name the incarnation. `lilacpass_misdirected_orders` counts such orders.

Ruled out: assuming the longest lease for all workers that a new leader takes over. It would cost each worker that is lost after a change of leader 5 s more, and would not cover starts that the next incarnation carries out and nobody hears of.

--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -458,7 +458,7 @@
         checkpoint: &str,
     ) -> Result<(), CallError> {
         let Some(&index) = self.worker_indices.get(name.id()) else {
-            return Err(CallError::OtherLife);
+            return Err(CallError::OtherWorker);
         };
         let Some(&job) = self.job_indices.get(&task.step.job) else { return Ok(()) };
         if self.workers[index].is_down {
--- a/lilacpass-lead/src/event.rs
+++ b/lilacpass-lead/src/event.rs
@@ -116,7 +116,9 @@
     /// There was no response or a malformed one. The verdict says whether the call may have been carried out.
     Failed(Verdict),
     /// A worker with another id responded at the address, so the one that was called has ended.
-    OtherLife,
+    OtherWorker,
+    /// Another incarnation of the worker responded at the address, so the call was not sent.
+    OtherIncarnation,
     /// The worker refused the call and did nothing.
     Refused(Refusal),
 }
--- a/lilacpass-lead/src/orders.rs
+++ b/lilacpass-lead/src/orders.rs
@@ -93,12 +93,15 @@
                 }
                 self.review_trial(name, now);
             }
-            Err(CallError::OtherLife) => self.end_replaced_worker(name, now),
-            Err(CallError::Failed(Verdict::NotRun)) => {
+            Err(CallError::OtherWorker) => self.end_replaced_worker(name, now),
+            Err(err @ (CallError::Failed(Verdict::NotRun) | CallError::OtherIncarnation)) => {
                 let until_ms = worker.pause_starts(now.steady_ms, avoid_ms);
                 self.hold_back(name, until_ms, now);
-                log::info!(task:% = task, run, worker:% = name; "start did not reach the worker");
+                log::info!(task:% = task, run, worker:% = name, error:? = err; "start did not reach the worker");
                 self.end_never_started(name, key, now);
+                if err == CallError::OtherIncarnation {
+                    self.send_extra_poll(name);
+                }
             }
             Err(CallError::Failed(Verdict::MayHaveRun | Verdict::Ran)) => {
                 let until_ms = worker.pause_starts(now.steady_ms, avoid_ms);
@@ -183,7 +186,8 @@
                     worker.set_phase(key, Phase::Stopping { sent_ms, confirmed_ms });
                 }
             }
-            Err(CallError::OtherLife) => self.end_replaced_worker(name, now),
+            Err(CallError::OtherWorker) => self.end_replaced_worker(name, now),
+            Err(CallError::OtherIncarnation) => self.send_extra_poll(name),
             Err(CallError::Refused(Refusal::Fence)) if worker.successor.is_none() => {
                 self.effects.push(Effect::Deposed);
             }
--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -61,7 +61,7 @@
                 }
                 self.schedule_poll(name);
             }
-            Err(CallError::OtherLife) => self.end_replaced_worker(name, now),
+            Err(CallError::OtherWorker) => self.end_replaced_worker(name, now),
             Err(CallError::Refused(Refusal::Fence)) if worker.successor.is_none() => {
                 self.effects.push(Effect::Deposed);
             }
--- a/lilacpass-lead/tests/fuzz.rs
+++ b/lilacpass-lead/tests/fuzz.rs
@@ -179,3 +179,52 @@
     });
     assert!(checks.into_inner() > 1_000, "too few starts were checked against a cap");
 }
+
+/// Operations on a cell whose workers start again under their ids and are cut off soon after, while instances take over.
+fn run_restarts(ops: &[Op], binds_orders: bool) {
+    let seed = ops.iter().fold(11, |seed: u64, op| {
+        seed.wrapping_mul(31)
+            .wrapping_add(u64::from(op.0) << 16 | u64::from(op.1) << 8 | u64::from(op.2))
+    });
+    let mut world = World::new(seed, 4, CAPACITY);
+    world.binds_orders = binds_orders;
+    let mut jobs = 0;
+    for &(kind, target, amount) in ops {
+        let worker = usize::from(target) % world.workers.len();
+        match kind % 8 {
+            0..=2 => {
+                jobs += 1;
+                let lasting = amount % 4 == 0;
+                let task = step(1 + u32::from(target) % 6, 900, 1_000 + u32::from(amount) * 60);
+                let task = v1::WorkStep { lasting, ..task };
+                world.submit(jobs, plan(&[task]), queue("quick", 0));
+            }
+            3..=5 if world.workers[worker].alive => {
+                let away_ms = 100 + u64::from(target) * 3;
+                world.crashes.away_ms = Some(away_ms);
+                world.crash_worker(worker);
+                world.cut_off(
+                    worker,
+                    away_ms + u64::from(amount) * 10,
+                    6_000 + u64::from(target) * 20,
+                );
+            }
+            6 => {
+                let instance = world.current_instance();
+                instance.alive = amount % 2 == 0;
+                world.take_over();
+            }
+            7 => world.lost_order_percent = u64::from(amount) % 30,
+            _ => {}
+        }
+        world.run(u64::from(amount) * 8);
+    }
+    world.run(20_000);
+}
+
+/// Failure: the next incarnation of a worker carried out orders that were meant for the former one, and was cut off
+/// before the leader knew of that. A task ran twice.
+#[test]
+fn restarted_workers_that_are_cut_off_run_no_task_twice() {
+    lilacpass_fuzz::check_lists::<Op>(FIXED_RUNS, 5..=60, |ops| run_restarts(ops, true));
+}
--- a/lilacpass-lead/tests/world/mod.rs
+++ b/lilacpass-lead/tests/world/mod.rs
@@ -99,6 +99,8 @@
     Crash { worker: WorkerName, task: TaskName },
     /// A crashed worker is back.
     ReturnWorker { worker_index: usize },
+    /// The worker at an address is cut off, or can be reached again.
+    SetUnreachable { address: String, unreachable: bool },
 }
 
 /// The simulated cell.
@@ -119,6 +121,9 @@
     pub advice_calls: Vec<(StepName, usize)>,
     /// Percentage of orders that get no response and may be carried out late.
     pub lost_order_percent: u64,
+    /// Whether an order reaches only the incarnation of a worker that it is meant for. The relays of an earlier version
+    /// send it to any.
+    pub binds_orders: bool,
     pub options: Options,
     /// When each request got its response in ms, by the number of the request.
     pub responded_ms: BTreeMap<u64, u64>,
@@ -147,6 +152,7 @@
             accounts: AccountOracle::default(),
             advice_calls: Vec::new(),
             lost_order_percent: 0,
+            binds_orders: true,
             options: Options::default(),
             responded_ms: BTreeMap::new(),
             costs: None,
@@ -248,6 +254,14 @@
         self.send_registrations(instance);
     }
 
+    /// Cuts off the worker at the address of this one after `after_ms`, for `for_ms`.
+    pub fn cut_off(&mut self, worker_index: usize, after_ms: u64, for_ms: u64) {
+        for (at_ms, unreachable) in [(after_ms, true), (after_ms + for_ms, false)] {
+            let address = self.workers[worker_index].address.clone();
+            self.schedule(at_ms, Action::SetUnreachable { address, unreachable });
+        }
+    }
+
     /// Sends a request to the leader, and returns its id.
     pub fn request(&mut self, request: Request) -> RequestId {
         let request_id = RequestId(self.next_request_id);
@@ -333,6 +347,11 @@
             }
             Action::Crash { worker, task } => self.crash_under(&worker, task),
             Action::ReturnWorker { worker_index } => self.return_worker(worker_index),
+            Action::SetUnreachable { address, unreachable } => {
+                let at_address = |worker: &&mut Worker| worker.address == address;
+                let workers = self.workers.iter_mut().filter(at_address);
+                workers.for_each(|worker| worker.unreachable = unreachable);
+            }
         }
     }
 
@@ -497,14 +516,18 @@
                     worker: name,
                     sent_ms: self.now_ms,
                     extra: *extra,
-                    result: Err(CallError::OtherLife),
+                    result: Err(CallError::OtherWorker),
                 }),
-                other => self.result_event(other, Err(CallError::OtherLife)),
+                other => self.result_event(other, Err(CallError::OtherWorker)),
             };
             return self.send_order_result(instance, event, is_answered);
         }
         let fence = self.instances[instance].epoch + fence_step;
         let now_ms = self.now_ms;
+        let is_intended = name.started_ms().is_none() || self.workers[worker_index].name == name;
+        if self.binds_orders && !is_intended {
+            return self.answer_inquiry(instance, worker_index, fence, effect, is_answered);
+        }
         let event = match effect {
             Effect::Poll { worker, lease_until_ms, forget_up_to, wait_ms, extra, .. } => {
                 let result = self.workers[worker_index].poll(fence, *lease_until_ms, *forget_up_to);
@@ -543,6 +566,29 @@
         self.send_order_result(instance, event, is_answered);
     }
 
+    /// Answers the inquiry that precedes an order for another incarnation of the worker. The order is not sent.
+    fn answer_inquiry(
+        &mut self,
+        instance: usize,
+        worker_index: usize,
+        fence: u64,
+        effect: &Effect,
+        is_answered: bool,
+    ) {
+        let result = self.workers[worker_index].poll(fence, None, 0);
+        let event = match effect {
+            Effect::Poll { worker, extra, .. } => {
+                let (worker, sent_ms) = (worker.clone(), self.now_ms);
+                Some(Event::Polled { worker, sent_ms, extra: *extra, result })
+            }
+            order => {
+                let result = result.and(Err(CallError::OtherIncarnation));
+                self.result_event(order, result)
+            }
+        };
+        self.send_order_result(instance, event, is_answered);
+    }
+
     fn send_order_result(&mut self, instance: usize, event: Option<Event>, is_answered: bool) {
         if let Some(event) = event.filter(|_| is_answered) {
             let delay_ms = 1 + self.random.below(4);
--- a/lilacpass-lead/tests/world/worker.rs
+++ b/lilacpass-lead/tests/world/worker.rs
@@ -136,6 +136,7 @@
             address: former.address.clone(),
             data_centre: former.data_centre,
             kind: former.kind,
+            unreachable: former.unreachable,
             speed_percent: former.speed_percent,
             clock_offset_ms: FIRST_CLOCK_MS as i64 - now_ms as i64,
             clock_ms: FIRST_CLOCK_MS,
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -21,6 +21,7 @@
     accepted::{AcceptedConnections, Usage},
     desired::Limits,
     server::Reply,
+    workers::ConnectionCount,
 };
 use opentelemetry::{
     KeyValue,
@@ -85,6 +86,7 @@
     reported_usage: RefCell<BTreeMap<&'static str, Usage>>,
     worker_connections: Gauge<u64>,
     worker_connections_opened: Counter<u64>,
+    misdirected_orders: Counter<u64>,
     jobs_failed: Counter<u64>,
     jobs_refused: Counter<u64>,
     job_bytes: Gauge<u64>,
@@ -157,6 +159,7 @@
             worker_connections_opened: meter
                 .u64_counter("lilacpass_worker_connections_opened")
                 .build(),
+            misdirected_orders: meter.u64_counter("lilacpass_misdirected_orders").build(),
             jobs_failed: meter.u64_counter("lilacpass_jobs_failed").build(),
             jobs_refused: meter.u64_counter("lilacpass_jobs_refused_for_memory").build(),
             job_bytes: meter.u64_gauge("lilacpass_job_bytes").build(),
@@ -212,10 +215,11 @@
         }
     }
 
-    /// Records the open connections to workers, and how many were opened since the last call.
-    pub fn worker_connections(&self, open: usize, opened: u64) {
-        self.worker_connections.record(open as u64, &[]);
-        self.worker_connections_opened.add(opened, &[]);
+    /// Records the open connections to workers, and what has changed since the last call, when `reported` was counted.
+    pub fn worker_connections(&self, count: ConnectionCount, reported: ConnectionCount) {
+        self.worker_connections.record(count.open as u64, &[]);
+        self.worker_connections_opened.add(count.opened - reported.opened, &[]);
+        self.misdirected_orders.add(count.misdirected_orders - reported.misdirected_orders, &[]);
     }
 
     /// Records an order to a worker that has completed or failed.
--- a/lilacpass-node/src/orders.rs
+++ b/lilacpass-node/src/orders.rs
@@ -118,7 +118,8 @@
 /// The worker of an order as relays are told of it.
 fn recipient<'a>(node: &Node, target: Target<'a>) -> Recipient<'a> {
     let fence_step = target.fence.saturating_sub(node.relays.borrow().epoch());
-    Recipient { id: target.name.id(), address: target.address, fence_step }
+    let Target { name, address, .. } = target;
+    Recipient { id: name.id(), started_ms: name.started_ms(), address, fence_step }
 }
 
 /// Sends an order through the relay, if there is one, and directly if the response is late.
@@ -190,12 +191,17 @@
         return response;
     }
     let other = if first_responded { second.await } else { first.await };
-    if is_conclusive(&other) { other } else { Err(CallError::Failed(Verdict::MayHaveRun)) }
+    let is_neither_sent =
+        [&response, &other].into_iter().all(|copy| *copy == Err(CallError::OtherIncarnation));
+    if is_neither_sent || is_conclusive(&other) {
+        return other;
+    }
+    Err(CallError::Failed(Verdict::MayHaveRun))
 }
 
 /// Whether the response to one copy also settles the other. A refusal for a reason other than [`Refusal::Fence`] does
 /// not: the other copy may arrive later, when the reason no longer holds, or may have arrived earlier and be the
-/// reason.
+/// reason. Nor does [`CallError::OtherIncarnation`]: a relay of an earlier version sends its copy to any incarnation.
 fn is_conclusive(response: &Result<(), CallError>) -> bool {
-    matches!(response, Ok(()) | Err(CallError::OtherLife | CallError::Refused(Refusal::Fence)))
+    matches!(response, Ok(()) | Err(CallError::OtherWorker | CallError::Refused(Refusal::Fence)))
 }
--- a/lilacpass-node/src/relay_messages.rs
+++ b/lilacpass-node/src/relay_messages.rs
@@ -22,6 +22,8 @@
 pub struct Recipient<'a> {
     /// Id of the worker.
     pub id: &'a str,
+    /// When the incarnation that the order is meant for began, in milliseconds since 1970; `None` if that is unknown.
+    pub started_ms: Option<u64>,
     /// Address of the worker, as `ip:port`.
     pub address: &'a str,
     /// Added to the epoch to obtain the fence of the order.
@@ -33,6 +35,7 @@
     fn order(self) -> v1::RelayedOrder {
         v1::RelayedOrder {
             worker: self.id.to_owned(),
+            worker_started_ms: self.started_ms,
             address: self.address.to_owned(),
             fence_step: self.fence_step,
             ..Default::default()
@@ -103,7 +106,8 @@
         Err(CallError::Failed(Verdict::MayHaveRun | Verdict::Ran)) => {
             v1::OrderOutcome::OrderUncertain
         }
-        Err(CallError::OtherLife) => v1::OrderOutcome::OrderOtherLife,
+        Err(CallError::OtherWorker) => v1::OrderOutcome::OrderOtherLife,
+        Err(CallError::OtherIncarnation) => v1::OrderOutcome::OrderOtherIncarnation,
         Err(CallError::Refused(refusal)) => match refusal {
             Refusal::Fence => v1::OrderOutcome::OrderRefusedFence,
             Refusal::Old => v1::OrderOutcome::OrderRefusedOld,
@@ -138,7 +142,8 @@
     match message.outcome() {
         v1::OrderOutcome::OrderUncertain => Err(CallError::Failed(Verdict::MayHaveRun)),
         v1::OrderOutcome::OrderNotRun => Err(CallError::Failed(Verdict::NotRun)),
-        v1::OrderOutcome::OrderOtherLife => Err(CallError::OtherLife),
+        v1::OrderOutcome::OrderOtherLife => Err(CallError::OtherWorker),
+        v1::OrderOutcome::OrderOtherIncarnation => Err(CallError::OtherIncarnation),
         v1::OrderOutcome::OrderRefusedFence => refused(Refusal::Fence),
         v1::OrderOutcome::OrderRefusedOld => refused(Refusal::Old),
         v1::OrderOutcome::OrderRefusedLate => refused(Refusal::Late),
--- a/lilacpass-node/src/relay_server.rs
+++ b/lilacpass-node/src/relay_server.rs
@@ -60,7 +60,7 @@
     order: &v1::RelayedOrder,
     payloads: &[Arc<str>],
 ) -> Option<v1::RelayedOutcome> {
-    let worker = WorkerName::from(order.worker.as_str());
+    let worker = WorkerName::new(&order.worker, order.worker_started_ms);
     let fence = epoch.saturating_add(order.fence_step);
     let target = Target { name: &worker, address: &order.address, fence };
     let number = order.number;
--- a/lilacpass-node/src/worker_connections.rs
+++ b/lilacpass-node/src/worker_connections.rs
@@ -5,6 +5,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use lilacpass_platform::workers::ConnectionCount;
 use tokio::time;
 
 use crate::node::Node;
@@ -17,12 +18,12 @@
 
 /// Closes unused connections for as long as the process runs.
 pub async fn run(node: Rc<Node>) {
-    let mut opened = 0;
+    let mut reported = ConnectionCount::default();
     loop {
         time::sleep(CHECK_INTERVAL).await;
         node.workers.close_idle(MAX_IDLE_TIME);
         let count = node.workers.connections();
-        node.metrics.worker_connections(count.open, count.opened - opened);
-        opened = count.opened;
+        node.metrics.worker_connections(count, reported);
+        reported = count;
     }
 }
--- a/lilacpass-node/tests/orders.rs
+++ b/lilacpass-node/tests/orders.rs
@@ -90,3 +90,14 @@
     assert!(sent < 500 + 500 / 9 + 21, "{sent}");
     assert!(sent > 500 + 500 / 11, "{sent}");
 }
+
+/// Guards against a start elsewhere while a relay of an earlier version carries out its copy on the next incarnation of
+/// the worker, and against a task that waits although neither copy was sent.
+#[test]
+fn a_copy_that_was_not_sent_does_not_settle_the_other() {
+    let other: OrderResult = Err(CallError::OtherIncarnation);
+    let uncertain: OrderResult = Err(CallError::Failed(Verdict::MayHaveRun));
+    let timed_out = Some((400, uncertain.clone()));
+    assert_eq!(send(&[timed_out, Some((5, other.clone()))]), (uncertain, 2));
+    assert_eq!(send(&[Some((200, other.clone())), Some((5, other.clone()))]), (other, 2));
+}
--- a/lilacpass-node/tests/relay_messages.rs
+++ b/lilacpass-node/tests/relay_messages.rs
@@ -45,7 +45,8 @@
         Refusal::Malformed,
     ];
     let errors = refusals.map(CallError::Refused).into_iter().chain([
-        CallError::OtherLife,
+        CallError::OtherWorker,
+        CallError::OtherIncarnation,
         CallError::Failed(Verdict::NotRun),
         CallError::Failed(Verdict::MayHaveRun),
     ]);
@@ -78,12 +79,14 @@
 }
 
 /// Guards against a relay that sends an order under the fence of a former incarnation of the worker, which the worker
-/// refuses.
+/// refuses, and against one that sends it to another incarnation.
 #[test]
-fn an_order_carries_the_fence_step_of_its_incarnation() {
-    let recipient = Recipient { id: "w-1", address: "10.0.0.1:80", fence_step: 3 };
+fn an_order_names_its_incarnation_and_carries_the_fence_step() {
+    let recipient =
+        Recipient { id: "w-1", started_ms: Some(7), address: "10.0.0.1:80", fence_step: 3 };
     let task = StepName { job: JobKey(1), occurrence: 0, step: 0 }.task(0);
     let message = relay_messages::stop(recipient, task, 1).message;
     let sent = v1::RelayedOrder::decode(message.encode_to_vec().as_slice()).expect("an order");
     assert_eq!((sent.worker.as_str(), sent.fence_step), ("w-1", 3));
+    assert_eq!(sent.worker_started_ms, Some(7));
 }
--- a/lilacpass-node/tests/relay_state.rs
+++ b/lilacpass-node/tests/relay_state.rs
@@ -15,7 +15,8 @@
 const CAPACITY: LeaderCapacity = LeaderCapacity { cpu_millis: 500, link: 0 };
 const POLL: PollOrder =
     PollOrder { lease_until_ms: None, forget_up_to: 0, wait_ms: 800, response_timeout_ms: 400 };
-const RECIPIENT: Recipient<'_> = Recipient { id: "w", address: "10.0.0.1:80", fence_step: 0 };
+const RECIPIENT: Recipient<'_> =
+    Recipient { id: "w", started_ms: None, address: "10.0.0.1:80", fence_step: 0 };
 /// Interval between reviews, in milliseconds.
 const REVIEW_MS: u64 = 200;
 
