--- a/lilacpass-node/tests/main_job.rs
+++ b/lilacpass-node/tests/main_job.rs
@@ -31,7 +31,7 @@
 #[test]
 fn guarantees_hold_under_seeded_disturbances() {
     let program = PathBuf::from(env!("CARGO_BIN_EXE_lilacpass-node"));
-    let options = soak::Options { program, first_port: 22_600, seed: 1, seconds: 20 };
+    let options = soak::Options { program, first_port: 22_600, seed: 1, seconds: 20, kind: None };
     let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     assert!(LocalSet::new().block_on(&runtime, soak::run(&options)).expect("a run"));
 }
