--- a/lilacpass-node/src/registered_workers.rs
+++ b/lilacpass-node/src/registered_workers.rs
@@ -112,7 +112,7 @@
             }
             // Entries are written again and again, so this is logged only once until the entry can be decoded.
             Err(err) if is_new || seen.worker.is_some() => {
-                log::warn!(worker = key, error:% = err; "ignoring a registration that cannot be decoded");
+                log::warn!(worker:? = key, error:% = err; "ignoring a registration that cannot be decoded");
                 let worker = seen.worker.take()?;
                 Some(Event::WorkerUnregistered(worker.name))
             }
--- a/lilacpass-node/tests/registry_watch.rs
+++ b/lilacpass-node/tests/registry_watch.rs
@@ -1,11 +1,13 @@
 //! Events about registered workers, and the bandwidth that watching them takes.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use lilacpass_core::Resources;
 use lilacpass_jobs::WorkerName;
 use lilacpass_lead::{Event, event::Record};
-use lilacpass_node::{node::Node, registered_workers::RegisteredWorkers, registry_watch};
+use lilacpass_node::{
+    leader_handle::Message, node::Node, registered_workers::RegisteredWorkers, registry_watch,
+};
 use lilacpass_platform::store::StoredRecord;
 use lilacpass_platform_standin::{
     cell::{Cell, CellConfig},
@@ -183,3 +185,46 @@
     let events = registered.apply_full_read(vec![stored("w-1", 1, READY_ENTRY)]);
     assert!(events.contains(&Event::WorkerUnregistered(WorkerName::from("w-2"))));
 }
+
+/// Guards against a leader that stops following its workers, or ends, because another program wrote an odd entry among
+/// theirs: very deeply nested, with a number too large, or with a port out of range.
+#[test]
+fn odd_entries_do_not_end_the_watch() {
+    const MAX_WAIT: Duration = Duration::from_secs(20);
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd = [
+        nested.clone(),
+        READY_ENTRY.replacen('{', &format!("{{\"labels\": {nested}, "), 1),
+        READY_ENTRY.replacen('{', "{\"born\": 1e400, ", 1),
+        READY_ENTRY.replacen('{', "{\"capacity\": {\"cpu\": 18446744073709551615}, ", 1),
+        READY_ENTRY.replace("10.0.0.1:80", "10.0.0.1:99999"),
+        READY_ENTRY.replace("10.0.0.1:80", "10.0.0.1:0"),
+    ];
+    let config = CellConfig::small(2, Resources::new(16_000, 65_536, 0, 0));
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    task::LocalSet::new().block_on(&runtime, async {
+        let cell = Cell::serve(24_800, config).expect("a cell");
+        let publish_odd = |prefix: &str| {
+            for (number, entry) in odd.iter().enumerate() {
+                cell.publish_registration(&format!("{prefix}-{number}"), entry.as_bytes());
+            }
+        };
+        let node = Rc::new(Node::new(instances::settings(&cell.store_address, 2.0)));
+        let (messages, mut inbox) = mpsc::unbounded_channel();
+        let mut names = BTreeSet::new();
+        publish_odd("before");
+        let watch = task::spawn_local(registry_watch::run(node, messages));
+        while !names.contains("late") {
+            let message = time::timeout(MAX_WAIT, inbox.recv()).await.expect("an event in time");
+            if let Some(Message::Event(Event::WorkerRegistered(entry))) = message {
+                names.insert(entry.name.id().to_owned());
+            }
+            if names.len() == 2 {
+                publish_odd("after");
+                cell.publish_registration("late", READY_ENTRY.as_bytes());
+            }
+        }
+        assert!(!watch.is_finished());
+        assert_eq!(names, ["late", "worker-0", "worker-1"].map(str::to_owned).into());
+    });
+}
