Polls of a worker are built in one place

Cause: three functions listed the same eight fields of a poll, and a change to one of them had to be made in all.

Change: `Worker::poll_effect`. No decision changes.

Result: the tests of lilacpass-lead pass, with the digests of `same_decisions` as before.

--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -408,16 +408,7 @@
             let wait_ms =
                 if worker.accepted_epoch && !has_unstored_ends { poll_wait_ms } else { 0 };
             worker.poll = PollState::InFlight;
-            self.effects.push(Effect::Poll {
-                worker: worker.registration.name.clone(),
-                address: worker.registration.address.clone(),
-                fence_step: worker.fence_step,
-                lease_until_ms,
-                forget_up_to: worker.forget_up_to(),
-                wait_ms,
-                answer_ms,
-                extra: false,
-            });
+            self.effects.push(worker.poll_effect(lease_until_ms, wait_ms, answer_ms, false));
         }
     }
 
@@ -428,15 +419,6 @@
             return;
         }
         worker.extra_poll_in_flight = true;
-        self.effects.push(Effect::Poll {
-            worker: name.clone(),
-            address: worker.registration.address.clone(),
-            fence_step: worker.fence_step,
-            lease_until_ms: None,
-            forget_up_to: worker.forget_up_to(),
-            wait_ms: 0,
-            answer_ms: self.options.poll_answer_ms,
-            extra: true,
-        });
+        self.effects.push(worker.poll_effect(None, 0, self.options.poll_answer_ms, true));
     }
 }
--- a/lilacpass-lead/src/unresponsive.rs
+++ b/lilacpass-lead/src/unresponsive.rs
@@ -4,7 +4,7 @@
 use lilacpass_jobs::WorkerName;
 
 use crate::{
-    event::{CallError, Effect, Now},
+    event::{CallError, Now},
     leader::Leader,
     work::Part,
     worker::{PollState, Worker},
@@ -133,16 +133,7 @@
                 continue;
             };
             worker.poll = PollState::InFlight;
-            self.effects.push(Effect::Poll {
-                address: worker.registration.address.clone(),
-                fence_step: worker.fence_step,
-                lease_until_ms: None,
-                forget_up_to: worker.forget_up_to(),
-                wait_ms: 0,
-                answer_ms: self.options.poll_answer_ms,
-                extra: false,
-                worker: name,
-            });
+            self.effects.push(worker.poll_effect(None, 0, self.options.poll_answer_ms, false));
         }
     }
 
--- a/lilacpass-lead/src/worker.rs
+++ b/lilacpass-lead/src/worker.rs
@@ -7,7 +7,11 @@
 use lilacpass_jobs::{Run, Suspicion, TaskName, WorkerName};
 
 use crate::{
-    event::Registration, health, learned::speeds::SpeedBucket, options, progress::Progress,
+    event::{Effect, Registration},
+    health,
+    learned::speeds::SpeedBucket,
+    options,
+    progress::Progress,
 };
 
 /// Identifies a run on a worker: the task and the number of the run.
@@ -323,6 +327,26 @@
         if self.failed_polls > 0 { 0 } else { self.last_stored_end }
     }
 
+    /// A poll of the worker. Fields as in [`Effect::Poll`].
+    pub fn poll_effect(
+        &self,
+        lease_until_ms: Option<u64>,
+        wait_ms: u64,
+        answer_ms: u64,
+        extra: bool,
+    ) -> Effect {
+        Effect::Poll {
+            worker: self.registration.name.clone(),
+            address: self.registration.address.clone(),
+            fence_step: self.fence_step,
+            lease_until_ms,
+            forget_up_to: self.forget_up_to(),
+            wait_ms,
+            answer_ms,
+            extra,
+        }
+    }
+
     /// Makes the regular poll due now, unless one is in flight or the worker does not respond.
     pub fn poll_at_once(&mut self, now_ms: u64) {
         if self.failed_polls == 0 && self.poll != PollState::InFlight {
