Jobs are added to the leader in one place

Cause: acceptance and take-over each added a job to the open ones, the memory estimate and the map; `remove_job` had no counterpart.

Change: `Leader::insert_job`. No decision changes.

Result: the tests of lilacpass-lead pass.

--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -354,9 +354,7 @@
         if job.outcome == Outcome::Open && job.has_crashes() {
             self.crash_affected_jobs.insert(key);
         }
-        self.open_jobs.add(&job);
-        self.job_memory.add(&job.plan);
-        self.jobs.insert(key, JobEntry::new(job, account, true));
+        self.insert_job(JobEntry::new(job, account, true));
         live_runs
             .iter()
             .for_each(|(task, run)| self.charge_run(&run.host.worker, (*task, run.number)));
@@ -638,6 +636,13 @@
         self.job_memory.bytes()
     }
 
+    /// Adds a job that is not known yet.
+    pub(crate) fn insert_job(&mut self, entry: JobEntry) {
+        self.open_jobs.add(&entry.job);
+        self.job_memory.add(&entry.job.plan);
+        self.jobs.insert(entry.job.key, entry);
+    }
+
     /// Removes a job that is not needed any more.
     pub(crate) fn remove_job(&mut self, key: JobKey) {
         if let Some(entry) = self.jobs.remove(&key) {
--- a/lilacpass-lead/src/requests.rs
+++ b/lilacpass-lead/src/requests.rs
@@ -149,9 +149,7 @@
             beyond_share = job.is_beyond_share;
             "job accepted"
         );
-        self.open_jobs.add(&job);
-        self.job_memory.add(&job.plan);
-        self.jobs.insert(key, JobEntry::new(job, account, false));
+        self.insert_job(JobEntry::new(job, account, false));
         self.outbox.pending.plans.insert(key);
         self.outbox.when_stored(OnStored::Accept(request_id, key));
         self.reindex(key, now);
