--- a/lilacpass-jobs/src/plan.rs
+++ b/lilacpass-jobs/src/plan.rs
@@ -63,6 +63,24 @@
     }
 }
 
+/// Length of the labels of all steps, in bytes.
+pub fn label_bytes(plan: &v1::WorkPlan) -> usize {
+    let bytes = |step: &v1::WorkStep| {
+        step.required_label.len() + step.affinity_rack.len() + step.image.len()
+    };
+    plan.steps.iter().map(bytes).sum()
+}
+
+/// Number of tasks of each occurrence.
+pub fn tasks_per_occurrence(plan: &v1::WorkPlan) -> u64 {
+    plan.steps.iter().map(|step| u64::from(step.count)).sum()
+}
+
+/// Number of occurrences.
+pub fn occurrences(plan: &v1::WorkPlan) -> u64 {
+    u64::from(plan.repeat_count.max(1))
+}
+
 /// Returns an error with the invalid field if no cell could carry out the plan.
 pub fn check(plan: &v1::WorkPlan) -> Result<()> {
     if plan.payload.len() > MAX_PAYLOAD_BYTES {
@@ -86,8 +104,7 @@
     for (number, step) in plan.steps.iter().enumerate() {
         check_step(number, step)?;
     }
-    let tasks: u64 = plan.steps.iter().map(|step| u64::from(step.count)).sum();
-    let total = tasks * u64::from(plan.repeat_count.max(1));
+    let total = tasks_per_occurrence(plan) * occurrences(plan);
     if total > MAX_TASKS {
         return refuse(Field::Tasks, format!("{total} tasks; at most {MAX_TASKS} are allowed"));
     }
@@ -95,10 +112,7 @@
 }
 
 fn check_labels(plan: &v1::WorkPlan) -> Result<()> {
-    let label_bytes = |step: &v1::WorkStep| {
-        step.required_label.len() + step.affinity_rack.len() + step.image.len()
-    };
-    let bytes: usize = plan.steps.iter().map(label_bytes).sum();
+    let bytes = label_bytes(plan);
     if bytes > MAX_LABEL_BYTES {
         let reason = format!("{bytes} bytes in all steps; at most {MAX_LABEL_BYTES} are allowed");
         return refuse(Field::Labels, reason);
--- a/lilacpass-lead/src/job_memory.rs
+++ b/lilacpass-lead/src/job_memory.rs
@@ -3,6 +3,7 @@
 //! A body of a hundred bytes may ask for thousands of tasks, and jobs are kept until long after their end. Without a
 //! limit, clients that hand in more than the cell can do make the leader run out of memory, and its successors too.
 
+use lilacpass_jobs::plan;
 use lilacpass_schema::v1;
 
 /// Memory of a job beside its texts, steps and tasks.
@@ -44,14 +45,9 @@
 
 /// Estimates the memory of a job, in bytes.
 pub fn estimate(plan: &v1::WorkPlan) -> u64 {
-    let text_bytes = |step: &v1::WorkStep| {
-        step.required_label.len() + step.affinity_rack.len() + step.image.len()
-    };
-    let texts: usize = plan.steps.iter().map(text_bytes).sum();
-    let tasks: u64 = plan.steps.iter().map(|step| u64::from(step.count)).sum();
-    let occurrences = u64::from(plan.repeat_count.max(1));
     let steps = plan.steps.len() as u64;
-    let each_occurrence = steps * STEP_BYTES + tasks * TASK_BYTES;
+    let each_occurrence = steps * STEP_BYTES + plan::tasks_per_occurrence(plan) * TASK_BYTES;
     let payload = plan.payload.len() as u64 * PAYLOAD_COPIES;
-    JOB_BYTES + payload + texts as u64 + occurrences * each_occurrence
+    let labels = plan::label_bytes(plan) as u64;
+    JOB_BYTES + payload + labels + plan::occurrences(plan) * each_occurrence
 }
