Leader: job entries, ticks, eligibility of workers and assignment of runs are files of their own

Cause: leader.rs had grown to 675 lines and schedule.rs to 612, each with several jobs.

Change: `job_entry.rs`, `ticks.rs`, `eligibility.rs` and `assignment.rs`. Code is moved, nothing else changes.

--- a/lilacpass-lead/src/candidates.rs
+++ b/lilacpass-lead/src/candidates.rs
@@ -9,7 +9,8 @@
 use crate::{
     advice::{self, Candidate, StepAdvice},
     event::Now,
-    leader::{JobEntry, Leader},
+    job_entry::JobEntry,
+    leader::Leader,
     learned::preference::SpeedPreference,
     place,
     rank::Rank,
--- a/lilacpass-lead/src/inspect.rs
+++ b/lilacpass-lead/src/inspect.rs
@@ -6,13 +6,8 @@
 use serde::Serialize;
 
 use crate::{
-    accounts::AccountUsage,
-    event::Now,
-    fair_use::FairUse,
-    leader::{JobEntry, Leader},
-    learned::speeds::KindStatus,
-    place,
-    worker::Phase,
+    accounts::AccountUsage, event::Now, fair_use::FairUse, job_entry::JobEntry, leader::Leader,
+    learned::speeds::KindStatus, place, worker::Phase,
 };
 
 /// The state of the cell.
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -3,16 +3,13 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     mem,
-    sync::Arc,
 };
 
 use lilacpass_core::{Resources, hash_map::HashMap};
-use lilacpass_jobs::{Job, JobKey, Outcome, StepName, TaskName, WorkerName, step::Step};
-
-use lilacpass_schema::v1;
+use lilacpass_jobs::{Job, JobKey, Outcome, StepName, TaskName, WorkerName};
 
 use crate::{
-    accounts::{AccountNumber, Accounts},
+    accounts::Accounts,
     advice::{Lanes, StepAdvice},
     advice_claims::AdviceClaims,
     advice_hedge::AdviceHedge,
@@ -23,11 +20,12 @@
     event::{Effect, Event, Now, Registration},
     fair_use::FairUse,
     incarnations::Incarnations,
+    job_entry::JobEntry,
     job_memory::JobMemory,
     learned::Learned,
     log_limit::LogLimit,
     open_jobs::OpenJobs,
-    options::{Mechanism, Options},
+    options::Options,
     outages::RecentOutages,
     outbox::Outbox,
     pending_changes::PendingChanges,
@@ -40,101 +38,13 @@
     response_loss::ResponseLossMeter,
     roster::Roster,
     scan::Scan,
+    ticks,
     waiting::WaitingSteps,
     work::{Part, SchedulingWork, VisitCounter},
     work_budget::WorkBudget,
     worker::{Phase, Worker},
 };
 
-/// A job with what the leader keeps about it beside its stored records.
-#[derive(Debug)]
-pub struct JobEntry {
-    /// The job and the state of its tasks.
-    pub job: Job,
-    /// The payload of the job, shared by all starts of its tasks.
-    pub payload: Arc<str>,
-    /// The account that the job belongs to; `None` if its queue is public.
-    pub account: Option<AccountNumber>,
-    /// Whether the plan of the job is stored, so that its client may be told that it is accepted.
-    pub is_plan_stored: bool,
-    /// The outcome that clients see: the latest one that is stored.
-    pub visible_outcome: Outcome,
-    /// Workers on which its tasks have failed or stalled since a task of the job last completed, each with the time of
-    /// the last failure on the monotonic clock.
-    pub failed_on: BTreeMap<WorkerName, u64>,
-    /// Tasks that are to have a copy, because their only run may be lost.
-    pub wanted_copies: BTreeSet<TaskName>,
-    /// How often each task has been preempted.
-    pub preemptions: BTreeMap<TaskName, u32>,
-    /// Addresses of workers that crashed while they ran its tasks.
-    pub crashed_addresses: BTreeSet<String>,
-    /// The data centre in which its tasks are to run, once one has been chosen.
-    pub home_data_centre: Option<String>,
-}
-
-impl JobEntry {
-    /// Creates the entry of a job.
-    pub fn new(job: Job, account: Option<AccountNumber>, is_plan_stored: bool) -> Self {
-        Self {
-            payload: Arc::from(job.plan.payload.as_str()),
-            visible_outcome: job.outcome,
-            account,
-            is_plan_stored,
-            job,
-            failed_on: BTreeMap::new(),
-            wanted_copies: BTreeSet::new(),
-            preemptions: BTreeMap::new(),
-            crashed_addresses: BTreeSet::new(),
-            home_data_centre: None,
-        }
-    }
-
-    /// The data centre in which the tasks of a step are to run; `None` if they may run in any.
-    pub fn home_for(&self, step: &v1::WorkStep) -> Option<&str> {
-        self.home_data_centre.as_deref().filter(|_| !step.lasting)
-    }
-
-    /// Whether the tasks of the job avoid a worker for the moment, because one of them has just failed there.
-    ///
-    /// Without this, a task that is allowed on a few faulty workers only would use up all its attempts there within
-    /// half a second and fail its job, while workers about which no advice has been requested stand idle.
-    pub fn avoids(&self, worker: &WorkerName, now_ms: u64) -> bool {
-        /// Longer than a request for advice about other workers takes.
-        const AVOID_MS: u64 = 700;
-        self.failed_on.get(worker).is_some_and(|failed_ms| now_ms < failed_ms + AVOID_MS)
-    }
-
-    /// The tasks of a step that may be assigned another run now: those that have none, and those that are to have a
-    /// copy, in the order of their names.
-    pub fn tasks_to_start(&self, step: StepName) -> Vec<TaskName> {
-        let waiting = self.job.step(step).into_iter().flat_map(Step::waiting);
-        let mut tasks: Vec<TaskName> = waiting.map(|index| step.task(index)).collect();
-        let waiting_count = tasks.len();
-        tasks.extend(self.copies_to_start(step));
-        if tasks.len() > waiting_count {
-            tasks.sort_unstable();
-        }
-        tasks
-    }
-
-    /// The number of these tasks.
-    pub fn count_to_start(&self, step: StepName) -> usize {
-        let waiting = self.job.step(step).map_or(0, |step| step.waiting().len());
-        waiting + self.copies_to_start(step).count()
-    }
-
-    /// The tasks of a step that may be assigned a copy beside their only run.
-    pub fn copies_to_start(&self, step: StepName) -> impl Iterator<Item = TaskName> {
-        let wanted = self.wanted_copies.range(step.task(0)..=step.task(u32::MAX));
-        wanted.copied().filter(|name| {
-            // A copy of a task that crashes its workers would take down one more.
-            self.job
-                .task(*name)
-                .is_some_and(|task| !task.done && task.runs.len() == 1 && task.crashes.known == 0)
-        })
-    }
-}
-
 /// The leader of a cell: a state machine that takes events and returns effects.
 #[derive(Debug)]
 pub struct Leader {
@@ -223,28 +133,16 @@
     /// [`Leader::may_extend_leases`] allows.
     inherited_leases_expire_by_ms: u64,
     /// When ended jobs are next checked for removal, on the monotonic clock.
-    next_cleanup_ms: u64,
+    pub(crate) next_cleanup_ms: u64,
     /// When the next review is due, and the next one of all workers and runs, on the monotonic clock.
-    next_review_ms: u64,
-    next_full_review_ms: u64,
+    pub(crate) next_review_ms: u64,
+    pub(crate) next_full_review_ms: u64,
     /// When the last tick was processed, on the monotonic clock.
-    last_tick_ms: u64,
+    pub(crate) last_tick_ms: u64,
     /// When the leader last resumed after a stall, on the monotonic clock.
     pub(crate) last_stall_ms: Option<u64>,
 }
 
-/// If more time than this passes between two ticks, the leader itself counts as late. Ticks come every 50 ms.
-const LATE_TICK_MS: u64 = 150;
-/// If more time than this passes between two ticks, the leader counts as stalled: it can't tell when events happened in
-/// the meantime.
-const STALL_MS: u64 = 1_000;
-/// Minimum interval between reviews, in ms. Workers hardly report progress more often.
-const REVIEW_INTERVAL_MS: u64 = 200;
-/// Maximum number of items that reviews of all workers and runs go through per second.
-const MAX_REVIEW_VISITS_PER_SECOND: u64 = 30_000;
-/// How often ended jobs are checked for those whose retention time is over.
-const CLEANUP_INTERVAL_MS: u64 = 10_000;
-
 impl Leader {
     /// Creates a leader that has just taken over, with all stored jobs.
     pub fn new(options: Options, jobs: Vec<Job>, now: Now) -> Self {
@@ -304,7 +202,7 @@
             leadership_confirmed_ms: now.steady_ms,
             append_sent_ms: now.steady_ms,
             inherited_leases_expire_by_ms,
-            next_cleanup_ms: now.steady_ms + CLEANUP_INTERVAL_MS,
+            next_cleanup_ms: now.steady_ms + ticks::CLEANUP_INTERVAL_MS,
             next_review_ms: now.steady_ms,
             next_full_review_ms: now.steady_ms,
             last_tick_ms: now.steady_ms,
@@ -520,110 +418,11 @@
         }
     }
 
-    fn on_tick(&mut self, now: Now) {
-        if now.steady_ms > self.last_tick_ms + LATE_TICK_MS {
-            self.response_loss.clear();
-        }
-        if now.steady_ms > self.last_tick_ms + STALL_MS {
-            self.last_stall_ms = Some(now.steady_ms);
-        }
-        self.last_tick_ms = now.steady_ms;
-        self.update_pressure(now);
-        while let Some(&(due_ms, key)) = self.upcoming_occurrences.first() {
-            if due_ms > now.unix_ms {
-                break;
-            }
-            self.upcoming_occurrences.pop_first();
-            self.reindex(key, now);
-        }
-        self.expire_unresponsive_workers(now);
-        self.retry_stops(now);
-        self.stop_unanswered_beyond_caps(now);
-        self.update_fair_use(now);
-        self.repeat_overdue_advice_calls(now);
-        self.suspect_silent_data_centres(now);
-        self.review(now);
-        self.refuse_unstored_jobs(now);
-        self.log_unresponsive_workers(now);
-        if now.steady_ms >= self.next_cleanup_ms {
-            self.next_cleanup_ms = now.steady_ms + CLEANUP_INTERVAL_MS;
-            self.forget_old_jobs(now);
-            self.forget_old_incarnations(now);
-            self.check_all_leases();
-        }
-    }
-
-    /// Whether the leader was late so recently that it may hear only now of what happened meanwhile.
-    pub(crate) fn has_just_stalled(&self, now: Now) -> bool {
-        const CATCH_UP_MS: u64 = 500;
-        now.steady_ms > self.last_tick_ms + LATE_TICK_MS
-            || self.last_stall_ms.is_some_and(|ms| now.steady_ms < ms + CATCH_UP_MS)
-    }
-
-    /// Updates the pressure level, and logs a change.
-    fn update_pressure(&mut self, now: Now) {
-        let scan_ms = self.scan.duration_ms(now);
-        let Some(level) = self.pressure.tick(scan_ms, self.work.steps_examined, now) else {
-            return;
-        };
-        log::info!(
-            leader = level.as_str(), behind_ms = self.pressure.behind_ms(),
-            tries_a_round = self.pressure.max_steps_per_round(), waiting = self.waiting.len(),
-            unseen = self.pending_changes.changed_step_count();
-            "pressure level changed"
-        );
-    }
-
     /// How overloaded the leader is.
     pub fn pressure(&self) -> &Pressure {
         &self.pressure
     }
 
-    /// Reviews what comes with time alone.
-    fn review(&mut self, now: Now) {
-        if now.steady_ms < self.next_review_ms {
-            return;
-        }
-        self.next_review_ms = now.steady_ms + REVIEW_INTERVAL_MS;
-        if self.options.uses(Mechanism::Replacement) {
-            self.copy_unresponsive_runs(now);
-        }
-        self.update_pool_sizes();
-        if now.steady_ms >= self.next_full_review_ms {
-            self.review_all(now);
-        }
-    }
-
-    /// Reviews all workers and their runs. The more there are, the rarer are these reviews.
-    fn review_all(&mut self, now: Now) {
-        let before = self.visits.read().of(Part::Review);
-        if self.options.uses(Mechanism::Replacement) {
-            self.replace_stuck_runs(now);
-        }
-        self.count_responsive_workers();
-        self.review_speeds(now);
-        let visits = self.visits.read().of(Part::Review) - before;
-        let pause_ms = visits * 1_000 / MAX_REVIEW_VISITS_PER_SECOND;
-        self.next_full_review_ms = now.steady_ms + pause_ms.max(REVIEW_INTERVAL_MS);
-    }
-
-    /// Counts the registered workers of each service, if that may have changed.
-    fn update_pool_sizes(&mut self) {
-        if !mem::take(&mut self.are_pool_sizes_outdated) {
-            return;
-        }
-        self.visits.add(Part::Review, self.workers.len());
-        self.pool_sizes.clear();
-        for worker in self.workers.values().filter(|worker| worker.registered) {
-            match self.pool_sizes.get_mut(&worker.registration.service) {
-                Some(size) => *size += 1,
-                None => {
-                    self.pool_sizes.insert(worker.registration.service.clone(), 1);
-                }
-            }
-        }
-    }
-
     /// Resources that a run of a task occupies; zero if the task is not known.
     pub(crate) fn need_of(&self, task: TaskName) -> Resources {
         let Some(entry) = self.jobs.get(&task.step.job) else { return Resources::ZERO };
@@ -649,27 +448,4 @@
             self.job_memory.remove(&entry.job.plan);
         }
     }
-
-    fn forget_old_jobs(&mut self, now: Now) {
-        let retention_ms = self.options.retention_ms;
-        let old_jobs: Vec<JobKey> = self
-            .jobs
-            .values()
-            .filter(|entry| {
-                entry.visible_outcome != Outcome::Open
-                    && entry.job.ended_ms + retention_ms < now.unix_ms
-                    && entry.job.live_runs().is_empty()
-            })
-            .map(|entry| entry.job.key)
-            .collect();
-        for key in old_jobs {
-            // Drops advice that arrived after the end of the job.
-            self.release_steps(key);
-            self.remove_job(key);
-            self.outbox.pending.deletions.insert(key);
-        }
-        let jobs = &self.jobs;
-        self.presumed_gone
-            .retain(|_, tasks| tasks.iter().any(|task| jobs.contains_key(&task.step.job)));
-    }
 }
--- a/lilacpass-lead/src/learned/mod.rs
+++ b/lilacpass-lead/src/learned/mod.rs
@@ -16,7 +16,8 @@
 
 use crate::{
     event::Now,
-    leader::{JobEntry, Leader},
+    job_entry::JobEntry,
+    leader::Leader,
     place,
     work::Part,
     worker::{AssignedRun, RunKey, Worker},
--- a/lilacpass-lead/src/rank_updates.rs
+++ b/lilacpass-lead/src/rank_updates.rs
@@ -6,7 +6,8 @@
 use lilacpass_jobs::StepName;
 
 use crate::{
-    leader::{JobEntry, Leader},
+    job_entry::JobEntry,
+    leader::Leader,
     rank::{self, Rank},
 };
 
--- a/lilacpass-lead/src/reindex.rs
+++ b/lilacpass-lead/src/reindex.rs
@@ -6,11 +6,7 @@
 use lilacpass_jobs::{JobKey, Outcome, StepName};
 
 use crate::{
-    event::Now,
-    leader::{JobEntry, Leader},
-    place, rank,
-    waiting::StepKind,
-    work::Part,
+    event::Now, job_entry::JobEntry, leader::Leader, place, rank, waiting::StepKind, work::Part,
 };
 
 impl Leader {
--- a/lilacpass-lead/src/requests.rs
+++ b/lilacpass-lead/src/requests.rs
@@ -6,7 +6,8 @@
 
 use crate::{
     event::{Effect, JobState, Now, Request, RequestId, Requester, Response},
-    leader::{JobEntry, Leader},
+    job_entry::JobEntry,
+    leader::Leader,
     outbox::OnStored,
     place,
     worker::Worker,
--- a/lilacpass-lead/src/schedule.rs
+++ b/lilacpass-lead/src/schedule.rs
@@ -3,24 +3,24 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use lilacpass_core::Resources;
-use lilacpass_jobs::{RunHost, StepName, TaskName, WorkerName};
+use lilacpass_jobs::{StepName, TaskName, WorkerName};
 use lilacpass_schema::v1;
 
 use crate::{
     event::Now,
     hosts::{self, Host, HostSelector},
-    leader::{JobEntry, Leader},
+    job_entry::JobEntry,
+    leader::Leader,
     learned::{
         preference::{self, SpeedPreference},
         speeds::SpeedBucket,
     },
     options::Mechanism,
-    outbox::OnStored,
     pending_changes::RoundScope,
     place,
     rank::Rank,
     work::Part,
-    worker::{Phase, RunKey, Worker},
+    worker::{RunKey, Worker},
 };
 
 /// Maximum number of steps per round for which preemption is attempted, in scheduling order. Each attempt scans the
@@ -416,98 +416,6 @@
         names.into_iter().filter_map(|name| self.workers.get(name)).collect()
     }
 
-    /// Returns the workers that advice permits for a step, sorted by name. A step whose queue needs no advice may use all
-    /// workers.
-    pub(crate) fn allowed_workers(&self, name: StepName, now: Now) -> Vec<&Worker> {
-        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
-        if entry.job.queue.advice.is_none() {
-            return self.workers.values().collect();
-        }
-        let Some(advice) = self.advice.get(&name) else { return Vec::new() };
-        let ticketed = advice.workers_with_tickets(now.steady_ms);
-        ticketed.filter_map(|name| self.workers.get(name)).collect()
-    }
-
-    /// Returns those of `workers` that advice permits for a step, in the same order.
-    fn allowed_among<'a>(
-        &self,
-        name: StepName,
-        workers: impl IntoIterator<Item = &'a WorkerName>,
-        now: Now,
-    ) -> Vec<&Worker> {
-        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
-        let advice = self.advice.get(&name);
-        let is_allowed = |worker: &&WorkerName| {
-            entry.job.queue.advice.is_none()
-                || advice.is_some_and(|advice| advice.ticket(worker, now.steady_ms).is_some())
-        };
-        let allowed = workers.into_iter().filter(is_allowed);
-        allowed.filter_map(|name| self.workers.get(name)).collect()
-    }
-
-    /// Returns workers that advice permits for a step, sorted by name, which include all of them on which `need` fits.
-    ///
-    /// The fewer of the workers with tickets and of those with enough free capacity are gone through. In a full cell
-    /// each waiting step holds tickets for a hundred workers, and hardly any worker has free capacity.
-    pub(crate) fn allowed_and_fitting(
-        &self,
-        name: StepName,
-        need: &Resources,
-        now: Now,
-    ) -> Vec<&Worker> {
-        let Some(entry) = self.jobs.get(&name.job) else { return Vec::new() };
-        let service = &entry.job.queue.service;
-        if entry.job.queue.advice.is_none() {
-            let all = self.workers.len();
-            let fitting = self.capacity_index.fitting(service, need, all).unwrap_or_default();
-            return fitting.into_iter().filter_map(|name| self.workers.get(name)).collect();
-        }
-        let Some(advice) = self.advice.get(&name) else { return Vec::new() };
-        match self.capacity_index.fitting(service, need, advice.ticket_count()) {
-            Some(few) => self.allowed_among(name, few, now),
-            None => self.allowed_workers(name, now),
-        }
-    }
-
-    /// Returns whether a worker would accept a start of the step now, given enough free capacity.
-    pub(crate) fn could_start(
-        &self,
-        worker: &Worker,
-        name: StepName,
-        plan: &v1::WorkStep,
-        now: Now,
-    ) -> bool {
-        let Some(entry) = self.jobs.get(&name.job) else { return false };
-        worker.accepts_starts(now.steady_ms)
-            && place::is_eligible(worker, &entry.job.queue.service, plan)
-            && (plan.lasting || !entry.avoids(&worker.registration.name, now.steady_ms))
-            && !self.would_interfere(worker, plan)
-    }
-
-    /// Returns the free capacity of a worker that a step with this rank may use, excluding reservations that rank
-    /// before it.
-    pub(crate) fn free_capacity_for(&self, rank: &Rank, worker: &Worker) -> Resources {
-        worker
-            .free_capacity()
-            .minus(&self.reservations.reserved_before(rank, &worker.registration.name))
-    }
-
-    /// Returns whether a task of this step would interfere with those on the worker. A filling task uses CPU that is
-    /// not reserved, which increases the tail latency of tasks that serve users by an unpredictable amount.
-    fn would_interfere(&self, worker: &Worker, plan: &v1::WorkStep) -> bool {
-        let has_task = |matches: fn(&v1::WorkStep) -> bool| {
-            worker.runs.keys().any(|(task, _)| self.plan_of(*task).is_some_and(matches))
-        };
-        plan.fills && has_task(|other| other.target_ms > 0)
-            || plan.target_ms > 0 && has_task(|other| other.fills)
-    }
-
-    /// Returns the plan of the step that a task belongs to.
-    fn plan_of(&self, task: TaskName) -> Option<&v1::WorkStep> {
-        let entry = self.jobs.get(&task.step.job)?;
-        entry.job.plan.steps.get(task.step.step as usize)
-    }
-
     /// Stops the filling tasks on a worker that could otherwise run a task of this step, which has a latency target.
     /// That task would have to wait for as long as they run.
     fn stop_filling_tasks(&mut self, name: StepName, plan: &v1::WorkStep, now: Now) {
@@ -529,68 +437,6 @@
             self.stop_run(&host, key, now);
         }
     }
-
-    /// Returns how many more tasks of a step a worker may run under the step's limit per worker.
-    pub(crate) fn remaining_task_limit(
-        &self,
-        worker: &Worker,
-        name: StepName,
-        plan: &v1::WorkStep,
-    ) -> u64 {
-        if plan.max_per_worker == 0 {
-            return u64::MAX;
-        }
-        let running = worker.runs.keys().filter(|(task, _)| task.step == name).count() as u64;
-        u64::from(plan.max_per_worker).saturating_sub(running)
-    }
-
-    /// Begins a run of a task on a worker.
-    fn assign(&mut self, task: TaskName, worker: WorkerName, now: Now) {
-        let entry = self.jobs.get(&task.step.job);
-        let is_on_trial = entry.is_some_and(|entry| self.is_on_trial(entry, task));
-        let Some(entry) = self.jobs.get_mut(&task.step.job) else { return };
-        let host = run_host(&self.workers, &worker);
-        let Some(run) = entry.job.assign_run(task, host) else { return };
-        entry.wanted_copies.remove(&task);
-        self.record_start(task, run, worker.clone(), now);
-        if is_on_trial {
-            self.begin_trial(&worker, (task, run), now);
-        }
-        self.reindex_step(task.step, now);
-    }
-
-    /// Begins a run of all tasks of a gang at once, the first task on the first worker and so on.
-    fn assign_gang(&mut self, name: StepName, workers: &[WorkerName], now: Now) {
-        let Some(entry) = self.jobs.get_mut(&name.job) else { return };
-        let hosts: Vec<RunHost> =
-            workers.iter().map(|worker| run_host(&self.workers, worker)).collect();
-        let is_on_trial = entry.job.is_suspected(name.task(0));
-        let Some(run) = entry.job.assign_gang(name, &hosts) else { return };
-        self.reservations.release(name);
-        for (index, worker) in workers.iter().enumerate() {
-            let task = name.task(index as u32);
-            self.record_start(task, run, worker.clone(), now);
-            if is_on_trial {
-                self.begin_trial(worker, (task, run), now);
-            }
-        }
-        self.reindex_step(name, now);
-    }
-
-    /// Records a start to be stored. The start order is sent to the worker once the store has confirmed it.
-    fn record_start(&mut self, task: TaskName, run: u32, name: WorkerName, now: Now) {
-        let need = self.need_of(task);
-        self.reservations.consume(task.step, &name, &need);
-        self.waiting.record_start(task.step, now.steady_ms);
-        if let Some(worker) = self.workers.get_mut(&name) {
-            worker.assign((task, run), need, Phase::Recording);
-            self.capacity_index.update(worker, now.steady_ms);
-            self.charge_run(&name, (task, run));
-        }
-        log::info!(task:% = task, run, worker:% = name, need:% = need; "task placed");
-        self.outbox.pending.states.insert(task.step.job);
-        self.outbox.when_stored(OnStored::SendStart { worker: name, task, run });
-    }
 }
 
 /// Which workers a round considers for a step.
@@ -601,12 +447,3 @@
     /// All workers.
     All,
 }
-
-/// Returns the data centre of a worker, or an empty string if the worker is unknown.
-fn run_host(workers: &BTreeMap<WorkerName, Worker>, name: &WorkerName) -> RunHost {
-    let (data_centre, address) = workers.get(name).map_or(("", ""), |worker| {
-        let registration = &worker.registration;
-        (registration.data_centre.as_str(), registration.address.as_str())
-    });
-    RunHost::new(name.clone(), data_centre, address)
-}
--- a/lilacpass-lead/src/trials.rs
+++ b/lilacpass-lead/src/trials.rs
@@ -9,13 +9,7 @@
 use lilacpass_jobs::{Run, TaskName, WorkerName};
 use lilacpass_schema::v1;
 
-use crate::{
-    event::Now,
-    hosts::Host,
-    leader::{JobEntry, Leader},
-    place,
-    worker::RunKey,
-};
+use crate::{event::Now, hosts::Host, job_entry::JobEntry, leader::Leader, place, worker::RunKey};
 
 /// A run that has been running for this long clears its task of earlier crashes.
 const CLEARED_AFTER_MS: u64 = 20_000;
