Data centres: the time without a response is compared in one place

Cause: three functions compared it with the same limit, each in its own way. Change: two methods of DataCentre. No decision changes.

--- a/lilacpass-lead/src/data_centres.rs
+++ b/lilacpass-lead/src/data_centres.rs
@@ -37,6 +37,15 @@
 }
 
 impl DataCentre {
+    fn silence_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.last_response_ms)
+    }
+
+    /// Whether a worker has responded recently.
+    fn is_responsive(&self, now_ms: u64) -> bool {
+        self.silence_ms(now_ms) < UNRESPONSIVE_MS
+    }
+
     fn take_unchecked(&mut self, count: usize) -> Vec<WorkerName> {
         self.unchecked.split_off(self.unchecked.len().saturating_sub(count))
     }
@@ -64,7 +73,7 @@
     /// and it was not found unreachable just before.
     pub fn needs_review(&self, data_centre: &str, now_ms: u64) -> bool {
         let Some(known) = self.by_name.get(data_centre) else { return true };
-        now_ms >= known.last_response_ms + UNRESPONSIVE_MS && now_ms >= known.next_review_ms
+        !known.is_responsive(now_ms) && now_ms >= known.next_review_ms
     }
 
     /// Counts the workers that respond, given by the name of the data centre of each.
@@ -80,14 +89,13 @@
     /// Data centres that have fallen silent although each of their workers should respond once in `interval_ms`, while
     /// another data centre responds. Calls to them have not failed yet.
     pub fn silent(&self, interval_ms: u64, now_ms: u64) -> Vec<String> {
-        let silence_ms = |known: &DataCentre| now_ms.saturating_sub(known.last_response_ms);
-        if self.by_name.values().all(|known| silence_ms(known) >= UNRESPONSIVE_MS / 2) {
+        if self.by_name.values().all(|known| known.silence_ms(now_ms) >= UNRESPONSIVE_MS / 2) {
             // The leader itself is late or cut off.
             return Vec::new();
         }
         let is_silent = |known: &DataCentre| {
-            let missing = known.responsive_workers * silence_ms(known) / interval_ms;
-            silence_ms(known) >= UNRESPONSIVE_MS
+            let missing = known.responsive_workers * known.silence_ms(now_ms) / interval_ms;
+            !known.is_responsive(now_ms)
                 && missing >= MIN_MISSING_RESPONSES
                 && now_ms >= known.next_review_ms
         };
@@ -97,8 +105,7 @@
 
     /// Whether a worker of a data centre has responded recently.
     pub fn is_responsive(&self, data_centre: &str, now_ms: u64) -> bool {
-        let known = self.by_name.get(data_centre);
-        known.is_some_and(|known| now_ms < known.last_response_ms + UNRESPONSIVE_MS)
+        self.by_name.get(data_centre).is_some_and(|known| known.is_responsive(now_ms))
     }
 
     /// Records that a review has found a data centre unreachable. Returns those of the suspected workers that are to be
