Orders: two copies of which neither was sent have not run

Cause: an order without a response is sent again after 0.1 s. If neither copy left this instance, because the worker is gone and no connection could be opened or nobody identified itself in time, the result still was "may have run": the run counted as possibly started, and its task waited for the leases of a dead worker. Since orders are bound to an incarnation, most orders to a worker that is gone end like this.

Change: two such copies give `NotRun`, or that another incarnation responded, if one of them found it.

Result: `a_copy_that_was_not_sent_does_not_settle_the_other` has three more cases, which gave `MayHaveRun` before.

--- a/lilacpass-node/src/orders.rs
+++ b/lilacpass-node/src/orders.rs
@@ -191,14 +191,21 @@
         return response;
     }
     let other = if first_responded { second.await } else { first.await };
-    let is_neither_sent =
-        [&response, &other].into_iter().all(|copy| *copy == Err(CallError::OtherIncarnation));
-    if is_neither_sent || is_conclusive(&other) {
+    if is_conclusive(&other) {
         return other;
     }
+    if is_unsent(&response) && is_unsent(&other) {
+        let names_other = response == Err(CallError::OtherIncarnation);
+        return if names_other { response } else { other };
+    }
     Err(CallError::Failed(Verdict::MayHaveRun))
 }
 
+/// Whether a copy was certainly not sent to the worker.
+fn is_unsent(response: &Result<(), CallError>) -> bool {
+    matches!(response, Err(CallError::OtherIncarnation | CallError::Failed(Verdict::NotRun)))
+}
+
 /// Whether the response to one copy also settles the other. A refusal for a reason other than [`Refusal::Fence`] does
 /// not: the other copy may arrive later, when the reason no longer holds, or may have arrived earlier and be the
 /// reason. Nor does [`CallError::OtherIncarnation`]: a relay of an earlier version sends its copy to any incarnation.
--- a/lilacpass-node/tests/orders.rs
+++ b/lilacpass-node/tests/orders.rs
@@ -92,12 +92,23 @@
 }
 
 /// Guards against a start elsewhere while a relay of an earlier version carries out its copy on the next incarnation of
-/// the worker, and against a task that waits although neither copy was sent.
+/// the worker, and against a task that waits for the leases of a worker that is gone although neither copy was sent.
 #[test]
 fn a_copy_that_was_not_sent_does_not_settle_the_other() {
     let other: OrderResult = Err(CallError::OtherIncarnation);
     let uncertain: OrderResult = Err(CallError::Failed(Verdict::MayHaveRun));
     let timed_out = Some((400, uncertain.clone()));
     assert_eq!(send(&[timed_out, Some((5, other.clone()))]), (uncertain, 2));
-    assert_eq!(send(&[Some((200, other.clone())), Some((5, other.clone()))]), (other, 2));
+    assert_eq!(send(&[Some((200, other.clone())), Some((5, other.clone()))]), (other.clone(), 2));
+    let unsent: OrderResult = Err(CallError::Failed(Verdict::NotRun));
+    assert_eq!(
+        send(&[Some((400, unsent.clone())), Some((300, unsent.clone()))]),
+        (unsent.clone(), 2)
+    );
+    for copies in [
+        [(400, unsent.clone()), (200, other.clone())],
+        [(250, other.clone()), (300, unsent.clone())],
+    ] {
+        assert_eq!(send(&copies.map(Some)).0, other);
+    }
 }
