Lab: turns of the event loop, and failing tests of a leader with less processor

Cause: the lab let a message reach the leader with the next round, however long the way. Change: a scenario may say how many turns a message takes and what a turn costs at least; without these keys nothing changes. Two tests hold that short work falls no faster than the processor, at 1,100 and at 2,200 workers.

--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -187,10 +187,15 @@
         if self.scenario.processor.is_none() {
             return self.leader.handle(event, self.now());
         }
-        self.event_loop.push(event);
+        self.event_loop.push(event, self.io_turns());
         self.schedule_round();
     }
 
+    /// Returns the number of turns of the event loop that a message takes between the leader and the network.
+    fn io_turns(&self) -> usize {
+        self.scenario.processor.as_ref().map_or(0, |processor| processor.io_turns)
+    }
+
     fn schedule_round(&mut self) {
         if let Some(at_ms) = self.event_loop.schedule_round(self.now_ms) {
             self.schedule(at_ms, Action::RunRound);
@@ -202,9 +207,10 @@
         let Some(processor) = &self.scenario.processor else { return };
         let now = self.now();
         let before = self.leader.work();
-        let events = self.event_loop.begin_round();
-        let event_count = events.len();
-        for event in events {
+        let turn = self.event_loop.begin_round();
+        self.schedule_effects(turn.effects, self.now_ms);
+        let event_count = turn.events.len();
+        for event in turn.events {
             if event == Event::Tick {
                 self.schedule(self.now_ms + TICK_INTERVAL_MS, Action::Tick);
             }
@@ -214,8 +220,11 @@
         let visits = self.leader.work().since(&before).visits.total();
         let duration_us = processor.time_us(event_count, effects.len(), visits);
         let ends_ms = self.event_loop.end_round(self.now_ms, duration_us);
-        self.schedule_effects(effects, ends_ms);
-        if self.leader.has_more() {
+        match self.io_turns() {
+            0 => self.schedule_effects(effects, ends_ms),
+            turns => self.event_loop.push_effects(effects, turns - 1),
+        }
+        if self.leader.has_more() || self.event_loop.has_messages() {
             self.schedule_round();
         }
     }
@@ -250,7 +259,14 @@
                 if self.scenario.processor.is_none() {
                     self.schedule(self.now_ms + TICK_INTERVAL_MS, Action::Tick);
                 }
-                self.send_to_leader(Event::Tick);
+                // Ticks come from the loop itself.
+                match self.scenario.processor {
+                    Some(_) => {
+                        self.event_loop.push(Event::Tick, 0);
+                        self.schedule_round();
+                    }
+                    None => self.send_to_leader(Event::Tick),
+                }
             }
             Action::Renew => self.renew(),
             Action::ReadRegistrations => self.read_registrations(),
--- a/lilacpass-lab/src/processor.rs
+++ b/lilacpass-lab/src/processor.rs
@@ -1,16 +1,27 @@
 //! The event loop of a leader whose processor is limited.
 //!
 //! Its loop works like that of an instance: it processes all events that have arrived, decides once, and carries out the
-//! effects. It is late for all events that arrive meanwhile.
+//! effects. It is late for all events that arrive meanwhile. A message may take several turns of the loop between the
+//! leader and the network, as each of the tasks on its way runs once in a turn.
 
-use std::mem;
+use std::{collections::VecDeque, mem};
 
-use lilacpass_lead::Event;
+use lilacpass_lead::{Effect, Event};
+
+/// What reaches the leader or the network in a turn of the loop.
+#[derive(Debug, Default)]
+pub struct Turn {
+    /// Events for the leader.
+    pub events: Vec<Event>,
+    /// Effects that leave the instance.
+    pub effects: Vec<Effect>,
+}
 
 /// The events that wait for the leader, and how long it is busy.
 #[derive(Debug, Default)]
 pub struct EventLoop {
-    inbox: Vec<Event>,
+    /// What the next turns bring, the next one first.
+    turns: VecDeque<Turn>,
     /// Whether the next round is scheduled.
     is_scheduled: bool,
     /// Time until which the leader is busy with its last round, in microseconds.
@@ -20,9 +31,26 @@
 }
 
 impl EventLoop {
-    /// Adds an event for the next round.
-    pub fn push(&mut self, event: Event) {
-        self.inbox.push(event);
+    /// Adds an event that reaches the leader after `turns` turns of the loop.
+    pub fn push(&mut self, event: Event, turns: usize) {
+        self.turn(turns).events.push(event);
+    }
+
+    /// Adds effects that leave the instance after `turns` turns of the loop.
+    pub fn push_effects(&mut self, effects: Vec<Effect>, turns: usize) {
+        self.turn(turns).effects.extend(effects);
+    }
+
+    fn turn(&mut self, turns: usize) -> &mut Turn {
+        if self.turns.len() <= turns {
+            self.turns.resize_with(turns + 1, Turn::default);
+        }
+        &mut self.turns[turns]
+    }
+
+    /// Whether messages are on their way.
+    pub fn has_messages(&self) -> bool {
+        !self.turns.is_empty()
     }
 
     /// Returns the time at which to run the next round, in milliseconds; `None` if it has been scheduled already.
@@ -31,10 +59,18 @@
         is_first.then(|| self.busy_until_us.div_ceil(1_000).max(now_ms))
     }
 
-    /// Takes the events of a round that begins now.
-    pub fn begin_round(&mut self) -> Vec<Event> {
+    /// Takes what the turn that begins now brings. Turns without events take no time, so the next one with events
+    /// follows at once.
+    pub fn begin_round(&mut self) -> Turn {
         self.is_scheduled = false;
-        mem::take(&mut self.inbox)
+        let mut round = Turn::default();
+        while round.events.is_empty()
+            && let Some(turn) = self.turns.pop_front()
+        {
+            round.events = turn.events;
+            round.effects.extend(turn.effects);
+        }
+        round
     }
 
     /// Records the duration of a round that began at `now_ms`. Returns when it ends, in milliseconds.
--- a/lilacpass-lab/src/scenario.rs
+++ b/lilacpass-lab/src/scenario.rs
@@ -257,12 +257,20 @@
     pub effect_us: f64,
     /// Time for an item that a decision goes through, in microseconds; see [`lilacpass_lead::work::Visits`].
     pub visit_us: f64,
+    /// Time for a turn of the event loop whatever it brings, in microseconds.
+    #[serde(default)]
+    pub turn_us: f64,
+    /// Number of turns of the event loop that a message takes between the leader and the network, one way. A call takes long
+    /// if the loop is busy, because each of the tasks on its way runs once in a turn.
+    #[serde(default)]
+    pub io_turns: usize,
 }
 
 impl Processor {
     /// Returns the time that work takes, in microseconds.
     pub fn time_us(&self, events: usize, effects: usize, visits: u64) -> u64 {
-        let work_us = self.event_us * events as f64
+        let work_us = self.turn_us
+            + self.event_us * events as f64
             + self.effect_us * effects as f64
             + self.visit_us * visits as f64;
         (work_us / (self.share * (1.0 - self.other_share))) as u64
@@ -380,11 +388,15 @@
         ("event_us", processor.event_us),
         ("effect_us", processor.effect_us),
         ("visit_us", processor.visit_us),
+        ("turn_us", processor.turn_us),
     ] {
         if value < 0.0 {
             return Err(error::value(format!("processor.{name}"), "must not be negative"));
         }
     }
+    if processor.io_turns > 0 && processor.turn_us == 0.0 {
+        return Err(error::value("processor.turn_us", "must be above 0 if messages take turns"));
+    }
     if processor.other_share >= 1.0 {
         return Err(error::value("processor.other_share", "must be below 1"));
     }
--- a/lilacpass-lab/tests/leader_work.rs
+++ b/lilacpass-lab/tests/leader_work.rs
@@ -1,11 +1,11 @@
 //! Tests of how much work a nearly full cell makes for its leader. All counts and times are simulated, so the results do
 //! not depend on the machine.
 
-use std::path::Path;
+use std::{path::Path, thread};
 
 use lilacpass_lab::{
     cli,
-    outcome::{Outcome, WorkSample},
+    outcome::{ClassOutcome, Outcome, WorkSample},
     policy::Policy,
     scenario::{self, Scenario},
 };
@@ -73,3 +73,48 @@
         assert!(class.worth >= MIN_WORTH, "{} earns {:.3} of its worth", class.name, class.worth);
     }
 }
+
+/// Shares of the scenario's processor that a leader gets. With the whole one, it keeps up with 1,100 workers.
+const PROCESSOR_SHARES: [f64; 4] = [1.0, 0.75, 0.5, 0.25];
+
+/// Simulates a leader that gets a share of the processor, with input and output that advance once in a turn of its loop.
+fn run_with_processor(workers: usize, share: f64) -> Outcome {
+    let mut scenario = large_cell(workers);
+    scenario.rest_s = 5.0;
+    let processor = scenario.processor.as_mut().expect("a model of the processor");
+    processor.share *= share;
+    processor.turn_us = 100.0;
+    processor.io_turns = 4;
+    cli::simulate(&scenario, Policy::Today, SEED)
+}
+
+/// Returns the worth that short work earns, of 1.
+fn short_worth(outcome: &Outcome) -> f64 {
+    let short = || outcome.classes.iter().filter(|class| class.name.starts_with("check"));
+    let asked = |class: &ClassOutcome| f64::from(class.asked);
+    short().map(|class| class.worth * asked(class)).sum::<f64>() / short().map(asked).sum::<f64>()
+}
+
+fn assert_falls_in_proportion(workers: usize) {
+    let outcomes = thread::scope(|scope| {
+        let run = |share| scope.spawn(move || run_with_processor(workers, share));
+        PROCESSOR_SHARES.map(run).map(|thread| thread.join().expect("no panic"))
+    });
+    let earned = outcomes.each_ref().map(short_worth);
+    for (share, worth) in PROCESSOR_SHARES.into_iter().zip(earned) {
+        let least = share * earned[0];
+        assert!(worth >= least, "{share} of the processor: {worth:.3} of {least:.3}; {earned:.3?}");
+    }
+}
+
+/// Guards against a leader that is too slow for all work and then does nearly none in time.
+#[test]
+fn short_work_falls_no_faster_than_the_processor() {
+    assert_falls_in_proportion(1_100);
+}
+
+/// Guards against the same in a cell whose work the leader can't do with all of its processor.
+#[test]
+fn short_work_falls_no_faster_than_the_processor_at_twice_the_size() {
+    assert_falls_in_proportion(2_200);
+}
