Leader: a leader without time to spare accepts a share of the new jobs, chosen by their keys

Cause: limits on single queues (ticks 0.7 s late, a scan of 2 s, 64 changed steps) held a standing queue of a second in place. Every job waited in it, appends took 0.3 s as each of eight tasks on the way of a call runs once in a turn of 40 ms, and refused jobs came back late and took the places of new ones. Change: once ticks have been late by 8 ms in the mean for 0.5 s, the accepted share halves in 2 s; with time to spare it doubles in 4 s. A job's key decides whether it belongs to the share, so a refused job stays refused until there is time. Work that lasts is always accepted. Other instances hear of the share with their heartbeats and refuse the same jobs themselves, except those that were accepted within the last seconds. Mechanism 'admission' switches it off in the lab.

--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -16,6 +16,7 @@
 use lilacpass_lead::{
     Effect, Event, Leader, Now, Options,
     event::{CallError, Lane, Record, Request, RequestId, Response},
+    requests::retry_after_ms,
 };
 use lilacpass_schema::v1;
 use prost::Message;
@@ -316,9 +317,18 @@
         let class = &self.scenario.classes[arrival.class];
         let step = StepName { job: arrival.key, occurrence: 0, step: 0 };
         self.recorder.record_ready(step, self.now_ms);
+        // Other instances refuse the jobs that the leader has not accepted lately themselves.
+        let plan = arrival.work_plan(class);
+        let admission = self.leader.admission();
+        if admission.recent_share().refuses(arrival.key, &plan) {
+            let retry_after_ms = retry_after_ms(admission.limited_ms(self.now()));
+            let reason = "the leader is behind";
+            let refused = Response::Refused { reason, retry_after_ms };
+            return self.deliver_response(RequestId(job as u64), &refused);
+        }
         let request = Request::Submit {
             job: arrival.key,
-            plan: arrival.work_plan(class),
+            plan,
             queue: arrivals::queue_policy(class, self.scenario),
             account: None,
         };
--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     accounts::Accounts,
+    admission::Admission,
     advice::{Lanes, StepAdvice},
     advice_claims::AdviceClaims,
     advice_hedge::AdviceHedge,
@@ -82,6 +83,7 @@
     /// The last step that the previous full round examined; `None` if the next one begins anew.
     pub(crate) full_round_position: Option<Rank>,
     pub(crate) pressure: Pressure,
+    pub(crate) admission: Admission,
     pub(crate) pending_changes: PendingChanges,
     pub(crate) registration_age: RegistrationAge,
     pub(crate) response_loss: ResponseLossMeter,
@@ -180,6 +182,7 @@
             scan: Scan::default(),
             full_round_position: None,
             pressure: Pressure::new(now),
+            admission: Admission::new(now),
             pending_changes: PendingChanges::default(),
             registration_age: RegistrationAge::default(),
             response_loss: ResponseLossMeter::default(),
@@ -460,6 +463,11 @@
         &self.pressure
     }
 
+    /// Which new jobs are accepted.
+    pub fn admission(&self) -> &Admission {
+        &self.admission
+    }
+
     /// Resources that a run of a task occupies; zero if the task is not known.
     pub(crate) fn need_of(&self, task: TaskName) -> Resources {
         let Some(entry) = self.jobs.get(&task.step.job) else { return Resources::ZERO };
--- a/lilacpass-lead/src/lib.rs
+++ b/lilacpass-lead/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod account_caps;
 pub mod accounts;
+pub mod admission;
 pub mod advance_reservations;
 pub mod advice;
 pub mod advice_claims;
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -140,17 +140,20 @@
     Replacement,
     /// The tasks of a job run in one home data centre.
     Home,
+    /// A leader that is late accepts a share of the new jobs only.
+    Admission,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Preemption,
         Self::AdvanceReservations,
         Self::NextStepAdvice,
         Self::Quarantine,
         Self::Replacement,
         Self::Home,
+        Self::Admission,
     ];
 
     /// Returns the name by which it is printed and parsed.
@@ -162,6 +165,7 @@
             Self::Quarantine => "quarantine",
             Self::Replacement => "replacement",
             Self::Home => "home",
+            Self::Admission => "admission",
         }
     }
 }
--- a/lilacpass-lead/src/pressure.rs
+++ b/lilacpass-lead/src/pressure.rs
@@ -184,7 +184,7 @@
     }
 
     /// Returns the mean delay of the last ticks, each limited to [`MAX_COUNTED_DELAY_MS`].
-    fn mean_delay_ms(&self) -> u64 {
+    pub fn mean_delay_ms(&self) -> u64 {
         let sum_ms: u64 = self.delays_ms.iter().map(|ms| (*ms).min(MAX_COUNTED_DELAY_MS)).sum();
         sum_ms / MEAN_TICKS as u64
     }
@@ -206,10 +206,15 @@
         if !self.is_refusing && !is_backlog_full {
             return None;
         }
-        self.last_refusal_ms = Some(now.steady_ms);
+        self.record_refusal(now);
         Some(requests::retry_after_ms(self.behind_ms()))
     }
 
+    /// Records that a new job was refused.
+    pub fn record_refusal(&mut self, now: Now) {
+        self.last_refusal_ms = Some(now.steady_ms);
+    }
+
     /// Returns the number of unexamined changed steps from which new jobs are refused.
     fn max_backlog(&self) -> u64 {
         let recent_steps = self.steps_per_second * MAX_BACKLOG_MS as f64 / 1_000.0;
--- a/lilacpass-lead/src/requests.rs
+++ b/lilacpass-lead/src/requests.rs
@@ -88,7 +88,7 @@
         if self.is_store_stuck(now) {
             return self.refuse_while_store_stuck(request_id, key, now);
         }
-        if let Some(retry_after_ms) = self.pressure_retry_ms(now) {
+        if let Some(retry_after_ms) = self.pressure_retry_ms(key, &submission.plan, now) {
             return self.refuse_while_behind(request_id, key, retry_after_ms);
         }
         if self.lacks_memory_for(&submission.plan, now) {
@@ -180,10 +180,14 @@
     ///
     /// A leader that may have been replaced refuses no job for this reason: its successor may have accepted the job
     /// from an earlier attempt, and a client that is refused concludes that the job will never run.
-    fn pressure_retry_ms(&mut self, now: Now) -> Option<u32> {
+    fn pressure_retry_ms(&mut self, key: JobKey, plan: &v1::WorkPlan, now: Now) -> Option<u32> {
         if !self.is_leadership_certain(now) {
             return None;
         }
+        if self.admission.share().refuses(key, plan) {
+            self.pressure.record_refusal(now);
+            return Some(retry_after_ms(self.admission.limited_ms(now)));
+        }
         self.pressure.check_refusal(self.pending_changes.changed_step_count(), now)
     }
 
--- a/lilacpass-lead/src/ticks.rs
+++ b/lilacpass-lead/src/ticks.rs
@@ -63,13 +63,16 @@
     /// Updates the pressure level, and logs a change.
     fn update_pressure(&mut self, now: Now) {
         let scan_ms = self.scan.duration_ms(now);
-        let Some(level) = self.pressure.tick(scan_ms, self.work.steps_examined, now) else {
-            return;
-        };
+        let changed_level = self.pressure.tick(scan_ms, self.work.steps_examined, now);
+        if self.options.uses(Mechanism::Admission) {
+            self.admission.update(self.pressure.mean_delay_ms(), now);
+        }
+        let Some(level) = changed_level else { return };
         log::info!(
             leader = level.as_str(), behind_ms = self.pressure.behind_ms(),
             tries_a_round = self.pressure.max_steps_per_round(), waiting = self.waiting.len(),
-            unseen = self.pending_changes.changed_step_count();
+            unseen = self.pending_changes.changed_step_count(),
+            refused_permille = self.admission.share().refused_permille();
             "pressure level changed"
         );
     }
--- a/lilacpass-node/src/election.rs
+++ b/lilacpass-node/src/election.rs
@@ -24,6 +24,7 @@
     metrics,
     node::Node,
     peers::heartbeats,
+    stated_admission::StatedAdmission,
     takeover,
 };
 
@@ -166,6 +167,7 @@
             node.largest.set(largest);
             let interval_ms = u64::from(reply.heartbeat_interval_ms);
             node.forward_slots.set_limit(reply.max_forwards);
+            node.stated_admission.set(StatedAdmission::decode(&reply));
             node.heartbeat_interval_ms.set(interval_ms.max(members::MIN_HEARTBEAT_INTERVAL_MS));
             node.known_members.borrow_mut().update(reply.peers_revision, reply.peers);
             HeartbeatResult::Leads { store_reachable: reply.store_reachable }
--- a/lilacpass-node/src/frontend.rs
+++ b/lilacpass-node/src/frontend.rs
@@ -172,7 +172,10 @@
         timeout_ms => request.deadline_ms.min(timeout_ms),
     };
     let timeout = Duration::from_millis(timeout_ms).saturating_sub(RESPONSE_MARGIN);
-    let response = request_from_leader(node, leader_request, &access, timeout).await;
+    let response = match refusal_for_leader(node, &leader_request) {
+        Some(refusal) => refusal,
+        None => request_from_leader(node, leader_request, &access, timeout).await,
+    };
     match &response {
         Response::Refused { reason, .. } => {
             log::info!(method:% = received.method, path = received.path.as_str(), reason; "request refused");
@@ -185,6 +188,13 @@
     callers::encode(&response)
 }
 
+/// Returns the refusal of a request that the leader would refuse because it is behind. The leader itself decides after it has
+/// looked whether it knows the job.
+fn refusal_for_leader(node: &Node, request: &Request) -> Option<Response> {
+    let is_current = !node.leads() && missed_heartbeat_ms(node) < FORWARD_SLACK_MS;
+    node.stated_admission.get().refusal(request).filter(|_| is_current)
+}
+
 /// Sends a request to the leader, and to its successor if there is one, until there is a response or time is up. All
 /// client requests are idempotent, so they may be sent twice.
 async fn request_from_leader(
--- a/lilacpass-node/src/leader_loop/mod.rs
+++ b/lilacpass-node/src/leader_loop/mod.rs
@@ -29,7 +29,7 @@
 
 use crate::{
     clock, handover, intake::IntakeQueue, leader_handle::Message, metrics::BusyTime, node::Node,
-    relays::Relays, renewal::RenewalState,
+    relays::Relays, renewal::RenewalState, stated_admission::StatedAdmission,
 };
 
 /// Interval of the leader's ticks, which bounds how late it notices that a deadline has passed.
@@ -88,6 +88,7 @@
             }
             self.run_round();
         }
+        self.node.stated_admission.set(StatedAdmission::default());
         self.node.not_leading_since_ms.set(clock::now().steady_ms);
         self.node.leader_handle.borrow_mut().take();
         *self.node.relays.borrow_mut() = Relays::default();
--- a/lilacpass-node/src/leader_loop/periodic.rs
+++ b/lilacpass-node/src/leader_loop/periodic.rs
@@ -11,6 +11,7 @@
     clock,
     node::Node,
     relay_choice::{Candidate, LeaderCapacity},
+    stated_admission::StatedAdmission,
 };
 
 /// Interval between updates of the lanes (instances that can make advice calls) and of the relays, in milliseconds.
@@ -45,6 +46,9 @@
         let pressure = self.leader.pressure();
         let behind = Duration::from_millis(pressure.behind_ms());
         self.node.metrics.pressure(pressure.level(), behind);
+        let admission = self.leader.admission();
+        self.node.metrics.accepted_jobs(admission.share());
+        self.node.stated_admission.set(StatedAdmission::new(admission, now));
         self.node.metrics.job_memory(self.leader.job_bytes());
         let counters = self.leader.take_counters();
         self.node.metrics.record_counters(&counters);
--- a/lilacpass-node/src/lib.rs
+++ b/lilacpass-node/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod renewal;
 pub mod resource_shares;
 pub mod signals;
+pub mod stated_admission;
 pub mod store_contact;
 pub mod takeover;
 pub mod trace;
--- a/lilacpass-node/src/metrics.rs
+++ b/lilacpass-node/src/metrics.rs
@@ -11,6 +11,7 @@
 use http::StatusCode;
 use lilacpass_jobs::failure::Cause;
 use lilacpass_lead::{
+    admission::JobShare,
     counters::{Counters, WorkerLoss},
     fair_use::Band,
     learned::speeds::KindStatus,
@@ -104,6 +105,7 @@
     leads: Gauge<u64>,
     behind_seconds: Gauge<f64>,
     pressure: Gauge<u64>,
+    refused_job_ratio: Gauge<f64>,
     worker_speed: Gauge<f64>,
     dropped_lines: Gauge<u64>,
 }
@@ -177,6 +179,7 @@
             leads: meter.u64_gauge("lilacpass_leads").build(),
             behind_seconds: meter.f64_gauge("lilacpass_leader_behind_seconds").build(),
             pressure: meter.u64_gauge("lilacpass_leader_pressure").build(),
+            refused_job_ratio: meter.f64_gauge("lilacpass_leader_refused_job_ratio").build(),
             worker_speed: meter.f64_gauge("lilacpass_worker_speed").build(),
             dropped_lines: meter.u64_gauge("lilacpass_dropped_log_lines").build(),
             registry,
@@ -282,6 +285,11 @@
         self.behind_seconds.record(behind.as_secs_f64(), &[]);
     }
 
+    /// Records the share of new jobs that this instance accepts as the leader.
+    pub fn accepted_jobs(&self, share: JobShare) {
+        self.refused_job_ratio.record(f64::from(share.refused_permille()) / 1_000.0, &[]);
+    }
+
     /// Records the estimated memory of the jobs that this instance leads, in bytes.
     pub fn job_memory(&self, job_bytes: u64) {
         self.job_bytes.record(job_bytes, &[]);
@@ -347,6 +355,7 @@
         self.leads.record(0, &[]);
         self.job_memory(0);
         self.pressure(Level::KeepsUp, Duration::ZERO);
+        self.accepted_jobs(JobShare::ALL);
     }
 
     /// Adds the time for which the event loop of the process has been busy, with everything that runs on it.
--- a/lilacpass-node/src/node.rs
+++ b/lilacpass-node/src/node.rs
@@ -33,6 +33,7 @@
     relay_server::PendingOutcomes,
     relays::Relays,
     resource_shares::ResourceShares,
+    stated_admission::StatedAdmission,
 };
 
 /// The current leader, as far as this instance knows.
@@ -114,6 +115,8 @@
     pub heartbeat_interval_ms: Cell<u64>,
     /// Limits how many requests are forwarded to the leader at the same time.
     pub forward_slots: ForwardSlots,
+    /// Which new jobs the leader has accepted lately, as it has stated last.
+    pub stated_admission: Cell<StatedAdmission>,
     /// Notified when a request could not be forwarded to the leader.
     pub leader_doubted: Notify,
     /// Instances that the leader has listed.
@@ -172,6 +175,7 @@
             largest: Cell::default(),
             heartbeat_interval_ms: Cell::new(members::MIN_HEARTBEAT_INTERVAL_MS),
             forward_slots: ForwardSlots::default(),
+            stated_admission: Cell::default(),
             leader_doubted: Notify::new(),
             known_members: RefCell::default(),
             relays: RefCell::default(),
--- a/lilacpass-node/src/peers/heartbeats.rs
+++ b/lilacpass-node/src/peers/heartbeats.rs
@@ -77,7 +77,7 @@
     let max_connections = node.peers.capacity().connections;
     let members = node.members.borrow();
     let is_known = hello.peers_revision == members.revision();
-    v1::PeerHelloReply {
+    let reply = v1::PeerHelloReply {
         peers: if is_known { Vec::new() } else { members.addresses() },
         peers_revision: members.revision(),
         most_cpu_millis: largest.cpu_millis,
@@ -85,7 +85,8 @@
         heartbeat_interval_ms: members.heartbeat_interval_ms() as u32,
         max_forwards: forward_slots::limit_for(max_connections, members.count()) as u32,
         ..leadership_view(node)
-    }
+    };
+    node.stated_admission.get().encode(reply)
 }
 
 /// Who leads, as far as this instance knows.
