Leader: the queued jobs of a client's question are counted among the unstarted ones

Cause: each question how many jobs wait went through all jobs that the leader knows, with those retained for 150 s after their end: questions times retained jobs. Change: the leader keeps the jobs that have not begun; a question removes those that have begun or ended since the last one.

--- a/lilacpass-lead/src/leader.rs
+++ b/lilacpass-lead/src/leader.rs
@@ -113,6 +113,8 @@
     /// What was learned from the ends of runs.
     pub(crate) learned: Learned,
     pub(crate) open_jobs: OpenJobs,
+    /// Open jobs of which no worker has started a task, and others until the next client asks for them.
+    pub(crate) unstarted_jobs: BTreeSet<JobKey>,
     pub(crate) job_memory: JobMemory,
     pub(crate) refusal_log_limit: LogLimit,
     /// Number of registered workers of each service, as of the last review.
@@ -201,6 +203,7 @@
             stopping_workers: BTreeSet::new(),
             learned: Learned::default(),
             open_jobs: OpenJobs::default(),
+            unstarted_jobs: BTreeSet::new(),
             job_memory: JobMemory::default(),
             refusal_log_limit: LogLimit::default(),
             pool_sizes: HashMap::default(),
@@ -484,6 +487,7 @@
     pub(crate) fn insert_job(&mut self, entry: JobEntry) {
         self.open_jobs.add(&entry.job);
         self.job_memory.add(&entry.job.plan);
+        self.unstarted_jobs.insert(entry.job.key);
         self.jobs.insert(entry.job.key, entry);
     }
 
@@ -491,6 +495,7 @@
     pub(crate) fn remove_job(&mut self, key: JobKey) {
         if let Some(entry) = self.jobs.remove(&key) {
             self.job_memory.remove(&entry.job.plan);
+            self.unstarted_jobs.remove(&key);
         }
     }
 }
--- a/lilacpass-lead/src/requests.rs
+++ b/lilacpass-lead/src/requests.rs
@@ -10,6 +10,7 @@
     leader::Leader,
     outbox::OnStored,
     place,
+    work::Part,
     worker::Worker,
 };
 
@@ -355,13 +356,15 @@
         if !self.is_leadership_certain(now) {
             return self.refuse_unconfirmed(request_id, now);
         }
-        let is_pending = |entry: &&JobEntry| {
-            entry.job.queue.name == queue
-                && entry.is_plan_stored
-                && !entry.job.has_started
-                && entry.job.outcome == Outcome::Open
-        };
-        let pending = self.jobs.values().filter(is_pending).count() as u64;
+        self.visits.add(Part::JobUpdate, self.unstarted_jobs.len());
+        let jobs = &self.jobs;
+        self.unstarted_jobs.retain(|key| {
+            jobs.get(key)
+                .is_some_and(|entry| !entry.job.has_started && entry.job.outcome == Outcome::Open)
+        });
+        let unstarted = self.unstarted_jobs.iter().filter_map(|key| jobs.get(key));
+        let is_pending = |entry: &&JobEntry| entry.is_plan_stored && entry.job.queue.name == queue;
+        let pending = unstarted.filter(is_pending).count() as u64;
         self.reply(request_id, Response::Pending(pending));
     }
 
--- a/lilacpass-lead/tests/waiting_jobs.rs
+++ b/lilacpass-lead/tests/waiting_jobs.rs
@@ -192,3 +192,28 @@
     let has_begun = |key| leader.explain(JobKey(key), now).is_some_and(|job| job.begun);
     assert!(has_begun(1) && !has_begun(2));
 }
+
+/// Guards against clients that make a busy leader go through all jobs that it retains, each time they ask how many wait.
+#[test]
+fn counting_the_queued_jobs_does_not_go_through_those_that_have_run() {
+    const ENDED: u64 = 400;
+    const QUESTIONS: u64 = 50;
+    let mut world = four_workers();
+    world.run(500);
+    for key in 1..=ENDED {
+        world.submit(key, plan(&[step(1, 1_000, 10)]), queue(QUEUE, 0));
+        world.run(10);
+    }
+    world.run(2_000);
+    let before = world.current_instance().leader.work().visits.total();
+    for _ in 0..QUESTIONS {
+        assert_eq!(
+            pending(&mut world),
+            Response::Pending(0),
+            "no worker is large enough for the last job"
+        );
+    }
+    let visits = world.current_instance().leader.work().visits.total() - before;
+    // The first question looks once at each job that has begun since the last one.
+    assert!(visits < 2 * ENDED, "{visits} visits for {QUESTIONS} questions");
+}
