Polls: waits of 0.8 s again, also while the leader refuses jobs

Cause: a run counts as stalled after 1.7 s without progress, which is two polls of 0.8 s. Change: takes back the longer waits.

--- a/lilacpass-lead/src/admission.rs
+++ b/lilacpass-lead/src/admission.rs
@@ -145,11 +145,6 @@
         self.share
     }
 
-    /// Returns whether jobs are refused.
-    pub fn is_limited(&self) -> bool {
-        self.limited_since_ms.is_some()
-    }
-
     /// Returns for how long jobs have been refused, in ms.
     pub fn limited_ms(&self, now: Now) -> u64 {
         self.limited_since_ms.map_or(0, |since_ms| now.steady_ms.saturating_sub(since_ms))
--- a/lilacpass-lead/src/options.rs
+++ b/lilacpass-lead/src/options.rs
@@ -25,9 +25,6 @@
     /// Maximum time for which a worker may hold a poll until a run ends there. Half of the lease time that remains
     /// after the longest wait must be enough for the next poll.
     pub poll_wait_ms: u64,
-    /// Replaces `poll_wait_ms` while the leader refuses jobs because it is behind. Polls of workers without news are then
-    /// most of what it does.
-    pub poll_wait_late_ms: u64,
     /// Replaces `poll_wait_ms` while responses get lost. If a response is lost, the leader learns of a task's end later
     /// by this time plus `poll_answer_lossy_ms`.
     pub poll_wait_lossy_ms: u64,
@@ -204,7 +201,6 @@
             longest_lease_ms: 10_000,
             unconfirmed_lease_ms: 7_000,
             poll_wait_ms: 800,
-            poll_wait_late_ms: 1_600,
             poll_wait_lossy_ms: 300,
             poll_answer_ms: 400,
             poll_answer_lossy_ms: 200,
--- a/lilacpass-lead/src/polling.rs
+++ b/lilacpass-lead/src/polling.rs
@@ -384,8 +384,6 @@
         let options = &self.options;
         let (poll_wait_ms, answer_ms) = if self.response_loss.is_lossy(now.steady_ms) {
             (options.poll_wait_lossy_ms, options.poll_answer_lossy_ms)
-        } else if self.admission.is_limited() {
-            (options.poll_wait_late_ms, options.poll_answer_ms)
         } else {
             (options.poll_wait_ms, options.poll_answer_ms)
         };
