Admission: a job's place is the same in builds of all versions

Cause: the standard library's default hasher may change with the toolchain. A leader and an instance of different builds would refuse different jobs, and the instance some that the leader has accepted. Change: the place of a job is its rendezvous weight, as where workers are dealt to relays. Result: the five tests of admission and the two of short work against the processor pass.

--- a/lilacpass-lead/src/admission.rs
+++ b/lilacpass-lead/src/admission.rs
@@ -8,8 +8,7 @@
 //! decided anew, most of the accepted jobs would be ones that were refused before and are late already. It also lets other
 //! instances refuse the same jobs without asking the leader.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
-
+use lilacpass_core::rendezvous;
 use lilacpass_jobs::JobKey;
 use lilacpass_schema::v1;
 
@@ -63,11 +62,9 @@
     }
 }
 
-/// Returns the place of a job between 0 and 1, spread evenly over all jobs.
+/// Returns the place of a job between 0 and 1, spread evenly over all jobs. Instances of all versions have to agree on it.
 fn position(job: JobKey) -> f64 {
-    let mut hasher = DefaultHasher::new();
-    job.hash(&mut hasher);
-    hasher.finish() as f64 / u64::MAX as f64
+    rendezvous::weight(&job.0.to_le_bytes(), "admission") as f64 / u64::MAX as f64
 }
 
 /// The share of new jobs that the leader accepts.
