--- a/lilacpass-lab/src/cell.rs
+++ b/lilacpass-lab/src/cell.rs
@@ -317,7 +317,7 @@
         let class = &self.scenario.classes[arrival.class];
         let step = StepName { job: arrival.key, occurrence: 0, step: 0 };
         self.recorder.record_ready(step, self.now_ms);
-        // Other instances refuse the jobs that the leader has not accepted lately themselves.
+        // Other instances refuse jobs that the leader has not accepted lately, without asking it.
         let plan = arrival.work_plan(class);
         let admission = self.leader.admission();
         if admission.recent_share().refuses(arrival.key, &plan) {
--- a/lilacpass-lab/tests/leader_work.rs
+++ b/lilacpass-lab/tests/leader_work.rs
@@ -92,7 +92,7 @@
     short().map(|class| class.worth * asked(class)).sum::<f64>() / short().map(asked).sum::<f64>()
 }
 
-/// The worth that short work may earn with a share of the processor falls in proportion to that share.
+/// Asserts that short work earns at least each share of what it earns with the whole processor.
 fn assert_falls_in_proportion(workers: usize, shares: &[f64]) {
     let whole = short_worth(&run_with_processor(workers, 1.0));
     let earned = thread::scope(|scope| {
