Tests: late ends are played with ticks every 50 ms

Cause: starts_and_ends_that_are_heard_of_late_give_no_sample sent its leader ticks every 100 ms. Change: the test's ticks come every 50 ms; times, events and assertions are the same.

--- a/lilacpass-lead/tests/learned_speeds.rs
+++ b/lilacpass-lead/tests/learned_speeds.rs
@@ -321,6 +321,8 @@
 /// 2 s later, where times may be uncertain. Returns the learned speed of that worker.
 fn speed_after_late_ends(uncertain: Uncertain) -> f64 {
     const LATE_MS: u64 = 2_000;
+    /// With rarer ticks, the leader would count as short of processor and refuse jobs.
+    const TICK_MS: u64 = 50;
     const WORKERS: [&str; 3] = ["w-1", "w-2", "w-3"];
     let mut fixture = LeaderFixture::new(&WORKERS);
     let mut end_numbers = [0; 3];
@@ -347,8 +349,8 @@
             }
         }
         let pass = |fixture: &mut LeaderFixture, for_ms: u64| {
-            for _ in 0..for_ms / 100 {
-                fixture.now_ms += 98;
+            for _ in 0..for_ms / TICK_MS {
+                fixture.now_ms += TICK_MS - 2;
                 fixture.handle(Event::RegistrationsRead { sent_ms: fixture.now_ms });
                 fixture.handle(Event::Tick);
             }
