--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,7 +2,9 @@
 //! Exits with 1 if a rule was broken, with 0 if all held, and with 2 if the case could not run.
 
 mod cell;
+mod flaky_watchers;
 mod http;
+mod long_tasks;
 mod store;
 mod watchers;
 mod world;
@@ -25,6 +27,8 @@
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "watchers" => watchers::run(record, trouble),
+        "long-tasks" => long_tasks::run(record, trouble),
+        "flaky-watchers" => flaky_watchers::run(record, trouble),
         _ => Ok(Outcome::NotRun(format!("no case {case}"))),
     };
     match outcome {
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -29,6 +29,8 @@
     pub count: u64,
     pub cpu: u64,
     pub runtime_ms: u64,
+    /// The client's estimate of it; `None` if it is right.
+    pub estimate_ms: Option<u64>,
     pub after: Vec<usize>,
     pub gang: bool,
     pub lasting: bool,
@@ -41,7 +43,7 @@
 impl Step {
     fn to_json(&self) -> Value {
         let mut step = json!({
-            "count": self.count, "cpu": self.cpu, "memMb": 256, "estRuntimeMs": self.runtime_ms,
+            "count": self.count, "cpu": self.cpu, "memMb": 256, "estRuntimeMs": self.estimate_ms.unwrap_or(self.runtime_ms),
         });
         if !self.after.is_empty() {
             step["after"] = json!(self.after);
@@ -268,6 +270,14 @@
         worker.finished.clear();
     }
 
+    /// Ends the run of a task as failed.
+    pub fn fail(&mut self, task: &Task) {
+        match self.worker_of(task) {
+            Some(n) => self.end(n, task, "failed"),
+            None => self.note(format!("{task} does not run, and can't fail")),
+        }
+    }
+
     /// The index of the living worker that runs a task.
     pub fn worker_of(&self, task: &Task) -> Option<usize> {
         self.workers.iter().position(|worker| worker.alive && worker.running.contains_key(task))
