--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,6 +2,7 @@
 //! Exits with 1 if a rule was broken, with 0 if all held, and with 2 if the case could not run.
 
 mod cell;
+mod filling;
 mod flaky_watchers;
 mod http;
 mod long_tasks;
@@ -29,6 +30,7 @@
         "watchers" => watchers::run(record, trouble),
         "long-tasks" => long_tasks::run(record, trouble),
         "flaky-watchers" => flaky_watchers::run(record, trouble),
+        "filling" => filling::run(record, trouble),
         _ => Ok(Outcome::NotRun(format!("no case {case}"))),
     };
     match outcome {
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -13,6 +13,8 @@
 };
 
 const STOP_MS: u64 = 100;
+/// Tail of the response times of a task that serves.
+const TAIL_MS: u64 = 40;
 const GANG_MS: u64 = 3_000;
 const MAX_LEASE_MS: u64 = 10_000;
 /// Reading of a worker's clock at its start.
@@ -36,6 +38,10 @@
     pub lasting: bool,
     pub label: String,
     pub per_worker: u64,
+    /// The tail of the response times of a lasting task that serves; 0 for other tasks.
+    pub target_ms: u64,
+    /// Whether its tasks fill what others leave unused.
+    pub fills: bool,
     /// How many runs of each task fail first.
     pub failures: u64,
 }
@@ -48,7 +54,8 @@
         if !self.after.is_empty() {
             step["after"] = json!(self.after);
         }
-        for (name, is_set) in [("gang", self.gang), ("longRunning", self.lasting)] {
+        let flags = [("gang", self.gang), ("longRunning", self.lasting), ("fills", self.fills)];
+        for (name, is_set) in flags {
             if is_set {
                 step[name] = json!(true);
             }
@@ -56,6 +63,12 @@
         if !self.label.is_empty() {
             step["requiredLabel"] = json!(self.label);
         }
+        if self.target_ms > 0 {
+            step["targetMs"] = json!(self.target_ms);
+        }
+        if self.target_ms > 0 || self.fills {
+            step["image"] = json!(if self.fills { "fill" } else { "serve" });
+        }
         if self.per_worker > 0 {
             step["antiAffinity"] = json!(self.per_worker);
         }
@@ -138,6 +151,13 @@
     last_ended: HashMap<Task, u64>,
 }
 
+impl Worker {
+    /// Whether the worker responds and runs nothing.
+    pub fn is_idle(&self) -> bool {
+        self.alive && self.running.is_empty()
+    }
+}
+
 #[derive(Default)]
 pub struct TaskHistory {
     pub starts: u64,
@@ -466,7 +486,8 @@
             let now_ms = self.now_ms();
             let step = self.step(&task).unwrap_or_default();
             let working_ms = (!step.gang).then_some(now_ms);
-            let (number, present_ms, stop_ms, cpu) = (run, now_ms, None, step.cpu);
+            let cpu = if step.fills { 0 } else { step.cpu };
+            let (number, present_ms, stop_ms) = (run, now_ms, None);
             let started = Run { number, working_ms, present_ms, stop_ms, cpu };
             self.workers[n].running.insert(task, started);
         }
@@ -497,11 +518,15 @@
                 Some(began) => ((now_ms - began) * 100 / step.runtime_ms.max(1)).min(99),
             }
         };
+        let gauge = |task: &Task, run: &Run| {
+            let serves = self.step(task).is_some_and(|step| step.target_ms > 0);
+            if serves { TAIL_MS } else { run.cpu }
+        };
         let running: Vec<Value> = worker
             .running
             .iter()
             .map(|(task, run)| {
-                json!([task.to_string(), run.number, "", percent(task, run), run.cpu])
+                json!([task.to_string(), run.number, "", percent(task, run), gauge(task, run)])
             })
             .collect();
         let finished: Vec<Value> = worker
@@ -547,7 +572,7 @@
         }
         let worker = &self.workers[n];
         let used: u64 = worker.running.values().map(|run| run.cpu).sum();
-        if used + step.cpu > worker.cpu {
+        if !step.fills && used + step.cpu > worker.cpu {
             self.break_rule(format!("LIMIT {task} on {id}"));
         }
         let worker = &self.workers[n];
