--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -2,6 +2,7 @@
 //! Exits with 1 if a rule was broken, with 0 if all held, and with 2 if the case could not run.
 
 mod cell;
+mod fillers;
 mod filling;
 mod flaky_watchers;
 mod http;
@@ -31,6 +32,7 @@
         "long-tasks" => long_tasks::run(record, trouble),
         "flaky-watchers" => flaky_watchers::run(record, trouble),
         "filling" => filling::run(record, trouble),
+        "fillers" => fillers::run(record, trouble),
         _ => Ok(Outcome::NotRun(format!("no case {case}"))),
     };
     match outcome {
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -40,6 +40,8 @@
     pub per_worker: u64,
     /// The tail of the response times of a lasting task that serves; 0 for other tasks.
     pub target_ms: u64,
+    /// How many tasks of the step may be away by orders of the system.
+    pub may_miss: u64,
     /// Whether its tasks fill what others leave unused.
     pub fills: bool,
     /// How many runs of each task fail first.
@@ -66,6 +68,9 @@
         if self.target_ms > 0 {
             step["targetMs"] = json!(self.target_ms);
         }
+        if self.may_miss > 0 {
+            step["mayMiss"] = json!(self.may_miss);
+        }
         if self.target_ms > 0 || self.fills {
             step["image"] = json!(if self.fills { "fill" } else { "serve" });
         }
@@ -164,6 +169,7 @@
     pub done: bool,
     acked_done: bool,
     pub failed_ends: u64,
+    pub stopped_ends: u64,
     pub last_running_ms: u64,
 }
 
@@ -394,6 +400,7 @@
         history.last_running_ms = now_ms;
         history.done |= how == "done";
         history.failed_ends += u64::from(how == "failed");
+        history.stopped_ends += u64::from(how == "stopped");
         let is_gang = self.step(task).is_some_and(|step| step.gang);
         if !is_gang {
             return;
