--- a/review/standin-2/src/cell.rs
+++ b/review/standin-2/src/cell.rs
@@ -29,6 +29,7 @@
 pub struct Instance {
     pub front: String,
     ready: String,
+    peers: String,
     settings: PathBuf,
     log: PathBuf,
     pub child: Option<Child>,
@@ -68,6 +69,7 @@
     store_address: String,
     next_id: u64,
     next_front: usize,
+    started: usize,
 }
 
 fn lock(world: &Arc<Mutex<World>>) -> MutexGuard<'_, World> {
@@ -147,7 +149,7 @@
             }
         });
         let instances = Vec::new();
-        Ok(Self { world, instances, folder, store_address, next_id: 0, next_front: 0 })
+        Ok(Self { world, instances, folder, store_address, next_id: 0, next_front: 0, started: 0 })
     }
 
     pub fn world(&self) -> MutexGuard<'_, World> {
@@ -169,16 +171,6 @@
         format!("i-{:08x}", self.next_id.wrapping_mul(2_654_435_761) as u32)
     }
 
-    /// Starts a crashed worker again: the next life has a new id, and the machine has the address that it had.
-    pub fn restart_worker(&mut self, n: usize) {
-        let id = self.new_worker_id();
-        let mut world = self.world();
-        let former = &world.workers[n];
-        let (address, zone, cpu) = (former.address.clone(), former.zone.clone(), former.cpu);
-        let [kind, rack] = former.labels.clone();
-        world.add_worker(id, address, &zone, [&kind, &rack], cpu);
-    }
-
     /// Publishes a desired state with one queue for each of `queues`: name, priority, attempts.
     pub fn publish(&self, version: u64, queues: &[(&str, u64, u64)]) {
         let route = |(name, priority, attempts): &(&str, u64, u64)| {
@@ -200,7 +192,8 @@
 
     /// Prepares and starts an instance.
     pub fn start_instance(&mut self, zone: &str) -> io::Result<()> {
-        let n = self.instances.len();
+        let n = self.started;
+        self.started += 1;
         let mut reserved = Vec::new();
         for _ in 0..3 {
             reserved.push(listen()?);
@@ -232,13 +225,23 @@
         });
         fs::write(&settings, text.to_string())?;
         let log = self.folder.join(format!("instance-{n}.log"));
-        let [front, ready] = [addresses[0].clone(), addresses[1].clone()];
-        let mut instance = Instance { front, ready, settings, log, child: None };
+        let [front, ready, peers] = [0, 1, 2].map(|n| addresses[n].clone());
+        let mut instance = Instance { front, ready, peers, settings, log, child: None };
         instance.start()?;
         self.instances.push(instance);
         Ok(())
     }
 
+    /// The instance that says that it leads, as operators ask it.
+    pub fn leader(&self) -> Option<usize> {
+        self.instances.iter().position(|instance| {
+            let path = "/operator/instance";
+            let response = http::call(&instance.peers, "GET", path, HOST, "", CALLER_TIMEOUT);
+            let body = response.map(|(_, body)| body).unwrap_or_default();
+            serde_json::from_str::<serde_json::Value>(&body).is_ok_and(|body| body["leads"] == true)
+        })
+    }
+
     /// Waits until all instances are ready.
     pub fn wait_until_ready(&self, timeout: Duration) -> bool {
         let end = Instant::now() + timeout;
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,8 +6,8 @@
 mod flaky_watchers;
 mod http;
 mod long_tasks;
+mod lost_together;
 mod store;
-mod watchers;
 mod world;
 
 use std::{env, process::ExitCode};
@@ -27,10 +27,10 @@
     };
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
-        "watchers" => watchers::run(record, trouble),
         "long-tasks" => long_tasks::run(record, trouble),
         "flaky-watchers" => flaky_watchers::run(record, trouble),
         "fillers" => fillers::run(record, trouble),
+        "lost-together" => lost_together::run(record, trouble),
         _ => Ok(Outcome::NotRun(format!("no case {case}"))),
     };
     match outcome {
