--- a/review/standin-3/src/bin/crashed-workers.rs
+++ b/review/standin-3/src/bin/crashed-workers.rs
@@ -11,9 +11,13 @@
 /// How long a crashed worker is down. The site file names up to 4.5 s.
 const DOWNTIME: Duration = Duration::from_millis(1_500);
 /// How long a run of the quick check, which takes 1 s, has lasted when its worker crashes.
-const QUICK_CRASH_AFTER: Duration = Duration::from_millis(400);
-/// How long a run of the watcher has lasted when its worker crashes.
-const WATCH_CRASH_AFTER: Duration = Duration::from_secs(4);
+const QUICK_CRASH_AFTER: Duration = Duration::from_millis(250);
+/// Workers that crash one after the other while a gang runs on all workers.
+const GANG_VICTIMS: [Option<usize>; 3] = [Some(2), Some(5), Some(9)];
+/// How long a run of the watcher or of the gang has lasted when a worker crashes.
+const LONG_CRASH_AFTER: Duration = Duration::from_secs(4);
+/// After a crash, how long runs that another member's end has broken may go on.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
 /// How long a run may take to begin.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -35,26 +39,30 @@
     let plan =
         |step| v1::WorkPlan { payload: "work".to_owned(), steps: vec![step], ..Default::default() };
     let check = plan(step(2, 1_000, false));
-    let check = crash_under(bench, quick, check, 2, QUICK_CRASH_AFTER).await?;
+    let check = crash_under(bench, quick, check, &[None; 2], QUICK_CRASH_AFTER).await?;
     let watcher = plan(step(2, 400, true));
-    let watcher = crash_under(bench, watch, watcher, 3, WATCH_CRASH_AFTER).await?;
-    let is_broken = check == "failed" || watcher == "failed";
+    let watcher = crash_under(bench, watch, watcher, &[None; 3], LONG_CRASH_AFTER).await?;
+    // Each task needs most of a worker, so that the gang runs on all of them. Its queue is public: the accounts of the
+    // others have caps that are too small for it.
+    let gang = v1::WorkStep { gang: true, cpu_milli: 9_000, ..step(12, 9_000, false) };
+    let gang = crash_under(bench, watch, plan(gang), &GANG_VICTIMS, LONG_CRASH_AFTER).await?;
+    let is_broken = [check, watcher, gang].iter().any(|state| state == "failed");
     Ok(if is_broken { Verdict::Broken } else { Verdict::Held })
 }
 
-/// Submits a job, and crashes the worker of its first task `crashes` times, each time `after` its run has begun. Returns
-/// the state of the job that is shown in the end.
+/// Submits a job, and crashes `victims` one after the other, each `after` a run of its first task has begun; `None` stands
+/// for the worker of that run. Returns the state of the job that is shown in the end.
 async fn crash_under(
     bench: &mut Bench,
     queue: Queue,
     plan: v1::WorkPlan,
-    crashes: usize,
+    victims: &[Option<usize>],
     after: Duration,
 ) -> io::Result<String> {
     let is_lasting = plan.steps[0].lasting;
     let key = bench.submit(queue, plan).await?;
     let task = StepName { job: key, occurrence: 0, step: 0 }.task(0);
-    for number in 1..=crashes {
+    for (number, victim) in (1..).zip(victims) {
         let Some((worker, run)) = bench.wait_for_run(task, START_TIMEOUT).await else {
             let state = bench.state(queue, key).await;
             bench.record.line(format!("{task} is not started; the job is shown as {state}"));
@@ -64,9 +72,10 @@
         time::sleep(after).await;
         if bench.has_trouble {
             let cell = bench.cluster.cell.clone();
+            let worker = victim.unwrap_or(worker);
             bench.record.line(format!("crash {number}: worker {worker} is down for {DOWNTIME:?}"));
             tokio::task::spawn_local(async move { cell.crash_for(worker, DOWNTIME).await });
-            time::sleep(Duration::from_millis(50)).await;
+            time::sleep(SETTLE_TIME).await;
         }
     }
     let last = if is_lasting { "running" } else { "completed" };
