--- a/review/standin-3/src/lib.rs
+++ b/review/standin-3/src/lib.rs
@@ -12,14 +12,8 @@
 
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use lilacpass_jobs::{JobKey, TaskName};
 use lilacpass_platform::client::{Call, Client};
-use lilacpass_platform_standin::{
-    cell::{Cell, WorkerConnections},
-    cluster::Cluster,
-    load::{self, HOST, Queue},
-};
-use lilacpass_schema::v1;
+use lilacpass_platform_standin::{cell::WorkerConnections, cluster::Cluster, load::HOST};
 use rand::RngExt;
 use tokio::{
     runtime,
@@ -149,44 +143,4 @@
         let call = Call { address, method, path, headers: &headers, body, timeout };
         Some(self.client.call(&call).await.ok()?.status)
     }
-
-    /// Submits a job until it is accepted, and records it.
-    pub async fn submit(&mut self, queue: Queue, plan: v1::WorkPlan) -> io::Result<JobKey> {
-        let (key, outcome) = self.cluster.callers.submit(queue, plan.clone()).await;
-        let body = load::plan_json(&plan);
-        self.record.line(format!("POST /{}/{key} {body} -> {outcome:?}", queue.name));
-        if outcome != load::SubmitOutcome::Accepted {
-            return Err(io::Error::other("the job is not accepted"));
-        }
-        Ok(key)
-    }
-
-    /// The state of a job as any instance shows it.
-    pub async fn state(&self, queue: Queue, key: JobKey) -> String {
-        let state = self.cluster.callers.state(queue, key).await;
-        state.unwrap_or_else(|| "no answer".to_owned())
-    }
-
-    /// The worker that runs a task, with the number of the run; waits for up to `max_wait`.
-    pub async fn wait_for_run(&self, task: TaskName, max_wait: Duration) -> Option<(usize, u32)> {
-        let end = Instant::now() + max_wait;
-        loop {
-            let found = running(&self.cluster.cell, task);
-            if found.is_some() || Instant::now() >= end {
-                return found;
-            }
-            time::sleep(Duration::from_millis(5)).await;
-        }
-    }
-}
-
-/// The worker that runs a task, and the number of the run.
-pub fn running(cell: &Cell, task: TaskName) -> Option<(usize, u32)> {
-    let now_ms = cell.now_ms();
-    let workers = cell.workers.borrow();
-    let runs = workers.iter().enumerate().filter(|(_, worker)| worker.alive);
-    let mut runs = runs.flat_map(|(n, worker)| {
-        worker.progress(now_ms).into_iter().map(move |(task, run, _)| (n, task, run))
-    });
-    runs.find(|(_, other, _)| *other == task).map(|(n, _, run)| (n, run))
 }
