--- a/review/standin-3/src/bin/slow-return.rs
+++ b/review/standin-3/src/bin/slow-return.rs
@@ -114,10 +114,22 @@
     }
 }
 
+/// Crashes the worker. It comes back under a new id, as the pages of the site say, and its former entry is removed.
 fn crash_worker(bench: &mut Bench) {
-    bench.record.line(format!("worker {WORKER} crashes, and is down for {DOWNTIME:?}"));
     let cell = bench.cluster.cell.clone();
-    tokio::task::spawn_local(async move { cell.crash_for(WORKER, DOWNTIME).await });
+    let former = cell.workers.borrow()[WORKER].name.clone();
+    let next = format!("{former}-again");
+    bench.record.line(format!("{former} crashes; {next} takes its place after {DOWNTIME:?}"));
+    tokio::task::spawn_local({
+        let cell = cell.clone();
+        async move { cell.crash_for(WORKER, DOWNTIME).await }
+    });
+    tokio::task::spawn_local(async move {
+        time::sleep(DOWNTIME / 2).await;
+        cell.workers.borrow_mut()[WORKER].name = next;
+        time::sleep(DOWNTIME / 2).await;
+        cell.publish_registration(&former, &[]);
+    });
 }
 
 /// The indices of the tasks that run.
